Set down the shape: kernel, domain types, messages and effects

The kernel holds state and runs typed commands in updates; plug-ins register themselves and return their undo. model holds the enums and schemas, protocol the messages, events and effects, apart from any encoding.

--- /dev/null
+++ b/packages/cli/bin/mustardweir.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "../dist/main.js";
--- /dev/null
+++ b/packages/kernel/src/command.ts
@@ -0,0 +1,28 @@
+/** A typed name that handlers are registered under and payloads sent to. */
+export interface Command<Payload> {
+  readonly name: string;
+  /** @internal Carries the payload's type; never set. */
+  readonly payloadType?: Payload;
+}
+
+/**
+ * Creates a command. Commands are compared by identity.
+ *
+ * @example
+ * ```ts
+ * const JOB_SUBMITTED = createCommand<{ jobId: string }>("job-submitted");
+ * ```
+ */
+export function createCommand<Payload>(name: string): Command<Payload> {
+  return { name };
+}
+
+/** Handlers run from the highest priority to the lowest. */
+export enum CommandPriority {
+  Critical = 4,
+  High = 3,
+  Normal = 2,
+  Low = 1,
+  /** Sees what the others have done; should not handle. */
+  Observer = 0,
+}
--- /dev/null
+++ b/packages/kernel/src/kernel.ts
@@ -0,0 +1,259 @@
+import type { Command, CommandPriority } from "./command.ts";
+import type { Effect } from "./effect.ts";
+import { invariant } from "./invariant.ts";
+import type { ServiceKey, StateKey } from "./keys.ts";
+import { mergeUndo, type Plugin, type Undo } from "./plugin.ts";
+import { Random } from "./random.ts";
+import type { Commit, Update } from "./update.ts";
+
+/** Handles a command; returns true to keep lower priorities from seeing it. */
+export type CommandHandler<Payload> = (
+  payload: Payload,
+  update: Update,
+) => boolean | void;
+
+export type CommitListener = (commit: Commit) => void;
+
+/** Work that is run again and again, `intervalMs` apart. */
+export interface PeriodicOptions {
+  readonly intervalMs: number;
+  /** Delay before the first run, in milliseconds; 0 by default. */
+  readonly firstMs?: number;
+  readonly run: (update: Update) => void;
+}
+
+export interface KernelOptions {
+  readonly plugins?: readonly Plugin[];
+  /** Seed of the kernel's random numbers; 1 by default. */
+  readonly seed?: number;
+}
+
+interface HandlerEntry {
+  readonly priority: CommandPriority;
+  readonly handler: CommandHandler<never>;
+}
+
+interface PeriodicEntry {
+  readonly options: PeriodicOptions;
+  due: number;
+}
+
+/**
+ * Holds state and runs commands on it, one update at a time. An update runs
+ * to its end without waiting; what it wants from the outside is returned as
+ * effects. The kernel reads no clock: every call brings the time.
+ *
+ * @example
+ * ```ts
+ * const kernel = new Kernel({ plugins: createPlugins(Role.Scheduler) });
+ * const effects = kernel.run(JOB_SUBMITTED, { jobId: "a" }, nowMs);
+ * ```
+ */
+export class Kernel {
+  readonly #handlers = new Map<Command<never>, HandlerEntry[]>();
+  readonly #states = new Map<StateKey<unknown>, unknown>();
+  readonly #services = new Map<ServiceKey<unknown>, unknown>();
+  readonly #listeners = new Set<CommitListener>();
+  readonly #periodic = new Set<PeriodicEntry>();
+  readonly #random: Random;
+  readonly #undoPlugins: Undo;
+  #active: ActiveUpdate | undefined;
+
+  constructor(options: KernelOptions = {}) {
+    this.#random = new Random(options.seed ?? 1);
+    const plugins = options.plugins ?? [];
+    this.#undoPlugins = mergeUndo(
+      ...plugins.map((plugin) => plugin.register(this)),
+    );
+  }
+
+  /** Takes back every plug-in's registrations. */
+  dispose(): void {
+    this.#undoPlugins();
+  }
+
+  registerCommand<Payload>(
+    command: Command<Payload>,
+    handler: CommandHandler<Payload>,
+    priority: CommandPriority,
+  ): Undo {
+    const key = command as Command<never>;
+    const entry: HandlerEntry = { priority, handler };
+    const entries = [...this.#handlers.get(key) ?? [], entry];
+    entries.sort((a, b) => b.priority - a.priority);
+    this.#handlers.set(key, entries);
+    return () => {
+      const rest = this.#handlers.get(key)?.filter((e) => e !== entry) ?? [];
+      this.#handlers.set(key, rest);
+    };
+  }
+
+  registerState<State>(key: StateKey<State>, initial: State): Undo {
+    invariant(!this.#states.has(key), `state ${key.name} is registered twice`);
+    this.#states.set(key, initial);
+    return () => {
+      this.#states.delete(key);
+    };
+  }
+
+  registerService<Service>(key: ServiceKey<Service>, service: Service): Undo {
+    invariant(
+      !this.#services.has(key),
+      `service ${key.name} is registered twice`,
+    );
+    this.#services.set(key, service);
+    return () => {
+      this.#services.delete(key);
+    };
+  }
+
+  registerListener(listener: CommitListener): Undo {
+    this.#listeners.add(listener);
+    return () => {
+      this.#listeners.delete(listener);
+    };
+  }
+
+  registerPeriodic(options: PeriodicOptions): Undo {
+    invariant(options.intervalMs > 0, "periodic interval must be positive");
+    const entry: PeriodicEntry = { options, due: -Infinity };
+    this.#periodic.add(entry);
+    return () => {
+      this.#periodic.delete(entry);
+    };
+  }
+
+  read<State>(key: StateKey<State>): Readonly<State> {
+    invariant(this.#states.has(key), `state ${key.name} is not registered`);
+    return this.#states.get(key) as State;
+  }
+
+  service<Service>(key: ServiceKey<Service>): Service {
+    invariant(
+      this.#services.has(key),
+      `service ${key.name} is not registered`,
+    );
+    return this.#services.get(key) as Service;
+  }
+
+  /** Runs `command` as one update and returns the effects it asked for. */
+  run<Payload>(
+    command: Command<Payload>,
+    payload: Payload,
+    now: number,
+  ): readonly Effect[] {
+    return this.update(now, (update) => {
+      update.dispatch(command, payload);
+    });
+  }
+
+  /** Runs `change` as one update, commits it and shows it to listeners. */
+  update(now: number, change: (update: Update) => void): readonly Effect[] {
+    invariant(this.#active === undefined, "updates can't be nested");
+    const active = new ActiveUpdate(this, now, this.#random);
+    this.#active = active;
+    try {
+      change(active);
+    } finally {
+      this.#active = undefined;
+      active.close();
+    }
+    for (const listener of this.#listeners) {
+      listener(active);
+    }
+    return active.effects;
+  }
+
+  /** Runs the periodic work that is due at `now`, as one update. */
+  advance(now: number): readonly Effect[] {
+    const due = [...this.#periodic].filter((entry) => this.#isDue(entry, now));
+    if (due.length === 0) {
+      return [];
+    }
+    return this.update(now, (update) => {
+      for (const entry of due) {
+        entry.due = now + entry.options.intervalMs;
+        entry.options.run(update);
+      }
+    });
+  }
+
+  /** When `advance` next has work, in the clock of `now`. */
+  nextDue(now: number): number {
+    let next = Infinity;
+    for (const entry of this.#periodic) {
+      next = Math.min(next, this.#dueTime(entry, now));
+    }
+    return next;
+  }
+
+  /** @internal Runs the handlers of `command` by priority. */
+  handle<Payload>(
+    command: Command<Payload>,
+    payload: Payload,
+    update: Update,
+  ): boolean {
+    const entries = this.#handlers.get(command as Command<never>) ?? [];
+    for (const entry of entries) {
+      const handler = entry.handler as CommandHandler<unknown>;
+      if (handler(payload, update) === true) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  #isDue(entry: PeriodicEntry, now: number): boolean {
+    return this.#dueTime(entry, now) <= now;
+  }
+
+  #dueTime(entry: PeriodicEntry, now: number): number {
+    if (entry.due === -Infinity) {
+      entry.due = now + (entry.options.firstMs ?? 0);
+    }
+    return entry.due;
+  }
+}
+
+class ActiveUpdate implements Update, Commit {
+  readonly effects: Effect[] = [];
+  readonly changed = new Set<StateKey<unknown>>();
+  readonly now: number;
+  readonly random: Random;
+  readonly #kernel: Kernel;
+  #open = true;
+
+  constructor(kernel: Kernel, now: number, random: Random) {
+    this.#kernel = kernel;
+    this.now = now;
+    this.random = random;
+  }
+
+  read<State>(key: StateKey<State>): Readonly<State> {
+    return this.#kernel.read(key);
+  }
+
+  write<State>(key: StateKey<State>): State {
+    invariant(this.#open, `state ${key.name} was changed outside an update`);
+    this.changed.add(key);
+    return this.#kernel.read(key) as State;
+  }
+
+  service<Service>(key: ServiceKey<Service>): Service {
+    return this.#kernel.service(key);
+  }
+
+  dispatch<Payload>(command: Command<Payload>, payload: Payload): boolean {
+    invariant(this.#open, `command ${command.name} was run after the commit`);
+    return this.#kernel.handle(command, payload, this);
+  }
+
+  emit(effect: Effect): void {
+    invariant(this.#open, `effect ${effect.kind} was emitted after the commit`);
+    this.effects.push(effect);
+  }
+
+  close(): void {
+    this.#open = false;
+  }
+}
--- /dev/null
+++ b/packages/kernel/src/registry.ts
@@ -0,0 +1,46 @@
+import { invariant } from "./invariant.ts";
+import type { Plugin, Undo } from "./plugin.ts";
+
+/** The kinds of node that a plug-in can serve. */
+export enum Role {
+  Entry = "entry",
+  Scheduler = "scheduler",
+}
+
+/** How a plug-in announces itself when its module is imported. */
+export interface PluginRegistration {
+  readonly name: string;
+  readonly roles: readonly Role[];
+  readonly create: () => Plugin;
+}
+
+const registrations = new Map<string, PluginRegistration>();
+
+/**
+ * Announces a plug-in to every kernel created later. Called at the top level
+ * of the plug-in's module, so a binary chooses its plug-ins by imports.
+ *
+ * @example
+ * ```ts
+ * registerPlugin({
+ *   name: "quarantine",
+ *   roles: [Role.Scheduler],
+ *   create: () => new QuarantinePlugin(),
+ * });
+ * ```
+ */
+export function registerPlugin(registration: PluginRegistration): Undo {
+  const { name } = registration;
+  invariant(!registrations.has(name), `plug-in ${name} is registered twice`);
+  registrations.set(name, registration);
+  return () => {
+    registrations.delete(name);
+  };
+}
+
+/** Creates the plug-ins registered for `role`, in order of registration. */
+export function createPlugins(role: Role): Plugin[] {
+  return [...registrations.values()]
+    .filter((registration) => registration.roles.includes(role))
+    .map((registration) => registration.create());
+}
--- /dev/null
+++ b/packages/model/src/configuration.ts
@@ -0,0 +1,166 @@
+import { z } from "zod";
+
+const MAX_NAME_CHARS = 64;
+const name = z.string().min(1).max(MAX_NAME_CHARS).regex(
+  /^[a-z0-9][a-z0-9-]*$/,
+  "names are lower-case letters, digits and dashes",
+);
+
+/** The parts of the configuration, edited and fetched one by one. */
+export enum ConfigurationSection {
+  Inventory = "inventory",
+  Rules = "rules",
+  Zones = "zones",
+  Keys = "keys",
+}
+
+export const instanceSchema = z.strictObject({
+  id: name,
+  /** Base URL of the worker on this instance. */
+  address: z.url(),
+  cpu: z.number().positive(),
+  memoryMb: z.int().positive(),
+  accelerators: z.int().nonnegative().default(0),
+  slots: z.int().positive().default(8),
+});
+
+export const rackSchema = z.strictObject({
+  name,
+  instances: z.array(instanceSchema),
+});
+
+export const availabilityZoneSchema = z.strictObject({
+  name,
+  region: name,
+  racks: z.array(rackSchema),
+});
+
+/** The fleet from the operators' asset register. */
+export const inventorySchema = z.strictObject({
+  availabilityZones: z.array(availabilityZoneSchema),
+}).superRefine((inventory, context) => {
+  const seen = new Set<string>();
+  for (const zone of inventory.availabilityZones) {
+    for (const id of [zone.name, ...instanceIds(zone)]) {
+      if (seen.has(id)) {
+        context.addIssue({ code: "custom", message: `${id} is listed twice` });
+      }
+      seen.add(id);
+    }
+  }
+});
+
+/** The most that a team may have running, fleet-wide. */
+export const ceilingSchema = z.strictObject({
+  cpu: z.number().nonnegative().optional(),
+  memoryMb: z.int().nonnegative().optional(),
+  accelerators: z.int().nonnegative().optional(),
+  tasks: z.int().nonnegative().optional(),
+});
+
+export const teamRuleSchema = z.strictObject({
+  name,
+  /** Part of the fleet when it is full, relative to the other teams. */
+  share: z.number().positive(),
+  ceiling: ceilingSchema.default({}),
+  /** False: the team's work is refused. */
+  maySubmit: z.boolean().default(true),
+});
+
+/** A service-level objective of the burn report. */
+export const objectiveSchema = z.strictObject({
+  team: name,
+  kind: z.enum(["service", "batch", "gang", "request"]),
+  /** Work should start within this time. */
+  startWithinMs: z.int().positive(),
+  /** Fraction of the work that must. */
+  target: z.number().gt(0).lt(1),
+});
+
+export const rulesSchema = z.strictObject({
+  teams: z.array(teamRuleSchema),
+  objectives: z.array(objectiveSchema).default([]),
+}).superRefine((rules, context) => {
+  const seen = new Set<string>();
+  for (const { name } of rules.teams) {
+    if (seen.has(name)) {
+      context.addIssue({
+        code: "custom",
+        message: `team ${name} is listed twice`,
+      });
+    }
+    seen.add(name);
+  }
+});
+
+export enum ZoneState {
+  Open = "open",
+  /** Takes no new task; running tasks are moved away. */
+  Draining = "draining",
+}
+
+/** Zones that are not open; a zone that is not named is open. */
+export const zonesSchema = z.record(name, z.enum(ZoneState));
+
+/** What the holder of a key may do. */
+export enum KeyRole {
+  /** Hands in and cancels its own team's work. */
+  Submitter = "submitter",
+  /** Reads everything, changes nothing. */
+  Viewer = "viewer",
+  Operator = "operator",
+}
+
+export const keySchema = z.strictObject({
+  id: name,
+  /** SHA-256 of the key, in hexadecimal. */
+  hash: z.string().regex(/^[0-9a-f]{64}$/),
+  role: z.enum(KeyRole),
+  /** The team of a submitter's key. */
+  team: name.optional(),
+  /** Wall-clock time in milliseconds since 1970. */
+  expiresAtMs: z.int().positive().optional(),
+});
+
+export const keysSchema = z.array(keySchema);
+
+export type InstanceSpec = z.infer<typeof instanceSchema>;
+export type Rack = z.infer<typeof rackSchema>;
+export type AvailabilityZone = z.infer<typeof availabilityZoneSchema>;
+export type Inventory = z.infer<typeof inventorySchema>;
+export type Ceiling = z.infer<typeof ceilingSchema>;
+export type TeamRule = z.infer<typeof teamRuleSchema>;
+export type Objective = z.infer<typeof objectiveSchema>;
+export type Rules = z.infer<typeof rulesSchema>;
+export type ZoneStates = z.infer<typeof zonesSchema>;
+export type KeyRecord = z.infer<typeof keySchema>;
+
+/** Everything that operators say, under one version. */
+export interface Configuration {
+  /** Grows by one with each accepted edit; 0 before the first. */
+  readonly version: number;
+  readonly inventory: Inventory;
+  readonly rules: Rules;
+  readonly zones: ZoneStates;
+  readonly keys: readonly KeyRecord[];
+}
+
+export const EMPTY_CONFIGURATION: Configuration = {
+  version: 0,
+  inventory: { availabilityZones: [] },
+  rules: { teams: [], objectives: [] },
+  zones: {},
+  keys: [],
+};
+
+/** The schema of each section's body. */
+export const SECTION_SCHEMAS = {
+  [ConfigurationSection.Inventory]: inventorySchema,
+  [ConfigurationSection.Rules]: rulesSchema,
+  [ConfigurationSection.Zones]: zonesSchema,
+  [ConfigurationSection.Keys]: keysSchema,
+} as const;
+
+function instanceIds(zone: z.infer<typeof availabilityZoneSchema>): string[] {
+  return zone.racks.flatMap((rack) => rack.instances.map((i) => i.id));
+}
--- /dev/null
+++ b/packages/model/src/resources.ts
@@ -0,0 +1,80 @@
+/** Amounts of what an instance has and a task takes. */
+export interface Resources {
+  /** Processor time in thousandths of a core. */
+  readonly cpuMillis: number;
+  readonly memoryMb: number;
+  readonly accelerators: number;
+  /** Tasks; an instance runs at most `slots` of them at a time. */
+  readonly slots: number;
+}
+
+/** The kinds of resource, in the order used by typed arrays. */
+export enum Dimension {
+  CpuMillis = 0,
+  MemoryMb = 1,
+  Accelerators = 2,
+  Slots = 3,
+}
+
+export const DIMENSION_COUNT = 4;
+
+export const NO_RESOURCES: Resources = {
+  cpuMillis: 0,
+  memoryMb: 0,
+  accelerators: 0,
+  slots: 0,
+};
+
+/**
+ * Adds two amounts.
+ *
+ * @example
+ * ```ts
+ * const total = addResources(used, task.size);
+ * ```
+ */
+export function addResources(a: Resources, b: Resources): Resources {
+  return {
+    cpuMillis: a.cpuMillis + b.cpuMillis,
+    memoryMb: a.memoryMb + b.memoryMb,
+    accelerators: a.accelerators + b.accelerators,
+    slots: a.slots + b.slots,
+  };
+}
+
+/** Subtracts `b` from `a`. */
+export function subtractResources(a: Resources, b: Resources): Resources {
+  return addResources(a, scaleResources(b, -1));
+}
+
+/** Multiplies every dimension by `factor`. */
+export function scaleResources(a: Resources, factor: number): Resources {
+  return {
+    cpuMillis: a.cpuMillis * factor,
+    memoryMb: a.memoryMb * factor,
+    accelerators: a.accelerators * factor,
+    slots: a.slots * factor,
+  };
+}
+
+/** True when `size` is within `limit` in every dimension. */
+export function fitsWithin(size: Resources, limit: Resources): boolean {
+  return size.cpuMillis <= limit.cpuMillis &&
+    size.memoryMb <= limit.memoryMb &&
+    size.accelerators <= limit.accelerators &&
+    size.slots <= limit.slots;
+}
+
+/** The largest fraction of `total` that `used` takes in any dimension. */
+export function dominantShare(used: Resources, total: Resources): number {
+  return Math.max(
+    fraction(used.cpuMillis, total.cpuMillis),
+    fraction(used.memoryMb, total.memoryMb),
+    fraction(used.accelerators, total.accelerators),
+    fraction(used.slots, total.slots),
+  );
+}
+
+function fraction(used: number, total: number): number {
+  return total > 0 ? used / total : 0;
+}
--- /dev/null
+++ b/packages/protocol/src/effects.ts
@@ -0,0 +1,168 @@
+import type { Effect } from "@mustardweir/kernel";
+import type { CallerAnswer } from "./caller_messages.ts";
+import type { PeerMessage } from "./peer_messages.ts";
+import type {
+  CommitResult,
+  GetObjectResult,
+  ListInstancesResult,
+  PutObjectResult,
+  ScanResult,
+  Transaction,
+} from "./platform_messages.ts";
+import type { ReplyTo } from "./reply.ts";
+import type { SyncCall, SyncResult } from "./target_messages.ts";
+
+/** Kinds of effect that the performers of a process carry out. */
+export enum EffectKind {
+  SendPeer = "send-peer",
+  ConnectPeers = "connect-peers",
+  ScanTable = "scan-table",
+  CommitTable = "commit-table",
+  GetObject = "get-object",
+  PutObject = "put-object",
+  ListInstances = "list-instances",
+  SyncTarget = "sync-target",
+  AnswerCaller = "answer-caller",
+  Count = "count",
+  Observe = "observe",
+  LogChange = "log-change",
+  /** The planned stop is complete; the process may exit. */
+  Stopped = "stopped",
+}
+
+/** Sends a message to a peer; it may be lost, late or doubled. */
+export interface SendPeerEffect extends Effect {
+  readonly kind: EffectKind.SendPeer;
+  readonly to: string;
+  readonly message: PeerMessage;
+}
+
+export interface PeerAddress {
+  readonly nodeId: string;
+  /** host:port */
+  readonly address: string;
+}
+
+/** Names all schedulers to hold links with; others are closed. */
+export interface ConnectPeersEffect extends Effect {
+  readonly kind: EffectKind.ConnectPeers;
+  readonly peers: readonly PeerAddress[];
+}
+
+export interface ScanTableEffect extends Effect {
+  readonly kind: EffectKind.ScanTable;
+  readonly prefix: string;
+  /** 0 for a full scan. */
+  readonly afterRevision: number;
+  readonly replyTo: ReplyTo<ScanResult>;
+}
+
+export interface CommitTableEffect extends Effect {
+  readonly kind: EffectKind.CommitTable;
+  readonly transaction: Transaction;
+  readonly replyTo: ReplyTo<CommitResult>;
+}
+
+export interface GetObjectEffect extends Effect {
+  readonly kind: EffectKind.GetObject;
+  readonly key: string;
+  readonly replyTo: ReplyTo<GetObjectResult>;
+}
+
+/** Objects are never changed; their key names their content. */
+export interface PutObjectEffect extends Effect {
+  readonly kind: EffectKind.PutObject;
+  readonly key: string;
+  readonly body: string;
+  readonly replyTo: ReplyTo<PutObjectResult>;
+}
+
+export interface ListInstancesEffect extends Effect {
+  readonly kind: EffectKind.ListInstances;
+  readonly replyTo: ReplyTo<ListInstancesResult>;
+}
+
+export interface SyncTargetEffect extends Effect {
+  readonly kind: EffectKind.SyncTarget;
+  readonly instanceId: string;
+  readonly address: string;
+  readonly call: SyncCall;
+  /** After this the answer is `SyncResultKind.NoAnswer`. */
+  readonly timeoutMs: number;
+  readonly replyTo: ReplyTo<SyncResult>;
+}
+
+export interface AnswerCallerEffect extends Effect {
+  readonly kind: EffectKind.AnswerCaller;
+  readonly requestId: string;
+  readonly answer: CallerAnswer;
+}
+
+export interface CountEffect extends Effect {
+  readonly kind: EffectKind.Count;
+  readonly counter: string;
+  readonly by: number;
+}
+
+/** Adds a value to a histogram. */
+export interface ObserveEffect extends Effect {
+  readonly kind: EffectKind.Observe;
+  readonly histogram: string;
+  readonly value: number;
+}
+
+/** A log line for a change of state. */
+export interface LogChangeEffect extends Effect {
+  readonly kind: EffectKind.LogChange;
+  readonly message: string;
+  readonly fields: Readonly<Record<string, string | number | boolean>>;
+}
+
+export interface StoppedEffect extends Effect {
+  readonly kind: EffectKind.Stopped;
+}
+
+export type NodeEffect =
+  | SendPeerEffect
+  | ConnectPeersEffect
+  | ScanTableEffect
+  | CommitTableEffect
+  | GetObjectEffect
+  | PutObjectEffect
+  | ListInstancesEffect
+  | SyncTargetEffect
+  | AnswerCallerEffect
+  | CountEffect
+  | ObserveEffect
+  | LogChangeEffect
+  | StoppedEffect;
+
+/**
+ * Makes an effect that sends `message` to the node `to`.
+ *
+ * @example
+ * ```ts
+ * update.emit(sendPeer("s2", heartbeat));
+ * ```
+ */
+export function sendPeer(to: string, message: PeerMessage): SendPeerEffect {
+  return { kind: EffectKind.SendPeer, to, message };
+}
+
+/** Makes an effect that adds `by`, 1 by default, to a counter. */
+export function count(counter: string, by = 1): CountEffect {
+  return { kind: EffectKind.Count, counter, by };
+}
+
+/** Makes an effect that adds `value` to a histogram. */
+export function observe(histogram: string, value: number): ObserveEffect {
+  return { kind: EffectKind.Observe, histogram, value };
+}
+
+/** Makes an effect that logs a change of state. */
+export function logChange(
+  message: string,
+  fields: LogChangeEffect["fields"] = {},
+): LogChangeEffect {
+  return { kind: EffectKind.LogChange, message, fields };
+}
--- /dev/null
+++ b/packages/protocol/src/peer_messages.ts
@@ -0,0 +1,279 @@
+import type {
+  JobSpec,
+  JobStatus,
+  Refusal,
+  Resources,
+} from "@mustardweir/model";
+import type { StopMode, TaskEnd, TaskSpec } from "./tasks.ts";
+
+/** Kinds of message between the system's own processes. */
+export enum PeerMessageKind {
+  Heartbeat = 1,
+  HomeCall = 2,
+  HomeReply = 3,
+  FenceHome = 4,
+  HomeInventory = 5,
+  AskRoom = 6,
+  WithdrawAsks = 7,
+  CommitHolds = 8,
+  RoomAnswer = 9,
+  StopTasks = 10,
+  TaskEvents = 11,
+  TaskEventsAck = 12,
+}
+
+/** What an owner holds of the fleet: a home or a slice, under an epoch. */
+export interface OwnedUnit {
+  readonly unit: string;
+  readonly epoch: number;
+}
+
+/** One slice's room and load, as told once a second. */
+export interface SliceSummary {
+  readonly sliceId: string;
+  readonly epoch: number;
+  readonly free: Resources;
+  readonly total: Resources;
+  /** Asks that wait for room. */
+  readonly waiting: number;
+}
+
+/** What a team uses on the slices of one scheduler. */
+export interface TeamUsage {
+  readonly team: string;
+  readonly used: Resources;
+}
+
+/** Sent to every peer once a second and when something important changed. */
+export interface Heartbeat {
+  readonly kind: PeerMessageKind.Heartbeat;
+  readonly nodeId: string;
+  /** Differs for each start of the process. */
+  readonly incarnation: string;
+  readonly configurationVersion: number;
+  readonly stopping: boolean;
+  readonly owned: readonly OwnedUnit[];
+  readonly slices: readonly SliceSummary[];
+  readonly usage: readonly TeamUsage[];
+}
+
+/** Calls that entries pass on to a team's home. */
+export enum HomeCallKind {
+  Submit = "submit",
+  Status = "status",
+  Cancel = "cancel",
+  List = "list",
+}
+
+export interface SubmitCall {
+  readonly kind: HomeCallKind.Submit;
+  readonly idempotencyKey: string;
+  readonly spec: JobSpec;
+}
+
+export interface StatusCall {
+  readonly kind: HomeCallKind.Status;
+  readonly jobId: string;
+}
+
+export interface CancelCall {
+  readonly kind: HomeCallKind.Cancel;
+  readonly jobId: string;
+}
+
+export interface ListCall {
+  readonly kind: HomeCallKind.List;
+}
+
+export type HomeCallBody = SubmitCall | StatusCall | CancelCall | ListCall;
+
+export interface HomeCall {
+  readonly kind: PeerMessageKind.HomeCall;
+  /** Unique; the reply carries it back. */
+  readonly callId: string;
+  readonly team: string;
+  /** Id of the key that the caller presented. */
+  readonly keyId: string;
+  /** Time left to answer, in milliseconds. */
+  readonly ttlMs: number;
+  readonly call: HomeCallBody;
+}
+
+export enum HomeReplyKind {
+  Status = "status",
+  List = "list",
+  Refused = "refused",
+  /** The receiver does not hold the home; `owner` may. */
+  NotOwner = "not-owner",
+}
+
+export type HomeReplyBody =
+  | { readonly kind: HomeReplyKind.Status; readonly status: JobStatus }
+  | {
+    readonly kind: HomeReplyKind.List;
+    readonly jobs: readonly JobStatus[];
+    readonly running: Resources;
+  }
+  | { readonly kind: HomeReplyKind.Refused; readonly refusal: Refusal }
+  | { readonly kind: HomeReplyKind.NotOwner; readonly owner?: string };
+
+/** For a request, sent when its task has ended; otherwise on acceptance. */
+export interface HomeReply {
+  readonly kind: PeerMessageKind.HomeReply;
+  readonly callId: string;
+  readonly reply: HomeReplyBody;
+}
+
+/** Names home and slice with both epochs; stale ones are refused. */
+export interface HomeSliceAddress {
+  readonly team: string;
+  readonly homeEpoch: number;
+  readonly sliceId: string;
+  readonly sliceEpoch: number;
+}
+
+/** A new home shows its epoch; the slice forgets asks of older ones. */
+export interface FenceHome extends HomeSliceAddress {
+  readonly kind: PeerMessageKind.FenceHome;
+}
+
+export enum TaskPhase {
+  /** Room is reserved; nothing has been sent to a worker. */
+  Held = "held",
+  /** A worker may have it. */
+  Starting = "starting",
+  Running = "running",
+  Ended = "ended",
+}
+
+export interface TaskReport {
+  readonly task: TaskSpec;
+  readonly phase: TaskPhase;
+  readonly instanceId: string;
+  readonly end?: TaskEnd;
+}
+
+/** What a slice knows of a team's tasks, in answer to a fence. */
+export interface HomeInventory extends HomeSliceAddress {
+  readonly kind: PeerMessageKind.HomeInventory;
+  /** False while workers have yet to tell what they run. */
+  readonly complete: boolean;
+  /**
+   * True when no worker of the slice may have forgotten a task since the
+   * slice was last complete: then a task that is not listed did not run.
+   */
+  readonly continuous: boolean;
+  readonly tasks: readonly TaskReport[];
+}
+
+export enum AskMode {
+  /** Start as soon as there is room. */
+  Start = "start",
+  /** Reserve room; start on `CommitHolds`. */
+  Hold = "hold",
+}
+
+export interface Ask {
+  /** Grows with each ask of a home. */
+  readonly seq: number;
+  readonly mode: AskMode;
+  readonly task: TaskSpec;
+  /** How long the ask may wait for room, in milliseconds. */
+  readonly ttlMs: number;
+}
+
+/** A home asks for room. Sent again unchanged until it is answered. */
+export interface AskRoom extends HomeSliceAddress {
+  readonly kind: PeerMessageKind.AskRoom;
+  /** Asks below this sequence are settled; late copies are ignored. */
+  readonly floor: number;
+  readonly asks: readonly Ask[];
+}
+
+/** Takes back asks and holds; each is answered declined or started. */
+export interface WithdrawAsks extends HomeSliceAddress {
+  readonly kind: PeerMessageKind.WithdrawAsks;
+  readonly seqs: readonly number[];
+}
+
+/** Starts the tasks that hold room. */
+export interface CommitHolds extends HomeSliceAddress {
+  readonly kind: PeerMessageKind.CommitHolds;
+  readonly seqs: readonly number[];
+}
+
+export enum RoomResult {
+  Started = "started",
+  Held = "held",
+  /** The task did not start and will not by this ask. */
+  Declined = "declined",
+}
+
+export enum DeclineReason {
+  NoRoom = "no-room",
+  Withdrawn = "withdrawn",
+  /** Home or slice epoch is not the newest. */
+  Stale = "stale",
+  NotOwner = "not-owner",
+  /** The zone takes no new work. */
+  ZoneClosed = "zone-closed",
+  /** The slice can't vouch for its configuration. */
+  Unconfirmed = "unconfirmed",
+  /** The slice doesn't yet know what its workers run. */
+  Recovering = "recovering",
+  /** The worker refused the start. */
+  Refused = "refused",
+  Overloaded = "overloaded",
+}
+
+export interface AskAnswer {
+  readonly seq: number;
+  readonly taskId: string;
+  readonly result: RoomResult;
+  readonly reason?: DeclineReason;
+  readonly instanceId?: string;
+}
+
+export interface RoomAnswer extends HomeSliceAddress {
+  readonly kind: PeerMessageKind.RoomAnswer;
+  readonly answers: readonly AskAnswer[];
+}
+
+export interface StopTasks extends HomeSliceAddress {
+  readonly kind: PeerMessageKind.StopTasks;
+  readonly taskIds: readonly string[];
+  readonly mode: StopMode;
+}
+
+export interface TaskEvent {
+  readonly task: TaskSpec;
+  readonly phase: TaskPhase.Running | TaskPhase.Ended;
+  readonly instanceId: string;
+  readonly end?: TaskEnd;
+}
+
+/** Told to the home; ends are told again until they are acknowledged. */
+export interface TaskEvents extends HomeSliceAddress {
+  readonly kind: PeerMessageKind.TaskEvents;
+  readonly events: readonly TaskEvent[];
+}
+
+/** The home has the ends on record; the worker may forget the tasks. */
+export interface TaskEventsAck extends HomeSliceAddress {
+  readonly kind: PeerMessageKind.TaskEventsAck;
+  readonly taskIds: readonly string[];
+}
+
+export type PeerMessage =
+  | Heartbeat
+  | HomeCall
+  | HomeReply
+  | FenceHome
+  | HomeInventory
+  | AskRoom
+  | WithdrawAsks
+  | CommitHolds
+  | RoomAnswer
+  | StopTasks
+  | TaskEvents
+  | TaskEventsAck;
