--- a/packages/runtime/src/mod.ts
+++ b/packages/runtime/src/mod.ts
@@ -1,1 +1,2 @@
-export {};
+export * from "./event_loop.ts";
+export * from "./performer.ts";
