--- a/packages/configuration/src/mod.ts
+++ b/packages/configuration/src/mod.ts
@@ -1,1 +1,1 @@
-export {};
+export * from "./state.ts";
--- a/packages/membership/src/mod.ts
+++ b/packages/membership/src/mod.ts
@@ -1,1 +1,2 @@
-export {};
+export * from "./ownership.ts";
+export * from "./peers.ts";
