--- a/packages/fairness/src/mod.ts
+++ b/packages/fairness/src/mod.ts
@@ -1,1 +1,4 @@
-export {};
+export * from "./entitlement.ts";
+export * from "./plugin.ts";
+export * from "./preemption.ts";
+export * from "./queue_order.ts";
