--- /dev/null
+++ b/packages/membership/src/follower_plugin.ts
@@ -0,0 +1,257 @@
+import {
+  CommandPriority,
+  createCommand,
+  createStateKey,
+  type Kernel,
+  mergeUndo,
+  Plugin,
+  registerPlugin,
+  Role,
+  type Undo,
+  type Update,
+} from "@mustardweir/kernel";
+import {
+  type Answered,
+  EffectKind,
+  type Heartbeat,
+  type ListInstancesResult,
+  logChange,
+  NODE_IDENTITY,
+  nodeEffect,
+  PEER_MESSAGE_RECEIVED,
+  type PeerAddress,
+  PeerMessageKind,
+  replyTo,
+  type ScanPage,
+  type ScanResult,
+  StoreStatus,
+} from "@mustardweir/protocol";
+import {
+  OWNERSHIP,
+  OWNERSHIP_PREFIX,
+  type OwnershipRow,
+  type VersionedOwnership,
+} from "./ownership.ts";
+import { PEERS } from "./peers.ts";
+
+/** Time between scans of the ownership rows, in milliseconds. */
+const SCAN_INTERVAL_MS = 500;
+
+/** A scan without an answer for this long is given up, in milliseconds. */
+const SCAN_TIMEOUT_MS = 3_000;
+
+/** Time between looks at the platform's list of instances. */
+const LIST_INTERVAL_MS = 1_000;
+
+interface FollowerState {
+  scanStartedAt: number | undefined;
+  /** Tells a late answer from that of the scan in flight. */
+  scanId: number;
+}
+
+/** The other schedulers, from the settings and the platform's list. */
+export interface SchedulersState {
+  peers: readonly PeerAddress[];
+}
+
+export const SCHEDULERS = createStateKey<SchedulersState>("schedulers");
+
+const FOLLOWER = createStateKey<FollowerState>("ownership-follower");
+
+const OWNERSHIP_SCANNED = createCommand<
+  Answered<{ scanId: number; startedAt: number }, ScanResult>
+>("ownership-scanned");
+
+const INSTANCES_LISTED = createCommand<
+  Answered<undefined, ListInstancesResult>
+>("instances-listed");
+
+/** Dispatched when an ownership row has changed or gone. */
+export const OWNERSHIP_CHANGED = createCommand<{ readonly unit: string }>(
+  "ownership-changed",
+);
+
+/** Dispatched after each successful scan of the ownership rows. */
+export const OWNERSHIP_CONFIRMED = createCommand<{
+  readonly startedAt: number;
+}>("ownership-confirmed");
+
+/** Follows who owns what, and which schedulers there are. */
+export class OwnershipFollowerPlugin extends Plugin {
+  override readonly name = "ownership-follower";
+
+  override register(kernel: Kernel): Undo {
+    return mergeUndo(
+      kernel.registerState(OWNERSHIP, {
+        rows: new Map(),
+        revision: 0,
+        scannedAt: -Infinity,
+      }),
+      kernel.registerState(PEERS, { views: new Map() }),
+      kernel.registerState(FOLLOWER, {
+        scanStartedAt: undefined,
+        scanId: 0,
+      }),
+      kernel.registerState(SCHEDULERS, { peers: [] }),
+      kernel.registerCommand(
+        OWNERSHIP_SCANNED,
+        ({ context, result }, update) => applyScan(update, context, result),
+        CommandPriority.Normal,
+      ),
+      kernel.registerCommand(
+        INSTANCES_LISTED,
+        ({ result }, update) => connectPeers(update, result),
+        CommandPriority.Normal,
+      ),
+      kernel.registerCommand(
+        PEER_MESSAGE_RECEIVED,
+        ({ message }, update) => {
+          if (message.kind === PeerMessageKind.Heartbeat) {
+            recordHeartbeat(update, message);
+          }
+        },
+        CommandPriority.Critical,
+      ),
+      kernel.registerPeriodic({
+        intervalMs: SCAN_INTERVAL_MS,
+        run: startScan,
+      }),
+      kernel.registerPeriodic({
+        intervalMs: LIST_INTERVAL_MS,
+        run: listInstances,
+      }),
+    );
+  }
+}
+
+function startScan(update: Update): void {
+  const follower = update.write(FOLLOWER);
+  const { scanStartedAt } = follower;
+  if (
+    scanStartedAt !== undefined &&
+    update.now - scanStartedAt < SCAN_TIMEOUT_MS
+  ) {
+    return;
+  }
+  follower.scanStartedAt = update.now;
+  follower.scanId += 1;
+  update.emit(nodeEffect({
+    kind: EffectKind.ScanTable,
+    prefix: OWNERSHIP_PREFIX,
+    afterRevision: update.read(OWNERSHIP).revision,
+    replyTo: replyTo(OWNERSHIP_SCANNED, {
+      scanId: follower.scanId,
+      startedAt: update.now,
+    }),
+  }));
+}
+
+function applyScan(
+  update: Update,
+  context: { readonly scanId: number; readonly startedAt: number },
+  result: ScanResult,
+): void {
+  const follower = update.write(FOLLOWER);
+  if (context.scanId !== follower.scanId) {
+    return;
+  }
+  follower.scanStartedAt = undefined;
+  if (result.status !== StoreStatus.Ok) {
+    return;
+  }
+  const changed = storeRows(update, result.page);
+  update.write(OWNERSHIP).scannedAt = context.startedAt;
+  for (const unit of changed) {
+    update.dispatch(OWNERSHIP_CHANGED, { unit });
+  }
+  update.dispatch(OWNERSHIP_CONFIRMED, { startedAt: context.startedAt });
+}
+
+function storeRows(update: Update, page: ScanPage): string[] {
+  const state = update.write(OWNERSHIP);
+  const changed: string[] = [];
+  for (const { key, value, version } of page.rows) {
+    const unit = key.slice(OWNERSHIP_PREFIX.length);
+    if (storeOwnership(state.rows, unit, { row: parseRow(value), version })) {
+      changed.push(unit);
+    }
+  }
+  for (const key of page.deleted) {
+    const unit = key.slice(OWNERSHIP_PREFIX.length);
+    state.rows.delete(unit);
+    changed.push(unit);
+  }
+  state.revision = Math.max(state.revision, page.revision);
+  return changed;
+}
+
+/**
+ * Keeps the newer of two versions of a row; true when `next` is newer.
+ *
+ * @internal
+ */
+export function storeOwnership(
+  rows: Map<string, VersionedOwnership>,
+  unit: string,
+  next: VersionedOwnership,
+): boolean {
+  const known = rows.get(unit);
+  if (known !== undefined && known.version >= next.version) {
+    return false;
+  }
+  rows.set(unit, next);
+  return true;
+}
+
+function parseRow(value: string): OwnershipRow {
+  return JSON.parse(value) as OwnershipRow;
+}
+
+function recordHeartbeat(update: Update, heartbeat: Heartbeat): void {
+  const { views } = update.write(PEERS);
+  views.set(heartbeat.nodeId, { heartbeat, heardAt: update.now });
+}
+
+function listInstances(update: Update): void {
+  if (update.read(SCHEDULERS).peers.length === 0) {
+    connect(update, []);
+  }
+  update.emit(nodeEffect({
+    kind: EffectKind.ListInstances,
+    replyTo: replyTo(INSTANCES_LISTED, undefined),
+  }));
+}
+
+function connectPeers(update: Update, result: ListInstancesResult): void {
+  if (result.status !== StoreStatus.Ok) {
+    return;
+  }
+  const listed = result.instances
+    .filter((instance) => instance.role === Role.Scheduler)
+    .map(({ nodeId, address }) => ({ nodeId, address }));
+  connect(update, listed);
+}
+
+/** Tells the transport of the schedulers when their list has changed. */
+function connect(update: Update, listed: readonly PeerAddress[]): void {
+  const { nodeId, seedPeers } = update.service(NODE_IDENTITY);
+  const byId = new Map<string, PeerAddress>();
+  for (const peer of [...seedPeers, ...listed]) {
+    byId.set(peer.nodeId, peer);
+  }
+  byId.delete(nodeId);
+  const peers = [...byId.values()];
+  const schedulers = update.write(SCHEDULERS);
+  if (JSON.stringify(peers) === JSON.stringify(schedulers.peers)) {
+    return;
+  }
+  schedulers.peers = peers;
+  update.emit(nodeEffect({ kind: EffectKind.ConnectPeers, peers }));
+  update.emit(logChange("Schedulers changed", { count: peers.length }));
+}
+
+registerPlugin({
+  name: "ownership-follower",
+  roles: [Role.Entry, Role.Scheduler],
+  create: () => new OwnershipFollowerPlugin(),
+});
--- /dev/null
+++ b/packages/membership/src/heartbeat_plugin.ts
@@ -0,0 +1,118 @@
+import {
+  createCommand,
+  createStateKey,
+  type Kernel,
+  mergeUndo,
+  Plugin,
+  registerPlugin,
+  Role,
+  type Undo,
+  type Update,
+} from "@mustardweir/kernel";
+import { CONFIGURATION } from "@mustardweir/configuration";
+import {
+  ALL_PEERS,
+  type Heartbeat,
+  NODE_IDENTITY,
+  type OwnedUnit,
+  PeerMessageKind,
+  sendPeer,
+  type SliceSummary,
+  type TeamUsage,
+} from "@mustardweir/protocol";
+import { OWNED } from "./owned.ts";
+import { OWNERSHIP } from "./ownership.ts";
+import { HEARTBEAT_MS, PEERS } from "./peers.ts";
+
+/** The parts of a heartbeat that other plug-ins fill in. */
+export interface HeartbeatDraft {
+  readonly slices: SliceSummary[];
+  readonly usage: TeamUsage[];
+}
+
+/** Dispatched before each heartbeat; handlers add their parts. */
+export const COMPOSE_HEARTBEAT = createCommand<HeartbeatDraft>(
+  "compose-heartbeat",
+);
+
+interface HeartbeatState {
+  stopping: boolean;
+}
+
+const HEARTBEAT = createStateKey<HeartbeatState>("heartbeat");
+
+/** Tells every peer what this scheduler owns, has free and uses. */
+export class HeartbeatPlugin extends Plugin {
+  override readonly name = "heartbeat";
+
+  override register(kernel: Kernel): Undo {
+    return mergeUndo(
+      kernel.registerState(HEARTBEAT, { stopping: false }),
+      kernel.registerPeriodic({ intervalMs: HEARTBEAT_MS, run: sendHeartbeat }),
+    );
+  }
+}
+
+/** Says in heartbeats from now on that this node is stopping. */
+export function markStopping(update: Update): void {
+  update.write(HEARTBEAT).stopping = true;
+  sendHeartbeat(update);
+}
+
+/** True after {@link markStopping}. */
+export function isStopping(update: Update): boolean {
+  return update.read(HEARTBEAT).stopping;
+}
+
+/** Sends a heartbeat to every peer now. */
+export function sendHeartbeat(update: Update): void {
+  update.emit(sendPeer(ALL_PEERS, composeHeartbeat(update)));
+}
+
+function composeHeartbeat(update: Update): Heartbeat {
+  const identity = update.service(NODE_IDENTITY);
+  const draft: HeartbeatDraft = { slices: [], usage: [] };
+  update.dispatch(COMPOSE_HEARTBEAT, draft);
+  return {
+    kind: PeerMessageKind.Heartbeat,
+    nodeId: identity.nodeId,
+    incarnation: identity.incarnation,
+    availabilityZone: identity.availabilityZone,
+    configurationVersion: update.read(CONFIGURATION).current.version,
+    stopping: update.read(HEARTBEAT).stopping,
+    owned: ownedUnits(update),
+    superseded: supersededClaims(update),
+    ...draft,
+  };
+}
+
+function ownedUnits(update: Update): OwnedUnit[] {
+  return [...update.read(OWNED).units].map(([unit, { epoch }]) => ({
+    unit,
+    epoch,
+  }));
+}
+
+/** Claims of peers that a row or another peer's claim has overtaken. */
+function supersededClaims(update: Update): OwnedUnit[] {
+  const newest = new Map<string, number>();
+  for (const [unit, { row }] of update.read(OWNERSHIP).rows) {
+    newest.set(unit, row.epoch);
+  }
+  const claims = [...update.read(PEERS).views.values()].flatMap(
+    (view) => view.heartbeat.owned,
+  );
+  for (const { unit, epoch } of claims) {
+    newest.set(unit, Math.max(newest.get(unit) ?? 0, epoch));
+  }
+  const stale = claims.filter(({ unit, epoch }) =>
+    epoch < (newest.get(unit) ?? 0)
+  );
+  return stale.map(({ unit }) => ({ unit, epoch: newest.get(unit) ?? 0 }));
+}
+
+registerPlugin({
+  name: "heartbeat",
+  roles: [Role.Scheduler],
+  create: () => new HeartbeatPlugin(),
+});
--- a/packages/protocol/src/effects.ts
+++ b/packages/protocol/src/effects.ts
@@ -30,6 +30,9 @@
   Stopped = "stopped",
 }
 
+/** As `to` of a message: every node there is a link with, entries too. */
+export const ALL_PEERS = "*";
+
 /** Sends a message to a peer; it may be lost, late or doubled. */
 export interface SendPeerEffect extends Effect {
   readonly kind: EffectKind.SendPeer;
@@ -166,3 +169,15 @@
 ): LogChangeEffect {
   return { kind: EffectKind.LogChange, message, fields };
 }
+
+/**
+ * Checks at compile time that `effect` is one that performers know.
+ *
+ * @example
+ * ```ts
+ * update.emit(nodeEffect({ kind: EffectKind.Stopped }));
+ * ```
+ */
+export function nodeEffect(effect: NodeEffect): NodeEffect {
+  return effect;
+}
--- a/packages/protocol/src/peer_messages.ts
+++ b/packages/protocol/src/peer_messages.ts
@@ -50,9 +50,12 @@
   readonly nodeId: string;
   /** Differs for each start of the process. */
   readonly incarnation: string;
+  readonly availabilityZone: string;
   readonly configurationVersion: number;
   readonly stopping: boolean;
   readonly owned: readonly OwnedUnit[];
+  /** Units that another peer claims with an older epoch than is known. */
+  readonly superseded: readonly OwnedUnit[];
   readonly slices: readonly SliceSummary[];
   readonly usage: readonly TeamUsage[];
 }
@@ -158,11 +161,6 @@
   readonly kind: PeerMessageKind.HomeInventory;
   /** False while workers have yet to tell what they run. */
   readonly complete: boolean;
-  /**
-   * True when no worker of the slice may have forgotten a task since the
-   * slice was last complete: then a task that is not listed did not run.
-   */
-  readonly continuous: boolean;
   readonly tasks: readonly TaskReport[];
 }
 
--- a/packages/protocol/src/target_messages.ts
+++ b/packages/protocol/src/target_messages.ts
@@ -55,6 +55,8 @@
   /** The sequence is below the floor. */
   Settled = "settled",
   Stopping = "stopping",
+  /** The call brought no valid lease token. */
+  NoLease = "no-lease",
 }
 
 export interface RefusedStart {
