Follow and edit the versioned configuration

Cause: every node needs the newest configuration within seconds and edits must survive answers lost after the write. Change: a follower that scans every 500 ms, fetches changed sections and confirms only with a read that shows nothing newer; an editor that repeats one conditional commit and reads a lost one back by its nonce. Ruled out: reading the row back without repeating the commit, since a lost write may still take effect after the read. Conclusion: an edit is told only when its fate is known.

--- /dev/null
+++ b/packages/configuration/src/editor.ts
@@ -0,0 +1,353 @@
+import {
+  CommandPriority,
+  createCommand,
+  type Kernel,
+  mergeUndo,
+  Plugin,
+  registerPlugin,
+  Role,
+  type Undo,
+  type Update,
+} from "@mustardweir/kernel";
+import { RefusalReason, refuse } from "@mustardweir/model";
+import {
+  type Answered,
+  answerPayload,
+  type CommitResult,
+  type CommitTableEffect,
+  count,
+  EffectKind,
+  logChange,
+  NODE_IDENTITY,
+  type PutObjectEffect,
+  type PutObjectResult,
+  replyTo,
+  type ScanResult,
+  type ScanTableEffect,
+  StoreStatus,
+} from "@mustardweir/protocol";
+import { err, ok } from "neverthrow";
+import { checkEdit } from "./checks.ts";
+import {
+  CONFIGURATION_ROW,
+  type ConfigurationDocument,
+  KEPT_NONCES,
+  nonceOfVersion,
+  parseDocument,
+  sectionObjectKey,
+} from "./document.ts";
+import {
+  EDIT_CONFIGURATION,
+  type EditRequest,
+  type EditResult,
+} from "./edit_request.ts";
+import { FOLLOWER } from "./follower.ts";
+import {
+  EDITOR,
+  EditStage,
+  nextStep,
+  type PendingEdit,
+  retryLater,
+  staleRefusal,
+  type StepContext,
+  takeStep,
+  unknownRefusal,
+} from "./pending_edit.ts";
+import { replaceSection, resolveEdit } from "./section_edit.ts";
+import { CONFIGURATION } from "./state.ts";
+
+/** Edits that may be under way at one entry. */
+export const MAX_PENDING_EDITS = 100;
+
+/** Time between looks at pending edits, in milliseconds. */
+const EDIT_INTERVAL_MS = 100;
+
+/** A step without an answer is given up after this, in milliseconds. */
+const EDIT_STEP_TIMEOUT_MS = 3_000;
+
+const BODY_STORED = createCommand<Answered<StepContext, PutObjectResult>>(
+  "configuration-body-stored",
+);
+
+const EDIT_COMMITTED = createCommand<Answered<StepContext, CommitResult>>(
+  "configuration-edit-committed",
+);
+
+const ROW_READ_BACK = createCommand<Answered<StepContext, ScanResult>>(
+  "configuration-row-read-back",
+);
+
+/** Carries out edits of the configuration. */
+export class ConfigurationEditorPlugin extends Plugin {
+  override readonly name = "configuration-editor";
+
+  override register(kernel: Kernel): Undo {
+    const normal = CommandPriority.Normal;
+    return mergeUndo(
+      kernel.registerState(EDITOR, { nextId: 1, edits: new Map() }),
+      kernel.registerCommand(EDIT_CONFIGURATION, onEdit, normal),
+      kernel.registerCommand(BODY_STORED, onBodyStored, normal),
+      kernel.registerCommand(EDIT_COMMITTED, onCommitted, normal),
+      kernel.registerCommand(ROW_READ_BACK, onReadBack, normal),
+      kernel.registerPeriodic({
+        intervalMs: EDIT_INTERVAL_MS,
+        run: driveEdits,
+      }),
+    );
+  }
+}
+
+registerPlugin({
+  name: "configuration-editor",
+  roles: [Role.Entry],
+  create: () => new ConfigurationEditorPlugin(),
+});
+
+function onEdit(request: EditRequest, update: Update): void {
+  const state = update.write(EDITOR);
+  if (state.edits.size >= MAX_PENDING_EDITS) {
+    const refusal = refuse(RefusalReason.Overloaded, {
+      message: "Too many edits are under way",
+    });
+    reply(request, err(refusal), update);
+    return;
+  }
+  const id = state.nextId++;
+  const { nodeId, incarnation } = update.service(NODE_IDENTITY);
+  const edit: PendingEdit = {
+    id,
+    request,
+    expiresAt: update.now + request.ttlMs,
+    nonce: `${nodeId}/${incarnation}/${id}`,
+    stage: EditStage.AwaitingBase,
+    attempt: 0,
+    retryAt: update.now,
+    isUncertain: false,
+    body: "",
+    rowVersion: 0,
+  };
+  state.edits.set(id, edit);
+  sendStep(edit, update);
+}
+
+function driveEdits(update: Update): void {
+  for (const edit of [...update.read(EDITOR).edits.values()]) {
+    if (update.now >= edit.expiresAt) {
+      expire(edit, update);
+      continue;
+    }
+    giveUpStep(edit, update);
+    if (edit.sentAt === undefined && update.now >= edit.retryAt) {
+      sendStep(edit, update);
+    }
+  }
+}
+
+function giveUpStep(edit: PendingEdit, update: Update): void {
+  const { sentAt } = edit;
+  if (sentAt === undefined || update.now - sentAt <= EDIT_STEP_TIMEOUT_MS) {
+    return;
+  }
+  edit.sentAt = undefined;
+  edit.isUncertain ||= edit.stage === EditStage.Committing;
+}
+
+function sendStep(edit: PendingEdit, update: Update): void {
+  switch (edit.stage) {
+    case EditStage.AwaitingBase:
+      return prepare(edit, update);
+    case EditStage.StoringBody:
+      return storeBody(edit, update);
+    case EditStage.Committing:
+      return commit(edit, update);
+    case EditStage.ReadingBack:
+      return readBack(edit, update);
+  }
+}
+
+/** Checks the edit against its base once that is in force at this node. */
+function prepare(edit: PendingEdit, update: Update): void {
+  const { request } = edit;
+  const base = update.read(CONFIGURATION).current;
+  const known = update.read(FOLLOWER).known;
+  const newest = known?.document.version ?? 0;
+  if (newest > request.ifMatch) {
+    finish(edit, err(staleRefusal(request, newest)), update);
+    return;
+  }
+  if (base.version < request.ifMatch) {
+    edit.retryAt = update.now + EDIT_INTERVAL_MS;
+    return;
+  }
+  const { section } = request;
+  const checked = resolveEdit(base, section, request.body).andThen((body) =>
+    checkEdit({
+      base,
+      edited: replaceSection(base, section, body),
+      section,
+      wallMs: request.wallMs,
+    }).map(() => body)
+  );
+  if (checked.isErr()) {
+    const { message } = checked.error;
+    finish(edit, err(refuse(RefusalReason.Malformed, { message })), update);
+    return;
+  }
+  edit.body = JSON.stringify(checked.value);
+  edit.rowVersion = known?.rowVersion ?? 0;
+  edit.document = {
+    version: request.ifMatch + 1,
+    sections: {
+      ...known?.document.sections,
+      [section]: sectionObjectKey(edit.body),
+    },
+    nonces: [edit.nonce, ...known?.document.nonces ?? []].slice(0, KEPT_NONCES),
+  };
+  edit.stage = EditStage.StoringBody;
+  storeBody(edit, update);
+}
+
+function storeBody(edit: PendingEdit, update: Update): void {
+  const effect: PutObjectEffect = {
+    kind: EffectKind.PutObject,
+    key: sectionObjectKey(edit.body),
+    body: edit.body,
+    replyTo: replyTo(BODY_STORED, nextStep(edit, update)),
+  };
+  update.emit(effect);
+}
+
+function onBodyStored(
+  { context, result }: Answered<StepContext, PutObjectResult>,
+  update: Update,
+): void {
+  const edit = takeStep(context, update);
+  if (!edit) {
+    return;
+  }
+  if (result.status !== StoreStatus.Ok) {
+    retryLater(edit, update);
+    return;
+  }
+  edit.stage = EditStage.Committing;
+  commit(edit, update);
+}
+
+/** The same conditional write each time: at most one of them takes effect. */
+function commit(edit: PendingEdit, update: Update): void {
+  const effect: CommitTableEffect = {
+    kind: EffectKind.CommitTable,
+    transaction: {
+      checks: [{ key: CONFIGURATION_ROW, version: edit.rowVersion }],
+      puts: [{ key: CONFIGURATION_ROW, value: JSON.stringify(edit.document) }],
+      deletes: [],
+    },
+    replyTo: replyTo(EDIT_COMMITTED, nextStep(edit, update)),
+  };
+  update.emit(effect);
+}
+
+function onCommitted(
+  { context, result }: Answered<StepContext, CommitResult>,
+  update: Update,
+): void {
+  const late = update.write(EDITOR).edits.get(context.editId);
+  if (late && result.status === StoreStatus.Ok) {
+    accept(late, update);
+    return;
+  }
+  const edit = takeStep(context, update);
+  if (!edit) {
+    return;
+  }
+  if (result.status === StoreStatus.Conflict) {
+    onConflict(edit, update);
+    return;
+  }
+  edit.isUncertain ||= result.status === StoreStatus.Unknown;
+  retryLater(edit, update);
+}
+
+function onConflict(edit: PendingEdit, update: Update): void {
+  if (!edit.isUncertain) {
+    finish(edit, err(staleRefusal(edit.request)), update);
+    return;
+  }
+  edit.stage = EditStage.ReadingBack;
+  readBack(edit, update);
+}
+
+function readBack(edit: PendingEdit, update: Update): void {
+  const effect: ScanTableEffect = {
+    kind: EffectKind.ScanTable,
+    prefix: CONFIGURATION_ROW,
+    afterRevision: 0,
+    replyTo: replyTo(ROW_READ_BACK, nextStep(edit, update)),
+  };
+  update.emit(effect);
+}
+
+function onReadBack(
+  { context, result }: Answered<StepContext, ScanResult>,
+  update: Update,
+): void {
+  const edit = takeStep(context, update);
+  if (!edit) {
+    return;
+  }
+  if (result.status !== StoreStatus.Ok) {
+    retryLater(edit, update);
+    return;
+  }
+  const row = result.page.rows.find((r) => r.key === CONFIGURATION_ROW);
+  const document = row && parseDocument(row.value).unwrapOr(undefined);
+  if (!document || document.version <= edit.request.ifMatch) {
+    retryLater(edit, update);
+    return;
+  }
+  settleByNonce(edit, document, update);
+}
+
+function settleByNonce(
+  edit: PendingEdit,
+  document: ConfigurationDocument,
+  update: Update,
+): void {
+  const nonce = nonceOfVersion(document, edit.request.ifMatch + 1);
+  if (nonce === edit.nonce) {
+    accept(edit, update);
+  } else if (nonce !== undefined) {
+    finish(edit, err(staleRefusal(edit.request, document.version)), update);
+  } else {
+    finish(edit, err(unknownRefusal()), update);
+  }
+}
+
+function accept(edit: PendingEdit, update: Update): void {
+  const version = edit.request.ifMatch + 1;
+  const { section } = edit.request;
+  update.emit(logChange("Configuration edited", { version, section }));
+  update.emit(count("configuration_edits_accepted"));
+  finish(edit, ok(version), update);
+}
+
+function expire(edit: PendingEdit, update: Update): void {
+  const isInFlight = edit.stage === EditStage.Committing &&
+    edit.sentAt !== undefined;
+  const refusal = edit.isUncertain || isInFlight
+    ? unknownRefusal()
+    : refuse(RefusalReason.StoreUnavailable, {
+      message: "The configuration could not be written in time",
+    });
+  finish(edit, err(refusal), update);
+}
+
+function finish(edit: PendingEdit, result: EditResult, update: Update): void {
+  update.write(EDITOR).edits.delete(edit.id);
+  reply(edit.request, result, update);
+}
+
+function reply(request: EditRequest, result: EditResult, update: Update): void {
+  const { replyTo } = request;
+  update.dispatch(replyTo.command, answerPayload(replyTo, result));
+}
--- /dev/null
+++ b/packages/configuration/src/follower.ts
@@ -0,0 +1,314 @@
+import {
+  CommandPriority,
+  createCommand,
+  createStateKey,
+  type Kernel,
+  mergeUndo,
+  Plugin,
+  registerPlugin,
+  Role,
+  type Undo,
+  type Update,
+} from "@mustardweir/kernel";
+import {
+  type Configuration,
+  ConfigurationSection,
+  EMPTY_CONFIGURATION,
+} from "@mustardweir/model";
+import {
+  type Answered,
+  count,
+  EffectKind,
+  type GetObjectEffect,
+  type GetObjectResult,
+  logChange,
+  replyTo,
+  type ScanResult,
+  type ScanTableEffect,
+  StoreStatus,
+  type TableRow,
+} from "@mustardweir/protocol";
+import {
+  CONFIGURATION_ROW,
+  type ConfigurationDocument,
+  parseDocument,
+  parseJson,
+  sectionObjectKey,
+} from "./document.ts";
+import { parseSection } from "./section_edit.ts";
+import { CONFIGURATION, CONFIGURATION_CHANGED } from "./state.ts";
+
+/** Time between scans for a newer version, in milliseconds. */
+export const SCAN_INTERVAL_MS = 500;
+
+/** A scan without an answer is given up after this, in milliseconds. */
+export const SCAN_TIMEOUT_MS = 3_000;
+
+/** A fetch without an answer is given up after this, in milliseconds. */
+export const FETCH_TIMEOUT_MS = 10_000;
+
+interface Attempt {
+  readonly id: number;
+  readonly startedAt: number;
+}
+
+interface FetchContext {
+  readonly section: ConfigurationSection;
+  readonly objectKey: string;
+  readonly id: number;
+}
+
+/** The newest row that a scan has shown. */
+export interface KnownRow {
+  readonly document: ConfigurationDocument;
+  /** Version of the row in the table, for conditional writes. */
+  readonly rowVersion: number;
+}
+
+/** What the follower knows of the table and the object store. */
+export interface FollowerState {
+  revision: number;
+  nextId: number;
+  scan?: Attempt;
+  known?: KnownRow;
+  /** When the scan began that last showed `known` to be the newest row. */
+  knownAt: number;
+  /** Checked bodies of the known and the current version, by object. */
+  readonly bodies: Map<string, unknown>;
+  readonly fetches: Map<string, Attempt>;
+}
+
+export const FOLLOWER = createStateKey<FollowerState>("configuration-follower");
+
+const SCANNED = createCommand<Answered<number, ScanResult>>(
+  "configuration-scanned",
+);
+
+const FETCHED = createCommand<Answered<FetchContext, GetObjectResult>>(
+  "configuration-section-fetched",
+);
+
+/** Follows the configuration row and puts each newer version in force. */
+export class ConfigurationPlugin extends Plugin {
+  override readonly name = "configuration";
+
+  override register(kernel: Kernel): Undo {
+    return mergeUndo(
+      kernel.registerState(CONFIGURATION, {
+        current: EMPTY_CONFIGURATION,
+        confirmedAt: -Infinity,
+      }),
+      kernel.registerState(FOLLOWER, createFollowerState()),
+      kernel.registerCommand(SCANNED, onScanned, CommandPriority.Normal),
+      kernel.registerCommand(FETCHED, onFetched, CommandPriority.Normal),
+      kernel.registerPeriodic({ intervalMs: SCAN_INTERVAL_MS, run: follow }),
+    );
+  }
+}
+
+registerPlugin({
+  name: "configuration",
+  roles: [Role.Entry, Role.Scheduler],
+  create: () => new ConfigurationPlugin(),
+});
+
+function createFollowerState(): FollowerState {
+  return {
+    revision: 0,
+    nextId: 1,
+    knownAt: -Infinity,
+    bodies: new Map(),
+    fetches: new Map(),
+  };
+}
+
+function follow(update: Update): void {
+  const state = update.write(FOLLOWER);
+  if (state.scan && update.now - state.scan.startedAt > SCAN_TIMEOUT_MS) {
+    state.scan = undefined;
+    update.emit(count("configuration_scans_given_up"));
+  }
+  if (!state.scan) {
+    startScan(state, update);
+  }
+  fetchMissing(state, update);
+}
+
+function startScan(state: FollowerState, update: Update): void {
+  const id = state.nextId++;
+  state.scan = { id, startedAt: update.now };
+  const effect: ScanTableEffect = {
+    kind: EffectKind.ScanTable,
+    prefix: CONFIGURATION_ROW,
+    afterRevision: state.revision,
+    replyTo: replyTo(SCANNED, id),
+  };
+  update.emit(effect);
+}
+
+function onScanned(
+  { context, result }: Answered<number, ScanResult>,
+  update: Update,
+): void {
+  const state = update.write(FOLLOWER);
+  const scan = state.scan;
+  if (scan?.id !== context) {
+    return;
+  }
+  state.scan = undefined;
+  if (result.status !== StoreStatus.Ok) {
+    update.emit(count("configuration_scans_failed"));
+    return;
+  }
+  const row = result.page.rows.find((r) => r.key === CONFIGURATION_ROW);
+  if (row && !learnRow(state, row, update)) {
+    return;
+  }
+  state.revision = Math.max(state.revision, result.page.revision);
+  state.knownAt = scan.startedAt;
+  fetchMissing(state, update);
+  settle(state, update);
+}
+
+/** False when the row can't be read or is older than the one known. */
+function learnRow(
+  state: FollowerState,
+  row: TableRow,
+  update: Update,
+): boolean {
+  const parsed = parseDocument(row.value);
+  if (parsed.isErr()) {
+    update.emit(count("configuration_rows_unreadable"));
+    return false;
+  }
+  const document = parsed.value;
+  const known = state.known?.document.version ?? 0;
+  if (document.version < known) {
+    update.emit(count("configuration_rows_older"));
+    return false;
+  }
+  if (document.version > known) {
+    update.emit(
+      logChange("Configuration announced", { version: document.version }),
+    );
+  }
+  state.known = { document, rowVersion: row.version };
+  return true;
+}
+
+function fetchMissing(state: FollowerState, update: Update): void {
+  for (const [section, objectKey] of sectionObjects(state)) {
+    const name = bodyName(section, objectKey);
+    const fetch = state.fetches.get(name);
+    const isPending = fetch !== undefined &&
+      update.now - fetch.startedAt <= FETCH_TIMEOUT_MS;
+    if (state.bodies.has(name) || isPending) {
+      continue;
+    }
+    const id = state.nextId++;
+    state.fetches.set(name, { id, startedAt: update.now });
+    const effect: GetObjectEffect = {
+      kind: EffectKind.GetObject,
+      key: objectKey,
+      replyTo: replyTo(FETCHED, { section, objectKey, id }),
+    };
+    update.emit(effect);
+  }
+}
+
+function onFetched(
+  { context, result }: Answered<FetchContext, GetObjectResult>,
+  update: Update,
+): void {
+  const { section, objectKey, id } = context;
+  const state = update.write(FOLLOWER);
+  const name = bodyName(section, objectKey);
+  if (state.fetches.get(name)?.id !== id) {
+    return;
+  }
+  state.fetches.delete(name);
+  if (result.status !== StoreStatus.Ok) {
+    update.emit(count("configuration_fetches_failed"));
+    return;
+  }
+  if (sectionObjectKey(result.body) !== objectKey) {
+    update.emit(count("configuration_objects_corrupt"));
+    return;
+  }
+  const body = parseJson(result.body).andThen((json) =>
+    parseSection(section, json)
+  );
+  if (body.isErr()) {
+    update.emit(count("configuration_objects_unreadable"));
+    return;
+  }
+  state.bodies.set(name, body.value);
+  settle(state, update);
+}
+
+/** Puts the known version in force when it is loaded, and confirms it. */
+function settle(state: FollowerState, update: Update): void {
+  const document = state.known?.document;
+  if (document && !isLoaded(state)) {
+    return;
+  }
+  const configuration = update.write(CONFIGURATION);
+  const previous = configuration.current;
+  configuration.confirmedAt = Math.max(
+    configuration.confirmedAt,
+    state.knownAt,
+  );
+  if (!document || document.version <= previous.version) {
+    return;
+  }
+  const current = buildConfiguration(state, document);
+  configuration.current = current;
+  dropOldBodies(state);
+  update.emit(
+    logChange("Configuration in force", { version: current.version }),
+  );
+  update.dispatch(CONFIGURATION_CHANGED, { previous, current });
+}
+
+function isLoaded(state: FollowerState): boolean {
+  return sectionObjects(state).every(([section, objectKey]) =>
+    state.bodies.has(bodyName(section, objectKey))
+  );
+}
+
+function buildConfiguration(
+  state: FollowerState,
+  document: ConfigurationDocument,
+): Configuration {
+  const bodies = sectionObjects(state).map(([section, objectKey]) => [
+    section,
+    state.bodies.get(bodyName(section, objectKey)),
+  ]);
+  return {
+    ...EMPTY_CONFIGURATION,
+    ...Object.fromEntries(bodies),
+    version: document.version,
+  };
+}
+
+function dropOldBodies(state: FollowerState): void {
+  const kept = new Set(
+    sectionObjects(state).map(([section, key]) => bodyName(section, key)),
+  );
+  for (const name of state.bodies.keys()) {
+    if (!kept.has(name)) {
+      state.bodies.delete(name);
+    }
+  }
+}
+
+function sectionObjects(
+  state: FollowerState,
+): [ConfigurationSection, string][] {
+  const sections = state.known?.document.sections ?? {};
+  return Object.entries(sections) as [ConfigurationSection, string][];
+}
+
+function bodyName(section: ConfigurationSection, objectKey: string): string {
+  return `${section}:${objectKey}`;
+}
