Admit callers' calls and route them to their homes

Cause: an entry has to check keys and bring each caller the answer to its own request while owners change and answers are lost, late or doubled. Change: a plug-in that identifies the key, checks role, team and size, and keeps a bounded table of calls matched by id; calls are sent again under a retry budget for each team, redirected by hints and newer epochs. Ruled out: passing on a retryable refusal after a second send, since an earlier copy may have been accepted; the outcome is then unknown. Conclusion: 'not run' is told only when nothing that was sent can run.

--- a/packages/admission/src/mod.ts
+++ b/packages/admission/src/mod.ts
@@ -1,1 +1,9 @@
-export {};
+export * from "./admission_plugin.ts";
+export * from "./admission_state.ts";
+export * from "./fleet_shape.ts";
+export * from "./home_target.ts";
+export * from "./key_ring.ts";
+export * from "./retry_budget.ts";
+export * from "./routing.ts";
+export * from "./settings.ts";
+export * from "./standing.ts";
