Add the stand-in of the platform

Tests and the demo need a transactional table, an object store and a lagging list of instances that can fail the way the real ones do.

The table and the list are pure classes without I/O or time, so that fakes can drive them with a clock of their own. Services register themselves and add routes; each fault is a subclass that decides when a call takes effect and what its caller sees, so faults can be on together.

--- /dev/null
+++ b/packages/platform/src/lagging_list.ts
@@ -0,0 +1,54 @@
+interface Change<Item> {
+  readonly at: number;
+  readonly id: string;
+  /** Undefined when the item was removed. */
+  readonly item: Item | undefined;
+}
+
+/**
+ * A list whose readers see it as it was some time ago. The caller brings the
+ * time, in milliseconds of any clock that never goes back.
+ *
+ * @example
+ * ```ts
+ * const list = new LaggingList<string>({ lagMs: 1_000 });
+ * list.put("s1", { item: "leaving", now: 0 });
+ * list.read(999); // []
+ * list.read(1_000); // ["leaving"]
+ * ```
+ */
+export class LaggingList<Item> {
+  readonly #lagMs: number;
+  readonly #visible = new Map<string, Item>();
+  #pending: Change<Item>[] = [];
+
+  constructor({ lagMs = 0 }: { readonly lagMs?: number } = {}) {
+    this.#lagMs = lagMs;
+  }
+
+  put(id: string, { item, now }: { item: Item; now: number }): void {
+    this.#pending.push({ at: now, id, item });
+  }
+
+  remove(id: string, { now }: { now: number }): void {
+    this.#pending.push({ at: now, id, item: undefined });
+  }
+
+  /** The list as it was `lagMs` before `now`. */
+  read(now: number): readonly Item[] {
+    const seen = now - this.#lagMs;
+    for (const change of this.#pending.filter(({ at }) => at <= seen)) {
+      this.#show(change);
+    }
+    this.#pending = this.#pending.filter(({ at }) => at > seen);
+    return [...this.#visible.values()];
+  }
+
+  #show({ id, item }: Change<Item>): void {
+    if (item === undefined) {
+      this.#visible.delete(id);
+    } else {
+      this.#visible.set(id, item);
+    }
+  }
+}
--- /dev/null
+++ b/packages/platform/src/services/mod.ts
@@ -0,0 +1,4 @@
+import "./control.ts";
+import "./instances.ts";
+import "./objects.ts";
+import "./table.ts";
