Add the clients of the platform

Plug-ins ask for the table, objects and instances by effects; these are the performers that carry them out, over abstract stores that fakes can replace.

Nothing is retried here.

--- a/packages/platform-client/src/mod.ts
+++ b/packages/platform-client/src/mod.ts
@@ -1,1 +1,5 @@
-export {};
+export * from "./connection.ts";
+export * from "./instance_list.ts";
+export * from "./object_store.ts";
+export * from "./performers.ts";
+export * from "./table_store.ts";
--- /dev/null
+++ b/packages/platform-client/src/performers.ts
@@ -0,0 +1,141 @@
+/** Performers that carry out effects on the platform and post the answers. */
+import { invariant } from "@mustardweir/kernel";
+import {
+  type CommitTableEffect,
+  EffectKind,
+  type GetObjectEffect,
+  type ListInstancesEffect,
+  type NodeEffect,
+  type PutObjectEffect,
+  type ScanTableEffect,
+} from "@mustardweir/protocol";
+import { type EventSink, Performer, postAnswer } from "@mustardweir/runtime";
+import type { InstanceList } from "./instance_list.ts";
+import type { ObjectStore } from "./object_store.ts";
+import type { TableStore } from "./table_store.ts";
+
+/**
+ * Scans and commits to the table.
+ *
+ * @example
+ * ```ts
+ * const performers = [new TablePerformer(new HttpTableStore(connection))];
+ * const loop = new EventLoop({ kernel, performers });
+ * ```
+ */
+export class TablePerformer extends Performer {
+  override readonly kinds = [EffectKind.ScanTable, EffectKind.CommitTable];
+  readonly #store: TableStore;
+
+  constructor(store: TableStore) {
+    super();
+    this.#store = store;
+  }
+
+  override perform(effect: NodeEffect, sink: EventSink): void {
+    switch (effect.kind) {
+      case EffectKind.ScanTable:
+        return void this.#scan(effect, sink);
+      case EffectKind.CommitTable:
+        return void this.#commit(effect, sink);
+      default:
+        refuse(effect);
+    }
+  }
+
+  override close(): Promise<void> {
+    return this.#store.close();
+  }
+
+  async #scan(effect: ScanTableEffect, sink: EventSink): Promise<void> {
+    const { prefix, afterRevision, replyTo } = effect;
+    const result = await this.#store.scan({ prefix, afterRevision });
+    postAnswer(sink, replyTo, result);
+  }
+
+  async #commit(effect: CommitTableEffect, sink: EventSink): Promise<void> {
+    const result = await this.#store.commit(effect.transaction);
+    postAnswer(sink, effect.replyTo, result);
+  }
+}
+
+/**
+ * Reads and writes objects.
+ *
+ * @example
+ * ```ts
+ * const performer = new ObjectPerformer(new HttpObjectStore(connection));
+ * ```
+ */
+export class ObjectPerformer extends Performer {
+  override readonly kinds = [EffectKind.GetObject, EffectKind.PutObject];
+  readonly #store: ObjectStore;
+
+  constructor(store: ObjectStore) {
+    super();
+    this.#store = store;
+  }
+
+  override perform(effect: NodeEffect, sink: EventSink): void {
+    switch (effect.kind) {
+      case EffectKind.GetObject:
+        return void this.#get(effect, sink);
+      case EffectKind.PutObject:
+        return void this.#put(effect, sink);
+      default:
+        refuse(effect);
+    }
+  }
+
+  override close(): Promise<void> {
+    return this.#store.close();
+  }
+
+  async #get(effect: GetObjectEffect, sink: EventSink): Promise<void> {
+    const result = await this.#store.get(effect.key);
+    postAnswer(sink, effect.replyTo, result);
+  }
+
+  async #put(effect: PutObjectEffect, sink: EventSink): Promise<void> {
+    const result = await this.#store.put(effect.key, effect.body);
+    postAnswer(sink, effect.replyTo, result);
+  }
+}
+
+/**
+ * Reads the list of instances.
+ *
+ * @example
+ * ```ts
+ * const list = new HttpInstanceList(connection);
+ * const performer = new InstanceListPerformer(list);
+ * ```
+ */
+export class InstanceListPerformer extends Performer {
+  override readonly kinds = [EffectKind.ListInstances];
+  readonly #list: InstanceList;
+
+  constructor(list: InstanceList) {
+    super();
+    this.#list = list;
+  }
+
+  override perform(effect: NodeEffect, sink: EventSink): void {
+    if (effect.kind !== EffectKind.ListInstances) {
+      refuse(effect);
+    }
+    void this.#read(effect, sink);
+  }
+
+  override close(): Promise<void> {
+    return this.#list.close();
+  }
+
+  async #read(effect: ListInstancesEffect, sink: EventSink): Promise<void> {
+    postAnswer(sink, effect.replyTo, await this.#list.list());
+  }
+}
+
+function refuse(effect: NodeEffect): never {
+  invariant(false, `effect ${effect.kind} came to the wrong performer`);
+}
