Add the worker stand-in and the client of workers

Cause: slice owners need workers to call, with fencing and leases that can be driven by a virtual clock, and a performer that makes the calls.

Ruled out: a list of what was already told, kept in the worker, since a lost answer would count as told; the lease token names the answer it came with, so the next call shows what reached the owner. Counting on a connection being free right after its answer: undici's pool may still hold it as busy.

Change: WorkerState decides without clock or I/O; HostedWorker adds long polls and one timer; WorkerServer is the HTTP front; HttpTargetClient and TargetPerformer make sync calls and turn every failure into NoAnswer.

--- a/packages/worker/src/mod.ts
+++ b/packages/worker/src/mod.ts
@@ -1,1 +1,8 @@
-export {};
+export * from "./hosted_worker.ts";
+export * from "./lease_token.ts";
+export * from "./settings.ts";
+export * from "./task_model.ts";
+export * from "./task_run.ts";
+export * from "./worker_listener.ts";
+export * from "./worker_server.ts";
+export * from "./worker_state.ts";
--- /dev/null
+++ b/packages/worker/src/worker_state.ts
@@ -0,0 +1,392 @@
+import type { Undo } from "@mustardweir/kernel";
+import {
+  addResources,
+  EndReason,
+  fitsWithin,
+  NO_RESOURCES,
+  type Resources,
+  subtractResources,
+} from "@mustardweir/model";
+import {
+  LEASE_MS,
+  type RefusedStart,
+  type RunningTask,
+  StartRefusal,
+  StopMode,
+  type SyncCall,
+  type Synced,
+  type SyncResult,
+  SyncResultKind,
+  type TargetStart,
+  type TargetStop,
+  type TaskEnd,
+  type TaskSpec,
+} from "@mustardweir/protocol";
+import {
+  formatLeaseToken,
+  type LeaseToken,
+  parseLeaseToken,
+} from "./lease_token.ts";
+import {
+  PayloadTaskModel,
+  type TaskModel,
+  type TaskPlan,
+} from "./task_model.ts";
+import { TaskRun } from "./task_run.ts";
+import type { WorkerListener } from "./worker_listener.ts";
+import { WorkerSlice } from "./worker_slice.ts";
+
+/** How long a task runs on a worker that fails everything, in milliseconds. */
+const FAIL_EVERYTHING_AFTER_MS = 5;
+
+/** Faults that can be switched on for tests. */
+export interface WorkerFaults {
+  /** Tasks that are started fail after a few milliseconds. */
+  readonly failEverything: boolean;
+  /** Calls take effect and get no answer; heeded by the server. */
+  readonly silent: boolean;
+  /** Reported usage over real usage. */
+  readonly lieFactor: number;
+}
+
+export const NO_FAULTS: WorkerFaults = {
+  failEverything: false,
+  silent: false,
+  lieFactor: 1,
+};
+
+export interface WorkerStateOptions {
+  readonly capacity: Resources;
+  /** Start of the incarnations' names; must differ between processes. */
+  readonly incarnation?: string;
+  /** A {@link PayloadTaskModel} with its defaults by default. */
+  readonly model?: TaskModel;
+  /** Age of the usage that is reported; 0 by default. */
+  readonly usageLagMs?: number;
+}
+
+/**
+ * The decisions of one worker: fencing, leases, starts and stops. It reads no
+ * clock; times come as arguments, in milliseconds, and must not decrease.
+ *
+ * @example
+ * ```ts
+ * const worker = new WorkerState({ capacity });
+ * const first = worker.sync(call, 0);
+ * worker.advance(worker.nextDue(0));
+ * ```
+ */
+export class WorkerState {
+  readonly capacity: Resources;
+  readonly #namePrefix: string;
+  readonly #model: TaskModel;
+  readonly #usageLagMs: number;
+  readonly #listeners = new Set<WorkerListener>();
+  readonly #slices = new Map<string, WorkerSlice>();
+  #restarts = 0;
+  #stateSeq = 0;
+  #used = NO_RESOURCES;
+  #faults = NO_FAULTS;
+
+  constructor(options: WorkerStateOptions) {
+    this.capacity = options.capacity;
+    this.#namePrefix = options.incarnation ?? "worker";
+    this.#model = options.model ?? new PayloadTaskModel();
+    this.#usageLagMs = options.usageLagMs ?? 0;
+  }
+
+  get incarnation(): string {
+    return `${this.#namePrefix}-${this.#restarts}`;
+  }
+
+  get faults(): WorkerFaults {
+    return this.#faults;
+  }
+
+  /** What the running tasks were given. */
+  get used(): Resources {
+    return this.#used;
+  }
+
+  /** Changes the faults that are given and keeps the others. */
+  setFaults(faults: Partial<WorkerFaults>): void {
+    this.#faults = { ...this.#faults, ...faults };
+  }
+
+  registerListener(listener: WorkerListener): Undo {
+    this.#listeners.add(listener);
+    return () => {
+      this.#listeners.delete(listener);
+    };
+  }
+
+  /** Carries out a call of a slice owner. Repeating it is harmless. */
+  sync(call: SyncCall, now: number): SyncResult {
+    this.advance(now);
+    const slice = this.#sliceOf(call);
+    if (call.epoch < slice.epoch) {
+      return { kind: SyncResultKind.Fenced, epoch: slice.epoch };
+    }
+    this.#takeOver(slice, call.epoch);
+    slice.floor = Math.max(slice.floor, call.floor);
+    const leased = this.#extendLease(slice, call.leaseToken, now);
+    this.#forget(slice, call.acks);
+    this.#stop(slice, call.stops, now);
+    this.#throttle(slice, call, now);
+    const refused = this.#startAll(slice, call, { leased, now });
+    return this.#answer(slice, refused, now);
+  }
+
+  /**
+   * Whether there is something that the owner behind `call` was not told: a
+   * task that ended, a newer epoch or a restart. The call's token shows which
+   * answers reached the owner, so a lost one counts as not told.
+   */
+  hasNews(call: SyncCall): boolean {
+    const slice = this.#slices.get(call.sliceId);
+    const token = this.#ownToken(call.leaseToken);
+    if (slice === undefined || token === undefined) {
+      return true;
+    }
+    return slice.epoch !== call.epoch || slice.newsSeq > token.stateSeq;
+  }
+
+  /** Ends the tasks whose run time or lease is over by `now`. */
+  advance(now: number): void {
+    for (const slice of this.#slices.values()) {
+      this.#finishTasks(slice, now);
+      if (slice.leaseUntilMs <= now) {
+        this.#loseTasks(slice, slice.leaseUntilMs);
+      }
+    }
+  }
+
+  /** When `advance` next has work, at least `now`; infinite when it has none. */
+  nextDue(now: number): number {
+    let next = Infinity;
+    for (const slice of this.#slices.values()) {
+      next = Math.min(next, slice.nextDueMs);
+    }
+    return Math.max(next, now);
+  }
+
+  /** The running tasks of all slices. */
+  runningTasks(): TaskRun[] {
+    return [...this.#slices.values()].flatMap(
+      (slice) => [...slice.running.values()],
+    );
+  }
+
+  /** Loses all tasks and memory, as when the instance fails. */
+  restart(now: number): void {
+    this.advance(now);
+    for (const slice of this.#slices.values()) {
+      this.#loseTasks(slice, now);
+    }
+    this.#slices.clear();
+    this.#restarts += 1;
+    this.#stateSeq = 0;
+  }
+
+  #sliceOf(call: SyncCall): WorkerSlice {
+    let slice = this.#slices.get(call.sliceId);
+    if (slice === undefined) {
+      const newsSeq = this.#nextSeq();
+      slice = new WorkerSlice(call.sliceId, { epoch: call.epoch, newsSeq });
+      this.#slices.set(call.sliceId, slice);
+    }
+    return slice;
+  }
+
+  #takeOver(slice: WorkerSlice, epoch: number): void {
+    if (epoch > slice.epoch) {
+      slice.epoch = epoch;
+      slice.floor = 0;
+      slice.newsSeq = this.#nextSeq();
+    }
+  }
+
+  #extendLease(
+    slice: WorkerSlice,
+    text: string | undefined,
+    now: number,
+  ): boolean {
+    const token = this.#ownToken(text);
+    if (token === undefined || !(token.madeMs <= now)) {
+      return false;
+    }
+    const untilMs = token.madeMs + LEASE_MS;
+    slice.leaseUntilMs = Math.max(slice.leaseUntilMs, untilMs);
+    return untilMs > now;
+  }
+
+  #ownToken(text: string | undefined): LeaseToken | undefined {
+    const token = text === undefined ? undefined : parseLeaseToken(text);
+    return token?.incarnation === this.incarnation ? token : undefined;
+  }
+
+  #forget(slice: WorkerSlice, taskIds: readonly string[]): void {
+    for (const taskId of taskIds) {
+      slice.ended.delete(taskId);
+    }
+  }
+
+  #stop(slice: WorkerSlice, stops: readonly TargetStop[], now: number): void {
+    for (const { taskId, mode } of stops) {
+      const run = slice.running.get(taskId);
+      if (run !== undefined) {
+        this.#end(slice, run, { end: stopEnd(run, mode, now), endedMs: now });
+      }
+    }
+  }
+
+  #throttle(slice: WorkerSlice, call: SyncCall, now: number): void {
+    for (const { taskId, cpuMillis } of call.throttles) {
+      slice.running.get(taskId)?.throttle(cpuMillis, now);
+    }
+  }
+
+  #startAll(
+    slice: WorkerSlice,
+    call: SyncCall,
+    context: { readonly leased: boolean; readonly now: number },
+  ): RefusedStart[] {
+    const stopping = new Set(call.stops.map((stop) => stop.taskId));
+    const refused: RefusedStart[] = [];
+    for (const start of call.starts) {
+      const { taskId } = start.task;
+      if (slice.running.has(taskId) || slice.ended.has(taskId)) {
+        continue;
+      }
+      const refusal = stopping.has(taskId)
+        ? StartRefusal.Stopping
+        : this.#refusalOf(slice, start, context.leased);
+      if (refusal === undefined) {
+        this.#start(slice, start.task, context.now);
+      } else {
+        refused.push({ taskId, refusal });
+      }
+    }
+    return refused;
+  }
+
+  #refusalOf(
+    slice: WorkerSlice,
+    start: TargetStart,
+    leased: boolean,
+  ): StartRefusal | undefined {
+    if (start.seq < slice.floor || this.#runsElsewhere(start.task.taskId)) {
+      return StartRefusal.Settled;
+    }
+    if (!leased) {
+      return StartRefusal.NoLease;
+    }
+    const wanted = addResources(this.#used, start.task.size);
+    return fitsWithin(wanted, this.capacity)
+      ? undefined
+      : StartRefusal.NoCapacity;
+  }
+
+  #runsElsewhere(taskId: string): boolean {
+    return [...this.#slices.values()].some(
+      (slice) => slice.running.has(taskId) || slice.ended.has(taskId),
+    );
+  }
+
+  #start(slice: WorkerSlice, task: TaskSpec, now: number): void {
+    const run = new TaskRun({
+      sliceId: slice.sliceId,
+      task,
+      plan: this.#plan(task),
+      startedMs: now,
+    });
+    slice.running.set(task.taskId, run);
+    this.#used = addResources(this.#used, task.size);
+    for (const listener of this.#listeners) {
+      listener.taskStarted(run);
+    }
+  }
+
+  #plan(task: TaskSpec): TaskPlan {
+    const plan = this.#model.plan(task);
+    return this.#faults.failEverything
+      ? { ...plan, runMs: FAIL_EVERYTHING_AFTER_MS, fails: true }
+      : plan;
+  }
+
+  #finishTasks(slice: WorkerSlice, now: number): void {
+    const untilMs = Math.min(now, slice.leaseUntilMs);
+    for (const run of [...slice.running.values()]) {
+      if (run.endsAtMs <= untilMs) {
+        const done = { end: run.finish(), endedMs: run.endsAtMs };
+        this.#end(slice, run, done);
+        slice.newsSeq = this.#nextSeq();
+      }
+    }
+  }
+
+  #loseTasks(slice: WorkerSlice, endedMs: number): void {
+    for (const run of [...slice.running.values()]) {
+      this.#end(slice, run, { end: { reason: EndReason.Lost }, endedMs });
+      slice.newsSeq = this.#nextSeq();
+    }
+  }
+
+  #end(
+    slice: WorkerSlice,
+    run: TaskRun,
+    options: { readonly end: TaskEnd; readonly endedMs: number },
+  ): void {
+    const { sliceId, task, startedMs } = run;
+    slice.running.delete(task.taskId);
+    slice.ended.set(task.taskId, { task, end: options.end });
+    this.#used = subtractResources(this.#used, task.size);
+    for (const listener of this.#listeners) {
+      listener.taskEnded({ sliceId, task, startedMs, ...options });
+    }
+  }
+
+  #answer(
+    slice: WorkerSlice,
+    refused: readonly RefusedStart[],
+    now: number,
+  ): Synced {
+    const { incarnation } = this;
+    const stateSeq = this.#nextSeq();
+    return {
+      kind: SyncResultKind.Synced,
+      incarnation,
+      stateSeq,
+      leaseToken: formatLeaseToken({ incarnation, madeMs: now, stateSeq }),
+      running: [...slice.running.values()].map((run) => this.#report(run, now)),
+      ended: [...slice.ended.values()],
+      refused,
+    };
+  }
+
+  #report(run: TaskRun, now: number): RunningTask {
+    const usage = run.laggedUsage(now, this.#usageLagMs);
+    const factor = this.#faults.lieFactor;
+    return {
+      task: run.task,
+      usage: {
+        cpuMillis: usage.cpuMillis * factor,
+        memoryMb: usage.memoryMb * factor,
+      },
+    };
+  }
+
+  #nextSeq(): number {
+    this.#stateSeq += 1;
+    return this.#stateSeq;
+  }
+}
+
+function stopEnd(run: TaskRun, mode: StopMode, now: number): TaskEnd {
+  switch (mode) {
+    case StopMode.Cancel:
+      return { reason: EndReason.Cancelled };
+    case StopMode.Preempt:
+      return { reason: EndReason.Preempted, checkpoint: run.checkpoint(now) };
+  }
+}
