Carry messages between nodes over long-lived connect-es streams

Cause: nodes need links that survive restarts, pauses and connections that go silent, at a processor cost that an idle node can afford.

Ruled out: a unary call a message.

Change: LinkPerformer keeps one stream a pair, batches the messages of a loop turn into a frame, pings, and dials a fresh connection when a pong is missing.

Conclusion: batched streams; decisions never see the encoding.

--- /dev/null
+++ b/packages/runtime/src/logger.ts
@@ -0,0 +1,121 @@
+import {
+  type ConsolaInstance,
+  type ConsolaReporter,
+  createConsola,
+  LogLevels,
+  type LogObject,
+} from "consola";
+
+export enum LogFormat {
+  Text = "text",
+  Json = "json",
+}
+
+export enum LogLevel {
+  Error = "error",
+  Warn = "warn",
+  Info = "info",
+  Debug = "debug",
+}
+
+/** Named values of a log line; never a key or a body. */
+export type LogFields = Readonly<Record<string, string | number | boolean>>;
+
+export interface LoggerOptions {
+  /** Named in every line. */
+  readonly node: string;
+  /** `LogFormat.Text` by default. */
+  readonly format?: LogFormat;
+  /** Lowest level that is written; `LogLevel.Info` by default. */
+  readonly level?: LogLevel;
+  /** Takes each line, with its line end; standard error by default. */
+  readonly write?: (line: string) => void;
+}
+
+/**
+ * Writes one line for each entry, as text or JSON.
+ *
+ * @example
+ * ```ts
+ * const logger = createLogger({ node: "s1", format: LogFormat.Json });
+ * logger.info("Zone closed", { availabilityZone: "tx-a" });
+ * ```
+ */
+export class Logger {
+  readonly #consola: ConsolaInstance;
+
+  constructor(consola: ConsolaInstance) {
+    this.#consola = consola;
+  }
+
+  debug(message: string, fields: LogFields = {}): void {
+    this.#consola.debug(message, fields);
+  }
+
+  info(message: string, fields: LogFields = {}): void {
+    this.#consola.info(message, fields);
+  }
+
+  warn(message: string, fields: LogFields = {}): void {
+    this.#consola.warn(message, fields);
+  }
+
+  error(message: string, fields: LogFields = {}): void {
+    this.#consola.error(message, fields);
+  }
+}
+
+/** Creates the logger of a process; see {@link Logger}. */
+export function createLogger(options: LoggerOptions): Logger {
+  const { node, format = LogFormat.Text, level = LogLevel.Info } = options;
+  const reporter = new LineReporter({
+    node,
+    render: format === LogFormat.Json ? renderJson : renderText,
+    write: options.write ?? ((line) => process.stderr.write(line)),
+  });
+  return new Logger(createConsola({
+    level: LogLevels[level],
+    reporters: [reporter],
+    throttle: 0,
+  }));
+}
+
+interface LogEntry {
+  readonly time: string;
+  readonly level: string;
+  readonly node: string;
+  readonly message: string;
+  readonly fields: LogFields;
+}
+
+interface LineReporterOptions {
+  readonly node: string;
+  readonly render: (entry: LogEntry) => string;
+  readonly write: (line: string) => void;
+}
+
+class LineReporter implements ConsolaReporter {
+  readonly #options: LineReporterOptions;
+
+  constructor(options: LineReporterOptions) {
+    this.#options = options;
+  }
+
+  log({ date, type, args }: LogObject): void {
+    const { node, render, write } = this.#options;
+    const [message, fields] = args as [string, LogFields];
+    const time = date.toISOString();
+    write(`${render({ time, level: type, node, message, fields })}\n`);
+  }
+}
+
+function renderJson(entry: LogEntry): string {
+  return JSON.stringify(entry);
+}
+
+function renderText({ time, level, node, message, fields }: LogEntry): string {
+  const pairs = Object.entries(fields).map(([name, value]) =>
+    `${name}=${JSON.stringify(value)}`
+  );
+  return [time, level.toUpperCase(), node, message, ...pairs].join(" ");
+}
--- /dev/null
+++ b/packages/runtime/src/metrics.ts
@@ -0,0 +1,157 @@
+import {
+  build,
+  decodeFromCompressedBase64,
+  encodeIntoCompressedBase64,
+  type Histogram,
+} from "hdr-histogram-js";
+
+const SIGNIFICANT_DIGITS = 2;
+const NAME_PREFIX = "mustardweir_";
+
+/** The quantiles that are shown of every histogram. */
+const QUANTILES = [0.5, 0.9, 0.99, 0.999] as const;
+
+/** What a histogram holds, in the unit of the values observed. */
+export interface HistogramSnapshot {
+  readonly count: number;
+  readonly sum: number;
+  readonly mean: number;
+  readonly max: number;
+  /** Value by quantile, such as 0.99. */
+  readonly quantiles: Readonly<Record<string, number>>;
+}
+
+export interface MetricsSnapshot {
+  readonly counters: Readonly<Record<string, number>>;
+  readonly histograms: Readonly<Record<string, HistogramSnapshot>>;
+}
+
+/**
+ * Counters and histograms of a process.
+ *
+ * @example
+ * ```ts
+ * const metrics = new Metrics();
+ * metrics.count("jobs-accepted");
+ * metrics.observe("start-wait-ms", 12);
+ * metrics.renderPrometheus();
+ * ```
+ */
+export class Metrics {
+  readonly #counters = new Map<string, number>();
+  readonly #histograms = new Map<string, Histogram>();
+  readonly #sums = new Map<string, number>();
+
+  /** Adds `by`, 1 by default, to a counter. */
+  count(counter: string, by = 1): void {
+    this.#counters.set(counter, this.counter(counter) + by);
+  }
+
+  /** A counter's value; 0 when it was never counted. */
+  counter(counter: string): number {
+    return this.#counters.get(counter) ?? 0;
+  }
+
+  /** Adds a value to a histogram; negative values count as 0. */
+  observe(histogram: string, value: number): void {
+    const recorded = Math.max(0, Math.round(value));
+    this.#histogram(histogram).recordValue(recorded);
+    this.#sums.set(histogram, (this.#sums.get(histogram) ?? 0) + recorded);
+  }
+
+  snapshot(): MetricsSnapshot {
+    const histograms = [...this.#histograms].map(([name, histogram]) =>
+      [name, this.#snapshotOf(name, histogram)] as const
+    );
+    return {
+      counters: Object.fromEntries(this.#counters),
+      histograms: Object.fromEntries(histograms),
+    };
+  }
+
+  /** All metrics in the text format of Prometheus. */
+  renderPrometheus(): string {
+    const { counters, histograms } = this.snapshot();
+    const lines = [
+      ...Object.entries(counters).sort(byName).flatMap(renderCounter),
+      ...Object.entries(histograms).sort(byName).flatMap(renderSummary),
+    ];
+    return lines.map((line) => `${line}\n`).join("");
+  }
+
+  /** The histograms in a form that {@link mergeHistograms} takes. */
+  encodeHistograms(): Readonly<Record<string, string>> {
+    const encoded = [...this.#histograms].map(([name, histogram]) =>
+      [name, encodeIntoCompressedBase64(histogram)] as const
+    );
+    return Object.fromEntries(encoded);
+  }
+
+  /** Adds the values of another process' encoded histograms. */
+  mergeHistograms(encoded: Readonly<Record<string, string>>): void {
+    for (const [name, text] of Object.entries(encoded)) {
+      const other = decodeFromCompressedBase64(text);
+      this.#histogram(name).add(other);
+      const sum = this.#sums.get(name) ?? 0;
+      this.#sums.set(name, sum + Math.round(other.mean * other.totalCount));
+    }
+  }
+
+  #histogram(name: string): Histogram {
+    const known = this.#histograms.get(name);
+    if (known) {
+      return known;
+    }
+    const histogram = build({
+      autoResize: true,
+      numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
+    });
+    this.#histograms.set(name, histogram);
+    return histogram;
+  }
+
+  #snapshotOf(name: string, histogram: Histogram): HistogramSnapshot {
+    const quantiles = QUANTILES.map((quantile) =>
+      [
+        String(quantile),
+        histogram.getValueAtPercentile(quantile * 100),
+      ] as const
+    );
+    return {
+      count: histogram.totalCount,
+      sum: this.#sums.get(name) ?? 0,
+      mean: histogram.mean,
+      max: histogram.maxValue,
+      quantiles: Object.fromEntries(quantiles),
+    };
+  }
+}
+
+function renderCounter([name, value]: [string, number]): string[] {
+  const metric = `${metricName(name)}_total`;
+  return [`# TYPE ${metric} counter`, `${metric} ${value}`];
+}
+
+function renderSummary([name, of]: [string, HistogramSnapshot]): string[] {
+  const metric = metricName(name);
+  const quantiles = Object.entries(of.quantiles).map(([quantile, value]) =>
+    `${metric}{quantile="${quantile}"} ${value}`
+  );
+  return [
+    `# TYPE ${metric} summary`,
+    ...quantiles,
+    `${metric}_sum ${of.sum}`,
+    `${metric}_count ${of.count}`,
+  ];
+}
+
+function metricName(name: string): string {
+  return NAME_PREFIX + name.replaceAll(/[^a-zA-Z0-9_]/g, "_");
+}
+
+function byName(
+  [a]: readonly [string, unknown],
+  [b]: readonly [string, unknown],
+): number {
+  return a < b ? -1 : 1;
+}
--- /dev/null
+++ b/packages/runtime/src/metrics_performer.ts
@@ -0,0 +1,22 @@
+import { EffectKind, type NodeEffect } from "@mustardweir/protocol";
+import { Metrics } from "./metrics.ts";
+import { Performer } from "./performer.ts";
+
+/** Carries out effects that count and observe. */
+export class MetricsPerformer extends Performer {
+  override readonly kinds = [EffectKind.Count, EffectKind.Observe];
+  readonly metrics: Metrics;
+
+  constructor(metrics: Metrics = new Metrics()) {
+    super();
+    this.metrics = metrics;
+  }
+
+  override perform(effect: NodeEffect): void {
+    if (effect.kind === EffectKind.Count) {
+      this.metrics.count(effect.counter, effect.by);
+    } else if (effect.kind === EffectKind.Observe) {
+      this.metrics.observe(effect.histogram, effect.value);
+    }
+  }
+}
--- /dev/null
+++ b/packages/wire/src/codec_test.ts
@@ -0,0 +1,251 @@
+import {
+  EndReason,
+  JobKind,
+  jobSpecSchema,
+  JobState,
+  Outcome,
+  Priority,
+  RefusalReason,
+  refuse,
+  type Resources,
+} from "@mustardweir/model";
+import {
+  AskMode,
+  DeclineReason,
+  HomeCallKind,
+  HomeReplyKind,
+  type PeerMessage,
+  PeerMessageKind,
+  RoomResult,
+  StopMode,
+  TaskPhase,
+  type TaskSpec,
+} from "@mustardweir/protocol";
+import { expect } from "chai";
+import { JsonMessageCodec } from "./codec.ts";
+import { WireErrorKind } from "./errors.ts";
+
+const size: Resources = {
+  cpuMillis: 1_500,
+  memoryMb: 512,
+  accelerators: 0,
+  slots: 1,
+};
+
+const task: TaskSpec = {
+  taskId: "storefront.1.0.1",
+  jobId: "storefront.1",
+  team: "storefront",
+  homeEpoch: 3,
+  askSeq: 8,
+  kind: JobKind.Batch,
+  priority: Priority.Normal,
+  idempotent: true,
+  size,
+  payload: "päivä",
+};
+
+const address = {
+  team: "storefront",
+  homeEpoch: 3,
+  sliceId: "tx-a/0",
+  sliceEpoch: 5,
+};
+
+const status = {
+  jobId: "storefront.1",
+  team: "storefront",
+  state: JobState.Ended,
+  outcome: Outcome.Done,
+  reason: EndReason.Completed,
+  tasksTotal: 1,
+  tasksRunning: 0,
+  tasksEnded: 1,
+};
+
+const end = { reason: EndReason.Failed, message: "exit 1" };
+
+const MESSAGES: { readonly [Kind in PeerMessageKind]: PeerMessage } = {
+  [PeerMessageKind.Heartbeat]: {
+    kind: PeerMessageKind.Heartbeat,
+    nodeId: "s1",
+    incarnation: "f",
+    availabilityZone: "tx-a",
+    configurationVersion: 4,
+    stopping: false,
+    owned: [{ unit: "slice/tx-a/0", epoch: 5 }],
+    superseded: [],
+    slices: [{
+      sliceId: "tx-a/0",
+      epoch: 5,
+      free: size,
+      total: size,
+      waiting: 0,
+    }],
+    usage: [{ team: "storefront", used: size }],
+  },
+  [PeerMessageKind.HomeCall]: {
+    kind: PeerMessageKind.HomeCall,
+    callId: "c1",
+    team: "storefront",
+    keyId: "k1",
+    ttlMs: 900,
+    call: {
+      kind: HomeCallKind.Submit,
+      idempotencyKey: "i1",
+      spec: jobSpecSchema.parse({
+        kind: JobKind.Gang,
+        cpu: 1.5,
+        memoryMb: 512,
+        tasks: 3,
+      }),
+    },
+  },
+  [PeerMessageKind.HomeReply]: {
+    kind: PeerMessageKind.HomeReply,
+    callId: "c1",
+    reply: {
+      kind: HomeReplyKind.Refused,
+      refusal: refuse(RefusalReason.Overloaded, { message: "Queue is full" }),
+    },
+  },
+  [PeerMessageKind.FenceHome]: { kind: PeerMessageKind.FenceHome, ...address },
+  [PeerMessageKind.HomeInventory]: {
+    kind: PeerMessageKind.HomeInventory,
+    ...address,
+    complete: true,
+    tasks: [{ task, phase: TaskPhase.Ended, instanceId: "i-1", end }],
+  },
+  [PeerMessageKind.AskRoom]: {
+    kind: PeerMessageKind.AskRoom,
+    ...address,
+    floor: 2,
+    asks: [{ seq: 8, mode: AskMode.Hold, task, ttlMs: 500 }],
+  },
+  [PeerMessageKind.WithdrawAsks]: {
+    kind: PeerMessageKind.WithdrawAsks,
+    ...address,
+    seqs: [8, 9],
+  },
+  [PeerMessageKind.CommitHolds]: {
+    kind: PeerMessageKind.CommitHolds,
+    ...address,
+    seqs: [8],
+  },
+  [PeerMessageKind.RoomAnswer]: {
+    kind: PeerMessageKind.RoomAnswer,
+    ...address,
+    answers: [{
+      seq: 8,
+      taskId: task.taskId,
+      result: RoomResult.Declined,
+      reason: DeclineReason.NoRoom,
+    }],
+  },
+  [PeerMessageKind.StopTasks]: {
+    kind: PeerMessageKind.StopTasks,
+    ...address,
+    taskIds: [task.taskId],
+    mode: StopMode.Preempt,
+  },
+  [PeerMessageKind.TaskEvents]: {
+    kind: PeerMessageKind.TaskEvents,
+    ...address,
+    events: [{ task, phase: TaskPhase.Running, instanceId: "i-1" }],
+  },
+  [PeerMessageKind.TaskEventsAck]: {
+    kind: PeerMessageKind.TaskEventsAck,
+    ...address,
+    taskIds: [task.taskId],
+  },
+};
+
+const REPLY_BODIES = [
+  { kind: HomeReplyKind.Status, status },
+  { kind: HomeReplyKind.List, jobs: [status], running: size },
+  { kind: HomeReplyKind.NotOwner, owner: "s2" },
+] as const;
+
+const ROUND_TRIPS: readonly PeerMessage[] = [
+  ...Object.values(MESSAGES),
+  ...REPLY_BODIES.map((reply) => ({
+    kind: PeerMessageKind.HomeReply as const,
+    callId: "c1",
+    reply,
+  })),
+];
+
+const FENCE = MESSAGES[PeerMessageKind.FenceHome];
+
+const FAULTS = [
+  {
+    name: "an unknown kind",
+    kind: 99,
+    text: "{}",
+    error: WireErrorKind.UnknownKind,
+  },
+  {
+    name: "text that is not JSON",
+    kind: PeerMessageKind.FenceHome,
+    text: "{",
+    error: WireErrorKind.Undecodable,
+  },
+  {
+    name: "no object",
+    kind: PeerMessageKind.FenceHome,
+    text: "null",
+    error: WireErrorKind.WrongShape,
+  },
+  {
+    name: "a missing field",
+    kind: PeerMessageKind.FenceHome,
+    text: JSON.stringify({ ...FENCE, sliceEpoch: undefined }),
+    error: WireErrorKind.WrongShape,
+  },
+  {
+    name: "a number that is none",
+    kind: PeerMessageKind.FenceHome,
+    text: JSON.stringify({ ...FENCE, homeEpoch: NaN }),
+    error: WireErrorKind.WrongShape,
+  },
+  {
+    name: "a body of another kind than the envelope",
+    kind: PeerMessageKind.Heartbeat,
+    text: JSON.stringify(FENCE),
+    error: WireErrorKind.WrongShape,
+  },
+  {
+    name: "a task event with the phase of a report",
+    kind: PeerMessageKind.TaskEvents,
+    text: JSON.stringify({
+      ...MESSAGES[PeerMessageKind.TaskEvents],
+      events: [{ task, phase: TaskPhase.Held, instanceId: "i-1" }],
+    }),
+    error: WireErrorKind.WrongShape,
+  },
+];
+
+describe("JsonMessageCodec", () => {
+  const codec = new JsonMessageCodec();
+
+  for (const message of ROUND_TRIPS) {
+    const name = PeerMessageKind[message.kind];
+    it(`brings back ${name}${"reply" in message ? ` ${message.reply.kind}` : ""}`, () => {
+      const decoded = codec.decode(message.kind, codec.encode(message));
+      expect(decoded._unsafeUnwrap()).to.deep.equal(message);
+    });
+  }
+
+  it("keeps fields that it does not know", () => {
+    const newer: PeerMessage = Object.assign({ added: 1 }, FENCE);
+    const decoded = codec.decode(newer.kind, codec.encode(newer));
+    expect(decoded._unsafeUnwrap()).to.deep.equal(newer);
+  });
+
+  for (const { name, kind, text, error } of FAULTS) {
+    it(`refuses ${name}`, () => {
+      const decoded = codec.decode(kind, new TextEncoder().encode(text));
+      expect(decoded._unsafeUnwrapErr().kind).to.equal(error);
+    });
+  }
+});
--- /dev/null
+++ b/packages/wire/src/link.ts
@@ -0,0 +1,243 @@
+import { create, type MessageInitShape } from "@bufbuild/protobuf";
+import type { NodeIdentity } from "@mustardweir/protocol";
+import { type Frame, FrameSchema } from "./gen/mustardweir/link/v1/link_pb.ts";
+import type { OutgoingMessage } from "./outbox.ts";
+import { PingMonitor } from "./ping_monitor.ts";
+
+/** Which side opened the stream of a link. */
+export enum LinkSide {
+  Dialled = "dialled",
+  Accepted = "accepted",
+}
+
+/** Why a link was closed. */
+export enum LinkEnd {
+  /** The peer or the network ended the stream. */
+  Ended = "ended",
+  /** A ping or the first frame was not answered in time. */
+  Silent = "silent",
+  /** A newer stream to the same peer took its place. */
+  Replaced = "replaced",
+  /** The stream is older than one already taken from the same peer. */
+  OutOfDate = "out-of-date",
+  /** Another node than the expected one answered. */
+  WrongPeer = "wrong-peer",
+  /** The peer is no longer named. */
+  Unwanted = "unwanted",
+  /** This process stops. */
+  Stopping = "stopping",
+}
+
+/** What the first frame of a stream says of its sender. */
+export interface LinkHello {
+  readonly nodeId: string;
+  readonly incarnation: string;
+  readonly session: bigint;
+}
+
+/** Told by a link to its owner. */
+export abstract class LinkObserver {
+  /** Returns why the link is not taken, or undefined when it is. */
+  abstract greeted(link: Link, hello: LinkHello): LinkEnd | undefined;
+  abstract received(link: Link, message: OutgoingMessage): void;
+  abstract closed(link: Link, end: LinkEnd): void;
+  /** Messages to send now; empty when another link has the turn. */
+  abstract takeMessages(link: Link): readonly OutgoingMessage[];
+}
+
+export interface LinkOptions {
+  readonly identity: NodeIdentity;
+  readonly side: LinkSide;
+  /** Grows with each stream dialled; undefined for an accepted one. */
+  readonly session?: bigint;
+  /** The node that was dialled. */
+  readonly expectedPeer?: string;
+  readonly observer: LinkObserver;
+  readonly pingTimeoutMs: number;
+  /** Monotonic time of the opening, in milliseconds. */
+  readonly openedAt: number;
+  /** Ends the connection below; called once. */
+  readonly disconnect: () => void;
+}
+
+/**
+ * One stream of frames with a peer. It is live once the peer's first frame
+ * was taken, and until it is closed.
+ */
+export class Link {
+  readonly side: LinkSide;
+  readonly #options: LinkOptions;
+  readonly #pings: PingMonitor;
+  #hello: LinkHello | undefined;
+  #closed = false;
+  #draining = false;
+  #pongId = 0;
+  #wakeUp: (() => void) | undefined;
+  #wakeTurn: NodeJS.Immediate | undefined;
+
+  constructor(options: LinkOptions) {
+    this.#options = options;
+    this.side = options.side;
+    this.#pings = new PingMonitor({
+      timeoutMs: options.pingTimeoutMs,
+      openedAt: options.openedAt,
+    });
+  }
+
+  /** The peer's first frame; undefined until it was taken. */
+  get hello(): LinkHello | undefined {
+    return this.#hello;
+  }
+
+  /** Number of the stream if this side dialled it. */
+  get session(): bigint | undefined {
+    return this.#options.session;
+  }
+
+  get expectedPeer(): string | undefined {
+    return this.#options.expectedPeer;
+  }
+
+  get live(): boolean {
+    return this.#hello !== undefined && !this.#closed;
+  }
+
+  get closed(): boolean {
+    return this.#closed;
+  }
+
+  /** The frames to send, until the link is closed. */
+  async *frames(): AsyncGenerator<Frame> {
+    if (this.side === LinkSide.Dialled) {
+      yield this.#firstFrame(this.#options.session ?? 0n);
+    }
+    await this.#waitForHello();
+    if (this.side === LinkSide.Accepted && this.#hello) {
+      yield this.#firstFrame(this.#hello.session);
+    }
+    while (!this.#closed) {
+      const frame = this.#nextFrame();
+      if (frame) {
+        yield frame;
+      } else if (this.#draining) {
+        return;
+      } else {
+        await this.#waitForWork();
+      }
+    }
+  }
+
+  /** Reads frames until the stream ends, then closes the link. */
+  async readAll(frames: AsyncIterable<Frame>): Promise<void> {
+    try {
+      for await (const frame of frames) {
+        this.#receive(frame);
+      }
+    } catch {
+      // However a stream breaks, the link has ended.
+    }
+    this.close(LinkEnd.Ended);
+  }
+
+  /** Sends what waits, in one frame with all else of this loop turn. */
+  wake(): void {
+    if (this.#wakeUp !== undefined && this.#wakeTurn === undefined) {
+      this.#wakeTurn = setImmediate(() => this.#resume());
+    }
+  }
+
+  /** Pings the peer, or closes the link when it has been silent too long. */
+  ping(now: number): void {
+    if (!this.#pings.tick(now)) {
+      this.close(LinkEnd.Silent);
+    } else if (this.live) {
+      this.wake();
+    }
+  }
+
+  /** Lets the frames end once everything that waits has been sent. */
+  drain(): void {
+    this.#draining = true;
+    this.wake();
+  }
+
+  close(end: LinkEnd): void {
+    if (this.#closed) {
+      return;
+    }
+    this.#closed = true;
+    this.#resume();
+    this.#options.disconnect();
+    this.#options.observer.closed(this, end);
+  }
+
+  #receive(frame: Frame): void {
+    if (this.#closed) {
+      return;
+    }
+    if (this.#hello === undefined && !this.#greet(frame)) {
+      return;
+    }
+    this.#pings.answered(frame.pongId);
+    for (const envelope of frame.envelopes) {
+      this.#options.observer.received(this, envelope);
+    }
+    if (frame.pingId !== 0) {
+      this.#pongId = frame.pingId;
+      this.wake();
+    }
+  }
+
+  #greet(frame: Frame): boolean {
+    const { nodeId, incarnation, session } = frame;
+    const hello = { nodeId, incarnation, session };
+    const refusal = this.#options.observer.greeted(this, hello);
+    if (refusal !== undefined) {
+      this.close(refusal);
+      return false;
+    }
+    this.#hello = hello;
+    this.#pings.greeted();
+    this.wake();
+    return true;
+  }
+
+  #firstFrame(session: bigint): Frame {
+    const { nodeId, incarnation } = this.#options.identity;
+    return create(FrameSchema, { nodeId, incarnation, session });
+  }
+
+  #nextFrame(): Frame | undefined {
+    const envelopes = this.#options.observer.takeMessages(this);
+    const pingId = this.#pings.takePing();
+    const pongId = this.#pongId;
+    this.#pongId = 0;
+    if (envelopes.length === 0 && pingId === 0 && pongId === 0) {
+      return undefined;
+    }
+    return create(
+      FrameSchema,
+      { envelopes, pingId, pongId } as MessageInitShape<typeof FrameSchema>,
+    );
+  }
+
+  async #waitForHello(): Promise<void> {
+    while (this.#hello === undefined && !this.#closed) {
+      await this.#waitForWork();
+    }
+  }
+
+  #waitForWork(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#wakeUp = resolve;
+    });
+  }
+
+  #resume(): void {
+    clearImmediate(this.#wakeTurn);
+    this.#wakeTurn = undefined;
+    const wakeUp = this.#wakeUp;
+    this.#wakeUp = undefined;
+    wakeUp?.();
+  }
+}
--- /dev/null
+++ b/packages/wire/src/link_performer.ts
@@ -0,0 +1,236 @@
+import { Role } from "@mustardweir/kernel";
+import {
+  ALL_PEERS,
+  type ConnectPeersEffect,
+  EffectKind,
+  type NodeEffect,
+  type NodeIdentity,
+  PEER_MESSAGE_RECEIVED,
+  type PeerAddress,
+  type SendPeerEffect,
+} from "@mustardweir/protocol";
+import { type EventSink, Metrics, Performer } from "@mustardweir/runtime";
+import type { MessageCodec } from "./codec.ts";
+import { Dialer, DialerOwner } from "./dialer.ts";
+import { type Link, LinkEnd, LinkSide } from "./link.ts";
+import { LinkServer, type ListenAddress } from "./link_server.ts";
+import { LinkTable } from "./link_table.ts";
+import type { OutgoingMessage } from "./outbox.ts";
+import type { Peer } from "./peer.ts";
+
+/** Messages that wait longer for a link are dropped, in milliseconds. */
+const MAX_WAIT_MS = 2_000;
+
+/** The side that should be dialled dials itself after this, in milliseconds. */
+const DIAL_GRACE_MS = 1_000;
+
+/** Longest wait for the last messages to leave when closing. */
+const DRAIN_MS = 500;
+
+/** Interval of looks whether the last messages have left, in milliseconds. */
+const DRAIN_POLL_MS = 10;
+
+export interface LinkPerformerOptions {
+  readonly identity: NodeIdentity;
+  readonly codec: MessageCodec;
+  /** Where peers are taken; without it the node only dials. */
+  readonly listen?: ListenAddress;
+  /** 500 ms by default. */
+  readonly pingIntervalMs?: number;
+  /** Longest wait for a pong, in milliseconds; 1500 by default. */
+  readonly pingTimeoutMs?: number;
+  /** Most messages that wait for one peer; 10000 by default. */
+  readonly maxQueuedMessages?: number;
+  /** Counts messages, links and faults. */
+  readonly metrics?: Metrics;
+}
+
+/**
+ * Carries messages between nodes over long-lived streams. Messages may be
+ * lost, late or doubled; those on one link keep their order.
+ *
+ * @example
+ * ```ts
+ * const links = new LinkPerformer({
+ *   identity,
+ *   codec: new JsonMessageCodec(),
+ *   listen: { host: "127.0.0.1", port: 0 },
+ *   metrics,
+ * });
+ * ```
+ */
+export class LinkPerformer extends Performer {
+  override readonly kinds = [EffectKind.SendPeer, EffectKind.ConnectPeers];
+  readonly #identity: NodeIdentity;
+  readonly #codec: MessageCodec;
+  readonly #listen: ListenAddress | undefined;
+  readonly #pingIntervalMs: number;
+  readonly #metrics: Metrics;
+  readonly #table: LinkTable;
+  #server: LinkServer | undefined;
+  #port = 0;
+  #sink: EventSink | undefined;
+  #ticker: NodeJS.Timeout | undefined;
+
+  constructor(options: LinkPerformerOptions) {
+    super();
+    this.#identity = options.identity;
+    this.#codec = options.codec;
+    this.#listen = options.listen;
+    this.#pingIntervalMs = options.pingIntervalMs ?? 500;
+    this.#metrics = options.metrics ?? new Metrics();
+    this.#table = new LinkTable({
+      identity: options.identity,
+      outbox: {
+        maxMessages: options.maxQueuedMessages ?? 10_000,
+        maxAgeMs: MAX_WAIT_MS,
+      },
+      pingTimeoutMs: options.pingTimeoutMs ?? 1_500,
+      metrics: this.#metrics,
+      deliver: (from, message) => this.#deliver(from, message),
+    });
+  }
+
+  /** The port that peers are taken on; 0 before the start. */
+  get port(): number {
+    return this.#port;
+  }
+
+  /** Ids of the peers with a live link. */
+  get livePeers(): readonly string[] {
+    return this.#table.peers
+      .filter((peer) => peer.newest !== undefined)
+      .map((peer) => peer.nodeId);
+  }
+
+  override async start(sink: EventSink): Promise<void> {
+    this.#sink = sink;
+    if (this.#listen) {
+      this.#server = new LinkServer((disconnect) =>
+        this.#table.open({ side: LinkSide.Accepted, disconnect })
+      );
+      this.#port = await this.#server.listen(this.#listen);
+    }
+    this.#ticker = setInterval(
+      () => this.#table.tick(),
+      this.#pingIntervalMs,
+    );
+  }
+
+  override perform(effect: NodeEffect, sink: EventSink): void {
+    if (effect.kind === EffectKind.SendPeer) {
+      this.#send(effect, sink);
+    } else if (effect.kind === EffectKind.ConnectPeers) {
+      this.#connect(effect);
+    }
+  }
+
+  /** Sends what waits, then closes all links. */
+  override async close(): Promise<void> {
+    clearInterval(this.#ticker);
+    for (const { dialer } of this.#table.peers) {
+      dialer?.finish();
+    }
+    await this.#drain();
+    for (const link of this.#table.links) {
+      link.close(LinkEnd.Stopping);
+    }
+    await this.#server?.close();
+  }
+
+  #send({ to, message }: SendPeerEffect, sink: EventSink): void {
+    if (to === this.#identity.nodeId) {
+      sink.post(PEER_MESSAGE_RECEIVED, { from: to, message });
+      return;
+    }
+    const outgoing = {
+      kind: message.kind,
+      body: this.#codec.encode(message),
+    };
+    const receivers = to === ALL_PEERS ? this.livePeers : [to];
+    for (const receiver of receivers) {
+      this.#table.send(receiver, outgoing);
+    }
+  }
+
+  #deliver(from: string, { kind, body }: OutgoingMessage): void {
+    this.#codec.decode(kind, body).match(
+      (message) => {
+        this.#metrics.count("link-messages-received");
+        this.#sink?.post(PEER_MESSAGE_RECEIVED, { from, message });
+      },
+      () => this.#metrics.count("link-messages-malformed"),
+    );
+  }
+
+  #connect({ peers }: ConnectPeersEffect): void {
+    const wanted = new Map(peers.map((peer) => [peer.nodeId, peer]));
+    wanted.delete(this.#identity.nodeId);
+    for (const peer of this.#table.peers) {
+      const address = wanted.get(peer.nodeId)?.address;
+      if (peer.dialer && peer.dialer.peer.address !== address) {
+        peer.dialer.stop(LinkEnd.Unwanted);
+        peer.dialer = undefined;
+      }
+    }
+    for (const address of wanted.values()) {
+      this.#dial(address);
+    }
+  }
+
+  #dial(address: PeerAddress): void {
+    const peer = this.#table.peer(address.nodeId);
+    if (peer.dialer !== undefined) {
+      return;
+    }
+    peer.dialer = new Dialer(
+      address,
+      new TableDialerOwner(this.#table, { identity: this.#identity, peer }),
+    );
+    void peer.dialer.run();
+  }
+
+  async #drain(): Promise<void> {
+    for (const link of this.#table.links) {
+      link.drain();
+    }
+    const end = performance.now() + DRAIN_MS;
+    while (this.#table.links.length > 0 && performance.now() < end) {
+      await new Promise((resolve) => setTimeout(resolve, DRAIN_POLL_MS));
+    }
+  }
+}
+
+interface TableDialerOptions {
+  readonly identity: NodeIdentity;
+  readonly peer: Peer;
+}
+
+/** Opens dialled links in a table and decides which side dials. */
+class TableDialerOwner extends DialerOwner {
+  readonly #table: LinkTable;
+  readonly #identity: NodeIdentity;
+  readonly #peer: Peer;
+
+  constructor(table: LinkTable, options: TableDialerOptions) {
+    super();
+    this.#table = table;
+    this.#identity = options.identity;
+    this.#peer = options.peer;
+  }
+
+  /** Entries dial, and the lower id; the other when it gets no link. */
+  override mayDial(): boolean {
+    const { nodeId, role } = this.#identity;
+    return role === Role.Entry || nodeId < this.#peer.nodeId ||
+      this.#peer.linklessMs(performance.now()) > DIAL_GRACE_MS;
+  }
+
+  override openLink(disconnect: () => void): Link {
+    return this.#table.open({
+      side: LinkSide.Dialled,
+      disconnect,
+      expectedPeer: this.#peer.nodeId,
+    });
+  }
+}
--- /dev/null
+++ b/packages/wire/src/message_schemas.ts
@@ -0,0 +1,231 @@
+import {
+  EndReason,
+  JobKind,
+  jobSpecSchema,
+  JobState,
+  Outcome,
+  Priority,
+  RefusalReason,
+} from "@mustardweir/model";
+import {
+  AskMode,
+  DeclineReason,
+  HomeCallKind,
+  HomeReplyKind,
+  type PeerMessage,
+  PeerMessageKind,
+  RoomResult,
+  StopMode,
+  TaskPhase,
+} from "@mustardweir/protocol";
+import { z } from "zod";
+
+type SchemaOf<Kind extends PeerMessageKind> = z.ZodType<
+  Extract<PeerMessage, { readonly kind: Kind }>
+>;
+
+const resources = z.looseObject({
+  cpuMillis: z.number(),
+  memoryMb: z.number(),
+  accelerators: z.number(),
+  slots: z.number(),
+});
+
+const taskSpec = z.looseObject({
+  taskId: z.string(),
+  jobId: z.string(),
+  team: z.string(),
+  homeEpoch: z.number(),
+  askSeq: z.number(),
+  kind: z.enum(JobKind),
+  priority: z.enum(Priority),
+  idempotent: z.boolean(),
+  size: resources,
+  durationMs: z.number().optional(),
+  payload: z.string(),
+  checkpoint: z.string().optional(),
+});
+
+const taskEnd = z.looseObject({
+  reason: z.enum(EndReason),
+  answer: z.string().optional(),
+  checkpoint: z.string().optional(),
+  message: z.string().optional(),
+});
+
+const jobStatus = z.looseObject({
+  jobId: z.string(),
+  team: z.string(),
+  state: z.enum(JobState),
+  outcome: z.enum(Outcome).optional(),
+  reason: z.enum(EndReason).optional(),
+  tasksTotal: z.number(),
+  tasksRunning: z.number(),
+  tasksEnded: z.number(),
+  explanation: z.string().optional(),
+  answer: z.string().optional(),
+  waitedMs: z.number().optional(),
+});
+
+const refusal = z.looseObject({
+  reason: z.enum(RefusalReason),
+  message: z.string(),
+  outcome: z.enum(Outcome),
+  retryable: z.boolean(),
+});
+
+const ownedUnit = z.looseObject({ unit: z.string(), epoch: z.number() });
+
+const heartbeat = z.looseObject({
+  kind: z.literal(PeerMessageKind.Heartbeat),
+  nodeId: z.string(),
+  incarnation: z.string(),
+  availabilityZone: z.string(),
+  configurationVersion: z.number(),
+  stopping: z.boolean(),
+  owned: z.array(ownedUnit),
+  superseded: z.array(ownedUnit),
+  slices: z.array(z.looseObject({
+    sliceId: z.string(),
+    epoch: z.number(),
+    free: resources,
+    total: resources,
+    waiting: z.number(),
+  })),
+  usage: z.array(z.looseObject({ team: z.string(), used: resources })),
+});
+
+const homeCall = z.looseObject({
+  kind: z.literal(PeerMessageKind.HomeCall),
+  callId: z.string(),
+  team: z.string(),
+  keyId: z.string(),
+  ttlMs: z.number(),
+  call: z.discriminatedUnion("kind", [
+    z.looseObject({
+      kind: z.literal(HomeCallKind.Submit),
+      idempotencyKey: z.string(),
+      spec: jobSpecSchema,
+    }),
+    z.looseObject({ kind: z.literal(HomeCallKind.Status), jobId: z.string() }),
+    z.looseObject({ kind: z.literal(HomeCallKind.Cancel), jobId: z.string() }),
+    z.looseObject({ kind: z.literal(HomeCallKind.List) }),
+  ]),
+});
+
+const homeReply = z.looseObject({
+  kind: z.literal(PeerMessageKind.HomeReply),
+  callId: z.string(),
+  reply: z.discriminatedUnion("kind", [
+    z.looseObject({ kind: z.literal(HomeReplyKind.Status), status: jobStatus }),
+    z.looseObject({
+      kind: z.literal(HomeReplyKind.List),
+      jobs: z.array(jobStatus),
+      running: resources,
+    }),
+    z.looseObject({ kind: z.literal(HomeReplyKind.Refused), refusal }),
+    z.looseObject({
+      kind: z.literal(HomeReplyKind.NotOwner),
+      owner: z.string().optional(),
+    }),
+  ]),
+});
+
+const homeSliceAddress = z.looseObject({
+  team: z.string(),
+  homeEpoch: z.number(),
+  sliceId: z.string(),
+  sliceEpoch: z.number(),
+});
+
+const fenceHome = homeSliceAddress.extend({
+  kind: z.literal(PeerMessageKind.FenceHome),
+});
+
+const homeInventory = homeSliceAddress.extend({
+  kind: z.literal(PeerMessageKind.HomeInventory),
+  complete: z.boolean(),
+  tasks: z.array(z.looseObject({
+    task: taskSpec,
+    phase: z.enum(TaskPhase),
+    instanceId: z.string(),
+    end: taskEnd.optional(),
+  })),
+});
+
+const askRoom = homeSliceAddress.extend({
+  kind: z.literal(PeerMessageKind.AskRoom),
+  floor: z.number(),
+  asks: z.array(z.looseObject({
+    seq: z.number(),
+    mode: z.enum(AskMode),
+    task: taskSpec,
+    ttlMs: z.number(),
+  })),
+});
+
+const withdrawAsks = homeSliceAddress.extend({
+  kind: z.literal(PeerMessageKind.WithdrawAsks),
+  seqs: z.array(z.number()),
+});
+
+const commitHolds = homeSliceAddress.extend({
+  kind: z.literal(PeerMessageKind.CommitHolds),
+  seqs: z.array(z.number()),
+});
+
+const roomAnswer = homeSliceAddress.extend({
+  kind: z.literal(PeerMessageKind.RoomAnswer),
+  answers: z.array(z.looseObject({
+    seq: z.number(),
+    taskId: z.string(),
+    result: z.enum(RoomResult),
+    reason: z.enum(DeclineReason).optional(),
+    instanceId: z.string().optional(),
+  })),
+});
+
+const stopTasks = homeSliceAddress.extend({
+  kind: z.literal(PeerMessageKind.StopTasks),
+  taskIds: z.array(z.string()),
+  mode: z.enum(StopMode),
+});
+
+const taskEvents = homeSliceAddress.extend({
+  kind: z.literal(PeerMessageKind.TaskEvents),
+  events: z.array(z.looseObject({
+    task: taskSpec,
+    phase: z.literal([TaskPhase.Running, TaskPhase.Ended]),
+    instanceId: z.string(),
+    end: taskEnd.optional(),
+  })),
+});
+
+const taskEventsAck = homeSliceAddress.extend({
+  kind: z.literal(PeerMessageKind.TaskEventsAck),
+  taskIds: z.array(z.string()),
+});
+
+/** The shape that each kind promises, checked against the protocol's types. */
+const MESSAGE_SCHEMAS: { readonly [Kind in PeerMessageKind]: SchemaOf<Kind> } =
+  {
+    [PeerMessageKind.Heartbeat]: heartbeat,
+    [PeerMessageKind.HomeCall]: homeCall,
+    [PeerMessageKind.HomeReply]: homeReply,
+    [PeerMessageKind.FenceHome]: fenceHome,
+    [PeerMessageKind.HomeInventory]: homeInventory,
+    [PeerMessageKind.AskRoom]: askRoom,
+    [PeerMessageKind.WithdrawAsks]: withdrawAsks,
+    [PeerMessageKind.CommitHolds]: commitHolds,
+    [PeerMessageKind.RoomAnswer]: roomAnswer,
+    [PeerMessageKind.StopTasks]: stopTasks,
+    [PeerMessageKind.TaskEvents]: taskEvents,
+    [PeerMessageKind.TaskEventsAck]: taskEventsAck,
+  };
+
+/** The schema of messages of `kind`; undefined when the kind is not known. */
+export function messageSchema(
+  kind: number,
+): z.ZodType<PeerMessage> | undefined {
+  return MESSAGE_SCHEMAS[kind as PeerMessageKind];
+}
