--- /dev/null
+++ b/packages/home/src/ask_messages.ts
@@ -0,0 +1,166 @@
+import type { Update } from "@mustardweir/kernel";
+import { resolveOwner, sliceUnit } from "@mustardweir/membership";
+import {
+  type Ask,
+  AskMode,
+  PeerMessageKind,
+  sendPeer,
+  type StopMode,
+  type TaskSpec,
+} from "@mustardweir/protocol";
+import type { Home, HomeTask } from "./home_state.ts";
+import { JobKind } from "@mustardweir/model";
+
+/** How long an ask waits in a slice for room, in milliseconds. */
+export const ASK_TTL_MS = 4_000;
+
+/** How long a slice holds room for a gang, in milliseconds. */
+export const HOLD_TTL_MS = 3_000;
+
+/** The task as slices and workers know it. */
+export function toTaskSpec(home: Home, task: HomeTask): TaskSpec {
+  const { job } = task;
+  const { spec } = job;
+  return {
+    taskId: task.taskId,
+    jobId: job.jobId,
+    team: home.team,
+    homeEpoch: home.epoch,
+    askSeq: task.seq,
+    kind: spec.kind,
+    priority: spec.priority,
+    idempotent: spec.idempotent,
+    size: job.size,
+    ...(spec.durationMs === undefined ? {} : { durationMs: spec.durationMs }),
+    payload: spec.payload,
+    ...(task.checkpoint === undefined ? {} : { checkpoint: task.checkpoint }),
+  };
+}
+
+export interface SliceMessageOptions {
+  readonly sliceId: string;
+  readonly tasks: readonly HomeTask[];
+}
+
+/** Sends the asks of tasks of one slice; sending again is harmless. */
+export function sendAsks(
+  update: Update,
+  home: Home,
+  { sliceId, tasks }: SliceMessageOptions,
+): void {
+  sendToSlice(update, home, sliceId, (address) => ({
+    ...address,
+    kind: PeerMessageKind.AskRoom,
+    floor: lowestSeq(home),
+    asks: tasks.map((task) => toAsk(update, home, task)),
+  }));
+  for (const task of tasks) {
+    task.sentAt = update.now;
+  }
+}
+
+/** Asks a slice to take asks or holds back. */
+export function sendWithdrawal(
+  update: Update,
+  home: Home,
+  { sliceId, tasks }: SliceMessageOptions,
+): void {
+  for (const task of tasks) {
+    task.withdrawn = true;
+  }
+  sendToSlice(update, home, sliceId, (address) => ({
+    ...address,
+    kind: PeerMessageKind.WithdrawAsks,
+    seqs: tasks.map((task) => task.seq),
+  }));
+}
+
+/** Asks a slice to start the tasks that it holds room for. */
+export function sendCommit(
+  update: Update,
+  home: Home,
+  { sliceId, tasks }: SliceMessageOptions,
+): void {
+  sendToSlice(update, home, sliceId, (address) => ({
+    ...address,
+    kind: PeerMessageKind.CommitHolds,
+    seqs: tasks.map((task) => task.seq),
+  }));
+}
+
+/** Asks a slice to stop tasks. */
+export function sendStops(
+  update: Update,
+  home: Home,
+  options: SliceMessageOptions & { readonly mode: StopMode },
+): void {
+  for (const task of options.tasks) {
+    task.stopping = true;
+    task.sentAt = update.now;
+  }
+  sendToSlice(update, home, options.sliceId, (address) => ({
+    ...address,
+    kind: PeerMessageKind.StopTasks,
+    taskIds: options.tasks.map((task) => task.taskId),
+    mode: options.mode,
+  }));
+}
+
+interface Address {
+  readonly team: string;
+  readonly homeEpoch: number;
+  readonly sliceId: string;
+  readonly sliceEpoch: number;
+}
+
+type PeerMessageOf = Parameters<typeof sendPeer>[1];
+
+function sendToSlice(
+  update: Update,
+  home: Home,
+  sliceId: string,
+  compose: (address: Address) => PeerMessageOf,
+): void {
+  const owner = resolveOwner(update, sliceUnit(sliceId));
+  if (owner === undefined) {
+    return;
+  }
+  const sliceEpoch = owner.epoch;
+  const { team, epoch: homeEpoch } = home;
+  update.emit(
+    sendPeer(owner.nodeId, compose({ team, homeEpoch, sliceId, sliceEpoch })),
+  );
+}
+
+function toAsk(update: Update, home: Home, task: HomeTask): Ask {
+  const isGang = task.job.spec.kind === JobKind.Gang;
+  const ttlMs = isGang ? HOLD_TTL_MS : ASK_TTL_MS;
+  return {
+    seq: task.seq,
+    mode: isGang ? AskMode.Hold : AskMode.Start,
+    task: toTaskSpec(home, task),
+    ttlMs: Math.max(1, task.askedAt + ttlMs - update.now),
+  };
+}
+
+/** Everything below has been answered; the slice may forget it. */
+function lowestSeq(home: Home): number {
+  const [lowest] = home.bySeq.keys(); // Sequences are added in growing order.
+  return lowest ?? home.nextSeq;
+}
+
+/** Groups tasks by the slice they were asked of. */
+export function groupBySlice(
+  tasks: Iterable<HomeTask>,
+): Map<string, HomeTask[]> {
+  const groups = new Map<string, HomeTask[]>();
+  for (const task of tasks) {
+    const group = groups.get(task.sliceId);
+    if (group === undefined) {
+      groups.set(task.sliceId, [task]);
+    } else {
+      group.push(task);
+    }
+  }
+  return groups;
+}
--- /dev/null
+++ b/packages/home/src/calls.ts
@@ -0,0 +1,225 @@
+import type { Update } from "@mustardweir/kernel";
+import { JournalRecordKind } from "@mustardweir/journal";
+import { homeUnit, resolveOwner } from "@mustardweir/membership";
+import {
+  EndReason,
+  JobKind,
+  type JobSpec,
+  RefusalReason,
+  refuse,
+} from "@mustardweir/model";
+import {
+  type CancelCall,
+  count,
+  type HomeCall,
+  HomeCallKind,
+  type HomeReplyBody,
+  HomeReplyKind,
+  NODE_IDENTITY,
+  PeerMessageKind,
+  sendPeer,
+  type SubmitCall,
+} from "@mustardweir/protocol";
+import { cancelJob } from "./cancel.ts";
+import { appendRecords } from "./ending.ts";
+import { explainWait } from "./explain.ts";
+import { findHome, type Home, type HomeJob, HomePhase } from "./home_state.ts";
+import { ANY_SPEC, createJob, hashSpec, jobIdOf } from "./job_factory.ts";
+import { enqueue } from "./queue.ts";
+import { describeJob } from "./status.ts";
+
+/** Most jobs of a team that have not ended; more are refused. */
+const MAX_LIVE_JOBS = 100_000;
+
+/** Answers a call that an entry passed on, now or later. */
+export function handleCall(
+  update: Update,
+  { from, call }: { readonly from: string; readonly call: HomeCall },
+): void {
+  const home = findHome(update, call.team);
+  if (home === undefined) {
+    reply(update, { from, call }, notOwner(update, call.team));
+    return;
+  }
+  if (home.phase === HomePhase.Loading) {
+    return; // The entry sends the call again.
+  }
+  const body = call.call;
+  switch (body.kind) {
+    case HomeCallKind.Submit:
+      submit(update, home, { from, call, body });
+      break;
+    case HomeCallKind.Status:
+      reply(update, { from, call }, statusOf(update, home, body.jobId));
+      break;
+    case HomeCallKind.Cancel:
+      cancel(update, home, { from, call, body });
+      break;
+    case HomeCallKind.List:
+      reply(update, { from, call }, listJobs(update, home));
+      break;
+  }
+}
+
+interface Received<Body> {
+  readonly from: string;
+  readonly call: HomeCall;
+  readonly body: Body;
+}
+
+function submit(
+  update: Update,
+  home: Home,
+  received: Received<SubmitCall>,
+): void {
+  const { body, call } = received;
+  const jobId = jobIdOf(home.team, body.idempotencyKey);
+  const specHash = hashSpec(body.spec);
+  const known = home.jobs.get(jobId);
+  if (known !== undefined && !matchesSpec(known, specHash)) {
+    reply(update, received, keyReused(body.idempotencyKey));
+    return;
+  }
+  if (known === undefined && home.liveJobs >= MAX_LIVE_JOBS) {
+    reply(update, received, overloaded());
+    return;
+  }
+  const job = known ?? accept(update, home, { jobId, spec: body.spec });
+  attachWaiter(update, home, { ...received, job });
+  if (!job.journaled && job.firstStartAt === undefined) {
+    job.startBy = update.now + Math.min(call.ttlMs, startWithin(job));
+  }
+}
+
+interface AcceptOptions {
+  readonly jobId: string;
+  readonly spec: JobSpec;
+}
+
+function accept(
+  update: Update,
+  home: Home,
+  { jobId, spec }: AcceptOptions,
+): HomeJob {
+  const specHash = hashSpec(spec);
+  const job = createJob({ jobId, spec, specHash, now: update.now });
+  home.jobs.set(jobId, job);
+  home.liveJobs += 1;
+  update.emit(count(`jobs_received_${spec.kind}`));
+  if (job.journaled) {
+    appendRecords(update, home, [
+      { kind: JournalRecordKind.Accepted, jobId, spec, specHash },
+    ]);
+  } else {
+    job.tasks.forEach((task) => enqueue(home, task));
+  }
+  return job;
+}
+
+/** A request is answered at its end, other work on acceptance. */
+function attachWaiter(
+  update: Update,
+  home: Home,
+  received: Received<SubmitCall> & { readonly job: HomeJob },
+): void {
+  const { job, from, call } = received;
+  const waitsForEnd = job.spec.kind === JobKind.Request;
+  const isReady = waitsForEnd ? job.endRecorded : job.accepted;
+  if (isReady) {
+    reply(update, received, jobStatus(update, home, job));
+    return;
+  }
+  const waiters = waitsForEnd ? job.endWaiters : job.acceptWaiters;
+  if (!waiters.some((waiter) => waiter.callId === call.callId)) {
+    waiters.push({ from, callId: call.callId });
+  }
+}
+
+function cancel(
+  update: Update,
+  home: Home,
+  received: Received<CancelCall>,
+): void {
+  const { body, from, call } = received;
+  const job = home.jobs.get(body.jobId);
+  if (job === undefined || job.endRecorded) {
+    reply(update, received, statusOf(update, home, body.jobId));
+    return;
+  }
+  job.cancelWaiters.push({ from, callId: call.callId });
+  cancelJob(update, home, { job, reason: EndReason.Cancelled });
+}
+
+function statusOf(update: Update, home: Home, jobId: string): HomeReplyBody {
+  const job = home.jobs.get(jobId);
+  return job === undefined
+    ? refused(RefusalReason.NotFound, `Job "${jobId}" is not known`)
+    : jobStatus(update, home, job);
+}
+
+function jobStatus(update: Update, home: Home, job: HomeJob): HomeReplyBody {
+  const explanation = explainWait(update, home, job);
+  return {
+    kind: HomeReplyKind.Status,
+    status: describeJob(job, { team: home.team, explanation }),
+  };
+}
+
+function listJobs(update: Update, home: Home): HomeReplyBody {
+  return {
+    kind: HomeReplyKind.List,
+    jobs: [...home.jobs.values()].map((job) =>
+      describeJob(job, {
+        team: home.team,
+        explanation: explainWait(update, home, job),
+      })
+    ),
+    running: home.used,
+  };
+}
+
+function notOwner(update: Update, team: string): HomeReplyBody {
+  const owner = resolveOwner(update, homeUnit(team));
+  const { nodeId } = update.service(NODE_IDENTITY);
+  return owner === undefined || owner.nodeId === nodeId
+    ? { kind: HomeReplyKind.NotOwner }
+    : { kind: HomeReplyKind.NotOwner, owner: owner.nodeId };
+}
+
+function keyReused(key: string): HomeReplyBody {
+  return refused(
+    RefusalReason.KeyReused,
+    `Idempotency key "${key}" came before with another body`,
+  );
+}
+
+function overloaded(): HomeReplyBody {
+  return refused(
+    RefusalReason.Overloaded,
+    `The team has ${MAX_LIVE_JOBS} jobs that have not ended`,
+  );
+}
+
+function refused(reason: RefusalReason, message: string): HomeReplyBody {
+  return { kind: HomeReplyKind.Refused, refusal: refuse(reason, { message }) };
+}
+
+function reply(
+  update: Update,
+  { from, call }: { readonly from: string; readonly call: HomeCall },
+  body: HomeReplyBody,
+): void {
+  update.emit(sendPeer(from, {
+    kind: PeerMessageKind.HomeReply,
+    callId: call.callId,
+    reply: body,
+  }));
+}
+
+function matchesSpec(job: HomeJob, specHash: string): boolean {
+  return job.specHash === ANY_SPEC || job.specHash === specHash;
+}
+
+function startWithin(job: HomeJob): number {
+  return job.spec.startWithinMs ?? Infinity;
+}
--- /dev/null
+++ b/packages/home/src/cancel.ts
@@ -0,0 +1,69 @@
+import type { Update } from "@mustardweir/kernel";
+import { JournalRecordKind } from "@mustardweir/journal";
+import type { EndReason } from "@mustardweir/model";
+import { StopMode } from "@mustardweir/protocol";
+import { groupBySlice, sendStops, sendWithdrawal } from "./ask_messages.ts";
+import { appendRecords, endTask } from "./ending.ts";
+import {
+  type Home,
+  type HomeJob,
+  HomePhase,
+  type HomeTask,
+  TaskState,
+} from "./home_state.ts";
+
+export interface CancelOptions {
+  readonly job: HomeJob;
+  /** Why tasks that have not started end. */
+  readonly reason: EndReason;
+}
+
+/** Cancels a job: what waits ends now, what runs is stopped. */
+export function cancelJob(
+  update: Update,
+  home: Home,
+  { job, reason }: CancelOptions,
+): void {
+  if (job.cancelled) {
+    return;
+  }
+  job.cancelled = true;
+  if (job.journaled) {
+    appendRecords(update, home, [
+      { kind: JournalRecordKind.Cancelled, jobId: job.jobId },
+    ]);
+  }
+  stopTasks(update, home, { tasks: job.tasks, reason });
+}
+
+interface StopOptions {
+  readonly tasks: readonly HomeTask[];
+  readonly reason: EndReason;
+}
+
+function stopTasks(
+  update: Update,
+  home: Home,
+  { tasks, reason }: StopOptions,
+): void {
+  for (const task of tasks) {
+    task.stopping = true;
+  }
+  const inState = (...states: TaskState[]) =>
+    tasks.filter((task) => states.includes(task.state));
+  const asked = inState(TaskState.Asked, TaskState.Held);
+  for (const [sliceId, group] of groupBySlice(asked)) {
+    sendWithdrawal(update, home, { sliceId, tasks: group });
+  }
+  const started = inState(TaskState.Started);
+  for (const [sliceId, group] of groupBySlice(started)) {
+    const mode = StopMode.Cancel;
+    sendStops(update, home, { sliceId, tasks: group, mode });
+  }
+  if (home.phase !== HomePhase.Active) {
+    return; // A slice may yet tell that it runs what seems to wait.
+  }
+  for (const task of inState(TaskState.Pending)) {
+    endTask(update, home, { task, reason });
+  }
+}
--- /dev/null
+++ b/packages/home/src/ceiling.ts
@@ -0,0 +1,28 @@
+import type { Update } from "@mustardweir/kernel";
+import { CONFIGURATION } from "@mustardweir/configuration";
+import {
+  addResources,
+  type Ceiling,
+  type Resources,
+  type TeamRule,
+} from "@mustardweir/model";
+import type { Home } from "./home_state.ts";
+
+/** The rule of a team, if it still has one. */
+export function findRule(update: Update, team: string): TeamRule | undefined {
+  const { rules } = update.read(CONFIGURATION).current;
+  return rules.teams.find((rule) => rule.name === team);
+}
+
+/** True when a task of `size` may start without passing the ceiling. */
+export function isBelowCeiling(
+  home: Home,
+  size: Resources,
+  ceiling: Ceiling,
+): boolean {
+  const after = addResources(home.used, size);
+  return after.cpuMillis <= (ceiling.cpu ?? Infinity) * 1000 &&
+    after.memoryMb <= (ceiling.memoryMb ?? Infinity) &&
+    after.accelerators <= (ceiling.accelerators ?? Infinity) &&
+    after.slots <= (ceiling.tasks ?? Infinity);
+}
--- /dev/null
+++ b/packages/home/src/dispatch.ts
@@ -0,0 +1,182 @@
+import type { Update } from "@mustardweir/kernel";
+import { CONFIGURATION, isConfirmed } from "@mustardweir/configuration";
+import { JournalRecordKind } from "@mustardweir/journal";
+import { isOwnershipConfirmed, isStopping } from "@mustardweir/membership";
+import { addResources, JobKind, type TeamRule } from "@mustardweir/model";
+import { sendAsks } from "./ask_messages.ts";
+import { findRule, isBelowCeiling } from "./ceiling.ts";
+import { appendRecords } from "./ending.ts";
+import {
+  GangPhase,
+  type Home,
+  type HomeJob,
+  HomePhase,
+  type HomeTask,
+  TaskState,
+} from "./home_state.ts";
+import { formatTaskId } from "./job_factory.ts";
+import { setTaskState } from "./queue.ts";
+import { SliceChooser } from "./slice_chooser.ts";
+
+/** Tasks looked at past the first that can't be asked for. */
+const MAX_LOOKAHEAD = 64;
+
+/** Asks for room for what waits, as far as ceiling and slices allow. */
+export function pump(update: Update, home: Home): void {
+  if (home.urgent.length + home.normal.length === 0) {
+    return;
+  }
+  const rule = findRule(update, home.team);
+  if (rule === undefined || !mayStart(update, home)) {
+    return;
+  }
+  const round = new AskRound(update, home, rule);
+  home.urgent = round.run(home.urgent);
+  home.normal = round.run(home.normal);
+  round.send();
+}
+
+function mayStart(update: Update, home: Home): boolean {
+  return home.phase === HomePhase.Active &&
+    isOwnershipConfirmed(update) &&
+    isConfirmed(update.read(CONFIGURATION), update.now) &&
+    !isStopping(update);
+}
+
+/** One pass over the queues of a home. */
+class AskRound {
+  readonly #update: Update;
+  readonly #home: Home;
+  readonly #rule: TeamRule;
+  readonly #chooser: SliceChooser;
+  readonly #asksBySlice = new Map<string, HomeTask[]>();
+  #skipped = 0;
+  #lastSkipped: HomeJob | undefined;
+
+  constructor(update: Update, home: Home, rule: TeamRule) {
+    this.#update = update;
+    this.#home = home;
+    this.#rule = rule;
+    this.#chooser = new SliceChooser(update, home);
+  }
+
+  /** Returns the tasks that go on waiting. */
+  run(queue: readonly HomeTask[]): HomeTask[] {
+    const waiting: HomeTask[] = [];
+    for (const [index, task] of queue.entries()) {
+      if (this.#skipped > MAX_LOOKAHEAD) {
+        waiting.push(...queue.slice(index));
+        break;
+      }
+      if (!this.#ask(task)) {
+        waiting.push(task);
+        this.#skip(task.job);
+      }
+    }
+    return waiting.filter(({ state }) => state === TaskState.Pending);
+  }
+
+  /** Sends what was asked for, one message a slice. */
+  send(): void {
+    for (const [sliceId, tasks] of this.#asksBySlice) {
+      sendAsks(this.#update, this.#home, { sliceId, tasks });
+    }
+  }
+
+  #skip(job: HomeJob): void {
+    this.#skipped += job === this.#lastSkipped ? 0 : 1;
+    this.#lastSkipped = job;
+  }
+
+  #ask(task: HomeTask): boolean {
+    const isWaiting = task.state === TaskState.Pending && task.job.accepted;
+    if (!isWaiting || this.#update.now < task.notBefore) {
+      return task.state !== TaskState.Pending;
+    }
+    return task.job.spec.kind === JobKind.Gang
+      ? this.#askGang(task.job)
+      : this.#askOne(task);
+  }
+
+  #askOne(task: HomeTask): boolean {
+    if (!isBelowCeiling(this.#home, task.job.size, this.#rule.ceiling)) {
+      return false;
+    }
+    const sliceId = this.#chooser.choose(task);
+    if (sliceId === undefined) {
+      return false;
+    }
+    if (!task.job.spec.idempotent && !task.startRecorded) {
+      this.#recordStart(task);
+      return true;
+    }
+    this.#assign(task, sliceId);
+    return true;
+  }
+
+  #askGang(job: HomeJob): boolean {
+    const isReady = job.gang === GangPhase.Idle &&
+      this.#update.now >= job.gangNotBefore &&
+      job.tasks.every(({ state }) => state === TaskState.Pending);
+    if (!isReady || !this.#fitsBelowCeiling(job)) {
+      return false;
+    }
+    const plan = this.#chooser.chooseAll(job.tasks);
+    if (plan === undefined) {
+      return false;
+    }
+    if (!job.spec.idempotent && !job.tasks[0]?.startRecorded) {
+      job.tasks.forEach((task) => this.#recordStart(task));
+      return true;
+    }
+    job.gang = GangPhase.Holding;
+    plan.forEach((sliceId, index) => {
+      const task = job.tasks[index];
+      if (task !== undefined) {
+        this.#assign(task, sliceId);
+      }
+    });
+    return true;
+  }
+
+  #fitsBelowCeiling(job: HomeJob): boolean {
+    const { ceiling } = this.#rule;
+    const home = this.#home;
+    const others = job.tasks.slice(1).reduce(
+      (sum) => addResources(sum, job.size),
+      home.used,
+    );
+    return isBelowCeiling({ ...home, used: others }, job.size, ceiling);
+  }
+
+  /** A task that must not run twice is started only after a record. */
+  #recordStart(task: HomeTask): void {
+    setTaskState(this.#home, task, TaskState.Recording);
+    appendRecords(this.#update, this.#home, [{
+      kind: JournalRecordKind.Starting,
+      jobId: task.job.jobId,
+      taskIndex: task.index,
+    }]);
+  }
+
+  #assign(task: HomeTask, sliceId: string): void {
+    const home = this.#home;
+    task.seq = home.nextSeq;
+    home.nextSeq += 1;
+    task.taskId = formatTaskId(task, home.epoch);
+    task.sliceId = sliceId;
+    task.sliceEpoch = home.slices.get(sliceId)?.fencedEpoch ?? 0;
+    task.askedAt = this.#update.now;
+    task.withdrawn = false;
+    home.bySeq.set(task.seq, task);
+    home.byTaskId.set(task.taskId, task);
+    setTaskState(home, task, TaskState.Asked);
+    this.#chooser.noteAsk(task);
+    const tasks = this.#asksBySlice.get(sliceId);
+    if (tasks === undefined) {
+      this.#asksBySlice.set(sliceId, [task]);
+    } else {
+      tasks.push(task);
+    }
+  }
+}
--- /dev/null
+++ b/packages/home/src/ending.ts
@@ -0,0 +1,139 @@
+import type { Update } from "@mustardweir/kernel";
+import {
+  APPEND_JOURNAL,
+  type JournalRecord,
+  JournalRecordKind,
+} from "@mustardweir/journal";
+import { EndReason, JobKind, Outcome } from "@mustardweir/model";
+import {
+  count,
+  HomeReplyKind,
+  observe,
+  PeerMessageKind,
+  sendPeer,
+} from "@mustardweir/protocol";
+import { acknowledge } from "./acknowledge.ts";
+import {
+  type Home,
+  type HomeJob,
+  type HomeTask,
+  TaskState,
+  type Waiter,
+} from "./home_state.ts";
+import { forgetAttempt, setTaskState } from "./queue.ts";
+import { describeJob } from "./status.ts";
+
+/** Ends a task for good, and its job with the last task. */
+export function endTask(
+  update: Update,
+  home: Home,
+  { task, reason }: { readonly task: HomeTask; readonly reason: EndReason },
+): void {
+  if (task.state === TaskState.Ended) {
+    return;
+  }
+  const { job, sliceId, taskId } = task;
+  forgetAttempt(home, task);
+  setTaskState(home, task, TaskState.Ended);
+  task.endReason = reason;
+  const isLast = job.tasks.every(({ state }) => state === TaskState.Ended);
+  if (isLast) {
+    endJob(update, home, job);
+  } else if (job.journaled) {
+    appendRecords(update, home, [{
+      kind: JournalRecordKind.TaskEnded,
+      jobId: job.jobId,
+      taskIndex: task.index,
+      reason,
+    }]);
+  }
+  if (!job.journaled && taskId !== "") {
+    acknowledge(update, home, { sliceId, taskIds: [taskId] });
+  }
+}
+
+/** Adds records to the journal of a home. */
+export function appendRecords(
+  update: Update,
+  home: Home,
+  records: readonly JournalRecord[],
+): void {
+  update.dispatch(APPEND_JOURNAL, { team: home.team, records });
+}
+
+/** Ends a job that was never started, or whose last task has ended. */
+export function endJob(update: Update, home: Home, job: HomeJob): void {
+  job.outcome = outcomeOf(job);
+  job.reason = reasonOf(job);
+  job.endedAt = update.now;
+  update.emit(count(`jobs_ended_${job.outcome.replaceAll("-", "_")}`));
+  if (job.firstStartAt !== undefined) {
+    update.emit(
+      observe(`wait_${job.spec.kind}_ms`, job.firstStartAt - job.createdAt),
+    );
+  }
+  if (job.journaled) {
+    appendRecords(update, home, [{
+      kind: JournalRecordKind.JobEnded,
+      jobId: job.jobId,
+      outcome: job.outcome,
+      reason: job.reason,
+      ...(job.answer === undefined ? {} : { answer: job.answer }),
+    }]);
+  } else {
+    recordEnd(update, home, job);
+  }
+}
+
+/** The end is durable, or needs no record: it can be told. */
+export function recordEnd(update: Update, home: Home, job: HomeJob): void {
+  job.endRecorded = true;
+  home.liveJobs -= 1;
+  for (
+    const waiters of [job.acceptWaiters, job.endWaiters, job.cancelWaiters]
+  ) {
+    answerWaiters(update, home, { job, waiters });
+  }
+}
+
+/** Answers with the job's status and forgets the waiters. */
+export function answerWaiters(
+  update: Update,
+  home: Home,
+  { job, waiters }: { readonly job: HomeJob; readonly waiters: Waiter[] },
+): void {
+  for (const { from, callId } of waiters.splice(0)) {
+    update.emit(sendPeer(from, {
+      kind: PeerMessageKind.HomeReply,
+      callId,
+      reply: {
+        kind: HomeReplyKind.Status,
+        status: describeJob(job, { team: home.team }),
+      },
+    }));
+  }
+}
+
+function outcomeOf(job: HomeJob): Outcome {
+  if (job.tasks.some(({ endReason }) => endReason === EndReason.Lost)) {
+    return Outcome.Unknown;
+  }
+  return job.firstStartAt === undefined ? Outcome.NotRun : Outcome.Done;
+}
+
+function reasonOf(job: HomeJob): EndReason {
+  const reasons = new Set(job.tasks.map(({ endReason }) => endReason));
+  const byRank = [
+    EndReason.Lost,
+    EndReason.Cancelled,
+    EndReason.Failed,
+    EndReason.DeadlinePassed,
+    EndReason.Impossible,
+  ];
+  return byRank.find((reason) => reasons.has(reason)) ?? EndReason.Completed;
+}
+
+/** True when the job runs until it is cancelled. */
+export function isEndless(job: HomeJob): boolean {
+  return job.spec.kind === JobKind.Service;
+}
--- /dev/null
+++ b/packages/home/src/explain.ts
@@ -0,0 +1,45 @@
+import type { Update } from "@mustardweir/kernel";
+import { findRule, isBelowCeiling } from "./ceiling.ts";
+import { canHold, isZoneOpen, outlineSlices } from "./fleet_view.ts";
+import { type Home, type HomeJob, HomePhase, TaskState } from "./home_state.ts";
+
+/** Says what the job waits for; undefined when it waits for nothing. */
+export function explainWait(
+  update: Update,
+  home: Home,
+  job: HomeJob,
+): string | undefined {
+  const waits = job.tasks.some(({ state }) =>
+    state !== TaskState.Started && state !== TaskState.Ended
+  );
+  if (!waits) {
+    return undefined;
+  }
+  if (!job.accepted) {
+    return "The acceptance is being recorded";
+  }
+  if (home.phase !== HomePhase.Active) {
+    return describeRecovery(home);
+  }
+  const outlines = outlineSlices(update).filter((o) => canHold(o, job.size));
+  if (outlines.length === 0) {
+    return "No instance of the fleet is large enough for one task";
+  }
+  if (!outlines.some((outline) => isZoneOpen(update, outline))) {
+    return "Every availability zone that could run it is draining";
+  }
+  const rule = findRule(update, home.team);
+  if (rule !== undefined && !isBelowCeiling(home, job.size, rule.ceiling)) {
+    return "The team is at its ceiling";
+  }
+  return "No instance has enough free room at the moment";
+}
+
+function describeRecovery(home: Home): string {
+  const silent = [...home.slices.values()]
+    .filter((view) => !view.complete)
+    .map((view) => view.sliceId);
+  return `The home has changed hands and waits for slices ${
+    silent.join(", ")
+  } to tell what they run`;
+}
--- /dev/null
+++ b/packages/home/src/job_factory.ts
@@ -0,0 +1,112 @@
+import { createHash } from "node:crypto";
+import {
+  formatJobId,
+  JobKind,
+  type JobSpec,
+  taskSize,
+} from "@mustardweir/model";
+import {
+  GangPhase,
+  type HomeJob,
+  type HomeTask,
+  TaskState,
+} from "./home_state.ts";
+
+/** Hexadecimal digits of a job id's own part. */
+const JOB_ID_DIGITS = 24;
+
+/** Hash of a spec that is not known whole; every repeat is taken for equal. */
+export const ANY_SPEC = "";
+
+/** The id of the job handed in by `team` under an idempotency key. */
+export function jobIdOf(team: string, idempotencyKey: string): string {
+  const digest = hash(JSON.stringify([team, idempotencyKey]));
+  return formatJobId(team, digest.slice(0, JOB_ID_DIGITS));
+}
+
+/** SHA-256 of a spec, in hexadecimal. */
+export function hashSpec(spec: JobSpec): string {
+  return hash(JSON.stringify(spec));
+}
+
+/** Idempotent requests need no record; their callers wait and repeat. */
+export function needsJournal(spec: JobSpec): boolean {
+  return spec.kind !== JobKind.Request || !spec.idempotent;
+}
+
+export interface CreateJobOptions {
+  readonly jobId: string;
+  readonly spec: JobSpec;
+  readonly specHash: string;
+  readonly now: number;
+}
+
+/** Makes a job whose tasks all wait. */
+export function createJob(options: CreateJobOptions): HomeJob {
+  const { jobId, spec, specHash, now } = options;
+  const journaled = needsJournal(spec);
+  const job: HomeJob = {
+    jobId,
+    spec,
+    specHash,
+    size: taskSize(spec),
+    tasks: [],
+    journaled,
+    createdAt: now,
+    accepted: !journaled,
+    startBy: now + (spec.startWithinMs ?? Infinity),
+    firstStartAt: undefined,
+    cancelled: false,
+    gang: GangPhase.Idle,
+    gangNotBefore: 0,
+    outcome: undefined,
+    reason: undefined,
+    answer: undefined,
+    endRecorded: false,
+    endedAt: Infinity,
+    acceptWaiters: [],
+    endWaiters: [],
+    cancelWaiters: [],
+  };
+  for (let index = 0; index < spec.tasks; index++) {
+    job.tasks.push(createTask(job, index));
+  }
+  return job;
+}
+
+function createTask(job: HomeJob, index: number): HomeTask {
+  return {
+    job,
+    index,
+    state: TaskState.Pending,
+    seq: 0,
+    taskId: "",
+    sliceId: "",
+    sliceEpoch: 0,
+    instanceId: "",
+    askedAt: 0,
+    sentAt: 0,
+    withdrawn: false,
+    stopping: false,
+    startRecorded: false,
+    checkpoint: undefined,
+    failures: 0,
+    notBefore: 0,
+    endReason: undefined,
+  };
+}
+
+/** Names one attempt of a task; see {@link taskIndexOf}. */
+export function formatTaskId(task: HomeTask, epoch: number): string {
+  return `${task.job.jobId}#${task.index}.${epoch}.${task.seq}`;
+}
+
+/** The index of the task that a task id is an attempt of. */
+export function taskIndexOf(taskId: string): number {
+  const attempt = taskId.slice(taskId.lastIndexOf("#") + 1);
+  return Number.parseInt(attempt, 10);
+}
+
+function hash(text: string): string {
+  return createHash("sha256").update(text).digest("hex");
+}
--- a/packages/home/src/mod.ts
+++ b/packages/home/src/mod.ts
@@ -1,1 +1,2 @@
-export {};
+export * from "./home_plugin.ts";
+export * from "./home_state.ts";
--- /dev/null
+++ b/packages/home/src/queue.ts
@@ -0,0 +1,59 @@
+import { addResources, Priority, subtractResources } from "@mustardweir/model";
+import {
+  type Home,
+  type HomeTask,
+  takesRoom,
+  TaskState,
+} from "./home_state.ts";
+
+/** Puts a task that waits for room at the end of its queue. */
+export function enqueue(home: Home, task: HomeTask): void {
+  queueOf(home, task).push(task);
+}
+
+/** Puts a task back before the others, after an ask came to nothing. */
+export function requeueFirst(home: Home, task: HomeTask): void {
+  queueOf(home, task).unshift(task);
+}
+
+/** Moves a task to another state and keeps the home's sums right. */
+export function setTaskState(
+  home: Home,
+  task: HomeTask,
+  state: TaskState,
+): void {
+  const before = takesRoom(task);
+  task.state = state;
+  const after = takesRoom(task);
+  if (before && !after) {
+    home.used = subtractResources(home.used, task.job.size);
+  } else if (!before && after) {
+    home.used = addResources(home.used, task.job.size);
+  }
+}
+
+/** Takes the ask or attempt in force off the home's indexes. */
+export function forgetAttempt(home: Home, task: HomeTask): void {
+  home.bySeq.delete(task.seq);
+  home.byTaskId.delete(task.taskId);
+  const view = home.slices.get(task.sliceId);
+  if (view !== undefined && task.state === TaskState.Asked) {
+    view.outstanding -= 1;
+  }
+}
+
+/** Makes a task wait for room again, as if it had not been asked for. */
+export function resetAttempt(home: Home, task: HomeTask): void {
+  forgetAttempt(home, task);
+  setTaskState(home, task, TaskState.Pending);
+  task.seq = 0;
+  task.taskId = "";
+  task.sliceId = "";
+  task.sliceEpoch = 0;
+  task.instanceId = "";
+  task.withdrawn = false;
+}
+
+function queueOf(home: Home, task: HomeTask): HomeTask[] {
+  return task.job.spec.priority === Priority.Urgent ? home.urgent : home.normal;
+}
--- /dev/null
+++ b/packages/home/src/upkeep.ts
@@ -0,0 +1,122 @@
+import type { Update } from "@mustardweir/kernel";
+import { EndReason, JobKind } from "@mustardweir/model";
+import { StopMode } from "@mustardweir/protocol";
+import {
+  groupBySlice,
+  sendAsks,
+  sendStops,
+  sendWithdrawal,
+} from "./ask_messages.ts";
+import { endTask } from "./ending.ts";
+import { fenceSlices } from "./fencing.ts";
+import { advanceGang } from "./gang.ts";
+import {
+  GangPhase,
+  type Home,
+  type HomeJob,
+  HomePhase,
+  type HomeTask,
+  TaskState,
+} from "./home_state.ts";
+import { endCancelled } from "./recovery.ts";
+
+/** Time after which an unanswered message is sent again, in milliseconds. */
+const RESEND_MS = 500;
+
+/** How long ended jobs stay known, in milliseconds. */
+const RETENTION_MS = 10 * 60 * 1_000;
+
+/** Most ended jobs that stay known. */
+const MAX_ENDED_JOBS = 5_000;
+
+/** Sends again what may have been lost and ends what is too late. */
+export function maintain(update: Update, home: Home): void {
+  fenceSlices(update, home);
+  if (home.phase === HomePhase.Active) {
+    endCancelled(update, home);
+    endLate(update, home);
+  }
+  resendAsks(update, home);
+  resendStops(update, home);
+  for (const job of home.jobs.values()) {
+    if (job.spec.kind === JobKind.Gang && job.gang !== GangPhase.Idle) {
+      advanceGang(update, home, job);
+    }
+  }
+}
+
+function resendAsks(update: Update, home: Home): void {
+  const late = [...home.bySeq.values()].filter((task) =>
+    update.now - task.sentAt >= RESEND_MS
+  );
+  for (const [sliceId, tasks] of groupBySlice(late)) {
+    const kept = tasks.filter(({ state, withdrawn }) =>
+      state === TaskState.Asked && !withdrawn
+    );
+    const withdrawn = tasks.filter((task) => task.withdrawn);
+    if (kept.length > 0) {
+      sendAsks(update, home, { sliceId, tasks: kept });
+    }
+    if (withdrawn.length > 0) {
+      sendWithdrawal(update, home, { sliceId, tasks: withdrawn });
+    }
+  }
+}
+
+function resendStops(update: Update, home: Home): void {
+  const late = [...home.byTaskId.values()].filter((task) =>
+    task.stopping && task.state === TaskState.Started &&
+    update.now - task.sentAt >= RESEND_MS
+  );
+  for (const [sliceId, tasks] of groupBySlice(late)) {
+    for (const mode of [StopMode.Cancel, StopMode.Preempt]) {
+      const group = tasks.filter((task) => stopMode(task) === mode);
+      if (group.length > 0) {
+        sendStops(update, home, { sliceId, tasks: group, mode });
+      }
+    }
+  }
+}
+
+function stopMode(task: HomeTask): StopMode {
+  return task.job.cancelled ? StopMode.Cancel : StopMode.Preempt;
+}
+
+/** Ends, or takes back, work that is of no use any more. */
+function endLate(update: Update, home: Home): void {
+  for (const job of home.jobs.values()) {
+    if (isLate(job, update.now)) {
+      endLateJob(update, home, job);
+    }
+  }
+}
+
+function isLate(job: HomeJob, now: number): boolean {
+  return now >= job.startBy && job.firstStartAt === undefined &&
+    !job.endRecorded && job.accepted;
+}
+
+function endLateJob(update: Update, home: Home, job: HomeJob): void {
+  for (const task of job.tasks) {
+    if (task.state === TaskState.Pending) {
+      endTask(update, home, { task, reason: EndReason.DeadlinePassed });
+    }
+  }
+  const asked = job.tasks.filter((task) =>
+    task.state === TaskState.Asked && !task.withdrawn
+  );
+  for (const [sliceId, tasks] of groupBySlice(asked)) {
+    sendWithdrawal(update, home, { sliceId, tasks });
+  }
+}
+
+/** Forgets jobs that ended long ago. */
+export function forgetEnded(update: Update, home: Home): void {
+  const ended = [...home.jobs.values()].filter((job) => job.endRecorded);
+  const excess = ended.length - MAX_ENDED_JOBS;
+  for (const [index, job] of ended.entries()) {
+    if (index < excess || update.now - job.endedAt > RETENTION_MS) {
+      home.jobs.delete(job.jobId);
+    }
+  }
+}
--- /dev/null
+++ b/packages/journal/src/commands.ts
@@ -0,0 +1,42 @@
+import { createCommand } from "@mustardweir/kernel";
+import type { JournalRecord } from "./records.ts";
+
+/** Opens the journal of a home and asks for what it holds. */
+export const OPEN_JOURNAL = createCommand<{
+  readonly team: string;
+  /** Epoch under which this node owns the home. */
+  readonly epoch: number;
+  /** Version of the ownership row; each write checks it. */
+  readonly ownershipVersion: number;
+}>("open-journal");
+
+/** Dispatched when the journal of a home has been read. */
+export const JOURNAL_OPENED = createCommand<{
+  readonly team: string;
+  readonly epoch: number;
+  readonly records: readonly JournalRecord[];
+}>("journal-opened");
+
+/** Adds records; they are written with the next group commit. */
+export const APPEND_JOURNAL = createCommand<{
+  readonly team: string;
+  readonly records: readonly JournalRecord[];
+}>("append-journal");
+
+/** Dispatched when records are durable. */
+export const JOURNAL_COMMITTED = createCommand<{
+  readonly team: string;
+  readonly epoch: number;
+  readonly records: readonly JournalRecord[];
+}>("journal-committed");
+
+/** Forgets a home; what was not committed may or may not be durable. */
+export const CLOSE_JOURNAL = createCommand<{ readonly team: string }>(
+  "close-journal",
+);
+
+/** Asks the home for records that say all that has to be kept. */
+export const COMPOSE_SNAPSHOT = createCommand<{
+  readonly team: string;
+  readonly records: JournalRecord[];
+}>("compose-snapshot");
--- /dev/null
+++ b/packages/journal/src/journal_plugin.ts
@@ -0,0 +1,306 @@
+import {
+  CommandPriority,
+  createCommand,
+  type Kernel,
+  mergeUndo,
+  Plugin,
+  registerPlugin,
+  Role,
+  type Undo,
+  type Update,
+} from "@mustardweir/kernel";
+import {
+  homeUnit,
+  OWNERSHIP_PREFIX,
+  UNIT_SUPERSEDED,
+} from "@mustardweir/membership";
+import {
+  type Answered,
+  type CommitResult,
+  count,
+  EffectKind,
+  nodeEffect,
+  observe,
+  replyTo,
+  type ScanResult,
+  StoreStatus,
+} from "@mustardweir/protocol";
+import {
+  APPEND_JOURNAL,
+  CLOSE_JOURNAL,
+  COMPOSE_SNAPSHOT,
+  JOURNAL_COMMITTED,
+  JOURNAL_OPENED,
+  OPEN_JOURNAL,
+} from "./commands.ts";
+import {
+  type HomeBatch,
+  type HomeJournal,
+  JOURNAL,
+  journalKey,
+  journalPrefix,
+  type JournalState,
+} from "./journal_state.ts";
+import type { JournalRecord } from "./records.ts";
+
+/** Time before a failed read or write is sent again, in milliseconds. */
+const RETRY_MS = 200;
+
+/** Time between looks for work that was put off, in milliseconds. */
+const PULSE_MS = 50;
+
+/** Rows of one home after which a snapshot takes their place. */
+const SNAPSHOT_ROWS = 64;
+
+/** Most records in one row; the rest waits for the next write. */
+const MAX_RECORDS_PER_ROW = 2_000;
+
+const JOURNAL_SCANNED = createCommand<
+  Answered<{ team: string; epoch: number }, ScanResult>
+>("journal-scanned");
+
+const JOURNAL_WRITTEN = createCommand<
+  Answered<{ startedAt: number }, CommitResult>
+>("journal-written");
+
+/**
+ * Makes what homes accept durable. One write is in flight at a time; it
+ * carries all that has come meanwhile, for all homes of this scheduler.
+ */
+export class JournalPlugin extends Plugin {
+  override readonly name = "journal";
+
+  override register(kernel: Kernel): Undo {
+    const { Normal } = CommandPriority;
+    return mergeUndo(
+      kernel.registerState(JOURNAL, {
+        homes: new Map(),
+        inFlight: undefined,
+        separately: [],
+        retryAt: Infinity,
+      }),
+      kernel.registerCommand(OPEN_JOURNAL, open, Normal),
+      kernel.registerCommand(APPEND_JOURNAL, append, Normal),
+      kernel.registerCommand(CLOSE_JOURNAL, close, Normal),
+      kernel.registerCommand(
+        JOURNAL_SCANNED,
+        ({ context, result }, update) => load(update, context, result),
+        Normal,
+      ),
+      kernel.registerCommand(
+        JOURNAL_WRITTEN,
+        ({ context, result }, update) => settle(update, context, result),
+        Normal,
+      ),
+      kernel.registerPeriodic({ intervalMs: PULSE_MS, run: retry }),
+    );
+  }
+}
+
+interface OpenRequest {
+  readonly team: string;
+  readonly epoch: number;
+  readonly ownershipVersion: number;
+}
+
+function open(request: OpenRequest, update: Update): void {
+  const journal: HomeJournal = {
+    ...request,
+    isOpen: false,
+    nextSeq: 0,
+    pending: [],
+    rowKeys: [],
+  };
+  update.write(JOURNAL).homes.set(request.team, journal);
+  scan(update, journal);
+}
+
+function scan(update: Update, { team, epoch }: HomeJournal): void {
+  update.emit(nodeEffect({
+    kind: EffectKind.ScanTable,
+    prefix: journalPrefix(team),
+    afterRevision: 0,
+    replyTo: replyTo(JOURNAL_SCANNED, { team, epoch }),
+  }));
+}
+
+function load(
+  update: Update,
+  { team, epoch }: { readonly team: string; readonly epoch: number },
+  result: ScanResult,
+): void {
+  const journal = update.write(JOURNAL).homes.get(team);
+  if (journal === undefined || journal.epoch !== epoch || journal.isOpen) {
+    return;
+  }
+  if (result.status !== StoreStatus.Ok) {
+    update.write(JOURNAL).retryAt = update.now + RETRY_MS;
+    return;
+  }
+  const rows = [...result.page.rows].sort((a, b) => a.key < b.key ? -1 : 1);
+  journal.rowKeys = rows.map((row) => row.key);
+  journal.isOpen = true;
+  const records = rows.flatMap((row) =>
+    JSON.parse(row.value) as JournalRecord[]
+  );
+  update.dispatch(JOURNAL_OPENED, { team, epoch, records });
+}
+
+interface AppendRequest {
+  readonly team: string;
+  readonly records: readonly JournalRecord[];
+}
+
+function append({ team, records }: AppendRequest, update: Update): void {
+  const state = update.write(JOURNAL);
+  state.homes.get(team)?.pending.push(...records);
+  flush(update, state);
+}
+
+function close({ team }: { readonly team: string }, update: Update): void {
+  update.write(JOURNAL).homes.delete(team);
+}
+
+/** Starts the next write unless one is in flight. */
+function flush(update: Update, state: JournalState): void {
+  if (state.inFlight !== undefined) {
+    return;
+  }
+  state.separately = state.separately.filter((b) => isCurrent(state, b));
+  const next = state.separately.shift();
+  const batches = next === undefined ? collect(update, state) : [next];
+  if (batches.length > 0) {
+    state.inFlight = batches;
+    write(update, batches);
+  }
+}
+
+function collect(update: Update, state: JournalState): HomeBatch[] {
+  return [...state.homes.values()]
+    .filter((home) => home.isOpen && home.pending.length > 0)
+    .map((home) => takeBatch(update, home));
+}
+
+function takeBatch(update: Update, home: HomeJournal): HomeBatch {
+  const records = home.pending.splice(0, MAX_RECORDS_PER_ROW);
+  const key = journalKey(home, home.nextSeq);
+  home.nextSeq += 1;
+  const { team, epoch } = home;
+  const batch = { team, epoch, records };
+  if (home.rowKeys.length < SNAPSHOT_ROWS) {
+    home.rowKeys.push(key);
+    const put = { key, value: JSON.stringify(records) };
+    return { ...batch, put, deletes: [] };
+  }
+  const snapshot: JournalRecord[] = [];
+  update.dispatch(COMPOSE_SNAPSHOT, { team, records: snapshot });
+  const deletes = home.rowKeys;
+  home.rowKeys = [key];
+  const put = { key, value: JSON.stringify([...snapshot, ...records]) };
+  return { ...batch, put, deletes };
+}
+
+function write(update: Update, batches: readonly HomeBatch[]): void {
+  const homes = update.read(JOURNAL).homes;
+  update.emit(count("journal_writes"));
+  update.emit(nodeEffect({
+    kind: EffectKind.CommitTable,
+    transaction: {
+      checks: batches.map(({ team }) => ({
+        key: `${OWNERSHIP_PREFIX}${homeUnit(team)}`,
+        version: homes.get(team)?.ownershipVersion ?? 0,
+      })),
+      puts: batches.map((batch) => batch.put),
+      deletes: batches.flatMap((batch) => batch.deletes),
+    },
+    replyTo: replyTo(JOURNAL_WRITTEN, { startedAt: update.now }),
+  }));
+}
+
+function settle(
+  update: Update,
+  { startedAt }: { readonly startedAt: number },
+  result: CommitResult,
+): void {
+  const state = update.write(JOURNAL);
+  const batches = state.inFlight ?? [];
+  switch (result.status) {
+    case StoreStatus.Ok:
+      update.emit(observe("journal_write_ms", update.now - startedAt));
+      state.inFlight = undefined;
+      batches.forEach((batch) => announce(update, state, batch));
+      break;
+    case StoreStatus.Conflict:
+      state.inFlight = undefined;
+      separate(update, state, batches);
+      break;
+    default:
+      // Puts and deletes name their rows, so sending them again is harmless.
+      state.retryAt = update.now + RETRY_MS;
+      return;
+  }
+  flush(update, state);
+}
+
+function announce(
+  update: Update,
+  state: JournalState,
+  { team, epoch, records }: HomeBatch,
+): void {
+  if (state.homes.get(team)?.epoch === epoch) {
+    update.dispatch(JOURNAL_COMMITTED, { team, epoch, records });
+  }
+}
+
+/** Finds the home that was taken over: it alone can't be written. */
+function separate(
+  update: Update,
+  state: JournalState,
+  batches: readonly HomeBatch[],
+): void {
+  const [only, ...others] = batches;
+  if (only !== undefined && others.length === 0) {
+    update.emit(count("journal_superseded"));
+    update.dispatch(UNIT_SUPERSEDED, {
+      unit: homeUnit(only.team),
+      epoch: only.epoch + 1,
+    });
+    return;
+  }
+  state.separately.push(...batches);
+}
+
+/** Sends again what failed; drops what belongs to homes that are gone. */
+function retry(update: Update): void {
+  const { retryAt } = update.read(JOURNAL);
+  if (update.now < retryAt) {
+    return;
+  }
+  const state = update.write(JOURNAL);
+  state.retryAt = Infinity;
+  for (const journal of state.homes.values()) {
+    if (!journal.isOpen) {
+      scan(update, journal);
+    }
+  }
+  if (state.inFlight === undefined) {
+    return;
+  }
+  state.inFlight = state.inFlight.filter((batch) => isCurrent(state, batch));
+  if (state.inFlight.length > 0) {
+    write(update, state.inFlight);
+  } else {
+    state.inFlight = undefined;
+    flush(update, state);
+  }
+}
+
+function isCurrent(state: JournalState, { team, epoch }: HomeBatch): boolean {
+  return state.homes.get(team)?.epoch === epoch;
+}
+
+registerPlugin({
+  name: "journal",
+  roles: [Role.Scheduler],
+  create: () => new JournalPlugin(),
+});
--- a/packages/journal/src/mod.ts
+++ b/packages/journal/src/mod.ts
@@ -1,1 +1,3 @@
-export {};
+export * from "./commands.ts";
+export * from "./journal_plugin.ts";
+export * from "./records.ts";
--- a/packages/membership/src/heartbeat_plugin.ts
+++ b/packages/membership/src/heartbeat_plugin.ts
@@ -22,7 +22,7 @@
 } from "@mustardweir/protocol";
 import { OWNED } from "./owned.ts";
 import { OWNERSHIP } from "./ownership.ts";
-import { HEARTBEAT_MS, PEERS } from "./peers.ts";
+import { HEARTBEAT_MS, PEERS, type PeerView } from "./peers.ts";
 
 /** The parts of a heartbeat that other plug-ins fill in. */
 export interface HeartbeatDraft {
@@ -37,6 +37,8 @@
 
 interface HeartbeatState {
   stopping: boolean;
+  /** What this node last told of itself. */
+  own: PeerView | undefined;
 }
 
 const HEARTBEAT = createStateKey<HeartbeatState>("heartbeat");
@@ -47,7 +49,7 @@
 
   override register(kernel: Kernel): Undo {
     return mergeUndo(
-      kernel.registerState(HEARTBEAT, { stopping: false }),
+      kernel.registerState(HEARTBEAT, { stopping: false, own: undefined }),
       kernel.registerPeriodic({ intervalMs: HEARTBEAT_MS, run: sendHeartbeat }),
     );
   }
@@ -66,7 +68,16 @@
 
 /** Sends a heartbeat to every peer now. */
 export function sendHeartbeat(update: Update): void {
-  update.emit(sendPeer(ALL_PEERS, composeHeartbeat(update)));
+  const heartbeat = composeHeartbeat(update);
+  update.write(HEARTBEAT).own = { heartbeat, heardAt: update.now };
+  update.emit(sendPeer(ALL_PEERS, heartbeat));
+}
+
+/** The latest heartbeat of every scheduler, of this one too. */
+export function latestHeartbeats(update: Update): PeerView[] {
+  const { own } = update.read(HEARTBEAT);
+  const others = [...update.read(PEERS).views.values()];
+  return own === undefined ? others : [...others, own];
 }
 
 function composeHeartbeat(update: Update): Heartbeat {
--- /dev/null
+++ b/packages/slice/src/instances.ts
@@ -0,0 +1,142 @@
+import type { Update } from "@mustardweir/kernel";
+import { CONFIGURATION } from "@mustardweir/configuration";
+import { isStopping, type Owned } from "@mustardweir/membership";
+import {
+  instanceCapacity,
+  type PlacedInstance,
+  sliceFleet,
+  type SliceSpec,
+} from "@mustardweir/model";
+import { InstanceTable } from "@mustardweir/placement";
+import { StopMode, TaskPhase } from "@mustardweir/protocol";
+import { stopTask } from "./asks.ts";
+import { isZoneOpen } from "./grant.ts";
+import { isTrusted } from "./health.ts";
+import { type Slice, type Worker, WorkerState } from "./slice_state.ts";
+
+/** The slice of the inventory with this id. */
+export function findSliceSpec(
+  update: Update,
+  sliceId: string,
+): SliceSpec | undefined {
+  const { inventory } = update.read(CONFIGURATION).current;
+  return sliceFleet(inventory).find((spec) => spec.sliceId === sliceId);
+}
+
+/** Makes the slice of a new owner; nothing is known of its workers yet. */
+export function createSlice(
+  update: Update,
+  spec: SliceSpec,
+  owned: Owned,
+): Slice {
+  const slice: Slice = {
+    sliceId: spec.sliceId,
+    epoch: owned.epoch,
+    availabilityZone: spec.availabilityZone,
+    acquiredAt: update.now,
+    isFirstOwner: owned.isFirstOwner,
+    table: new InstanceTable(),
+    workers: new Map(),
+    tasks: new Map(),
+    teams: new Map(),
+    nextStartSeq: 1,
+    complete: false,
+    outbox: new Map(),
+  };
+  followInventory(slice, spec);
+  return slice;
+}
+
+/** Brings the slice's instances in line with the inventory. */
+export function followInventory(slice: Slice, spec: SliceSpec): void {
+  const listed = new Set<string>();
+  for (const instance of spec.instances) {
+    listed.add(instance.spec.id);
+    const worker = slice.workers.get(instance.spec.id);
+    if (worker === undefined) {
+      addWorker(slice, instance);
+    } else {
+      worker.removed = false;
+      const capacity = instanceCapacity(instance.spec);
+      slice.table.setCapacity(worker.index, capacity);
+    }
+  }
+  for (const worker of slice.workers.values()) {
+    if (!listed.has(worker.instanceId)) {
+      retire(worker);
+    }
+  }
+}
+
+function addWorker(slice: Slice, instance: PlacedInstance): void {
+  const { spec, rack, availabilityZone } = instance;
+  const index = slice.table.add({
+    instanceId: spec.id,
+    capacity: instanceCapacity(spec),
+    rack,
+    availabilityZone,
+  });
+  slice.table.setEligible(index, false);
+  slice.workers.set(spec.id, {
+    instanceId: spec.id,
+    address: spec.address,
+    index,
+    state: WorkerState.Unknown,
+    incarnation: "",
+    stateSeq: 0,
+    leaseToken: undefined,
+    tokenAt: -Infinity,
+    heardAt: -Infinity,
+    retryAt: 0,
+    pollSentAt: undefined,
+    commandSentAt: undefined,
+    hasNews: false,
+    removed: false,
+    tasks: new Set(),
+    acks: new Set(),
+  });
+}
+
+/** Moves the work of an instance that left the inventory away. */
+function retire(worker: Worker): void {
+  worker.removed = true;
+  for (const task of worker.tasks) {
+    stopTask(task, StopMode.Preempt);
+  }
+}
+
+/** Forgets instances that left the inventory and run nothing any more. */
+export function dropRetired(slice: Slice): void {
+  for (const worker of [...slice.workers.values()]) {
+    const isIdle = worker.tasks.size === 0 && worker.acks.size === 0;
+    const isSettled = worker.state === WorkerState.Reachable ||
+      worker.state === WorkerState.Lapsed;
+    if (worker.removed && isIdle && isSettled) {
+      slice.workers.delete(worker.instanceId);
+      slice.table.remove(worker.instanceId);
+    }
+  }
+}
+
+/** Says which instances may get new work. */
+export function updateEligibility(update: Update, slice: Slice): void {
+  const isOpen = isZoneOpen(update, slice) && !isStopping(update);
+  for (const worker of slice.workers.values()) {
+    const isEligible = isOpen && !worker.removed &&
+      worker.state === WorkerState.Reachable &&
+      isTrusted(update, worker.instanceId);
+    slice.table.setEligible(worker.index, isEligible);
+  }
+}
+
+/** True when nothing unknown runs on the slice's workers. */
+export function isComplete(slice: Slice): boolean {
+  return [...slice.workers.values()].every(({ state }) =>
+    state !== WorkerState.Unknown
+  );
+}
+
+/** Tasks that take room on an instance. */
+export function hasRunning(worker: Worker): boolean {
+  return [...worker.tasks].some(({ phase }) => phase !== TaskPhase.Ended);
+}
--- /dev/null
+++ b/packages/slice/src/slice_state.ts
@@ -0,0 +1,115 @@
+import { createStateKey } from "@mustardweir/kernel";
+import type { Resources } from "@mustardweir/model";
+import type { InstanceTable } from "@mustardweir/placement";
+import type {
+  Ask,
+  AskAnswer,
+  StopMode,
+  TaskEnd,
+  TaskPhase,
+  TaskSpec,
+} from "@mustardweir/protocol";
+
+/** How a worker stands with the owner of its slice. */
+export enum WorkerState {
+  /** Has not answered this owner; it may run anything. */
+  Unknown = "unknown",
+  Reachable = "reachable",
+  /** Answers are missing; its tasks may still run. */
+  Silent = "silent",
+  /** Its leases are known to be over; it runs nothing. */
+  Lapsed = "lapsed",
+}
+
+/** A worker of a slice. */
+export interface Worker {
+  readonly instanceId: string;
+  readonly address: string;
+  readonly index: number;
+  state: WorkerState;
+  incarnation: string;
+  /** Of the newest answer; older answers are ignored. */
+  stateSeq: number;
+  leaseToken: string | undefined;
+  /** When the newest lease token came; no lease began later. */
+  tokenAt: number;
+  heardAt: number;
+  /** Not called before this time, after a call without an answer. */
+  retryAt: number;
+  /** A call that waits for news is in flight since; undefined when none. */
+  pollSentAt: number | undefined;
+  /** A call with commands is in flight since; undefined when none. */
+  commandSentAt: number | undefined;
+  /** There are commands that no call in flight carries. */
+  hasNews: boolean;
+  /** The inventory no longer has the instance. */
+  removed: boolean;
+  readonly tasks: Set<SliceTask>;
+  readonly acks: Set<string>;
+}
+
+/** A task that a slice holds room for, or knows of from a worker. */
+export interface SliceTask {
+  readonly task: TaskSpec;
+  readonly worker: Worker;
+  phase: TaskPhase;
+  /** Sequence of the start; 0 when an earlier owner started it. */
+  readonly startSeq: number;
+  /** The room is given back when it is not committed by then. */
+  heldUntil: number;
+  /** When a worker was first seen to run it. */
+  runningSince: number;
+  stop: StopMode | undefined;
+  end: TaskEnd | undefined;
+  /** When the home was last told of the end. */
+  toldAt: number;
+}
+
+/** An ask that waits for room. */
+export interface QueuedAsk {
+  readonly ask: Ask;
+  readonly receivedAt: number;
+  readonly expiresAt: number;
+}
+
+/** What a slice knows of a team and its home. */
+export interface TeamView {
+  readonly team: string;
+  /** Highest epoch that a home has shown. */
+  homeEpoch: number;
+  homeNode: string;
+  /** Asks below are settled. */
+  floor: number;
+  readonly queue: Map<number, QueuedAsk>;
+  /** Tasks by the ask that led to them; of the home's epoch only. */
+  readonly bySeq: Map<number, SliceTask>;
+  /** Asks that were declined and may be repeated by late copies. */
+  readonly declined: Map<number, AskAnswer>;
+  used: Resources;
+}
+
+/** A slice on its owner. */
+export interface Slice {
+  readonly sliceId: string;
+  readonly epoch: number;
+  readonly availabilityZone: string;
+  readonly acquiredAt: number;
+  readonly isFirstOwner: boolean;
+  readonly table: InstanceTable;
+  readonly workers: Map<string, Worker>;
+  readonly tasks: Map<string, SliceTask>;
+  readonly teams: Map<string, TeamView>;
+  nextStartSeq: number;
+  /** Every worker has told what it runs, or is known to run nothing. */
+  complete: boolean;
+  /** Answers that are sent when the event has been handled. */
+  readonly outbox: Map<string, AskAnswer[]>;
+}
+
+export interface SlicesState {
+  readonly slices: Map<string, Slice>;
+  /** Version of the configuration that the slices follow. */
+  configurationVersion: number;
+}
+
+export const SLICES = createStateKey<SlicesState>("slices");
--- /dev/null
+++ b/packages/slice/src/tasks.ts
@@ -0,0 +1,142 @@
+import type { Update } from "@mustardweir/kernel";
+import { addResources, EndReason, subtractResources } from "@mustardweir/model";
+import {
+  count,
+  DeclineReason,
+  RoomResult,
+  type TaskEnd,
+  TaskPhase,
+  type TaskSpec,
+} from "@mustardweir/protocol";
+import { noteOutcome } from "./health.ts";
+import type { Slice, SliceTask, Worker } from "./slice_state.ts";
+import { answerAsk, declineAsk, teamView } from "./team_view.ts";
+
+/** Nothing has been told to the home yet. */
+const NEVER = -Infinity;
+
+export interface AddTaskOptions {
+  readonly task: TaskSpec;
+  readonly worker: Worker;
+  readonly phase: TaskPhase;
+  /** For a task that a worker runs already, even where room is missing. */
+  readonly isAdopted?: boolean;
+  readonly startSeq?: number;
+  readonly heldUntil?: number;
+}
+
+/** Takes room for a task. */
+export function addTask(slice: Slice, options: AddTaskOptions): SliceTask {
+  const { task, worker, phase } = options;
+  const added: SliceTask = {
+    task,
+    worker,
+    phase,
+    startSeq: options.startSeq ?? 0,
+    heldUntil: options.heldUntil ?? Infinity,
+    runningSince: NEVER,
+    stop: undefined,
+    end: undefined,
+    toldAt: NEVER,
+  };
+  slice.tasks.set(task.taskId, added);
+  worker.tasks.add(added);
+  if (phase === TaskPhase.Ended) {
+    return added;
+  }
+  if (options.isAdopted) {
+    slice.table.takeRunning(worker.index, task.size);
+  } else {
+    slice.table.take(worker.index, task.size);
+  }
+  const view = teamView(slice, task.team);
+  view.used = addResources(view.used, task.size);
+  return added;
+}
+
+/** Marks a started task as running and tells the home. */
+export function confirmStart(
+  update: Update,
+  slice: Slice,
+  task: SliceTask,
+): void {
+  if (task.phase !== TaskPhase.Starting) {
+    return;
+  }
+  task.phase = TaskPhase.Running;
+  task.runningSince = update.now;
+  update.emit(count("tasks_started"));
+  tellStarted(slice, task);
+}
+
+/** Answers the ask that led to the task. */
+export function tellStarted(slice: Slice, task: SliceTask): void {
+  const view = teamView(slice, task.task.team);
+  answerAsk(slice, view, {
+    seq: task.task.askSeq,
+    taskId: task.task.taskId,
+    result: RoomResult.Started,
+    instanceId: task.worker.instanceId,
+  });
+}
+
+/** Gives the room back; the end is told until the home acknowledges it. */
+export function finishTask(
+  update: Update,
+  slice: Slice,
+  { task, end }: { readonly task: SliceTask; readonly end: TaskEnd },
+): void {
+  if (task.phase === TaskPhase.Ended) {
+    return;
+  }
+  giveBack(slice, task);
+  task.phase = TaskPhase.Ended;
+  task.end = end;
+  teamView(slice, task.task.team).bySeq.delete(task.task.askSeq);
+  update.emit(count(`tasks_ended_${end.reason.replaceAll("-", "_")}`));
+  noteOutcome(update, task, end.reason);
+}
+
+/** Ends a task whose worker runs it no more, for whatever cause. */
+export function loseTask(
+  update: Update,
+  slice: Slice,
+  task: SliceTask,
+): void {
+  finishTask(update, slice, { task, end: { reason: EndReason.Lost } });
+}
+
+/** Takes back a task that has not started and will not. */
+export function cancelStart(
+  update: Update,
+  slice: Slice,
+  { task, reason }: {
+    readonly task: SliceTask;
+    readonly reason: DeclineReason;
+  },
+): void {
+  const view = teamView(slice, task.task.team);
+  if (task.task.homeEpoch !== view.homeEpoch) {
+    loseTask(update, slice, task); // The home knows it as started.
+    return;
+  }
+  removeTask(slice, task);
+  const { askSeq: seq, taskId } = task.task;
+  declineAsk(slice, view, { seq, taskId, reason });
+}
+
+/** Forgets a task; its room is given back unless it has ended. */
+export function removeTask(slice: Slice, task: SliceTask): void {
+  if (task.phase !== TaskPhase.Ended) {
+    giveBack(slice, task);
+  }
+  slice.tasks.delete(task.task.taskId);
+  task.worker.tasks.delete(task);
+  teamView(slice, task.task.team).bySeq.delete(task.task.askSeq);
+}
+
+function giveBack(slice: Slice, task: SliceTask): void {
+  slice.table.giveBack(task.worker.index, task.task.size);
+  const view = teamView(slice, task.task.team);
+  view.used = subtractResources(view.used, task.task.size);
+}
--- /dev/null
+++ b/packages/slice/src/team_view.ts
@@ -0,0 +1,78 @@
+import { NO_RESOURCES } from "@mustardweir/model";
+import {
+  type AskAnswer,
+  type DeclineReason,
+  RoomResult,
+} from "@mustardweir/protocol";
+import type { Slice, TeamView } from "./slice_state.ts";
+
+/** The view of a team, made when it is first needed. */
+export function teamView(slice: Slice, team: string): TeamView {
+  const known = slice.teams.get(team);
+  if (known !== undefined) {
+    return known;
+  }
+  const view: TeamView = {
+    team,
+    homeEpoch: 0,
+    homeNode: "",
+    floor: 0,
+    queue: new Map(),
+    bySeq: new Map(),
+    declined: new Map(),
+    used: NO_RESOURCES,
+  };
+  slice.teams.set(team, view);
+  return view;
+}
+
+/** Puts an answer to the team's home into the outbox. */
+export function answerAsk(
+  slice: Slice,
+  view: TeamView,
+  answer: AskAnswer,
+): void {
+  const answers = slice.outbox.get(view.team);
+  if (answers === undefined) {
+    slice.outbox.set(view.team, [answer]);
+  } else {
+    answers.push(answer);
+  }
+}
+
+export interface DeclineOptions {
+  readonly seq: number;
+  readonly taskId: string;
+  readonly reason: DeclineReason;
+}
+
+/** Declines an ask and remembers it, so that a late copy can't revive it. */
+export function declineAsk(
+  slice: Slice,
+  view: TeamView,
+  { seq, taskId, reason }: DeclineOptions,
+): void {
+  const answer: AskAnswer = {
+    seq,
+    taskId,
+    result: RoomResult.Declined,
+    reason,
+  };
+  view.queue.delete(seq);
+  view.bySeq.delete(seq);
+  view.declined.set(seq, answer);
+  answerAsk(slice, view, answer);
+}
+
+/** Forgets what the home will not ask about again. */
+export function raiseFloor(view: TeamView, floor: number): void {
+  if (floor <= view.floor) {
+    return;
+  }
+  view.floor = floor;
+  for (const seq of view.declined.keys()) {
+    if (seq < floor) {
+      view.declined.delete(seq);
+    }
+  }
+}
