--- /dev/null
+++ b/packages/entry/src/caller_front.ts
@@ -0,0 +1,265 @@
+import { randomUUID } from "node:crypto";
+import type { Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { createAdaptorServer, type HttpBindings } from "@hono/node-server";
+import { parseJson } from "@mustardweir/configuration";
+import { Outcome, RefusalReason, refuse } from "@mustardweir/model";
+import {
+  CALLER_LEFT,
+  CALLER_REQUESTED,
+  type CallerAnswer,
+  CallerAnswerKind,
+  EffectKind,
+  type NodeEffect,
+} from "@mustardweir/protocol";
+import {
+  type EventSink,
+  type HostPort,
+  type Metrics,
+  Performer,
+} from "@mustardweir/runtime";
+import { type Context, Hono } from "hono";
+import { bodyLimit } from "hono/body-limit";
+import { ok } from "neverthrow";
+import {
+  type Decoded,
+  decodeKeyHash,
+  decodeTtl,
+  malformed,
+  type RouteInput,
+} from "./decode.ts";
+import { encodeRefusal, type HttpReply } from "./encode.ts";
+import { type Route, type RoutedCall, ROUTES } from "./routes.ts";
+
+/** Time between looks whether all replies are out, in milliseconds. */
+const CLOSE_POLL_MS = 50;
+
+/** Connections that are still open this long after the end are cut. */
+const CLOSE_GRACE_MS = 5_000;
+
+const READY = "ready\n";
+const NOT_READY = "not ready\n";
+const SERVICE_UNAVAILABLE = 503;
+
+export interface CallerFrontOptions {
+  readonly listen: HostPort;
+  /** Whether the balancer may send callers here. */
+  readonly isReady: () => boolean;
+  /** Shown at `/metrics`; the path does not exist without. */
+  readonly metrics?: Metrics;
+}
+
+type App = Hono<{ Bindings: HttpBindings }>;
+type Waiter = (answer: CallerAnswer) => void;
+
+/**
+ * The HTTP front end of callers and operators: turns requests into calls and
+ * answers into replies, and decides nothing.
+ *
+ * @example
+ * ```ts
+ * const front = new CallerFront({
+ *   listen: { host: "127.0.0.1", port: 0 },
+ *   isReady: () => true,
+ * });
+ * const loop = new EventLoop({ kernel, performers: [front] });
+ * ```
+ */
+export class CallerFront extends Performer {
+  override readonly kinds = [EffectKind.AnswerCaller];
+  readonly #options: CallerFrontOptions;
+  readonly #waiters = new Map<string, Waiter>();
+  /** Requests whose reply is not out yet. */
+  #openReplies = 0;
+  #server: Server | undefined;
+  #isClosed = false;
+
+  constructor(options: CallerFrontOptions) {
+    super();
+    this.#options = options;
+  }
+
+  /** The port that callers are taken on; 0 before the start. */
+  get port(): number {
+    const address = this.#server?.address() as AddressInfo | null | undefined;
+    return address?.port ?? 0;
+  }
+
+  override async start(sink: EventSink): Promise<void> {
+    const app = this.#createApp(sink);
+    const server = createAdaptorServer({ fetch: app.fetch }) as Server;
+    this.#server = server;
+    const { host, port } = this.#options.listen;
+    await new Promise<void>((resolve, reject) => {
+      server.once("error", reject);
+      server.listen(port, host, resolve);
+    });
+  }
+
+  override perform(effect: NodeEffect): void {
+    if (effect.kind === EffectKind.AnswerCaller) {
+      this.#settle(effect.requestId, effect.answer);
+    }
+  }
+
+  /** Answers who still waits, then closes when all answers are out. */
+  override async close(): Promise<void> {
+    this.#isClosed = true;
+    for (const requestId of this.#waiters.keys()) {
+      this.#settle(requestId, stoppingAnswer(Outcome.Unknown));
+    }
+    if (this.#server) {
+      await closeServer(this.#server, () => this.#openReplies === 0);
+    }
+  }
+
+  #createApp(sink: EventSink): App {
+    const app: App = new Hono();
+    app.use((c, next) => {
+      this.#openReplies += 1;
+      c.env.outgoing.once("close", () => this.#openReplies -= 1);
+      return next();
+    });
+    app.get("/healthz", (c) => c.text("ok\n"));
+    app.get(
+      "/readyz",
+      (c) =>
+        this.#options.isReady() && !this.#isClosed
+          ? c.text(READY)
+          : c.text(NOT_READY, SERVICE_UNAVAILABLE),
+    );
+    const { metrics } = this.#options;
+    if (metrics) {
+      app.get("/metrics", (c) => c.text(metrics.renderPrometheus()));
+    }
+    for (const route of ROUTES) {
+      this.#addRoute(app, route, sink);
+    }
+    app.notFound((c) => send(c, notFoundReply(c)));
+    return app;
+  }
+
+  #addRoute(app: App, route: Route, sink: EventSink): void {
+    const { method, path, maxBodyBytes } = route;
+    const limit = bodyLimit({
+      maxSize: maxBodyBytes ?? 0,
+      onError: (c) => send(c, tooLargeReply(maxBodyBytes ?? 0)),
+    });
+    app.on(method, path, limit, async (c) => {
+      const decoded = await decodeRequest(c, route);
+      const reply = await decoded.match(
+        (request) => this.#call(c, request, sink),
+        ({ refusal, status }) =>
+          Promise.resolve(encodeRefusal(refusal, status)),
+      );
+      return send(c, reply);
+    });
+  }
+
+  /** Posts the call and waits for the answer that names its request. */
+  async #call(
+    c: Context,
+    { keyHash, ttlMs, routed }: DecodedRequest,
+    sink: EventSink,
+  ): Promise<HttpReply> {
+    if (this.#isClosed) {
+      return routed.encode(stoppingAnswer(Outcome.NotRun));
+    }
+    const requestId = randomUUID();
+    const answered = new Promise<CallerAnswer>((resolve) => {
+      this.#waiters.set(requestId, resolve);
+    });
+    const { signal } = c.req.raw;
+    signal.addEventListener("abort", () => {
+      if (this.#waiters.delete(requestId)) {
+        sink.post(CALLER_LEFT, { requestId });
+      }
+    });
+    const { call } = routed;
+    const wallMs = Date.now();
+    sink.post(CALLER_REQUESTED, { requestId, keyHash, wallMs, ttlMs, call });
+    return routed.encode(await answered);
+  }
+
+  #settle(requestId: string, answer: CallerAnswer): void {
+    const waiter = this.#waiters.get(requestId);
+    this.#waiters.delete(requestId);
+    waiter?.(answer);
+  }
+}
+
+/** Takes no new connection, lets replies go out and cuts the rest. */
+async function closeServer(
+  server: Server,
+  isIdle: () => boolean,
+): Promise<void> {
+  const closed = new Promise((resolve) => server.close(resolve));
+  const deadline = performance.now() + CLOSE_GRACE_MS;
+  const poll = setInterval(() => {
+    server.closeIdleConnections();
+    if (isIdle() || performance.now() > deadline) {
+      server.closeAllConnections();
+    }
+  }, CLOSE_POLL_MS);
+  await closed;
+  clearInterval(poll);
+}
+
+interface DecodedRequest {
+  readonly keyHash: string;
+  readonly ttlMs: number;
+  readonly routed: RoutedCall;
+}
+
+async function decodeRequest(
+  c: Context,
+  route: Route,
+): Promise<Decoded<DecodedRequest>> {
+  const text = route.maxBodyBytes === undefined ? "" : await c.req.text();
+  return decodeKeyHash(c.req.header("Authorization")).andThen((keyHash) =>
+    decodeTtl(c.req.header("Request-Timeout-Ms")).andThen((ttlMs) =>
+      decodeJson(route, text)
+        .andThen((body) => route.decode(routeInput(c, body)))
+        .map((routed) => ({ keyHash, ttlMs, routed }))
+    )
+  );
+}
+
+function decodeJson(route: Route, text: string): Decoded<unknown> {
+  return route.maxBodyBytes === undefined
+    ? ok(undefined)
+    : parseJson(text).orElse(() => malformed("The body is not JSON"));
+}
+
+function routeInput(c: Context, body: unknown): RouteInput {
+  return {
+    param: (name) => c.req.param(name) ?? "",
+    query: (name) => c.req.query(name),
+    header: (name) => c.req.header(name),
+    body,
+  };
+}
+
+function send(c: Context, { body, status, headers }: HttpReply): Response {
+  return c.json(body as object, status, headers as Record<string, string>);
+}
+
+function tooLargeReply(maxBodyBytes: number): HttpReply {
+  return encodeRefusal(refuse(RefusalReason.BodyTooLarge, {
+    message: `The body is larger than ${maxBodyBytes} bytes`,
+  }));
+}
+
+function notFoundReply(c: Context): HttpReply {
+  return encodeRefusal(refuse(RefusalReason.NotFound, {
+    message: `There is no ${c.req.method} ${c.req.path}`,
+  }));
+}
+
+function stoppingAnswer(outcome: Outcome): CallerAnswer {
+  const refusal = refuse(RefusalReason.Stopping, {
+    message: "This entry is stopping",
+    outcome,
+  });
+  return { kind: CallerAnswerKind.Refused, refusal };
+}
--- /dev/null
+++ b/packages/entry/src/encode.ts
@@ -0,0 +1,98 @@
+import {
+  type Configuration,
+  JobState,
+  type Refusal,
+  RefusalReason,
+} from "@mustardweir/model";
+import { type CallerAnswer, CallerAnswerKind } from "@mustardweir/protocol";
+import type { ContentfulStatusCode } from "hono/utils/http-status";
+import { REFUSAL_STATUS } from "./status_codes.ts";
+
+const OK = 200;
+const ACCEPTED = 202;
+
+/** Seconds after which a call that was refused may be made again. */
+const RETRY_AFTER_S = "1";
+
+/** An answer as HTTP carries it. */
+export interface HttpReply {
+  readonly status: ContentfulStatusCode;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: unknown;
+}
+
+/**
+ * Encodes an answer.
+ *
+ * @example
+ * ```ts
+ * const reply = encodeAnswer({ kind: CallerAnswerKind.Edited, version: 7 });
+ * ```
+ */
+export function encodeAnswer(answer: CallerAnswer): HttpReply {
+  switch (answer.kind) {
+    case CallerAnswerKind.Job:
+      return okReply(answer.status);
+    case CallerAnswerKind.Jobs:
+      return okReply({ jobs: answer.jobs });
+    case CallerAnswerKind.Configuration:
+      return taggedReply(
+        answer.configuration.version,
+        withoutHashes(answer.configuration),
+      );
+    case CallerAnswerKind.Edited:
+      return taggedReply(answer.version, { version: answer.version });
+    case CallerAnswerKind.Teams: {
+      const { teams, configurationVersion, missingSlices } = answer;
+      return okReply({ teams, configurationVersion, missingSlices });
+    }
+    case CallerAnswerKind.Refused:
+      return encodeRefusal(answer.refusal);
+  }
+}
+
+/** Encodes the answer to a submission: accepted, or ended for a request. */
+export function encodeSubmitted(answer: CallerAnswer): HttpReply {
+  const reply = encodeAnswer(answer);
+  const isAccepted = answer.kind === CallerAnswerKind.Job &&
+    answer.status.state !== JobState.Ended;
+  return isAccepted ? { ...reply, status: ACCEPTED } : reply;
+}
+
+/** Encodes a refusal; `status` replaces the one of its reason. */
+export function encodeRefusal(
+  refusal: Refusal,
+  status: ContentfulStatusCode = REFUSAL_STATUS[refusal.reason],
+): HttpReply {
+  const { reason, message, outcome, retryable } = refusal;
+  const headers: Record<string, string> = {};
+  if (retryable) {
+    headers["Retry-After"] = RETRY_AFTER_S;
+  }
+  if (reason === RefusalReason.Stopping) {
+    headers["Connection"] = "close";
+  }
+  return {
+    status,
+    headers,
+    body: { error: { reason, message, outcome, retryable } },
+  };
+}
+
+/** Quotes a version as an entity tag. */
+export function formatEntityTag(version: number): string {
+  return `"${version}"`;
+}
+
+function okReply(body: unknown): HttpReply {
+  return { status: OK, headers: {}, body };
+}
+
+function taggedReply(version: number, body: unknown): HttpReply {
+  return { status: OK, headers: { ETag: formatEntityTag(version) }, body };
+}
+
+function withoutHashes(configuration: Configuration) {
+  const keys = configuration.keys.map(({ hash: _hash, ...shown }) => shown);
+  return { ...configuration, keys };
+}
