Refuse edits of a version that this entry has replaced

Cause: a second edit of the same version reached the checks against the older base while the follower lagged, and was told 'malformed' in place of 'stale'. Change: the editor remembers the highest version it committed and scans at once after a commit.

--- a/packages/configuration/src/editor.ts
+++ b/packages/configuration/src/editor.ts
@@ -41,7 +41,7 @@
   type EditRequest,
   type EditResult,
 } from "./edit_request.ts";
-import { FOLLOWER } from "./follower.ts";
+import { FOLLOWER, scanNow } from "./follower.ts";
 import {
   EDITOR,
   EditStage,
@@ -84,7 +84,11 @@
   override register(kernel: Kernel): Undo {
     const normal = CommandPriority.Normal;
     return mergeUndo(
-      kernel.registerState(EDITOR, { nextId: 1, edits: new Map() }),
+      kernel.registerState(EDITOR, {
+        nextId: 1,
+        accepted: 0,
+        edits: new Map(),
+      }),
       kernel.registerCommand(EDIT_CONFIGURATION, onEdit, normal),
       kernel.registerCommand(BODY_STORED, onBodyStored, normal),
       kernel.registerCommand(EDIT_COMMITTED, onCommitted, normal),
@@ -170,7 +174,8 @@
   const { request } = edit;
   const base = update.read(CONFIGURATION).current;
   const known = update.read(FOLLOWER).known;
-  const newest = known?.document.version ?? 0;
+  const { accepted } = update.read(EDITOR);
+  const newest = Math.max(known?.document.version ?? 0, accepted);
   if (newest > request.ifMatch) {
     finish(edit, err(staleRefusal(request, newest)), update);
     return;
@@ -326,6 +331,9 @@
 function accept(edit: PendingEdit, update: Update): void {
   const version = edit.request.ifMatch + 1;
   const { section } = edit.request;
+  const state = update.write(EDITOR);
+  state.accepted = Math.max(state.accepted, version);
+  scanNow(update);
   update.emit(logChange("Configuration edited", { version, section }));
   update.emit(count("configuration_edits_accepted"));
   finish(edit, ok(version), update);
--- a/packages/configuration/src/editor_test.ts
+++ b/packages/configuration/src/editor_test.ts
@@ -52,6 +52,16 @@
     version: 1,
     results: [1, "stale-edit not-run"],
   },
+  {
+    name: "refuses an edit of a version that this entry has replaced",
+    act: (bench) => {
+      bench.hold.add(EffectKind.ScanTable);
+      bench.edit(RULES, 0);
+      bench.edit({ teams: [] }, 0);
+    },
+    version: 0,
+    results: [1, "stale-edit not-run"],
+  },
   {
     name: "accepts an edit whose answer was lost after it took effect",
     act: (bench) => {
--- a/packages/configuration/src/follower.ts
+++ b/packages/configuration/src/follower.ts
@@ -134,6 +134,14 @@
   fetchMissing(state, update);
 }
 
+/** Scans now unless a scan is in flight. */
+export function scanNow(update: Update): void {
+  const state = update.write(FOLLOWER);
+  if (!state.scan) {
+    startScan(state, update);
+  }
+}
+
 function startScan(state: FollowerState, update: Update): void {
   const id = state.nextId++;
   state.scan = { id, startedAt: update.now };
--- a/packages/configuration/src/pending_edit.ts
+++ b/packages/configuration/src/pending_edit.ts
@@ -43,6 +43,8 @@
 /** The edits under way at this entry. */
 export interface EditorState {
   nextId: number;
+  /** The highest version that this entry has committed. */
+  accepted: number;
   readonly edits: Map<number, PendingEdit>;
 }
 
