--- /dev/null
+++ b/packages/demo/src/fleet_file.ts
@@ -0,0 +1,55 @@
+import { readFileSync } from "node:fs";
+import {
+  type Inventory,
+  inventorySchema,
+  type Rules,
+  rulesSchema,
+} from "@mustardweir/model";
+import { parse } from "yaml";
+
+/** The fleets of the examples. */
+export enum FleetName {
+  LoneStar = "lone-star",
+  Salamavahti = "salamavahti",
+}
+
+/** A fleet and its rules, as the examples describe them. */
+export interface Fleet {
+  readonly name: FleetName;
+  readonly inventory: Inventory;
+  readonly rules: Rules;
+}
+
+const EXAMPLES = new URL("../../../examples/", import.meta.url);
+
+/** Reads a fleet from the files under `examples/`. */
+export function readFleet(name: FleetName): Fleet {
+  return {
+    name,
+    inventory: inventorySchema.parse(readYaml(`${name}/inventory.yaml`)),
+    rules: rulesSchema.parse(readYaml(`${name}/rules.yaml`)),
+  };
+}
+
+/** Points each instance at the process that stands in for its zone. */
+export function readdress(
+  inventory: Inventory,
+  originOfZone: ReadonlyMap<string, string>,
+): Inventory {
+  return {
+    availabilityZones: inventory.availabilityZones.map((zone) => ({
+      ...zone,
+      racks: zone.racks.map((rack) => ({
+        ...rack,
+        instances: rack.instances.map((instance) => ({
+          ...instance,
+          address: `${originOfZone.get(zone.name)}/${instance.id}`,
+        })),
+      })),
+    })),
+  };
+}
+
+function readYaml(path: string): unknown {
+  return parse(readFileSync(new URL(path, EXAMPLES), "utf8"));
+}
--- a/packages/scheduler/src/main.ts
+++ b/packages/scheduler/src/main.ts
@@ -1,1 +1,85 @@
-export {};
+/** The binary mustardweir-scheduler. */
+import "@mustardweir/configuration";
+import "@mustardweir/membership";
+import "@mustardweir/journal";
+import "@mustardweir/placement";
+import "@mustardweir/fairness";
+import "@mustardweir/quarantine";
+import "@mustardweir/slice";
+import "@mustardweir/home";
+import { Role } from "@mustardweir/kernel";
+import {
+  HttpInstanceList,
+  HttpObjectStore,
+  HttpTableStore,
+  InstanceListPerformer,
+  ObjectPerformer,
+  PlatformConnection,
+  TablePerformer,
+} from "@mustardweir/platform-client";
+import type { NodeIdentity } from "@mustardweir/protocol";
+import {
+  createIncarnation,
+  createLogger,
+  exitOnSettingError,
+  Metrics,
+  parseSettings,
+  runNode,
+  type SettingValues,
+} from "@mustardweir/runtime";
+import { TargetPerformer } from "@mustardweir/target-client";
+import { JsonMessageCodec, LinkPerformer } from "@mustardweir/wire";
+import { SCHEDULER_SETTINGS } from "./settings.ts";
+
+type SchedulerSettings = SettingValues<typeof SCHEDULER_SETTINGS>;
+
+async function main(settings: SchedulerSettings): Promise<void> {
+  const identity = createIdentity(settings);
+  const metrics = new Metrics();
+  const links = new LinkPerformer({
+    identity,
+    codec: new JsonMessageCodec(),
+    listen: settings.listen,
+    metrics,
+  });
+  await runNode({
+    identity,
+    performers: [
+      links,
+      new TargetPerformer(),
+      ...createPlatformPerformers(settings.platform),
+    ],
+    logger: createLogger({
+      node: settings.nodeId,
+      format: settings.logFormat,
+      level: settings.logLevel,
+    }),
+    metrics,
+    stopTimeoutMs: settings.stopTimeoutMs,
+    listening: () => ({ host: settings.listen.host, port: links.port }),
+  });
+}
+
+function createIdentity(settings: SchedulerSettings): NodeIdentity {
+  return {
+    nodeId: settings.nodeId,
+    role: Role.Scheduler,
+    incarnation: createIncarnation(),
+    availabilityZone: settings.availabilityZone,
+    seedPeers: settings.peers,
+  };
+}
+
+function createPlatformPerformers(baseUrl: string) {
+  const connection = new PlatformConnection({ baseUrl });
+  return [
+    new TablePerformer(new HttpTableStore(connection)),
+    new ObjectPerformer(new HttpObjectStore(connection)),
+    new InstanceListPerformer(new HttpInstanceList(connection)),
+  ];
+}
+
+parseSettings(SCHEDULER_SETTINGS, {
+  command: "mustardweir-scheduler",
+  description: "Owns homes of teams and slices of instances",
+}).match((settings) => void main(settings), exitOnSettingError);
--- a/packages/scheduler/src/mod.ts
+++ b/packages/scheduler/src/mod.ts
@@ -1,1 +1,1 @@
-export {};
+export * from "./settings.ts";
