Add the command line for operators and submitters

Change: apply, drain, return, keys, submit, status, cancel and teams over the entry's HTTP; edits of one zone or key are made again when another edit came first, whole sections never. Exit codes tell refused, usage, unreachable and stale apart; every failure is one line.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,1 +1,8 @@
-export {};
+/** The binary mustardweir. */
+import { runCli } from "./mod.ts";
+
+process.exitCode = await runCli({
+  argv: process.argv.slice(2),
+  print: (line) => process.stdout.write(`${line}\n`),
+  printError: (line) => process.stderr.write(`${line}\n`),
+});
--- a/packages/cli/src/mod.ts
+++ b/packages/cli/src/mod.ts
@@ -1,1 +1,5 @@
-export {};
+export * from "./cli_error.ts";
+export * from "./config_file.ts";
+export * from "./entry_client.ts";
+export * from "./format.ts";
+export * from "./program.ts";
