--- a/packages/admission/src/admission_plugin.ts
+++ b/packages/admission/src/admission_plugin.ts
@@ -34,7 +34,6 @@
   count,
   EffectKind,
   HomeCallKind,
-  logChange,
   NODE_IDENTITY,
   nodeEffect,
   PEER_MESSAGE_RECEIVED,
@@ -319,11 +318,7 @@
 }
 
 function onStopRequested(_request: unknown, update: Update): void {
-  const state = update.write(ADMISSION);
-  if (!state.isStopping) {
-    state.isStopping = true;
-    update.emit(logChange("Stopping", { pending: state.pending.size }));
-  }
+  update.write(ADMISSION).isStopping = true;
 }
 
 function drive(update: Update): void {
