Test the runtime; ping from the dialling side only

Cause: both sides pinged each link, twice the frames that finding a silent connection needs. The event loop woke a second time for periodic work whose due time has a fraction: 18 turns for 10 runs every 20.5 ms.

Ruled out: HTTP/2 pings, which an intermediary may answer and which do not show that the peer's loop runs.

The loop rounds its sleep up. Tables of cases for settings, logs, metrics, the loop and the life cycle.

--- a/packages/runtime/src/event_loop.ts
+++ b/packages/runtime/src/event_loop.ts
@@ -113,7 +113,9 @@
     clearTimeout(this.#timer);
     const now = this.#clock.now();
     const delay = Math.min(this.#kernel.nextDue(now) - now, MAX_SLEEP_MS);
-    this.#timer = setTimeout(() => this.#schedule(), Math.max(delay, 0));
+    // Timers cut fractions off; too early a wake finds nothing due.
+    const wholeMs = Math.floor(Math.max(delay, 0)) + 1;
+    this.#timer = setTimeout(() => this.#schedule(), wholeMs);
   }
 
   #perform(effects: readonly unknown[]): void {
--- /dev/null
+++ b/packages/runtime/src/event_loop_test.ts
@@ -0,0 +1,151 @@
+import {
+  CommandPriority,
+  createCommand,
+  Kernel,
+  type Update,
+} from "@mustardweir/kernel";
+import {
+  count,
+  type CountEffect,
+  EffectKind,
+  type NodeEffect,
+} from "@mustardweir/protocol";
+import { expect } from "chai";
+import { EventLoop, type EventSink, Performer, SystemClock } from "./mod.ts";
+
+const WAIT_LIMIT_MS = 10_000;
+const NUMBERS = Array.from({ length: 1_000 }, (_, index) => String(index));
+const NAMED = createCommand<string>("named");
+
+/** Notes counters in order; posts an answer to those named `ask-…`. */
+class NotingPerformer extends Performer {
+  override readonly kinds = [EffectKind.Count];
+  readonly notes: string[] = [];
+  closed = false;
+
+  override perform(effect: NodeEffect, sink: EventSink): void {
+    const { counter } = effect as CountEffect;
+    this.notes.push(counter);
+    if (counter.startsWith("ask-")) {
+      sink.post(NAMED, counter.replace("ask-", "answer-"));
+    }
+  }
+
+  override close(): Promise<void> {
+    this.closed = true;
+    return Promise.resolve();
+  }
+}
+
+/** The system's clock, counting how often it is read. */
+class CountingClock extends SystemClock {
+  reads = 0;
+
+  override now(): number {
+    this.reads += 1;
+    return super.now();
+  }
+}
+
+function emitName(name: string, update: Update): void {
+  update.emit(count(name));
+}
+
+interface LoopCase {
+  readonly name: string;
+  readonly post: (loop: EventLoop) => void;
+  readonly periodicMs?: number;
+  readonly notes: readonly string[];
+}
+
+const LOOP_CASES: readonly LoopCase[] = [
+  {
+    name: "events in the order in which they were posted",
+    post: (loop) => ["a", "b", "c"].forEach((name) => loop.post(NAMED, name)),
+    notes: ["a", "b", "c"],
+  },
+  {
+    name: "answers after the events that were there before",
+    post: (loop) => ["ask-1", "b"].forEach((name) => loop.post(NAMED, name)),
+    notes: ["ask-1", "b", "answer-1"],
+  },
+  {
+    name: "more events than fit one turn",
+    post: (loop) => NUMBERS.forEach((name) => loop.post(NAMED, name)),
+    notes: NUMBERS,
+  },
+  {
+    name: "periodic work without events",
+    post: () => {},
+    periodicMs: 10,
+    notes: ["periodic", "periodic", "periodic"],
+  },
+];
+
+async function waitUntil(condition: () => boolean): Promise<void> {
+  const end = performance.now() + WAIT_LIMIT_MS;
+  while (!condition() && performance.now() < end) {
+    await new Promise((resolve) => setTimeout(resolve, 1));
+  }
+}
+
+function createKernel(periodicMs?: number): Kernel {
+  const kernel = new Kernel();
+  kernel.registerCommand(NAMED, emitName, CommandPriority.Normal);
+  if (periodicMs !== undefined) {
+    kernel.registerPeriodic({
+      intervalMs: periodicMs,
+      run: (update) => update.emit(count("periodic")),
+    });
+  }
+  return kernel;
+}
+
+describe("EventLoop", () => {
+  for (const { name, post, periodicMs, notes } of LOOP_CASES) {
+    it(`runs ${name}`, async () => {
+      const performer = new NotingPerformer();
+      const kernel = createKernel(periodicMs);
+      const loop = new EventLoop({ kernel, performers: [performer] });
+      await loop.start();
+      post(loop);
+      await waitUntil(() => performer.notes.length >= notes.length);
+      await loop.stop();
+      expect(performer.notes.slice(0, notes.length)).to.deep.equal(notes);
+      expect(performer.closed).to.equal(true);
+    });
+  }
+
+  it("wakes no more than its periodic work needs", async () => {
+    const clock = new CountingClock();
+    const performer = new NotingPerformer();
+    const kernel = createKernel(20.5);
+    const loop = new EventLoop({ kernel, performers: [performer], clock });
+    await loop.start();
+    await waitUntil(() => performer.notes.length >= 10);
+    await loop.stop();
+    // A turn without events reads the clock twice: for the periodic work and
+    // for the sleep. A timer may now and then fire a little early.
+    const turns = clock.reads / 2;
+    expect(turns).to.be.at.most(1.5 * performer.notes.length);
+  });
+
+  it("sleeps without work", async () => {
+    const clock = new CountingClock();
+    const loop = new EventLoop({
+      kernel: createKernel(),
+      performers: [],
+      clock,
+    });
+    await loop.start();
+    await new Promise((resolve) => setTimeout(resolve, 200));
+    await loop.stop();
+    expect(clock.reads).to.be.at.most(2);
+  });
+
+  it("throws on two performers of one effect", () => {
+    const performers = [new NotingPerformer(), new NotingPerformer()];
+    expect(() => new EventLoop({ kernel: createKernel(), performers }))
+      .to.throw("effect count has two performers");
+  });
+});
--- /dev/null
+++ b/packages/runtime/src/run_node_test.ts
@@ -0,0 +1,181 @@
+import {
+  CommandPriority,
+  type Kernel,
+  Plugin,
+  registerPlugin,
+  Role,
+  type Undo,
+} from "@mustardweir/kernel";
+import {
+  EffectKind,
+  logChange,
+  NODE_IDENTITY,
+  nodeEffect,
+  type NodeIdentity,
+  STOP_REQUESTED,
+} from "@mustardweir/protocol";
+import { expect } from "chai";
+import { createLogger, Performer, ProcessHost, runNode } from "./mod.ts";
+
+const WAIT_LIMIT_MS = 10_000;
+
+/** A process whose signals and exits are the test's. */
+class FakeHost extends ProcessHost {
+  readonly exits: number[] = [];
+  signal: () => void = () => {};
+  crash: (error: unknown) => void = () => {};
+
+  override onStopSignal(listener: () => void): Undo {
+    this.signal = listener;
+    return () => {};
+  }
+
+  override onUncaught(listener: (error: unknown) => void): Undo {
+    this.crash = listener;
+    return () => {};
+  }
+
+  override exit(code: number): void {
+    this.exits.push(code);
+  }
+}
+
+/** Answers a stop request at once, after a line that names the node. */
+class StoppingPlugin extends Plugin {
+  override readonly name = "stopping";
+
+  override register(kernel: Kernel): Undo {
+    return kernel.registerCommand(STOP_REQUESTED, (_payload, update) => {
+      const { nodeId } = update.service(NODE_IDENTITY);
+      update.emit(nodeEffect({ kind: EffectKind.Stopped }));
+      update.emit(logChange("Saying goodbye", { nodeId }));
+    }, CommandPriority.Normal);
+  }
+}
+
+class FailingPerformer extends Performer {
+  override readonly kinds = [EffectKind.SendPeer];
+
+  override start(): Promise<void> {
+    return Promise.reject(new Error("Port is in use"));
+  }
+
+  override perform(): void {}
+}
+
+interface NodeCase {
+  readonly name: string;
+  /** Only schedulers have the plug-in that answers a stop request. */
+  readonly role: Role;
+  readonly performers?: readonly Performer[];
+  readonly act: (host: FakeHost) => void;
+  readonly exit: number;
+  /** Text of the last line. */
+  readonly line: string;
+}
+
+const NODE_CASES: readonly NodeCase[] = [
+  {
+    name: "a planned stop",
+    role: Role.Scheduler,
+    act: (host) => host.signal(),
+    exit: 0,
+    line: 'Saying goodbye nodeId="n1"',
+  },
+  {
+    name: "a stop that takes too long",
+    role: Role.Entry,
+    act: (host) => host.signal(),
+    exit: 1,
+    line: "Stop timed out",
+  },
+  {
+    name: "a second signal",
+    role: Role.Entry,
+    act: (host) => {
+      host.signal();
+      host.signal();
+    },
+    exit: 1,
+    line: "Stopping",
+  },
+  {
+    name: "an error that nobody caught",
+    role: Role.Scheduler,
+    act: (host) => host.crash(new Error("Broken")),
+    exit: 1,
+    line: "Error: Broken",
+  },
+  {
+    name: "a performer that can't start",
+    role: Role.Scheduler,
+    performers: [new FailingPerformer()],
+    act: () => {},
+    exit: 1,
+    line: "Port is in use",
+  },
+];
+
+function identityOf(role: Role): NodeIdentity {
+  return {
+    nodeId: "n1",
+    role,
+    incarnation: "1",
+    availabilityZone: "tx-a",
+    seedPeers: [],
+  };
+}
+
+describe("runNode", () => {
+  let undo: Undo = () => {};
+
+  before(() => {
+    undo = registerPlugin({
+      name: "stopping",
+      roles: [Role.Scheduler],
+      create: () => new StoppingPlugin(),
+    });
+  });
+
+  after(() => undo());
+
+  for (const { name, role, performers = [], act, exit, line } of NODE_CASES) {
+    it(`exits with ${exit} after ${name}`, async () => {
+      const host = new FakeHost();
+      const lines: string[] = [];
+      const node = await runNode({
+        identity: identityOf(role),
+        performers,
+        logger: createLogger({
+          node: "n1",
+          write: (text) => lines.push(text),
+        }),
+        stopTimeoutMs: 100,
+        host,
+      });
+      act(host);
+      const end = performance.now() + WAIT_LIMIT_MS;
+      while (host.exits.length === 0 && performance.now() < end) {
+        await new Promise((resolve) => setTimeout(resolve, 1));
+      }
+      await node?.loop.stop();
+      expect(host.exits).to.deep.equal([exit]);
+      expect(lines.at(-1)).to.include(line);
+      expect(lines.at(-1)?.split("\n")).to.have.length(2);
+    });
+  }
+
+  it("prints one line when it is ready", async () => {
+    const lines: string[] = [];
+    const node = await runNode({
+      identity: identityOf(Role.Scheduler),
+      performers: [],
+      logger: createLogger({ node: "n1", write: (text) => lines.push(text) }),
+      listening: () => ({ port: 7_500 }),
+      host: new FakeHost(),
+    });
+    await node?.loop.stop();
+    expect(lines).to.have.length(1);
+    expect(lines[0]).to.match(/scheduler is ready port=7500\n$/);
+  });
+});
--- a/packages/wire/src/link.ts
+++ b/packages/wire/src/link.ts
@@ -2,7 +2,11 @@
 import type { NodeIdentity } from "@mustardweir/protocol";
 import { type Frame, FrameSchema } from "./gen/mustardweir/link/v1/link_pb.ts";
 import type { OutgoingMessage } from "./outbox.ts";
-import { PingMonitor } from "./ping_monitor.ts";
+import {
+  ListenMonitor,
+  PingMonitor,
+  type SilenceMonitor,
+} from "./silence_monitor.ts";
 
 /** Which side opened the stream of a link. */
 export enum LinkSide {
@@ -67,7 +71,7 @@
 export class Link {
   readonly side: LinkSide;
   readonly #options: LinkOptions;
-  readonly #pings: PingMonitor;
+  readonly #silence: SilenceMonitor;
   #hello: LinkHello | undefined;
   #closed = false;
   #draining = false;
@@ -78,10 +82,13 @@
   constructor(options: LinkOptions) {
     this.#options = options;
     this.side = options.side;
-    this.#pings = new PingMonitor({
+    const timing = {
       timeoutMs: options.pingTimeoutMs,
       openedAt: options.openedAt,
-    });
+    };
+    this.#silence = options.side === LinkSide.Dialled
+      ? new PingMonitor(timing)
+      : new ListenMonitor(timing);
   }
 
   /** The peer's first frame; undefined until it was taken. */
@@ -146,11 +153,11 @@
     }
   }
 
-  /** Pings the peer, or closes the link when it has been silent too long. */
-  ping(now: number): void {
-    if (!this.#pings.tick(now)) {
+  /** Closes the link when it is silent; otherwise sends a ping if one is due. */
+  tick(now: number): void {
+    if (!this.#silence.tick(now)) {
       this.close(LinkEnd.Silent);
-    } else if (this.live) {
+    } else if (this.side === LinkSide.Dialled) {
       this.wake();
     }
   }
@@ -178,7 +185,7 @@
     if (this.#hello === undefined && !this.#greet(frame)) {
       return;
     }
-    this.#pings.answered(frame.pongId);
+    this.#silence.heard(frame.pongId);
     for (const envelope of frame.envelopes) {
       this.#options.observer.received(this, envelope);
     }
@@ -197,7 +204,6 @@
       return false;
     }
     this.#hello = hello;
-    this.#pings.greeted();
     this.wake();
     return true;
   }
@@ -209,7 +215,7 @@
 
   #nextFrame(): Frame | undefined {
     const envelopes = this.#options.observer.takeMessages(this);
-    const pingId = this.#pings.takePing();
+    const pingId = this.#silence.takePing();
     const pongId = this.#pongId;
     this.#pongId = 0;
     if (envelopes.length === 0 && pingId === 0 && pongId === 0) {
--- a/packages/wire/src/link_table.ts
+++ b/packages/wire/src/link_table.ts
@@ -95,11 +95,11 @@
     peer.newest?.wake();
   }
 
-  /** Pings every link, drops what waits too long, forgets unused peers. */
+  /** Looks after every link, drops what waits too long, forgets unused peers. */
   tick(): void {
     const now = performance.now();
     for (const link of this.links) {
-      link.ping(now);
+      link.tick(now);
     }
     for (const peer of this.peers) {
       this.#expire(peer, now);
