Add the harness of the proofs: real kernels over fakes on virtual time

Ruled out: a simulator of sockets and processes; the kernels take events and return effects, so small fakes at the effects are enough. Change: schedulers, entries and workers on one virtual clock, a table of commands, one oracle for each point, drawn and shrunk by fast-check.

--- /dev/null
+++ b/packages/prove/src/prover.ts
@@ -0,0 +1,162 @@
+import fc from "fast-check";
+import type { History } from "./history.ts";
+import type { Oracle } from "./oracle.ts";
+import { ORACLES } from "./oracles/mod.ts";
+import type { Point } from "./point.ts";
+import { runScenario, type Scenario } from "./scenario.ts";
+import { scenarioArbitrary } from "./scenarios.ts";
+import type { Tampering } from "./simulation/tampering.ts";
+
+/** Longest search for a shorter failing scenario, in milliseconds. */
+const SHRINK_LIMIT_MS = 60_000;
+
+export interface ProveOptions {
+  /** All points by default. */
+  readonly point?: Point;
+  readonly seed: number;
+  /** Runs that each point must get. */
+  readonly runs: number;
+  /** Most runs altogether; those that a point is not about count here. */
+  readonly maxRuns?: number;
+  /** Looked at after each run; true ends the proof. */
+  readonly shouldStop?: () => boolean;
+  readonly tampering?: () => Tampering;
+  /** False keeps the first failing scenario as it is. */
+  readonly shrinks?: boolean;
+}
+
+/** What was seen of a point. */
+export interface Tally {
+  readonly point: Point;
+  /** Runs that contained what the point is about. */
+  runs: number;
+  /** Events that the point is about. */
+  events: number;
+}
+
+/** A scenario that broke points, as short as it was found. */
+export interface Failure {
+  /** Give this and the path to replay it. */
+  readonly seed: number;
+  readonly path: string;
+  readonly scenario: Scenario;
+  readonly breaches: readonly Breach[];
+}
+
+export interface Breach {
+  readonly point: Point;
+  readonly message: string;
+}
+
+export interface Proof {
+  readonly tallies: readonly Tally[];
+  /** Runs altogether. */
+  readonly runs: number;
+  readonly failure?: Failure;
+}
+
+/**
+ * Runs scenarios until each point has its runs, or one breaks a point.
+ *
+ * @example
+ * ```ts
+ * const proof = prove({ seed: 1, runs: 300 });
+ * ```
+ */
+export function prove(options: ProveOptions): Proof {
+  const oracles = ORACLES.filter(({ point }) =>
+    options.point === undefined || point === options.point
+  );
+  const tallies = oracles.map(({ point }) => ({ point, runs: 0, events: 0 }));
+  const { maxRuns = Infinity, shouldStop = () => false } = options;
+  let runs = 0;
+  while (runs < maxRuns && tallies.some((t) => t.runs < options.runs)) {
+    const seed = options.seed + runs;
+    const failure = runOnce(seed, options, (history) => {
+      count(history, { oracles, tallies });
+      return judge(history, oracles);
+    });
+    runs += 1;
+    if (failure !== undefined) {
+      return { tallies, runs, failure };
+    }
+    if (shouldStop()) {
+      break;
+    }
+  }
+  return { tallies, runs };
+}
+
+type Judge = (history: History) => readonly Breach[];
+
+function runOnce(
+  seed: number,
+  options: ProveOptions,
+  judgeRun: Judge,
+): Failure | undefined {
+  let breaches: readonly Breach[] = [];
+  const { shrinks = true, point, tampering } = options;
+  const details = fc.check(
+    fc.property(scenarioArbitrary(point), (scenario) => {
+      const found = judgeRun(runScenario(scenario, tampering?.()));
+      breaches = found.length > 0 ? found : breaches;
+      return found.length === 0;
+    }),
+    {
+      seed,
+      numRuns: 1,
+      endOnFailure: !shrinks,
+      interruptAfterTimeLimit: SHRINK_LIMIT_MS,
+    },
+  );
+  if (!details.failed || details.counterexample === null) {
+    return undefined;
+  }
+  const [scenario] = details.counterexample;
+  const path = details.counterexamplePath ?? "";
+  return { seed, path, scenario, breaches };
+}
+
+/** Runs a failing scenario again. */
+export function replay(
+  seed: number,
+  path: string,
+  point?: Point,
+): Scenario | undefined {
+  let scenario: Scenario | undefined;
+  fc.check(
+    fc.property(scenarioArbitrary(point), (drawn) => {
+      scenario = drawn;
+      return false;
+    }),
+    { seed, path, numRuns: 1, endOnFailure: true },
+  );
+  return scenario;
+}
+
+/** All breaches of a run. */
+export function judge(
+  history: History,
+  oracles: readonly Oracle[] = ORACLES,
+): Breach[] {
+  return oracles.flatMap((oracle) =>
+    oracle.findBreaches(history).map((message) => ({
+      point: oracle.point,
+      message,
+    }))
+  );
+}
+
+interface Counted {
+  readonly oracles: readonly Oracle[];
+  readonly tallies: readonly Tally[];
+}
+
+function count(history: History, { oracles, tallies }: Counted): void {
+  for (const [index, oracle] of oracles.entries()) {
+    const tally = tallies[index]!;
+    const events = oracle.countRelevant(history);
+    tally.events += events;
+    tally.runs += events > 0 ? 1 : 0;
+  }
+}
--- /dev/null
+++ b/packages/prove/src/scenarios.ts
@@ -0,0 +1,58 @@
+import fc from "fast-check";
+import { type Command, CommandKind, COMMANDS } from "./commands.ts";
+import type { Point } from "./point.ts";
+import type { Scenario } from "./scenario.ts";
+
+/** How much more often the commands of a point are drawn for it. */
+const FOCUS_FACTOR = 4;
+
+const MAX_COMMANDS = 30;
+const MAX_PICK = 999;
+
+/** Longest time between two commands, in milliseconds. */
+const MAX_GAP_MS = 3_000;
+
+/** Longest time that a command speaks of, in milliseconds. */
+const MAX_FOR_MS = 8_000;
+
+/** Schedulers of a run. */
+const SCHEDULERS = [3, 3, 3, 6];
+
+/** Draws scenarios, for all points or with more of what one is about. */
+export function scenarioArbitrary(point?: Point): fc.Arbitrary<Scenario> {
+  return fc.noBias(fc.record({
+    chance: fc.noShrink(fc.integer({ min: 1, max: 0x3fff_ffff })),
+    schedulers: fc.noShrink(fc.constantFrom(...SCHEDULERS)),
+    commands: fc.array(commandArbitrary(point), {
+      minLength: 1,
+      maxLength: MAX_COMMANDS,
+      size: "max",
+    }),
+  }));
+}
+
+function commandArbitrary(point: Point | undefined): fc.Arbitrary<Command> {
+  return fc.record({
+    kind: kindArbitrary(point),
+    gapMs: fc.oneof(
+      { weight: 3, arbitrary: fc.nat(60) },
+      { weight: 4, arbitrary: fc.nat(800) },
+      { weight: 2, arbitrary: fc.nat(MAX_GAP_MS) },
+    ),
+    pick: fc.nat(MAX_PICK),
+    other: fc.nat(MAX_PICK),
+    forMs: fc.nat(MAX_FOR_MS),
+  });
+}
+
+function kindArbitrary(point: Point | undefined): fc.Arbitrary<CommandKind> {
+  return fc.oneof(
+    ...Object.values(CommandKind).map((kind) => {
+      const { weight, points } = COMMANDS[kind];
+      const isFocus = point !== undefined && points.includes(point) &&
+        kind !== CommandKind.Submit;
+      const arbitrary = fc.constant(kind);
+      return { weight: isFocus ? weight * FOCUS_FACTOR : weight, arbitrary };
+    }),
+  );
+}
--- /dev/null
+++ b/packages/prove/src/simulation/cluster.ts
@@ -0,0 +1,437 @@
+import "../plugins.ts";
+import {
+  CONFIGURATION,
+  CONFIGURATION_ROW,
+  isConfirmed,
+  parseDocument,
+} from "@mustardweir/configuration";
+import { Random, Role } from "@mustardweir/kernel";
+import {
+  type Configuration,
+  EMPTY_CONFIGURATION,
+  scaleResources,
+} from "@mustardweir/model";
+import {
+  ALL_PEERS,
+  answerPayload,
+  CALLER_REQUESTED,
+  type CallerCall,
+  EffectKind,
+  type NodeEffect,
+  PEER_MESSAGE_RECEIVED,
+  type PeerMessage,
+  type ReplyTo,
+  STOP_REQUESTED,
+  type SyncResult,
+  SyncResultKind,
+  type SyncTargetEffect,
+  type Transaction,
+} from "@mustardweir/protocol";
+import {
+  FLEET,
+  initialObjects,
+  initialRow,
+  keyHash,
+  OPERATOR_KEY,
+  ZONES,
+} from "../fleet.ts";
+import { type Call, History, type Submission } from "../history.ts";
+import { Network } from "./network.ts";
+import { ProcessState, SimulatedNode } from "./node.ts";
+import { NO_STORE_FAULTS, SimulatedStore } from "./store.ts";
+import { Tampering } from "./tampering.ts";
+import { VirtualClock } from "./virtual_clock.ts";
+import { WorkerHost } from "./worker_host.ts";
+
+/** Virtual time 0 as wall-clock time, in milliseconds since 1970. */
+const WALL_START_MS = 1_800_000_000_000;
+
+/** Time between looks at what processes have in force. */
+const PROBE_MS = 500;
+
+/** A planned stop that takes longer is cut, in milliseconds. */
+const STOP_TIMEOUT_MS = 10_000;
+
+/** How much more a worker really has than its inventory says. */
+const AMPLE_FACTOR = 4;
+
+/** How much of it a worker has that the inventory overstates. */
+const SHORT_FACTOR = 0.5;
+
+/** A part of the workers whose inventory is overstated, one in. */
+const SHORT_ONE_IN = 8;
+
+export interface ClusterOptions {
+  /** Seed of all chance. */
+  readonly seed: number;
+  /** 3 by default. */
+  readonly schedulers?: number;
+  readonly tampering?: Tampering;
+}
+
+export interface CallOptions {
+  readonly entryId: string;
+  readonly keyId: string;
+  readonly team?: string;
+  readonly ttlMs?: number;
+  readonly submission?: Submission;
+}
+
+const ENTRY_IDS = ["e1", "e2"];
+const DEFAULT_TTL_MS = 6_000;
+
+/** Schedulers, entries and workers over fakes, on virtual time. */
+export class Cluster {
+  readonly clock = new VirtualClock();
+  readonly history = new History();
+  readonly random: Random;
+  readonly network: Network;
+  readonly store: SimulatedStore;
+  readonly nodes = new Map<string, SimulatedNode>();
+  readonly workers = new Map<string, WorkerHost>();
+  readonly schedulerIds: string[];
+  readonly entryIds: readonly string[] = ENTRY_IDS;
+  readonly #tampering: Tampering;
+  #starts = 0;
+  #requests = 0;
+
+  constructor(options: ClusterOptions) {
+    const { clock } = this;
+    this.random = new Random(options.seed);
+    this.#tampering = options.tampering ?? new Tampering();
+    this.network = new Network({ clock, random: this.#fork() });
+    this.store = new SimulatedStore({
+      clock,
+      random: this.#fork(),
+      onCommit: (transaction) => this.#noteCommit(transaction),
+    });
+    this.schedulerIds = [...Array(options.schedulers ?? 3).keys()]
+      .map((index) => `s${index + 1}`);
+    this.#initialise();
+  }
+
+  get now(): number {
+    return this.clock.now;
+  }
+
+  run(forMs: number): void {
+    this.clock.runUntil(this.now + forMs);
+  }
+
+  /** Makes a call; its answers are noted in the history. */
+  call(call: CallerCall, options: CallOptions): Call {
+    const node = this.nodes.get(options.entryId)!;
+    const ttlMs = options.ttlMs ?? DEFAULT_TTL_MS;
+    const made: Call = {
+      requestId: `r${++this.#requests}`,
+      entryId: node.nodeId,
+      incarnation: node.identity.incarnation,
+      keyId: options.keyId,
+      team: options.team,
+      submission: options.submission,
+      call,
+      sentAt: this.now,
+      ttlMs,
+      answers: [],
+      isCut: node.state !== ProcessState.Running,
+    };
+    this.history.calls.set(made.requestId, made);
+    node.post(CALLER_REQUESTED, {
+      requestId: made.requestId,
+      keyHash: keyHash(options.keyId),
+      wallMs: WALL_START_MS + this.now,
+      ttlMs,
+      call,
+    });
+    return made;
+  }
+
+  pause(nodeId: string): void {
+    this.#noteFault(nodeId);
+    this.nodes.get(nodeId)?.pause();
+  }
+
+  kill(nodeId: string): void {
+    this.#noteFault(nodeId);
+    this.#end(nodeId);
+  }
+
+  /** Starts a process of this name in the place of an earlier one. */
+  start(nodeId: string): void {
+    const old = this.nodes.get(nodeId);
+    if (old !== undefined && old.state !== ProcessState.Dead) {
+      return;
+    }
+    const role = ENTRY_IDS.includes(nodeId) ? Role.Entry : Role.Scheduler;
+    const availabilityZone = this.#zoneOf(nodeId);
+    const node = new SimulatedNode({
+      identity: {
+        nodeId,
+        role,
+        incarnation: `${nodeId}-${++this.#starts}`,
+        availabilityZone,
+        seedPeers: this.schedulerIds.map(addressOf),
+      },
+      operatorKeyHash: keyHash(OPERATOR_KEY),
+      clock: this.clock,
+      random: this.#fork(),
+      tampering: this.#tampering,
+      perform: (from, effect) => this.#perform(from, effect),
+    });
+    this.nodes.set(nodeId, node);
+    if (role === Role.Scheduler) {
+      const address = addressOf(nodeId).address;
+      const instance = { nodeId, role, address, availabilityZone };
+      this.store.putInstance({ ...instance, leaving: false });
+    }
+  }
+
+  /** Asks a process to stop as planned. */
+  stop(nodeId: string): void {
+    const node = this.nodes.get(nodeId)!;
+    if (node.state !== ProcessState.Running || node.isStopping) {
+      return;
+    }
+    node.markStopping();
+    const { role, incarnation } = node.identity;
+    const stop = { nodeId, incarnation, role, at: this.now, isCut: false };
+    this.history.stops.push(stop);
+    node.post(STOP_REQUESTED, {});
+    this.clock.after(STOP_TIMEOUT_MS, () => {
+      if (this.nodes.get(nodeId) === node) {
+        this.#end(nodeId);
+      }
+    });
+  }
+
+  /** Has the platform's list show a worker's instance as leaving. */
+  leaveTarget(instanceId: string): void {
+    this.#listTarget(instanceId, true);
+    const at = this.now;
+    this.history.leaving.push({ instanceId, at, until: Infinity });
+  }
+
+  /** Ends all faults and starts what is down. */
+  heal(): void {
+    this.network.heal();
+    this.store.faults = NO_STORE_FAULTS;
+    for (const worker of this.workers.values()) {
+      worker.state.setFaults({ failEverything: false, lieFactor: 1 });
+    }
+    for (const node of [...this.nodes.values()]) {
+      node.resume();
+      this.start(node.nodeId);
+    }
+    for (const leaving of this.history.leaving) {
+      this.#listTarget(leaving.instanceId, false);
+      leaving.until = this.now;
+    }
+    this.history.healedAt = this.now;
+  }
+
+  noteFault(): void {
+    this.history.faults.push(this.now);
+  }
+
+  #initialise(): void {
+    initialObjects().forEach((body, key) => this.store.objects.set(key, body));
+    this.store.apply({
+      checks: [],
+      puts: [{ key: CONFIGURATION_ROW, value: initialRow() }],
+      deletes: [],
+    });
+    FLEET.forEach(({ instanceId, capacity }) => {
+      const isShort = this.random.below(SHORT_ONE_IN) === 0;
+      const factor = isShort ? SHORT_FACTOR : AMPLE_FACTOR;
+      const state = this.#tampering.createWorker({
+        capacity: scaleResources(capacity, factor),
+        incarnation: instanceId,
+      });
+      const worker = new WorkerHost({
+        instanceId,
+        state,
+        clock: this.clock,
+        random: this.#fork(),
+        listener: this.history,
+      });
+      this.workers.set(instanceId, worker);
+    });
+    [...this.schedulerIds, ...ENTRY_IDS].forEach((id) => this.start(id));
+    this.clock.after(PROBE_MS, () => this.#probe());
+  }
+
+  #listTarget(instanceId: string, leaving: boolean): void {
+    const { availabilityZone } = FLEET.find((instance) =>
+      instance.instanceId === instanceId
+    )!;
+    const instance = { nodeId: instanceId, role: "worker", address: "" };
+    this.store.putInstance({ ...instance, availabilityZone, leaving });
+  }
+
+  #fork(): Random {
+    return new Random(this.random.below(0x4000_0000));
+  }
+
+  #zoneOf(nodeId: string): string {
+    const index = Number.parseInt(nodeId.slice(1), 10);
+    return ZONES[index % ZONES.length]!;
+  }
+
+  #end(nodeId: string): void {
+    this.nodes.get(nodeId)?.kill();
+    this.#cut(nodeId);
+  }
+
+  #noteFault(nodeId: string): void {
+    this.noteFault();
+    this.#cut(nodeId);
+  }
+
+  /** Calls at this entry may stay without an answer. */
+  #cut(nodeId: string): void {
+    for (const call of this.history.calls.values()) {
+      if (call.entryId === nodeId && call.answers.length === 0) {
+        call.isCut = true;
+      }
+    }
+    for (const stop of this.history.stops) {
+      stop.isCut ||= stop.nodeId === nodeId && stop.stoppedAt === undefined;
+    }
+  }
+
+  #perform(from: SimulatedNode, effect: NodeEffect): void {
+    const perform = PERFORMERS[effect.kind] as Perform<NodeEffect>;
+    perform(this, from, effect);
+  }
+
+  /** @internal */
+  sendPeer(from: SimulatedNode, to: string, message: PeerMessage): void {
+    const receivers = to === ALL_PEERS
+      ? [...this.nodes.values()].filter((node) => node !== from)
+      : [this.nodes.get(to)];
+    for (const receiver of receivers) {
+      const deliver = () =>
+        receiver?.post(PEER_MESSAGE_RECEIVED, { from: from.nodeId, message });
+      if (receiver === from) {
+        this.clock.after(0, deliver);
+      } else if (receiver !== undefined) {
+        this.network.send(from.nodeId, receiver.nodeId, deliver);
+      }
+    }
+  }
+
+  /** @internal */
+  syncTarget(from: SimulatedNode, effect: SyncTargetEffect): void {
+    const { instanceId, call, timeoutMs } = effect;
+    let isOver = false;
+    const finish = (result: SyncResult) => {
+      if (!isOver) {
+        isOver = true;
+        reply(from, effect.replyTo, result);
+      }
+    };
+    this.clock.after(from.localClock.toVirtualDuration(timeoutMs), () => {
+      finish({ kind: SyncResultKind.NoAnswer, message: "No answer in time" });
+    });
+    const worker = this.workers.get(instanceId);
+    this.network.send(from.nodeId, instanceId, () => {
+      worker?.sync(call, (result) => {
+        this.network.send(instanceId, from.nodeId, () => finish(result));
+      });
+    });
+  }
+
+  /** @internal */
+  noteStopped(node: SimulatedNode): void {
+    const stop = this.history.stops.find(({ incarnation }) =>
+      incarnation === node.identity.incarnation
+    );
+    if (stop !== undefined) {
+      stop.stoppedAt ??= this.now;
+    }
+    node.kill();
+  }
+
+  #noteCommit({ puts }: Transaction): void {
+    const row = puts.find(({ key }) => key === CONFIGURATION_ROW);
+    if (row !== undefined) {
+      const configuration = this.#readConfiguration(row.value);
+      this.history.versions.push({ configuration, committedAt: this.now });
+    }
+  }
+
+  #readConfiguration(value: string): Configuration {
+    const { version, sections } = parseDocument(value)._unsafeUnwrap();
+    const bodies = Object.entries(sections).map(([section, key]) => [
+      section,
+      JSON.parse(this.store.objects.get(key) ?? "null"),
+    ]);
+    return { ...EMPTY_CONFIGURATION, ...Object.fromEntries(bodies), version };
+  }
+
+  #probe(): void {
+    for (const node of this.nodes.values()) {
+      if (node.state === ProcessState.Running) {
+        const state = node.kernel.read(CONFIGURATION);
+        this.history.probes.push({
+          at: this.now,
+          nodeId: node.nodeId,
+          incarnation: node.identity.incarnation,
+          version: state.current.version,
+          isConfirmed: isConfirmed(state, node.localClock.now()),
+        });
+      }
+    }
+    this.clock.after(PROBE_MS, () => this.#probe());
+  }
+}
+
+type Perform<Kind> = (
+  cluster: Cluster,
+  from: SimulatedNode,
+  effect: Kind,
+) => void;
+
+type Performers = {
+  readonly [Kind in EffectKind]: Perform<Extract<NodeEffect, { kind: Kind }>>;
+};
+
+function ignore(): void {}
+
+const PERFORMERS: Performers = {
+  [EffectKind.SendPeer]: (cluster, from, { to, message }) =>
+    cluster.sendPeer(from, to, message),
+  [EffectKind.SyncTarget]: (cluster, from, effect) =>
+    cluster.syncTarget(from, effect),
+  [EffectKind.ScanTable]: ({ store }, from, effect) =>
+    store.scan(effect, (result) => reply(from, effect.replyTo, result)),
+  [EffectKind.CommitTable]: ({ store }, from, { transaction, replyTo }) =>
+    store.commit(transaction, (result) => reply(from, replyTo, result)),
+  [EffectKind.GetObject]: ({ store }, from, { key, replyTo }) =>
+    store.getObject(key, (result) => reply(from, replyTo, result)),
+  [EffectKind.PutObject]: ({ store }, from, { key, body, replyTo }) =>
+    store.putObject(key, body, (result) => reply(from, replyTo, result)),
+  [EffectKind.ListInstances]: ({ store }, from, { replyTo }) =>
+    store.listInstances((result) => reply(from, replyTo, result)),
+  [EffectKind.AnswerCaller]: ({ history, now }, _from, effect) => {
+    const { requestId, answer } = effect;
+    history.calls.get(requestId)?.answers.push({ at: now, answer });
+  },
+  [EffectKind.Stopped]: (cluster, from) => cluster.noteStopped(from),
+  [EffectKind.ConnectPeers]: ignore,
+  [EffectKind.Count]: ignore,
+  [EffectKind.Observe]: ignore,
+  [EffectKind.LogChange]: ignore,
+};
+
+function reply<Result>(
+  node: SimulatedNode,
+  replyTo: ReplyTo<Result>,
+  result: Result,
+): void {
+  node.post(replyTo.command, answerPayload(replyTo, result));
+}
+
+function addressOf(nodeId: string) {
+  return { nodeId, address: `${nodeId}:1` };
+}
--- /dev/null
+++ b/packages/prove/src/simulation/worker_host.ts
@@ -0,0 +1,154 @@
+import type { Random } from "@mustardweir/kernel";
+import {
+  type SyncCall,
+  type SyncResult,
+  SyncResultKind,
+} from "@mustardweir/protocol";
+import type {
+  TaskEnded,
+  TaskStarted,
+  WorkerListener,
+  WorkerState,
+} from "@mustardweir/worker";
+import { LocalClock } from "./local_clock.ts";
+import type { VirtualClock } from "./virtual_clock.ts";
+
+export interface WorkerHostOptions {
+  readonly instanceId: string;
+  readonly state: WorkerState;
+  readonly clock: VirtualClock;
+  readonly random: Random;
+  /** Hears of starts and ends in virtual time. */
+  readonly listener: RunListener;
+}
+
+export interface RunStarted extends TaskStarted {
+  readonly instanceId: string;
+}
+
+export interface RunEnded extends TaskEnded {
+  readonly instanceId: string;
+}
+
+/** Told of what really runs, in virtual time. */
+export abstract class RunListener {
+  abstract started(event: RunStarted): void;
+  abstract ended(event: RunEnded): void;
+}
+
+interface Waiter {
+  readonly call: SyncCall;
+  readonly respond: (result: SyncResult) => void;
+  isOver: boolean;
+}
+
+/** A worker on virtual time, with the long polls of the real one. */
+export class WorkerHost implements WorkerListener {
+  readonly instanceId: string;
+  readonly state: WorkerState;
+  readonly #clock: VirtualClock;
+  readonly #localClock: LocalClock;
+  readonly #listener: RunListener;
+  #waiters: Waiter[] = [];
+  #wakeAt = Infinity;
+
+  constructor(options: WorkerHostOptions) {
+    this.instanceId = options.instanceId;
+    this.state = options.state;
+    this.#clock = options.clock;
+    this.#localClock = new LocalClock(options.clock, options.random);
+    this.#listener = options.listener;
+    this.state.registerListener(this);
+  }
+
+  sync(call: SyncCall, respond: (result: SyncResult) => void): void {
+    const result = this.state.sync(call, this.#localClock.now());
+    const waits = call.waitMs > 0 && !hasCommands(call) &&
+      result.kind === SyncResultKind.Synced && !this.state.hasNews(call);
+    if (waits) {
+      this.#wait({ call, respond, isOver: false });
+    } else {
+      respond(result);
+    }
+    this.#settle();
+  }
+
+  restart(): void {
+    this.state.restart(this.#localClock.now());
+    this.#settle();
+  }
+
+  taskStarted(event: TaskStarted): void {
+    const { instanceId } = this;
+    this.#listener.started({
+      ...pick(event),
+      instanceId,
+      startedMs: this.#localClock.toVirtual(event.startedMs),
+    });
+  }
+
+  taskEnded(event: TaskEnded): void {
+    const { instanceId } = this;
+    this.#listener.ended({
+      ...pick(event),
+      instanceId,
+      end: event.end,
+      startedMs: this.#localClock.toVirtual(event.startedMs),
+      endedMs: this.#localClock.toVirtual(event.endedMs),
+    });
+  }
+
+  #wait(waiter: Waiter): void {
+    this.#waiters.push(waiter);
+    const { waitMs } = waiter.call;
+    this.#clock.after(this.#localClock.toVirtualDuration(waitMs), () => {
+      this.#answer(waiter);
+    });
+  }
+
+  #answer(waiter: Waiter): void {
+    if (waiter.isOver) {
+      return;
+    }
+    waiter.isOver = true;
+    this.#waiters = this.#waiters.filter((other) => other !== waiter);
+    waiter.respond(this.state.sync(waiter.call, this.#localClock.now()));
+  }
+
+  #settle(): void {
+    this.state.advance(this.#localClock.now());
+    for (const waiter of [...this.#waiters]) {
+      if (this.state.hasNews(waiter.call)) {
+        this.#answer(waiter);
+      }
+    }
+    this.#schedule();
+  }
+
+  #schedule(): void {
+    const due = this.state.nextDue(this.#localClock.now());
+    if (due === Infinity) {
+      return;
+    }
+    const at = this.#localClock.toVirtual(due) + 0.01;
+    if (at >= this.#wakeAt && this.#wakeAt > this.#clock.now) {
+      return;
+    }
+    this.#wakeAt = at;
+    this.#clock.after(at - this.#clock.now, () => {
+      if (this.#wakeAt === at) {
+        this.#wakeAt = Infinity;
+        this.#settle();
+      }
+    });
+  }
+}
+
+function pick({ sliceId, task, startedMs }: TaskStarted): TaskStarted {
+  return { sliceId, task, startedMs };
+}
+
+function hasCommands(call: SyncCall): boolean {
+  return call.starts.length > 0 || call.stops.length > 0 ||
+    call.throttles.length > 0 || call.acks.length > 0;
+}
