Keep asks to the slice epoch that they were made of

Cause: a home sent open asks again to whoever owned the slice now. After a scheduler was killed the new owner granted such an ask while the home, told by the new owner's inventory that the task did not run, asked another slice: the demo showed 4 tasks in two places, started 0 to 44 ms apart. Ruled out: worker fencing (all runs were under the newest epoch), doubled delivery (each start was sent once). Change: messages about asks go only to the epoch they were asked of, and only its answers count; what an older epoch was asked is settled by the inventory.

--- a/packages/demo/src/mod.ts
+++ b/packages/demo/src/mod.ts
@@ -1,1 +1,2 @@
-export {};
+export * from "./cluster.ts";
+export * from "./fleet_file.ts";
--- a/packages/home/src/answers.ts
+++ b/packages/home/src/answers.ts
@@ -28,12 +28,22 @@
 ): void {
   for (const answer of message.answers) {
     const task = home.bySeq.get(answer.seq);
-    if (task !== undefined && task.taskId === answer.taskId) {
+    if (task !== undefined && isAnswerTo(task, answer, message.sliceEpoch)) {
       applyAnswer(update, home, { task, answer });
     }
   }
 }
 
+/** A withdrawn ask that never came is answered without a task id. */
+function isAnswerTo(
+  task: HomeTask,
+  answer: AskAnswer,
+  sliceEpoch: number,
+): boolean {
+  return task.sliceEpoch === sliceEpoch &&
+    (answer.taskId === task.taskId || answer.taskId === "");
+}
+
 interface Answered {
   readonly task: HomeTask;
   readonly answer: AskAnswer;
--- a/packages/home/src/ask_messages.ts
+++ b/packages/home/src/ask_messages.ts
@@ -48,11 +48,11 @@
   home: Home,
   { sliceId, tasks }: SliceMessageOptions,
 ): void {
-  sendToSlice(update, home, sliceId, (address) => ({
+  sendToSlice(update, home, { sliceId, tasks }, (address, current) => ({
     ...address,
     kind: PeerMessageKind.AskRoom,
     floor: lowestSeq(home),
-    asks: tasks.map((task) => toAsk(update, home, task)),
+    asks: current.map((task) => toAsk(update, home, task)),
   }));
   for (const task of tasks) {
     task.sentAt = update.now;
@@ -68,10 +68,10 @@
   for (const task of tasks) {
     task.withdrawn = true;
   }
-  sendToSlice(update, home, sliceId, (address) => ({
+  sendToSlice(update, home, { sliceId, tasks }, (address, current) => ({
     ...address,
     kind: PeerMessageKind.WithdrawAsks,
-    seqs: tasks.map((task) => task.seq),
+    seqs: current.map((task) => task.seq),
   }));
 }
 
@@ -81,10 +81,10 @@
   home: Home,
   { sliceId, tasks }: SliceMessageOptions,
 ): void {
-  sendToSlice(update, home, sliceId, (address) => ({
+  sendToSlice(update, home, { sliceId, tasks }, (address, current) => ({
     ...address,
     kind: PeerMessageKind.CommitHolds,
-    seqs: tasks.map((task) => task.seq),
+    seqs: current.map((task) => task.seq),
   }));
 }
 
@@ -98,10 +98,10 @@
     task.stopping = true;
     task.sentAt = update.now;
   }
-  sendToSlice(update, home, options.sliceId, (address) => ({
+  sendToSlice(update, home, options, (address, current) => ({
     ...address,
     kind: PeerMessageKind.StopTasks,
-    taskIds: options.tasks.map((task) => task.taskId),
+    taskIds: current.map((task) => task.taskId),
     mode: options.mode,
   }));
 }
@@ -115,21 +115,29 @@
 
 type PeerMessageOf = Parameters<typeof sendPeer>[1];
 
+/**
+ * Sends a message about those tasks that were asked of the slice's present
+ * epoch. What an earlier epoch was asked is settled by the inventory of the
+ * new one: it can't tell whether the old owner has started a task.
+ */
 function sendToSlice(
   update: Update,
   home: Home,
-  sliceId: string,
-  compose: (address: Address) => PeerMessageOf,
+  { sliceId, tasks }: SliceMessageOptions,
+  compose: (address: Address, current: readonly HomeTask[]) => PeerMessageOf,
 ): void {
   const owner = resolveOwner(update, sliceUnit(sliceId));
   if (owner === undefined) {
     return;
   }
   const sliceEpoch = owner.epoch;
+  const current = tasks.filter((task) => task.sliceEpoch === sliceEpoch);
+  if (current.length === 0) {
+    return;
+  }
   const { team, epoch: homeEpoch } = home;
-  update.emit(
-    sendPeer(owner.nodeId, compose({ team, homeEpoch, sliceId, sliceEpoch })),
-  );
+  const address = { team, homeEpoch, sliceId, sliceEpoch };
+  update.emit(sendPeer(owner.nodeId, compose(address, current)));
 }
 
 function toAsk(update: Update, home: Home, task: HomeTask): Ask {
--- a/packages/membership/src/owned.ts
+++ b/packages/membership/src/owned.ts
@@ -67,9 +67,11 @@
   if (row !== undefined && row.owner !== "") {
     owner = { nodeId: row.owner, epoch: row.epoch };
   }
+  let newest = row?.epoch ?? 0;
   for (const { heartbeat } of update.read(PEERS).views.values()) {
     const claim = heartbeat.owned.find((owned) => owned.unit === unit);
-    if (claim !== undefined && claim.epoch > (row?.epoch ?? 0)) {
+    if (claim !== undefined && claim.epoch > newest) {
+      newest = claim.epoch;
       owner = { nodeId: heartbeat.nodeId, epoch: claim.epoch };
     }
   }
