--- a/packages/runtime/src/settings_test.ts
+++ b/packages/runtime/src/settings_test.ts
@@ -157,25 +157,21 @@
   { name: "an argument", argv: ["extra"], fault: "too many arguments" },
 ];
 
+function parse(argv: readonly string[], env: ValueCase["env"] = {}) {
+  return parseSettings(SETTINGS, { command: "test", argv, env });
+}
+
 describe("parseSettings", () => {
   for (const { name, argv = [], env = {}, values } of VALUE_CASES) {
     it(`takes ${name}`, () => {
-      const settings = parseSettings(SETTINGS, {
-        command: "test",
-        argv: [...NODE, ...argv],
-        env,
-      })._unsafeUnwrap();
+      const settings = parse([...NODE, ...argv], env)._unsafeUnwrap();
       expect(settings).to.deep.include(values);
     });
   }
 
   for (const { argv, fault } of FAULT_CASES) {
     it(`refuses ${argv.join(" ")}`, () => {
-      const error = parseSettings(SETTINGS, {
-        command: "test",
-        argv: [...NODE, ...argv],
-        env: {},
-      })._unsafeUnwrapErr();
+      const error = parse([...NODE, ...argv])._unsafeUnwrapErr();
       expect(error.kind).to.equal(SettingErrorKind.BadValue);
       expect(error.message).to.include(argv[0]?.split("=")[0]);
       expect(error.message).to.include(fault);
@@ -185,22 +181,14 @@
 
   for (const { name, argv, fault } of ARGUMENT_CASES) {
     it(`refuses ${name}`, () => {
-      const error = parseSettings(SETTINGS, {
-        command: "test",
-        argv: [...NODE, ...argv],
-        env: {},
-      })._unsafeUnwrapErr();
+      const error = parse([...NODE, ...argv])._unsafeUnwrapErr();
       expect(error.kind).to.equal(SettingErrorKind.BadArguments);
       expect(error.message).to.include(fault);
     });
   }
 
   it("names flag and variable of a value that is missing", () => {
-    const error = parseSettings(SETTINGS, {
-      command: "test",
-      argv: [],
-      env: {},
-    })._unsafeUnwrapErr();
+    const error = parse([])._unsafeUnwrapErr();
     expect(error.message).to.equal(
       "--node-id (MUSTARDWEIR_NODE_ID) is required",
     );
--- a/packages/wire/src/codec_test.ts
+++ b/packages/wire/src/codec_test.ts
@@ -114,6 +114,7 @@
     kind: PeerMessageKind.HomeInventory,
     ...address,
     complete: true,
+    knownForMs: 1_000,
     tasks: [{ task, phase: TaskPhase.Ended, instanceId: "i-1", end }],
   },
   [PeerMessageKind.AskRoom]: {
--- a/packages/wire/src/link.ts
+++ b/packages/wire/src/link.ts
@@ -101,18 +101,11 @@
     return this.#options.session;
   }
 
+  /** The node that was dialled; undefined for an accepted link. */
   get expectedPeer(): string | undefined {
     return this.#options.expectedPeer;
   }
 
-  get live(): boolean {
-    return this.#hello !== undefined && !this.#closed;
-  }
-
-  get closed(): boolean {
-    return this.#closed;
-  }
-
   /** The frames to send, until the link is closed. */
   async *frames(): AsyncGenerator<Frame> {
     if (this.side === LinkSide.Dialled) {
--- a/packages/wire/src/link_performer_test.ts
+++ b/packages/wire/src/link_performer_test.ts
@@ -21,6 +21,14 @@
     return node;
   }
 
+  async schedulers(): Promise<[TestNode, TestNode, TestNode]> {
+    return [
+      await this.node({ nodeId: "a" }),
+      await this.node({ nodeId: "b" }),
+      await this.node({ nodeId: "c" }),
+    ];
+  }
+
   async relay(to: TestNode): Promise<{ relay: TcpRelay; port: number }> {
     const relay = new TcpRelay(to.links.port);
     this.#closers.push(() => relay.close());
@@ -43,8 +51,7 @@
   {
     name: "carries messages both ways over the lower id's link",
     run: async (bed) => {
-      const a = await bed.node({ nodeId: "a" });
-      const b = await bed.node({ nodeId: "b" });
+      const [a, b] = await bed.schedulers();
       a.connect([b]);
       b.connect([a]);
       a.send("b", [1]);
@@ -60,8 +67,7 @@
     name: "reaches entries, which only dial, by their id",
     run: async (bed) => {
       const entry = await bed.node({ nodeId: "e", role: Role.Entry });
-      const a = await bed.node({ nodeId: "a" });
-      const b = await bed.node({ nodeId: "b" });
+      const [a, b] = await bed.schedulers();
       entry.connect([a, b]);
       a.send("e", [1]);
       b.send("e", [2]);
@@ -73,8 +79,7 @@
     name: "sends to every node that it has a link with",
     run: async (bed) => {
       const entry = await bed.node({ nodeId: "e", role: Role.Entry });
-      const a = await bed.node({ nodeId: "a" });
-      const b = await bed.node({ nodeId: "b" });
+      const [a, b] = await bed.schedulers();
       entry.connect([a]);
       a.connect([b]);
       await eventually("linked", () => a.links.livePeers.length === 2);
@@ -87,8 +92,7 @@
   {
     name: "dials from the higher id when the lower does not",
     run: async (bed) => {
-      const a = await bed.node({ nodeId: "a" });
-      const b = await bed.node({ nodeId: "b" });
+      const [a, b] = await bed.schedulers();
       b.connect([a]);
       await eventually("linked", () => a.links.livePeers.includes("b"));
       a.send("b", [1]);
@@ -98,8 +102,7 @@
   {
     name: "keeps the order of a batch and sends it in few frames",
     run: async (bed) => {
-      const a = await bed.node({ nodeId: "a" });
-      const b = await bed.node({ nodeId: "b" });
+      const [a, b] = await bed.schedulers();
       a.connect([b]);
       a.send("b", [1, 5_000]);
       await eventually("all arrived", () => b.received.length === 5_000);
@@ -110,8 +113,7 @@
   {
     name: "finds a peer again that was started anew",
     run: async (bed) => {
-      const a = await bed.node({ nodeId: "a" });
-      const b = await bed.node({ nodeId: "b" });
+      const [a, b] = await bed.schedulers();
       a.connect([b]);
       await eventually("linked", () => a.links.livePeers.includes("b"));
       await b.links.close();
@@ -126,8 +128,7 @@
   ...Object.values(RelayDirection).map((direction) => ({
     name: `leaves a connection that is silent ${direction}`,
     run: async (bed: Bed) => {
-      const a = await bed.node({ nodeId: "a" });
-      const b = await bed.node({ nodeId: "b" });
+      const [a, b] = await bed.schedulers();
       const { relay, port } = await bed.relay(b);
       a.connect([b], port);
       // The lower id dials: its link is live after the other side's.
@@ -150,9 +151,7 @@
   {
     name: "takes no link with another node than the one named",
     run: async (bed) => {
-      const a = await bed.node({ nodeId: "a" });
-      const b = await bed.node({ nodeId: "b" });
-      const c = await bed.node({ nodeId: "c" });
+      const [a, b, c] = await bed.schedulers();
       a.connect([c], b.links.port);
       await eventually(
         "it was refused",
@@ -164,9 +163,7 @@
   {
     name: "closes the links to peers that are no longer named",
     run: async (bed) => {
-      const a = await bed.node({ nodeId: "a" });
-      const b = await bed.node({ nodeId: "b" });
-      const c = await bed.node({ nodeId: "c" });
+      const [a, b, c] = await bed.schedulers();
       a.connect([b, c]);
       await eventually("linked", () => a.links.livePeers.length === 2);
       a.connect([c]);
@@ -189,8 +186,7 @@
   {
     name: "sends what waits before it closes",
     run: async (bed) => {
-      const a = await bed.node({ nodeId: "a" });
-      const b = await bed.node({ nodeId: "b" });
+      const [a, b] = await bed.schedulers();
       a.connect([b]);
       await eventually("linked", () => b.links.livePeers.includes("a"));
       b.send("a", [1, 1_000]);
--- a/packages/wire/src/message_schemas.ts
+++ b/packages/wire/src/message_schemas.ts
@@ -145,6 +145,7 @@
 const homeInventory = homeSliceAddress.extend({
   kind: z.literal(PeerMessageKind.HomeInventory),
   complete: z.boolean(),
+  knownForMs: z.number(),
   tasks: z.array(z.looseObject({
     task: taskSpec,
     phase: z.enum(TaskPhase),
