Let a process name its plug-ins

Cause: run in one process with all other tests, the tests of runNode got the plug-ins that those had registered, and 4 of 471 results were failures.

Ruled out: taking registrations back in the test, which would break the others.

Change: runNode takes plug-ins as an option, those registered for the role by default.

--- a/packages/runtime/src/run_node.ts
+++ b/packages/runtime/src/run_node.ts
@@ -2,6 +2,7 @@
   createPlugins,
   Kernel,
   mergeUndo,
+  type Plugin,
   type Undo,
 } from "@mustardweir/kernel";
 import {
@@ -30,6 +31,8 @@
   readonly identity: NodeIdentity;
   /** All but those of logs, metrics and the stop, which are added. */
   readonly performers: readonly Performer[];
+  /** Those registered for the node's role by default. */
+  readonly plugins?: readonly Plugin[];
   readonly logger: Logger;
   /** Also given to performers that count; new by default. */
   readonly metrics?: Metrics;
@@ -86,9 +89,9 @@
   return { kernel, loop, metrics };
 }
 
-function createKernel({ identity, seed }: RunNodeOptions): Kernel {
+function createKernel({ identity, plugins, seed }: RunNodeOptions): Kernel {
   const kernel = new Kernel({
-    plugins: createPlugins(identity.role),
+    plugins: plugins ?? createPlugins(identity.role),
     seed: seed ?? hashText(identity.incarnation),
   });
   kernel.registerService(NODE_IDENTITY, identity);
--- a/packages/runtime/src/run_node_test.ts
+++ b/packages/runtime/src/run_node_test.ts
@@ -2,7 +2,6 @@
   CommandPriority,
   type Kernel,
   Plugin,
-  registerPlugin,
   Role,
   type Undo,
 } from "@mustardweir/kernel";
@@ -63,10 +62,11 @@
   override perform(): void {}
 }
 
+const STOPPING = [new StoppingPlugin()];
+
 interface NodeCase {
   readonly name: string;
-  /** Only schedulers have the plug-in that answers a stop request. */
-  readonly role: Role;
+  readonly plugins: readonly Plugin[];
   readonly performers?: readonly Performer[];
   readonly act: (host: FakeHost) => void;
   readonly exit: number;
@@ -77,21 +77,21 @@
 const NODE_CASES: readonly NodeCase[] = [
   {
     name: "a planned stop",
-    role: Role.Scheduler,
+    plugins: STOPPING,
     act: (host) => host.signal(),
     exit: 0,
     line: 'Saying goodbye nodeId="n1"',
   },
   {
     name: "a stop that takes too long",
-    role: Role.Entry,
+    plugins: [],
     act: (host) => host.signal(),
     exit: 1,
     line: "Stop timed out",
   },
   {
     name: "a second signal",
-    role: Role.Entry,
+    plugins: [],
     act: (host) => {
       host.signal();
       host.signal();
@@ -101,14 +101,14 @@
   },
   {
     name: "an error that nobody caught",
-    role: Role.Scheduler,
+    plugins: STOPPING,
     act: (host) => host.crash(new Error("Broken")),
     exit: 1,
     line: "Error: Broken",
   },
   {
     name: "a performer that can't start",
-    role: Role.Scheduler,
+    plugins: STOPPING,
     performers: [new FailingPerformer()],
     act: () => {},
     exit: 1,
@@ -116,35 +116,24 @@
   },
 ];
 
-function identityOf(role: Role): NodeIdentity {
-  return {
-    nodeId: "n1",
-    role,
-    incarnation: "1",
-    availabilityZone: "tx-a",
-    seedPeers: [],
-  };
-}
+const IDENTITY: NodeIdentity = {
+  nodeId: "n1",
+  role: Role.Scheduler,
+  incarnation: "1",
+  availabilityZone: "tx-a",
+  seedPeers: [],
+};
 
 describe("runNode", () => {
-  let undo: Undo = () => {};
-
-  before(() => {
-    undo = registerPlugin({
-      name: "stopping",
-      roles: [Role.Scheduler],
-      create: () => new StoppingPlugin(),
-    });
-  });
-
-  after(() => undo());
-
-  for (const { name, role, performers = [], act, exit, line } of NODE_CASES) {
+  for (
+    const { name, plugins, performers = [], act, exit, line } of NODE_CASES
+  ) {
     it(`exits with ${exit} after ${name}`, async () => {
       const host = new FakeHost();
       const lines: string[] = [];
       const node = await runNode({
-        identity: identityOf(role),
+        identity: IDENTITY,
+        plugins,
         performers,
         logger: createLogger({
           node: "n1",
@@ -168,7 +157,8 @@
   it("prints one line when it is ready", async () => {
     const lines: string[] = [];
     const node = await runNode({
-      identity: identityOf(Role.Scheduler),
+      identity: IDENTITY,
+      plugins: [],
       performers: [],
       logger: createLogger({ node: "n1", write: (text) => lines.push(text) }),
       listening: () => ({ port: 7_500 }),
