Keep late copies and crossed answers from starting a task twice

An old home's ended task also took the new home's ask of the same sequence off the slice's index. Ruled out: the worker forgetting its floor (its floor is only raised by a later call); a lost answer. Change: a slice remembers asks whose tasks have ended until the home's floor passes them. A refused start is taken back: no longer sent, and declined only after a call with a higher floor has been answered.

--- a/packages/prove/src/oracles/answers.ts
+++ b/packages/prove/src/oracles/answers.ts
@@ -68,6 +68,8 @@
   [CallerCallKind.ReadConfiguration]: CallerAnswerKind.Configuration,
   [CallerCallKind.EditConfiguration]: CallerAnswerKind.Edited,
   [CallerCallKind.Teams]: CallerAnswerKind.Teams,
+  [CallerCallKind.Fleet]: CallerAnswerKind.Fleet,
+  [CallerCallKind.Burn]: CallerAnswerKind.Burn,
 };
 
 function isOwn({ call, submission, answers }: Call): boolean {
--- a/packages/prove/src/scenario.ts
+++ b/packages/prove/src/scenario.ts
@@ -117,7 +117,9 @@
       return true;
     }
     const status = this.#statusOf(name);
-    return status?.state === JobState.Ended || this.#isRefused(name);
+    return status === undefined
+      ? this.#isRefused(name)
+      : status.state === JobState.Ended;
   }
 
   #statusOf(name: string): JobStatus | undefined {
--- a/packages/slice/src/asks.ts
+++ b/packages/slice/src/asks.ts
@@ -22,6 +22,9 @@
 /** Most asks of a team that wait in a slice. */
 const MAX_QUEUED_ASKS = 1_024;
 
+/** Longest time that is told; messages carry no infinity. */
+const MAX_KNOWN_MS = 365 * 24 * 60 * 60 * 1_000;
+
 export interface Received<Message> {
   readonly from: string;
   readonly message: Message;
@@ -68,6 +71,7 @@
   view.floor = 0;
   view.queue.clear();
   view.bySeq.clear();
+  view.settled.clear();
   view.declined.clear();
   slice.outbox.delete(view.team);
 }
@@ -91,10 +95,20 @@
     kind: PeerMessageKind.HomeInventory,
     ...addressOf(slice, view),
     complete: slice.complete,
+    knownForMs: knownForMs(update, slice),
     tasks: reports,
   }));
 }
 
+/** How long no worker of the slice can have forgotten a task. */
+function knownForMs(update: Update, slice: Slice): number {
+  let since = -Infinity;
+  for (const { upSince } of slice.workers.values()) {
+    since = Math.max(since, upSince);
+  }
+  return Math.min(Math.max(update.now - since, 0), MAX_KNOWN_MS);
+}
+
 /** Names the slice and the home with their epochs. */
 export function addressOf(slice: Slice, view: TeamView): HomeSliceAddress {
   return {
@@ -142,7 +156,7 @@
   { view, ask }: ViewedAsk,
 ): void {
   const { seq } = ask;
-  if (seq < view.floor || view.queue.has(seq)) {
+  if (isSettled(view, seq) || view.queue.has(seq)) {
     return;
   }
   if (repeatAnswer(slice, view, seq)) {
@@ -161,6 +175,11 @@
   });
 }
 
+/** True when nothing more comes of the ask; its end is told until it is known. */
+function isSettled(view: TeamView, seq: number): boolean {
+  return seq < view.floor || view.settled.has(seq);
+}
+
 /** Answers an ask that was answered before; false when it is new. */
 function repeatAnswer(slice: Slice, view: TeamView, seq: number): boolean {
   const declined = view.declined.get(seq);
@@ -225,14 +244,14 @@
     cancelStart(update, slice, { task, reason });
     return;
   }
-  const isNew = seq >= view.floor && !view.queue.has(seq);
-  if (isNew && repeatAnswer(slice, view, seq)) {
+  if (isSettled(view, seq)) {
     return;
   }
-  if (seq >= view.floor) {
-    const taskId = view.queue.get(seq)?.ask.task.taskId ?? "";
-    declineAsk(slice, view, { seq, taskId, reason });
+  if (!view.queue.has(seq) && repeatAnswer(slice, view, seq)) {
+    return;
   }
+  const taskId = view.queue.get(seq)?.ask.task.taskId ?? "";
+  declineAsk(slice, view, { seq, taskId, reason });
 }
 
 /** The tasks that a commit starts; others are answered as before. */
--- a/packages/slice/src/slice_state.ts
+++ b/packages/slice/src/slice_state.ts
@@ -4,6 +4,7 @@
 import type {
   Ask,
   AskAnswer,
+  DeclineReason,
   StopMode,
   TaskEnd,
   TaskPhase,
@@ -28,6 +29,8 @@
   readonly index: number;
   state: WorkerState;
   incarnation: string;
+  /** Since when it has forgotten nothing; Infinity while that is unknown. */
+  upSince: number;
   /** Of the newest answer; older answers are ignored. */
   stateSeq: number;
   leaseToken: string | undefined;
@@ -60,6 +63,11 @@
   /** When a worker was first seen to run it. */
   runningSince: number;
   stop: StopMode | undefined;
+  /**
+   * Why a start was taken back. It is no longer sent; that it can't come any
+   * more is known when a call with a higher floor has been answered.
+   */
+  takenBack: DeclineReason | undefined;
   end: TaskEnd | undefined;
   /** When the home was last told of the end. */
   toldAt: number;
@@ -83,6 +91,8 @@
   readonly queue: Map<number, QueuedAsk>;
   /** Tasks by the ask that led to them; of the home's epoch only. */
   readonly bySeq: Map<number, SliceTask>;
+  /** Asks whose tasks have ended; late copies must not start them again. */
+  readonly settled: Set<number>;
   /** Asks that were declined and may be repeated by late copies. */
   readonly declined: Map<number, AskAnswer>;
   used: Resources;
--- a/packages/slice/src/tasks.ts
+++ b/packages/slice/src/tasks.ts
@@ -36,6 +36,7 @@
     heldUntil: options.heldUntil ?? Infinity,
     runningSince: NEVER,
     stop: undefined,
+    takenBack: undefined,
     end: undefined,
     toldAt: NEVER,
   };
@@ -92,11 +93,20 @@
   giveBack(slice, task);
   task.phase = TaskPhase.Ended;
   task.end = end;
-  teamView(slice, task.task.team).bySeq.delete(task.task.askSeq);
+  settleAsk(slice, task);
   update.emit(count(`tasks_ended_${end.reason.replaceAll("-", "_")}`));
   noteOutcome(update, task, end.reason);
 }
 
+/** Keeps late copies of the ask from starting the task again. */
+function settleAsk(slice: Slice, { task }: SliceTask): void {
+  const view = teamView(slice, task.team);
+  if (view.homeEpoch === task.homeEpoch) {
+    view.bySeq.delete(task.askSeq);
+    view.settled.add(task.askSeq);
+  }
+}
+
 /** Ends a task whose worker runs it no more, for whatever cause. */
 export function loseTask(
   update: Update,
@@ -106,6 +116,17 @@
   finishTask(update, slice, { task, end: { reason: EndReason.Lost } });
 }
 
+/**
+ * Takes back a start that may be on its way to the worker: calls that carry
+ * it may yet arrive until the worker has seen a higher floor.
+ */
+export function takeBackStart(task: SliceTask, reason: DeclineReason): void {
+  if (task.phase === TaskPhase.Starting && task.takenBack === undefined) {
+    task.takenBack = reason;
+    task.worker.hasNews = true;
+  }
+}
+
 /** Takes back a task that has not started and will not. */
 export function cancelStart(
   update: Update,
@@ -132,7 +153,10 @@
   }
   slice.tasks.delete(task.task.taskId);
   task.worker.tasks.delete(task);
-  teamView(slice, task.task.team).bySeq.delete(task.task.askSeq);
+  const view = teamView(slice, task.task.team);
+  if (view.homeEpoch === task.task.homeEpoch) {
+    view.bySeq.delete(task.task.askSeq);
+  }
 }
 
 function giveBack(slice: Slice, task: SliceTask): void {
--- a/packages/slice/src/team_view.ts
+++ b/packages/slice/src/team_view.ts
@@ -19,6 +19,7 @@
     floor: 0,
     queue: new Map(),
     bySeq: new Map(),
+    settled: new Set(),
     declined: new Map(),
     used: NO_RESOURCES,
   };
@@ -70,6 +71,11 @@
     return;
   }
   view.floor = floor;
+  for (const seq of view.settled) {
+    if (seq < floor) {
+      view.settled.delete(seq);
+    }
+  }
   for (const seq of view.declined.keys()) {
     if (seq < floor) {
       view.declined.delete(seq);
--- a/packages/slice/src/workers.ts
+++ b/packages/slice/src/workers.ts
@@ -36,6 +36,7 @@
   finishTask,
   loseTask,
   removeTask,
+  takeBackStart,
 } from "./tasks.ts";
 
 /** How long a worker may wait for news before it answers. */
@@ -59,6 +60,8 @@
   readonly instanceId: string;
   readonly isPoll: boolean;
   readonly sentAt: number;
+  /** Starts below this sequence were not carried and are refused. */
+  readonly floor: number;
   /** Starts that the call carried. */
   readonly starts: readonly string[];
   readonly acks: readonly string[];
@@ -111,6 +114,7 @@
     instanceId: worker.instanceId,
     isPoll,
     sentAt: update.now,
+    floor: call.floor,
     starts: call.starts.map(({ task }) => task.taskId),
     acks: call.acks,
   };
@@ -131,7 +135,9 @@
   waitMs: number,
 ): SyncCall {
   const tasks = [...worker.tasks];
-  const starting = tasks.filter(({ phase }) => phase === TaskPhase.Starting);
+  const starting = tasks.filter(({ phase, takenBack }) =>
+    phase === TaskPhase.Starting && takenBack === undefined
+  );
   return {
     sliceId: slice.sliceId,
     epoch: slice.epoch,
@@ -209,7 +215,7 @@
   const { worker, context, synced } = answer;
   const isSame = worker.incarnation === synced.incarnation;
   if (isSame && synced.stateSeq < worker.stateSeq) {
-    refuseStarts(update, slice, answer);
+    refuseStarts(slice, answer);
     return;
   }
   if (!isSame && worker.incarnation !== "") {
@@ -221,7 +227,8 @@
   hear(update, worker, synced);
   adoptRunning(update, slice, answer);
   adoptEnded(update, slice, answer);
-  refuseStarts(update, slice, answer);
+  refuseStarts(slice, answer);
+  settleTakenBack(update, slice, answer);
   context.acks.forEach((taskId) => worker.acks.delete(taskId));
 }
 
@@ -230,7 +237,10 @@
     worker.state = WorkerState.Reachable;
     worker.hasNews = true;
   }
-  worker.incarnation = synced.incarnation;
+  if (worker.incarnation !== synced.incarnation) {
+    worker.incarnation = synced.incarnation;
+    worker.upSince = update.now - synced.uptimeMs;
+  }
   worker.stateSeq = synced.stateSeq;
   worker.leaseToken = synced.leaseToken;
   worker.tokenAt = update.now;
@@ -299,23 +309,34 @@
 }
 
 /**
- * Starts that the worker refused are declined to the home; one without a
- * valid lease is sent again with the token of this answer.
+ * Starts that the worker refused are taken back; one without a valid lease is
+ * sent again with the token of this answer.
  */
 function refuseStarts(
-  update: Update,
   slice: Slice,
-  { worker, synced }: SyncedAnswer,
+  { worker, synced }: Pick<SyncedAnswer, "worker" | "synced">,
 ): void {
   for (const { taskId, refusal } of synced.refused) {
+    const task = slice.tasks.get(taskId);
     if (refusal === StartRefusal.NoLease) {
       worker.hasNews = true;
-      continue;
+    } else if (task !== undefined) {
+      takeBackStart(task, DeclineReason.Refused);
     }
-    const task = slice.tasks.get(taskId);
-    if (task !== undefined && task.phase === TaskPhase.Starting) {
-      const reason = DeclineReason.Refused;
-      cancelStart(update, slice, { task, reason });
+  }
+}
+
+/** Declines the starts taken back that the worker will not carry out. */
+function settleTakenBack(
+  update: Update,
+  slice: Slice,
+  { worker, context }: SyncedAnswer,
+): void {
+  for (const task of [...worker.tasks]) {
+    const { phase, takenBack, startSeq } = task;
+    const isOver = phase === TaskPhase.Starting && startSeq < context.floor;
+    if (takenBack !== undefined && isOver) {
+      cancelStart(update, slice, { task, reason: takenBack });
     }
   }
 }
@@ -370,6 +391,7 @@
 
 function lapse(update: Update, slice: Slice, worker: Worker): void {
   worker.state = WorkerState.Lapsed;
+  worker.upSince = Infinity; // It may have restarted since.
   worker.leaseToken = undefined;
   update.emit(logChange("Instance leases lapsed", {
     instance: worker.instanceId,
