Hold starts back while the slice may not start work

Ruled out: dropping the start, because a copy may be on its way. Change: calls carry starts only while the slice may grant; the calls move to a module of their own.

--- a/packages/slice/src/slice_plugin.ts
+++ b/packages/slice/src/slice_plugin.ts
@@ -46,13 +46,8 @@
   sendAnswers,
   tellEnds,
 } from "./telling.ts";
-import {
-  acknowledgeEnds,
-  applySync,
-  callWorkers,
-  checkWorkers,
-  TARGET_SYNCED,
-} from "./workers.ts";
+import { acknowledgeEnds, applySync, checkWorkers } from "./workers.ts";
+import { callWorkers, TARGET_SYNCED } from "./target_calls.ts";
 
 /** Time between looks at silent workers and late asks, in milliseconds. */
 const UPKEEP_MS = 100;
--- /dev/null
+++ b/packages/slice/src/target_calls.ts
@@ -0,0 +1,137 @@
+/** The calls of a slice owner to its workers. */
+import { createCommand, type Update } from "@mustardweir/kernel";
+import { isOwnershipConfirmed } from "@mustardweir/membership";
+import {
+  type Answered,
+  count,
+  EffectKind,
+  nodeEffect,
+  replyTo,
+  type SyncCall,
+  type SyncResult,
+  type TargetStart,
+  TaskPhase,
+} from "@mustardweir/protocol";
+import { mayGrant } from "./grant.ts";
+import type { Slice, SliceTask, Worker } from "./slice_state.ts";
+
+/** How long a worker may wait for news before it answers. */
+const POLL_WAIT_MS = 1_000;
+
+/** Time after which a call without an answer is given up. */
+const CALL_TIMEOUT_MS = 2_500;
+
+export interface SyncContext {
+  readonly sliceId: string;
+  readonly epoch: number;
+  readonly instanceId: string;
+  readonly isPoll: boolean;
+  readonly sentAt: number;
+  /** Starts below this sequence were not carried and are refused. */
+  readonly floor: number;
+  /** Starts that the call carried. */
+  readonly starts: readonly string[];
+  readonly acks: readonly string[];
+}
+
+export const TARGET_SYNCED = createCommand<Answered<SyncContext, SyncResult>>(
+  "target-synced",
+);
+
+/** Sends each worker what it has to be told, and asks for news. */
+export function callWorkers(update: Update, slice: Slice): void {
+  if (!isOwnershipConfirmed(update)) {
+    return; // Leases must not be renewed by who may have been superseded.
+  }
+  for (const worker of slice.workers.values()) {
+    callWorker(update, slice, worker);
+  }
+}
+
+function callWorker(update: Update, slice: Slice, worker: Worker): void {
+  if (update.now < worker.retryAt) {
+    return;
+  }
+  if (worker.hasNews && worker.commandSentAt === undefined) {
+    worker.hasNews = false;
+    worker.commandSentAt = update.now;
+    sync(update, slice, { worker, isPoll: false });
+    return;
+  }
+  if (worker.pollSentAt === undefined) {
+    worker.pollSentAt = update.now;
+    sync(update, slice, { worker, isPoll: true });
+  }
+}
+
+interface SyncOptions {
+  readonly worker: Worker;
+  readonly isPoll: boolean;
+}
+
+function sync(
+  update: Update,
+  slice: Slice,
+  { worker, isPoll }: SyncOptions,
+): void {
+  const call = composeCall(update, slice, { worker, isPoll });
+  const context: SyncContext = {
+    sliceId: slice.sliceId,
+    epoch: slice.epoch,
+    instanceId: worker.instanceId,
+    isPoll,
+    sentAt: update.now,
+    floor: call.floor,
+    starts: call.starts.map(({ task }) => task.taskId),
+    acks: call.acks,
+  };
+  update.emit(count("target_calls"));
+  update.emit(nodeEffect({
+    kind: EffectKind.SyncTarget,
+    instanceId: worker.instanceId,
+    address: worker.address,
+    call,
+    timeoutMs: CALL_TIMEOUT_MS,
+    replyTo: replyTo(TARGET_SYNCED, context),
+  }));
+}
+
+/**
+ * Starts are held back while the slice may not start work, also those that
+ * were granted before: the call that carried them may have been lost.
+ */
+function composeCall(
+  update: Update,
+  slice: Slice,
+  { worker, isPoll }: SyncOptions,
+): SyncCall {
+  const canStart = worker.leaseToken !== undefined && mayGrant(update, slice);
+  const tasks = [...worker.tasks];
+  const starting = tasks.filter(({ phase, takenBack }) =>
+    phase === TaskPhase.Starting && takenBack === undefined
+  );
+  return {
+    sliceId: slice.sliceId,
+    epoch: slice.epoch,
+    ...(worker.leaseToken === undefined
+      ? {}
+      : { leaseToken: worker.leaseToken }),
+    floor: starting.reduce(
+      (floor, task) => Math.min(floor, task.startSeq),
+      slice.nextStartSeq,
+    ),
+    starts: canStart ? starting.map(toStart) : [],
+    stops: tasks.flatMap(({ task, stop, phase }) =>
+      stop !== undefined && phase !== TaskPhase.Ended
+        ? [{ taskId: task.taskId, mode: stop }]
+        : []
+    ),
+    throttles: [],
+    acks: [...worker.acks],
+    waitMs: isPoll ? POLL_WAIT_MS : 0,
+  };
+}
+
+function toStart({ startSeq, task }: SliceTask): TargetStart {
+  return { seq: startSeq, task };
+}
--- a/packages/slice/src/workers.ts
+++ b/packages/slice/src/workers.ts
@@ -1,6 +1,5 @@
-import { createCommand, type Update } from "@mustardweir/kernel";
+import type { Update } from "@mustardweir/kernel";
 import {
-  isOwnershipConfirmed,
   majorityHeardAt,
   OWNERSHIP_CONFIRMATION_MS,
   sliceUnit,
@@ -10,14 +9,10 @@
   type Answered,
   count,
   DeclineReason,
-  EffectKind,
   LEASE_MS,
   logChange,
-  nodeEffect,
-  replyTo,
   type RunningTask,
   StartRefusal,
-  type SyncCall,
   type Synced,
   type SyncResult,
   SyncResultKind,
@@ -29,6 +24,7 @@
   type Worker,
   WorkerState,
 } from "./slice_state.ts";
+import type { SyncContext } from "./target_calls.ts";
 import {
   addTask,
   cancelStart,
@@ -39,12 +35,6 @@
   takeBackStart,
 } from "./tasks.ts";
 
-/** How long a worker may wait for news before it answers. */
-const POLL_WAIT_MS = 1_000;
-
-/** Time after which a call without an answer is given up. */
-const CALL_TIMEOUT_MS = 2_500;
-
 /** Time between calls to a worker that doesn't answer. */
 const SILENT_RETRY_MS = 500;
 
@@ -54,115 +44,6 @@
 /** Allowance for clocks that run at different rates, and for rounding. */
 const LEASE_MARGIN_MS = 500;
 
-export interface SyncContext {
-  readonly sliceId: string;
-  readonly epoch: number;
-  readonly instanceId: string;
-  readonly isPoll: boolean;
-  readonly sentAt: number;
-  /** Starts below this sequence were not carried and are refused. */
-  readonly floor: number;
-  /** Starts that the call carried. */
-  readonly starts: readonly string[];
-  readonly acks: readonly string[];
-}
-
-export const TARGET_SYNCED = createCommand<Answered<SyncContext, SyncResult>>(
-  "target-synced",
-);
-
-/** Sends each worker what it has to be told, and asks for news. */
-export function callWorkers(update: Update, slice: Slice): void {
-  if (!isOwnershipConfirmed(update)) {
-    return; // Leases must not be renewed by who may have been superseded.
-  }
-  for (const worker of slice.workers.values()) {
-    callWorker(update, slice, worker);
-  }
-}
-
-function callWorker(update: Update, slice: Slice, worker: Worker): void {
-  if (update.now < worker.retryAt) {
-    return;
-  }
-  if (worker.hasNews && worker.commandSentAt === undefined) {
-    worker.hasNews = false;
-    worker.commandSentAt = update.now;
-    sync(update, slice, { worker, isPoll: false });
-    return;
-  }
-  if (worker.pollSentAt === undefined) {
-    worker.pollSentAt = update.now;
-    sync(update, slice, { worker, isPoll: true });
-  }
-}
-
-interface SyncOptions {
-  readonly worker: Worker;
-  readonly isPoll: boolean;
-}
-
-function sync(
-  update: Update,
-  slice: Slice,
-  { worker, isPoll }: SyncOptions,
-): void {
-  const call = composeCall(slice, worker, isPoll ? POLL_WAIT_MS : 0);
-  const context: SyncContext = {
-    sliceId: slice.sliceId,
-    epoch: slice.epoch,
-    instanceId: worker.instanceId,
-    isPoll,
-    sentAt: update.now,
-    floor: call.floor,
-    starts: call.starts.map(({ task }) => task.taskId),
-    acks: call.acks,
-  };
-  update.emit(count("target_calls"));
-  update.emit(nodeEffect({
-    kind: EffectKind.SyncTarget,
-    instanceId: worker.instanceId,
-    address: worker.address,
-    call,
-    timeoutMs: CALL_TIMEOUT_MS,
-    replyTo: replyTo(TARGET_SYNCED, context),
-  }));
-}
-
-function composeCall(
-  slice: Slice,
-  worker: Worker,
-  waitMs: number,
-): SyncCall {
-  const tasks = [...worker.tasks];
-  const starting = tasks.filter(({ phase, takenBack }) =>
-    phase === TaskPhase.Starting && takenBack === undefined
-  );
-  return {
-    sliceId: slice.sliceId,
-    epoch: slice.epoch,
-    ...(worker.leaseToken === undefined
-      ? {}
-      : { leaseToken: worker.leaseToken }),
-    floor: starting.reduce(
-      (floor, task) => Math.min(floor, task.startSeq),
-      slice.nextStartSeq,
-    ),
-    starts: worker.leaseToken === undefined ? [] : starting.map((task) => ({
-      seq: task.startSeq,
-      task: task.task,
-    })),
-    stops: tasks.flatMap(({ task, stop, phase }) =>
-      stop !== undefined && phase !== TaskPhase.Ended
-        ? [{ taskId: task.taskId, mode: stop }]
-        : []
-    ),
-    throttles: [],
-    acks: [...worker.acks],
-    waitMs,
-  };
-}
-
 /** Takes in a worker's answer, or that none came. */
 export function applySync(
   update: Update,
