Tell what did not run apart from what may have; let broken gangs start again

Cause: (1) a non-idempotent task asked of a scheduler that was killed was always told to be unknown, though its workers could say that it never came. (2) A gang with a member that had ended and one that was preempted waited for ever: it started only with all its members waiting. Ruled out for (2): room (the explanation named it, but the fleet was a quarter full) and the ceiling (the sum of what was used was right). Change: workers tell their uptime; an inventory says for how long its workers can have forgotten nothing, and what was asked for since then and is not listed is asked for again. Gangs start their waiting members.

--- a/packages/home/src/calls.ts
+++ b/packages/home/src/calls.ts
@@ -27,6 +27,7 @@
 import { ANY_SPEC, createJob, hashSpec, jobIdOf } from "./job_factory.ts";
 import { enqueue } from "./queue.ts";
 import { describeJob } from "./status.ts";
+import { describeWork, WORK_ACCEPTED } from "./work_events.ts";
 
 /** Most jobs of a team that have not ended; more are refused. */
 const MAX_LIVE_JOBS = 100_000;
@@ -111,6 +112,7 @@
       { kind: JournalRecordKind.Accepted, jobId, spec, specHash },
     ]);
   } else {
+    update.dispatch(WORK_ACCEPTED, describeWork(home, job));
     job.tasks.forEach((task) => enqueue(home, task));
   }
   return job;
--- a/packages/home/src/dispatch.ts
+++ b/packages/home/src/dispatch.ts
@@ -117,21 +117,22 @@
   #askGang(job: HomeJob): boolean {
     const isReady = job.gang === GangPhase.Idle &&
       this.#update.now >= job.gangNotBefore &&
-      job.tasks.every(({ state }) => state === TaskState.Pending);
-    if (!isReady || !this.#fitsBelowCeiling(job)) {
+      job.tasks.every(isIdle);
+    const members = job.tasks.filter(isPending);
+    if (!isReady || !this.#fitsBelowCeiling(job, members)) {
       return false;
     }
-    const plan = this.#chooser.chooseAll(job.tasks);
+    const plan = this.#chooser.chooseAll(members);
     if (plan === undefined) {
       return false;
     }
-    if (!job.spec.idempotent && !job.tasks[0]?.startRecorded) {
-      job.tasks.forEach((task) => this.#recordStart(task));
+    if (!job.spec.idempotent && !members[0]?.startRecorded) {
+      members.forEach((task) => this.#recordStart(task));
       return true;
     }
     job.gang = GangPhase.Holding;
     plan.forEach((sliceId, index) => {
-      const task = job.tasks[index];
+      const task = members[index];
       if (task !== undefined) {
         this.#assign(task, sliceId);
       }
@@ -139,10 +140,10 @@
     return true;
   }
 
-  #fitsBelowCeiling(job: HomeJob): boolean {
+  #fitsBelowCeiling(job: HomeJob, members: readonly HomeTask[]): boolean {
     const { ceiling } = this.#rule;
     const home = this.#home;
-    const others = job.tasks.slice(1).reduce(
+    const others = members.slice(1).reduce(
       (sum) => addResources(sum, job.size),
       home.used,
     );
@@ -180,3 +181,12 @@
     }
   }
 }
+
+function isPending({ state }: HomeTask): boolean {
+  return state === TaskState.Pending;
+}
+
+/** Members of a gang that have ended need not run with the others again. */
+function isIdle({ state }: HomeTask): boolean {
+  return state === TaskState.Pending || state === TaskState.Ended;
+}
--- a/packages/home/src/ending.ts
+++ b/packages/home/src/ending.ts
@@ -22,6 +22,7 @@
 } from "./home_state.ts";
 import { forgetAttempt, setTaskState } from "./queue.ts";
 import { describeJob } from "./status.ts";
+import { describeWork, WORK_ENDED } from "./work_events.ts";
 
 /** Ends a task for good, and its job with the last task. */
 export function endTask(
@@ -66,6 +67,9 @@
   job.outcome = outcomeOf(job);
   job.reason = reasonOf(job);
   job.endedAt = update.now;
+  const { outcome, reason } = job;
+  const work = describeWork(home, job);
+  update.dispatch(WORK_ENDED, { ...work, outcome, reason });
   update.emit(count(`jobs_ended_${job.outcome.replaceAll("-", "_")}`));
   if (job.firstStartAt !== undefined) {
     update.emit(
--- a/packages/home/src/fencing.ts
+++ b/packages/home/src/fencing.ts
@@ -33,6 +33,9 @@
 import { requeueFirst, resetAttempt, setTaskState } from "./queue.ts";
 import { markStarted, settleEnd } from "./task_progress.ts";
 
+/** Allowance for clocks that run at different rates, in milliseconds. */
+const CLOCK_MARGIN_MS = 100;
+
 /** Time between fences sent to a slice that has not answered. */
 const FENCE_RETRY_MS = 400;
 
@@ -232,25 +235,32 @@
 function settleMissing(
   update: Update,
   home: Home,
-  { sliceId, sliceEpoch, tasks }: HomeInventory,
+  { sliceId, sliceEpoch, tasks, knownForMs }: HomeInventory,
 ): void {
+  const knownSince = update.now - knownForMs + CLOCK_MARGIN_MS;
   const reported = new Set(tasks.map(({ task }) => task.taskId));
   const missing = [...home.byTaskId.values()].filter((task) =>
     task.sliceId === sliceId && task.sliceEpoch < sliceEpoch &&
     !reported.has(task.taskId)
   );
   for (const task of missing) {
-    loseAttempt(update, home, task);
+    const mayHaveRun = task.askedAt < knownSince;
+    loseAttempt(update, home, { task, mayHaveRun });
   }
 }
 
+interface LostAttempt {
+  readonly task: HomeTask;
+  /** False when every worker that could have run it says it did not. */
+  readonly mayHaveRun: boolean;
+}
+
 /** Starts the task again, unless it must not run twice. */
 export function loseAttempt(
   update: Update,
   home: Home,
-  task: HomeTask,
+  { task, mayHaveRun }: LostAttempt,
 ): void {
-  const mayHaveRun = task.state !== TaskState.Held;
   if (!task.job.spec.idempotent && mayHaveRun) {
     task.job.firstStartAt ??= update.now;
     endTask(update, home, { task, reason: EndReason.Lost });
--- a/packages/home/src/gang.ts
+++ b/packages/home/src/gang.ts
@@ -50,7 +50,10 @@
     releaseGang(update, home, job);
     return;
   }
-  if (job.tasks.every(({ state }) => state === TaskState.Held)) {
+  const isWhole = job.tasks.every(({ state }) =>
+    state === TaskState.Held || state === TaskState.Ended
+  );
+  if (isWhole) {
     job.gang = GangPhase.Committed;
     resendCommit(update, home, job);
   }
--- a/packages/home/src/home_plugin.ts
+++ b/packages/home/src/home_plugin.ts
@@ -14,6 +14,7 @@
   JOURNAL_OPENED,
 } from "@mustardweir/journal";
 import {
+  COMPOSE_HEARTBEAT,
   homeUnit,
   OWNERSHIP_CHANGED,
   UNIT_ACQUIRED,
@@ -33,6 +34,7 @@
 import { closeHome, loadRecords, openHome } from "./recovery.ts";
 import { composeSnapshot } from "./snapshot.ts";
 import { forgetEnded, maintain } from "./upkeep.ts";
+import { describeWaiting } from "./work_events.ts";
 
 /** Time between looks at what is late or was lost, in milliseconds. */
 const UPKEEP_MS = 100;
@@ -68,6 +70,11 @@
         ({ from, message }, update) => receive(update, from, message),
         Normal,
       ),
+      kernel.registerCommand(
+        COMPOSE_HEARTBEAT,
+        (draft, update) => describeWaiting(update, draft),
+        Normal,
+      ),
       kernel.registerPeriodic({ intervalMs: UPKEEP_MS, run: upkeep }),
       kernel.registerPeriodic({ intervalMs: FORGET_MS, run: forget }),
     );
--- a/packages/home/src/records.ts
+++ b/packages/home/src/records.ts
@@ -4,6 +4,7 @@
 import { answerWaiters, recordEnd } from "./ending.ts";
 import { type Home, type HomeJob, TaskState } from "./home_state.ts";
 import { enqueue, requeueFirst, setTaskState } from "./queue.ts";
+import { describeWork, WORK_ACCEPTED } from "./work_events.ts";
 
 /** Acts on records that have become durable. */
 export function applyCommitted(
@@ -53,6 +54,7 @@
 
 function acceptJob(update: Update, home: Home, job: HomeJob): void {
   job.accepted = true;
+  update.dispatch(WORK_ACCEPTED, describeWork(home, job));
   answerWaiters(update, home, { job, waiters: job.acceptWaiters });
   for (const task of job.tasks) {
     if (task.state === TaskState.Pending) {
--- a/packages/home/src/task_progress.ts
+++ b/packages/home/src/task_progress.ts
@@ -6,6 +6,7 @@
 import { noteGangLoss } from "./gang.ts";
 import { type Home, type HomeTask, TaskState } from "./home_state.ts";
 import { requeueFirst, resetAttempt, setTaskState } from "./queue.ts";
+import { describeWork, WORK_STARTED } from "./work_events.ts";
 
 /** Attempts after which a task that fails is given up. */
 const MAX_FAILURES = 3;
@@ -37,6 +38,7 @@
   task.instanceId = instanceId;
   if (job.firstStartAt === undefined) {
     job.firstStartAt = update.now;
+    update.dispatch(WORK_STARTED, describeWork(home, job));
     update.emit(observe("start_wait_ms", update.now - job.createdAt));
   }
 }
--- a/packages/protocol/src/caller_messages.ts
+++ b/packages/protocol/src/caller_messages.ts
@@ -1,11 +1,15 @@
 import type {
+  Ceiling,
   Configuration,
   ConfigurationSection,
   JobSpec,
   JobStatus,
   Refusal,
   Resources,
+  ZoneState,
 } from "@mustardweir/model";
+import type { BurnReport } from "./burn_messages.ts";
+import type { SliceSummary } from "./peer_messages.ts";
 
 /** Calls of callers and operators, apart from how they are encoded. */
 export enum CallerCallKind {
@@ -16,6 +20,8 @@
   ReadConfiguration = "read-configuration",
   EditConfiguration = "edit-configuration",
   Teams = "teams",
+  Fleet = "fleet",
+  Burn = "burn",
 }
 
 export type CallerCall =
@@ -36,7 +42,9 @@
     /** The version that the edit was made against. */
     readonly ifMatch: number;
   }
-  | { readonly kind: CallerCallKind.Teams };
+  | { readonly kind: CallerCallKind.Teams }
+  | { readonly kind: CallerCallKind.Fleet }
+  | { readonly kind: CallerCallKind.Burn };
 
 export interface CallerRequest {
   /** Unique in the process; the answer carries it back. */
@@ -56,16 +64,53 @@
   Configuration = "configuration",
   Edited = "edited",
   Teams = "teams",
+  Fleet = "fleet",
+  Burn = "burn",
   Refused = "refused",
 }
 
 /** A team's part of the fleet, as far as the peers have told. */
 export interface TeamStanding {
   readonly team: string;
+  /** As the rules give it, relative to the other teams. */
+  readonly share: number;
+  readonly ceiling: Ceiling;
   readonly used: Resources;
   readonly dominantShare: number;
   /** The part of the fleet that the team's share amounts to. */
   readonly entitlement: number;
+  /** Tasks that wait for room; absent when the home's owner is silent. */
+  readonly waiting?: number;
+}
+
+/** A scheduler as an entry sees it. */
+export interface SchedulerStanding {
+  readonly nodeId: string;
+  readonly availabilityZone: string;
+  readonly configurationVersion: number;
+  readonly isStopping: boolean;
+  /** Time since it was last heard from, in milliseconds. */
+  readonly silentMs: number;
+  /** Homes and slices that it says it owns. */
+  readonly owned: number;
+}
+
+/** An availability zone as an entry sees it. */
+export interface ZoneStanding {
+  readonly availabilityZone: string;
+  readonly state: ZoneState;
+  readonly instances: number;
+  readonly slices: readonly SliceSummary[];
+}
+
+/** The parts of the system that an entry can't tell of. */
+export interface MissingParts {
+  /** Slices whose owner was not heard from lately. */
+  readonly missingSlices: readonly string[];
+  /** Teams whose home's owner was not heard from lately. */
+  readonly missingHomes: readonly string[];
+  /** Schedulers that were heard from, but not lately. */
+  readonly missingSchedulers: readonly string[];
 }
 
 export type CallerAnswer =
@@ -79,11 +124,16 @@
     readonly configuration: Configuration;
   }
   | { readonly kind: CallerAnswerKind.Edited; readonly version: number }
-  | {
+  | (MissingParts & {
     readonly kind: CallerAnswerKind.Teams;
     readonly teams: readonly TeamStanding[];
     readonly configurationVersion: number;
-    /** Slices whose owner was not heard from lately. */
-    readonly missingSlices: readonly string[];
-  }
+  })
+  | (MissingParts & {
+    readonly kind: CallerAnswerKind.Fleet;
+    readonly schedulers: readonly SchedulerStanding[];
+    readonly availabilityZones: readonly ZoneStanding[];
+    readonly configurationVersion: number;
+  })
+  | { readonly kind: CallerAnswerKind.Burn; readonly report: BurnReport }
   | { readonly kind: CallerAnswerKind.Refused; readonly refusal: Refusal };
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -1,3 +1,4 @@
+export * from "./burn_messages.ts";
 export * from "./caller_messages.ts";
 export * from "./effects.ts";
 export * from "./events.ts";
--- a/packages/protocol/src/peer_messages.ts
+++ b/packages/protocol/src/peer_messages.ts
@@ -4,6 +4,7 @@
   Refusal,
   Resources,
 } from "@mustardweir/model";
+import type { BurnRecord, BurnRequest } from "./burn_messages.ts";
 import type { StopMode, TaskEnd, TaskSpec } from "./tasks.ts";
 
 /** Kinds of message between the system's own processes. */
@@ -20,6 +21,8 @@
   StopTasks = 10,
   TaskEvents = 11,
   TaskEventsAck = 12,
+  BurnRequest = 13,
+  BurnRecord = 14,
 }
 
 /** What an owner holds of the fleet: a home or a slice, under an epoch. */
@@ -42,6 +45,8 @@
 export interface TeamUsage {
   readonly team: string;
   readonly used: Resources;
+  /** Tasks that wait for room; told by the home's owner. */
+  readonly waiting?: number;
 }
 
 /** Sent to every peer once a second and when something important changed. */
@@ -161,6 +166,11 @@
   readonly kind: PeerMessageKind.HomeInventory;
   /** False while workers have yet to tell what they run. */
   readonly complete: boolean;
+  /**
+   * For how long, in milliseconds until now, no worker of the slice can have
+   * forgotten a task. What was asked for since and isn't listed did not run.
+   */
+  readonly knownForMs: number;
   readonly tasks: readonly TaskReport[];
 }
 
@@ -274,4 +284,6 @@
   | RoomAnswer
   | StopTasks
   | TaskEvents
-  | TaskEventsAck;
+  | TaskEventsAck
+  | BurnRequest
+  | BurnRecord;
--- a/packages/protocol/src/target_messages.ts
+++ b/packages/protocol/src/target_messages.ts
@@ -76,6 +76,8 @@
   readonly kind: SyncResultKind.Synced;
   /** Differs for each start of the worker; then it has forgotten all. */
   readonly incarnation: string;
+  /** Time since its start in milliseconds; so long it has forgotten nothing. */
+  readonly uptimeMs: number;
   /** Grows with each answer; lower ones are older. */
   readonly stateSeq: number;
   readonly leaseToken: string;
--- a/packages/slice/src/instances.ts
+++ b/packages/slice/src/instances.ts
@@ -1,6 +1,6 @@
 import type { Update } from "@mustardweir/kernel";
 import { CONFIGURATION } from "@mustardweir/configuration";
-import { isStopping, type Owned } from "@mustardweir/membership";
+import { isLeaving, isStopping, type Owned } from "@mustardweir/membership";
 import {
   instanceCapacity,
   type PlacedInstance,
@@ -8,11 +8,12 @@
   type SliceSpec,
 } from "@mustardweir/model";
 import { InstanceTable } from "@mustardweir/placement";
-import { StopMode, TaskPhase } from "@mustardweir/protocol";
+import { DeclineReason, StopMode, TaskPhase } from "@mustardweir/protocol";
 import { stopTask } from "./asks.ts";
 import { isZoneOpen } from "./grant.ts";
 import { isTrusted } from "./health.ts";
 import { type Slice, type Worker, WorkerState } from "./slice_state.ts";
+import { takeBackStart } from "./tasks.ts";
 
 /** The slice of the inventory with this id. */
 export function findSliceSpec(
@@ -83,6 +84,7 @@
     index,
     state: WorkerState.Unknown,
     incarnation: "",
+    upSince: Infinity,
     stateSeq: 0,
     leaseToken: undefined,
     tokenAt: -Infinity,
@@ -122,13 +124,33 @@
 export function updateEligibility(update: Update, slice: Slice): void {
   const isOpen = isZoneOpen(update, slice) && !isStopping(update);
   for (const worker of slice.workers.values()) {
-    const isEligible = isOpen && !worker.removed &&
+    const isEligible = isOpen && isStaying(update, worker) &&
       worker.state === WorkerState.Reachable &&
       isTrusted(update, worker.instanceId);
     slice.table.setEligible(worker.index, isEligible);
   }
 }
 
+/**
+ * Takes back starts that have not come to pass on instances, or in zones, that
+ * are given no new work any more.
+ */
+export function takeBackStarts(update: Update, slice: Slice): void {
+  const isOpen = isZoneOpen(update, slice);
+  for (const worker of slice.workers.values()) {
+    if (!isOpen || !isStaying(update, worker)) {
+      worker.tasks.forEach((task) =>
+        takeBackStart(task, DeclineReason.ZoneClosed)
+      );
+    }
+  }
+}
+
+/** True unless the instance is leaving, or has left the inventory. */
+function isStaying(update: Update, worker: Worker): boolean {
+  return !worker.removed && !isLeaving(update, worker.instanceId);
+}
+
 /** True when nothing unknown runs on the slice's workers. */
 export function isComplete(slice: Slice): boolean {
   return [...slice.workers.values()].every(({ state }) =>
--- a/packages/slice/src/slice_plugin.ts
+++ b/packages/slice/src/slice_plugin.ts
@@ -37,6 +37,7 @@
   findSliceSpec,
   followInventory,
   isComplete,
+  takeBackStarts,
   updateEligibility,
 } from "./instances.ts";
 import { type Slice, SLICES } from "./slice_state.ts";
@@ -202,6 +203,7 @@
 /** Grants what fits now, then sends calls, answers and ends. */
 function settle(update: Update, slice: Slice): void {
   updateEligibility(update, slice);
+  takeBackStarts(update, slice);
   noteCompletion(update, slice);
   grantRoom(update, slice);
   callWorkers(update, slice);
--- a/packages/target-client/src/message_schemas.ts
+++ b/packages/target-client/src/message_schemas.ts
@@ -63,6 +63,7 @@
     z.object({
       kind: z.literal(SyncResultKind.Synced),
       incarnation: z.string(),
+      uptimeMs: amount,
       stateSeq: counter,
       leaseToken: z.string(),
       running: z.array(z.object({ task: taskSchema, usage: usageSchema })),
--- a/packages/wire/src/codec_test.ts
+++ b/packages/wire/src/codec_test.ts
@@ -11,6 +11,7 @@
 } from "@mustardweir/model";
 import {
   AskMode,
+  BurnWindow,
   DeclineReason,
   HomeCallKind,
   HomeReplyKind,
@@ -159,6 +160,32 @@
     ...address,
     taskIds: [task.taskId],
   },
+  [PeerMessageKind.BurnRequest]: {
+    kind: PeerMessageKind.BurnRequest,
+    requestId: "b1",
+  },
+  [PeerMessageKind.BurnRecord]: {
+    kind: PeerMessageKind.BurnRecord,
+    requestId: "b1",
+    series: [{
+      team: "storefront",
+      kind: JobKind.Batch,
+      windows: [{
+        window: BurnWindow.OneHour,
+        waits: "AAAA",
+        accepted: 1,
+        completed: 1,
+        failed: 0,
+        notRun: 0,
+        cancelled: 0,
+        unknown: 0,
+        unmeasured: 0,
+      }],
+      waiting: "AAAA",
+      points: [{ ageMs: 0, widthMs: 60_000, accepted: 1, waits: "AAAA" }],
+    }],
+    spans: [{ team: "storefront", fromAgeMs: 9, toAgeMs: 0 }],
+  },
 };
 
 const REPLY_BODIES = [
--- a/packages/wire/src/message_schemas.ts
+++ b/packages/wire/src/message_schemas.ts
@@ -9,6 +9,7 @@
 } from "@mustardweir/model";
 import {
   AskMode,
+  BurnWindow,
   DeclineReason,
   HomeCallKind,
   HomeReplyKind,
@@ -207,6 +208,43 @@
   taskIds: z.array(z.string()),
 });
 
+const burnRequest = z.looseObject({
+  kind: z.literal(PeerMessageKind.BurnRequest),
+  requestId: z.string(),
+});
+
+const burnRecord = z.looseObject({
+  kind: z.literal(PeerMessageKind.BurnRecord),
+  requestId: z.string(),
+  series: z.array(z.looseObject({
+    team: z.string(),
+    kind: z.enum(JobKind),
+    windows: z.array(z.looseObject({
+      window: z.enum(BurnWindow),
+      waits: z.string(),
+      accepted: z.number(),
+      completed: z.number(),
+      failed: z.number(),
+      notRun: z.number(),
+      cancelled: z.number(),
+      unknown: z.number(),
+      unmeasured: z.number(),
+    })),
+    waiting: z.string(),
+    points: z.array(z.looseObject({
+      ageMs: z.number(),
+      widthMs: z.number(),
+      accepted: z.number(),
+      waits: z.string(),
+    })),
+  })),
+  spans: z.array(z.looseObject({
+    team: z.string(),
+    fromAgeMs: z.number(),
+    toAgeMs: z.number(),
+  })),
+});
+
 /** The shape that each kind promises, checked against the protocol's types. */
 const MESSAGE_SCHEMAS: { readonly [Kind in PeerMessageKind]: SchemaOf<Kind> } =
   {
@@ -222,6 +260,8 @@
     [PeerMessageKind.StopTasks]: stopTasks,
     [PeerMessageKind.TaskEvents]: taskEvents,
     [PeerMessageKind.TaskEventsAck]: taskEventsAck,
+    [PeerMessageKind.BurnRequest]: burnRequest,
+    [PeerMessageKind.BurnRecord]: burnRecord,
   };
 
 /** The schema of messages of `kind`; undefined when the kind is not known. */
--- a/packages/worker/src/worker_state.ts
+++ b/packages/worker/src/worker_state.ts
@@ -84,6 +84,7 @@
   readonly #listeners = new Set<WorkerListener>();
   readonly #slices = new Map<string, WorkerSlice>();
   #restarts = 0;
+  #startedMs = 0;
   #stateSeq = 0;
   #used = NO_RESOURCES;
   #faults = NO_FAULTS;
@@ -185,6 +186,7 @@
     }
     this.#slices.clear();
     this.#restarts += 1;
+    this.#startedMs = now;
     this.#stateSeq = 0;
   }
 
@@ -356,6 +358,7 @@
     return {
       kind: SyncResultKind.Synced,
       incarnation,
+      uptimeMs: now - this.#startedMs,
       stateSeq,
       leaseToken: formatLeaseToken({ incarnation, madeMs: now, stateSeq }),
       running: [...slice.running.values()].map((run) => this.#report(run, now)),
