--- a/packages/membership/src/follower_plugin.ts
+++ b/packages/membership/src/follower_plugin.ts
@@ -52,6 +52,8 @@
 /** The other schedulers, from the settings and the platform's list. */
 export interface SchedulersState {
   peers: readonly PeerAddress[];
+  /** Instances, of workers too, that the platform's list shows as leaving. */
+  leaving: ReadonlySet<string>;
 }
 
 export const SCHEDULERS = createStateKey<SchedulersState>("schedulers");
@@ -92,7 +94,10 @@
         scanStartedAt: undefined,
         scanId: 0,
       }),
-      kernel.registerState(SCHEDULERS, { peers: [] }),
+      kernel.registerState(SCHEDULERS, {
+        peers: [],
+        leaving: new Set<string>(),
+      }),
       kernel.registerCommand(
         OWNERSHIP_SCANNED,
         ({ context, result }, update) => applyScan(update, context, result),
@@ -226,12 +231,20 @@
   if (result.status !== StoreStatus.Ok) {
     return;
   }
+  update.write(SCHEDULERS).leaving = new Set(
+    result.instances.filter(({ leaving }) => leaving).map((i) => i.nodeId),
+  );
   const listed = result.instances
     .filter((instance) => instance.role === Role.Scheduler)
     .map(({ nodeId, address }) => ({ nodeId, address }));
   connect(update, listed);
 }
 
+/** True when the platform's list shows the instance as leaving. */
+export function isLeaving(update: Update, instanceId: string): boolean {
+  return update.read(SCHEDULERS).leaving.has(instanceId);
+}
+
 /** Tells the transport of the schedulers when their list has changed. */
 function connect(update: Update, listed: readonly PeerAddress[]): void {
   const { nodeId, seedPeers } = update.service(NODE_IDENTITY);
