--- a/packages/admission/src/admission_plugin.ts
+++ b/packages/admission/src/admission_plugin.ts
@@ -1,3 +1,4 @@
+import { COLLECT_BURN } from "@mustardweir/burn";
 import {
   CONFIGURATION,
   CONFIGURATION_CHANGED,
@@ -19,13 +20,13 @@
 import {
   type Configuration,
   EMPTY_CONFIGURATION,
-  KeyRole,
   type Refusal,
   RefusalReason,
   refuse,
 } from "@mustardweir/model";
 import {
   type Answered,
+  type BurnReport,
   CALLER_LEFT,
   CALLER_REQUESTED,
   CallerAnswerKind,
@@ -34,6 +35,7 @@
   count,
   EffectKind,
   HomeCallKind,
+  logChange,
   NODE_IDENTITY,
   nodeEffect,
   PEER_MESSAGE_RECEIVED,
@@ -51,12 +53,14 @@
   refuseCaller,
   removePending,
 } from "./admission_state.ts";
+import { describeEdit } from "./audit.ts";
+import { CALL_ROLES } from "./call_roles.ts";
 import { describeFleet } from "./fleet_shape.ts";
 import { type HomeTarget, resolveTarget } from "./home_target.ts";
 import { type CallerIdentity, KeyRing } from "./key_ring.ts";
 import { drivePending, routeCall, takeReply } from "./routing.ts";
 import { ADMISSION_SETTINGS, MAX_PENDING_CALLS } from "./settings.ts";
-import { teamStandings } from "./standing.ts";
+import { fleetStanding, teamStandings } from "./standing.ts";
 
 /** Time between looks at waiting calls, in milliseconds. */
 const DRIVE_INTERVAL_MS = 100;
@@ -64,6 +68,10 @@
 /** Waiting calls that every team may have, whatever its share. */
 const MIN_TEAM_PENDING = 100;
 
+const BURN_COLLECTED = createCommand<Answered<string, BurnReport>>(
+  "admission-burn-collected",
+);
+
 const EDIT_ANSWERED = createCommand<Answered<string, EditResult>>(
   "admission-edit-answered",
 );
@@ -79,6 +87,7 @@
       kernel.registerCommand(CALLER_REQUESTED, onRequested, normal),
       kernel.registerCommand(CALLER_LEFT, onLeft, normal),
       kernel.registerCommand(EDIT_ANSWERED, onEditAnswered, normal),
+      kernel.registerCommand(BURN_COLLECTED, onBurnCollected, normal),
       kernel.registerCommand(
         CONFIGURATION_CHANGED,
         ({ current }, update) => applyConfiguration(current, update),
@@ -131,7 +140,7 @@
     byRequest: new Map(),
     pendingOfTeam: new Map(),
     budgets: new Map(),
-    edits: new Set(),
+    edits: new Map(),
     isStopping: false,
     isStopped: false,
   };
@@ -188,14 +197,23 @@
   caller: CallerIdentity,
   update: Update,
 ): Result<void, Refusal> {
-  switch (request.call.kind) {
+  const { kind } = request.call;
+  if (!CALL_ROLES[kind].includes(caller.role)) {
+    return err(notPermitted(`A ${caller.role}'s key may not ${kind}`));
+  }
+  switch (kind) {
     case CallerCallKind.ReadConfiguration:
-      return readConfiguration(request, caller, update);
+      return readConfiguration(request, update);
     case CallerCallKind.EditConfiguration:
       return editConfiguration(request, caller, update);
     case CallerCallKind.Teams:
       answerCaller(request.requestId, teamStandings(update), update);
       return ok(undefined);
+    case CallerCallKind.Fleet:
+      answerCaller(request.requestId, fleetStanding(update), update);
+      return ok(undefined);
+    case CallerCallKind.Burn:
+      return collectBurn(request, caller, update);
     default:
       return resolveTarget(request.call, {
         caller,
@@ -207,29 +225,46 @@
 
 function readConfiguration(
   request: CallerRequest,
-  caller: CallerIdentity,
   update: Update,
 ): Result<void, Refusal> {
-  if (caller.role === KeyRole.Submitter) {
-    return err(notPermitted("Reading the configuration needs another role"));
-  }
   const configuration = update.read(CONFIGURATION).current;
   const kind = CallerAnswerKind.Configuration;
   answerCaller(request.requestId, { kind, configuration }, update);
   return ok(undefined);
 }
 
+/** A submitter is told of its own team only. */
+function collectBurn(
+  { requestId }: CallerRequest,
+  { team }: CallerIdentity,
+  update: Update,
+): Result<void, Refusal> {
+  update.dispatch(COLLECT_BURN, {
+    team,
+    replyTo: replyTo(BURN_COLLECTED, requestId),
+  });
+  return ok(undefined);
+}
+
+function onBurnCollected(
+  { context: requestId, result: report }: Answered<string, BurnReport>,
+  update: Update,
+): void {
+  answerCaller(requestId, { kind: CallerAnswerKind.Burn, report }, update);
+}
+
 function editConfiguration(
   request: CallerRequest,
   caller: CallerIdentity,
   update: Update,
 ): Result<void, Refusal> {
   const { call, requestId } = request;
-  if (caller.role !== KeyRole.Operator) {
-    return err(notPermitted("Editing the configuration is for operators"));
-  }
   if (call.kind === CallerCallKind.EditConfiguration) {
-    update.write(ADMISSION).edits.add(requestId);
+    update.write(ADMISSION).edits.set(requestId, {
+      keyId: caller.keyId,
+      section: call.section,
+      change: describeEdit(call.section, call.body),
+    });
     update.dispatch(EDIT_CONFIGURATION, {
       section: call.section,
       body: call.body,
@@ -246,16 +281,18 @@
   { context: requestId, result }: Answered<string, EditResult>,
   update: Update,
 ): void {
-  update.write(ADMISSION).edits.delete(requestId);
-  result.match(
-    (version) =>
-      answerCaller(
-        requestId,
-        { kind: CallerAnswerKind.Edited, version },
-        update,
-      ),
-    (refusal) => refuseCaller(requestId, refusal, update),
-  );
+  const { edits } = update.write(ADMISSION);
+  const edit = edits.get(requestId);
+  edits.delete(requestId);
+  if (result.isErr()) {
+    refuseCaller(requestId, result.error, update);
+    return;
+  }
+  const version = result.value;
+  if (edit !== undefined) {
+    update.emit(logChange("Configuration edited", { ...edit, version }));
+  }
+  answerCaller(requestId, { kind: CallerAnswerKind.Edited, version }, update);
 }
 
 function passToHome(
--- a/packages/admission/src/admission_state.ts
+++ b/packages/admission/src/admission_state.ts
@@ -1,5 +1,5 @@
 import { createStateKey, type Update } from "@mustardweir/kernel";
-import type { Refusal } from "@mustardweir/model";
+import type { ConfigurationSection, Refusal } from "@mustardweir/model";
 import {
   type AnswerCallerEffect,
   type CallerAnswer,
@@ -36,6 +36,14 @@
   resendAt: number;
 }
 
+/** What the log says of an edit; never a key or a body. */
+export interface AuditedEdit {
+  /** Id of the key that the operator presented. */
+  readonly keyId: string;
+  readonly section: ConfigurationSection;
+  readonly change: string;
+}
+
 export interface AdmissionState {
   keys: KeyRing;
   fleet: FleetShape;
@@ -45,8 +53,8 @@
   readonly byRequest: Map<string, string>;
   readonly pendingOfTeam: Map<string, number>;
   readonly budgets: Map<string, RetryBudget>;
-  /** Requests whose edit of the configuration is under way. */
-  readonly edits: Set<string>;
+  /** Edits of the configuration that are under way, by request id. */
+  readonly edits: Map<string, AuditedEdit>;
   isStopping: boolean;
   isStopped: boolean;
 }
--- a/packages/admission/src/hand_driven_test.ts
+++ b/packages/admission/src/hand_driven_test.ts
@@ -30,6 +30,7 @@
   type Heartbeat,
   type HomeCall,
   type HomeReplyBody,
+  type LogChangeEffect,
   NODE_IDENTITY,
   type NodeEffect,
   PEER_MESSAGE_RECEIVED,
@@ -108,6 +109,7 @@
   readonly sent: { readonly to: string; readonly call: HomeCall }[] = [];
   readonly answers: string[] = [];
   readonly edits: EditRequest[] = [];
+  readonly logs: LogChangeEffect[] = [];
   now = 0;
   lastAnswer: CallerAnswer | undefined;
   isStopped = false;
@@ -237,6 +239,8 @@
       } else if (effect.kind === EffectKind.AnswerCaller) {
         this.lastAnswer = effect.answer;
         this.answers.push(describeAnswer(effect.answer));
+      } else if (effect.kind === EffectKind.LogChange) {
+        this.logs.push(effect);
       } else if (effect.kind === EffectKind.Stopped) {
         this.isStopped = true;
       }
--- a/packages/admission/src/mod.ts
+++ b/packages/admission/src/mod.ts
@@ -1,5 +1,7 @@
 export * from "./admission_plugin.ts";
 export * from "./admission_state.ts";
+export * from "./audit.ts";
+export * from "./call_roles.ts";
 export * from "./fleet_shape.ts";
 export * from "./home_target.ts";
 export * from "./key_ring.ts";
--- /dev/null
+++ b/packages/admission/src/roles_test.ts
@@ -0,0 +1,162 @@
+import { SectionPatchKind } from "@mustardweir/configuration";
+import type { Command } from "@mustardweir/kernel";
+import {
+  ConfigurationSection,
+  jobSpecSchema,
+  KeyRole,
+  RefusalReason,
+} from "@mustardweir/model";
+import {
+  type CallerCall,
+  CallerCallKind,
+  type LogChangeEffect,
+} from "@mustardweir/protocol";
+import { expect } from "chai";
+import { ok } from "neverthrow";
+import { Bench, CONFIG, hashOf } from "./hand_driven_test.ts";
+
+const { Operator, Submitter, Viewer } = KeyRole;
+
+const KEYS: Readonly<Record<KeyRole, string>> = {
+  [Operator]: "o1",
+  [Submitter]: "s1",
+  [Viewer]: "v1",
+};
+
+const SPEC = jobSpecSchema.parse({
+  kind: "batch",
+  cpu: 1,
+  memoryMb: 64,
+  payload: "a secret body",
+});
+
+const DRAIN: CallerCall = {
+  kind: CallerCallKind.EditConfiguration,
+  section: ConfigurationSection.Zones,
+  body: {
+    patch: SectionPatchKind.SetZone,
+    zone: "tx-a",
+    state: "draining",
+  },
+  ifMatch: 1,
+};
+
+/** Who may make each call. */
+const ROLE_CASES: readonly {
+  readonly call: CallerCall;
+  readonly may: readonly KeyRole[];
+}[] = [
+  {
+    call: { kind: CallerCallKind.Submit, idempotencyKey: "k", spec: SPEC },
+    may: [Submitter],
+  },
+  {
+    call: { kind: CallerCallKind.Status, jobId: "storefront.1" },
+    may: [Operator, Submitter, Viewer],
+  },
+  {
+    call: { kind: CallerCallKind.Cancel, jobId: "storefront.1" },
+    may: [Operator, Submitter],
+  },
+  {
+    call: { kind: CallerCallKind.List, team: "storefront" },
+    may: [Operator, Submitter, Viewer],
+  },
+  { call: { kind: CallerCallKind.ReadConfiguration }, may: [Operator, Viewer] },
+  { call: DRAIN, may: [Operator] },
+  {
+    call: { kind: CallerCallKind.Teams },
+    may: [Operator, Submitter, Viewer],
+  },
+  { call: { kind: CallerCallKind.Fleet }, may: [Operator, Viewer] },
+  { call: { kind: CallerCallKind.Burn }, may: [Operator, Submitter, Viewer] },
+];
+
+describe("Roles", () => {
+  for (const { call, may } of ROLE_CASES) {
+    for (const role of Object.values(KeyRole)) {
+      const verb = may.includes(role) ? "may" : "may not";
+      it(`a ${role} ${verb} ${call.kind}`, () => {
+        const bench = new Bench();
+        bench.request(KEYS[role], call);
+        const isRefused = bench.answers.includes(
+          `${RefusalReason.NotPermitted} not-run`,
+        );
+        expect(isRefused).to.equal(!may.includes(role));
+      });
+    }
+  }
+});
+
+interface AuditCase {
+  readonly name: string;
+  readonly section: ConfigurationSection;
+  readonly body: unknown;
+  readonly change: string;
+}
+
+const SECRET_HASH = hashOf("the new key");
+
+const AUDIT_CASES: readonly AuditCase[] = [
+  {
+    name: "a drain",
+    section: ConfigurationSection.Zones,
+    body: DRAIN.body,
+    change: "set-zone tx-a draining",
+  },
+  {
+    name: "a key granted",
+    section: ConfigurationSection.Keys,
+    body: {
+      patch: SectionPatchKind.GrantKey,
+      key: { id: "k9", hash: SECRET_HASH, role: Viewer },
+    },
+    change: "grant-key k9",
+  },
+  {
+    name: "a key withdrawn",
+    section: ConfigurationSection.Keys,
+    body: { patch: SectionPatchKind.WithdrawKey, id: "v1" },
+    change: "withdraw-key v1",
+  },
+  {
+    name: "new rules",
+    section: ConfigurationSection.Rules,
+    body: { ...CONFIG.rules, note: "a secret body" },
+    change: "replace rules",
+  },
+];
+
+describe("Audit lines", () => {
+  for (const { name, section, body, change } of AUDIT_CASES) {
+    it(`tell who made ${name}, and no key or body`, () => {
+      const bench = new Bench();
+      const kind = CallerCallKind.EditConfiguration;
+      bench.request("o1", { kind, section, body, ifMatch: 1 });
+      const { command, context } = bench.edits[0]!.replyTo;
+      bench.run(command as Command<unknown>, { context, result: ok(2) });
+      bench.request("s1", {
+        kind: CallerCallKind.Submit,
+        idempotencyKey: "k",
+        spec: SPEC,
+      });
+      const logged = bench.logs.map(({ message, fields }) => ({
+        message,
+        fields,
+      }));
+      expect(logged).to.deep.equal([{
+        message: "Configuration edited",
+        fields: { keyId: "o1", section, change, version: 2 },
+      }]);
+      expectNoSecret(bench.logs);
+    });
+  }
+});
+
+function expectNoSecret(logs: readonly LogChangeEffect[]): void {
+  const text = JSON.stringify(logs);
+  const secrets = ["a secret body", SECRET_HASH, hashOf("o1"), hashOf("s1")];
+  for (const secret of secrets) {
+    expect(text).not.to.include(secret);
+  }
+}
--- a/packages/admission/src/standing.ts
+++ b/packages/admission/src/standing.ts
@@ -1,50 +1,112 @@
 import type { Update } from "@mustardweir/kernel";
 import { CONFIGURATION } from "@mustardweir/configuration";
-import { alivePeers, PEERS } from "@mustardweir/membership";
+import { alivePeers, homeUnit, PEERS } from "@mustardweir/membership";
 import {
   addResources,
   dominantShare,
   NO_RESOURCES,
   type Resources,
+  ZoneState,
 } from "@mustardweir/model";
 import {
   type CallerAnswer,
   CallerAnswerKind,
   type Heartbeat,
+  type MissingParts,
+  type SchedulerStanding,
   type SliceSummary,
   type TeamStanding,
+  type ZoneStanding,
 } from "@mustardweir/protocol";
 import { ADMISSION } from "./admission_state.ts";
 
 /** What each team uses, from the last heartbeats of the schedulers. */
 export function teamStandings(update: Update): CallerAnswer {
   const { current } = update.read(CONFIGURATION);
-  const heartbeats = alivePeers(update.read(PEERS), update.now)
-    .map((view) => view.heartbeat);
-  const slices = newestSlices(heartbeats);
-  const totals = [...slices.values()].map((slice) => slice.total);
+  const heartbeats = aliveHeartbeats(update);
+  const totals = [...newestSlices(heartbeats).values()].map((s) => s.total);
   const total = totals.reduce(addResources, NO_RESOURCES);
   const used = usageByTeam(heartbeats);
+  const waiting = waitingByTeam(heartbeats);
   const { teams } = current.rules;
   const shares = teams.reduce((sum, team) => sum + team.share, 0);
   return {
     kind: CallerAnswerKind.Teams,
-    teams: teams.map(({ name, share }): TeamStanding => {
+    teams: teams.map(({ name, share, ceiling }): TeamStanding => {
       const usage = used.get(name) ?? NO_RESOURCES;
       return {
         team: name,
+        share,
+        ceiling,
         used: usage,
         dominantShare: dominantShare(usage, total),
         entitlement: share / shares,
+        waiting: waiting.get(name),
       };
     }),
     configurationVersion: current.version,
+    ...missingParts(update),
+  };
+}
+
+/** The schedulers and zones, from the last heartbeats of the schedulers. */
+export function fleetStanding(update: Update): CallerAnswer {
+  const { current } = update.read(CONFIGURATION);
+  const slices = [...newestSlices(aliveHeartbeats(update)).values()];
+  return {
+    kind: CallerAnswerKind.Fleet,
+    schedulers: schedulerStandings(update),
+    availabilityZones: current.inventory.availabilityZones.map(
+      ({ name, racks }): ZoneStanding => ({
+        availabilityZone: name,
+        state: current.zones[name] ?? ZoneState.Open,
+        instances: racks.flatMap((rack) => rack.instances).length,
+        slices: slices.filter(({ sliceId }) => sliceId.startsWith(`${name}/`)),
+      }),
+    ),
+    configurationVersion: current.version,
+    ...missingParts(update),
+  };
+}
+
+/** What the last heartbeats say nothing of. */
+function missingParts(update: Update): MissingParts {
+  const heartbeats = aliveHeartbeats(update);
+  const slices = newestSlices(heartbeats);
+  const units = heartbeats.flatMap(({ owned }) => owned.map((o) => o.unit));
+  const owned = new Set(units);
+  const alive = new Set(heartbeats.map(({ nodeId }) => nodeId));
+  const { teams } = update.read(CONFIGURATION).current.rules;
+  return {
     missingSlices: update.read(ADMISSION).fleet.sliceIds.filter((sliceId) =>
       !slices.has(sliceId)
     ),
+    missingHomes: teams.map(({ name }) => name).filter((name) =>
+      !owned.has(homeUnit(name))
+    ),
+    missingSchedulers: [...update.read(PEERS).views.keys()].filter((nodeId) =>
+      !alive.has(nodeId)
+    ),
   };
 }
 
+function schedulerStandings(update: Update): SchedulerStanding[] {
+  const views = [...update.read(PEERS).views.values()];
+  return views.map(({ heartbeat, heardAt }) => ({
+    nodeId: heartbeat.nodeId,
+    availabilityZone: heartbeat.availabilityZone,
+    configurationVersion: heartbeat.configurationVersion,
+    isStopping: heartbeat.stopping,
+    silentMs: Math.round(update.now - heardAt),
+    owned: heartbeat.owned.length,
+  })).sort((a, b) => a.nodeId < b.nodeId ? -1 : 1);
+}
+
+function aliveHeartbeats(update: Update): Heartbeat[] {
+  return alivePeers(update.read(PEERS), update.now)
+    .map((view) => view.heartbeat);
+}
+
 function newestSlices(
   heartbeats: readonly Heartbeat[],
 ): Map<string, SliceSummary> {
@@ -65,3 +127,13 @@
   }
   return usage;
 }
+
+function waitingByTeam(heartbeats: readonly Heartbeat[]): Map<string, number> {
+  const waiting = new Map<string, number>();
+  for (const part of heartbeats.flatMap((h) => h.usage)) {
+    if (part.waiting !== undefined) {
+      waiting.set(part.team, (waiting.get(part.team) ?? 0) + part.waiting);
+    }
+  }
+  return waiting;
+}
--- a/packages/burn/src/mod.ts
+++ b/packages/burn/src/mod.ts
@@ -1,1 +1,6 @@
-export {};
+export * from "./burn_rate.ts";
+export * from "./collector_plugin.ts";
+export * from "./coverage.ts";
+export * from "./merge.ts";
+export * from "./waits.ts";
+export * from "./windows.ts";
--- /dev/null
+++ b/packages/burn/src/recorder/mod.ts
@@ -0,0 +1,3 @@
+export * from "./recorder_plugin.ts";
+export * from "./series_record.ts";
+export * from "./tally.ts";
--- /dev/null
+++ b/packages/burn/src/render/html.ts
@@ -0,0 +1,112 @@
+import { type BurnSeries, BurnWindow } from "@mustardweir/protocol";
+import { Tier, TIERS, WINDOWS } from "../windows.ts";
+import {
+  type BurnReply,
+  describeMissing,
+  describeSeries,
+  FIGURE_HEADS,
+  figureCells,
+} from "./burn_reply.ts";
+import { type PlotOptions, renderPlot } from "./plot.ts";
+
+const STYLE = `
+body { font: 15px/1.5 system-ui, sans-serif; margin: 2rem auto;
+  max-width: 60rem; padding: 0 1rem; color: #222; background: #fff; }
+h2 { font-size: 1.1rem; margin-top: 2rem; }
+h3 { font-size: .95rem; font-weight: normal; margin: 1rem 0 .2rem; }
+.table { overflow-x: auto; }
+table { border-collapse: collapse; font-variant-numeric: tabular-nums; }
+th, td { padding: .15rem .6rem; text-align: right; white-space: nowrap; }
+th { font-size: .75rem; border-bottom: 1px solid #999; }
+svg { width: 100%; height: auto; }
+svg text { font-size: 11px; fill: #555; }
+svg .end { text-anchor: end; }
+.axis { stroke: #999; }
+.in-time { fill: #2a7f9e; }
+.late { fill: #c0392b; }
+.alert-fast { color: #c0392b; }
+.alert-slow { color: #a86400; }
+.missing { border-left: 4px solid #a86400; padding-left: 1rem; }
+`;
+
+const PLOTS: readonly PlotOptions[] = [
+  {
+    title: "Last hour, by minute",
+    widthMs: TIERS[Tier.Minute].widthMs,
+    spanMs: WINDOWS[BurnWindow.OneHour].lengthMs,
+  },
+  {
+    title: "Last three days, by half hour",
+    widthMs: TIERS[Tier.HalfHour].widthMs,
+    spanMs: WINDOWS[BurnWindow.ThreeDays].lengthMs,
+  },
+];
+
+/**
+ * The report as one HTML page that loads nothing from elsewhere.
+ *
+ * @example
+ * ```ts
+ * writeFileSync("burn.html", renderBurnHtml(reply));
+ * ```
+ */
+export function renderBurnHtml(report: BurnReply): string {
+  return [
+    "<!doctype html>",
+    '<html lang="en">',
+    '<head><meta charset="utf-8">',
+    '<meta name="viewport" content="width=device-width">',
+    `<title>Service-level burn</title><style>${STYLE}</style></head>`,
+    "<body><h1>Service-level burn</h1>",
+    `<p>As of ${escapeHtml(report.asOf)}, configuration version ${
+      escapeHtml(report.configurationVersion)
+    }; told by ${
+      escapeHtml(report.schedulers.join(", ") || "no scheduler")
+    }.</p>`,
+    renderMissing(report),
+    ...report.series.map((series) => renderSeries(report, series)),
+    "</body></html>",
+  ].join("\n");
+}
+
+/** Makes text harmless in HTML. */
+export function escapeHtml(value: string | number): string {
+  const entities: Readonly<Record<string, string>> = {
+    "&": "&amp;",
+    "<": "&lt;",
+    ">": "&gt;",
+    '"': "&quot;",
+    "'": "&#39;",
+  };
+  return String(value).replaceAll(/[&<>"']/g, (char) => entities[char] ?? "");
+}
+
+function renderMissing(report: BurnReply): string {
+  const lines = describeMissing(report);
+  if (lines.length === 0) {
+    return "<p>Nothing is missing from this report.</p>";
+  }
+  const items = lines.map((line) => `<li>${escapeHtml(line)}</li>`).join("");
+  return `<div class="missing"><h2>Missing</h2><ul>${items}</ul></div>`;
+}
+
+function renderSeries(report: BurnReply, series: BurnSeries): string {
+  const heads = FIGURE_HEADS.map((head) => `<th>${head}</th>`).join("");
+  const rows = series.windows.map((figures) =>
+    `<tr>${
+      figureCells(figures).map((cell) => `<td>${escapeHtml(cell)}</td>`).join(
+        "",
+      )
+    }</tr>`
+  );
+  const plots = PLOTS.map((plot) =>
+    `<h3>${plot.title}</h3>${renderPlot(report, series, plot)}`
+  );
+  return [
+    `<h2 class="alert-${series.alert}">${
+      escapeHtml(describeSeries(series))
+    }</h2>`,
+    `<div class="table"><table><tr>${heads}</tr>${rows.join("")}</table></div>`,
+    ...plots,
+  ].join("\n");
+}
--- a/packages/cli/src/cli_error.ts
+++ b/packages/cli/src/cli_error.ts
@@ -1,5 +1,6 @@
 import { err, type Result } from "neverthrow";
 
+/** How the program ends; stable, so that scripts may rely on it. */
 export enum ExitCode {
   Ok = 0,
   /** The entry refused the call. */
@@ -10,15 +11,36 @@
   Unreachable = 3,
   /** The configuration has changed since it was read. */
   Stale = 4,
+  /** The job that was waited for did not complete. */
+  JobFailed = 5,
+  /** `diff` found differences. */
+  Different = 6,
 }
 
+/** One line for each exit code, for the help. */
+export const EXIT_CODE_HELP: Readonly<Record<ExitCode, string>> = {
+  [ExitCode.Ok]: "done",
+  [ExitCode.Refused]: "the entry refused the call, such as for a withdrawn key",
+  [ExitCode.Usage]: "the command line or a file is wrong; nothing was sent",
+  [ExitCode.Unreachable]: "no entry answered",
+  [ExitCode.Stale]: "the configuration has changed since it was read",
+  [ExitCode.JobFailed]: "the job that was waited for did not complete",
+  [ExitCode.Different]: "diff found differences",
+};
+
 /** Why a command failed. */
 export interface CliError {
   readonly exitCode: ExitCode;
   /** One line for people. */
   readonly message: string;
+  /** More lines, printed below the message. */
+  readonly details?: readonly string[];
   /** True when the entry said that nothing came of the call. */
   readonly isNotRun?: boolean;
+  /** Why the entry refused the call. */
+  readonly reason?: string;
+  /** True when the same call may succeed later. */
+  readonly mayRetry?: boolean;
 }
 
 /** Makes a failed result. */
--- /dev/null
+++ b/packages/cli/src/commands/key_commands.ts
@@ -0,0 +1,102 @@
+import { KeyRole } from "@mustardweir/model";
+import { type Command, InvalidArgumentError, Option } from "commander";
+import { readConfiguration } from "../edits.ts";
+import { formatKeys, type ShownKey } from "../format.ts";
+import {
+  addExamples,
+  addIfMatch,
+  type CommandContext,
+  CommandGroup,
+  serveEdit,
+} from "./command_group.ts";
+
+/** Milliseconds of each unit that a term may have. */
+const UNIT_MS: Readonly<Record<string, number>> = {
+  m: 60_000,
+  h: 3_600_000,
+  d: 86_400_000,
+};
+
+interface GrantOptions {
+  readonly ifMatch?: number;
+  readonly role: KeyRole;
+  readonly team?: string;
+  readonly expires?: number;
+}
+
+/** `keys grant`, `keys withdraw` and `keys list`. */
+export class KeyCommands extends CommandGroup {
+  override register(program: Command, context: CommandContext): void {
+    const keys = program.command("keys")
+      .description("grant, withdraw and list keys");
+    this.#addGrant(keys, context);
+    this.#addWithdraw(keys, context);
+    this.#addList(keys, context);
+  }
+
+  #addGrant(keys: Command, context: CommandContext): void {
+    const grant = addIfMatch(keys.command("grant <id>"))
+      .description("make a key; it is shown once and kept as a hash")
+      .addOption(
+        new Option("--role <role>").choices(Object.values(KeyRole))
+          .default(KeyRole.Submitter),
+      )
+      .option("--team <team>", "the team of a submitter")
+      .option("--expires <time>", "ISO 8601 time, or a term as 30d", parseTime)
+      .action((id: string, options: GrantOptions) => {
+        const { role, team, expires: expiresAtMs, ifMatch } = options;
+        const body = { id, role, team, expiresAtMs };
+        return serveEdit(context, {
+          call: { method: "POST", path: "/v1/config/keys", body },
+          ifMatch,
+          done: `key ${id}`,
+        });
+      });
+    addExamples(grant, [
+      "keys grant imaging-2 --team imaging --expires 30d",
+      "keys grant night-shift --role viewer",
+    ]);
+  }
+
+  #addWithdraw(keys: Command, context: CommandContext): void {
+    const withdraw = addIfMatch(keys.command("withdraw <id>"))
+      .description("make a key invalid")
+      .action((id: string, options: { readonly ifMatch?: number }) => {
+        const path = `/v1/config/keys/${encodeURIComponent(id)}`;
+        return serveEdit(context, {
+          call: { method: "DELETE", path },
+          ifMatch: options.ifMatch,
+          done: `withdrawal of ${id}`,
+        });
+      });
+    addExamples(withdraw, ["keys withdraw imaging-2"]);
+  }
+
+  #addList(keys: Command, context: CommandContext): void {
+    const list = keys.command("list")
+      .description("list keys without their secrets")
+      .action(() =>
+        context.serve(async (client) => {
+          const reply = await readConfiguration(client);
+          return reply.map((configuration) => ({
+            json: configuration.keys,
+            text: formatKeys(configuration.keys as readonly ShownKey[]),
+            stamp: configuration,
+          }));
+        })
+      );
+    addExamples(list, ["keys list", "--json keys list"]);
+  }
+}
+
+function parseTime(text: string): number {
+  const term = /^(\d{1,6})([mhd])$/.exec(text);
+  if (term !== null) {
+    return Date.now() + Number(term[1]) * (UNIT_MS[term[2] ?? ""] ?? 0);
+  }
+  const time = Date.parse(text);
+  if (Number.isNaN(time)) {
+    throw new InvalidArgumentError("It must be a time such as 2030-01-31");
+  }
+  return time;
+}
--- a/packages/cli/src/config_file.ts
+++ b/packages/cli/src/config_file.ts
@@ -1,25 +1,19 @@
-import { readFileSync } from "node:fs";
 import {
   ConfigurationSection,
-  type Inventory,
   inventorySchema,
-  type JobSpec,
-  jobSpecSchema,
-  type Rules,
   rulesSchema,
 } from "@mustardweir/model";
 import { err, ok, Result } from "neverthrow";
-import { parseAllDocuments } from "yaml";
-import type { z } from "zod";
 import { type CliError, ExitCode, fail } from "./cli_error.ts";
+import { readDocuments, type SourceDocument } from "./source_document.ts";
 
 /** A section as a file holds it. */
-export type SectionFile =
-  | {
-    readonly section: ConfigurationSection.Inventory;
-    readonly body: Inventory;
-  }
-  | { readonly section: ConfigurationSection.Rules; readonly body: Rules };
+export interface SectionFile {
+  readonly section: ConfigurationSection.Inventory | ConfigurationSection.Rules;
+  /** Checked against the section's schema. */
+  readonly body: unknown;
+  readonly source: SourceDocument;
+}
 
 /**
  * Reads the sections in YAML or JSON files. A document with the field
@@ -38,76 +32,30 @@
     .andThen(refuseDoubled);
 }
 
-/** Reads a job from a YAML or JSON file. */
-export function readJob(path: string): Result<JobSpec, CliError> {
-  return readDocuments(path).andThen(([document]) =>
-    check(jobSpecSchema, document, path)
-  );
-}
-
 function readSectionFile(path: string): Result<SectionFile[], CliError> {
   return readDocuments(path).andThen((documents) =>
-    Result.combine(documents.map((document) => toSection(document, path)))
+    Result.combine(documents.map(toSection))
   );
 }
 
-function toSection(
-  document: unknown,
-  path: string,
-): Result<SectionFile, CliError> {
-  const fields = document instanceof Object ? document : {};
+function toSection(source: SourceDocument): Result<SectionFile, CliError> {
+  const fields = source.value instanceof Object ? source.value : {};
   if ("availabilityZones" in fields) {
     const section = ConfigurationSection.Inventory as const;
-    return check(inventorySchema, document, path)
-      .map((body) => ({ section, body }));
+    return source.check(inventorySchema)
+      .map((body) => ({ section, body, source }));
   }
   if ("teams" in fields) {
     const section = ConfigurationSection.Rules as const;
-    return check(rulesSchema, document, path)
-      .map((body) => ({ section, body }));
+    return source.check(rulesSchema)
+      .map((body) => ({ section, body, source }));
   }
   return fail(
     ExitCode.Usage,
-    `${path}: neither an inventory (availabilityZones) nor rules (teams)`,
+    `${source.path}: neither an inventory (availabilityZones) nor rules (teams)`,
   );
 }
 
-function readDocuments(path: string): Result<unknown[], CliError> {
-  return readText(path).andThen((text) => {
-    const documents = [...parseAllDocuments(text)];
-    const fault = documents.flatMap((document) => document.errors)[0];
-    return fault
-      ? fail<unknown[]>(
-        ExitCode.Usage,
-        `${path}: ${fault.message.split("\n")[0]}`,
-      )
-      : ok(documents.map((document) => document.toJS() as unknown));
-  });
-}
-
-function readText(path: string): Result<string, CliError> {
-  try {
-    return ok(readFileSync(path, "utf8"));
-  } catch (cause) {
-    const code = (cause as NodeJS.ErrnoException).code ?? "unknown error";
-    return fail(ExitCode.Usage, `${path}: can't be read (${code})`);
-  }
-}
-
-function check<Value>(
-  schema: z.ZodType<Value>,
-  document: unknown,
-  path: string,
-): Result<Value, CliError> {
-  const parsed = schema.safeParse(document);
-  if (parsed.success) {
-    return ok(parsed.data);
-  }
-  const issue = parsed.error.issues[0];
-  const place = issue?.path.join(".") || "document";
-  return fail(ExitCode.Usage, `${path}: ${place}: ${issue?.message}`);
-}
-
 function refuseDoubled(
   sections: SectionFile[],
 ): Result<SectionFile[], CliError> {
--- /dev/null
+++ b/packages/cli/src/differences.ts
@@ -0,0 +1,56 @@
+import { isDeepStrictEqual } from "node:util";
+
+/** Fields that name the entries of a list. */
+const NAME_FIELDS = ["name", "id"] as const;
+
+/**
+ * One line for each place where two values differ. Entries of lists are
+ * matched by their names, so that their order does not count.
+ *
+ * @example
+ * ```ts
+ * listDifferences({ share: 1 }, { share: 2 }, "teams.imaging");
+ * // ["~ teams.imaging.share: 1 -> 2"]
+ * ```
+ */
+export function listDifferences(
+  before: unknown,
+  after: unknown,
+  path: string,
+): string[] {
+  if (isDeepStrictEqual(before, after)) {
+    return [];
+  }
+  const old = fieldsOf(before);
+  const next = fieldsOf(after);
+  if (before === undefined) {
+    return [`+ ${path}: ${JSON.stringify(after)}`];
+  }
+  if (after === undefined) {
+    return [`- ${path}: ${JSON.stringify(before)}`];
+  }
+  if (old === undefined || next === undefined) {
+    return [`~ ${path}: ${JSON.stringify(before)} -> ${JSON.stringify(after)}`];
+  }
+  const names = new Set([...old.keys(), ...next.keys()]);
+  return [...names].flatMap((name) =>
+    listDifferences(old.get(name), next.get(name), `${path}.${name}`)
+  );
+}
+
+/** The parts of a value by name; undefined when it has none. */
+function fieldsOf(value: unknown): Map<string, unknown> | undefined {
+  if (Array.isArray(value)) {
+    return new Map(value.map((entry, index) => [nameOf(entry, index), entry]));
+  }
+  return value instanceof Object ? new Map(Object.entries(value)) : undefined;
+}
+
+function nameOf(entry: unknown, index: number): string {
+  const fields = entry instanceof Object
+    ? entry as Record<string, unknown>
+    : {};
+  const name = NAME_FIELDS.map((field) => fields[field])
+    .find((field) => typeof field === "string");
+  return name === undefined ? String(index) : String(name);
+}
--- a/packages/cli/src/edits.ts
+++ b/packages/cli/src/edits.ts
@@ -3,18 +3,27 @@
 import { err, ok, type Result } from "neverthrow";
 import { type CliError, ExitCode } from "./cli_error.ts";
 import type { SectionFile } from "./config_file.ts";
+import { listDifferences } from "./differences.ts";
 import type { EntryCall, EntryClient } from "./entry_client.ts";
+import type { Stamp } from "./format.ts";
 
 /** Times that a small edit is made again when another one came first. */
 const MAX_EDIT_ATTEMPTS = 5;
 
+/** Most lines that are shown of what changed meanwhile. */
+const MAX_CHANGES_SHOWN = 20;
+
+const SECTIONS = ["inventory", "rules", "zones", "keys"] as const;
+
 /** The fields of an edit's answer. */
-export interface EditReply {
+export interface EditReply extends Stamp {
   readonly version: number;
   /** A new key; shown only here. */
   readonly key?: string;
 }
 
+export type ConfigurationReply = Configuration & Stamp;
+
 /** What became of one section of `apply`. */
 export interface AppliedSection {
   readonly section: string;
@@ -25,9 +34,9 @@
 /** Reads the configuration in force; keys come without their hashes. */
 export async function readConfiguration(
   client: EntryClient,
-): Promise<Result<Configuration, CliError>> {
+): Promise<Result<ConfigurationReply, CliError>> {
   const reply = await client.call({ method: "GET", path: "/v1/config" });
-  return reply.map((json) => json as Configuration);
+  return reply.map((json) => json as ConfigurationReply);
 }
 
 /**
@@ -65,14 +74,16 @@
   }
   let version = ifMatch ?? base.value.version;
   const applied: AppliedSection[] = [];
-  for (const { section, body } of sections) {
+  for (const file of sections) {
+    const { section, body } = file;
     const changed = !isDeepStrictEqual(base.value[section], body);
     if (changed) {
       const path = `/v1/config/${section}`;
       const edit: EntryCall = { method: "PUT", path, body, ifMatch: version };
       const reply = await client.call(edit);
       if (reply.isErr()) {
-        return err(reply.error);
+        const located = locateFault(reply.error, file);
+        return err(await explainStale(client, located, base.value));
       }
       version = (reply.value as EditReply).version;
     }
@@ -81,6 +92,46 @@
   return ok(applied);
 }
 
+/** Adds file and line to a fault that only the entry could find. */
+function locateFault(error: CliError, file: SectionFile): CliError {
+  const fault = /^(\w+)\.(\S+?): (.*)$/.exec(error.message);
+  if (fault === null || fault[1] !== file.section) {
+    return error;
+  }
+  const path = fault[2]!.split(".").map((step) =>
+    /^\d+$/.test(step) ? Number(step) : step
+  );
+  return { ...error, message: file.source.describeFault(path, fault[3]!) };
+}
+
+/** Adds what other edits have changed since `base` was read. */
+async function explainStale(
+  client: EntryClient,
+  error: CliError,
+  base: Configuration,
+): Promise<CliError> {
+  if (error.exitCode !== ExitCode.Stale) {
+    return error;
+  }
+  const now = await readConfiguration(client);
+  if (now.isErr()) {
+    return error;
+  }
+  const changes = SECTIONS.flatMap((section) =>
+    listDifferences(base[section], now.value[section], section)
+  );
+  const head = `changed from version ${base.version} to ${now.value.version}:`;
+  const details = changes.length > 0
+    ? [head, ...changes.slice(0, MAX_CHANGES_SHOWN), ...hidden(changes)]
+    : [`version ${now.value.version} is in force; see "mustardweir diff"`];
+  return { ...error, details };
+}
+
+function hidden(changes: readonly string[]): string[] {
+  const rest = changes.length - MAX_CHANGES_SHOWN;
+  return rest > 0 ? [`and ${rest} more changes`] : [];
+}
+
 async function baseVersion(
   client: EntryClient,
   ifMatch: number | undefined,
--- a/packages/cli/src/entry_client.ts
+++ b/packages/cli/src/entry_client.ts
@@ -39,6 +39,7 @@
     reason: z.string(),
     message: z.string(),
     outcome: z.string(),
+    retryable: z.boolean().default(false),
   }),
 });
 
@@ -79,7 +80,11 @@
     } catch (cause) {
       const reason = cause instanceof Error ? cause.message : String(cause);
       const { entry } = this.#options;
-      return fail(ExitCode.Unreachable, `No answer from ${entry}: ${reason}`);
+      return err({
+        exitCode: ExitCode.Unreachable,
+        message: `No answer from ${entry}: ${reason}`,
+        mayRetry: true,
+      });
     }
   }
 
@@ -118,7 +123,7 @@
     const message = `The entry answered ${res.statusCode} without a reason`;
     return fail(ExitCode.Unreachable, message);
   }
-  const { reason, message, outcome } = parsed.data.error;
+  const { reason, message, outcome, retryable } = parsed.data.error;
   const exitCode = res.statusCode === PRECONDITION_FAILED
     ? ExitCode.Stale
     : ExitCode.Refused;
@@ -126,6 +131,8 @@
     exitCode,
     message: `${message} (${reason}, ${outcome})`,
     isNotRun: outcome === Outcome.NotRun,
+    reason,
+    mayRetry: retryable,
   });
 }
 
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -5,4 +5,8 @@
   argv: process.argv.slice(2),
   print: (line) => process.stdout.write(`${line}\n`),
   printError: (line) => process.stderr.write(`${line}\n`),
+  onInterrupt: (listener) => {
+    process.once("SIGINT", listener);
+    return () => process.off("SIGINT", listener);
+  },
 });
--- a/packages/cli/src/program_test.ts
+++ b/packages/cli/src/program_test.ts
@@ -24,12 +24,22 @@
   readonly error?: string;
   /** Method, path and version of the calls that the entry got. */
   readonly calls?: readonly string[];
+  /** Presses ctrl-c as soon as something was printed. */
+  readonly interrupts?: boolean;
 }
 
+const STAMP = { asOf: "2030-01-01T00:00:00.000Z", configurationVersion: 4 };
+const STAMP_LINE = "as of 2030-01-01T00:00:00.000Z, configuration version 4";
+const NOTHING = { cpuMillis: 0, memoryMb: 0, accelerators: 0, slots: 0 };
+
 const RULES = { teams: [{ name: "imaging", share: 1 }] };
 const FILES: Readonly<Record<string, string>> = {
   "rules.yaml": "teams:\n  - name: imaging\n    share: 1\n",
   "bad.yaml": "teams:\n  - name: imaging\n    share: 0\n",
+  "unknown.yaml": "teams:\n  - name: imaging\n    share: 1\n    shares: 2\n",
+  "bomb.yaml": `a: &a [${"x,".repeat(99)}]\nb: &b [${
+    "*a,".repeat(99)
+  }]\nteams: [${"*b,".repeat(99)}]\n`,
   "broken.yaml": "teams: [",
   "other.json": "{}",
   "fleet.json": '{"availabilityZones":[]}',
@@ -50,6 +60,75 @@
   tasksEnded: 0,
 };
 
+const FAILED_JOB = {
+  ...JOB,
+  ...STAMP,
+  state: "ended",
+  outcome: Outcome.Done,
+  reason: "failed",
+  tasksRunning: 0,
+  tasksEnded: 2,
+};
+const STANDING = {
+  share: 1,
+  ceiling: {},
+  used: NOTHING,
+  dominantShare: 0,
+  entitlement: 0.5,
+};
+const TEAMS = {
+  status: 200,
+  body: {
+    ...STAMP,
+    teams: [
+      { ...STANDING, team: "imaging", ceiling: { tasks: 2 }, waiting: 7 },
+      { ...STANDING, team: "ledger" },
+    ],
+    missingSlices: ["tx-a/0"],
+    missingHomes: ["ledger"],
+    missingSchedulers: [],
+  },
+};
+const FLEET = {
+  status: 200,
+  body: {
+    ...STAMP,
+    schedulers: [{
+      nodeId: "s1",
+      availabilityZone: "tx-a",
+      configurationVersion: 4,
+      isStopping: false,
+      silentMs: 240,
+      owned: 2,
+    }],
+    availabilityZones: [{
+      availabilityZone: "tx-a",
+      state: "draining",
+      instances: 3,
+      slices: [{
+        sliceId: "tx-a/0",
+        epoch: 1,
+        free: NOTHING,
+        total: { ...NOTHING, cpuMillis: 64_000, slots: 8 },
+        waiting: 4,
+      }],
+    }],
+    missingSlices: [],
+    missingHomes: [],
+    missingSchedulers: ["s2"],
+  },
+};
+const BURN = {
+  status: 200,
+  body: {
+    ...STAMP,
+    series: [],
+    schedulers: ["s1"],
+    silent: [{ nodeId: "s2", silentMs: 60_000 }],
+    gaps: [{ team: "ledger", fromAgeMs: 3_600_000, toAgeMs: 1_800_000 }],
+  },
+};
+
 function refused(
   status: number,
   reason: RefusalReason,
@@ -94,12 +173,59 @@
     calls: ["GET /v1/config"],
   },
   {
-    name: "does not apply over another edit",
+    name: "does not apply over another edit, and shows what it changed",
     argv: ["apply", "rules.yaml"],
-    replies: [VERSION_4, STALE],
+    replies: [VERSION_4, STALE, {
+      status: 200,
+      body: { ...VERSION_4.body, version: 5, zones: { "tx-a": "draining" } },
+    }],
     exitCode: ExitCode.Stale,
-    error: "mustardweir: No (stale-edit, not-run)",
-    calls: ["GET /v1/config", 'PUT /v1/config/rules "4"'],
+    error: [
+      "mustardweir: No (stale-edit, not-run)",
+      "  changed from version 4 to 5:",
+      '  + zones.tx-a: "draining"',
+    ].join("\n"),
+    calls: ["GET /v1/config", 'PUT /v1/config/rules "4"', "GET /v1/config"],
+  },
+  {
+    name: "names the line of a fault that the entry found",
+    argv: ["apply", "rules.yaml"],
+    replies: [VERSION_4, {
+      status: 400,
+      body: {
+        error: refuse(RefusalReason.Malformed, {
+          message: "rules.teams.0.name: no such team",
+        }),
+      },
+    }],
+    exitCode: ExitCode.Refused,
+    error:
+      "mustardweir: rules.yaml:2: teams.0.name (imaging): no such team (malformed, not-run)",
+  },
+  {
+    name: "shows what apply would change",
+    argv: ["diff", "rules.yaml"],
+    replies: [{
+      status: 200,
+      body: {
+        ...VERSION_4.body,
+        ...STAMP,
+        rules: {
+          teams: [
+            { name: "storefront", share: 1 },
+            { name: "imaging", share: 2, ceiling: {}, maySubmit: true },
+          ],
+          objectives: [],
+        },
+      },
+    }],
+    exitCode: ExitCode.Different,
+    out: [
+      '- rules.teams.storefront: {"name":"storefront","share":1}',
+      "~ rules.teams.imaging.share: 2 -> 1",
+      "2 differences to version 4",
+      STAMP_LINE,
+    ].join("\n"),
   },
   {
     name: "drains again when another edit came first",
@@ -189,7 +315,158 @@
     argv: ["apply", "bad.yaml"],
     exitCode: ExitCode.Usage,
     error:
-      "mustardweir: bad.yaml: teams.0.share: Too small: expected number to be >0",
+      "mustardweir: bad.yaml:3: teams.0.share (imaging): Too small: expected number to be >0",
+  },
+  {
+    name: "names a field that is not known",
+    argv: ["apply", "unknown.yaml"],
+    exitCode: ExitCode.Usage,
+    error:
+      "mustardweir: unknown.yaml:4: teams.0.shares (imaging): unknown field",
+  },
+  {
+    name: "names the line of a file that is not YAML",
+    argv: ["diff", "broken.yaml"],
+    exitCode: ExitCode.Usage,
+    error:
+      "mustardweir: broken.yaml:1: Flow sequence in block collection must be sufficiently indented and end with a ]",
+  },
+  {
+    name: "refuses a file whose aliases blow it up",
+    argv: ["apply", "bomb.yaml"],
+    exitCode: ExitCode.Usage,
+    error:
+      "mustardweir: bomb.yaml: Excessive alias count indicates a resource exhaustion attack",
+  },
+  {
+    name: "hands in a job from flags",
+    argv: ["submit", "--kind", "batch", "--cpu", "0.5", "--memory-mb", "64"],
+    replies: [{ status: 202, body: JOB }],
+    exitCode: ExitCode.Ok,
+    out: "imaging.1, waiting, 1 running and 0 ended of 2",
+  },
+  {
+    name: "checks the flags of a job",
+    argv: ["submit", "--kind", "batch", "--cpu", "1"],
+    exitCode: ExitCode.Usage,
+    error:
+      "mustardweir: memoryMb: Invalid input: expected number, received undefined",
+  },
+  {
+    name: "waits for a job and tells that it failed",
+    argv: ["submit", "job.json", "--wait"],
+    replies: [
+      { status: 202, body: JOB },
+      refused(503, RefusalReason.NoHome),
+      { status: 200, body: FAILED_JOB },
+    ],
+    exitCode: ExitCode.JobFailed,
+    out: [
+      "imaging.1, ended, 0 running and 2 ended of 2, outcome done, reason failed",
+      STAMP_LINE,
+    ].join("\n"),
+    calls: [
+      "POST /v1/jobs",
+      "GET /v1/jobs/imaging.1",
+      "GET /v1/jobs/imaging.1",
+    ],
+  },
+  {
+    name: "explains why a job waits",
+    argv: ["explain", "imaging.1"],
+    replies: [{
+      status: 200,
+      body: { ...JOB, ...STAMP, explanation: "The team is at its ceiling" },
+    }],
+    exitCode: ExitCode.Ok,
+    out: `imaging.1: The team is at its ceiling\n${STAMP_LINE}`,
+  },
+  {
+    name: "lists jobs and names the homes that did not answer",
+    argv: ["jobs"],
+    replies: [
+      TEAMS,
+      { status: 200, body: { jobs: [JOB] } },
+      refused(503, RefusalReason.NoHome),
+    ],
+    exitCode: ExitCode.Ok,
+    out: [
+      "JOB        TEAM     STATE    RUNNING  WAITED  REASON",
+      "imaging.1  imaging  waiting  1/2      -       -",
+      "not heard from, homes of teams: ledger",
+      STAMP_LINE,
+    ].join("\n"),
+    calls: [
+      "GET /v1/teams",
+      "GET /v1/jobs?team=imaging",
+      "GET /v1/jobs?team=ledger",
+    ],
+  },
+  {
+    name: "shows teams and what is missing",
+    argv: ["teams"],
+    replies: [TEAMS],
+    exitCode: ExitCode.Ok,
+    out: [
+      "TEAM     SHARE  ENTITLED  USES  CEILING  WAITING  CPU  MEMORY-MB  ACCELERATORS  TASKS",
+      "imaging  1      50.0%     0.0%  tasks=2  7        0    0          0             0",
+      "ledger   1      50.0%     0.0%  -        ?        0    0          0             0",
+      "not heard from, slices: tx-a/0",
+      "not heard from, homes of teams: ledger",
+      STAMP_LINE,
+    ].join("\n"),
+  },
+  {
+    name: "shows the fleet",
+    argv: ["status"],
+    replies: [FLEET],
+    exitCode: ExitCode.Ok,
+    out: [
+      "ZONE  STATE     INSTANCES  FREE-CPU  FREE-ACCELERATORS  FREE-SLOTS  ASKS",
+      "tx-a  draining  3          0/64      0/0                0/8         4",
+      "",
+      "SCHEDULER  ZONE  STATE  CONFIG  OWNS  HEARD",
+      "s1         tx-a  up     4       2     0.2 s ago",
+      "not heard from, schedulers: s2",
+      STAMP_LINE,
+    ].join("\n"),
+  },
+  {
+    name: "shows views one after another",
+    argv: ["top", "--count", "2", "--interval-ms", "1"],
+    replies: [FLEET, TEAMS, refused(503, RefusalReason.Stopping)],
+    exitCode: ExitCode.Refused,
+    error: "mustardweir: No (stopping, not-run)",
+    calls: ["GET /v1/fleet", "GET /v1/teams", "GET /v1/fleet"],
+  },
+  {
+    name: "ends a view at ctrl-c",
+    argv: ["top", "--interval-ms", "600000"],
+    interrupts: true,
+    replies: [FLEET, TEAMS],
+    exitCode: ExitCode.Ok,
+    calls: ["GET /v1/fleet", "GET /v1/teams"],
+  },
+  {
+    name: "reports service-level burn and what is missing",
+    argv: ["report", "burn"],
+    replies: [BURN],
+    exitCode: ExitCode.Ok,
+    out: [
+      "no objective in the rules and no work on record",
+      "",
+      "missing: s2 did not answer; it was last heard from at 2029-12-31T23:59:00Z, and what only it has seen is missing",
+      "missing: no record of ledger from 2029-12-31T23:00:00Z to 2029-12-31T23:30:00Z",
+      "told by s1",
+      STAMP_LINE,
+    ].join("\n"),
+  },
+  {
+    name: "says that a withdrawn key is refused",
+    argv: ["teams"],
+    replies: [refused(401, RefusalReason.UnknownKey)],
+    exitCode: ExitCode.Refused,
+    error: "mustardweir: No (unknown-key, not-run)",
   },
   {
     name: "refuses a file that is neither",
@@ -269,13 +546,25 @@
     rmSync(folder, { recursive: true });
   });
 
-  async function run({ argv, env }: Pick<CliCase, "argv" | "env">) {
+  async function run(
+    { argv, env, interrupts }: Pick<CliCase, "argv" | "env" | "interrupts">,
+  ) {
     const out: string[] = [];
+    let interrupt = () => {};
     const errors: string[] = [];
     const exitCode = await runCli({
       argv: argv.map((arg) => /\.(yaml|json)$/.test(arg) ? inFolder(arg) : arg),
       env: { MUSTARDWEIR_ENTRY: entry, MUSTARDWEIR_KEY: "k", ...env },
-      print: (line) => out.push(line),
+      onInterrupt: (listener) => {
+        interrupt = listener;
+        return () => {};
+      },
+      print: (line) => {
+        out.push(line);
+        if (interrupts) {
+          interrupt();
+        }
+      },
       printError: (line) => errors.push(line.replaceAll(inFolder(""), "")),
     });
     return { exitCode, out: out.join("\n"), error: errors.join("\n") };
@@ -291,13 +580,48 @@
       const result = await run(testCase);
       expect(result).to.deep.equal({
         exitCode: testCase.exitCode,
-        out: testCase.out ?? "",
+        out: testCase.out ??
+          (result.out.startsWith("\u001b") ? result.out : ""),
         error: testCase.error ?? "",
       });
       expect(calls).to.deep.equal(testCase.calls ?? calls);
     });
   }
 
+  const HELP_CASES = [
+    { argv: [], shows: "Exit codes:" },
+    ...[
+      "apply",
+      "diff",
+      "drain",
+      "return",
+      "keys grant",
+      "keys withdraw",
+      "keys list",
+      "submit",
+      "cancel",
+      "status",
+      "explain",
+      "jobs",
+      "teams",
+      "report burn",
+      "top",
+      "completion bash",
+      "completion zsh",
+    ].map((name) => ({
+      argv: name.split(" "),
+      shows: `Examples:\n  mustardweir ${name}`,
+    })),
+  ];
+
+  for (const { argv, shows } of HELP_CASES) {
+    it(`shows the help of ${argv.join(" ") || "the program"}`, async () => {
+      const { exitCode, out } = await run({ argv: [...argv, "--help"] });
+      expect(exitCode).to.equal(ExitCode.Ok);
+      expect(out).to.include(shows);
+    });
+  }
+
   it("says that no entry answered", async () => {
     await new Promise((resolve) => server.close(resolve));
     const { exitCode, error } = await run({ argv: ["teams"] });
--- a/packages/entry/src/caller_front.ts
+++ b/packages/entry/src/caller_front.ts
@@ -29,6 +29,7 @@
   type RouteInput,
 } from "./decode.ts";
 import { encodeRefusal, type HttpReply } from "./encode.ts";
+import { createOpenApi, OPENAPI_PATH } from "./openapi.ts";
 import { type Route, type RoutedCall, ROUTES } from "./routes.ts";
 
 /** Time between looks whether all replies are out, in milliseconds. */
@@ -40,11 +41,14 @@
 const READY = "ready\n";
 const NOT_READY = "not ready\n";
 const SERVICE_UNAVAILABLE = 503;
+const INTERNAL_ERROR = 500;
 
 export interface CallerFrontOptions {
   readonly listen: HostPort;
   /** Whether the balancer may send callers here. */
   readonly isReady: () => boolean;
+  /** Version of the configuration in force, told in every answer. */
+  readonly configurationVersion?: () => number;
   /** Shown at `/metrics`; the path does not exist without. */
   readonly metrics?: Metrics;
 }
@@ -132,10 +136,12 @@
     if (metrics) {
       app.get("/metrics", (c) => c.text(metrics.renderPrometheus()));
     }
+    app.get(OPENAPI_PATH, (c) => c.json(createOpenApi()));
     for (const route of ROUTES) {
       this.#addRoute(app, route, sink);
     }
-    app.notFound((c) => send(c, notFoundReply(c)));
+    app.notFound((c) => this.#send(c, notFoundReply(c)));
+    app.onError((_error, c) => this.#send(c, faultReply()));
     return app;
   }
 
@@ -143,7 +149,7 @@
     const { method, path, maxBodyBytes } = route;
     const limit = bodyLimit({
       maxSize: maxBodyBytes ?? 0,
-      onError: (c) => send(c, tooLargeReply(maxBodyBytes ?? 0)),
+      onError: (c) => this.#send(c, tooLargeReply(maxBodyBytes ?? 0)),
     });
     app.on(method, path, limit, async (c) => {
       const decoded = await decodeRequest(c, route);
@@ -152,7 +158,7 @@
         ({ refusal, status }) =>
           Promise.resolve(encodeRefusal(refusal, status)),
       );
-      return send(c, reply);
+      return this.#send(c, reply);
     });
   }
 
@@ -181,6 +187,16 @@
     return routed.encode(await answered);
   }
 
+  /** Says in every answer as of when and of which configuration it is. */
+  #send(c: Context, { body, status, headers }: HttpReply): Response {
+    const stamped = {
+      ...body as object,
+      asOf: new Date().toISOString(),
+      configurationVersion: this.#options.configurationVersion?.() ?? 0,
+    };
+    return c.json(stamped, status, headers as Record<string, string>);
+  }
+
   #settle(requestId: string, answer: CallerAnswer): void {
     const waiter = this.#waiters.get(requestId);
     this.#waiters.delete(requestId);
@@ -240,16 +256,23 @@
   };
 }
 
-function send(c: Context, { body, status, headers }: HttpReply): Response {
-  return c.json(body as object, status, headers as Record<string, string>);
-}
-
 function tooLargeReply(maxBodyBytes: number): HttpReply {
   return encodeRefusal(refuse(RefusalReason.BodyTooLarge, {
     message: `The body is larger than ${maxBodyBytes} bytes`,
   }));
 }
 
+/** A fault of the front itself; what came of the call is not known. */
+function faultReply(): HttpReply {
+  return encodeRefusal(
+    refuse(RefusalReason.Malformed, {
+      message: "The request could not be served",
+      outcome: Outcome.Unknown,
+    }),
+    INTERNAL_ERROR,
+  );
+}
+
 function notFoundReply(c: Context): HttpReply {
   return encodeRefusal(refuse(RefusalReason.NotFound, {
     message: `There is no ${c.req.method} ${c.req.path}`,
--- a/packages/entry/src/encode.ts
+++ b/packages/entry/src/encode.ts
@@ -42,10 +42,13 @@
       );
     case CallerAnswerKind.Edited:
       return taggedReply(answer.version, { version: answer.version });
-    case CallerAnswerKind.Teams: {
-      const { teams, configurationVersion, missingSlices } = answer;
-      return okReply({ teams, configurationVersion, missingSlices });
+    case CallerAnswerKind.Teams:
+    case CallerAnswerKind.Fleet: {
+      const { kind: _kind, ...body } = answer;
+      return okReply(body);
     }
+    case CallerAnswerKind.Burn:
+      return okReply(answer.report);
     case CallerAnswerKind.Refused:
       return encodeRefusal(answer.refusal);
   }
--- a/packages/entry/src/entry_plugin.ts
+++ b/packages/entry/src/entry_plugin.ts
@@ -3,6 +3,7 @@
   type AdmissionSettings,
   isAdmitting,
 } from "@mustardweir/admission";
+import { CONFIGURATION } from "@mustardweir/configuration";
 import {
   type Kernel,
   Plugin,
@@ -30,6 +31,11 @@
     return kernel.registerService(ADMISSION_SETTINGS, this.#settings);
   }
 
+  /** Version of the configuration in force; 0 before the start. */
+  get configurationVersion(): number {
+    return this.#kernel?.read(CONFIGURATION).current.version ?? 0;
+  }
+
   /** True while the entry takes calls at `now`, the loop's time. */
   isReady(now: number): boolean {
     return this.#kernel !== undefined && isAdmitting(this.#kernel, now);
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,6 +1,7 @@
 /** The binary mustardweir-entry. */
 import "@mustardweir/configuration";
 import "@mustardweir/membership";
+import "@mustardweir/burn";
 import "@mustardweir/admission";
 import { Role } from "@mustardweir/kernel";
 import {
@@ -43,6 +44,7 @@
   const front = new CallerFront({
     listen: settings.listen,
     isReady: () => entry.isReady(clock.now()),
+    configurationVersion: () => entry.configurationVersion,
     metrics,
   });
   await runNode({
--- a/packages/entry/src/routes.ts
+++ b/packages/entry/src/routes.ts
@@ -1,8 +1,11 @@
 import { SectionPatchKind } from "@mustardweir/configuration";
 import {
   ConfigurationSection,
+  inventorySchema,
   jobSpecSchema,
   keySchema,
+  rulesSchema,
+  zonesSchema,
   ZoneState,
 } from "@mustardweir/model";
 import {
@@ -11,6 +14,7 @@
   CallerCallKind,
 } from "@mustardweir/protocol";
 import { ok } from "neverthrow";
+import type { z } from "zod";
 import {
   createKey,
   decodeBody,
@@ -20,6 +24,16 @@
   type RouteInput,
 } from "./decode.ts";
 import { encodeAnswer, encodeSubmitted, type HttpReply } from "./encode.ts";
+import {
+  burnReplySchema,
+  configurationReplySchema,
+  editReplySchema,
+  fleetReplySchema,
+  grantReplySchema,
+  jobReplySchema,
+  jobsReplySchema,
+  teamsReplySchema,
+} from "./reply_schemas.ts";
 
 const MEBIBYTE = 1024 * 1024;
 
@@ -46,86 +60,184 @@
 export interface Route {
   readonly method: HttpMethod;
   readonly path: string;
+  /** Name of the operation in the OpenAPI document. */
+  readonly operationId: string;
+  /** One line for people, without a full stop. */
+  readonly summary: string;
+  /** The call that requests become; who may make it follows from it. */
+  readonly call: CallerCallKind;
   /** Absent when the route takes no body. */
   readonly maxBodyBytes?: number;
+  readonly body?: z.ZodType;
+  /** Query parameters with their descriptions. */
+  readonly query?: Readonly<Record<string, string>>;
+  /** Headers that are needed besides the key. */
+  readonly headers?: readonly string[];
+  readonly replyStatus: readonly number[];
+  readonly reply: z.ZodType;
   readonly decode: (input: RouteInput) => Decoded<RoutedCall>;
 }
 
 const newKeySchema = keySchema.omit({ hash: true });
 
+const { Submit, Status, Cancel, List, Teams, Fleet, Burn } = CallerCallKind;
+
+const EDIT = {
+  call: CallerCallKind.EditConfiguration,
+  headers: ["If-Match"],
+  replyStatus: [200],
+  reply: editReplySchema,
+} as const;
+
 /** All routes of callers and operators. */
 export const ROUTES: readonly Route[] = [
   {
     method: HttpMethod.Post,
     path: "/v1/jobs",
+    operationId: "submitJob",
+    summary: "Hands in a job; a request is answered at its end",
+    call: Submit,
     maxBodyBytes: MAX_BODY_BYTES,
+    body: jobSpecSchema,
+    headers: ["Idempotency-Key"],
+    replyStatus: [200, 202],
+    reply: jobReplySchema,
     decode: decodeSubmit,
   },
   {
     method: HttpMethod.Get,
     path: "/v1/jobs",
-    decode: (input) =>
-      ok(routed({ kind: CallerCallKind.List, team: input.query("team") })),
+    operationId: "listJobs",
+    summary: "Lists the jobs of a team",
+    call: List,
+    query: { team: "The team; that of the key by default" },
+    replyStatus: [200],
+    reply: jobsReplySchema,
+    decode: (input) => ok(routed({ kind: List, team: input.query("team") })),
   },
   {
     method: HttpMethod.Get,
     path: "/v1/jobs/:id",
-    decode: (input) =>
-      ok(routed({ kind: CallerCallKind.Status, jobId: input.param("id") })),
+    operationId: "readJob",
+    summary: "Shows a job and what it waits for",
+    call: Status,
+    replyStatus: [200],
+    reply: jobReplySchema,
+    decode: (input) => ok(routed({ kind: Status, jobId: input.param("id") })),
   },
   {
     method: HttpMethod.Delete,
     path: "/v1/jobs/:id",
-    decode: (input) =>
-      ok(routed({ kind: CallerCallKind.Cancel, jobId: input.param("id") })),
+    operationId: "cancelJob",
+    summary: "Cancels a job",
+    call: Cancel,
+    replyStatus: [200],
+    reply: jobReplySchema,
+    decode: (input) => ok(routed({ kind: Cancel, jobId: input.param("id") })),
   },
   {
     method: HttpMethod.Get,
     path: "/v1/teams",
-    decode: () => ok(routed({ kind: CallerCallKind.Teams })),
+    operationId: "listTeams",
+    summary: "Shows share, use and queue of each team",
+    call: Teams,
+    replyStatus: [200],
+    reply: teamsReplySchema,
+    decode: () => ok(routed({ kind: Teams })),
+  },
+  {
+    method: HttpMethod.Get,
+    path: "/v1/fleet",
+    operationId: "readFleet",
+    summary: "Shows schedulers, availability zones and slices",
+    call: Fleet,
+    replyStatus: [200],
+    reply: fleetReplySchema,
+    decode: () => ok(routed({ kind: Fleet })),
+  },
+  {
+    method: HttpMethod.Get,
+    path: "/v1/reports/burn",
+    operationId: "reportBurn",
+    summary: "Reports service-level burn; a submitter sees its own team",
+    call: Burn,
+    replyStatus: [200],
+    reply: burnReplySchema,
+    decode: () => ok(routed({ kind: Burn })),
   },
   {
     method: HttpMethod.Get,
     path: "/v1/config",
+    operationId: "readConfiguration",
+    summary: "Shows the configuration in force, keys without their hashes",
+    call: CallerCallKind.ReadConfiguration,
+    replyStatus: [200],
+    reply: configurationReplySchema,
     decode: () => ok(routed({ kind: CallerCallKind.ReadConfiguration })),
   },
   {
+    ...EDIT,
     method: HttpMethod.Put,
     path: "/v1/config/inventory",
+    operationId: "putInventory",
+    summary: "Replaces the inventory",
     maxBodyBytes: MAX_INVENTORY_BYTES,
+    body: inventorySchema,
     decode: (input) => decodeSection(input, ConfigurationSection.Inventory),
   },
   {
+    ...EDIT,
     method: HttpMethod.Put,
     path: "/v1/config/rules",
+    operationId: "putRules",
+    summary: "Replaces the rules",
     maxBodyBytes: MAX_BODY_BYTES,
+    body: rulesSchema,
     decode: (input) => decodeSection(input, ConfigurationSection.Rules),
   },
   {
+    ...EDIT,
     method: HttpMethod.Put,
     path: "/v1/config/zones",
+    operationId: "putZones",
+    summary: "Replaces the states of all availability zones",
     maxBodyBytes: MAX_BODY_BYTES,
+    body: zonesSchema,
     decode: (input) => decodeSection(input, ConfigurationSection.Zones),
   },
   {
+    ...EDIT,
     method: HttpMethod.Post,
     path: "/v1/config/zones/:zone/drain",
+    operationId: "drainZone",
+    summary: "Takes an availability zone out of service",
     decode: (input) => decodeZone(input, ZoneState.Draining),
   },
   {
+    ...EDIT,
     method: HttpMethod.Post,
     path: "/v1/config/zones/:zone/return",
+    operationId: "returnZone",
+    summary: "Brings an availability zone back",
     decode: (input) => decodeZone(input, ZoneState.Open),
   },
   {
+    ...EDIT,
     method: HttpMethod.Post,
     path: "/v1/config/keys",
+    operationId: "grantKey",
+    summary: "Makes a key; only this answer shows it",
     maxBodyBytes: MAX_BODY_BYTES,
+    body: newKeySchema,
+    reply: grantReplySchema,
     decode: decodeGrant,
   },
   {
+    ...EDIT,
     method: HttpMethod.Delete,
     path: "/v1/config/keys/:id",
+    operationId: "withdrawKey",
+    summary: "Makes a key invalid",
     decode: decodeWithdrawal,
   },
 ];
--- /dev/null
+++ b/packages/entry/src/write_openapi.ts
@@ -0,0 +1,10 @@
+/** Writes the OpenAPI document that is committed under docs/. */
+import { writeFileSync } from "node:fs";
+import { createOpenApi } from "./openapi.ts";
+
+const DOCUMENT = new URL("../../../docs/openapi.json", import.meta.url);
+
+writeFileSync(
+  DOCUMENT,
+  `${JSON.stringify(createOpenApi(), undefined, 2)}\n`,
+);
--- a/packages/scheduler/src/main.ts
+++ b/packages/scheduler/src/main.ts
@@ -7,6 +7,7 @@
 import "@mustardweir/quarantine";
 import "@mustardweir/slice";
 import "@mustardweir/home";
+import "@mustardweir/burn/recorder";
 import { Role } from "@mustardweir/kernel";
 import {
   HttpInstanceList,
