Declare leases lapsed only after the slice is known to be still owned

Ruled out for (1): the home's check of the slice epoch alone, since the home may not have heard of the new owner either. Change: leases count as lapsed only when the ownership was confirmed after they were over. A committed gang with nothing in flight and a waiting member starts again, or, when it must not run twice, fails the member.

--- a/packages/home/src/gang.ts
+++ b/packages/home/src/gang.ts
@@ -1,4 +1,5 @@
 import type { Update } from "@mustardweir/kernel";
+import { EndReason } from "@mustardweir/model";
 import { StopMode } from "@mustardweir/protocol";
 import {
   groupBySlice,
@@ -7,6 +8,7 @@
   sendStops,
   sendWithdrawal,
 } from "./ask_messages.ts";
+import { endTask } from "./ending.ts";
 import {
   GangPhase,
   type Home,
@@ -32,6 +34,7 @@
       break;
     case GangPhase.Committed:
       resendCommit(update, home, job);
+      settleCommitted(update, home, job);
       break;
     case GangPhase.Releasing:
       finishRelease(update, job);
@@ -96,6 +99,25 @@
   }
 }
 
+/**
+ * Some of the starts came to nothing: all members start again together, or,
+ * when they must not run twice, those that could not start have failed.
+ */
+function settleCommitted(update: Update, home: Home, job: HomeJob): void {
+  const waiting = job.tasks.filter(({ state }) => state === TaskState.Pending);
+  if (waiting.length === 0 || job.tasks.some(isPartOfAsk)) {
+    return;
+  }
+  const hasStarted = waiting.length < job.tasks.length;
+  if (job.spec.idempotent || !hasStarted) {
+    releaseGang(update, home, job);
+    return;
+  }
+  for (const task of waiting) {
+    endTask(update, home, { task, reason: EndReason.Failed });
+  }
+}
+
 /** One member is gone: the others stop, and all start again together. */
 export function noteGangLoss(update: Update, home: Home, job: HomeJob): void {
   const isUnderWay = job.gang === GangPhase.Committed ||
--- a/packages/slice/src/workers.ts
+++ b/packages/slice/src/workers.ts
@@ -1,6 +1,6 @@
 import type { Update } from "@mustardweir/kernel";
 import {
-  majorityHeardAt,
+  OWNED,
   OWNERSHIP_CONFIRMATION_MS,
   sliceUnit,
   UNIT_SUPERSEDED,
@@ -253,20 +253,28 @@
   }
 }
 
-/** True when every lease that the worker may hold is over. */
+/**
+ * True when every lease that the worker may hold is over. An owner that was
+ * paused or cut off must first learn that nobody has taken the slice over
+ * before they were: a new owner renews them.
+ */
 function hasLapsed(update: Update, slice: Slice, worker: Worker): boolean {
+  const overAt = leasesOverAt(slice, worker);
+  return update.now > overAt && update.read(OWNED).confirmedAt > overAt;
+}
+
+/** When the leases that this owner, or one before it, gave are over. */
+function leasesOverAt(slice: Slice, worker: Worker): number {
+  const lastingMs = LEASE_MS + LEASE_MARGIN_MS;
   switch (worker.state) {
     case WorkerState.Silent:
-      return update.now > worker.tokenAt + LEASE_MS + LEASE_MARGIN_MS;
-    case WorkerState.Unknown: {
+      return worker.tokenAt + lastingMs;
+    case WorkerState.Unknown:
       // An earlier owner that was cut off renews until it can't confirm its
-      // ownership; it then hears a majority or none, see confirmByMajority.
-      const lastRenewal = slice.acquiredAt + OWNERSHIP_CONFIRMATION_MS;
-      return update.now > lastRenewal + LEASE_MS + LEASE_MARGIN_MS &&
-        majorityHeardAt(update) > slice.acquiredAt;
-    }
+      // ownership; see confirmByMajority.
+      return slice.acquiredAt + OWNERSHIP_CONFIRMATION_MS + lastingMs;
     default:
-      return false;
+      return Infinity;
   }
 }
 
