Test the burn report; forget schedulers that were replaced

Cause: the burn package had no test, and a scheduler that was replaced for good stayed missing for as long as the entry lived.

--- a/packages/admission/src/standing.ts
+++ b/packages/admission/src/standing.ts
@@ -20,6 +20,9 @@
 } from "@mustardweir/protocol";
 import { ADMISSION } from "./admission_state.ts";
 
+/** A scheduler silent for longer is taken for replaced, in milliseconds. */
+const REMEMBERED_MS = 3_600_000;
+
 /** What each team uses, from the last heartbeats of the schedulers. */
 export function teamStandings(update: Update): CallerAnswer {
   const { current } = update.read(CONFIGURATION);
@@ -84,14 +87,15 @@
     missingHomes: teams.map(({ name }) => name).filter((name) =>
       !owned.has(homeUnit(name))
     ),
-    missingSchedulers: [...update.read(PEERS).views.keys()].filter((nodeId) =>
-      !alive.has(nodeId)
-    ),
+    missingSchedulers: schedulerStandings(update)
+      .filter(({ nodeId }) => !alive.has(nodeId))
+      .map(({ nodeId }) => nodeId),
   };
 }
 
 function schedulerStandings(update: Update): SchedulerStanding[] {
-  const views = [...update.read(PEERS).views.values()];
+  const views = [...update.read(PEERS).views.values()]
+    .filter(({ heardAt }) => update.now - heardAt < REMEMBERED_MS);
   return views.map(({ heartbeat, heardAt }) => ({
     nodeId: heartbeat.nodeId,
     availabilityZone: heartbeat.availabilityZone,
--- a/packages/burn/src/collector_plugin.ts
+++ b/packages/burn/src/collector_plugin.ts
@@ -167,7 +167,8 @@
       .map(({ heartbeat, heardAt }) => ({
         nodeId: heartbeat.nodeId,
         silentMs: Math.round(update.now - heardAt),
-      })),
+      }))
+      .filter(({ silentMs }) => silentMs < lengthMs),
     gaps: teams.flatMap((name) => findGaps(name, { spans, lengthMs })),
   };
 }
--- /dev/null
+++ b/packages/burn/src/figures_test.ts
@@ -0,0 +1,168 @@
+import { BurnAlert, BurnWindow } from "@mustardweir/protocol";
+import { expect } from "chai";
+import {
+  alertOf,
+  budgetLeft,
+  burnRate,
+  coveredPart,
+  decodeWaits,
+  findGaps,
+  Waits,
+} from "./mod.ts";
+
+const WAIT_CASES: readonly {
+  readonly name: string;
+  readonly waits: readonly number[];
+  readonly limitMs: number;
+  readonly within: number;
+}[] = [
+  { name: "none", waits: [], limitMs: 10, within: 0 },
+  { name: "the limit itself", waits: [10, 11, 9], limitMs: 10, within: 2 },
+  { name: "a negative wait", waits: [-5, 1], limitMs: 0, within: 1 },
+  { name: "a limit above all", waits: [5, 900_000], limitMs: 1e9, within: 2 },
+  { name: "no limit", waits: [1, 2], limitMs: Infinity, within: 2 },
+  { name: "large values", waits: [100, 90_000], limitMs: 5_000, within: 1 },
+];
+
+describe("Waits", () => {
+  for (const { name, waits, limitMs, within } of WAIT_CASES) {
+    it(`counts ${name}, before and after encoding`, () => {
+      const recorded = new Waits();
+      waits.forEach((wait) => recorded.record(wait));
+      const decoded = decodeWaits(recorded.encode())._unsafeUnwrap();
+      for (const histogram of [recorded, decoded]) {
+        expect(histogram.count).to.equal(waits.length);
+        expect(histogram.countWithin(limitMs)).to.equal(within);
+      }
+    });
+  }
+
+  for (const text of ["x", "AAAA", "!!!!", "=".repeat(300_000)]) {
+    it(`refuses the text ${text.slice(0, 8)}`, () => {
+      expect(decodeWaits(text).isErr()).to.equal(true);
+    });
+  }
+});
+
+const span = (fromAgeMs: number, toAgeMs: number, team = "imaging") => ({
+  team,
+  fromAgeMs,
+  toAgeMs,
+});
+
+const LENGTH_MS = 100_000;
+
+const COVERAGE_CASES: readonly {
+  readonly name: string;
+  readonly spans: readonly ReturnType<typeof span>[];
+  /** Ages between which there is no record. */
+  readonly gaps: readonly (readonly [number, number])[];
+}[] = [
+  { name: "no span", spans: [], gaps: [[LENGTH_MS, 0]] },
+  { name: "all of it", spans: [span(200_000, 0)], gaps: [] },
+  {
+    name: "a scheduler that died",
+    spans: [span(60_000, 0)],
+    gaps: [[LENGTH_MS, 60_000]],
+  },
+  {
+    name: "a time without an owner",
+    spans: [span(30_000, 0), span(150_000, 60_000)],
+    gaps: [[60_000, 30_000]],
+  },
+  {
+    name: "a usual hand-over",
+    spans: [span(150_000, 33_000), span(30_000, 0)],
+    gaps: [],
+  },
+  {
+    name: "two records of one time",
+    spans: [span(150_000, 0), span(90_000, 40_000)],
+    gaps: [],
+  },
+  {
+    name: "another team",
+    spans: [span(150_000, 0, "ledger")],
+    gaps: [[LENGTH_MS, 0]],
+  },
+  {
+    name: "no owner now",
+    spans: [span(150_000, 20_000)],
+    gaps: [[20_000, 0]],
+  },
+];
+
+describe("Coverage", () => {
+  for (const { name, spans, gaps } of COVERAGE_CASES) {
+    it(`of ${name}`, () => {
+      const options = { spans, lengthMs: LENGTH_MS };
+      const found = findGaps("imaging", options);
+      expect(found).to.deep.equal(gaps.map(([from, to]) => span(from, to)));
+      const missing = gaps.reduce((sum, [from, to]) => sum + from - to, 0);
+      expect(coveredPart("imaging", options)).to.be.closeTo(
+        1 - missing / LENGTH_MS,
+        1e-9,
+      );
+    });
+  }
+});
+
+const RATE_CASES: readonly {
+  readonly name: string;
+  readonly inTime: number;
+  readonly late: number;
+  readonly rate: number | undefined;
+}[] = [
+  { name: "nothing measured", inTime: 0, late: 0, rate: undefined },
+  { name: "nothing late", inTime: 5, late: 0, rate: 0 },
+  { name: "just the budget", inTime: 90, late: 10, rate: 1 },
+  { name: "everything late", inTime: 0, late: 3, rate: 10 },
+];
+
+const ALERT_CASES: readonly {
+  readonly name: string;
+  /** Of the windows from the shortest to the longest. */
+  readonly rates: readonly (number | undefined)[];
+  readonly alert: BurnAlert;
+  readonly left: number | undefined;
+}[] = [
+  {
+    name: "nothing measured",
+    rates: [undefined, undefined, undefined, undefined],
+    alert: BurnAlert.None,
+    left: undefined,
+  },
+  { name: "calm", rates: [0, 0.5, 1, 1], alert: BurnAlert.None, left: 0 },
+  {
+    name: "a short spike",
+    rates: [90, 3, 0.5, 0.1],
+    alert: BurnAlert.None,
+    left: 0.9,
+  },
+  { name: "fast", rates: [20, 15, 2, 0.5], alert: BurnAlert.Fast, left: 0.5 },
+  { name: "slow", rates: [0, 1, 1.5, 1.5], alert: BurnAlert.Slow, left: -0.5 },
+];
+
+describe("Burn rate", () => {
+  for (const { name, rate, ...measured } of RATE_CASES) {
+    it(`with ${name}`, () => {
+      const found = burnRate(measured, 0.9);
+      if (rate === undefined) {
+        expect(found).to.equal(undefined);
+      } else {
+        expect(found).to.be.closeTo(rate, 1e-9);
+      }
+    });
+  }
+
+  for (const { name, rates, alert, left } of ALERT_CASES) {
+    it(`alert when ${name}`, () => {
+      const windows = Object.values(BurnWindow).map((window, index) => ({
+        window,
+        burnRate: rates[index],
+      }));
+      expect(alertOf(windows)).to.equal(alert);
+      expect(budgetLeft(windows)).to.equal(left);
+    });
+  }
+});
