Serve probes and metrics on schedulers, take readiness away first, limit listeners

Cause: schedulers had no metrics, a stop refused calls at the moment in which the balancer first heard of it, and the entry's listener had only the limits of its library. Ruled out: refusing calls during the delay, as the balancer still sends them then.

--- a/packages/admission/src/admission_plugin.ts
+++ b/packages/admission/src/admission_plugin.ts
@@ -290,7 +290,9 @@
   }
   const version = result.value;
   if (edit !== undefined) {
-    update.emit(logChange("Configuration edited", { ...edit, version }));
+    update.emit(
+      logChange("Operator edited configuration", { ...edit, version }),
+    );
   }
   answerCaller(requestId, { kind: CallerAnswerKind.Edited, version }, update);
 }
--- a/packages/admission/src/roles_test.ts
+++ b/packages/admission/src/roles_test.ts
@@ -145,7 +145,7 @@
         fields,
       }));
       expect(logged).to.deep.equal([{
-        message: "Configuration edited",
+        message: "Operator edited configuration",
         fields: { keyId: "o1", section, change, version: 2 },
       }]);
       expectNoSecret(bench.logs);
--- a/packages/cli/src/commands/edit_commands.ts
+++ b/packages/cli/src/commands/edit_commands.ts
@@ -78,8 +78,9 @@
     return err(sections.error);
   }
   const applied = await applySections(client, sections.value, ifMatch);
-  return applied.map((list) => ({
-    json: list,
+  return applied.map(({ stamp, list }) => ({
+    json: { sections: list, ...stamp },
+    stamp,
     text: list.map(({ section, version, changed }) =>
       `${section} ${changed ? "in" : "unchanged in"} version ${version}`
     ).join("\n"),
--- a/packages/cli/src/edits.ts
+++ b/packages/cli/src/edits.ts
@@ -31,6 +31,12 @@
   readonly changed: boolean;
 }
 
+/** What became of all sections, as of the last answer. */
+export interface Applied {
+  readonly list: readonly AppliedSection[];
+  readonly stamp: Stamp;
+}
+
 /** Reads the configuration in force; keys come without their hashes. */
 export async function readConfiguration(
   client: EntryClient,
@@ -67,13 +73,14 @@
   client: EntryClient,
   sections: readonly SectionFile[],
   ifMatch?: number,
-): Promise<Result<AppliedSection[], CliError>> {
+): Promise<Result<Applied, CliError>> {
   const base = await readConfiguration(client);
   if (base.isErr()) {
     return err(base.error);
   }
   let version = ifMatch ?? base.value.version;
-  const applied: AppliedSection[] = [];
+  const list: AppliedSection[] = [];
+  let stamp = stampOf(base.value);
   for (const file of sections) {
     const { section, body } = file;
     const changed = !isDeepStrictEqual(base.value[section], body);
@@ -86,10 +93,15 @@
         return err(await explainStale(client, located, base.value));
       }
       version = (reply.value as EditReply).version;
+      stamp = stampOf(reply.value as EditReply);
     }
-    applied.push({ section, version, changed });
+    list.push({ section, version, changed });
   }
-  return ok(applied);
+  return ok({ list, stamp });
+}
+
+function stampOf({ asOf, configurationVersion }: Stamp): Stamp {
+  return { asOf, configurationVersion };
 }
 
 /** Adds file and line to a fault that only the entry could find. */
--- a/packages/entry/src/caller_front.ts
+++ b/packages/entry/src/caller_front.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from "node:crypto";
-import type { Server } from "node:http";
+import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { createAdaptorServer, type HttpBindings } from "@hono/node-server";
 import { parseJson } from "@mustardweir/configuration";
@@ -13,8 +13,12 @@
   type NodeEffect,
 } from "@mustardweir/protocol";
 import {
+  addProbes,
   type EventSink,
   type HostPort,
+  type HttpLimits,
+  limitOptions,
+  limitServer,
   type Metrics,
   Performer,
 } from "@mustardweir/runtime";
@@ -38,9 +42,6 @@
 /** Connections that are still open this long after the end are cut. */
 const CLOSE_GRACE_MS = 5_000;
 
-const READY = "ready\n";
-const NOT_READY = "not ready\n";
-const SERVICE_UNAVAILABLE = 503;
 const INTERNAL_ERROR = 500;
 
 export interface CallerFrontOptions {
@@ -49,6 +50,8 @@
   readonly isReady: () => boolean;
   /** Version of the configuration in force, told in every answer. */
   readonly configurationVersion?: () => number;
+  /** Of headers, connections and time; the usual ones by default. */
+  readonly limits?: HttpLimits;
   /** Shown at `/metrics`; the path does not exist without. */
   readonly metrics?: Metrics;
 }
@@ -91,7 +94,13 @@
 
   override async start(sink: EventSink): Promise<void> {
     const app = this.#createApp(sink);
-    const server = createAdaptorServer({ fetch: app.fetch }) as Server;
+    const { limits } = this.#options;
+    const server = createAdaptorServer({
+      fetch: app.fetch,
+      createServer,
+      serverOptions: limitOptions(limits),
+    }) as Server;
+    limitServer(server, limits);
     this.#server = server;
     const { host, port } = this.#options.listen;
     await new Promise<void>((resolve, reject) => {
@@ -124,18 +133,10 @@
       c.env.outgoing.once("close", () => this.#openReplies -= 1);
       return next();
     });
-    app.get("/healthz", (c) => c.text("ok\n"));
-    app.get(
-      "/readyz",
-      (c) =>
-        this.#options.isReady() && !this.#isClosed
-          ? c.text(READY)
-          : c.text(NOT_READY, SERVICE_UNAVAILABLE),
-    );
-    const { metrics } = this.#options;
-    if (metrics) {
-      app.get("/metrics", (c) => c.text(metrics.renderPrometheus()));
-    }
+    addProbes(app, {
+      isReady: () => this.#options.isReady() && !this.#isClosed,
+      metrics: this.#options.metrics,
+    });
     app.get(OPENAPI_PATH, (c) => c.json(createOpenApi()));
     for (const route of ROUTES) {
       this.#addRoute(app, route, sink);
--- /dev/null
+++ b/packages/entry/src/limits_test.ts
@@ -0,0 +1,104 @@
+import { connect } from "node:net";
+import { expect } from "chai";
+import { CallerFront } from "./mod.ts";
+
+/** What an entry that takes few and quick connections is sent. */
+interface LimitCase {
+  readonly name: string;
+  /** Bytes sent on one connection. */
+  readonly text: string;
+  /** Connections that are held open before. */
+  readonly held?: number;
+  readonly reply: RegExp;
+}
+
+const MAX_CONNECTIONS = 3;
+
+const LIMIT_CASES: readonly LimitCase[] = [
+  {
+    name: "headers that are too large",
+    text: `GET /healthz HTTP/1.1\r\nHost: a\r\nX: ${
+      "x".repeat(17_000)
+    }\r\n\r\n`,
+    reply: /^HTTP\/1.1 431 /,
+  },
+  {
+    name: "headers that never end",
+    text: "GET /healthz HTTP/1.1\r\nHost: a\r\n",
+    reply: /^HTTP\/1.1 408 /,
+  },
+  {
+    name: "a body that never ends",
+    text: "POST /v1/jobs HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n{",
+    reply: /^HTTP\/1.1 408 /,
+  },
+  {
+    name: "a body with two lengths",
+    text:
+      "POST /v1/jobs HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n{}",
+    reply: /^HTTP\/1.1 400 /,
+  },
+  {
+    name: "what is not HTTP",
+    text: "\u0016\u0003\u0001 hello\r\n\r\n",
+    reply: /^HTTP\/1.1 400 /,
+  },
+  {
+    name: "one connection too many",
+    text: "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n",
+    held: MAX_CONNECTIONS,
+    reply: /^$/,
+  },
+];
+
+describe("Limits of the caller front", () => {
+  let front: CallerFront;
+
+  beforeEach(async () => {
+    front = new CallerFront({
+      listen: { host: "127.0.0.1", port: 0 },
+      isReady: () => true,
+      limits: {
+        headersTimeoutMs: 50,
+        requestTimeoutMs: 100,
+        maxConnections: MAX_CONNECTIONS,
+      },
+    });
+    await front.start({ post: () => {} });
+  });
+
+  afterEach(() => front.close());
+
+  function open(): Promise<ReturnType<typeof connect>> {
+    return new Promise((resolve) => {
+      const socket = connect(front.port, "127.0.0.1", () => resolve(socket));
+      socket.on("error", () => {});
+    });
+  }
+
+  /** Sends bytes and collects what comes until the end. */
+  async function exchange(text: string): Promise<string> {
+    const socket = await open();
+    const chunks: Buffer[] = [];
+    socket.on("data", (chunk) => chunks.push(chunk));
+    const closed = new Promise((resolve) => socket.once("close", resolve));
+    socket.write(text);
+    await closed;
+    return Buffer.concat(chunks).toString();
+  }
+
+  for (const { name, text, held = 0, reply } of LIMIT_CASES) {
+    it(`refuses ${name} and stays up`, async () => {
+      const sockets = await Promise.all(Array.from({ length: held }, open));
+      expect(await exchange(text)).to.match(reply);
+      sockets.forEach((socket) => socket.destroy());
+      await Promise.all(
+        sockets.map((socket) =>
+          new Promise((resolve) => socket.once("close", resolve))
+        ),
+      );
+      const res = await fetch(`http://127.0.0.1:${front.port}/healthz`);
+      expect(res.status).to.equal(200);
+    });
+  }
+});
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -20,6 +20,7 @@
   exitOnSettingError,
   Metrics,
   parseSettings,
+  Readiness,
   runNode,
   type SettingValues,
   SystemClock,
@@ -41,9 +42,10 @@
   const identity = createIdentity(settings);
   const metrics = new Metrics();
   const clock = new SystemClock();
+  const readiness = new Readiness();
   const front = new CallerFront({
     listen: settings.listen,
-    isReady: () => entry.isReady(clock.now()),
+    isReady: () => !readiness.isDraining && entry.isReady(clock.now()),
     configurationVersion: () => entry.configurationVersion,
     metrics,
   });
@@ -60,6 +62,8 @@
       level: settings.logLevel,
     }),
     metrics,
+    readiness,
+    drainDelayMs: settings.drainDelayMs,
     stopTimeoutMs: settings.stopTimeoutMs,
     listening: () => ({ host: settings.listen.host, port: front.port }),
   });
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -1,8 +1,8 @@
 import {
-  COMMON_SETTINGS,
   defineSetting,
   hostPortSetting,
   idSetting,
+  NODE_SETTINGS,
   peersSetting,
 } from "@mustardweir/runtime";
 import { z } from "zod";
@@ -50,9 +50,9 @@
       "must be 64 lower-case hexadecimal digits",
     ).optional(),
   }),
-  ...COMMON_SETTINGS,
+  ...NODE_SETTINGS,
   stopTimeoutMs: defineSetting({
-    ...COMMON_SETTINGS.stopTimeoutMs,
+    ...NODE_SETTINGS.stopTimeoutMs,
     // Longer than any caller may wait, so that a stop cuts no call.
     default: "310s",
   }),
--- a/packages/runtime/src/run_node.ts
+++ b/packages/runtime/src/run_node.ts
@@ -18,6 +18,7 @@
 import { MetricsPerformer } from "./metrics_performer.ts";
 import { Performer } from "./performer.ts";
 import { type ProcessHost, SystemProcessHost } from "./process_host.ts";
+import type { Readiness } from "./readiness.ts";
 
 const DEFAULT_STOP_TIMEOUT_MS = 10_000;
 
@@ -36,6 +37,10 @@
   readonly logger: Logger;
   /** Also given to performers that count; new by default. */
   readonly metrics?: Metrics;
+  /** Told when a planned stop begins. */
+  readonly readiness?: Readiness;
+  /** Time between that and the stop, in milliseconds; 0 by default. */
+  readonly drainDelayMs?: number;
   /** Longest time of a planned stop, in milliseconds; 10 s by default. */
   readonly stopTimeoutMs?: number;
   /** Where the node listens, for the line that it prints when it does. */
@@ -107,6 +112,7 @@
   #stopping = false;
   #ended = false;
   #deadline: NodeJS.Timeout | undefined;
+  #drain: NodeJS.Timeout | undefined;
 
   constructor(options: RunNodeOptions) {
     this.#options = options;
@@ -139,17 +145,22 @@
       return;
     }
     this.#stopping = true;
-    this.#options.logger.info("Stopping");
-    this.#startDeadline();
-    this.#loop?.post(STOP_REQUESTED, {});
+    const { drainDelayMs = 0, logger, readiness } = this.#options;
+    readiness?.drain();
+    logger.info("Stopping", { drainDelayMs });
+    this.#startDeadline(drainDelayMs);
+    this.#drain = setTimeout(
+      () => this.#loop?.post(STOP_REQUESTED, {}),
+      drainDelayMs,
+    );
   }
 
-  #startDeadline(): void {
+  #startDeadline(extraMs = 0): void {
     const { stopTimeoutMs = DEFAULT_STOP_TIMEOUT_MS } = this.#options;
     this.#deadline ??= setTimeout(() => {
       this.#options.logger.error("Stop timed out", { stopTimeoutMs });
       this.#exit(ExitCode.Failed);
-    }, stopTimeoutMs);
+    }, stopTimeoutMs + extraMs);
   }
 
   #exit(code: ExitCode): void {
@@ -158,6 +169,7 @@
     }
     this.#ended = true;
     clearTimeout(this.#deadline);
+    clearTimeout(this.#drain);
     this.#undo();
     this.#host.exit(code);
   }
--- a/packages/runtime/src/settings.ts
+++ b/packages/runtime/src/settings.ts
@@ -68,6 +68,18 @@
   }),
 };
 
+/** Settings of the nodes: entries and schedulers. */
+export const NODE_SETTINGS = {
+  ...COMMON_SETTINGS,
+  drainDelayMs: defineSetting({
+    name: "drain-delay",
+    value: "<duration>",
+    description: "time between the loss of readiness and a planned stop",
+    default: "0s",
+    schema: durationSetting,
+  }),
+};
+
 /**
  * Reads and checks all settings of a binary. A flag goes before the
  * environment variable, and that before the default.
--- a/packages/scheduler/src/main.ts
+++ b/packages/scheduler/src/main.ts
@@ -20,21 +20,31 @@
 } from "@mustardweir/platform-client";
 import type { NodeIdentity } from "@mustardweir/protocol";
 import {
+  AdminListener,
   createIncarnation,
   createLogger,
   exitOnSettingError,
   Metrics,
   parseSettings,
+  type ProbeOptions,
+  Readiness,
   runNode,
   type SettingValues,
+  SystemClock,
 } from "@mustardweir/runtime";
 import { TargetPerformer } from "@mustardweir/target-client";
 import { JsonMessageCodec, LinkPerformer } from "@mustardweir/wire";
+import {
+  registerSchedulerPlugin,
+  SchedulerPlugin,
+} from "./scheduler_plugin.ts";
 import { SCHEDULER_SETTINGS } from "./settings.ts";
 
 type SchedulerSettings = SettingValues<typeof SCHEDULER_SETTINGS>;
 
 async function main(settings: SchedulerSettings): Promise<void> {
+  const scheduler = new SchedulerPlugin();
+  registerSchedulerPlugin(scheduler);
   const identity = createIdentity(settings);
   const metrics = new Metrics();
   const links = new LinkPerformer({
@@ -43,10 +53,16 @@
     listen: settings.listen,
     metrics,
   });
+  const readiness = new Readiness();
+  const clock = new SystemClock();
   await runNode({
     identity,
     performers: [
       links,
+      ...createAdminListeners(settings, {
+        isReady: () => !readiness.isDraining && scheduler.isReady(clock.now()),
+        metrics,
+      }),
       new TargetPerformer(),
       ...createPlatformPerformers(settings.platform),
     ],
@@ -56,11 +72,22 @@
       level: settings.logLevel,
     }),
     metrics,
+    readiness,
+    drainDelayMs: settings.drainDelayMs,
     stopTimeoutMs: settings.stopTimeoutMs,
     listening: () => ({ host: settings.listen.host, port: links.port }),
   });
 }
 
+function createAdminListeners(
+  { adminListen }: SchedulerSettings,
+  probes: ProbeOptions,
+): AdminListener[] {
+  return adminListen === undefined
+    ? []
+    : [new AdminListener({ listen: adminListen, ...probes })];
+}
+
 function createIdentity(settings: SchedulerSettings): NodeIdentity {
   return {
     nodeId: settings.nodeId,
--- a/packages/scheduler/src/mod.ts
+++ b/packages/scheduler/src/mod.ts
@@ -1,1 +1,2 @@
+export * from "./scheduler_plugin.ts";
 export * from "./settings.ts";
--- a/packages/scheduler/src/settings.ts
+++ b/packages/scheduler/src/settings.ts
@@ -1,8 +1,8 @@
 import {
-  COMMON_SETTINGS,
   defineSetting,
   hostPortSetting,
   idSetting,
+  NODE_SETTINGS,
   peersSetting,
 } from "@mustardweir/runtime";
 import { z } from "zod";
@@ -41,5 +41,11 @@
     description: "base URL of the platform's table, objects and list",
     schema: z.url({ protocol: /^https?$/, error: "must be an http URL" }),
   }),
-  ...COMMON_SETTINGS,
+  adminListen: defineSetting({
+    name: "admin-listen",
+    value: "<host:port>",
+    description: "where probes and metrics are served; nowhere by default",
+    schema: hostPortSetting.optional(),
+  }),
+  ...NODE_SETTINGS,
 };
