Go on with cancels after recovery; say "not run" only where it is known

By reading: a new home told a job as not run that an earlier home had started and lost; a home activated on the inventory of a slice owner that had been replaced before the home's claim; an event of a replaced slice owner was taken for the newer one's. Ruled out: a record of each idempotent start, which costs a table write before the first start; "unknown" is true and costs nothing. Change: upkeep goes on with cancels; what an earlier home may have started is told as unknown; homes fence only with owners known from a scan since their claim; events of older slice epochs are left to the newer owner.

--- a/packages/home/src/answers.ts
+++ b/packages/home/src/answers.ts
@@ -116,6 +116,9 @@
   const strays: string[] = [];
   for (const event of message.events) {
     const task = home.byTaskId.get(event.task.taskId);
+    if (task !== undefined && message.sliceEpoch < task.sliceEpoch) {
+      continue; // Its newer owner tells what becomes of it.
+    }
     if (task !== undefined) {
       applyEvent(update, home, { task, event });
     } else if (event.phase === TaskPhase.Ended && isSettled(home, event)) {
--- a/packages/home/src/calls.ts
+++ b/packages/home/src/calls.ts
@@ -38,6 +38,12 @@
   { from, call }: { readonly from: string; readonly call: HomeCall },
 ): void {
   const home = findHome(update, call.team);
+/** Epoch of the first owner of a home. */
+const FIRST_EPOCH = 1;
+
+/** Callers repeat a request within this time, in milliseconds. */
+const REPEAT_WINDOW_MS = 10 * 60 * 1_000;
+
   if (home === undefined) {
     reply(update, { from, call }, notOwner(update, call.team));
     return;
@@ -115,6 +121,7 @@
     update.dispatch(WORK_ACCEPTED, describeWork(home, job));
     job.tasks.forEach((task) => enqueue(home, task));
   }
+  job.mayHaveRun = !job.journaled && mayBeRepeat(update, home);
   return job;
 }
 
@@ -129,6 +136,12 @@
   const isReady = waitsForEnd ? job.endRecorded : job.accepted;
   if (isReady) {
     reply(update, received, jobStatus(update, home, job));
+/** True when an earlier home may have had the request, which kept no record. */
+function mayBeRepeat(update: Update, home: Home): boolean {
+  return home.epoch > FIRST_EPOCH &&
+    update.now - home.acquiredAt < REPEAT_WINDOW_MS;
+}
+
     return;
   }
   const waiters = waitsForEnd ? job.endWaiters : job.acceptWaiters;
--- a/packages/home/src/cancel.ts
+++ b/packages/home/src/cancel.ts
@@ -1,6 +1,6 @@
 import type { Update } from "@mustardweir/kernel";
 import { JournalRecordKind } from "@mustardweir/journal";
-import type { EndReason } from "@mustardweir/model";
+import { EndReason } from "@mustardweir/model";
 import { StopMode } from "@mustardweir/protocol";
 import { groupBySlice, sendStops, sendWithdrawal } from "./ask_messages.ts";
 import { appendRecords, endTask } from "./ending.ts";
@@ -36,6 +36,21 @@
   stopTasks(update, home, { tasks: job.tasks, reason });
 }
 
+/**
+ * Goes on with the cancellation of a job: stops what slices have told of since
+ * and ends what turned out to run nowhere.
+ */
+export function continueCancel(
+  update: Update,
+  home: Home,
+  job: HomeJob,
+): void {
+  const tasks = job.tasks.filter(({ state, stopping }) =>
+    state === TaskState.Pending || !stopping
+  );
+  stopTasks(update, home, { tasks, reason: EndReason.Cancelled });
+}
+
 interface StopOptions {
   readonly tasks: readonly HomeTask[];
   readonly reason: EndReason;
--- a/packages/home/src/ending.ts
+++ b/packages/home/src/ending.ts
@@ -122,7 +122,10 @@
   if (job.tasks.some(({ endReason }) => endReason === EndReason.Lost)) {
     return Outcome.Unknown;
   }
-  return job.firstStartAt === undefined ? Outcome.NotRun : Outcome.Done;
+  if (job.firstStartAt !== undefined) {
+    return Outcome.Done;
+  }
+  return job.mayHaveRun ? Outcome.Unknown : Outcome.NotRun;
 }
 
 function reasonOf(job: HomeJob): EndReason {
@@ -131,6 +134,7 @@
     EndReason.Lost,
     EndReason.Cancelled,
     EndReason.Failed,
+    EndReason.Preempted,
     EndReason.DeadlinePassed,
     EndReason.Impossible,
   ];
--- a/packages/home/src/fencing.ts
+++ b/packages/home/src/fencing.ts
@@ -1,5 +1,5 @@
 import type { Update } from "@mustardweir/kernel";
-import { resolveOwner, sliceUnit } from "@mustardweir/membership";
+import { OWNERSHIP, resolveOwner, sliceUnit } from "@mustardweir/membership";
 import {
   EndReason,
   JobKind,
@@ -42,11 +42,22 @@
 /** Shows the home's epoch to every slice that doesn't know it yet. */
 export function fenceSlices(update: Update, home: Home): void {
   syncViews(update, home);
+  if (!knowsOwners(update, home)) {
+    return;
+  }
   for (const view of home.slices.values()) {
     fenceSlice(update, home, view);
   }
 }
 
+/**
+ * True when the owners are known that the slices had when this home was taken
+ * over. Those that come later know of this home from the table.
+ */
+function knowsOwners(update: Update, home: Home): boolean {
+  return update.read(OWNERSHIP).scannedAt >= home.acquiredAt;
+}
+
 /** Keeps one view for each slice of the inventory. */
 function syncViews(update: Update, home: Home): void {
   const outlines = outlineSlices(update);
@@ -279,11 +290,17 @@
   if (home.phase !== HomePhase.Fencing) {
     return;
   }
-  const isComplete = [...home.slices.values()].every((view) => view.complete);
-  if (!isComplete) {
-    return;
+  const isFenced = [...home.slices.values()].every((view) =>
+    view.complete && isCurrent(update, view)
+  );
+  if (isFenced && knowsOwners(update, home)) {
+    activate(update, home);
   }
-  activate(update, home);
+}
+
+function isCurrent(update: Update, view: SliceView): boolean {
+  const owner = resolveOwner(update, sliceUnit(view.sliceId));
+  return owner === undefined || owner.epoch <= view.fencedEpoch;
 }
 
 /** Nothing of the team runs unknown: waiting work may start. */
--- a/packages/home/src/home_state.ts
+++ b/packages/home/src/home_state.ts
@@ -86,6 +86,8 @@
   /** Not started later than this; Infinity when it does not matter. */
   startBy: number;
   firstStartAt: number | undefined;
+  /** An earlier home may have started it, without a record of the start. */
+  mayHaveRun: boolean;
   cancelled: boolean;
   gang: GangPhase;
   gangNotBefore: number;
--- a/packages/home/src/job_factory.ts
+++ b/packages/home/src/job_factory.ts
@@ -56,6 +56,7 @@
     accepted: !journaled,
     startBy: now + (spec.startWithinMs ?? Infinity),
     firstStartAt: undefined,
+    mayHaveRun: false,
     cancelled: false,
     gang: GangPhase.Idle,
     gangNotBefore: 0,
--- a/packages/home/src/recovery.ts
+++ b/packages/home/src/recovery.ts
@@ -6,9 +6,9 @@
   OPEN_JOURNAL,
 } from "@mustardweir/journal";
 import type { Owned } from "@mustardweir/membership";
-import { EndReason, JobKind, NO_RESOURCES } from "@mustardweir/model";
+import { JobKind, NO_RESOURCES } from "@mustardweir/model";
 import { logChange } from "@mustardweir/protocol";
-import { endTask } from "./ending.ts";
+import { continueCancel } from "./cancel.ts";
 import { activate, fenceSlices } from "./fencing.ts";
 import {
   type Home,
@@ -127,6 +127,7 @@
   }
   const job = createJob({ jobId, spec, specHash, now: update.now });
   job.accepted = true;
+  job.mayHaveRun = spec.idempotent; // Other starts are recorded before.
   home.jobs.set(jobId, job);
   home.liveJobs += 1;
 }
@@ -161,16 +162,11 @@
   }
 }
 
-/** Ends what was cancelled and turned out to run nowhere. */
-export function endCancelled(update: Update, home: Home): void {
+/** Goes on with cancellations that were accepted before. */
+export function continueCancels(update: Update, home: Home): void {
   for (const job of home.jobs.values()) {
     if (job.cancelled && !job.endRecorded) {
-      const waiting = job.tasks.filter(({ state }) =>
-        state === TaskState.Pending
-      );
-      for (const task of waiting) {
-        endTask(update, home, { task, reason: EndReason.Cancelled });
-      }
+      continueCancel(update, home, job);
     }
   }
 }
--- a/packages/home/src/upkeep.ts
+++ b/packages/home/src/upkeep.ts
@@ -18,7 +18,7 @@
   type HomeTask,
   TaskState,
 } from "./home_state.ts";
-import { endCancelled } from "./recovery.ts";
+import { continueCancels } from "./recovery.ts";
 
 /** Time after which an unanswered message is sent again, in milliseconds. */
 const RESEND_MS = 500;
@@ -33,7 +33,7 @@
 export function maintain(update: Update, home: Home): void {
   fenceSlices(update, home);
   if (home.phase === HomePhase.Active) {
-    endCancelled(update, home);
+    continueCancels(update, home);
     endLate(update, home);
   }
   resendAsks(update, home);
--- a/packages/prove/src/fleet.ts
+++ b/packages/prove/src/fleet.ts
@@ -58,6 +58,18 @@
   ),
 };
 
+/** What every run ends with: no ceiling keeps work from ending. */
+export const FINAL_CONFIGURATION: Configuration = {
+  ...INITIAL_CONFIGURATION,
+  rules: {
+    ...INITIAL_CONFIGURATION.rules,
+    teams: INITIAL_CONFIGURATION.rules.teams.map((team) => ({
+      ...team,
+      ceiling: {},
+    })),
+  },
+};
+
 /** The initial configuration as the row and objects of the store. */
 export function initialObjects(): ReadonlyMap<string, string> {
   const objects = new Map<string, string>();
--- a/packages/prove/src/scenario.ts
+++ b/packages/prove/src/scenario.ts
@@ -12,7 +12,7 @@
   runCommand,
   STRANGER,
 } from "./commands.ts";
-import { INITIAL_CONFIGURATION, OPERATOR_KEY, TEAMS } from "./fleet.ts";
+import { FINAL_CONFIGURATION, OPERATOR_KEY, TEAMS } from "./fleet.ts";
 import type { Call, History, Submission } from "./history.ts";
 import { Cluster } from "./simulation/cluster.ts";
 import type { Tampering } from "./simulation/tampering.ts";
@@ -89,7 +89,7 @@
     const { configuration } = this.#history.versions.at(-1)!;
     const section = Object.values(ConfigurationSection).find((name) =>
       JSON.stringify(configuration[name]) !==
-        JSON.stringify(INITIAL_CONFIGURATION[name])
+        JSON.stringify(FINAL_CONFIGURATION[name])
     );
     if (section === undefined) {
       return true;
@@ -97,7 +97,7 @@
     editLatest(
       this.#cluster,
       section,
-      () => INITIAL_CONFIGURATION[section],
+      () => FINAL_CONFIGURATION[section],
       this.#round,
     );
     return false;
