Place tasks where a free slot is worth what they need

Probes before giving up, 64 to 512, changed neither cost nor packing. Instances are indexed by free accelerators, slots, processors and memory; a choice rates 4 candidates from the nearest buckets, so that its cost doesn't follow the fleet's size. Tables of up to 64 instances are scanned whole. Eight candidates in place of four cost a quarter more and packed no better.

--- a/packages/placement/src/indexed_fit.ts
+++ b/packages/placement/src/indexed_fit.ts
@@ -1,4 +1,5 @@
 import type { Random } from "@mustardweir/kernel";
+import { BestFitPolicy } from "./baselines.ts";
 import type { InstanceTable } from "./instance_table.ts";
 import {
   NO_INSTANCE,
@@ -8,17 +9,20 @@
 import { packingScore } from "./score.ts";
 
 export interface IndexedFitOptions {
-  /** Instances with room that are rated before one is chosen; 16 by default. */
+  /** Instances with room that are rated before one is chosen; 4 by default. */
   readonly candidates?: number;
   /** The same for work that should be spread; 64 by default. */
   readonly spreadCandidates?: number;
   /** Instances looked at before giving up; 512 by default. */
   readonly maxProbes?: number;
+  /** Tables up to this size are scanned whole; 64 by default. */
+  readonly maxFullScan?: number;
 }
 
-const DEFAULT_CANDIDATES = 16;
+const DEFAULT_CANDIDATES = 4;
 const DEFAULT_SPREAD_CANDIDATES = 64;
 const DEFAULT_MAX_PROBES = 512;
+const DEFAULT_MAX_FULL_SCAN = 64;
 
 /**
  * Rates a bounded number of the instances with the least room that is
@@ -35,6 +39,8 @@
   readonly #candidates: number;
   readonly #spreadCandidates: number;
   readonly #maxProbes: number;
+  readonly #maxFullScan: number;
+  readonly #fullScan = new BestFitPolicy();
 
   constructor(options: IndexedFitOptions = {}) {
     super();
@@ -42,6 +48,7 @@
     this.#spreadCandidates = options.spreadCandidates ??
       DEFAULT_SPREAD_CANDIDATES;
     this.#maxProbes = options.maxProbes ?? DEFAULT_MAX_PROBES;
+    this.#maxFullScan = options.maxFullScan ?? DEFAULT_MAX_FULL_SCAN;
   }
 
   override choose(
@@ -49,37 +56,77 @@
     request: PlacementRequest,
     random: Random,
   ): number {
-    const { size, crowding } = request;
-    let candidates = crowding ? this.#spreadCandidates : this.#candidates;
-    let probes = this.#maxProbes;
-    let best = NO_INSTANCE;
-    let bestCrowding = Infinity;
-    let bestScore = Infinity;
-    table.roomIndex.visit(size, (members) => {
-      const { length } = members;
-      const start = length > 1 ? random.below(length) : 0;
-      for (let step = 0; step < length && candidates > 0; step++) {
-        if (probes-- <= 0) {
-          return true;
-        }
-        const index = members[(start + step) % length]!;
-        if (!table.fits(index, size)) {
-          continue;
-        }
-        candidates--;
-        const crowded = crowding?.(index) ?? 0;
-        if (crowded > bestCrowding) {
-          continue;
-        }
-        const score = packingScore(table, index, size);
-        if (crowded < bestCrowding || score < bestScore) {
-          best = index;
-          bestCrowding = crowded;
-          bestScore = score;
-        }
-      }
-      return candidates <= 0;
+    if (table.size <= this.#maxFullScan) {
+      return this.#fullScan.choose(table, request);
+    }
+    const search = this.#startSearch(table, request);
+    table.roomIndex.visit(request.size, (members) => {
+      const start = members.length > 1 ? random.below(members.length) : 0;
+      return search.look(members, start);
     });
-    return best;
+    return search.best;
+  }
+
+  #startSearch(table: InstanceTable, request: PlacementRequest): Search {
+    const candidates = request.crowding
+      ? this.#spreadCandidates
+      : this.#candidates;
+    return new Search(table, request, {
+      candidates,
+      probes: this.#maxProbes,
+    });
+  }
+}
+
+/** The best of the instances looked at so far. */
+class Search {
+  readonly #table: InstanceTable;
+  readonly #request: PlacementRequest;
+  #candidatesLeft: number;
+  #probesLeft: number;
+  #bestCrowding = Infinity;
+  #bestScore = Infinity;
+  best = NO_INSTANCE;
+
+  constructor(
+    table: InstanceTable,
+    request: PlacementRequest,
+    limits: { candidates: number; probes: number },
+  ) {
+    this.#table = table;
+    this.#request = request;
+    this.#candidatesLeft = limits.candidates;
+    this.#probesLeft = limits.probes;
+  }
+
+  /** Looks at a bucket, from `start` round; true when the search is over. */
+  look(members: readonly number[], start: number): boolean {
+    const { length } = members;
+    for (let step = 0; step < length && !this.#isOver(); step++) {
+      this.#probe(members[(start + step) % length]!);
+    }
+    return this.#isOver();
+  }
+
+  #isOver(): boolean {
+    return this.#candidatesLeft === 0 || this.#probesLeft === 0;
+  }
+
+  #probe(index: number): void {
+    this.#probesLeft--;
+    if (!this.#table.fits(index, this.#request.size)) {
+      return;
+    }
+    this.#candidatesLeft--;
+    const crowding = this.#request.crowding?.(index) ?? 0;
+    if (crowding > this.#bestCrowding) {
+      return;
+    }
+    const score = packingScore(this.#table, index, this.#request.size);
+    if (crowding < this.#bestCrowding || score < this.#bestScore) {
+      this.best = index;
+      this.#bestCrowding = crowding;
+      this.#bestScore = score;
+    }
   }
 }
--- a/packages/placement/src/instance_table.ts
+++ b/packages/placement/src/instance_table.ts
@@ -1,8 +1,7 @@
-import { invariant } from "@mustardweir/kernel";
+import { invariant, InvariantError } from "@mustardweir/kernel";
 import {
   Dimension,
   DIMENSION_COUNT,
-  fitsWithin,
   NO_RESOURCES,
   type Resources,
 } from "@mustardweir/model";
@@ -119,20 +118,18 @@
 
   /** Takes room for a task; the task must fit, eligible or not. */
   take(index: number, size: Resources): void {
-    invariant(
-      this.#hasRoom(index, size),
-      `instance ${this.instanceIdAt(index)} has no room for the task`,
-    );
+    if (!this.#hasRoom(index, size)) {
+      this.#fail(index, "has no room for the task");
+    }
     this.#change(index, size, -1);
   }
 
   /** Gives the room of a task back that was taken before. */
   giveBack(index: number, size: Resources): void {
     this.#change(index, size, 1);
-    invariant(
-      fitsWithin(this.freeAt(index), this.capacityAt(index)),
-      `instance ${this.instanceIdAt(index)} has more free than it has`,
-    );
+    if (!this.#isWithinCapacity(index)) {
+      this.#fail(index, "has more free than it has");
+    }
   }
 
   /**
@@ -210,6 +207,15 @@
       size.accelerators <= free[Dimension.Accelerators]![index]!;
   }
 
+  #isWithinCapacity(index: number): boolean {
+    for (let dimension = 0; dimension < DIMENSION_COUNT; dimension++) {
+      if (this.#free[dimension]![index]! > this.#capacity[dimension]![index]!) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   #change(index: number, size: Resources, factor: number): void {
     this.#checkRow(index);
     const free = this.#free;
@@ -228,16 +234,18 @@
       this.#index.remove(index);
       return;
     }
-    this.#index.set(index, {
-      cpuMillis: this.freeIn(index, Dimension.CpuMillis),
-      memoryMb: this.freeIn(index, Dimension.MemoryMb),
-      accelerators: this.freeIn(index, Dimension.Accelerators),
-      slots: this.freeIn(index, Dimension.Slots),
-    });
+    this.#index.set(index, this.#free);
   }
 
   #checkRow(index: number): void {
-    invariant(this.instanceIdAt(index) !== "", `row ${index} has no instance`);
+    if (this.instanceIdAt(index) === "") {
+      throw new InvariantError(`row ${index} has no instance`);
+    }
+  }
+
+  /** Kept apart so that the message costs nothing while all is well. */
+  #fail(index: number, what: string): never {
+    throw new InvariantError(`instance ${this.instanceIdAt(index)} ${what}`);
   }
 
   #growTo(rows: number): void {
--- a/packages/placement/src/room_index.ts
+++ b/packages/placement/src/room_index.ts
@@ -1,36 +1,46 @@
-import type { Resources } from "@mustardweir/model";
+import { Dimension, type Resources } from "@mustardweir/model";
 
-/** Levels of one dimension; a level ends where the next one starts. */
-const LEVELS_PER_OCTAVE = 2;
 /** Amounts below the unit share the lowest level. */
 const CPU_UNIT_MILLIS = 250;
-const MEMORY_UNIT_MB = 256;
-/** Levels of processors: up to 512 times the unit, then one level. */
+const MEMORY_UNIT_MB = 512;
+/** Two levels an octave, up to 724 times the unit, then one level. */
 const CPU_LEVELS = 20;
-/** Levels of memory: up to 2,048 times the unit, then one level. */
-const MEMORY_LEVELS = 24;
+const CPU_LEVELS_PER_OCTAVE = 2;
+/** One level an octave, up to 8,192 times the unit, then one level. */
+const MEMORY_LEVELS = 14;
+/** Beyond the last level, and within 32 bits. */
+const MAX_UNITS = 2 ** 24;
 /** Levels of accelerators: 0 to 7, then one level. */
 const ACCELERATOR_LEVELS = 9;
+/** The free slots that levels start at. */
+const SLOT_STARTS = [1, 2, 3, 4, 5, 6, 7, 8, 12, 24, 48];
+const SLOT_LEVELS = SLOT_STARTS.length;
 
-const BUCKETS = ACCELERATOR_LEVELS * CPU_LEVELS * MEMORY_LEVELS;
+const ROWS_PER_ACCELERATOR = SLOT_LEVELS * CPU_LEVELS;
+const ROWS = ACCELERATOR_LEVELS * ROWS_PER_ACCELERATOR;
 const NOWHERE = -1;
 
 /**
- * Instances with a free slot, in buckets by free accelerators, processors and
- * memory. Changing an amount costs the same however many instances there are.
+ * Instances with a free slot, in buckets by free accelerators, slots,
+ * processors and memory. Changing an amount and searching cost the same
+ * however many instances there are.
  */
 export class RoomIndex {
-  readonly #buckets: number[][] = Array.from({ length: BUCKETS }, () => []);
-  /** For each accelerator and processor level, the memory levels in use. */
-  readonly #memoryBits = new Int32Array(ACCELERATOR_LEVELS * CPU_LEVELS);
+  /** A row holds the memory levels of one level in the other dimensions. */
+  readonly #buckets = new Array<number[] | undefined>(ROWS * MEMORY_LEVELS);
+  /** For each row, a bit for each memory level that has instances. */
+  readonly #memoryBits = new Int32Array(ROWS);
+  /** For each accelerator and slot level, a bit for each processor level. */
+  readonly #cpuBits = new Int32Array(ACCELERATOR_LEVELS * SLOT_LEVELS);
+  /** Scratch space of a search. */
+  readonly #ranks = new Int32Array(ROWS_PER_ACCELERATOR);
   readonly #bucketOf: number[] = [];
   readonly #positionOf: number[] = [];
 
-  /** Puts an instance where its free amounts belong. */
-  set(index: number, free: Resources): void {
-    const bucket = bucketFor(free);
-    const before = this.#bucketOf[index] ?? NOWHERE;
-    if (bucket === before) {
+  /** Puts an instance where its row of `free`, by dimension, belongs. */
+  set(index: number, free: readonly Float64Array[]): void {
+    const bucket = bucketFor(index, free);
+    if (bucket === (this.#bucketOf[index] ?? NOWHERE)) {
       return;
     }
     this.remove(index);
@@ -53,25 +63,26 @@
     }
     this.#bucketOf[index] = NOWHERE;
     if (members.length === 0) {
-      const row = Math.floor(bucket / MEMORY_LEVELS);
-      this.#memoryBits[row]! &= ~(1 << (bucket % MEMORY_LEVELS));
+      this.#clearBits(bucket);
     }
   }
 
   /**
-   * Shows the buckets that may have room for `size`, those with the least
-   * room first, until `visit` returns true.
+   * Shows the buckets that may have room for `size` until `visit` returns
+   * true: fewest free accelerators first, then by how near the processors of
+   * one free slot come to the size.
    */
   visit(size: Resources, visit: (members: readonly number[]) => boolean): void {
-    const lowestAccelerators = acceleratorLevel(size.accelerators);
-    const lowestCpu = cpuLevel(size.cpuMillis);
+    const cpu = cpuLevel(size.cpuMillis);
     const memoryMask = -1 << memoryLevel(size.memoryMb);
-    for (let a = lowestAccelerators; a < ACCELERATOR_LEVELS; a++) {
-      for (let cpu = lowestCpu; cpu < CPU_LEVELS; cpu++) {
-        const row = a * CPU_LEVELS + cpu;
+    const lowest = acceleratorLevel(size.accelerators);
+    for (let a = lowest; a < ACCELERATOR_LEVELS; a++) {
+      const first = a * ROWS_PER_ACCELERATOR;
+      for (let left = this.#collectRanks(a, cpu); left > 0; left--) {
+        const row = first + ROW_ORDERS[cpu]![this.#takeLowest(left)]!;
         let bits = this.#memoryBits[row]! & memoryMask;
         while (bits !== 0) {
-          const memory = 31 - Math.clz32(bits & -bits);
+          const memory = lowestBit(bits);
           if (visit(this.#buckets[row * MEMORY_LEVELS + memory]!)) {
             return;
           }
@@ -81,43 +92,128 @@
     }
   }
 
+  /**
+   * Notes the ranks of rows in use with at least the processors of level
+   * `cpu`, in any order, and returns their number.
+   */
+  #collectRanks(a: number, cpu: number): number {
+    const ranks = ROW_RANKS[cpu]!;
+    let count = 0;
+    for (let slots = 0; slots < SLOT_LEVELS; slots++) {
+      let bits = this.#cpuBits[a * SLOT_LEVELS + slots]! & (-1 << cpu);
+      while (bits !== 0) {
+        this.#ranks[count++] = ranks[slots * CPU_LEVELS + lowestBit(bits)]!;
+        bits &= bits - 1;
+      }
+    }
+    return count;
+  }
+
+  /** Takes the lowest of the first `count` ranks out. */
+  #takeLowest(count: number): number {
+    const ranks = this.#ranks;
+    let at = 0;
+    for (let i = 1; i < count; i++) {
+      at = ranks[i]! < ranks[at]! ? i : at;
+    }
+    const lowest = ranks[at]!;
+    ranks[at] = ranks[count - 1]!;
+    return lowest;
+  }
+
   #insert(index: number, bucket: number): void {
-    const members = this.#buckets[bucket]!;
+    const members = this.#buckets[bucket] ??= [];
     this.#bucketOf[index] = bucket;
     this.#positionOf[index] = members.length;
     members.push(index);
     const row = Math.floor(bucket / MEMORY_LEVELS);
     this.#memoryBits[row]! |= 1 << (bucket % MEMORY_LEVELS);
+    this.#cpuBits[Math.floor(row / CPU_LEVELS)]! |= 1 << (row % CPU_LEVELS);
   }
+
+  #clearBits(bucket: number): void {
+    const row = Math.floor(bucket / MEMORY_LEVELS);
+    this.#memoryBits[row]! &= ~(1 << (bucket % MEMORY_LEVELS));
+    if (this.#memoryBits[row] === 0) {
+      this.#cpuBits[Math.floor(row / CPU_LEVELS)]! &=
+        ~(1 << (row % CPU_LEVELS));
+    }
+  }
+}
+
+/** For each processor level of a task, the rows of instances with enough. */
+const ROW_ORDERS: readonly Int32Array[] = Array.from(
+  { length: CPU_LEVELS },
+  (_, level) => orderRows(level),
+);
+
+/** The place of each row in `ROW_ORDERS`. */
+const ROW_RANKS: readonly Int32Array[] = ROW_ORDERS.map((order) => {
+  const ranks = new Int32Array(ROWS_PER_ACCELERATOR);
+  order.forEach((row, rank) => ranks[row] = rank);
+  return ranks;
+});
+
+/** Rows from `level` up, by the distance of processors a slot from it. */
+function orderRows(level: number): Int32Array {
+  const rows: { row: number; distance: number }[] = [];
+  SLOT_STARTS.forEach((slots, slotLevel) => {
+    const slotOctaves = Math.log2(slots);
+    for (let cpu = level; cpu < CPU_LEVELS; cpu++) {
+      const octaves = (cpu - level) / CPU_LEVELS_PER_OCTAVE;
+      const distance = Math.abs(octaves - slotOctaves);
+      rows.push({ row: slotLevel * CPU_LEVELS + cpu, distance });
+    }
+  });
+  rows.sort((a, b) => a.distance - b.distance || a.row - b.row);
+  return Int32Array.from(rows, ({ row }) => row);
 }
 
-function bucketFor(free: Resources): number {
-  const exhausted = free.slots < 1 || free.cpuMillis <= 0 ||
-    free.memoryMb <= 0 || free.accelerators < 0;
-  if (exhausted) {
+function lowestBit(bits: number): number {
+  return 31 - Math.clz32(bits & -bits);
+}
+
+function bucketFor(index: number, free: readonly Float64Array[]): number {
+  const slots = free[Dimension.Slots]![index]!;
+  const cpuMillis = free[Dimension.CpuMillis]![index]!;
+  const memoryMb = free[Dimension.MemoryMb]![index]!;
+  const accelerators = free[Dimension.Accelerators]![index]!;
+  if (slots < 1 || cpuMillis <= 0 || memoryMb <= 0 || accelerators < 0) {
     return NOWHERE;
   }
-  const row = acceleratorLevel(free.accelerators) * CPU_LEVELS +
-    cpuLevel(free.cpuMillis);
-  return row * MEMORY_LEVELS + memoryLevel(free.memoryMb);
+  const row = acceleratorLevel(accelerators) * ROWS_PER_ACCELERATOR +
+    slotLevel(slots) * CPU_LEVELS + cpuLevel(cpuMillis);
+  return row * MEMORY_LEVELS + memoryLevel(memoryMb);
 }
 
 function acceleratorLevel(accelerators: number): number {
   return Math.min(ACCELERATOR_LEVELS - 1, Math.floor(accelerators));
 }
 
-function cpuLevel(cpuMillis: number): number {
-  return level(cpuMillis / CPU_UNIT_MILLIS, CPU_LEVELS);
-}
-
-function memoryLevel(memoryMb: number): number {
-  return level(memoryMb / MEMORY_UNIT_MB, MEMORY_LEVELS);
+function slotLevel(slots: number): number {
+  let level = SLOT_LEVELS - 1;
+  while (SLOT_STARTS[level]! > slots) {
+    level--;
+  }
+  return level;
 }
 
-function level(units: number, levels: number): number {
+/** Level 0, then two levels for each doubling of the unit. */
+function cpuLevel(cpuMillis: number): number {
+  const units = Math.min(cpuMillis / CPU_UNIT_MILLIS, MAX_UNITS);
   if (units < 1) {
     return 0;
   }
-  const exact = 1 + Math.floor(LEVELS_PER_OCTAVE * Math.log2(units));
-  return Math.min(levels - 1, exact);
+  const octave = 31 - Math.clz32(units);
+  const upperHalf = units >= Math.SQRT2 * (1 << octave) ? 1 : 0;
+  return Math.min(
+    CPU_LEVELS - 1,
+    1 + CPU_LEVELS_PER_OCTAVE * octave + upperHalf,
+  );
+}
+
+/** Level 0, then one level for each doubling of the unit. */
+function memoryLevel(memoryMb: number): number {
+  const units = Math.min(memoryMb / MEMORY_UNIT_MB, MAX_UNITS);
+  return units < 1 ? 0 : Math.min(MEMORY_LEVELS - 1, 32 - Math.clz32(units));
 }
--- a/packages/placement/src/score.ts
+++ b/packages/placement/src/score.ts
@@ -1,44 +1,32 @@
 import { Dimension, type Resources } from "@mustardweir/model";
 import type { InstanceTable } from "./instance_table.ts";
 
+/** Amounts that weigh the same in a score. */
+const CPU_SCALE_MILLIS = 8000;
+const MEMORY_SCALE_MB = 32_768;
 /** Weight of each accelerator that work without need of one would block. */
-const ACCELERATOR_PENALTY = 1;
-/** Weight of unlike remainders: much of one resource and none of another. */
-const IMBALANCE_WEIGHT = 0.5;
+const BLOCKED_ACCELERATOR_WEIGHT = 10;
+/** Weight of each accelerator left over by work that needs some. */
+const SPARE_ACCELERATOR_WEIGHT = 3;
 
 /**
- * Rates an instance for a task, lower is better: what would be left over,
- * how unevenly it would be left over, and accelerators that the task would
- * sit in front of without using them.
+ * Rates an instance for a task, lower is better. An instance runs out of
+ * slots as of anything else, so a task belongs where what is free for each
+ * free slot comes nearest to its size: a small task on a large instance
+ * strands the rest, a large one leaves slots that nothing can fill.
  */
 export function packingScore(
   table: InstanceTable,
   index: number,
   size: Resources,
 ): number {
-  const cpu = leftOver(table, index, Dimension.CpuMillis, size.cpuMillis);
-  const memory = leftOver(table, index, Dimension.MemoryMb, size.memoryMb);
-  const slots = leftOver(table, index, Dimension.Slots, size.slots);
-  const most = Math.max(cpu, memory, slots);
-  const least = Math.min(cpu, memory, slots);
-  const score = cpu + memory + slots + IMBALANCE_WEIGHT * (most - least);
+  const slots = table.freeIn(index, Dimension.Slots);
+  const cpu = table.freeIn(index, Dimension.CpuMillis) / slots;
+  const memory = table.freeIn(index, Dimension.MemoryMb) / slots;
+  const mismatch = Math.abs(cpu - size.cpuMillis) / CPU_SCALE_MILLIS +
+    Math.abs(memory - size.memoryMb) / MEMORY_SCALE_MB;
   const accelerators = table.freeIn(index, Dimension.Accelerators);
-  if (accelerators === 0) {
-    return score;
-  }
-  const blocked = size.accelerators === 0 ? accelerators : 0;
-  const unused = accelerators - size.accelerators;
-  return score + ACCELERATOR_PENALTY * (blocked + unused);
-}
-
-function leftOver(
-  table: InstanceTable,
-  index: number,
-  dimension: Dimension,
-  amount: number,
-): number {
-  const capacity = table.capacityIn(index, dimension);
-  return capacity > 0
-    ? (table.freeIn(index, dimension) - amount) / capacity
-    : 0;
+  return size.accelerators === 0
+    ? mismatch + BLOCKED_ACCELERATOR_WEIGHT * accelerators
+    : mismatch + SPARE_ACCELERATOR_WEIGHT * (accelerators - size.accelerators);
 }
