Quarantine instances by cumulative log-likelihood

Cause: the detector was to be chosen by detection delay at equal false alarms (one good instance in 1,000 within 200 or 1,000 tasks each). Shiryaev-Roberts and the cumulative sum can't be told apart, so the simpler one stays and the other is taken out. Change: log-likelihood with a threshold of 12 nats is the default. A team's own failure rate is taken from its latest outcome on other instances, one vote an instance.

--- a/packages/quarantine/src/detectors.ts
+++ b/packages/quarantine/src/detectors.ts
@@ -10,8 +10,6 @@
 const DEFAULT_CONSECUTIVE_FAILURES = 5;
 const DEFAULT_AVERAGE = 0.8;
 const DEFAULT_SMOOTHING = 0.3;
-const DEFAULT_LOG_LIKELIHOOD = 9;
-const DEFAULT_SHIRYAEV_ROBERTS = 1e4;
 
 /** How often a faulty instance fails its tasks. */
 const FAULTY_FAILURE_RATE = 0.95;
@@ -59,6 +57,9 @@
   }
 }
 
+/** The default threshold of `LikelihoodDetector`, in nats. */
+export const LIKELIHOOD_THRESHOLD = 12;
+
 /**
  * Cumulative sum of log-likelihood ratios, faulty against good, never below
  * zero. A team that fails everywhere adds next to nothing.
@@ -67,7 +68,7 @@
   override readonly name = "likelihood";
 
   constructor(options: EvidenceDetectorOptions = {}) {
-    super(options.threshold ?? DEFAULT_LOG_LIKELIHOOD, options);
+    super(options.threshold ?? LIKELIHOOD_THRESHOLD, options);
   }
 
   protected override next(statistic: number, evidence: Evidence): number {
@@ -75,20 +76,6 @@
   }
 }
 
-/** The Shiryaev-Roberts statistic, in logarithms. */
-export class ShiryaevRobertsDetector extends EvidenceDetector {
-  override readonly name = "shiryaev-roberts";
-
-  constructor(options: EvidenceDetectorOptions = {}) {
-    super(Math.log1p(options.threshold ?? DEFAULT_SHIRYAEV_ROBERTS), options);
-  }
-
-  /** `statistic` is log(1 + R); R grows to (1 + R) times the ratio. */
-  protected override next(statistic: number, evidence: Evidence): number {
-    return Math.log1p(Math.exp(statistic) * likelihoodRatio(evidence));
-  }
-}
-
 /** How much likelier the outcome is on a faulty instance. */
 function likelihoodRatio(evidence: Evidence): number {
   const good = clamp(evidence.failureRateElsewhere);
