Hold room for the blocked team with the least of its share

Change: a team that is blocked holds back teams further along, for at most 10 minutes without a grant, unless they need no accelerators and it does; half of the next ask counts as used, so that sizes are rounded fairly.

--- /dev/null
+++ b/packages/fairness/src/preemption_test.ts
@@ -0,0 +1,144 @@
+import { expect } from "chai";
+import { JobKind, Priority, type Resources } from "@mustardweir/model";
+import {
+  pickVictims,
+  type PickVictimsOptions,
+  type PreemptionPlace,
+  type RunningTask,
+} from "./mod.ts";
+
+const NONE = { cpuMillis: 0, memoryMb: 0, accelerators: 0, slots: 0 };
+const TOTAL: Resources = {
+  cpuMillis: 100,
+  memoryMb: 100,
+  accelerators: 0,
+  slots: 100,
+};
+
+function cpu(cpuMillis: number): Resources {
+  return { ...NONE, cpuMillis };
+}
+
+function task(taskId: string, options: Partial<RunningTask> = {}): RunningTask {
+  return {
+    taskId,
+    team: "rich",
+    kind: JobKind.Batch,
+    priority: Priority.Normal,
+    idempotent: true,
+    size: cpu(10),
+    lostMs: 100,
+    ...options,
+  };
+}
+
+function place(
+  instanceId: string,
+  tasks: readonly RunningTask[],
+  free = 0,
+): PreemptionPlace {
+  return { instanceId, free: cpu(free), tasks };
+}
+
+/** "rich" is 40 over its due of 40, "fair" at its due, "poor" below it. */
+const OPTIONS: Omit<PickVictimsOptions, "places"> = {
+  team: "poor",
+  size: cpu(10),
+  total: TOTAL,
+  standings: [
+    { team: "rich", used: cpu(80), due: 0.4 },
+    { team: "fair", used: cpu(20), due: 0.2 },
+    { team: "poor", used: cpu(0), due: 0.4 },
+  ],
+};
+
+interface VictimsCase {
+  readonly name: string;
+  readonly options: Partial<PickVictimsOptions>;
+  readonly places: readonly PreemptionPlace[];
+  /** Ids of the victims; none when nothing may be stopped. */
+  readonly victims?: readonly string[];
+}
+
+const CASES: readonly VictimsCase[] = [
+  {
+    name: "the task with the least work lost",
+    options: {},
+    places: [
+      place("i", [task("a"), task("b", { lostMs: 1 })]),
+      place("j", [task("c", { lostMs: 50 })]),
+    ],
+    victims: ["b"],
+  },
+  {
+    name: "nothing of a team that has no more than its due",
+    options: {},
+    places: [place("i", [task("a", { team: "fair", lostMs: 0 })])],
+  },
+  {
+    name: "batch work of a team at its due for urgent work",
+    options: { urgent: true },
+    places: [place("i", [task("a", { team: "fair" })])],
+    victims: ["a"],
+  },
+  {
+    name: "no service of a team at its due, even for urgent work",
+    options: { urgent: true },
+    places: [
+      place("i", [task("a", { team: "fair", kind: JobKind.Service })]),
+    ],
+  },
+  {
+    name: "a service of a team over its due",
+    options: {},
+    places: [place("i", [task("a", { kind: JobKind.Service })])],
+    victims: ["a"],
+  },
+  {
+    name: "no urgent, at-most-once or answering task",
+    options: { urgent: true },
+    places: [place("i", [
+      task("a", { priority: Priority.Urgent }),
+      task("b", { idempotent: false }),
+      task("c", { kind: JobKind.Request }),
+    ])],
+  },
+  {
+    name: "nothing for a team that has its due",
+    options: { team: "fair" },
+    places: [place("i", [task("a")])],
+  },
+  {
+    name: "only what is needed beside the free room",
+    options: { size: cpu(30) },
+    places: [place("i", [
+      task("a", { lostMs: 1 }),
+      task("b", { lostMs: 2 }),
+      task("c", { lostMs: 3, size: cpu(20) }),
+    ], 5)],
+    victims: ["b", "c"],
+  },
+  {
+    name: "no more than brings a team down to its due",
+    options: { size: cpu(40) },
+    places: [place("i", [
+      task("a", { size: cpu(30) }),
+      task("b", { size: cpu(30) }),
+    ])],
+  },
+  {
+    name: "nothing when no instance would have room",
+    options: { size: cpu(30) },
+    places: [place("i", [task("a")]), place("j", [task("b")])],
+  },
+];
+
+describe("pickVictims", () => {
+  for (const { name, options, places, victims } of CASES) {
+    it(`stops ${name}`, () => {
+      const picked = pickVictims({ ...OPTIONS, ...options, places });
+      const ids = picked?.victims.map(({ taskId }) => taskId);
+      expect(ids).to.deep.equal(victims);
+    });
+  }
+});
--- a/packages/fairness/src/queue_order.ts
+++ b/packages/fairness/src/queue_order.ts
@@ -1,5 +1,10 @@
 import { createServiceKey } from "@mustardweir/kernel";
-import { dominantShare, type Resources } from "@mustardweir/model";
+import {
+  addResources,
+  dominantShare,
+  type Resources,
+  scaleResources,
+} from "@mustardweir/model";
 
 /** A team with work that waits, as its turn is decided. */
 export interface TeamDemand {
@@ -13,6 +18,11 @@
   readonly oldestWaitMs: number;
   /** What its next ask takes. */
   readonly size: Resources;
+  /**
+   * Given when none of its asks has room now, though an instance could hold
+   * one: time since it was last granted room, in milliseconds.
+   */
+  readonly blockedMs?: number;
 }
 
 /** No team waits. */
@@ -34,34 +44,98 @@
   override readonly name = "fifo";
 
   override pick(demands: readonly TeamDemand[]): number {
-    return smallest(demands, (demand) => -demand.oldestWaitMs);
+    return smallest(demands, (demand) => {
+      return isBlocked(demand) ? Infinity : -demand.oldestWaitMs;
+    });
   }
 }
 
+export interface DominantShareOptions {
+  /**
+   * How long a blocked team keeps room from teams that are further along, in
+   * milliseconds; 10 min by default.
+   */
+  readonly maxHoldMs?: number;
+}
+
+const DEFAULT_MAX_HOLD_MS = 600_000;
+/** Half of the next ask: neither large nor small tasks gain by rounding. */
+const NEXT_ASK_WEIGHT = 0.5;
+
 /**
  * Weighted dominant-resource fairness: urgent work first, then the team whose
- * largest fraction of any resource, with its next ask and divided by its
- * weight, is smallest. Equal teams are served by waiting time.
+ * largest fraction of any resource, with half of its next ask and divided by
+ * its weight, is smallest.
+ *
+ * A blocked team holds teams behind it back for a while. Otherwise every hole
+ * goes to whoever has a task of its shape, and teams come to have what their
+ * tasks' sizes give them instead of their shares.
+ *
+ * @example
+ * ```ts
+ * const order = new DominantShareOrder({ maxHoldMs: 10_000 });
+ * const next = demands[order.pick(demands, table.totalCapacity())];
+ * ```
  */
 export class DominantShareOrder extends QueueOrder {
   override readonly name = "dominant-share";
+  readonly #maxHoldMs: number;
+
+  constructor(options: DominantShareOptions = {}) {
+    super();
+    this.#maxHoldMs = options.maxHoldMs ?? DEFAULT_MAX_HOLD_MS;
+  }
 
   override pick(demands: readonly TeamDemand[], total: Resources): number {
-    const anyUrgent = demands.some((demand) => demand.urgent);
-    return smallest(demands, (demand) => {
-      const waits = !anyUrgent || demand.urgent;
-      return waits ? weightedShare(demand, total) : Infinity;
+    const urgent = smallest(demands, (demand) => {
+      const eligible = demand.urgent && !isBlocked(demand);
+      return eligible ? weightedShare(demand, total) : Infinity;
+    });
+    if (urgent !== NO_TEAM) {
+      return urgent;
+    }
+    const next = smallest(demands, (demand) => {
+      return isBlocked(demand) ? Infinity : weightedShare(demand, total);
     });
+    const isHeld = next !== NO_TEAM &&
+      this.#isHeldBack(demands[next]!, { demands, total });
+    return isHeld ? NO_TEAM : next;
+  }
+
+  #isHeldBack(
+    demand: TeamDemand,
+    queue: { demands: readonly TeamDemand[]; total: Resources },
+  ): boolean {
+    const share = weightedShare(demand, queue.total);
+    return queue.demands.some((other) =>
+      isBlocked(other) && other.blockedMs <= this.#maxHoldMs &&
+      competes(demand, other) && weightedShare(other, queue.total) < share
+    );
   }
 }
 
-/** The dominant share of what a team uses, relative to its weight. */
+/** The dominant share of a team with half its next ask, by its weight. */
 export function weightedShare(demand: TeamDemand, total: Resources): number {
-  return demand.weight > 0
-    ? dominantShare(demand.used, total) / demand.weight
-    : Infinity;
+  if (demand.weight <= 0) {
+    return Infinity;
+  }
+  const halfAsk = scaleResources(demand.size, NEXT_ASK_WEIGHT);
+  const used = addResources(demand.used, halfAsk);
+  return dominantShare(used, total) / demand.weight;
 }
 
+function isBlocked(
+  demand: TeamDemand,
+): demand is TeamDemand & { readonly blockedMs: number } {
+  return demand.blockedMs !== undefined;
+}
+
+/** Work without accelerators takes nothing that blocks work with them. */
+function competes(demand: TeamDemand, blocked: TeamDemand): boolean {
+  return blocked.size.accelerators === 0 || demand.size.accelerators > 0;
+}
+
+/** The index with the smallest finite rate; of equals, the longest wait. */
 function smallest(
   demands: readonly TeamDemand[],
   rate: (demand: TeamDemand) => number,
@@ -69,15 +143,16 @@
   let best = NO_TEAM;
   let bestRate = Infinity;
   let bestWaitMs = -Infinity;
-  demands.forEach((demand, index) => {
+  for (const [index, demand] of demands.entries()) {
     const rated = rate(demand);
-    const wins = best === NO_TEAM || rated < bestRate ||
-      (rated === bestRate && demand.oldestWaitMs > bestWaitMs);
+    const wins = rated < bestRate ||
+      (rated === bestRate && rated < Infinity &&
+        demand.oldestWaitMs > bestWaitMs);
     if (wins) {
       best = index;
       bestRate = rated;
       bestWaitMs = demand.oldestWaitMs;
     }
-  });
+  }
   return best;
 }
