Add benchmarks of placement, shares and quarantine

Cause: decisions are chosen by measurement beside their baselines. Change: abstract Benchmark with self-registration, a table or JSON lines, exit status 1 for a missed bound that doesn't depend on the machine, seeded workloads shaped after both fleets.

--- /dev/null
+++ b/packages/bench/src/benchmark.ts
@@ -0,0 +1,43 @@
+import { invariant, type Undo } from "@mustardweir/kernel";
+import type { Metric } from "./metric.ts";
+
+export interface BenchmarkOptions {
+  /** Seed of the workload. */
+  readonly seed: number;
+}
+
+/** Drives decision code with a seeded workload and measures it. */
+export abstract class Benchmark {
+  abstract readonly name: string;
+
+  abstract run(options: BenchmarkOptions): Metric[];
+}
+
+const benchmarks = new Map<string, Benchmark>();
+
+/**
+ * Announces a benchmark; called at the top level of its module.
+ *
+ * @example
+ * ```ts
+ * registerBenchmark(new SharesBenchmark());
+ * ```
+ */
+export function registerBenchmark(benchmark: Benchmark): Undo {
+  const { name } = benchmark;
+  invariant(!benchmarks.has(name), `benchmark ${name} is registered twice`);
+  benchmarks.set(name, benchmark);
+  return () => {
+    benchmarks.delete(name);
+  };
+}
+
+/** The names of all benchmarks, in order of registration. */
+export function benchmarkNames(): string[] {
+  return [...benchmarks.keys()];
+}
+
+/** The benchmark of that name, if there is one. */
+export function findBenchmark(name: string): Benchmark | undefined {
+  return benchmarks.get(name);
+}
--- /dev/null
+++ b/packages/bench/src/main.ts
@@ -0,0 +1,71 @@
+import { availableParallelism } from "node:os";
+import { Command } from "commander";
+import "./placement_benchmark.ts";
+import "./shares_benchmark.ts";
+import "./quarantine_benchmark.ts";
+import {
+  type Benchmark,
+  benchmarkNames,
+  type BenchmarkOptions,
+  findBenchmark,
+} from "./benchmark.ts";
+import { fails, type Metric } from "./metric.ts";
+import { formatJson, formatTable } from "./report.ts";
+
+const DEFAULT_SEED = 20_261_126;
+
+interface Flags {
+  readonly json?: boolean;
+  readonly seed: string;
+}
+
+const program = new Command("bench")
+  .description("Measures decisions beside their baselines")
+  .argument("[names...]", "benchmarks to run; all by default")
+  .option("--json", "print one JSON object for each metric")
+  .option("--seed <number>", "seed of the workloads", String(DEFAULT_SEED))
+  .action(runBenchmarks);
+
+function runBenchmarks(names: readonly string[], flags: Flags): void {
+  const seed = Number(flags.seed);
+  if (!Number.isSafeInteger(seed)) {
+    program.error(`The seed must be an integer: ${flags.seed}`);
+  }
+  const chosen = names.length > 0 ? names : benchmarkNames();
+  const cores = availableParallelism();
+  if (!flags.json) {
+    console.log(`${cores} cores, seed ${seed}`);
+  }
+  for (const benchmark of chosen.map(benchmarkOrExit)) {
+    const metrics = runOne(benchmark, { seed });
+    print(metrics, flags.json === true, cores);
+    if (metrics.some(fails)) {
+      process.exitCode = 1;
+    }
+  }
+}
+
+function benchmarkOrExit(name: string): Benchmark {
+  const known = benchmarkNames().join(", ");
+  return findBenchmark(name) ??
+    program.error(`There is no benchmark ${name}; there are ${known}`);
+}
+
+function runOne(benchmark: Benchmark, options: BenchmarkOptions): Metric[] {
+  return benchmark.run(options).map((metric) => ({
+    ...metric,
+    name: `${benchmark.name}.${metric.name}`,
+  }));
+}
+
+function print(metrics: readonly Metric[], json: boolean, cores: number): void {
+  if (!json) {
+    console.log(`\n${formatTable(metrics)}`);
+    return;
+  }
+  for (const metric of metrics) {
+    console.log(formatJson(metric, cores));
+  }
+}
+
+program.parse();
--- a/packages/bench/src/mod.ts
+++ b/packages/bench/src/mod.ts
@@ -1,1 +1,3 @@
-export {};
+export * from "./benchmark.ts";
+export * from "./metric.ts";
+export * from "./report.ts";
