Go on through an outage of the table with the word of a majority

Cause: a node that could not read the table for 3 s started nothing more: fail closed, right but idle for as long as the outage lasts. The first try confirmed ownership by heartbeats heard lately; a paused node that wakes reads old heartbeats from its buffers as if they were new. Ruled out: a lease on the table (can't be renewed in an outage), trust in clocks across nodes. Change: an edit is announced to a majority of the schedulers before it is written; a blind node asks all schedulers, with its own clock's tick, whether they know of a newer version, announcement or owner, and goes by the tick at which a majority knew of none. Schedulers vouch only once a write that their earlier process was told of can't take effect any more. A new slice owner takes silent workers' leases for lapsed only after a majority knows of it.

--- a/packages/configuration/src/editor.ts
+++ b/packages/configuration/src/editor.ts
@@ -27,6 +27,7 @@
   StoreStatus,
 } from "@mustardweir/protocol";
 import { err, ok } from "neverthrow";
+import { ANNOUNCE_EDIT } from "./announcement.ts";
 import { checkEdit } from "./checks.ts";
 import {
   CONFIGURATION_ROW,
@@ -73,6 +74,10 @@
   "configuration-edit-committed",
 );
 
+const EDIT_ANNOUNCED = createCommand<Answered<StepContext, true>>(
+  "configuration-edit-announced",
+);
+
 const ROW_READ_BACK = createCommand<Answered<StepContext, ScanResult>>(
   "configuration-row-read-back",
 );
@@ -91,6 +96,7 @@
       }),
       kernel.registerCommand(EDIT_CONFIGURATION, onEdit, normal),
       kernel.registerCommand(BODY_STORED, onBodyStored, normal),
+      kernel.registerCommand(EDIT_ANNOUNCED, onAnnounced, normal),
       kernel.registerCommand(EDIT_COMMITTED, onCommitted, normal),
       kernel.registerCommand(ROW_READ_BACK, onReadBack, normal),
       kernel.registerPeriodic({
@@ -154,6 +160,7 @@
   }
   edit.sentAt = undefined;
   edit.isUncertain ||= edit.stage === EditStage.Committing;
+  retryLater(edit, update);
 }
 
 function sendStep(edit: PendingEdit, update: Update): void {
@@ -162,6 +169,8 @@
       return prepare(edit, update);
     case EditStage.StoringBody:
       return storeBody(edit, update);
+    case EditStage.Announcing:
+      return announce(edit, update);
     case EditStage.Committing:
       return commit(edit, update);
     case EditStage.ReadingBack:
@@ -234,8 +243,31 @@
     retryLater(edit, update);
     return;
   }
-  edit.stage = EditStage.Committing;
-  commit(edit, update);
+  edit.stage = EditStage.Announcing;
+  announce(edit, update);
+}
+
+/** Has the edit announced; a node that knows no schedulers goes on at once. */
+function announce(edit: PendingEdit, update: Update): void {
+  const isAnnounced = update.dispatch(ANNOUNCE_EDIT, {
+    version: edit.request.ifMatch + 1,
+    replyTo: replyTo(EDIT_ANNOUNCED, nextStep(edit, update)),
+  });
+  if (!isAnnounced) {
+    edit.stage = EditStage.Committing;
+    commit(edit, update);
+  }
+}
+
+function onAnnounced(
+  { context }: Answered<StepContext, true>,
+  update: Update,
+): void {
+  const edit = takeStep(context, update);
+  if (edit?.stage === EditStage.Announcing) {
+    edit.stage = EditStage.Committing;
+    commit(edit, update);
+  }
 }
 
 /** The same conditional write each time: at most one of them takes effect. */
--- a/packages/configuration/src/mod.ts
+++ b/packages/configuration/src/mod.ts
@@ -1,3 +1,4 @@
+export * from "./announcement.ts";
 export * from "./checks.ts";
 export * from "./document.ts";
 export * from "./edit_request.ts";
--- a/packages/configuration/src/pending_edit.ts
+++ b/packages/configuration/src/pending_edit.ts
@@ -16,6 +16,8 @@
   /** The version that the edit was made against is not in force here yet. */
   AwaitingBase = "awaiting-base",
   StoringBody = "storing-body",
+  /** A majority of the schedulers is being told that the edit may come. */
+  Announcing = "announcing",
   Committing = "committing",
   /** A commit may have taken effect; the row tells. */
   ReadingBack = "reading-back",
@@ -76,8 +78,11 @@
   return edit;
 }
 
-/** Lets the step be sent again after a pause. */
+/** Lets the step be sent again after a pause; a commit is announced anew. */
 export function retryLater(edit: PendingEdit, update: Update): void {
+  if (edit.stage === EditStage.Committing) {
+    edit.stage = EditStage.Announcing;
+  }
   edit.retryAt = update.now + EDIT_RETRY_MS;
 }
 
--- a/packages/home/src/calls.ts
+++ b/packages/home/src/calls.ts
@@ -1,5 +1,5 @@
 import type { Update } from "@mustardweir/kernel";
-import { JournalRecordKind } from "@mustardweir/journal";
+import { isJournalStuck, JournalRecordKind } from "@mustardweir/journal";
 import { homeUnit, resolveOwner } from "@mustardweir/membership";
 import {
   EndReason,
@@ -24,7 +24,13 @@
 import { appendRecords } from "./ending.ts";
 import { explainWait } from "./explain.ts";
 import { findHome, type Home, type HomeJob, HomePhase } from "./home_state.ts";
-import { ANY_SPEC, createJob, hashSpec, jobIdOf } from "./job_factory.ts";
+import {
+  ANY_SPEC,
+  createJob,
+  hashSpec,
+  jobIdOf,
+  needsJournal,
+} from "./job_factory.ts";
 import { enqueue } from "./queue.ts";
 import { describeJob } from "./status.ts";
 import { describeWork, WORK_ACCEPTED } from "./work_events.ts";
@@ -32,18 +38,18 @@
 /** Most jobs of a team that have not ended; more are refused. */
 const MAX_LIVE_JOBS = 100_000;
 
-/** Answers a call that an entry passed on, now or later. */
-export function handleCall(
-  update: Update,
-  { from, call }: { readonly from: string; readonly call: HomeCall },
-): void {
-  const home = findHome(update, call.team);
 /** Epoch of the first owner of a home. */
 const FIRST_EPOCH = 1;
 
 /** Callers repeat a request within this time, in milliseconds. */
 const REPEAT_WINDOW_MS = 10 * 60 * 1_000;
 
+/** Answers a call that an entry passed on, now or later. */
+export function handleCall(
+  update: Update,
+  { from, call }: { readonly from: string; readonly call: HomeCall },
+): void {
+  const home = findHome(update, call.team);
   if (home === undefined) {
     reply(update, { from, call }, notOwner(update, call.team));
     return;
@@ -91,6 +97,11 @@
     reply(update, received, overloaded());
     return;
   }
+  const isUnrecordable = needsJournal(body.spec) && isJournalStuck(update);
+  if (known === undefined && isUnrecordable) {
+    reply(update, received, storeUnavailable());
+    return;
+  }
   const job = known ?? accept(update, home, { jobId, spec: body.spec });
   attachWaiter(update, home, { ...received, job });
   if (!job.journaled && job.firstStartAt === undefined) {
@@ -110,6 +121,7 @@
 ): HomeJob {
   const specHash = hashSpec(spec);
   const job = createJob({ jobId, spec, specHash, now: update.now });
+  job.mayHaveRun = !job.journaled && mayBeRepeat(update, home);
   home.jobs.set(jobId, job);
   home.liveJobs += 1;
   update.emit(count(`jobs_received_${spec.kind}`));
@@ -121,10 +133,15 @@
     update.dispatch(WORK_ACCEPTED, describeWork(home, job));
     job.tasks.forEach((task) => enqueue(home, task));
   }
-  job.mayHaveRun = !job.journaled && mayBeRepeat(update, home);
   return job;
 }
 
+/** True when an earlier home may have had the request, which kept no record. */
+function mayBeRepeat(update: Update, home: Home): boolean {
+  return home.epoch > FIRST_EPOCH &&
+    update.now - home.acquiredAt < REPEAT_WINDOW_MS;
+}
+
 /** A request is answered at its end, other work on acceptance. */
 function attachWaiter(
   update: Update,
@@ -136,12 +153,6 @@
   const isReady = waitsForEnd ? job.endRecorded : job.accepted;
   if (isReady) {
     reply(update, received, jobStatus(update, home, job));
-/** True when an earlier home may have had the request, which kept no record. */
-function mayBeRepeat(update: Update, home: Home): boolean {
-  return home.epoch > FIRST_EPOCH &&
-    update.now - home.acquiredAt < REPEAT_WINDOW_MS;
-}
-
     return;
   }
   const waiters = waitsForEnd ? job.endWaiters : job.acceptWaiters;
@@ -215,6 +226,13 @@
   );
 }
 
+function storeUnavailable(): HomeReplyBody {
+  return refused(
+    RefusalReason.StoreUnavailable,
+    "The platform's table can't be written at the moment",
+  );
+}
+
 function refused(reason: RefusalReason, message: string): HomeReplyBody {
   return { kind: HomeReplyKind.Refused, refusal: refuse(reason, { message }) };
 }
--- a/packages/journal/src/journal_plugin.ts
+++ b/packages/journal/src/journal_plugin.ts
@@ -76,6 +76,7 @@
       kernel.registerState(JOURNAL, {
         homes: new Map(),
         inFlight: undefined,
+        inFlightSince: 0,
         separately: [],
         retryAt: Infinity,
       }),
@@ -171,6 +172,7 @@
   const batches = next === undefined ? collect(update, state) : [next];
   if (batches.length > 0) {
     state.inFlight = batches;
+    state.inFlightSince = update.now;
     write(update, batches);
   }
 }
@@ -299,6 +301,15 @@
   return state.homes.get(team)?.epoch === epoch;
 }
 
+/** A write that takes longer than this shows an outage, in milliseconds. */
+const STUCK_AFTER_MS = 2_000;
+
+/** True while nothing can be made durable: new work had better be refused. */
+export function isJournalStuck(update: Update): boolean {
+  const { inFlight, inFlightSince } = update.read(JOURNAL);
+  return inFlight !== undefined && update.now - inFlightSince > STUCK_AFTER_MS;
+}
+
 registerPlugin({
   name: "journal",
   roles: [Role.Scheduler],
--- a/packages/journal/src/journal_state.ts
+++ b/packages/journal/src/journal_state.ts
@@ -37,6 +37,8 @@
   inFlight: readonly HomeBatch[] | undefined;
   /** Batches to be written one by one, after a conflict of their group. */
   separately: HomeBatch[];
+  /** When the write in flight was first sent; it is sent again on failure. */
+  inFlightSince: number;
   /** A failed write is sent again after this time. */
   retryAt: number;
 }
--- a/packages/membership/src/claim_plugin.ts
+++ b/packages/membership/src/claim_plugin.ts
@@ -20,15 +20,20 @@
   logChange,
   NODE_IDENTITY,
   nodeEffect,
+  type OwnedUnit,
   PEER_MESSAGE_RECEIVED,
   PeerMessageKind,
   replyTo,
   STOP_REQUESTED,
   StoreStatus,
 } from "@mustardweir/protocol";
+import {
+  CLAIMS_SUPERSEDED,
+  COMPOSE_CLAIMS,
+  MAJORITY_VOUCHED,
+} from "./confirmation_plugin.ts";
 import { OWNERSHIP_CHANGED, OWNERSHIP_CONFIRMED } from "./follower_plugin.ts";
 import { isStopping, markStopping, sendHeartbeat } from "./heartbeat_plugin.ts";
-import { majorityHeardAt } from "./majority.ts";
 import {
   OWNED,
   type Owned,
@@ -147,6 +152,21 @@
         ({ startedAt }, update) => confirm(update, startedAt),
         CommandPriority.High,
       ),
+      kernel.registerCommand(
+        MAJORITY_VOUCHED,
+        ({ at }, update) => confirm(update, at),
+        CommandPriority.High,
+      ),
+      kernel.registerCommand(
+        COMPOSE_CLAIMS,
+        ({ owned }, update) => composeClaims(owned, update),
+        CommandPriority.Normal,
+      ),
+      kernel.registerCommand(
+        CLAIMS_SUPERSEDED,
+        ({ superseded }, update) => checkClaims(update, superseded),
+        CommandPriority.Normal,
+      ),
       kernel.registerCommand(
         PEER_MESSAGE_RECEIVED,
         ({ message }, update) => {
@@ -174,7 +194,6 @@
   const claims = update.write(CLAIMS);
   claims.startedAt ??= update.now;
   trackAlive(update, claims);
-  confirmByMajority(update);
   if (isStopping(update)) {
     finishStop(update, claims);
     return;
@@ -330,12 +349,11 @@
   owned.confirmedAt = Math.max(owned.confirmedAt, at);
 }
 
-/**
- * In an outage of the table nobody can take over unseen by a majority: more
- * than half of the schedulers, none of which knows of a newer owner, vouch.
- */
-function confirmByMajority(update: Update): void {
-  confirm(update, majorityHeardAt(update));
+/** Names this node's units to the schedulers that vouch for them. */
+function composeClaims(owned: OwnedUnit[], update: Update): void {
+  for (const [unit, { epoch }] of update.read(OWNED).units) {
+    owned.push({ unit, epoch });
+  }
 }
 
 function trackAlive(update: Update, claims: ClaimState): void {
--- a/packages/membership/src/follower_plugin.ts
+++ b/packages/membership/src/follower_plugin.ts
@@ -32,6 +32,7 @@
   type OwnershipRow,
   type VersionedOwnership,
 } from "./ownership.ts";
+import { CLAIMS_HEARD, rememberClaims } from "./claims.ts";
 import { PEERS } from "./peers.ts";
 
 /** Time between scans of the ownership rows, in milliseconds. */
@@ -52,6 +53,8 @@
 /** The other schedulers, from the settings and the platform's list. */
 export interface SchedulersState {
   peers: readonly PeerAddress[];
+  /** True when this node is one of the schedulers that count. */
+  isMember: boolean;
   /** Instances, of workers too, that the platform's list shows as leaving. */
   leaving: ReadonlySet<string>;
 }
@@ -90,11 +93,13 @@
         scannedAt: -Infinity,
       }),
       kernel.registerState(PEERS, { views: new Map() }),
+      kernel.registerState(CLAIMS_HEARD, { epochs: new Map() }),
       kernel.registerState(FOLLOWER, {
         scanStartedAt: undefined,
         scanId: 0,
       }),
       kernel.registerState(SCHEDULERS, {
+        isMember: false,
         peers: [],
         leaving: new Set<string>(),
       }),
@@ -215,6 +220,7 @@
 function recordHeartbeat(update: Update, heartbeat: Heartbeat): void {
   const { views } = update.write(PEERS);
   views.set(heartbeat.nodeId, { heartbeat, heardAt: update.now });
+  rememberClaims(update, heartbeat.owned);
 }
 
 function listInstances(update: Update): void {
@@ -245,16 +251,21 @@
   return update.read(SCHEDULERS).leaving.has(instanceId);
 }
 
-/** Tells the transport of the schedulers when their list has changed. */
+/**
+ * Tells the transport of the schedulers when their list has changed. Those of
+ * the settings count until the platform's list names any.
+ */
 function connect(update: Update, listed: readonly PeerAddress[]): void {
-  const { nodeId, seedPeers } = update.service(NODE_IDENTITY);
+  const { nodeId, role, seedPeers } = update.service(NODE_IDENTITY);
   const byId = new Map<string, PeerAddress>();
-  for (const peer of [...seedPeers, ...listed]) {
+  for (const peer of listed.length > 0 ? listed : seedPeers) {
     byId.set(peer.nodeId, peer);
   }
-  byId.delete(nodeId);
+  const isListed = byId.delete(nodeId);
   const peers = [...byId.values()];
   const schedulers = update.write(SCHEDULERS);
+  schedulers.isMember = role === Role.Scheduler &&
+    (isListed || listed.length === 0);
   if (JSON.stringify(peers) === JSON.stringify(schedulers.peers)) {
     return;
   }
--- a/packages/membership/src/heartbeat_plugin.ts
+++ b/packages/membership/src/heartbeat_plugin.ts
@@ -20,8 +20,8 @@
   type SliceSummary,
   type TeamUsage,
 } from "@mustardweir/protocol";
+import { newestEpochs } from "./claims.ts";
 import { OWNED } from "./owned.ts";
-import { OWNERSHIP } from "./ownership.ts";
 import { HEARTBEAT_MS, PEERS, type PeerView } from "./peers.ts";
 
 /** The parts of a heartbeat that other plug-ins fill in. */
@@ -106,16 +106,10 @@
 
 /** Claims of peers that a row or another peer's claim has overtaken. */
 function supersededClaims(update: Update): OwnedUnit[] {
-  const newest = new Map<string, number>();
-  for (const [unit, { row }] of update.read(OWNERSHIP).rows) {
-    newest.set(unit, row.epoch);
-  }
+  const newest = newestEpochs(update);
   const claims = [...update.read(PEERS).views.values()].flatMap(
     (view) => view.heartbeat.owned,
   );
-  for (const { unit, epoch } of claims) {
-    newest.set(unit, Math.max(newest.get(unit) ?? 0, epoch));
-  }
   const stale = claims.filter(({ unit, epoch }) =>
     epoch < (newest.get(unit) ?? 0)
   );
--- a/packages/protocol/src/peer_messages.ts
+++ b/packages/protocol/src/peer_messages.ts
@@ -23,6 +23,10 @@
   TaskEventsAck = 12,
   BurnRequest = 13,
   BurnRecord = 14,
+  VouchRequest = 15,
+  Vouch = 16,
+  AnnounceEdit = 17,
+  EditAnnounced = 18,
 }
 
 /** What an owner holds of the fleet: a home or a slice, under an epoch. */
@@ -272,6 +276,48 @@
   readonly taskIds: readonly string[];
 }
 
+/**
+ * Asks a scheduler what it knows that is newer than what the sender goes by.
+ * Sent by nodes that can't read the table, or that have to be sure that their
+ * claims are known.
+ */
+export interface VouchRequest {
+  readonly kind: PeerMessageKind.VouchRequest;
+  /** The sender's clock; the answer carries it back. */
+  readonly tickMs: number;
+  readonly owned: readonly OwnedUnit[];
+}
+
+/** What the sender knew at some time after the request was sent. */
+export interface Vouch {
+  readonly kind: PeerMessageKind.Vouch;
+  readonly tickMs: number;
+  /**
+   * False when the sender may have forgotten an announcement, as after its
+   * start.
+   */
+  readonly isSure: boolean;
+  /** Highest version of the configuration that is or may come in force. */
+  readonly newestVersion: number;
+  /** Units of the asking node that others own under a higher epoch. */
+  readonly superseded: readonly OwnedUnit[];
+}
+
+/** Told to a majority of the schedulers before an edit is written. */
+export interface AnnounceEdit {
+  readonly kind: PeerMessageKind.AnnounceEdit;
+  /** Names this announcement; the answer carries it back. */
+  readonly announcementId: string;
+  /** The version that the edit would make. */
+  readonly version: number;
+}
+
+/** The sender will not vouch for older versions until it knows the outcome. */
+export interface EditAnnounced {
+  readonly kind: PeerMessageKind.EditAnnounced;
+  readonly announcementId: string;
+}
+
 export type PeerMessage =
   | Heartbeat
   | HomeCall
@@ -286,4 +332,8 @@
   | TaskEvents
   | TaskEventsAck
   | BurnRequest
-  | BurnRecord;
+  | BurnRecord
+  | VouchRequest
+  | Vouch
+  | AnnounceEdit
+  | EditAnnounced;
--- a/packages/slice/src/instances.ts
+++ b/packages/slice/src/instances.ts
@@ -35,6 +35,7 @@
     epoch: owned.epoch,
     availabilityZone: spec.availabilityZone,
     acquiredAt: update.now,
+    claimKnownAt: Infinity,
     isFirstOwner: owned.isFirstOwner,
     table: new InstanceTable(),
     workers: new Map(),
--- a/packages/slice/src/slice_plugin.ts
+++ b/packages/slice/src/slice_plugin.ts
@@ -10,6 +10,7 @@
 } from "@mustardweir/kernel";
 import { CONFIGURATION_CHANGED } from "@mustardweir/configuration";
 import {
+  COMPOSE_CLAIMS,
   COMPOSE_HEARTBEAT,
   type Owned,
   sliceUnit,
@@ -47,7 +48,12 @@
   sendAnswers,
   tellEnds,
 } from "./telling.ts";
-import { acknowledgeEnds, applySync, checkWorkers } from "./workers.ts";
+import {
+  acknowledgeEnds,
+  applySync,
+  awaitsMajority,
+  checkWorkers,
+} from "./workers.ts";
 import { callWorkers, TARGET_SYNCED } from "./target_calls.ts";
 
 /** Time between looks at silent workers and late asks, in milliseconds. */
@@ -94,6 +100,14 @@
         (draft, update) => describeSlices(update, draft),
         Normal,
       ),
+      kernel.registerCommand(
+        COMPOSE_CLAIMS,
+        (draft, update) => {
+          const slices = [...update.read(SLICES).slices.values()];
+          draft.isNeeded ||= slices.some(awaitsMajority);
+        },
+        Normal,
+      ),
       kernel.registerPeriodic({ intervalMs: UPKEEP_MS, run: upkeep }),
       kernel.registerPeriodic({ intervalMs: DRAIN_STEP_MS, run: drainSlices }),
     );
--- a/packages/slice/src/slice_state.ts
+++ b/packages/slice/src/slice_state.ts
@@ -104,6 +104,8 @@
   readonly epoch: number;
   readonly availabilityZone: string;
   readonly acquiredAt: number;
+  /** When a majority of the schedulers was known to know of this owner. */
+  claimKnownAt: number;
   readonly isFirstOwner: boolean;
   readonly table: InstanceTable;
   readonly workers: Map<string, Worker>;
--- a/packages/slice/src/workers.ts
+++ b/packages/slice/src/workers.ts
@@ -1,5 +1,6 @@
 import type { Update } from "@mustardweir/kernel";
 import {
+  majorityToldAt,
   OWNED,
   OWNERSHIP_CONFIRMATION_MS,
   sliceUnit,
@@ -239,6 +240,9 @@
 
 /** Follows who is silent and whose leases are over. */
 export function checkWorkers(update: Update, slice: Slice): void {
+  if (majorityToldAt(update) > slice.acquiredAt) {
+    slice.claimKnownAt = Math.min(slice.claimKnownAt, update.now);
+  }
   for (const worker of slice.workers.values()) {
     const isLate = update.now - worker.heardAt > SILENT_AFTER_MS;
     if (worker.state === WorkerState.Reachable && isLate) {
@@ -271,8 +275,8 @@
       return worker.tokenAt + lastingMs;
     case WorkerState.Unknown:
       // An earlier owner that was cut off renews until it can't confirm its
-      // ownership; see confirmByMajority.
-      return slice.acquiredAt + OWNERSHIP_CONFIRMATION_MS + lastingMs;
+      // ownership, which a majority that knows of this owner does not do.
+      return slice.claimKnownAt + OWNERSHIP_CONFIRMATION_MS + lastingMs;
     default:
       return Infinity;
   }
@@ -299,3 +303,10 @@
     loseTask(update, slice, task);
   }
 }
+
+/** True while the lapse of some worker's leases waits for a majority. */
+export function awaitsMajority(slice: Slice): boolean {
+  return [...slice.workers.values()].some(({ state }) =>
+    state === WorkerState.Unknown
+  ) && slice.claimKnownAt === Infinity;
+}
--- a/packages/wire/src/codec_test.ts
+++ b/packages/wire/src/codec_test.ts
@@ -110,6 +110,27 @@
       refusal: refuse(RefusalReason.Overloaded, { message: "Queue is full" }),
     },
   },
+  [PeerMessageKind.VouchRequest]: {
+    kind: PeerMessageKind.VouchRequest,
+    tickMs: 12.5,
+    owned: [{ unit: "home/storefront", epoch: 3 }],
+  },
+  [PeerMessageKind.Vouch]: {
+    kind: PeerMessageKind.Vouch,
+    tickMs: 12.5,
+    isSure: true,
+    newestVersion: 4,
+    superseded: [{ unit: "home/storefront", epoch: 4 }],
+  },
+  [PeerMessageKind.AnnounceEdit]: {
+    kind: PeerMessageKind.AnnounceEdit,
+    announcementId: "e1/2",
+    version: 5,
+  },
+  [PeerMessageKind.EditAnnounced]: {
+    kind: PeerMessageKind.EditAnnounced,
+    announcementId: "e1/2",
+  },
   [PeerMessageKind.FenceHome]: { kind: PeerMessageKind.FenceHome, ...address },
   [PeerMessageKind.HomeInventory]: {
     kind: PeerMessageKind.HomeInventory,
--- a/packages/wire/src/message_schemas.ts
+++ b/packages/wire/src/message_schemas.ts
@@ -245,6 +245,35 @@
   })),
 });
 
+const ownedUnits = z.array(
+  z.looseObject({ unit: z.string(), epoch: z.number() }),
+);
+
+const vouchRequest = z.looseObject({
+  kind: z.literal(PeerMessageKind.VouchRequest),
+  tickMs: z.number(),
+  owned: ownedUnits,
+});
+
+const vouch = z.looseObject({
+  kind: z.literal(PeerMessageKind.Vouch),
+  tickMs: z.number(),
+  isSure: z.boolean(),
+  newestVersion: z.number(),
+  superseded: ownedUnits,
+});
+
+const announceEdit = z.looseObject({
+  kind: z.literal(PeerMessageKind.AnnounceEdit),
+  announcementId: z.string(),
+  version: z.number(),
+});
+
+const editAnnounced = z.looseObject({
+  kind: z.literal(PeerMessageKind.EditAnnounced),
+  announcementId: z.string(),
+});
+
 /** The shape that each kind promises, checked against the protocol's types. */
 const MESSAGE_SCHEMAS: { readonly [Kind in PeerMessageKind]: SchemaOf<Kind> } =
   {
@@ -262,6 +291,10 @@
     [PeerMessageKind.TaskEventsAck]: taskEventsAck,
     [PeerMessageKind.BurnRequest]: burnRequest,
     [PeerMessageKind.BurnRecord]: burnRecord,
+    [PeerMessageKind.VouchRequest]: vouchRequest,
+    [PeerMessageKind.Vouch]: vouch,
+    [PeerMessageKind.AnnounceEdit]: announceEdit,
+    [PeerMessageKind.EditAnnounced]: editAnnounced,
   };
 
 /** The schema of messages of `kind`; undefined when the kind is not known. */
