--- a/packages/fairness/src/queue_order.ts
+++ b/packages/fairness/src/queue_order.ts
@@ -53,12 +53,12 @@
 export interface DominantShareOptions {
   /**
    * How long a blocked team keeps room from teams that are further along, in
-   * milliseconds; 10 min by default.
+   * milliseconds; 30 min by default.
    */
   readonly maxHoldMs?: number;
 }
 
-const DEFAULT_MAX_HOLD_MS = 600_000;
+const DEFAULT_MAX_HOLD_MS = 1_800_000;
 /** Half of the next ask: neither large nor small tasks gain by rounding. */
 const NEXT_ASK_WEIGHT = 0.5;
 
