--- a/packages/cli/src/commands/submit_command.ts
+++ b/packages/cli/src/commands/submit_command.ts
@@ -35,7 +35,7 @@
 /** The fields of a job that flags give. */
 type JobFlags = Partial<Omit<JobSpec, "idempotent">> & {
   readonly nonIdempotent?: boolean;
-  readonly idempotencyKey: string;
+  readonly idempotencyKey?: string;
   readonly wait: boolean;
 };
 
@@ -61,7 +61,10 @@
       .option("--duration-ms <ms>", "declared run time", parseInteger)
       .option("--start-within-ms <ms>", "useless when later", parseInteger)
       .option("--payload <text>", "handed to the task")
-      .option("--idempotency-key <key>", "names the submission", randomUUID())
+      .option(
+        "--idempotency-key <key>",
+        "names the submission; made up when absent",
+      )
       .option("--wait", "wait for the end of the job", false)
       .action((file: string | undefined, flags: JobFlags) => {
         const spec = readJob(file, flags);
@@ -112,7 +115,7 @@
 async function submitJob(
   client: EntryClient,
   body: JobSpec,
-  { idempotencyKey, wait }: JobFlags,
+  { idempotencyKey = randomUUID(), wait }: JobFlags,
 ): Promise<ShownResult> {
   const submitted = await callForJob(client, {
     method: "POST",
--- a/packages/cli/src/entry_client.ts
+++ b/packages/cli/src/entry_client.ts
@@ -22,6 +22,8 @@
   readonly key: string;
   /** {@link DEFAULT_TIMEOUT_MS} by default. */
   readonly timeoutMs?: number;
+  /** PEM certificates that sign the entry's; the system's by default. */
+  readonly ca?: string;
 }
 
 /** A call of the entry's HTTP interface. */
@@ -61,7 +63,7 @@
     this.#options = options;
     this.#timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS;
     this.#client = new Client(options.entry, {
-      connect: { timeout: CONNECT_TIMEOUT_MS },
+      connect: { timeout: CONNECT_TIMEOUT_MS, ca: options.ca },
       headersTimeout: this.#timeoutMs + ANSWER_MARGIN_MS,
       bodyTimeout: this.#timeoutMs + ANSWER_MARGIN_MS,
     });
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -16,6 +16,7 @@
   withStamp,
 } from "./commands/mod.ts";
 import { DEFAULT_TIMEOUT_MS, EntryClient } from "./entry_client.ts";
+import { readText } from "./source_document.ts";
 
 export interface CliOptions {
   /** Arguments after the program's name. */
@@ -33,6 +34,7 @@
 interface GlobalOptions {
   readonly entry?: string;
   readonly key?: string;
+  readonly ca?: string;
   readonly timeoutMs: number;
   readonly json: boolean;
 }
@@ -134,6 +136,10 @@
       .description("Command line for operators and submitters")
       .option("--entry <url>", "an entry (env: MUSTARDWEIR_ENTRY)")
       .option("--key <key>", "your key (env: MUSTARDWEIR_KEY)")
+      .option(
+        "--ca <file>",
+        "PEM certificates of entries (env: MUSTARDWEIR_CA)",
+      )
       .option(
         "--timeout-ms <ms>",
         "longest wait for an answer",
@@ -173,7 +179,15 @@
   if (!key) {
     return fail(ExitCode.Usage, "Give your key with --key or MUSTARDWEIR_KEY");
   }
-  return ok(new EntryClient({ entry: new URL(entry).origin, key, timeoutMs }));
+  return readAuthority(options.ca ?? env.MUSTARDWEIR_CA).map((ca) =>
+    new EntryClient({ entry: new URL(entry).origin, key, timeoutMs, ca })
+  );
+}
+
+function readAuthority(
+  path: string | undefined,
+): Result<string | undefined, CliError> {
+  return path === undefined ? ok(undefined) : readText(path);
 }
 
 function toCliError(cause: unknown): Result<ExitCode, CliError> {
--- a/packages/cli/src/program_test.ts
+++ b/packages/cli/src/program_test.ts
@@ -507,6 +507,12 @@
     exitCode: ExitCode.Usage,
     error: "mustardweir: Name an entry's URL with --entry or MUSTARDWEIR_ENTRY",
   },
+  {
+    name: "needs the file of certificates",
+    argv: ["teams", "--ca", "none.json"],
+    exitCode: ExitCode.Usage,
+    error: "mustardweir: none.json: can't be read (ENOENT)",
+  },
   {
     name: "needs a key",
     argv: ["teams"],
--- a/packages/cli/src/source_document.ts
+++ b/packages/cli/src/source_document.ts
@@ -149,7 +149,8 @@
   }
 }
 
-function readText(path: string): Result<string, CliError> {
+/** Reads a file; the error names it. */
+export function readText(path: string): Result<string, CliError> {
   try {
     return ok(readFileSync(path, "utf8"));
   } catch (cause) {
--- a/packages/entry/src/caller_front.ts
+++ b/packages/entry/src/caller_front.ts
@@ -1,8 +1,13 @@
 import { randomUUID } from "node:crypto";
 import { createServer, type Server } from "node:http";
+import {
+  createServer as createSecureServer,
+  Server as SecureServer,
+} from "node:https";
 import type { AddressInfo } from "node:net";
 import { createAdaptorServer, type HttpBindings } from "@hono/node-server";
 import { parseJson } from "@mustardweir/configuration";
+import type { Undo } from "@mustardweir/kernel";
 import { Outcome, RefusalReason, refuse } from "@mustardweir/model";
 import {
   CALLER_LEFT,
@@ -21,6 +26,7 @@
   limitServer,
   type Metrics,
   Performer,
+  type TlsFiles,
 } from "@mustardweir/runtime";
 import { type Context, Hono } from "hono";
 import { bodyLimit } from "hono/body-limit";
@@ -50,6 +56,8 @@
   readonly isReady: () => boolean;
   /** Version of the configuration in force, told in every answer. */
   readonly configurationVersion?: () => number;
+  /** Certificate and key; plain HTTP without. */
+  readonly tls?: TlsFiles;
   /** Of headers, connections and time; the usual ones by default. */
   readonly limits?: HttpLimits;
   /** Shown at `/metrics`; the path does not exist without. */
@@ -80,6 +88,7 @@
   #openReplies = 0;
   #server: Server | undefined;
   #isClosed = false;
+  #unwatch: Undo = () => {};
 
   constructor(options: CallerFrontOptions) {
     super();
@@ -94,13 +103,7 @@
 
   override async start(sink: EventSink): Promise<void> {
     const app = this.#createApp(sink);
-    const { limits } = this.#options;
-    const server = createAdaptorServer({
-      fetch: app.fetch,
-      createServer,
-      serverOptions: limitOptions(limits),
-    }) as Server;
-    limitServer(server, limits);
+    const server = this.#createServer(app);
     this.#server = server;
     const { host, port } = this.#options.listen;
     await new Promise<void>((resolve, reject) => {
@@ -118,6 +121,7 @@
   /** Answers who still waits, then closes when all answers are out. */
   override async close(): Promise<void> {
     this.#isClosed = true;
+    this.#unwatch();
     for (const requestId of this.#waiters.keys()) {
       this.#settle(requestId, stoppingAnswer(Outcome.Unknown));
     }
@@ -126,6 +130,21 @@
     }
   }
 
+  /** Serves HTTPS with certificates that follow their files, or HTTP. */
+  #createServer(app: App): Server {
+    const { limits, tls } = this.#options;
+    const server = createAdaptorServer({
+      fetch: app.fetch,
+      createServer: tls ? createSecureServer : createServer,
+      serverOptions: { ...limitOptions(limits), ...tls?.current },
+    }) as Server;
+    limitServer(server, limits);
+    if (tls !== undefined && server instanceof SecureServer) {
+      this.#unwatch = tls.watch((files) => server.setSecureContext(files));
+    }
+    return server;
+  }
+
   #createApp(sink: EventSink): App {
     const app: App = new Hono();
     app.use((c, next) => {
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -4,6 +4,7 @@
   idSetting,
   NODE_SETTINGS,
   peersSetting,
+  textSetting,
 } from "@mustardweir/runtime";
 import { z } from "zod";
 
@@ -50,6 +51,18 @@
       "must be 64 lower-case hexadecimal digits",
     ).optional(),
   }),
+  tlsCert: defineSetting({
+    name: "tls-cert",
+    value: "<file>",
+    description: "PEM certificate shown to callers; plain HTTP without",
+    schema: textSetting.optional(),
+  }),
+  tlsKey: defineSetting({
+    name: "tls-key",
+    value: "<file>",
+    description: "PEM key of the certificate shown to callers",
+    schema: textSetting.optional(),
+  }),
   ...NODE_SETTINGS,
   stopTimeoutMs: defineSetting({
     ...NODE_SETTINGS.stopTimeoutMs,
--- a/packages/runtime/src/settings.ts
+++ b/packages/runtime/src/settings.ts
@@ -12,6 +12,7 @@
   durationSetting,
   logFormatSetting,
   logLevelSetting,
+  textSetting,
 } from "./setting_schemas.ts";
 
 /** Exit code of a process whose settings are wrong. */
@@ -78,6 +79,24 @@
     default: "0s",
     schema: durationSetting,
   }),
+  linkCert: defineSetting({
+    name: "link-cert",
+    value: "<file>",
+    description: "PEM certificate of this node for links; plain without",
+    schema: textSetting.optional(),
+  }),
+  linkKey: defineSetting({
+    name: "link-key",
+    value: "<file>",
+    description: "PEM key of the certificate for links",
+    schema: textSetting.optional(),
+  }),
+  linkCa: defineSetting({
+    name: "link-ca",
+    value: "<file>",
+    description: "PEM certificates that sign those of all nodes",
+    schema: textSetting.optional(),
+  }),
 };
 
 /**
