--- /dev/null
+++ b/packages/membership/src/claiming.ts
@@ -0,0 +1,169 @@
+import { createCommand, type Update } from "@mustardweir/kernel";
+import { CONFIGURATION } from "@mustardweir/configuration";
+import { type Configuration, sliceFleet } from "@mustardweir/model";
+import {
+  type Answered,
+  type CommitResult,
+  count,
+  NODE_IDENTITY,
+  replyTo,
+  StoreStatus,
+} from "@mustardweir/protocol";
+import {
+  CLAIMS,
+  type ClaimState,
+  isAlive,
+  listCandidates,
+  type NeededUnit,
+  trackAlive,
+} from "./claim_state.ts";
+import { isStopping } from "./heartbeat_plugin.ts";
+import { OWNED } from "./owned.ts";
+import { acquire } from "./owned_units.ts";
+import {
+  homeUnit,
+  OWNERSHIP,
+  type OwnershipRow,
+  sliceUnit,
+} from "./ownership.ts";
+import { emitRow } from "./ownership_write.ts";
+import { PEER_TIMEOUT_MS } from "./peers.ts";
+import { type Candidate, rankCandidates } from "./rendezvous.ts";
+import { finishStop } from "./releasing.ts";
+
+/** Most claims in flight at a time. */
+const MAX_CLAIMS_IN_FLIGHT = 16;
+
+export interface ClaimContext {
+  readonly unit: string;
+  readonly row: OwnershipRow;
+  readonly version: number;
+  readonly isFirstOwner: boolean;
+}
+
+export const CLAIM_ANSWERED = createCommand<
+  Answered<ClaimContext, CommitResult>
+>(
+  "claim-answered",
+);
+
+/** Claims the units that have no living owner and that rank this node first. */
+export function claimUnits(update: Update): void {
+  const claims = update.write(CLAIMS);
+  claims.startedAt ??= update.now;
+  trackAlive(update, claims);
+  if (isStopping(update)) {
+    finishStop(update, claims);
+    return;
+  }
+  const hasListened = update.now - claims.startedAt >= PEER_TIMEOUT_MS;
+  const { scannedAt } = update.read(OWNERSHIP);
+  if (!hasListened || update.now - scannedAt > PEER_TIMEOUT_MS) {
+    return;
+  }
+  const candidates = listCandidates(update);
+  for (const needed of neededUnits(update, claims)) {
+    if (claims.inFlight.size >= MAX_CLAIMS_IN_FLIGHT) {
+      return;
+    }
+    if (shouldClaim(update, claims, { needed, candidates })) {
+      claim(update, claims, needed.unit);
+    }
+  }
+}
+
+interface ClaimChoice {
+  readonly needed: NeededUnit;
+  readonly candidates: readonly Candidate[];
+}
+
+function shouldClaim(
+  update: Update,
+  claims: ClaimState,
+  { needed, candidates }: ClaimChoice,
+): boolean {
+  const { unit } = needed;
+  if (update.read(OWNED).units.has(unit) || claims.inFlight.has(unit)) {
+    return false;
+  }
+  const { nodeId } = update.service(NODE_IDENTITY);
+  const owner = update.read(OWNERSHIP).rows.get(unit)?.row.owner ?? "";
+  if (owner === nodeId) {
+    return true; // An earlier process of this node owned it.
+  }
+  if (owner !== "" && isAlive(update, owner)) {
+    return false;
+  }
+  return rankCandidates(candidates, needed)[0]?.nodeId === nodeId;
+}
+
+function claim(update: Update, claims: ClaimState, unit: string): void {
+  const { nodeId } = update.service(NODE_IDENTITY);
+  const known = update.read(OWNERSHIP).rows.get(unit);
+  const row: OwnershipRow = {
+    owner: nodeId,
+    epoch: (known?.row.epoch ?? 0) + 1,
+    successors: [],
+  };
+  const version = known?.version ?? 0;
+  claims.inFlight.add(unit);
+  emitRow(update, unit, {
+    row,
+    version,
+    replyTo: replyTo(CLAIM_ANSWERED, {
+      unit,
+      row,
+      version: version + 1,
+      isFirstOwner: known === undefined,
+    }),
+  });
+}
+
+/** Takes in what became of a claim. */
+export function settleClaim(
+  update: Update,
+  { unit, row, version, isFirstOwner }: ClaimContext,
+  result: CommitResult,
+): void {
+  update.write(CLAIMS).inFlight.delete(unit);
+  update.emit(count(`claims_${result.status.replaceAll("-", "_")}`));
+  if (result.status !== StoreStatus.Ok) {
+    return; // The next scan shows what the row has become.
+  }
+  const rows = update.write(OWNERSHIP).rows;
+  const known = rows.get(unit);
+  if (known !== undefined && known.version > version) {
+    return; // Taken over already.
+  }
+  rows.set(unit, { row, version });
+  acquire(update, unit, {
+    epoch: row.epoch,
+    version,
+    acquiredAt: update.now,
+    isFirstOwner,
+  });
+}
+
+function neededUnits(
+  update: Update,
+  claims: ClaimState,
+): readonly NeededUnit[] {
+  const { current } = update.read(CONFIGURATION);
+  if (claims.neededVersion !== current.version) {
+    claims.neededVersion = current.version;
+    claims.needed = listNeeded(current);
+  }
+  return claims.needed;
+}
+
+function listNeeded(configuration: Configuration): NeededUnit[] {
+  const slices = sliceFleet(configuration.inventory).map((slice) => ({
+    unit: sliceUnit(slice.sliceId),
+    availabilityZone: slice.availabilityZone,
+  }));
+  const homes = configuration.rules.teams.map((team) => ({
+    unit: homeUnit(team.name),
+    availabilityZone: "",
+  }));
+  return [...slices, ...homes];
+}
--- /dev/null
+++ b/packages/membership/src/owned_units.ts
@@ -0,0 +1,64 @@
+import type { Update } from "@mustardweir/kernel";
+import {
+  logChange,
+  NODE_IDENTITY,
+  type OwnedUnit,
+} from "@mustardweir/protocol";
+import { sendHeartbeat } from "./heartbeat_plugin.ts";
+import { OWNED, type Owned, UNIT_ACQUIRED, UNIT_LOST } from "./owned.ts";
+import { OWNERSHIP } from "./ownership.ts";
+
+/** Starts to own a unit and tells all peers. */
+export function acquire(update: Update, unit: string, owned: Owned): void {
+  update.write(OWNED).units.set(unit, owned);
+  update.emit(logChange("Unit acquired", { unit, epoch: owned.epoch }));
+  update.dispatch(UNIT_ACQUIRED, { unit, owned });
+  sendHeartbeat(update);
+}
+
+/** Stops to own a unit. */
+export function lose(update: Update, unit: string): void {
+  if (update.write(OWNED).units.delete(unit)) {
+    update.emit(logChange("Unit lost", { unit }));
+    update.dispatch(UNIT_LOST, { unit });
+  }
+}
+
+/** Gives a unit up when its row names another owner. */
+export function checkRow(update: Update, unit: string): void {
+  const owned = update.read(OWNED).units.get(unit);
+  const row = update.read(OWNERSHIP).rows.get(unit)?.row;
+  if (owned === undefined || row === undefined) {
+    return;
+  }
+  const { nodeId } = update.service(NODE_IDENTITY);
+  if (row.epoch > owned.epoch || row.owner !== nodeId) {
+    lose(update, unit);
+  }
+}
+
+/** Gives up the units that others hold under a higher epoch. */
+export function checkClaims(
+  update: Update,
+  claims: readonly { readonly unit: string; readonly epoch: number }[],
+): void {
+  for (const { unit, epoch } of claims) {
+    const owned = update.read(OWNED).units.get(unit);
+    if (owned !== undefined && owned.epoch < epoch) {
+      lose(update, unit);
+    }
+  }
+}
+
+/** Nobody had taken a unit of this node over by `at`. */
+export function confirm(update: Update, at: number): void {
+  const owned = update.write(OWNED);
+  owned.confirmedAt = Math.max(owned.confirmedAt, at);
+}
+
+/** Names this node's units to the schedulers that vouch for them. */
+export function composeClaims(owned: OwnedUnit[], update: Update): void {
+  for (const [unit, { epoch }] of update.read(OWNED).units) {
+    owned.push({ unit, epoch });
+  }
+}
