--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -18,12 +18,16 @@
   createIncarnation,
   createLogger,
   exitOnSettingError,
+  linkTlsFromSettings,
+  type Logger,
   Metrics,
   parseSettings,
   Readiness,
   runNode,
   type SettingValues,
   SystemClock,
+  type TlsFiles,
+  tlsFromSettings,
 } from "@mustardweir/runtime";
 import { JsonMessageCodec, LinkPerformer } from "@mustardweir/wire";
 import {
@@ -41,11 +45,19 @@
   registerEntryPlugin(entry);
   const identity = createIdentity(settings);
   const metrics = new Metrics();
+  const logger = createLogger({
+    node: settings.nodeId,
+    format: settings.logFormat,
+    level: settings.logLevel,
+  });
+  const linkTls = linkTlsFromSettings(settings, { metrics, logger })
+    .match((files) => files, exitOnSettingError);
   const clock = new SystemClock();
   const readiness = new Readiness();
   const front = new CallerFront({
     listen: settings.listen,
     isReady: () => !readiness.isDraining && entry.isReady(clock.now()),
+    tls: createCallerTls(settings, { metrics, logger }),
     configurationVersion: () => entry.configurationVersion,
     metrics,
   });
@@ -53,14 +65,15 @@
     identity,
     performers: [
       front,
-      new LinkPerformer({ identity, codec: new JsonMessageCodec(), metrics }),
+      new LinkPerformer({
+        identity,
+        codec: new JsonMessageCodec(),
+        metrics,
+        tls: linkTls,
+      }),
       ...createPlatformPerformers(settings.platform),
     ],
-    logger: createLogger({
-      node: settings.nodeId,
-      format: settings.logFormat,
-      level: settings.logLevel,
-    }),
+    logger,
     metrics,
     readiness,
     drainDelayMs: settings.drainDelayMs,
@@ -69,6 +82,15 @@
   });
 }
 
+/** The certificate that callers are shown, if there is one. */
+function createCallerTls(
+  { tlsCert: cert, tlsKey: key }: EntrySettings,
+  options: { readonly metrics: Metrics; readonly logger: Logger },
+): TlsFiles | undefined {
+  return tlsFromSettings({ ...options, cert, key, flag: "--tls" })
+    .match((files) => files, exitOnSettingError);
+}
+
 function createIdentity(settings: EntrySettings): NodeIdentity {
   return {
     nodeId: settings.nodeId,
--- a/packages/runtime/src/tls_files.ts
+++ b/packages/runtime/src/tls_files.ts
@@ -145,6 +145,28 @@
     .orElse(({ message }) => badSetting(`${flag}-cert: ${message}`));
 }
 
+/** The values of the settings of links. */
+export interface LinkTlsSettings {
+  readonly linkCert: string | undefined;
+  readonly linkKey: string | undefined;
+  readonly linkCa: string | undefined;
+}
+
+/** Certificates of links, which both sides show. */
+export function linkTlsFromSettings(
+  settings: LinkTlsSettings,
+  options: Pick<TlsFilesOptions, "metrics" | "logger"> = {},
+): Result<TlsFiles | undefined, SettingError> {
+  return tlsFromSettings({
+    ...options,
+    cert: settings.linkCert,
+    key: settings.linkKey,
+    ca: settings.linkCa,
+    isMutual: true,
+    flag: "--link",
+  });
+}
+
 function badSetting(message: string): Result<never, SettingError> {
   return err({ kind: SettingErrorKind.BadValue, message });
 }
--- a/packages/scheduler/src/main.ts
+++ b/packages/scheduler/src/main.ts
@@ -24,6 +24,7 @@
   createIncarnation,
   createLogger,
   exitOnSettingError,
+  linkTlsFromSettings,
   Metrics,
   parseSettings,
   type ProbeOptions,
@@ -47,11 +48,19 @@
   registerSchedulerPlugin(scheduler);
   const identity = createIdentity(settings);
   const metrics = new Metrics();
+  const logger = createLogger({
+    node: settings.nodeId,
+    format: settings.logFormat,
+    level: settings.logLevel,
+  });
+  const linkTls = linkTlsFromSettings(settings, { metrics, logger })
+    .match((files) => files, exitOnSettingError);
   const links = new LinkPerformer({
     identity,
     codec: new JsonMessageCodec(),
     listen: settings.listen,
     metrics,
+    tls: linkTls,
   });
   const readiness = new Readiness();
   const clock = new SystemClock();
@@ -66,11 +75,7 @@
       new TargetPerformer(),
       ...createPlatformPerformers(settings.platform),
     ],
-    logger: createLogger({
-      node: settings.nodeId,
-      format: settings.logFormat,
-      level: settings.logLevel,
-    }),
+    logger,
     metrics,
     readiness,
     drainDelayMs: settings.drainDelayMs,
--- a/packages/wire/src/dialer.ts
+++ b/packages/wire/src/dialer.ts
@@ -1,11 +1,15 @@
+import type { PeerCertificate } from "node:tls";
 import { createClient } from "@connectrpc/connect";
 import {
   createConnectTransport,
   Http2SessionManager,
 } from "@connectrpc/connect-node";
 import type { PeerAddress } from "@mustardweir/protocol";
+import type { TlsFiles } from "@mustardweir/runtime";
 import { LinkService } from "./gen/mustardweir/link/v1/link_pb.ts";
 import { type Link, LinkEnd } from "./link.ts";
+import { MAX_READ_BYTES } from "./link_limits.ts";
+import { namesNode } from "./peer_identity.ts";
 
 const MIN_BACKOFF_MS = 50;
 const MAX_BACKOFF_MS = 1_000;
@@ -15,6 +19,8 @@
   /** False while the peer is to be reached over another link. */
   abstract mayDial(): boolean;
   abstract openLink(disconnect: () => void): Link;
+  /** Certificates of both sides; plain connections without. */
+  abstract readonly tls: TlsFiles | undefined;
 }
 
 /**
@@ -58,13 +64,15 @@
   }
 
   async #holdLink(): Promise<void> {
-    const baseUrl = `http://${this.peer.address}`;
-    const sessionManager = new Http2SessionManager(baseUrl);
+    const { scheme, options } = this.#connection();
+    const baseUrl = `${scheme}://${this.peer.address}`;
+    const sessionManager = new Http2SessionManager(baseUrl, {}, options);
     const transport = createConnectTransport({
       httpVersion: "2",
       baseUrl,
       sessionManager,
       acceptCompression: [],
+      readMaxBytes: MAX_READ_BYTES,
     });
     const abort = new AbortController();
     const link = this.#owner.openLink(() => {
@@ -81,6 +89,21 @@
     }
   }
 
+  /** The certificates in force now, which the next attempt may replace. */
+  #connection() {
+    const tls = this.#owner.tls?.current;
+    return tls === undefined ? { scheme: "http" } : {
+      scheme: "https",
+      options: {
+        ...tls,
+        checkServerIdentity: (_host: string, certificate: PeerCertificate) =>
+          namesNode(certificate, this.peer.nodeId)
+            ? undefined
+            : new Error(`The certificate is not that of ${this.peer.nodeId}`),
+      },
+    };
+  }
+
   #sleep(ms: number): Promise<void> {
     if (this.#stopped) {
       return Promise.resolve();
--- a/packages/wire/src/link.ts
+++ b/packages/wire/src/link.ts
@@ -56,6 +56,8 @@
   readonly session?: bigint;
   /** The node that was dialled. */
   readonly expectedPeer?: string;
+  /** Whether the certificate of the other side names a node. */
+  readonly provesNode?: (nodeId: string) => boolean;
   readonly observer: LinkObserver;
   readonly pingTimeoutMs: number;
   /** Monotonic time of the opening, in milliseconds. */
@@ -106,6 +108,11 @@
     return this.#options.expectedPeer;
   }
 
+  /** False when the other side's certificate does not name the node. */
+  provesNode(nodeId: string): boolean {
+    return this.#options.provesNode?.(nodeId) ?? true;
+  }
+
   /** The frames to send, until the link is closed. */
   async *frames(): AsyncGenerator<Frame> {
     if (this.side === LinkSide.Dialled) {
--- a/packages/wire/src/link_performer.ts
+++ b/packages/wire/src/link_performer.ts
@@ -9,7 +9,12 @@
   type PeerAddress,
   type SendPeerEffect,
 } from "@mustardweir/protocol";
-import { type EventSink, Metrics, Performer } from "@mustardweir/runtime";
+import {
+  type EventSink,
+  Metrics,
+  Performer,
+  type TlsFiles,
+} from "@mustardweir/runtime";
 import type { MessageCodec } from "./codec.ts";
 import { Dialer, DialerOwner } from "./dialer.ts";
 import { type Link, LinkEnd, LinkSide } from "./link.ts";
@@ -43,6 +48,11 @@
   readonly maxQueuedMessages?: number;
   /** Counts messages, links and faults. */
   readonly metrics?: Metrics;
+  /**
+   * Certificate, key and authority; both sides show a certificate that names
+   * their node id as a DNS name. Plain connections without.
+   */
+  readonly tls?: TlsFiles;
 }
 
 /**
@@ -67,6 +77,7 @@
   readonly #pingIntervalMs: number;
   readonly #metrics: Metrics;
   readonly #table: LinkTable;
+  readonly #tls: TlsFiles | undefined;
   #server: LinkServer | undefined;
   #port = 0;
   #sink: EventSink | undefined;
@@ -77,6 +88,7 @@
     this.#identity = options.identity;
     this.#codec = options.codec;
     this.#listen = options.listen;
+    this.#tls = options.tls;
     this.#pingIntervalMs = options.pingIntervalMs ?? 500;
     this.#metrics = options.metrics ?? new Metrics();
     this.#table = new LinkTable({
@@ -106,9 +118,11 @@
   override async start(sink: EventSink): Promise<void> {
     this.#sink = sink;
     if (this.#listen) {
-      this.#server = new LinkServer((disconnect) =>
-        this.#table.open({ side: LinkSide.Accepted, disconnect })
-      );
+      this.#server = new LinkServer({
+        openLink: (connection) =>
+          this.#table.open({ side: LinkSide.Accepted, ...connection }),
+        tls: this.#tls,
+      });
       this.#port = await this.#server.listen(this.#listen);
     }
     this.#ticker = setInterval(
@@ -185,7 +199,11 @@
     }
     peer.dialer = new Dialer(
       address,
-      new TableDialerOwner(this.#table, { identity: this.#identity, peer }),
+      new TableDialerOwner(this.#table, {
+        identity: this.#identity,
+        peer,
+        tls: this.#tls,
+      }),
     );
     void peer.dialer.run();
   }
@@ -204,6 +222,7 @@
 interface TableDialerOptions {
   readonly identity: NodeIdentity;
   readonly peer: Peer;
+  readonly tls: TlsFiles | undefined;
 }
 
 /** Opens dialled links in a table and decides which side dials. */
@@ -211,12 +230,14 @@
   readonly #table: LinkTable;
   readonly #identity: NodeIdentity;
   readonly #peer: Peer;
+  override readonly tls: TlsFiles | undefined;
 
   constructor(table: LinkTable, options: TableDialerOptions) {
     super();
     this.#table = table;
     this.#identity = options.identity;
     this.#peer = options.peer;
+    this.tls = options.tls;
   }
 
   /** Entries dial, and the lower id; the other when it gets no link. */
--- a/packages/wire/src/link_table.ts
+++ b/packages/wire/src/link_table.ts
@@ -31,6 +31,8 @@
   readonly disconnect: () => void;
   /** The node that was dialled. */
   readonly expectedPeer?: string;
+  /** Whether the certificate of the other side names a node. */
+  readonly provesNode?: (nodeId: string) => boolean;
 }
 
 /** All links of a node and the peers they lead to. */
@@ -74,6 +76,7 @@
       side: options.side,
       session: dialled ? this.#nextSession() : undefined,
       expectedPeer: options.expectedPeer,
+      provesNode: options.provesNode,
       observer: this,
       pingTimeoutMs,
       openedAt: performance.now(),
@@ -111,7 +114,8 @@
 
   override greeted(link: Link, hello: LinkHello): LinkEnd | undefined {
     const { expectedPeer } = link;
-    if (expectedPeer !== undefined && expectedPeer !== hello.nodeId) {
+    const isOther = expectedPeer !== undefined && expectedPeer !== hello.nodeId;
+    if (isOther || !link.provesNode(hello.nodeId)) {
       return LinkEnd.WrongPeer;
     }
     const refusal = this.peer(hello.nodeId).admit(link, hello);
--- a/packages/wire/src/test_nodes.ts
+++ b/packages/wire/src/test_nodes.ts
@@ -13,7 +13,7 @@
   PeerMessageKind,
   sendPeer,
 } from "@mustardweir/protocol";
-import { type EventSink, Metrics } from "@mustardweir/runtime";
+import { type EventSink, Metrics, type TlsFiles } from "@mustardweir/runtime";
 import { JsonMessageCodec } from "./codec.ts";
 import { LinkPerformer } from "./link_performer.ts";
 
@@ -33,6 +33,7 @@
   /** 0, any free port, by default. */
   readonly port?: number;
   readonly maxQueuedMessages?: number;
+  readonly tls?: TlsFiles;
 }
 
 /** A performer with a sink that keeps what arrives. */
@@ -61,6 +62,7 @@
       pingTimeoutMs: 300,
       maxQueuedMessages: options.maxQueuedMessages,
       metrics: this.metrics,
+      tls: options.tls,
     });
   }
 
