Remember instances that left, so that later owners ask them

Ruled out: a longer wait on each take-over (12.5 s without starts for all); the memory of the processes alone (a fresh process has none); refusing to remove an instance that is in use (the asset register rules). Change: the row of the configuration keeps instances that left in the last ten minutes, by the editor's wall clock; a new owner takes them in as removed workers and asks them, or lets their leases lapse. Conclusion: mended for removals within ten minutes; an owner that is cut off from the table for longer than that and then dies is not covered.

--- a/packages/configuration/src/document.ts
+++ b/packages/configuration/src/document.ts
@@ -2,6 +2,7 @@
 import { ConfigurationSection } from "@mustardweir/model";
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
+import { retiredInstanceSchema } from "./retired.ts";
 
 /** Key of the table row that holds the version in force. */
 export const CONFIGURATION_ROW = "configuration";
@@ -15,6 +16,8 @@
   sections: z.partialRecord(z.enum(ConfigurationSection), z.string()),
   /** Nonce of the edit that made this version, then those before it. */
   nonces: z.array(z.string()).min(1),
+  /** Instances that left the inventory lately. */
+  retired: z.array(retiredInstanceSchema).default([]),
 });
 
 /** The value of the configuration row. */
--- a/packages/configuration/src/editor.ts
+++ b/packages/configuration/src/editor.ts
@@ -54,6 +54,7 @@
   takeStep,
   unknownRefusal,
 } from "./pending_edit.ts";
+import { retireInstances } from "./retired.ts";
 import { replaceSection, resolveEdit } from "./section_edit.ts";
 import { CONFIGURATION } from "./state.ts";
 
@@ -216,6 +217,12 @@
       [section]: sectionObjectKey(edit.body),
     },
     nonces: [edit.nonce, ...known?.document.nonces ?? []].slice(0, KEPT_NONCES),
+    retired: retireInstances({
+      known: known?.document.retired ?? [],
+      base: base.inventory,
+      edited: replaceSection(base, section, checked.value).inventory,
+      wallMs: request.wallMs,
+    }),
   };
   edit.stage = EditStage.StoringBody;
   storeBody(edit, update);
--- a/packages/configuration/src/follower.ts
+++ b/packages/configuration/src/follower.ts
@@ -271,6 +271,7 @@
   }
   const current = buildConfiguration(state, document);
   configuration.current = current;
+  configuration.retired = document.retired;
   dropOldBodies(state);
   update.emit(
     logChange("Configuration in force", { version: current.version }),
--- a/packages/configuration/src/state.ts
+++ b/packages/configuration/src/state.ts
@@ -1,5 +1,6 @@
 import { createCommand, createStateKey } from "@mustardweir/kernel";
 import type { Configuration } from "@mustardweir/model";
+import type { RetiredInstance } from "./retired.ts";
 
 /**
  * A node that can't confirm its configuration for this long starts nothing
@@ -10,6 +11,8 @@
 
 export interface ConfigurationState {
   current: Configuration;
+  /** Instances that left the inventory lately; none by default. */
+  retired?: readonly RetiredInstance[];
   /**
    * When the read began that last showed `current` to be the newest version;
    * -Infinity before the first.
--- a/packages/prove/src/prover.ts
+++ b/packages/prove/src/prover.ts
@@ -18,8 +18,8 @@
   readonly runs: number;
   /** Most runs altogether; those that a point is not about count here. */
   readonly maxRuns?: number;
-  /** Looked at after each run; true ends the proof. */
-  readonly shouldStop?: () => boolean;
+  /** Path of the shrunk run of `seed`, as a failure gave it. */
+  readonly path?: string;
   readonly tampering?: () => Tampering;
   /** False keeps the first failing scenario as it is. */
   readonly shrinks?: boolean;
@@ -68,21 +68,22 @@
     options.point === undefined || point === options.point
   );
   const tallies = oracles.map(({ point }) => ({ point, runs: 0, events: 0 }));
-  const { maxRuns = Infinity, shouldStop = () => false } = options;
+  const { maxRuns = Infinity } = options;
   let runs = 0;
   while (runs < maxRuns && tallies.some((t) => t.runs < options.runs)) {
     const seed = options.seed + runs;
+    let isFirst = true; // What follows are shorter forms of it.
     const failure = runOnce(seed, options, (history) => {
-      count(history, { oracles, tallies });
+      if (isFirst) {
+        count(history, { oracles, tallies });
+      }
+      isFirst = false;
       return judge(history, oracles);
     });
     runs += 1;
     if (failure !== undefined) {
       return { tallies, runs, failure };
     }
-    if (shouldStop()) {
-      break;
-    }
   }
   return { tallies, runs };
 }
@@ -95,7 +96,7 @@
   judgeRun: Judge,
 ): Failure | undefined {
   let breaches: readonly Breach[] = [];
-  const { shrinks = true, point, tampering } = options;
+  const { shrinks = true, point, tampering, path: replayed } = options;
   const details = fc.check(
     fc.property(scenarioArbitrary(point), (scenario) => {
       const found = judgeRun(runScenario(scenario, tampering?.()));
@@ -105,7 +106,8 @@
     {
       seed,
       numRuns: 1,
-      endOnFailure: !shrinks,
+      ...(replayed === undefined ? {} : { path: replayed }),
+      endOnFailure: !shrinks || replayed !== undefined,
       interruptAfterTimeLimit: SHRINK_LIMIT_MS,
     },
   );
@@ -117,7 +119,7 @@
   return { seed, path, scenario, breaches };
 }
 
-/** Runs a failing scenario again. */
+/** The scenario at a path of a seed; undefined when there is none. */
 export function replay(
   seed: number,
   path: string,
--- a/packages/slice/src/asks.ts
+++ b/packages/slice/src/asks.ts
@@ -15,7 +15,12 @@
   type TaskReport,
   type WithdrawAsks,
 } from "@mustardweir/protocol";
-import type { Slice, SliceTask, TeamView } from "./slice_state.ts";
+import {
+  noteNews,
+  type Slice,
+  type SliceTask,
+  type TeamView,
+} from "./slice_state.ts";
 import { cancelStart, removeTask, tellStarted } from "./tasks.ts";
 import { answerAsk, declineAsk, raiseFloor, teamView } from "./team_view.ts";
 
@@ -297,6 +302,6 @@
 export function stopTask(task: SliceTask, mode: StopTasks["mode"]): void {
   if (task.stop !== mode && task.phase !== TaskPhase.Ended) {
     task.stop = mode;
-    task.worker.hasNews = true;
+    noteNews(task.worker);
   }
 }
--- a/packages/slice/src/grant.ts
+++ b/packages/slice/src/grant.ts
@@ -19,12 +19,13 @@
   usageByTeam,
 } from "./demand.ts";
 import { noteStart } from "./health.ts";
-import type {
-  QueuedAsk,
-  Slice,
-  SliceTask,
-  TeamView,
-  Worker,
+import {
+  noteNews,
+  type QueuedAsk,
+  type Slice,
+  type SliceTask,
+  type TeamView,
+  type Worker,
 } from "./slice_state.ts";
 import { addTask } from "./tasks.ts";
 
@@ -180,6 +181,6 @@
 /** Has the start sent with the next call to the worker. */
 export function beginStart(update: Update, task: SliceTask): void {
   task.phase = TaskPhase.Starting;
-  task.worker.hasNews = true;
+  noteNews(task.worker);
   noteStart(update, task.worker.instanceId);
 }
--- a/packages/slice/src/instances.ts
+++ b/packages/slice/src/instances.ts
@@ -3,7 +3,9 @@
 import { isLeaving, isStopping, type Owned } from "@mustardweir/membership";
 import {
   instanceCapacity,
+  NO_RESOURCES,
   type PlacedInstance,
+  type Resources,
   sliceFleet,
   type SliceSpec,
 } from "@mustardweir/model";
@@ -39,16 +41,34 @@
     isFirstOwner: owned.isFirstOwner,
     table: new InstanceTable(),
     workers: new Map(),
+    touched: new Set(),
     tasks: new Map(),
+    ended: new Set(),
+    untold: new Set(),
     teams: new Map(),
     nextStartSeq: 1,
     complete: false,
     outbox: new Map(),
   };
   followInventory(slice, spec);
+  if (!owned.isFirstOwner) {
+    addRetired(update, slice);
+  }
   return slice;
 }
 
+/** An earlier owner may have started tasks on instances that left since. */
+function addRetired(update: Update, slice: Slice): void {
+  const { retired = [] } = update.read(CONFIGURATION);
+  const ofSlice = retired.filter(({ sliceId, id }) =>
+    sliceId === slice.sliceId && !slice.workers.has(id)
+  );
+  for (const { id, address } of ofSlice) {
+    addWorker(slice, { instanceId: id, address, capacity: NO_RESOURCES });
+    slice.workers.get(id)!.removed = true;
+  }
+}
+
 /** Brings the slice's instances in line with the inventory. */
 export function followInventory(slice: Slice, spec: SliceSpec): void {
   const listed = new Set<string>();
@@ -56,7 +76,7 @@
     listed.add(instance.spec.id);
     const worker = slice.workers.get(instance.spec.id);
     if (worker === undefined) {
-      addWorker(slice, instance);
+      addWorker(slice, describeInstance(instance));
     } else {
       worker.removed = false;
       const capacity = instanceCapacity(instance.spec);
@@ -70,18 +90,30 @@
   }
 }
 
-function addWorker(slice: Slice, instance: PlacedInstance): void {
-  const { spec, rack, availabilityZone } = instance;
+interface NewInstance {
+  readonly instanceId: string;
+  readonly address: string;
+  readonly capacity: Resources;
+  readonly rack?: string;
+}
+
+function describeInstance({ spec, rack }: PlacedInstance): NewInstance {
+  const { id: instanceId, address } = spec;
+  return { instanceId, address, capacity: instanceCapacity(spec), rack };
+}
+
+function addWorker(slice: Slice, instance: NewInstance): void {
+  const { instanceId, address, capacity, rack = "" } = instance;
   const index = slice.table.add({
-    instanceId: spec.id,
-    capacity: instanceCapacity(spec),
+    instanceId,
+    capacity,
     rack,
-    availabilityZone,
+    availabilityZone: slice.availabilityZone,
   });
   slice.table.setEligible(index, false);
-  slice.workers.set(spec.id, {
-    instanceId: spec.id,
-    address: spec.address,
+  slice.workers.set(instanceId, {
+    instanceId,
+    address,
     index,
     state: WorkerState.Unknown,
     incarnation: "",
@@ -94,15 +126,20 @@
     pollSentAt: undefined,
     commandSentAt: undefined,
     hasNews: false,
+    touched: slice.touched,
     removed: false,
     tasks: new Set(),
     acks: new Set(),
   });
 }
 
-/** Moves the work of an instance that left the inventory away. */
 function retire(worker: Worker): void {
   worker.removed = true;
+  stopAll(worker);
+}
+
+/** Moves the work of an instance that left the inventory away. */
+function stopAll(worker: Worker): void {
   for (const task of worker.tasks) {
     stopTask(task, StopMode.Preempt);
   }
@@ -116,15 +153,22 @@
       worker.state === WorkerState.Lapsed;
     if (worker.removed && isIdle && isSettled) {
       slice.workers.delete(worker.instanceId);
+      slice.touched.delete(worker);
       slice.table.remove(worker.instanceId);
+    } else if (worker.removed) {
+      stopAll(worker);
     }
   }
 }
 
-/** Says which instances may get new work. */
-export function updateEligibility(update: Update, slice: Slice): void {
+/** Says which of the workers may get new work. */
+export function updateEligibility(
+  update: Update,
+  slice: Slice,
+  workers: Iterable<Worker>,
+): void {
   const isOpen = isZoneOpen(update, slice) && !isStopping(update);
-  for (const worker of slice.workers.values()) {
+  for (const worker of workers) {
     const isEligible = isOpen && isStaying(update, worker) &&
       worker.state === WorkerState.Reachable &&
       isTrusted(update, worker.instanceId);
@@ -136,9 +180,13 @@
  * Takes back starts that have not come to pass on instances, or in zones, that
  * are given no new work any more.
  */
-export function takeBackStarts(update: Update, slice: Slice): void {
+export function takeBackStarts(
+  update: Update,
+  slice: Slice,
+  workers: Iterable<Worker>,
+): void {
   const isOpen = isZoneOpen(update, slice);
-  for (const worker of slice.workers.values()) {
+  for (const worker of workers) {
     if (!isOpen || !isStaying(update, worker)) {
       worker.tasks.forEach((task) =>
         takeBackStart(task, DeclineReason.ZoneClosed)
--- a/packages/slice/src/slice_plugin.ts
+++ b/packages/slice/src/slice_plugin.ts
@@ -45,6 +45,7 @@
 import {
   describeSlices,
   expireAsks,
+  retellEnds,
   sendAnswers,
   tellEnds,
 } from "./telling.ts";
@@ -127,7 +128,7 @@
   if (spec !== undefined) {
     const slice = createSlice(update, spec, owned);
     update.write(SLICES).slices.set(spec.sliceId, slice);
-    settle(update, slice);
+    settleAll(update, slice);
   }
 }
 
@@ -141,7 +142,7 @@
   for (const slice of update.write(SLICES).slices.values()) {
     const spec = findSliceSpec(update, slice.sliceId);
     followInventory(slice, spec ?? emptySpec(slice));
-    settle(update, slice);
+    settleAll(update, slice);
   }
 }
 
@@ -214,13 +215,26 @@
   }
 }
 
-/** Grants what fits now, then sends calls, answers and ends. */
+/** Looks at every worker, also at those that no event was about. */
+function settleAll(update: Update, slice: Slice): void {
+  for (const worker of slice.workers.values()) {
+    slice.touched.add(worker);
+  }
+  settle(update, slice);
+}
+
+/**
+ * Grants what fits now, then sends calls, answers and ends. A worker that a
+ * grant touches is called now and looked at again with the next event.
+ */
 function settle(update: Update, slice: Slice): void {
-  updateEligibility(update, slice);
-  takeBackStarts(update, slice);
+  const changed = [...slice.touched];
+  slice.touched.clear();
+  updateEligibility(update, slice, changed);
+  takeBackStarts(update, slice, changed);
   noteCompletion(update, slice);
   grantRoom(update, slice);
-  callWorkers(update, slice);
+  callWorkers(update, slice, new Set([...changed, ...slice.touched]));
   tellEnds(update, slice);
   sendAnswers(update, slice);
 }
@@ -242,7 +256,8 @@
     checkWorkers(update, slice);
     expireAsks(update, slice);
     dropRetired(slice);
-    settle(update, slice);
+    retellEnds(update, slice);
+    settleAll(update, slice);
   }
 }
 
--- a/packages/slice/src/slice_state.ts
+++ b/packages/slice/src/slice_state.ts
@@ -45,6 +45,8 @@
   commandSentAt: number | undefined;
   /** There are commands that no call in flight carries. */
   hasNews: boolean;
+  /** The slice's set of workers that have to be looked at. */
+  readonly touched: Set<Worker>;
   /** The inventory no longer has the instance. */
   removed: boolean;
   readonly tasks: Set<SliceTask>;
@@ -109,7 +111,13 @@
   readonly isFirstOwner: boolean;
   readonly table: InstanceTable;
   readonly workers: Map<string, Worker>;
+  /** Workers that changed since their calls and eligibility were settled. */
+  readonly touched: Set<Worker>;
   readonly tasks: Map<string, SliceTask>;
+  /** Ended tasks whose homes have not acknowledged the end. */
+  readonly ended: Set<SliceTask>;
+  /** Those of them that no home was told of. */
+  readonly untold: Set<SliceTask>;
   readonly teams: Map<string, TeamView>;
   nextStartSeq: number;
   /** Every worker has told what it runs, or is known to run nothing. */
@@ -124,4 +132,10 @@
   configurationVersion: number;
 }
 
+/** Has commands for the worker sent with the next call. */
+export function noteNews(worker: Worker): void {
+  worker.hasNews = true;
+  worker.touched.add(worker);
+}
+
 export const SLICES = createStateKey<SlicesState>("slices");
--- a/packages/slice/src/target_calls.ts
+++ b/packages/slice/src/target_calls.ts
@@ -38,12 +38,16 @@
   "target-synced",
 );
 
-/** Sends each worker what it has to be told, and asks for news. */
-export function callWorkers(update: Update, slice: Slice): void {
+/** Sends workers what they have to be told, and asks them for news. */
+export function callWorkers(
+  update: Update,
+  slice: Slice,
+  workers: Iterable<Worker>,
+): void {
   if (!isOwnershipConfirmed(update)) {
     return; // Leases must not be renewed by who may have been superseded.
   }
-  for (const worker of slice.workers.values()) {
+  for (const worker of workers) {
     callWorker(update, slice, worker);
   }
 }
--- a/packages/slice/src/tasks.ts
+++ b/packages/slice/src/tasks.ts
@@ -9,7 +9,12 @@
   type TaskSpec,
 } from "@mustardweir/protocol";
 import { noteOutcome } from "./health.ts";
-import type { Slice, SliceTask, Worker } from "./slice_state.ts";
+import {
+  noteNews,
+  type Slice,
+  type SliceTask,
+  type Worker,
+} from "./slice_state.ts";
 import { answerAsk, declineAsk, teamView } from "./team_view.ts";
 
 /** Nothing has been told to the home yet. */
@@ -43,6 +48,7 @@
   slice.tasks.set(task.taskId, added);
   worker.tasks.add(added);
   if (phase === TaskPhase.Ended) {
+    noteEnded(slice, added);
     return added;
   }
   if (options.isAdopted) {
@@ -93,11 +99,17 @@
   giveBack(slice, task);
   task.phase = TaskPhase.Ended;
   task.end = end;
+  noteEnded(slice, task);
   settleAsk(slice, task);
   update.emit(count(`tasks_ended_${end.reason.replaceAll("-", "_")}`));
   noteOutcome(update, task, end.reason);
 }
 
+function noteEnded(slice: Slice, task: SliceTask): void {
+  slice.ended.add(task);
+  slice.untold.add(task);
+}
+
 /** Keeps late copies of the ask from starting the task again. */
 function settleAsk(slice: Slice, { task }: SliceTask): void {
   const view = teamView(slice, task.team);
@@ -123,7 +135,7 @@
 export function takeBackStart(task: SliceTask, reason: DeclineReason): void {
   if (task.phase === TaskPhase.Starting && task.takenBack === undefined) {
     task.takenBack = reason;
-    task.worker.hasNews = true;
+    noteNews(task.worker);
   }
 }
 
@@ -152,6 +164,8 @@
     giveBack(slice, task);
   }
   slice.tasks.delete(task.task.taskId);
+  slice.ended.delete(task);
+  slice.untold.delete(task);
   task.worker.tasks.delete(task);
   const view = teamView(slice, task.task.team);
   if (view.homeEpoch === task.task.homeEpoch) {
--- a/packages/slice/src/telling.ts
+++ b/packages/slice/src/telling.ts
@@ -33,14 +33,22 @@
   slice.outbox.clear();
 }
 
-/** Tells homes of ends until they acknowledge them. */
+/** Tells homes again of ends that they have not acknowledged. */
+export function retellEnds(update: Update, slice: Slice): void {
+  for (const task of slice.ended) {
+    if (update.now - task.toldAt >= RETELL_MS) {
+      slice.untold.add(task);
+    }
+  }
+}
+
+/** Tells homes of ends that they have not been told of. */
 export function tellEnds(update: Update, slice: Slice): void {
   const byTeam = new Map<string, TaskEvent[]>();
-  for (const task of slice.tasks.values()) {
-    const isDue = task.phase === TaskPhase.Ended &&
-      update.now - task.toldAt >= RETELL_MS;
+  for (const task of slice.untold) {
     const home = slice.teams.get(task.task.team)?.homeNode ?? "";
-    if (isDue && home !== "") {
+    if (home !== "") {
+      slice.untold.delete(task);
       task.toldAt = update.now;
       const events = byTeam.get(task.task.team) ?? [];
       events.push(describeEnd(task));
--- a/packages/slice/src/workers.ts
+++ b/packages/slice/src/workers.ts
@@ -20,6 +20,7 @@
   TaskPhase,
 } from "@mustardweir/protocol";
 import {
+  noteNews,
   type Slice,
   type SliceTask,
   type Worker,
@@ -75,6 +76,7 @@
 }
 
 function settleCall(worker: Worker, { isPoll, sentAt }: SyncContext): void {
+  worker.touched.add(worker);
   if (isPoll && worker.pollSentAt === sentAt) {
     worker.pollSentAt = undefined;
   }
@@ -117,7 +119,7 @@
 function hear(update: Update, worker: Worker, synced: Synced): void {
   if (worker.state !== WorkerState.Reachable) {
     worker.state = WorkerState.Reachable;
-    worker.hasNews = true;
+    noteNews(worker);
   }
   if (worker.incarnation !== synced.incarnation) {
     worker.incarnation = synced.incarnation;
@@ -201,7 +203,7 @@
   for (const { taskId, refusal } of synced.refused) {
     const task = slice.tasks.get(taskId);
     if (refusal === StartRefusal.NoLease) {
-      worker.hasNews = true;
+      noteNews(worker);
     } else if (task !== undefined) {
       takeBackStart(task, DeclineReason.Refused);
     }
@@ -233,7 +235,7 @@
     if (task !== undefined && task.phase === TaskPhase.Ended) {
       removeTask(slice, task);
       task.worker.acks.add(taskId);
-      task.worker.hasNews = true;
+      noteNews(task.worker);
     }
   }
 }
