--- /dev/null
+++ b/packages/bench/src/loopback/loopback.ts
@@ -0,0 +1,260 @@
+import "./plugins.ts";
+import { type Command, createPlugins, Kernel, Role } from "@mustardweir/kernel";
+import { homeUnit, OWNED } from "@mustardweir/membership";
+import {
+  type Configuration,
+  instanceCapacity,
+  JobKind,
+  jobSpecSchema,
+  sliceFleet,
+} from "@mustardweir/model";
+import {
+  ALL_PEERS,
+  answerPayload,
+  EffectKind,
+  HomeCallKind,
+  type HomeReply,
+  NODE_IDENTITY,
+  type NodeEffect,
+  PEER_MESSAGE_RECEIVED,
+  type PeerMessage,
+  PeerMessageKind,
+  type ReplyTo,
+  StoreStatus,
+} from "@mustardweir/protocol";
+import { WorkerState } from "@mustardweir/worker";
+import { EventQueue } from "./event_queue.ts";
+import { InstantStore } from "./instant_store.ts";
+import { PolledWorker } from "./polled_worker.ts";
+
+/** Time that a message or call takes one way, in milliseconds. */
+const LATENCY_MS = 0.5;
+
+/** The node that calls come from. */
+const CALLER = "e1";
+
+/** How long a caller waits, in milliseconds. */
+const CALL_TTL_MS = 60_000;
+
+export interface LoopbackOptions {
+  readonly configuration: Configuration;
+  readonly seed: number;
+  /** Scheduler processes; 1 by default. */
+  readonly schedulers?: number;
+  /** Told of each event's processor time, in milliseconds. */
+  readonly onEvent?: (spentMs: number) => void;
+}
+
+export type JobRequest = Parameters<typeof jobSpecSchema.parse>[0] & object;
+
+/** Real scheduler kernels that share a queue of events with fake workers. */
+export class Loopback {
+  readonly queue = new EventQueue();
+  readonly store = new InstantStore();
+  readonly kernels = new Map<string, Kernel>();
+  readonly workers = new Map<string, PolledWorker>();
+  readonly counters = new Map<string, number>();
+  readonly replies = new Map<string, HomeReply>();
+  readonly #options: LoopbackOptions;
+  #calls = 0;
+
+  constructor(options: LoopbackOptions) {
+    this.#options = options;
+    this.store.configure(options.configuration);
+    for (const slice of sliceFleet(options.configuration.inventory)) {
+      for (const { spec } of slice.instances) {
+        const capacity = instanceCapacity(spec);
+        const state = new WorkerState({ capacity, incarnation: spec.id });
+        this.workers.set(spec.id, new PolledWorker(state, this.queue));
+      }
+    }
+    for (let index = 1; index <= (options.schedulers ?? 1); index++) {
+      this.#start(`s${index}`, index);
+    }
+  }
+
+  get now(): number {
+    return this.queue.now;
+  }
+
+  run(forMs: number): void {
+    this.queue.runUntil(this.now + forMs);
+  }
+
+  counter(name: string): number {
+    return this.counters.get(name) ?? 0;
+  }
+
+  /** Hands a job to the team's home; returns the id of the call. */
+  submit(team: string, job: JobRequest): string {
+    const spec = jobSpecSchema.parse(job);
+    const callId = `c${++this.#calls}`;
+    const idempotencyKey = callId;
+    this.#callHome(team, callId, {
+      kind: HomeCallKind.Submit,
+      idempotencyKey,
+      spec,
+    });
+    return callId;
+  }
+
+  cancel(team: string, jobId: string): void {
+    const callId = `c${++this.#calls}`;
+    this.#callHome(team, callId, { kind: HomeCallKind.Cancel, jobId });
+  }
+
+  /** Runs an event on a kernel. */
+  post<Payload>(
+    nodeId: string,
+    command: Command<Payload>,
+    payload: Payload,
+  ): void {
+    const kernel = this.kernels.get(nodeId);
+    if (kernel === undefined) {
+      return;
+    }
+    const before = performance.now();
+    const effects = kernel.run(command, payload, this.now);
+    this.#options.onEvent?.(performance.now() - before);
+    this.#perform(nodeId, effects as readonly NodeEffect[]);
+  }
+
+  #callHome(team: string, callId: string, call: never | object): void {
+    const unit = homeUnit(team);
+    for (const [nodeId, kernel] of this.kernels) {
+      if (kernel.read(OWNED).units.has(unit)) {
+        this.post(nodeId, PEER_MESSAGE_RECEIVED, {
+          from: CALLER,
+          message: {
+            kind: PeerMessageKind.HomeCall,
+            callId,
+            team,
+            keyId: "",
+            ttlMs: CALL_TTL_MS,
+            call,
+          } as PeerMessage,
+        });
+      }
+    }
+  }
+
+  #start(nodeId: string, index: number): void {
+    const zones = this.#options.configuration.inventory.availabilityZones;
+    const kernel = new Kernel({
+      plugins: createPlugins(Role.Scheduler),
+      seed: this.#options.seed + index,
+    });
+    kernel.registerService(NODE_IDENTITY, {
+      nodeId,
+      role: Role.Scheduler,
+      incarnation: nodeId,
+      availabilityZone: zones[index % zones.length]?.name ?? "",
+      seedPeers: this.#seedPeers(),
+    });
+    this.kernels.set(nodeId, kernel);
+    this.queue.after(index, () => this.#advance(nodeId));
+  }
+
+  #seedPeers() {
+    const count = this.#options.schedulers ?? 1;
+    return Array.from({ length: count }, (_, index) => ({
+      nodeId: `s${index + 1}`,
+      address: `s${index + 1}:1`,
+    }));
+  }
+
+  #advance(nodeId: string): void {
+    const kernel = this.kernels.get(nodeId)!;
+    const before = performance.now();
+    const effects = kernel.advance(this.now);
+    if (effects.length > 0) {
+      this.#options.onEvent?.(performance.now() - before);
+    }
+    this.#perform(nodeId, effects as readonly NodeEffect[]);
+    const delayMs = Math.max(kernel.nextDue(this.now) - this.now, 1);
+    this.queue.after(delayMs, () => this.#advance(nodeId));
+  }
+
+  #perform(nodeId: string, effects: readonly NodeEffect[]): void {
+    for (const effect of effects) {
+      this.#performOne(nodeId, effect);
+    }
+  }
+
+  #performOne(nodeId: string, effect: NodeEffect): void {
+    switch (effect.kind) {
+      case EffectKind.SendPeer:
+        this.#send(nodeId, effect.to, effect.message);
+        break;
+      case EffectKind.SyncTarget:
+        this.queue.after(LATENCY_MS, () => {
+          const worker = this.workers.get(effect.instanceId);
+          worker?.sync(
+            effect.call,
+            (result) => this.#reply(nodeId, effect.replyTo, result),
+          );
+        });
+        break;
+      case EffectKind.ScanTable:
+        this.#reply(nodeId, effect.replyTo, this.store.scan(effect));
+        break;
+      case EffectKind.CommitTable:
+        this.#reply(
+          nodeId,
+          effect.replyTo,
+          this.store.commit(effect.transaction),
+        );
+        break;
+      case EffectKind.GetObject:
+        this.#reply(nodeId, effect.replyTo, this.store.getObject(effect.key));
+        break;
+      case EffectKind.ListInstances:
+        this.#reply(nodeId, effect.replyTo, {
+          status: StoreStatus.Ok,
+          instances: [],
+        });
+        break;
+      case EffectKind.Count:
+        this.counters.set(
+          effect.counter,
+          this.counter(effect.counter) + effect.by,
+        );
+        break;
+      default:
+        break;
+    }
+  }
+
+  #send(from: string, to: string, message: PeerMessage): void {
+    if (message.kind === PeerMessageKind.HomeReply) {
+      this.replies.set(message.callId, message);
+      return;
+    }
+    const receivers = to === ALL_PEERS
+      ? [...this.kernels.keys()].filter((nodeId) => nodeId !== from)
+      : [to];
+    for (const receiver of receivers) {
+      this.queue.after(
+        receiver === from ? 0 : LATENCY_MS,
+        () => this.post(receiver, PEER_MESSAGE_RECEIVED, { from, message }),
+      );
+    }
+  }
+
+  #reply<Result>(
+    nodeId: string,
+    replyTo: ReplyTo<Result>,
+    result: Result,
+  ): void {
+    this.queue.after(LATENCY_MS, () => {
+      this.post(nodeId, replyTo.command, answerPayload(replyTo, result));
+    });
+  }
+}
+
+/** A batch job of one small task, for workloads that build on it. */
+export const SMALL_BATCH: JobRequest = {
+  kind: JobKind.Batch,
+  cpu: 1,
+  memoryMb: 256,
+};
--- /dev/null
+++ b/packages/bench/src/loopback/plugins.ts
@@ -0,0 +1,9 @@
+/** Registers the plug-ins of schedulers, as their binary does. */
+import "@mustardweir/configuration";
+import "@mustardweir/membership";
+import "@mustardweir/journal";
+import "@mustardweir/placement";
+import "@mustardweir/fairness";
+import "@mustardweir/quarantine";
+import "@mustardweir/slice";
+import "@mustardweir/home";
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -3,6 +3,7 @@
 import "./placement_benchmark.ts";
 import "./shares_benchmark.ts";
 import "./quarantine_benchmark.ts";
+import "./throughput_benchmark.ts";
 import {
   type Benchmark,
   benchmarkNames,
