Let successors with reserved epochs renew leases in an outage

Cause: a scheduler that died while the table was down took the work of its slices with it: nobody could take over, so no lease was renewed and all tasks stopped after 8 s. Change: ownership rows of slices name ranked successors with reserved epochs; in an outage the first in reach of a majority takes over without a write, and the row catches up afterwards.

--- a/packages/home/src/calls.ts
+++ b/packages/home/src/calls.ts
@@ -1,6 +1,6 @@
 import type { Update } from "@mustardweir/kernel";
 import { isJournalStuck, JournalRecordKind } from "@mustardweir/journal";
-import { homeUnit, resolveOwner } from "@mustardweir/membership";
+import { FIRST_EPOCH, homeUnit, resolveOwner } from "@mustardweir/membership";
 import {
   EndReason,
   JobKind,
@@ -38,9 +38,6 @@
 /** Most jobs of a team that have not ended; more are refused. */
 const MAX_LIVE_JOBS = 100_000;
 
-/** Epoch of the first owner of a home. */
-const FIRST_EPOCH = 1;
-
 /** Callers repeat a request within this time, in milliseconds. */
 const REPEAT_WINDOW_MS = 10 * 60 * 1_000;
 
--- a/packages/membership/src/claim_plugin.ts
+++ b/packages/membership/src/claim_plugin.ts
@@ -12,7 +12,8 @@
   PeerMessageKind,
   STOP_REQUESTED,
 } from "@mustardweir/protocol";
-import { CLAIM_ANSWERED, claimUnits, settleClaim } from "./claiming.ts";
+import { CLAIM_ANSWERED } from "./claim_answered.ts";
+import { claimUnits, settleClaim } from "./claiming.ts";
 import { CLAIMS } from "./claim_state.ts";
 import {
   CLAIMS_SUPERSEDED,
--- a/packages/membership/src/claiming.ts
+++ b/packages/membership/src/claiming.ts
@@ -1,8 +1,7 @@
-import { createCommand, type Update } from "@mustardweir/kernel";
+import type { Update } from "@mustardweir/kernel";
 import { CONFIGURATION } from "@mustardweir/configuration";
 import { type Configuration, sliceFleet } from "@mustardweir/model";
 import {
-  type Answered,
   type CommitResult,
   count,
   NODE_IDENTITY,
@@ -18,7 +17,10 @@
   trackAlive,
 } from "./claim_state.ts";
 import { isStopping } from "./heartbeat_plugin.ts";
-import { OWNED } from "./owned.ts";
+import { CLAIM_ANSWERED, type ClaimContext } from "./claim_answered.ts";
+import { newestEpochs } from "./claims.ts";
+import { nextEpoch } from "./epochs.ts";
+import { OWNED, resolveOwner } from "./owned.ts";
 import { acquire } from "./owned_units.ts";
 import {
   homeUnit,
@@ -30,23 +32,18 @@
 import { PEER_TIMEOUT_MS } from "./peers.ts";
 import { type Candidate, rankCandidates } from "./rendezvous.ts";
 import { finishStop } from "./releasing.ts";
+import {
+  nameSuccessors,
+  recordSuccessions,
+  succeedSilentOwners,
+} from "./succession.ts";
+
+/** A table that was not read for this long is taken to be down. */
+const BLIND_AFTER_MS = 3_000;
 
 /** Most claims in flight at a time. */
 const MAX_CLAIMS_IN_FLIGHT = 16;
 
-export interface ClaimContext {
-  readonly unit: string;
-  readonly row: OwnershipRow;
-  readonly version: number;
-  readonly isFirstOwner: boolean;
-}
-
-export const CLAIM_ANSWERED = createCommand<
-  Answered<ClaimContext, CommitResult>
->(
-  "claim-answered",
-);
-
 /** Claims the units that have no living owner and that rank this node first. */
 export function claimUnits(update: Update): void {
   const claims = update.write(CLAIMS);
@@ -58,16 +55,23 @@
   }
   const hasListened = update.now - claims.startedAt >= PEER_TIMEOUT_MS;
   const { scannedAt } = update.read(OWNERSHIP);
-  if (!hasListened || update.now - scannedAt > PEER_TIMEOUT_MS) {
+  if (!hasListened) {
+    return;
+  }
+  if (update.now - scannedAt > BLIND_AFTER_MS) {
+    succeedSilentOwners(update);
+  }
+  if (update.now - scannedAt > PEER_TIMEOUT_MS) {
     return;
   }
+  recordSuccessions(update, claims);
   const candidates = listCandidates(update);
   for (const needed of neededUnits(update, claims)) {
     if (claims.inFlight.size >= MAX_CLAIMS_IN_FLIGHT) {
       return;
     }
     if (shouldClaim(update, claims, { needed, candidates })) {
-      claim(update, claims, needed.unit);
+      claim(update, claims, needed);
     }
   }
 }
@@ -87,7 +91,7 @@
     return false;
   }
   const { nodeId } = update.service(NODE_IDENTITY);
-  const owner = update.read(OWNERSHIP).rows.get(unit)?.row.owner ?? "";
+  const owner = resolveOwner(update, unit)?.nodeId ?? "";
   if (owner === nodeId) {
     return true; // An earlier process of this node owned it.
   }
@@ -97,13 +101,19 @@
   return rankCandidates(candidates, needed)[0]?.nodeId === nodeId;
 }
 
-function claim(update: Update, claims: ClaimState, unit: string): void {
+function claim(
+  update: Update,
+  claims: ClaimState,
+  needed: NeededUnit,
+): void {
+  const { unit } = needed;
   const { nodeId } = update.service(NODE_IDENTITY);
   const known = update.read(OWNERSHIP).rows.get(unit);
+  const epoch = nextEpoch(newestEpochs(update).get(unit) ?? 0);
   const row: OwnershipRow = {
     owner: nodeId,
-    epoch: (known?.row.epoch ?? 0) + 1,
-    successors: [],
+    epoch,
+    successors: nameSuccessors(update, needed, epoch),
   };
   const version = known?.version ?? 0;
   claims.inFlight.add(unit);
@@ -136,6 +146,18 @@
     return; // Taken over already.
   }
   rows.set(unit, { row, version });
+  const owned = update.write(OWNED).units.get(unit);
+  if (owned !== undefined && owned.epoch === row.epoch) {
+    const { acquiredAt } = owned; // The row has caught up with a succession.
+    const epoch = row.epoch;
+    update.write(OWNED).units.set(unit, {
+      epoch,
+      version,
+      acquiredAt,
+      isFirstOwner,
+    });
+    return;
+  }
   acquire(update, unit, {
     epoch: row.epoch,
     version,
--- a/packages/membership/src/mod.ts
+++ b/packages/membership/src/mod.ts
@@ -1,5 +1,6 @@
 export * from "./claim_plugin.ts";
 export * from "./confirmation_plugin.ts";
+export { FIRST_EPOCH } from "./epochs.ts";
 export * from "./follower_plugin.ts";
 export * from "./heartbeat_plugin.ts";
 export * from "./owned.ts";
--- a/packages/membership/src/owned.ts
+++ b/packages/membership/src/owned.ts
@@ -14,6 +14,8 @@
   readonly acquiredAt: number;
   /** True when no owner came before, so nothing has to be recovered. */
   readonly isFirstOwner: boolean;
+  /** True while the row doesn't show this owner yet. */
+  readonly isReserved?: boolean;
 }
 
 export interface OwnedState {
--- a/packages/membership/src/owned_units.ts
+++ b/packages/membership/src/owned_units.ts
@@ -32,7 +32,8 @@
     return;
   }
   const { nodeId } = update.service(NODE_IDENTITY);
-  if (row.epoch > owned.epoch || row.owner !== nodeId) {
+  const isOther = row.epoch === owned.epoch && row.owner !== nodeId;
+  if (row.epoch > owned.epoch || isOther) {
     lose(update, unit);
   }
 }
--- a/packages/membership/src/ownership.ts
+++ b/packages/membership/src/ownership.ts
@@ -41,9 +41,12 @@
   return `home/${team}`;
 }
 
+/** What the units of slices begin with. */
+export const SLICE_UNIT_PREFIX = "slice/";
+
 /** The unit of a slice. */
 export function sliceUnit(sliceId: string): string {
-  return `slice/${sliceId}`;
+  return `${SLICE_UNIT_PREFIX}${sliceId}`;
 }
 
 /**
--- /dev/null
+++ b/packages/membership/src/succession_test.ts
@@ -0,0 +1,188 @@
+import { expect } from "chai";
+import { nextEpoch, reservedEpoch } from "./epochs.ts";
+import { Kernel, Role } from "@mustardweir/kernel";
+import { CONFIGURATION, ConfigurationPlugin } from "@mustardweir/configuration";
+import {
+  EffectKind,
+  type Heartbeat,
+  NODE_IDENTITY,
+  type NodeEffect,
+  PEER_MESSAGE_RECEIVED,
+  PeerMessageKind,
+} from "@mustardweir/protocol";
+import {
+  ClaimPlugin,
+  ConfirmationPlugin,
+  HeartbeatPlugin,
+  OWNED,
+  OWNERSHIP,
+  OwnershipFollowerPlugin,
+  sliceUnit,
+  VouchPlugin,
+} from "./mod.ts";
+
+const UNIT = sliceUnit("tx-a/0");
+
+/** Time between looks of a node that is driven by hand, in milliseconds. */
+const STEP_MS = 250;
+
+const EPOCH_CASES = [
+  { name: "the first owner", actual: nextEpoch(0), expected: 8 },
+  { name: "a first successor", actual: reservedEpoch(8, 1), expected: 17 },
+  { name: "a last successor", actual: reservedEpoch(8, 7), expected: 23 },
+  {
+    name: "a write after an owner is above its successors",
+    actual: nextEpoch(8),
+    expected: 24,
+  },
+  {
+    name: "a write after a successor is above that one's successors",
+    actual: nextEpoch(17),
+    expected: 32,
+  },
+] as const;
+
+/** One scheduler of three; `s2` owns the slice and `s3` is its peer. */
+class Successor {
+  readonly kernel = new Kernel({
+    plugins: [
+      new ConfigurationPlugin(),
+      new OwnershipFollowerPlugin(),
+      new HeartbeatPlugin(),
+      new VouchPlugin(),
+      new ConfirmationPlugin(),
+      new ClaimPlugin(),
+    ],
+  });
+  now = 0;
+
+  constructor(successors: readonly string[]) {
+    this.kernel.registerService(NODE_IDENTITY, {
+      nodeId: "s1",
+      role: Role.Scheduler,
+      incarnation: "s1-1",
+      availabilityZone: "tx-a",
+      seedPeers: ["s2", "s3"].map((nodeId) => ({ nodeId, address: "x:1" })),
+    });
+    this.kernel.update(0, (update) => {
+      update.write(OWNERSHIP).rows.set(UNIT, {
+        row: {
+          owner: "s2",
+          epoch: 8,
+          successors: successors.map((nodeId, index) => ({
+            nodeId,
+            epoch: reservedEpoch(8, index + 1),
+          })),
+        },
+        version: 1,
+      });
+      update.write(CONFIGURATION).confirmedAt = 0;
+    });
+  }
+
+  /** Lets time pass in an outage, with heartbeats of the `alive` peers. */
+  pass(ms: number, alive: readonly string[]): NodeEffect[] {
+    const effects: NodeEffect[] = [];
+    const until = this.now + ms;
+    while (this.now < until) {
+      this.now += STEP_MS;
+      for (const nodeId of alive) {
+        this.#hear(nodeId);
+      }
+      this.kernel.update(this.now, (update) => {
+        if (alive.includes("s3")) {
+          update.write(OWNED).confirmedAt = this.now;
+        }
+      });
+      effects.push(...this.kernel.advance(this.now) as NodeEffect[]);
+    }
+    return effects;
+  }
+
+  get epoch(): number | undefined {
+    return this.kernel.read(OWNED).units.get(UNIT)?.epoch;
+  }
+
+  #hear(nodeId: string): void {
+    const heartbeat: Heartbeat = {
+      kind: PeerMessageKind.Heartbeat,
+      nodeId,
+      incarnation: `${nodeId}-1`,
+      availabilityZone: "tx-b",
+      configurationVersion: 0,
+      stopping: false,
+      owned: nodeId === "s2" ? [{ unit: UNIT, epoch: 8 }] : [],
+      superseded: [],
+      slices: [],
+      usage: [],
+    };
+    const payload = { from: nodeId, message: heartbeat };
+    this.kernel.run(PEER_MESSAGE_RECEIVED, payload, this.now);
+  }
+}
+
+const SUCCESSION_CASES = [
+  {
+    name: "a living owner is left alone",
+    successors: ["s1", "s3"],
+    act: (node: Successor) => node.pass(12_000, ["s2", "s3"]),
+    expected: undefined,
+  },
+  {
+    name: "the first successor of a silent owner takes over",
+    successors: ["s1", "s3"],
+    act: (node: Successor) => node.pass(6_000, ["s3"]),
+    expected: 17,
+  },
+  {
+    name: "a later successor waits for the one before it",
+    successors: ["s3", "s1"],
+    act: (node: Successor) => node.pass(12_000, ["s3"]),
+    expected: undefined,
+  },
+  {
+    name: "nobody takes over without a majority",
+    successors: ["s1", "s3"],
+    act: (node: Successor) => node.pass(12_000, []),
+    expected: undefined,
+  },
+  {
+    name: "a node that is not named does not take over",
+    successors: ["s3"],
+    act: (node: Successor) => node.pass(12_000, ["s3"]),
+    expected: undefined,
+  },
+] as const;
+
+describe("Epochs", () => {
+  for (const { name, actual, expected } of EPOCH_CASES) {
+    it(name, () => expect(actual).to.equal(expected));
+  }
+});
+
+describe("Succession in an outage of the table", () => {
+  for (const { name, successors, act, expected } of SUCCESSION_CASES) {
+    it(name, () => {
+      const node = new Successor(successors);
+      act(node);
+      expect(node.epoch).to.equal(expected);
+    });
+  }
+
+  it("writes the row when the table is back", () => {
+    const node = new Successor(["s1", "s3"]);
+    node.pass(6_000, ["s3"]);
+    node.kernel.update(node.now, (update) => {
+      update.write(OWNERSHIP).scannedAt = node.now;
+    });
+    const effects = node.pass(STEP_MS, ["s3"]);
+    const rows = effects.flatMap((effect) =>
+      effect.kind === EffectKind.CommitTable
+        ? effect.transaction.puts.map((put) => JSON.parse(put.value))
+        : []
+    );
+    expect(rows.map(({ owner, epoch }) => ({ owner, epoch }))).to.deep.equal([
+      { owner: "s1", epoch: 17 },
+    ]);
+  });
+});
