Make a scheduler's burn record cheap; mend the report's plots

Cause: adding up histograms of 200 parts of time took a scheduler 90 ms for two busy series, in the loop that also grants leases; anyone with a key could ask for it at will; in the browser the last column was cut off, the highest bar hid its label and the oldest bars lay over each other. Ruled out: packed histograms (they are what was slow), dense ones (73 MB for 60 series). Change: parts of time keep sparse counts by histogram value and become a histogram only once a window is told; points of plots are counts; an entry asks at most once a second.

--- a/packages/burn/src/burn_test.ts
+++ b/packages/burn/src/burn_test.ts
@@ -52,6 +52,11 @@
   readonly #kernel = new Kernel({ plugins: [new BurnRecorderPlugin()] });
   now = 0;
 
+  constructor() {
+    const current = { ...EMPTY_CONFIGURATION, version: 4, rules: RULES };
+    this.#kernel.registerState(CONFIGURATION, { current, confirmedAt: 0 });
+  }
+
   accept(jobId: string): void {
     this.#kernel.run(WORK_ACCEPTED, workOf(jobId), this.now);
   }
@@ -138,25 +143,27 @@
 
   /** Asks; returns whom the entry asked. */
   ask(team?: string): string[] {
-    const effects = this.#kernel.run(COLLECT_BURN, {
-      team,
-      replyTo: replyTo(COLLECTED, "r"),
-    }, this.now) as NodeEffect[];
-    return effects.flatMap((effect) =>
-      effect.kind === EffectKind.SendPeer ? [effect.to] : []
-    );
+    const request = { team, replyTo: replyTo(COLLECTED, "r") };
+    return askedIn(this.#kernel.run(COLLECT_BURN, request, this.now));
   }
 
   hear(from: string, message: BurnRecord): void {
     this.#kernel.run(PEER_MESSAGE_RECEIVED, { from, message }, this.now);
   }
 
-  wait(ms: number): void {
+  /** Lets time pass; returns whom the entry asked. */
+  wait(ms: number): string[] {
     this.now += ms;
-    this.#kernel.advance(this.now);
+    return askedIn(this.#kernel.advance(this.now));
   }
 }
 
+function askedIn(effects: readonly unknown[]): string[] {
+  return (effects as readonly NodeEffect[]).flatMap((effect) =>
+    effect.kind === EffectKind.SendPeer ? [effect.to] : []
+  );
+}
+
 const REQUEST_ID = "e1/i/1";
 
 function windowOf(report: BurnReport, window: BurnWindow) {
@@ -349,6 +356,17 @@
     });
   }
 
+  it("asks the schedulers once for many requests", () => {
+    const collector = new Collector({ s1: 0 });
+    const asked = [1, 2, 3].flatMap(() => collector.ask());
+    collector.hear("s1", new Recorder().record(REQUEST_ID));
+    expect(collector.ask()).to.deep.equal([]);
+    expect([asked, collector.reports.length]).to.deep.equal([["s1"], 3]);
+    expect(collector.wait(1_000)).to.deep.equal(["s1"]);
+    collector.wait(2_100);
+    expect(collector.reports.length).to.equal(4);
+  });
+
   it("shows a submitter its own team only", () => {
     const collector = new Collector({});
     collector.ask("ledger");
--- a/packages/burn/src/collector_plugin.ts
+++ b/packages/burn/src/collector_plugin.ts
@@ -30,6 +30,9 @@
 /** Longest wait for the records of the schedulers, in milliseconds. */
 export const COLLECT_TIMEOUT_MS = 2_000;
 
+/** Least time between two rounds of asking, in milliseconds. */
+const MIN_PAUSE_MS = 1_000;
+
 /** Time between looks at collections that took too long, in milliseconds. */
 const DRIVE_INTERVAL_MS = 100;
 
@@ -54,6 +57,10 @@
 
 interface CollectorState {
   nextId: number;
+  /** When the schedulers may be asked again. */
+  nextAt: number;
+  /** Requests that wait for the next round. */
+  waiting: CollectRequest[];
   collection?: Collection;
 }
 
@@ -66,7 +73,11 @@
   override register(kernel: Kernel): Undo {
     const { Normal } = CommandPriority;
     return mergeUndo(
-      kernel.registerState(COLLECTOR, { nextId: 1 }),
+      kernel.registerState(COLLECTOR, {
+        nextId: 1,
+        nextAt: -Infinity,
+        waiting: [],
+      }),
       kernel.registerCommand(COLLECT_BURN, onCollect, Normal),
       kernel.registerCommand(
         PEER_MESSAGE_RECEIVED,
@@ -94,13 +105,24 @@
     state.collection.requests.push(request);
     return;
   }
+  state.waiting.push(request);
+  startWhenDue(update);
+}
+
+/** Asks the schedulers, which is not done more often than they can bear. */
+function startWhenDue(update: Update): void {
+  const state = update.write(COLLECTOR);
+  if (state.waiting.length === 0 || update.now < state.nextAt) {
+    return;
+  }
+  state.nextAt = update.now + MIN_PAUSE_MS;
   const { nodeId, incarnation } = update.service(NODE_IDENTITY);
   const requestId = `${nodeId}/${incarnation}/${state.nextId++}`;
   const alive = alivePeers(update.read(PEERS), update.now);
   state.collection = {
     requestId,
     expiresAt: update.now + COLLECT_TIMEOUT_MS,
-    requests: [request],
+    requests: state.waiting.splice(0),
     awaited: new Set(alive.map(({ heartbeat }) => heartbeat.nodeId)),
     records: new Map(),
   };
@@ -130,6 +152,8 @@
   const { collection } = update.read(COLLECTOR);
   if (collection !== undefined && update.now >= collection.expiresAt) {
     finish(update, collection);
+  } else if (collection === undefined) {
+    startWhenDue(update);
   }
 }
 
--- a/packages/burn/src/figures_test.ts
+++ b/packages/burn/src/figures_test.ts
@@ -1,5 +1,6 @@
 import { BurnAlert, BurnWindow } from "@mustardweir/protocol";
 import { expect } from "chai";
+import { WaitCounts } from "./recorder/mod.ts";
 import {
   alertOf,
   budgetLeft,
@@ -30,6 +31,10 @@
       const recorded = new Waits();
       waits.forEach((wait) => recorded.record(wait));
       const decoded = decodeWaits(recorded.encode())._unsafeUnwrap();
+      const counts = new WaitCounts();
+      waits.forEach((wait) => counts.record(wait));
+      expect(counts.total).to.equal(waits.length);
+      expect(counts.countWithin(limitMs)).to.equal(within);
       for (const histogram of [recorded, decoded]) {
         expect(histogram.count).to.equal(waits.length);
         expect(histogram.countWithin(limitMs)).to.equal(within);
--- a/packages/burn/src/merge.ts
+++ b/packages/burn/src/merge.ts
@@ -3,7 +3,6 @@
   type BurnFigures,
   type BurnPoint,
   type BurnRecord,
-  type BurnRecordPoint,
   type BurnRecordSeries,
   type BurnSeries,
   type BurnSpan,
@@ -12,6 +11,7 @@
 } from "@mustardweir/protocol";
 import { alertOf, budgetLeft, burnRate } from "./burn_rate.ts";
 import { coveredPart } from "./coverage.ts";
+import { findObjective, type SeriesName } from "./objectives.ts";
 import { decodeWaits, Waits } from "./waits.ts";
 import { WINDOWS } from "./windows.ts";
 
@@ -24,11 +24,6 @@
   readonly team?: string;
 }
 
-interface SeriesName {
-  readonly team: string;
-  readonly kind: JobKind;
-}
-
 type Objective = NonNullable<BurnSeries["objective"]>;
 
 /** What all schedulers told of one series. */
@@ -52,17 +47,16 @@
   return seriesNames(options).map(({ team, kind }) => {
     const parts = records.flatMap((record) => record.series)
       .filter((part) => part.team === team && part.kind === kind);
-    const objective = findObjective(options.rules, { team, kind });
+    const objective = objectiveOf(options.rules, { team, kind });
     return mergeSeries({ team, kind }, { parts, spans, objective });
   });
 }
 
 /** True when every histogram of a record can be read. */
 export function isReadable(record: BurnRecord): boolean {
-  const texts = record.series.flatMap(({ waiting, windows, points }) => [
+  const texts = record.series.flatMap(({ waiting, windows }) => [
     waiting,
     ...windows.map(({ waits }) => waits),
-    ...points.map(({ waits }) => waits),
   ]);
   return texts.every((text) => decodeWaits(text).isOk());
 }
@@ -83,11 +77,8 @@
     .filter((name) => team === undefined || name.team === team);
 }
 
-function findObjective(
-  { objectives }: Rules,
-  { team, kind }: SeriesName,
-): Objective | undefined {
-  const found = objectives.find((o) => o.team === team && o.kind === kind);
+function objectiveOf(rules: Rules, name: SeriesName): Objective | undefined {
+  const found = findObjective(rules, name);
   return found &&
     { startWithinMs: found.startWithinMs, target: found.target };
 }
@@ -103,7 +94,7 @@
     windows,
     budgetLeft: budgetLeft(windows),
     alert: alertOf(windows),
-    points: mergePoints(parts.flatMap((part) => part.points), objective),
+    points: mergePoints(parts.flatMap((part) => part.points)),
   };
 }
 
@@ -134,33 +125,26 @@
 }
 
 /** Points of schedulers whose parts of time nearly agree are added up. */
-function mergePoints(
-  points: readonly BurnRecordPoint[],
-  objective: Objective | undefined,
-): BurnPoint[] {
-  const groups = new Map<string, BurnRecordPoint[]>();
+function mergePoints(points: readonly BurnPoint[]): BurnPoint[] {
+  const groups = new Map<string, BurnPoint>();
   for (const point of points) {
     const { ageMs, widthMs } = point;
     const name = `${widthMs}/${Math.round(ageMs / widthMs)}`;
-    groups.set(name, [...groups.get(name) ?? [], point]);
+    const known = groups.get(name);
+    groups.set(name, known === undefined ? point : addPoints(known, point));
   }
-  return [...groups.values()].map((group) => mergePoint(group, objective))
+  return [...groups.values()]
     .sort((a, b) => b.widthMs - a.widthMs || b.ageMs - a.ageMs);
 }
 
-function mergePoint(
-  group: readonly BurnRecordPoint[],
-  objective: Objective | undefined,
-): BurnPoint {
-  const waits = sumWaits(group.map((point) => point.waits));
-  const inTime = waits.countWithin(objective?.startWithinMs ?? Infinity);
+function addPoints(a: BurnPoint, b: BurnPoint): BurnPoint {
   return {
-    ageMs: Math.min(...group.map(({ ageMs }) => ageMs)),
-    widthMs: group[0]?.widthMs ?? 0,
-    accepted: group.reduce((sum, { accepted }) => sum + accepted, 0),
-    inTime,
-    late: waits.count - inTime,
-    p99Ms: waits.quantile(0.99),
+    ageMs: Math.min(a.ageMs, b.ageMs),
+    widthMs: a.widthMs,
+    accepted: a.accepted + b.accepted,
+    inTime: a.inTime + b.inTime,
+    late: a.late + b.late,
+    p99Ms: Math.max(a.p99Ms, b.p99Ms),
   };
 }
 
--- a/packages/burn/src/recorder/recorder_plugin.ts
+++ b/packages/burn/src/recorder/recorder_plugin.ts
@@ -1,3 +1,4 @@
+import { CONFIGURATION } from "@mustardweir/configuration";
 import {
   CommandPriority,
   createStateKey,
@@ -26,6 +27,7 @@
 } from "@mustardweir/protocol";
 import { Waits } from "../waits.ts";
 import { BUDGET_WINDOW, WINDOWS } from "../windows.ts";
+import { limitOf } from "../objectives.ts";
 import { SeriesRecord } from "./series_record.ts";
 import { classifyEnd, type Tally } from "./tally.ts";
 
@@ -193,6 +195,7 @@
 
 function describeSeries(update: Update): BurnRecordSeries[] {
   const { series, open } = update.read(BURN);
+  const { rules } = update.read(CONFIGURATION).current;
   const waiting = new Map<string, Waits>();
   for (const { team, kind, acceptedAt } of open.values()) {
     const name = `${team}/${kind}`;
@@ -205,7 +208,7 @@
     kind,
     windows: record.windows(update.now),
     waiting: waiting.get(name)?.encode() ?? "",
-    points: record.points(update.now),
+    points: record.points(update.now, limitOf(rules, { team, kind })),
   }));
 }
 
--- a/packages/burn/src/recorder/series_record.ts
+++ b/packages/burn/src/recorder/series_record.ts
@@ -1,10 +1,11 @@
 import {
-  type BurnRecordPoint,
+  type BurnPoint,
   type BurnRecordWindow,
   BurnWindow,
 } from "@mustardweir/protocol";
+import { Waits } from "../waits.ts";
 import { partsOf, Tier, TIERS, WINDOWS } from "../windows.ts";
-import { Tally } from "./tally.ts";
+import { addCounts, NO_WORK, Tally } from "./tally.ts";
 
 /** The work of one team and kind by parts of time. */
 export class SeriesRecord {
@@ -38,35 +39,40 @@
 
   windows(now: number): BurnRecordWindow[] {
     return Object.values(BurnWindow).map((window) => {
-      const tally = this.#sum(window, now);
-      return { window, ...tally.counts, waits: tally.waits.encode() };
+      const parts = this.#partsWithin(window, now);
+      const waits = new Waits();
+      parts.forEach((part) => part.waits.addTo(waits));
+      const counts = parts.map((part) => part.counts)
+        .reduce(addCounts, NO_WORK);
+      return { window, ...counts, waits: waits.encode() };
     });
   }
 
-  /** The parts of both tiers, oldest first. */
-  points(now: number): BurnRecordPoint[] {
+  /** The parts of both tiers; work is in time up to a wait of `limitMs`. */
+  points(now: number, limitMs: number): BurnPoint[] {
     return Object.values(Tier).flatMap((tier) => {
       const { widthMs } = TIERS[tier];
       const parts = [...this.#parts[tier]].sort(([a], [b]) => a - b);
-      return parts.map(([index, { counts, waits }]) => ({
-        ageMs: Math.max(0, Math.round(now - (index + 1) * widthMs)),
-        widthMs,
-        accepted: counts.accepted,
-        waits: waits.encode(),
-      }));
+      return parts.map(([index, { counts, waits }]) => {
+        const inTime = waits.countWithin(limitMs);
+        return {
+          ageMs: Math.max(0, Math.round(now - (index + 1) * widthMs)),
+          widthMs,
+          accepted: counts.accepted,
+          inTime,
+          late: waits.total - inTime,
+          p99Ms: waits.quantile(0.99),
+        };
+      });
     });
   }
 
-  #sum(window: BurnWindow, now: number): Tally {
+  #partsWithin(window: BurnWindow, now: number): Tally[] {
     const { tier } = WINDOWS[window];
-    const newest = indexOf(tier, now);
-    const sum = new Tally();
-    for (const [index, tally] of this.#parts[tier]) {
-      if (index > newest - partsOf(window)) {
-        sum.add(tally);
-      }
-    }
-    return sum;
+    const oldest = indexOf(tier, now) - partsOf(window);
+    return [...this.#parts[tier]]
+      .filter(([index]) => index > oldest)
+      .map(([, tally]) => tally);
   }
 
   #partAt(tier: Tier, now: number): Tally {
--- a/packages/burn/src/recorder/tally.ts
+++ b/packages/burn/src/recorder/tally.ts
@@ -1,10 +1,10 @@
 import { EndReason, Outcome } from "@mustardweir/model";
 import type { WorkCounts } from "@mustardweir/protocol";
-import { Waits } from "../waits.ts";
+import { WaitCounts } from "./wait_counts.ts";
 
 type Counted = keyof WorkCounts;
 
-const NO_WORK: WorkCounts = {
+export const NO_WORK: WorkCounts = {
   accepted: 0,
   completed: 0,
   failed: 0,
@@ -14,25 +14,25 @@
   unmeasured: 0,
 };
 
-/** Counts and waits of one part of time, or of several added up. */
+/** Counts and waits of one part of time. */
 export class Tally {
-  readonly waits = new Waits();
+  readonly waits = new WaitCounts();
   #counts = NO_WORK;
 
   get counts(): WorkCounts {
     return this.#counts;
   }
 
-  count(what: Counted, by = 1): void {
-    this.#counts = { ...this.#counts, [what]: this.#counts[what] + by };
+  count(what: Counted): void {
+    this.#counts = { ...this.#counts, [what]: this.#counts[what] + 1 };
   }
+}
 
-  add(other: Tally): void {
-    for (const what of Object.keys(NO_WORK) as Counted[]) {
-      this.count(what, other.counts[what]);
-    }
-    this.waits.add(other.waits);
-  }
+/** Adds counts up. */
+export function addCounts(a: WorkCounts, b: WorkCounts): WorkCounts {
+  const names = Object.keys(NO_WORK) as Counted[];
+  const sums = names.map((what) => [what, a[what] + b[what]] as const);
+  return Object.fromEntries(sums) as unknown as WorkCounts;
 }
 
 /** Which count the end of a job belongs to. */
--- a/packages/burn/src/render/html.ts
+++ b/packages/burn/src/render/html.ts
@@ -11,12 +11,12 @@
 
 const STYLE = `
 body { font: 15px/1.5 system-ui, sans-serif; margin: 2rem auto;
-  max-width: 60rem; padding: 0 1rem; color: #222; background: #fff; }
+  max-width: 68rem; padding: 0 1rem; color: #222; background: #fff; }
 h2 { font-size: 1.1rem; margin-top: 2rem; }
 h3 { font-size: .95rem; font-weight: normal; margin: 1rem 0 .2rem; }
 .table { overflow-x: auto; }
 table { border-collapse: collapse; font-variant-numeric: tabular-nums; }
-th, td { padding: .15rem .6rem; text-align: right; white-space: nowrap; }
+th, td { padding: .15rem .5rem; text-align: right; white-space: nowrap; }
 th { font-size: .75rem; border-bottom: 1px solid #999; }
 svg { width: 100%; height: auto; }
 svg text { font-size: 11px; fill: #555; }
@@ -24,6 +24,11 @@
 .axis { stroke: #999; }
 .in-time { fill: #2a7f9e; }
 .late { fill: #c0392b; }
+.key::before { content: ""; display: inline-block; width: .8em; height: .8em;
+  margin-right: .4em; background: currentColor; }
+.key { margin-right: 1.5em; }
+.key-in-time { color: #2a7f9e; }
+.key-late { color: #c0392b; }
 .alert-fast { color: #c0392b; }
 .alert-slow { color: #a86400; }
 .missing { border-left: 4px solid #a86400; padding-left: 1rem; }
@@ -64,6 +69,8 @@
       escapeHtml(report.schedulers.join(", ") || "no scheduler")
     }.</p>`,
     renderMissing(report),
+    '<p><span class="key key-in-time">started in time</span>',
+    '<span class="key key-late">started late</span></p>',
     ...report.series.map((series) => renderSeries(report, series)),
     "</body></html>",
   ].join("\n");
--- a/packages/burn/src/render/plot.ts
+++ b/packages/burn/src/render/plot.ts
@@ -5,6 +5,11 @@
 const HEIGHT = 120;
 const LABEL_HEIGHT = 18;
 
+/** Room above the bars for the label of the highest one. */
+const TOP = 16;
+
+const BASE = TOP + HEIGHT;
+
 /** What a plot shows: points of one width over a span of time. */
 export interface PlotOptions {
   readonly title: string;
@@ -27,7 +32,9 @@
   series: BurnSeries,
   options: PlotOptions,
 ): string {
-  const points = series.points.filter((p) => p.widthMs === options.widthMs);
+  const points = series.points.filter((p) =>
+    p.widthMs === options.widthMs && p.ageMs < options.spanMs
+  );
   const most = Math.max(1, ...points.map((p) => p.inTime + p.late));
   const bars = points.map((point) =>
     renderBar(report, point, { ...options, most })
@@ -35,15 +42,15 @@
   const from = timeOf(report, options.spanMs);
   const to = timeOf(report, 0);
   return [
-    `<svg viewBox="0 0 ${WIDTH} ${HEIGHT + LABEL_HEIGHT}" role="img">`,
+    `<svg viewBox="0 0 ${WIDTH} ${BASE + LABEL_HEIGHT}" role="img">`,
     `<title>${options.title}: jobs started, at most ${most} in a bar</title>`,
-    `<line class="axis" x1="0" y1="${HEIGHT}" x2="${WIDTH}" y2="${HEIGHT}"/>`,
+    `<line class="axis" x1="0" y1="${BASE}" x2="${WIDTH}" y2="${BASE}"/>`,
     ...bars,
-    `<text x="0" y="${HEIGHT + LABEL_HEIGHT - 4}">${from}</text>`,
+    `<text x="0" y="${BASE + LABEL_HEIGHT - 4}">${from}</text>`,
     `<text class="end" x="${WIDTH}" y="${
-      HEIGHT + LABEL_HEIGHT - 4
+      BASE + LABEL_HEIGHT - 4
     }">${to}</text>`,
-    `<text x="2" y="12">${most}</text>`,
+    `<text x="0" y="12">${most} in the highest bar</text>`,
     "</svg>",
   ].join("\n");
 }
@@ -59,9 +66,9 @@
   point: BurnPoint,
   { spanMs, widthMs, most }: Scale,
 ): string {
-  const width = WIDTH * widthMs / spanMs;
   const right = WIDTH * (1 - point.ageMs / spanMs);
-  const left = Math.max(0, right - width);
+  const left = Math.max(0, right - WIDTH * widthMs / spanMs);
+  const width = right - left;
   const inTime = HEIGHT * point.inTime / most;
   const late = HEIGHT * point.late / most;
   const label = `until ${timeOf(report, point.ageMs)}: ${point.inTime} ` +
@@ -72,8 +79,8 @@
     `height="${height.toFixed(1)}"/>`;
   return [
     `<g><title>${label}</title>`,
-    rect("in-time", HEIGHT - inTime, inTime),
-    rect("late", HEIGHT - inTime - late, late),
+    rect("in-time", BASE - inTime, inTime),
+    rect("late", BASE - inTime - late, late),
     "</g>",
   ].join("");
 }
--- a/packages/burn/src/waits.ts
+++ b/packages/burn/src/waits.ts
@@ -7,7 +7,8 @@
 } from "hdr-histogram-js";
 import { err, ok, type Result } from "neverthrow";
 
-const SIGNIFICANT_DIGITS = 2;
+/** Digits to which waits are told apart. */
+export const SIGNIFICANT_DIGITS = 2;
 
 /** Longest text of a histogram that is decoded. */
 const MAX_ENCODED_CHARS = 256 * 1024;
@@ -38,9 +39,10 @@
     return this.#histogram.totalCount;
   }
 
-  /** Adds a wait in milliseconds; a negative one counts as 0. */
-  record(waitMs: number): void {
-    this.#histogram.recordValue(Math.max(0, Math.round(waitMs)));
+  /** Adds `count` waits in milliseconds; a negative one counts as 0. */
+  record(waitMs: number, count = 1): void {
+    const value = Math.max(0, Math.round(waitMs));
+    this.#histogram.recordValueWithCount(value, count);
   }
 
   add(other: Waits): void {
@@ -94,7 +96,6 @@
 function createHistogram(): Histogram {
   return build({
     autoResize: true,
-    bitBucketSize: "packed",
     numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
   });
 }
--- a/packages/protocol/src/burn_messages.ts
+++ b/packages/protocol/src/burn_messages.ts
@@ -45,16 +45,7 @@
   readonly windows: readonly BurnRecordWindow[];
   readonly waiting: string;
   /** By time, oldest first. */
-  readonly points: readonly BurnRecordPoint[];
-}
-
-/** A part of a series for plots. */
-export interface BurnRecordPoint {
-  /** Age of the end of the part, in milliseconds. */
-  readonly ageMs: number;
-  readonly widthMs: number;
-  readonly accepted: number;
-  readonly waits: string;
+  readonly points: readonly BurnPoint[];
 }
 
 /** A time in which a scheduler kept the home of a team. */
@@ -96,13 +87,15 @@
   readonly covered: number;
 }
 
-/** A part of a series for plots, over all schedulers. */
+/** A part of a series for plots. */
 export interface BurnPoint {
+  /** Age of the end of the part, in milliseconds. */
   readonly ageMs: number;
   readonly widthMs: number;
   readonly accepted: number;
   readonly inTime: number;
   readonly late: number;
+  /** The longest 99th percentile that any scheduler saw. */
   readonly p99Ms: number;
 }
 
--- a/packages/wire/src/message_schemas.ts
+++ b/packages/wire/src/message_schemas.ts
@@ -235,7 +235,9 @@
       ageMs: z.number(),
       widthMs: z.number(),
       accepted: z.number(),
-      waits: z.string(),
+      inTime: z.number(),
+      late: z.number(),
+      p99Ms: z.number(),
     })),
   })),
   spans: z.array(z.looseObject({
