Let asks and starts hold no longer than the configuration behind them

Ruled out: the slice checking ceilings, which it can't know fleet-wide. Change: an ask is valid for 2.5 s after the configuration was confirmed and is extended when it is sent again; holds and starts end with it. Homes withdraw asks that a lowered ceiling doesn't allow. An instance that refuses for want of room gets nothing for 5 s. A task taken over has no ask in the new home.

--- a/packages/home/src/ask_messages.ts
+++ b/packages/home/src/ask_messages.ts
@@ -1,3 +1,4 @@
+import { CONFIGURATION } from "@mustardweir/configuration";
 import type { Update } from "@mustardweir/kernel";
 import { resolveOwner, sliceUnit } from "@mustardweir/membership";
 import {
@@ -17,6 +18,13 @@
 /** How long a slice holds room for a gang, in milliseconds. */
 export const HOLD_TTL_MS = 3_000;
 
+/**
+ * An ask holds for this long after the configuration, with its ceiling, was
+ * confirmed, in milliseconds; asks are sent again with more time. With the
+ * delay of a message it stays below the 4 s within which a change is in force.
+ */
+const ASK_VALID_MS = 2_500;
+
 /** The task as slices and workers know it. */
 export function toTaskSpec(home: Home, task: HomeTask): TaskSpec {
   const { job } = task;
@@ -97,6 +105,7 @@
   for (const task of options.tasks) {
     task.stopping = true;
     task.sentAt = update.now;
+    home.stopping.add(task);
   }
   sendToSlice(update, home, options, (address, current) => ({
     ...address,
@@ -142,12 +151,14 @@
 
 function toAsk(update: Update, home: Home, task: HomeTask): Ask {
   const isGang = task.job.spec.kind === JobKind.Gang;
-  const ttlMs = isGang ? HOLD_TTL_MS : ASK_TTL_MS;
+  const endsAt = task.askedAt + (isGang ? HOLD_TTL_MS : ASK_TTL_MS);
+  const { confirmedAt } = update.read(CONFIGURATION);
+  const validUntil = Math.min(endsAt, confirmedAt + ASK_VALID_MS);
   return {
     seq: task.seq,
     mode: isGang ? AskMode.Hold : AskMode.Start,
     task: toTaskSpec(home, task),
-    ttlMs: Math.max(1, task.askedAt + ttlMs - update.now),
+    ttlMs: Math.max(1, validUntil - update.now),
   };
 }
 
--- a/packages/home/src/ceiling.ts
+++ b/packages/home/src/ceiling.ts
@@ -20,7 +20,11 @@
   size: Resources,
   ceiling: Ceiling,
 ): boolean {
-  const after = addResources(home.used, size);
+  return isWithinCeiling(addResources(home.used, size), ceiling);
+}
+
+/** True when a team may have this much. */
+export function isWithinCeiling(after: Resources, ceiling: Ceiling): boolean {
   return after.cpuMillis <= (ceiling.cpu ?? Infinity) * 1000 &&
     after.memoryMb <= (ceiling.memoryMb ?? Infinity) &&
     after.accelerators <= (ceiling.accelerators ?? Infinity) &&
--- a/packages/home/src/fencing.ts
+++ b/packages/home/src/fencing.ts
@@ -30,7 +30,12 @@
   TaskState,
 } from "./home_state.ts";
 import { ANY_SPEC, createJob, taskIndexOf } from "./job_factory.ts";
-import { requeueFirst, resetAttempt, setTaskState } from "./queue.ts";
+import {
+  addJob,
+  requeueFirst,
+  resetAttempt,
+  setTaskState,
+} from "./queue.ts";
 import { markStarted, settleEnd } from "./task_progress.ts";
 
 /** Allowance for clocks that run at different rates, in milliseconds. */
@@ -174,13 +179,11 @@
   if (task.taskId === report.task.taskId) {
     return;
   }
-  task.seq = report.task.askSeq;
+  task.seq = 0; // The ask was of another epoch, which counted for itself.
   task.taskId = report.task.taskId;
   task.sliceId = inventory.sliceId;
   task.instanceId = report.instanceId;
   home.byTaskId.set(task.taskId, task);
-  home.urgent = home.urgent.filter((queued) => queued !== task);
-  home.normal = home.normal.filter((queued) => queued !== task);
   setTaskState(home, task, TaskState.Started);
 }
 
@@ -210,8 +213,7 @@
     specHash: ANY_SPEC,
     now: update.now,
   });
-  home.jobs.set(jobId, job);
-  home.liveJobs += 1;
+  addJob(home, job);
   return job;
 }
 
--- a/packages/home/src/upkeep.ts
+++ b/packages/home/src/upkeep.ts
@@ -1,5 +1,5 @@
 import type { Update } from "@mustardweir/kernel";
-import { EndReason, JobKind } from "@mustardweir/model";
+import { EndReason } from "@mustardweir/model";
 import { StopMode } from "@mustardweir/protocol";
 import {
   groupBySlice,
@@ -18,7 +18,9 @@
   type HomeTask,
   TaskState,
 } from "./home_state.ts";
+import { requeueFirst } from "./queue.ts";
 import { continueCancels } from "./recovery.ts";
+import { trimToCeiling } from "./trim.ts";
 
 /** Time after which an unanswered message is sent again, in milliseconds. */
 const RESEND_MS = 500;
@@ -26,6 +28,12 @@
 /** How long ended jobs stay known, in milliseconds. */
 const RETENTION_MS = 10 * 60 * 1_000;
 
+/** Time between looks at a late job that has not ended, in milliseconds. */
+const LATE_RETRY_MS = 100;
+
+/** More deadlines than this for each job that has not ended are cleared. */
+const MAX_DEADLINES_PER_JOB = 16;
+
 /** Most ended jobs that stay known. */
 const MAX_ENDED_JOBS = 5_000;
 
@@ -36,10 +44,20 @@
     continueCancels(update, home);
     endLate(update, home);
   }
+  trimToCeiling(update, home);
   resendAsks(update, home);
   resendStops(update, home);
-  for (const job of home.jobs.values()) {
-    if (job.spec.kind === JobKind.Gang && job.gang !== GangPhase.Idle) {
+  advanceGangs(update, home);
+  for (const task of home.delayed.takeDue(update.now)) {
+    requeueFirst(home, task);
+  }
+}
+
+function advanceGangs(update: Update, home: Home): void {
+  for (const job of home.activeGangs) {
+    if (job.gang === GangPhase.Idle || job.endRecorded) {
+      home.activeGangs.delete(job);
+    } else {
       advanceGang(update, home, job);
     }
   }
@@ -64,8 +82,12 @@
 }
 
 function resendStops(update: Update, home: Home): void {
-  const late = [...home.byTaskId.values()].filter((task) =>
-    task.stopping && task.state === TaskState.Started &&
+  for (const task of home.stopping) {
+    if (!task.stopping || task.state !== TaskState.Started) {
+      home.stopping.delete(task);
+    }
+  }
+  const late = [...home.stopping].filter((task) =>
     update.now - task.sentAt >= RESEND_MS
   );
   for (const [sliceId, tasks] of groupBySlice(late)) {
@@ -84,16 +106,27 @@
 
 /** Ends, or takes back, work that is of no use any more. */
 function endLate(update: Update, home: Home): void {
-  for (const job of home.jobs.values()) {
-    if (isLate(job, update.now)) {
-      endLateJob(update, home, job);
+  for (const job of home.deadlines.takeDue(update.now)) {
+    if (mayBeLate(job)) {
+      endIfLate(update, home, job);
     }
   }
+  if (home.deadlines.size > MAX_DEADLINES_PER_JOB * home.liveJobs) {
+    home.deadlines.retain(mayBeLate);
+  }
 }
 
-function isLate(job: HomeJob, now: number): boolean {
-  return now >= job.startBy && job.firstStartAt === undefined &&
-    !job.endRecorded && job.accepted;
+function mayBeLate(job: HomeJob): boolean {
+  return job.firstStartAt === undefined && !job.endRecorded;
+}
+
+/** Looks again until the job has started or ended: an answer may be due. */
+function endIfLate(update: Update, home: Home, job: HomeJob): void {
+  if (job.accepted && update.now >= job.startBy) {
+    endLateJob(update, home, job);
+  }
+  const lookAgainAt = update.now + LATE_RETRY_MS;
+  home.deadlines.push(Math.max(job.startBy, lookAgainAt), job);
 }
 
 function endLateJob(update: Update, home: Home, job: HomeJob): void {
--- a/packages/slice/src/asks.ts
+++ b/packages/slice/src/asks.ts
@@ -161,7 +161,7 @@
   { view, ask }: ViewedAsk,
 ): void {
   const { seq } = ask;
-  if (isSettled(view, seq) || view.queue.has(seq)) {
+  if (isSettled(view, seq) || extendAsk(update, { view, ask })) {
     return;
   }
   if (repeatAnswer(slice, view, seq)) {
@@ -180,6 +180,21 @@
   });
 }
 
+/** Gives an ask that waits, or whose start does, more time; false if none. */
+function extendAsk(update: Update, { view, ask }: ViewedAsk): boolean {
+  const { seq } = ask;
+  const expiresAt = update.now + ask.ttlMs;
+  const queued = view.queue.get(seq);
+  if (queued !== undefined) {
+    view.queue.set(seq, { ...queued, expiresAt });
+  }
+  const task = view.bySeq.get(seq);
+  if (task?.phase === TaskPhase.Starting) {
+    task.startBy = expiresAt;
+  }
+  return queued !== undefined;
+}
+
 /** True when nothing more comes of the ask; its end is told until it is known. */
 function isSettled(view: TeamView, seq: number): boolean {
   return seq < view.floor || view.settled.has(seq);
--- a/packages/slice/src/grant.ts
+++ b/packages/slice/src/grant.ts
@@ -167,7 +167,7 @@
     worker,
     phase: isHold ? TaskPhase.Held : TaskPhase.Starting,
     startSeq: slice.nextStartSeq++,
-    ...(isHold ? { heldUntil: expiresAt } : {}),
+    startBy: expiresAt,
   });
   view.bySeq.set(ask.seq, task);
   update.emit(count("placements"));
--- a/packages/slice/src/instances.ts
+++ b/packages/slice/src/instances.ts
@@ -123,6 +123,7 @@
     tokenAt: -Infinity,
     heardAt: -Infinity,
     retryAt: 0,
+    fullUntil: 0,
     pollSentAt: undefined,
     commandSentAt: undefined,
     hasNews: false,
@@ -171,6 +172,7 @@
   for (const worker of workers) {
     const isEligible = isOpen && isStaying(update, worker) &&
       worker.state === WorkerState.Reachable &&
+      update.now >= worker.fullUntil &&
       isTrusted(update, worker.instanceId);
     slice.table.setEligible(worker.index, isEligible);
   }
--- a/packages/slice/src/slice_state.ts
+++ b/packages/slice/src/slice_state.ts
@@ -39,6 +39,8 @@
   heardAt: number;
   /** Not called before this time, after a call without an answer. */
   retryAt: number;
+  /** Given no new work before this time: it has less than the inventory says. */
+  fullUntil: number;
   /** A call that waits for news is in flight since; undefined when none. */
   pollSentAt: number | undefined;
   /** A call with commands is in flight since; undefined when none. */
@@ -60,8 +62,8 @@
   phase: TaskPhase;
   /** Sequence of the start; 0 when an earlier owner started it. */
   readonly startSeq: number;
-  /** The room is given back when it is not committed by then. */
-  heldUntil: number;
+  /** The room is given back when no worker is known to run it by then. */
+  startBy: number;
   /** When a worker was first seen to run it. */
   runningSince: number;
   stop: StopMode | undefined;
--- a/packages/slice/src/target_calls.ts
+++ b/packages/slice/src/target_calls.ts
@@ -124,7 +124,9 @@
       (floor, task) => Math.min(floor, task.startSeq),
       slice.nextStartSeq,
     ),
-    starts: canStart ? starting.map(toStart) : [],
+    starts: canStart
+      ? starting.filter(({ startBy }) => update.now < startBy).map(toStart)
+      : [],
     stops: tasks.flatMap(({ task, stop, phase }) =>
       stop !== undefined && phase !== TaskPhase.Ended
         ? [{ taskId: task.taskId, mode: stop }]
--- a/packages/slice/src/tasks.ts
+++ b/packages/slice/src/tasks.ts
@@ -27,7 +27,7 @@
   /** For a task that a worker runs already, even where room is missing. */
   readonly isAdopted?: boolean;
   readonly startSeq?: number;
-  readonly heldUntil?: number;
+  readonly startBy?: number;
 }
 
 /** Takes room for a task. */
@@ -38,7 +38,7 @@
     worker,
     phase,
     startSeq: options.startSeq ?? 0,
-    heldUntil: options.heldUntil ?? Infinity,
+    startBy: options.startBy ?? Infinity,
     runningSince: NEVER,
     stop: undefined,
     takenBack: undefined,
--- a/packages/slice/src/telling.ts
+++ b/packages/slice/src/telling.ts
@@ -12,7 +12,7 @@
 import { countWaiting } from "./demand.ts";
 import { mayGrant } from "./grant.ts";
 import { type Slice, SLICES, type SliceTask } from "./slice_state.ts";
-import { cancelStart } from "./tasks.ts";
+import { cancelStart, takeBackStart } from "./tasks.ts";
 import { declineAsk } from "./team_view.ts";
 
 /** Ends that were not acknowledged are told again after this time. */
@@ -89,7 +89,7 @@
   };
 }
 
-/** Declines asks that have waited, and holds that were kept, too long. */
+/** Takes back asks, holds and starts that have waited too long. */
 export function expireAsks(update: Update, slice: Slice): void {
   const reason = DeclineReason.NoRoom;
   for (const view of slice.teams.values()) {
@@ -99,10 +99,15 @@
         declineAsk(slice, view, { seq, taskId, reason });
       }
     }
-    for (const task of [...view.bySeq.values()]) {
-      if (task.phase === TaskPhase.Held && update.now >= task.heldUntil) {
-        cancelStart(update, slice, { task, reason });
-      }
+  }
+  for (const task of [...slice.tasks.values()]) {
+    if (update.now < task.startBy) {
+      continue;
+    }
+    if (task.phase === TaskPhase.Held) {
+      cancelStart(update, slice, { task, reason });
+    } else {
+      takeBackStart(task, reason);
     }
   }
 }
--- a/packages/slice/src/workers.ts
+++ b/packages/slice/src/workers.ts
@@ -43,6 +43,9 @@
 /** A worker not heard from for this long gets no new work. */
 const SILENT_AFTER_MS = 3_000;
 
+/** A worker that refused a start for want of room gets none for this long. */
+const FULL_PAUSE_MS = 5_000;
+
 /** Allowance for clocks that run at different rates, and for rounding. */
 const LEASE_MARGIN_MS = 500;
 
@@ -99,7 +102,7 @@
   const { worker, context, synced } = answer;
   const isSame = worker.incarnation === synced.incarnation;
   if (isSame && synced.stateSeq < worker.stateSeq) {
-    refuseStarts(slice, answer);
+    refuseStarts(update, slice, answer);
     return;
   }
   if (!isSame && worker.incarnation !== "") {
@@ -111,7 +114,7 @@
   hear(update, worker, synced);
   adoptRunning(update, slice, answer);
   adoptEnded(update, slice, answer);
-  refuseStarts(slice, answer);
+  refuseStarts(update, slice, answer);
   settleTakenBack(update, slice, answer);
   context.acks.forEach((taskId) => worker.acks.delete(taskId));
 }
@@ -197,6 +200,7 @@
  * sent again with the token of this answer.
  */
 function refuseStarts(
+  update: Update,
   slice: Slice,
   { worker, synced }: Pick<SyncedAnswer, "worker" | "synced">,
 ): void {
@@ -207,6 +211,9 @@
     } else if (task !== undefined) {
       takeBackStart(task, DeclineReason.Refused);
     }
+    if (refusal === StartRefusal.NoCapacity) {
+      worker.fullUntil = update.now + FULL_PAUSE_MS;
+    }
   }
 }
 
