--- a/packages/cli/src/commands/command_group.ts
+++ b/packages/cli/src/commands/command_group.ts
@@ -35,6 +35,29 @@
   abstract register(program: Command, context: CommandContext): void;
 }
 
+const groups = new Set<CommandGroup>();
+
+/**
+ * Announces a group to every program made later. Called at the top level of
+ * the group's module, so that a program has the commands that it imports.
+ *
+ * @example
+ * ```ts
+ * registerCommandGroup(new KeyCommands());
+ * ```
+ */
+export function registerCommandGroup(group: CommandGroup): () => void {
+  groups.add(group);
+  return () => {
+    groups.delete(group);
+  };
+}
+
+/** The groups announced so far, in order. */
+export function commandGroups(): readonly CommandGroup[] {
+  return [...groups];
+}
+
 /** Adds examples to the help of a command. */
 export function addExamples(
   command: Command,
--- a/packages/cli/src/commands/completion_commands.ts
+++ b/packages/cli/src/commands/completion_commands.ts
@@ -4,6 +4,7 @@
   addExamples,
   type CommandContext,
   CommandGroup,
+  registerCommandGroup,
 } from "./command_group.ts";
 
 enum Shell {
@@ -28,6 +29,8 @@
   }
 }
 
+registerCommandGroup(new CompletionCommands());
+
 /** Each command's words, by the command line that leads to it. */
 function renderCompletion(program: Command, shell: Shell): string {
   const cases = listCommands(program, "").map(({ path, words }) =>
--- a/packages/cli/src/commands/edit_commands.ts
+++ b/packages/cli/src/commands/edit_commands.ts
@@ -10,6 +10,7 @@
   addIfMatch,
   type CommandContext,
   CommandGroup,
+  registerCommandGroup,
   serveEdit,
   type ShownResult,
 } from "./command_group.ts";
@@ -68,6 +69,8 @@
   }
 }
 
+registerCommandGroup(new EditCommands());
+
 async function applyFiles(
   client: EntryClient,
   files: readonly string[],
--- a/packages/cli/src/commands/job_commands.ts
+++ b/packages/cli/src/commands/job_commands.ts
@@ -16,6 +16,7 @@
   addExamples,
   type CommandContext,
   CommandGroup,
+  registerCommandGroup,
   type ShownResult,
 } from "./command_group.ts";
 import { callForJob } from "./submit_command.ts";
@@ -66,6 +67,8 @@
   }
 }
 
+registerCommandGroup(new JobCommands());
+
 async function showFleet(client: EntryClient): Promise<ShownResult> {
   const reply = await client.call({ method: "GET", path: "/v1/fleet" });
   return reply.map((json) => ({
--- a/packages/cli/src/commands/key_commands.ts
+++ b/packages/cli/src/commands/key_commands.ts
@@ -7,6 +7,7 @@
   addIfMatch,
   type CommandContext,
   CommandGroup,
+  registerCommandGroup,
   serveEdit,
 } from "./command_group.ts";
 
@@ -89,6 +90,8 @@
   }
 }
 
+registerCommandGroup(new KeyCommands());
+
 function parseTime(text: string): number {
   const term = /^(\d{1,6})([mhd])$/.exec(text);
   if (term !== null) {
--- a/packages/cli/src/commands/report_commands.ts
+++ b/packages/cli/src/commands/report_commands.ts
@@ -13,6 +13,7 @@
   addExamples,
   type CommandContext,
   CommandGroup,
+  registerCommandGroup,
   type ShownResult,
 } from "./command_group.ts";
 
@@ -62,6 +63,8 @@
   }
 }
 
+registerCommandGroup(new ReportCommands());
+
 async function reportBurn(
   client: EntryClient,
   { format, output }: BurnOptions,
--- a/packages/cli/src/commands/submit_command.ts
+++ b/packages/cli/src/commands/submit_command.ts
@@ -21,6 +21,7 @@
   type CommandContext,
   CommandGroup,
   parseInteger,
+  registerCommandGroup,
   type ShownResult,
 } from "./command_group.ts";
 
@@ -80,6 +81,8 @@
   }
 }
 
+registerCommandGroup(new SubmitCommand());
+
 function readJob(
   file: string | undefined,
   flags: JobFlags,
--- a/packages/cli/src/commands/top_command.ts
+++ b/packages/cli/src/commands/top_command.ts
@@ -14,6 +14,7 @@
   type CommandContext,
   CommandGroup,
   parseInteger,
+  registerCommandGroup,
   type ShownResult,
 } from "./command_group.ts";
 import { withStamp } from "./job_commands.ts";
@@ -47,6 +48,8 @@
   }
 }
 
+registerCommandGroup(new TopCommand());
+
 /** Draws views until ctrl-c or the last one; an outage is shown, not fatal. */
 async function watch(
   client: EntryClient,
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -3,16 +3,9 @@
 import { type CliError, EXIT_CODE_HELP, ExitCode, fail } from "./cli_error.ts";
 import {
   type CommandContext,
-  type CommandGroup,
-  CompletionCommands,
-  EditCommands,
-  JobCommands,
-  KeyCommands,
+  commandGroups,
   parseInteger,
-  ReportCommands,
   type ShownResult,
-  SubmitCommand,
-  TopCommand,
   withStamp,
 } from "./commands/mod.ts";
 import { DEFAULT_TIMEOUT_MS, EntryClient } from "./entry_client.ts";
@@ -39,16 +32,6 @@
   readonly json: boolean;
 }
 
-const COMMAND_GROUPS: readonly CommandGroup[] = [
-  new EditCommands(),
-  new KeyCommands(),
-  new SubmitCommand(),
-  new JobCommands(),
-  new ReportCommands(),
-  new TopCommand(),
-  new CompletionCommands(),
-];
-
 /**
  * Runs one command line and resolves to its exit code.
  *
@@ -84,7 +67,7 @@
   constructor(options: CliOptions) {
     this.#options = options;
     this.program = this.#createCommand();
-    for (const group of COMMAND_GROUPS) {
+    for (const group of commandGroups()) {
       group.register(this.program, this);
     }
   }
@@ -107,9 +90,12 @@
       this.#result = err(client.error);
       return;
     }
-    const shown = await action(client.value);
+    try {
+      this.show(await action(client.value));
+    } catch (cause) {
+      this.#result = misunderstood(cause);
+    }
     await client.value.close();
-    this.show(shown);
   }
 
   show(shown: ShownResult): void {
@@ -158,6 +144,15 @@
   }
 }
 
+/** An answer that is none of an entry's, from something else in its place. */
+function misunderstood(cause: unknown): Result<ExitCode, CliError> {
+  const reason = cause instanceof Error ? cause.message : String(cause);
+  return fail(
+    ExitCode.Unreachable,
+    `The answer is not one of an entry's: ${reason}`,
+  );
+}
+
 function describeExitCodes(): string {
   const lines = Object.entries(EXIT_CODE_HELP).map(([code, meaning]) =>
     `  ${code}  ${meaning}`
--- a/packages/cli/src/source_document.ts
+++ b/packages/cli/src/source_document.ts
@@ -122,7 +122,10 @@
   path: string,
 ): Result<SourceDocument[], CliError> {
   const lines = new LineCounter();
-  const documents = parseAllDocuments(text, { lineCounter: lines });
+  const documents = parseAllDocuments(text, {
+    lineCounter: lines,
+    logLevel: "error",
+  });
   return Result.combine([...documents].map((document) => {
     const fault = document.errors[0];
     if (fault !== undefined) {
--- a/packages/runtime/src/settings.ts
+++ b/packages/runtime/src/settings.ts
@@ -197,7 +197,9 @@
   }
   const fault = text === undefined
     ? "is required"
-    : `${checked.error.issues[0]?.message ?? "is wrong"}, got "${text}"`;
+    : `${checked.error.issues[0]?.message ?? "is wrong"}, got ${
+      JSON.stringify(text)
+    }`;
   return err({
     kind: SettingErrorKind.BadValue,
     message: `${settingFlag(definition)} (${
