Say of a waiting job that it can never run; stamp the list of keys

Cause: a job larger than a ceiling that was lowered later was said to wait for the team's use to fall, and the JSON of keys list did not say as of when it was. Change: explain tells apart what can never run.

--- a/packages/cli/src/commands/key_commands.ts
+++ b/packages/cli/src/commands/key_commands.ts
@@ -80,7 +80,11 @@
         context.serve(async (client) => {
           const reply = await readConfiguration(client);
           return reply.map((configuration) => ({
-            json: configuration.keys,
+            json: {
+              keys: configuration.keys,
+              asOf: configuration.asOf,
+              configurationVersion: configuration.configurationVersion,
+            },
             text: formatKeys(configuration.keys as readonly ShownKey[]),
             stamp: configuration,
           }));
--- a/packages/home/src/explain.ts
+++ b/packages/home/src/explain.ts
@@ -2,6 +2,7 @@
 import { findRule, isBelowCeiling } from "./ceiling.ts";
 import { canHold, isZoneOpen, outlineSlices } from "./fleet_view.ts";
 import { type Home, type HomeJob, HomePhase, TaskState } from "./home_state.ts";
+import { findCeilingObstacle } from "./obstacle.ts";
 
 /** Says what the job waits for; undefined when it waits for nothing. */
 export function explainWait(
@@ -23,13 +24,20 @@
   }
   const outlines = outlineSlices(update).filter((o) => canHold(o, job.size));
   if (outlines.length === 0) {
-    return "No instance of the fleet is large enough for one task";
+    return "It can never run: no instance of the fleet is large enough";
   }
   if (!outlines.some((outline) => isZoneOpen(update, outline))) {
     return "Every availability zone that could run it is draining";
   }
   const rule = findRule(update, home.team);
-  if (rule !== undefined && !isBelowCeiling(home, job.size, rule.ceiling)) {
+  if (rule === undefined) {
+    return "The rules name the team no longer";
+  }
+  const obstacle = findCeilingObstacle(job, rule.ceiling);
+  if (obstacle !== undefined) {
+    return obstacle;
+  }
+  if (!isBelowCeiling(home, job.size, rule.ceiling)) {
     return "The team is at its ceiling";
   }
   return "No instance has enough free room at the moment";
