Let a home's upkeep cost what changed, not what it keeps

Cause: ten times a second a home looked at all its jobs (late ones, cancelled ones, gangs) and at all tasks with an attempt (stops to repeat); each pass over a queue copied it, and each end of a task looked at all tasks of its job.

Change: JobQueue keeps waiting tasks by job, TimerHeap the deadlines and the tasks that failed; gangs under way, cancelled jobs and tasks being stopped have sets of their own.

Ruled out: a Set as the queue (taking from its front leaves holes that every pass walks over).

--- a/packages/bench/src/scaling/fleet_trial.ts
+++ b/packages/bench/src/scaling/fleet_trial.ts
@@ -130,7 +130,7 @@
   /** Starts the running tasks as services of all teams. */
   #fill(): void {
     const { teams, runningTasks } = this.#options;
-    const tasks = Math.ceil(runningTasks / teams);
+    const tasks = Math.max(Math.ceil(runningTasks / teams), 1);
     for (let team = 0; team < teams; team++) {
       this.#loopback.submit(teamName(team), {
         kind: JobKind.Service,
--- a/packages/home/src/calls.ts
+++ b/packages/home/src/calls.ts
@@ -31,7 +31,7 @@
   jobIdOf,
   needsJournal,
 } from "./job_factory.ts";
-import { enqueue } from "./queue.ts";
+import { addJob, enqueue } from "./queue.ts";
 import { describeJob } from "./status.ts";
 import { describeWork, WORK_ACCEPTED } from "./work_events.ts";
 
@@ -103,6 +103,7 @@
   attachWaiter(update, home, { ...received, job });
   if (!job.journaled && job.firstStartAt === undefined) {
     job.startBy = update.now + Math.min(call.ttlMs, startWithin(job));
+    home.deadlines.push(job.startBy, job);
   }
 }
 
@@ -119,8 +120,7 @@
   const specHash = hashSpec(spec);
   const job = createJob({ jobId, spec, specHash, now: update.now });
   job.mayHaveRun = !job.journaled && mayBeRepeat(update, home);
-  home.jobs.set(jobId, job);
-  home.liveJobs += 1;
+  addJob(home, job);
   update.emit(count(`jobs_received_${spec.kind}`));
   if (job.journaled) {
     appendRecords(update, home, [
--- a/packages/home/src/cancel.ts
+++ b/packages/home/src/cancel.ts
@@ -28,6 +28,7 @@
     return;
   }
   job.cancelled = true;
+  home.cancelling.add(job);
   if (job.journaled) {
     appendRecords(update, home, [
       { kind: JournalRecordKind.Cancelled, jobId: job.jobId },
@@ -63,6 +64,7 @@
 ): void {
   for (const task of tasks) {
     task.stopping = true;
+    home.stopping.add(task); // A slice may yet tell that it runs.
   }
   const inState = (...states: TaskState[]) =>
     tasks.filter((task) => states.includes(task.state));
--- a/packages/home/src/dispatch.ts
+++ b/packages/home/src/dispatch.ts
@@ -15,6 +15,7 @@
   TaskState,
 } from "./home_state.ts";
 import { formatTaskId } from "./job_factory.ts";
+import type { JobQueue } from "./job_queue.ts";
 import { setTaskState } from "./queue.ts";
 import { SliceChooser } from "./slice_chooser.ts";
 
@@ -23,7 +24,7 @@
 
 /** Asks for room for what waits, as far as ceiling and slices allow. */
 export function pump(update: Update, home: Home): void {
-  if (home.urgent.length + home.normal.length === 0) {
+  if (home.urgent.isEmpty && home.normal.isEmpty) {
     return;
   }
   const rule = findRule(update, home.team);
@@ -31,8 +32,8 @@
     return;
   }
   const round = new AskRound(update, home, rule);
-  home.urgent = round.run(home.urgent);
-  home.normal = round.run(home.normal);
+  round.run(home.urgent);
+  round.run(home.normal);
   round.send();
 }
 
@@ -51,7 +52,6 @@
   readonly #chooser: SliceChooser;
   readonly #asksBySlice = new Map<string, HomeTask[]>();
   #skipped = 0;
-  #lastSkipped: HomeJob | undefined;
 
   constructor(update: Update, home: Home, rule: TeamRule) {
     this.#update = update;
@@ -60,20 +60,26 @@
     this.#chooser = new SliceChooser(update, home);
   }
 
-  /** Returns the tasks that go on waiting. */
-  run(queue: readonly HomeTask[]): HomeTask[] {
-    const waiting: HomeTask[] = [];
-    for (const [index, task] of queue.entries()) {
+  /** Takes what was asked for off the queue. */
+  run(queue: JobQueue): void {
+    for (const job of queue.jobs()) {
       if (this.#skipped > MAX_LOOKAHEAD) {
-        waiting.push(...queue.slice(index));
-        break;
+        return;
       }
+      this.#serve(queue, job);
+    }
+  }
+
+  /** Asks for the tasks of a job, which are alike, until one has to wait. */
+  #serve(queue: JobQueue, job: HomeJob): void {
+    for (let task = queue.peek(job); task !== undefined;) {
       if (!this.#ask(task)) {
-        waiting.push(task);
-        this.#skip(task.job);
+        this.#skipped += 1;
+        return;
       }
+      queue.shift(job);
+      task = queue.peek(job);
     }
-    return waiting.filter(({ state }) => state === TaskState.Pending);
   }
 
   /** Sends what was asked for, one message a slice. */
@@ -83,16 +89,7 @@
     }
   }
 
-  #skip(job: HomeJob): void {
-    this.#skipped += job === this.#lastSkipped ? 0 : 1;
-    this.#lastSkipped = job;
-  }
-
   #ask(task: HomeTask): boolean {
-    const isWaiting = task.state === TaskState.Pending && task.job.accepted;
-    if (!isWaiting || this.#update.now < task.notBefore) {
-      return task.state !== TaskState.Pending;
-    }
     return task.job.spec.kind === JobKind.Gang
       ? this.#askGang(task.job)
       : this.#askOne(task);
@@ -131,6 +128,7 @@
       return true;
     }
     job.gang = GangPhase.Holding;
+    this.#home.activeGangs.add(job);
     plan.forEach((sliceId, index) => {
       const task = members[index];
       if (task !== undefined) {
--- a/packages/home/src/ending.ts
+++ b/packages/home/src/ending.ts
@@ -37,7 +37,7 @@
   forgetAttempt(home, task);
   setTaskState(home, task, TaskState.Ended);
   task.endReason = reason;
-  const isLast = job.tasks.every(({ state }) => state === TaskState.Ended);
+  const isLast = job.endedTasks === job.tasks.length;
   if (isLast) {
     endJob(update, home, job);
   } else if (job.journaled) {
--- a/packages/home/src/fencing.ts
+++ b/packages/home/src/fencing.ts
@@ -30,12 +30,7 @@
   TaskState,
 } from "./home_state.ts";
 import { ANY_SPEC, createJob, taskIndexOf } from "./job_factory.ts";
-import {
-  addJob,
-  requeueFirst,
-  resetAttempt,
-  setTaskState,
-} from "./queue.ts";
+import { addJob, requeueFirst, resetAttempt, setTaskState } from "./queue.ts";
 import { markStarted, settleEnd } from "./task_progress.ts";
 
 /** Allowance for clocks that run at different rates, in milliseconds. */
--- a/packages/home/src/gang.ts
+++ b/packages/home/src/gang.ts
@@ -65,6 +65,7 @@
 /** Gives back all that is asked for, held or running. */
 function releaseGang(update: Update, home: Home, job: HomeJob): void {
   job.gang = GangPhase.Releasing;
+  home.activeGangs.add(job);
   const asked = job.tasks.filter(isPartOfAsk);
   for (const [sliceId, tasks] of groupBySlice(asked)) {
     sendWithdrawal(update, home, { sliceId, tasks });
--- a/packages/home/src/home_state.ts
+++ b/packages/home/src/home_state.ts
@@ -5,6 +5,8 @@
   Outcome,
   Resources,
 } from "@mustardweir/model";
+import type { JobQueue } from "./job_queue.ts";
+import type { TimerHeap } from "./timer_heap.ts";
 
 /** How far a home is with taking over from an earlier owner. */
 export enum HomePhase {
@@ -51,8 +53,6 @@
   startRecorded: boolean;
   checkpoint: string | undefined;
   failures: number;
-  /** Not asked for again before this time. */
-  notBefore: number;
   endReason: EndReason | undefined;
 }
 
@@ -78,6 +78,10 @@
   readonly specHash: string;
   readonly size: Resources;
   readonly tasks: HomeTask[];
+  /** Number of its tasks that have ended. */
+  endedTasks: number;
+  /** Tasks asked for, held or running, by the slice that has them. */
+  readonly tasksBySlice: Map<string, number>;
   /** False for idempotent requests: losing them is made good by a repeat. */
   readonly journaled: boolean;
   readonly createdAt: number;
@@ -131,8 +135,18 @@
   /** Tasks with an attempt in force, by its id. */
   readonly byTaskId: Map<string, HomeTask>;
   /** Tasks that wait for room; urgent ones apart. */
-  urgent: HomeTask[];
-  normal: HomeTask[];
+  readonly urgent: JobQueue;
+  readonly normal: JobQueue;
+  /** Tasks that failed and wait until they are queued again. */
+  readonly delayed: TimerHeap<HomeTask>;
+  /** Jobs by the time until when they are of use, unless they started. */
+  readonly deadlines: TimerHeap<HomeJob>;
+  /** Gangs that hold, commit or give back room. */
+  readonly activeGangs: Set<HomeJob>;
+  /** Cancelled jobs whose end is not on record. */
+  readonly cancelling: Set<HomeJob>;
+  /** Tasks whose stop may have to be asked for again. */
+  readonly stopping: Set<HomeTask>;
   nextSeq: number;
   /** Jobs whose end is not on record. */
   liveJobs: number;
--- a/packages/home/src/job_factory.ts
+++ b/packages/home/src/job_factory.ts
@@ -51,6 +51,8 @@
     specHash,
     size: taskSize(spec),
     tasks: [],
+    endedTasks: 0,
+    tasksBySlice: new Map(),
     journaled,
     createdAt: now,
     accepted: !journaled,
@@ -92,7 +94,6 @@
     startRecorded: false,
     checkpoint: undefined,
     failures: 0,
-    notBefore: 0,
     endReason: undefined,
   };
 }
--- a/packages/home/src/queue.ts
+++ b/packages/home/src/queue.ts
@@ -1,10 +1,19 @@
 import { addResources, Priority, subtractResources } from "@mustardweir/model";
 import {
   type Home,
+  type HomeJob,
   type HomeTask,
   takesRoom,
   TaskState,
 } from "./home_state.ts";
+import type { JobQueue } from "./job_queue.ts";
+
+/** Makes a job known that has not ended. */
+export function addJob(home: Home, job: HomeJob): void {
+  home.jobs.set(job.jobId, job);
+  home.liveJobs += 1;
+  home.deadlines.push(job.startBy, job);
+}
 
 /** Puts a task that waits for room at the end of its queue. */
 export function enqueue(home: Home, task: HomeTask): void {
@@ -23,12 +32,26 @@
   state: TaskState,
 ): void {
   const before = takesRoom(task);
+  const { job } = task;
+  job.endedTasks += Number(state === TaskState.Ended) -
+    Number(task.state === TaskState.Ended);
   task.state = state;
   const after = takesRoom(task);
   if (before && !after) {
-    home.used = subtractResources(home.used, task.job.size);
+    home.used = subtractResources(home.used, job.size);
+    countInSlice(task, -1);
   } else if (!before && after) {
-    home.used = addResources(home.used, task.job.size);
+    home.used = addResources(home.used, job.size);
+    countInSlice(task, 1);
+  }
+}
+
+function countInSlice({ job, sliceId }: HomeTask, by: number): void {
+  const count = (job.tasksBySlice.get(sliceId) ?? 0) + by;
+  if (count === 0) {
+    job.tasksBySlice.delete(sliceId);
+  } else {
+    job.tasksBySlice.set(sliceId, count);
   }
 }
 
@@ -54,6 +77,6 @@
   task.withdrawn = false;
 }
 
-function queueOf(home: Home, task: HomeTask): HomeTask[] {
+function queueOf(home: Home, task: HomeTask): JobQueue {
   return task.job.spec.priority === Priority.Urgent ? home.urgent : home.normal;
 }
--- a/packages/home/src/recovery.ts
+++ b/packages/home/src/recovery.ts
@@ -18,7 +18,9 @@
   TaskState,
 } from "./home_state.ts";
 import { createJob } from "./job_factory.ts";
-import { enqueue } from "./queue.ts";
+import { JobQueue } from "./job_queue.ts";
+import { addJob, enqueue, setTaskState } from "./queue.ts";
+import { TimerHeap } from "./timer_heap.ts";
 
 /** Starts to take over the home of a team. */
 export function openHome(
@@ -49,8 +51,13 @@
     jobs: new Map(),
     bySeq: new Map(),
     byTaskId: new Map(),
-    urgent: [],
-    normal: [],
+    urgent: new JobQueue(),
+    normal: new JobQueue(),
+    delayed: new TimerHeap(),
+    deadlines: new TimerHeap(),
+    activeGangs: new Set(),
+    cancelling: new Set(),
+    stopping: new Set(),
     nextSeq: 1,
     liveJobs: 0,
     used: NO_RESOURCES,
@@ -100,10 +107,11 @@
       break;
     }
     case JournalRecordKind.TaskEnded:
-      replayTaskEnd(update, job, record);
+      replayTaskEnd(update, home, { job, record });
       break;
     case JournalRecordKind.Cancelled:
       job.cancelled = true;
+      home.cancelling.add(job);
       break;
     case JournalRecordKind.JobEnded:
       job.outcome = record.outcome;
@@ -128,20 +136,27 @@
   const job = createJob({ jobId, spec, specHash, now: update.now });
   job.accepted = true;
   job.mayHaveRun = spec.idempotent; // Other starts are recorded before.
-  home.jobs.set(jobId, job);
-  home.liveJobs += 1;
+  addJob(home, job);
+}
+
+interface ReplayedEnd {
+  readonly job: HomeJob;
+  readonly record: Extract<
+    JournalRecord,
+    { kind: JournalRecordKind.TaskEnded }
+  >;
 }
 
 function replayTaskEnd(
   update: Update,
-  job: HomeJob,
-  record: Extract<JournalRecord, { kind: JournalRecordKind.TaskEnded }>,
+  home: Home,
+  { job, record }: ReplayedEnd,
 ): void {
   const task = job.tasks[record.taskIndex];
   if (task === undefined) {
     return;
   }
-  task.state = TaskState.Ended;
+  setTaskState(home, task, TaskState.Ended);
   task.endReason = record.reason;
   job.firstStartAt ??= update.now;
 }
@@ -164,8 +179,10 @@
 
 /** Goes on with cancellations that were accepted before. */
 export function continueCancels(update: Update, home: Home): void {
-  for (const job of home.jobs.values()) {
-    if (job.cancelled && !job.endRecorded) {
+  for (const job of home.cancelling) {
+    if (job.endRecorded) {
+      home.cancelling.delete(job);
+    } else {
       continueCancel(update, home, job);
     }
   }
--- a/packages/home/src/slice_chooser.ts
+++ b/packages/home/src/slice_chooser.ts
@@ -19,12 +19,7 @@
   outlineSlices,
   type SliceOutline,
 } from "./fleet_view.ts";
-import {
-  type Home,
-  type HomeTask,
-  type SliceView,
-  TaskState,
-} from "./home_state.ts";
+import { type Home, type HomeTask, type SliceView } from "./home_state.ts";
 
 /** Most asks without an answer that a home keeps with one slice. */
 const MAX_OUTSTANDING = 128;
@@ -187,8 +182,9 @@
 
 function countInZone(option: SliceOption, task: HomeTask): number {
   const { availabilityZone } = option.outline.spec;
-  return task.job.tasks.filter((other) =>
-    other.state !== TaskState.Pending &&
-    other.sliceId.startsWith(`${availabilityZone}/`)
-  ).length;
+  let tasks = 0;
+  for (const [sliceId, count] of task.job.tasksBySlice) {
+    tasks += sliceId.startsWith(`${availabilityZone}/`) ? count : 0;
+  }
+  return tasks;
 }
--- a/packages/home/src/task_progress.ts
+++ b/packages/home/src/task_progress.ts
@@ -117,9 +117,10 @@
   resetAttempt(home, task);
   task.stopping = false;
   if (next === NextStep.RestartLater) {
-    task.notBefore = update.now + backoff(task);
+    home.delayed.push(update.now + backoff(task), task);
+  } else {
+    requeueFirst(home, task);
   }
-  requeueFirst(home, task);
   acknowledge(update, home, { sliceId, taskIds: [taskId] });
 }
 
--- a/packages/home/src/upkeep.ts
+++ b/packages/home/src/upkeep.ts
@@ -83,11 +83,12 @@
 
 function resendStops(update: Update, home: Home): void {
   for (const task of home.stopping) {
-    if (!task.stopping || task.state !== TaskState.Started) {
+    if (!task.stopping || task.state === TaskState.Ended) {
       home.stopping.delete(task);
     }
   }
   const late = [...home.stopping].filter((task) =>
+    task.state === TaskState.Started &&
     update.now - task.sentAt >= RESEND_MS
   );
   for (const [sliceId, tasks] of groupBySlice(late)) {
--- a/packages/home/src/work_events.ts
+++ b/packages/home/src/work_events.ts
@@ -6,7 +6,7 @@
   NO_RESOURCES,
   type Outcome,
 } from "@mustardweir/model";
-import { type Home, type HomeJob, HOMES, TaskState } from "./home_state.ts";
+import { type Home, type HomeJob, HOMES } from "./home_state.ts";
 
 /** A job as those see it who follow its progress. */
 export interface WorkEvent {
@@ -34,8 +34,7 @@
 /** Adds how many tasks wait in each home to a heartbeat. */
 export function describeWaiting(update: Update, draft: HeartbeatDraft): void {
   for (const { team, urgent, normal } of update.read(HOMES).homes.values()) {
-    const waiting = [...urgent, ...normal]
-      .filter(({ state }) => state === TaskState.Pending).length;
+    const waiting = urgent.countWaiting() + normal.countWaiting();
     draft.usage.push({ team, used: NO_RESOURCES, waiting });
   }
 }
