Let a planned stop wait for burn reports; log edits of unknown fate

Cause: a stop answered a burn report in the making with 'stopping', and an edit whose answer was lost left no line although it may be in force.

--- a/packages/admission/src/admission_plugin.ts
+++ b/packages/admission/src/admission_plugin.ts
@@ -1,14 +1,10 @@
-import { COLLECT_BURN } from "@mustardweir/burn";
 import {
   CONFIGURATION,
   CONFIGURATION_CHANGED,
-  EDIT_CONFIGURATION,
-  type EditResult,
   isConfirmed,
 } from "@mustardweir/configuration";
 import {
   CommandPriority,
-  createCommand,
   type Kernel,
   mergeUndo,
   Plugin,
@@ -25,22 +21,17 @@
   refuse,
 } from "@mustardweir/model";
 import {
-  type Answered,
-  type BurnReport,
   CALLER_LEFT,
   CALLER_REQUESTED,
-  CallerAnswerKind,
   CallerCallKind,
   type CallerRequest,
   count,
   EffectKind,
   HomeCallKind,
-  logChange,
   NODE_IDENTITY,
   nodeEffect,
   PEER_MESSAGE_RECEIVED,
   PeerMessageKind,
-  replyTo,
   STOP_REQUESTED,
 } from "@mustardweir/protocol";
 import { err, ok, type Result } from "neverthrow";
@@ -53,11 +44,16 @@
   refuseCaller,
   removePending,
 } from "./admission_state.ts";
-import { describeEdit } from "./audit.ts";
 import { CALL_ROLES } from "./call_roles.ts";
 import { describeFleet } from "./fleet_shape.ts";
 import { type HomeTarget, resolveTarget } from "./home_target.ts";
 import { type CallerIdentity, KeyRing } from "./key_ring.ts";
+import {
+  collectBurn,
+  editConfiguration,
+  readConfiguration,
+  registerOperatorCalls,
+} from "./operator_calls.ts";
 import { drivePending, routeCall, takeReply } from "./routing.ts";
 import { ADMISSION_SETTINGS, MAX_PENDING_CALLS } from "./settings.ts";
 import { fleetStanding, teamStandings } from "./standing.ts";
@@ -68,14 +64,6 @@
 /** Waiting calls that every team may have, whatever its share. */
 const MIN_TEAM_PENDING = 100;
 
-const BURN_COLLECTED = createCommand<Answered<string, BurnReport>>(
-  "admission-burn-collected",
-);
-
-const EDIT_ANSWERED = createCommand<Answered<string, EditResult>>(
-  "admission-edit-answered",
-);
-
 /** Checks callers' keys, admits their calls and brings the answers back. */
 export class AdmissionPlugin extends Plugin {
   override readonly name = "admission";
@@ -86,8 +74,7 @@
       kernel.registerState(ADMISSION, createAdmissionState()),
       kernel.registerCommand(CALLER_REQUESTED, onRequested, normal),
       kernel.registerCommand(CALLER_LEFT, onLeft, normal),
-      kernel.registerCommand(EDIT_ANSWERED, onEditAnswered, normal),
-      kernel.registerCommand(BURN_COLLECTED, onBurnCollected, normal),
+      registerOperatorCalls(kernel),
       kernel.registerCommand(
         CONFIGURATION_CHANGED,
         ({ current }, update) => applyConfiguration(current, update),
@@ -141,6 +128,7 @@
     pendingOfTeam: new Map(),
     budgets: new Map(),
     edits: new Map(),
+    reports: new Set(),
     isStopping: false,
     isStopped: false,
   };
@@ -201,21 +189,25 @@
   if (!CALL_ROLES[kind].includes(caller.role)) {
     return err(notPermitted(`A ${caller.role}'s key may not ${kind}`));
   }
-  switch (kind) {
+  const { call, requestId } = request;
+  switch (call.kind) {
     case CallerCallKind.ReadConfiguration:
-      return readConfiguration(request, update);
+      readConfiguration(requestId, update);
+      return ok(undefined);
     case CallerCallKind.EditConfiguration:
-      return editConfiguration(request, caller, update);
+      editConfiguration(request, { caller, call }, update);
+      return ok(undefined);
     case CallerCallKind.Teams:
-      answerCaller(request.requestId, teamStandings(update), update);
+      answerCaller(requestId, teamStandings(update), update);
       return ok(undefined);
     case CallerCallKind.Fleet:
-      answerCaller(request.requestId, fleetStanding(update), update);
+      answerCaller(requestId, fleetStanding(update), update);
       return ok(undefined);
     case CallerCallKind.Burn:
-      return collectBurn(request, caller, update);
+      collectBurn(requestId, caller, update);
+      return ok(undefined);
     default:
-      return resolveTarget(request.call, {
+      return resolveTarget(call, {
         caller,
         rules: update.read(CONFIGURATION).current.rules,
         fleet: update.read(ADMISSION).fleet,
@@ -223,80 +215,6 @@
   }
 }
 
-function readConfiguration(
-  request: CallerRequest,
-  update: Update,
-): Result<void, Refusal> {
-  const configuration = update.read(CONFIGURATION).current;
-  const kind = CallerAnswerKind.Configuration;
-  answerCaller(request.requestId, { kind, configuration }, update);
-  return ok(undefined);
-}
-
-/** A submitter is told of its own team only. */
-function collectBurn(
-  { requestId }: CallerRequest,
-  { team }: CallerIdentity,
-  update: Update,
-): Result<void, Refusal> {
-  update.dispatch(COLLECT_BURN, {
-    team,
-    replyTo: replyTo(BURN_COLLECTED, requestId),
-  });
-  return ok(undefined);
-}
-
-function onBurnCollected(
-  { context: requestId, result: report }: Answered<string, BurnReport>,
-  update: Update,
-): void {
-  answerCaller(requestId, { kind: CallerAnswerKind.Burn, report }, update);
-}
-
-function editConfiguration(
-  request: CallerRequest,
-  caller: CallerIdentity,
-  update: Update,
-): Result<void, Refusal> {
-  const { call, requestId } = request;
-  if (call.kind === CallerCallKind.EditConfiguration) {
-    update.write(ADMISSION).edits.set(requestId, {
-      keyId: caller.keyId,
-      section: call.section,
-      change: describeEdit(call.section, call.body),
-    });
-    update.dispatch(EDIT_CONFIGURATION, {
-      section: call.section,
-      body: call.body,
-      ifMatch: call.ifMatch,
-      ttlMs: request.ttlMs,
-      wallMs: request.wallMs,
-      replyTo: replyTo(EDIT_ANSWERED, requestId),
-    });
-  }
-  return ok(undefined);
-}
-
-function onEditAnswered(
-  { context: requestId, result }: Answered<string, EditResult>,
-  update: Update,
-): void {
-  const { edits } = update.write(ADMISSION);
-  const edit = edits.get(requestId);
-  edits.delete(requestId);
-  if (result.isErr()) {
-    refuseCaller(requestId, result.error, update);
-    return;
-  }
-  const version = result.value;
-  if (edit !== undefined) {
-    update.emit(
-      logChange("Operator edited configuration", { ...edit, version }),
-    );
-  }
-  answerCaller(requestId, { kind: CallerAnswerKind.Edited, version }, update);
-}
-
 function passToHome(
   request: CallerRequest,
   options: { readonly caller: CallerIdentity; readonly target: HomeTarget },
@@ -362,8 +280,10 @@
 
 function drive(update: Update): void {
   drivePending(update);
-  const { isStopping, isStopped, pending, edits } = update.read(ADMISSION);
-  const isIdle = pending.size === 0 && edits.size === 0;
+  const state = update.read(ADMISSION);
+  const { isStopping, isStopped } = state;
+  const isIdle = [state.pending, state.edits, state.reports]
+    .every(({ size }) => size === 0);
   if (isStopping && !isStopped && isIdle) {
     update.write(ADMISSION).isStopped = true;
     update.emit(nodeEffect({ kind: EffectKind.Stopped }));
--- a/packages/admission/src/admission_state.ts
+++ b/packages/admission/src/admission_state.ts
@@ -55,6 +55,8 @@
   readonly budgets: Map<string, RetryBudget>;
   /** Edits of the configuration that are under way, by request id. */
   readonly edits: Map<string, AuditedEdit>;
+  /** Requests whose burn report is being made. */
+  readonly reports: Set<string>;
   isStopping: boolean;
   isStopped: boolean;
 }
--- a/packages/admission/src/roles_test.ts
+++ b/packages/admission/src/roles_test.ts
@@ -1,10 +1,13 @@
+import { COLLECT_BURN, type CollectRequest } from "@mustardweir/burn";
 import { SectionPatchKind } from "@mustardweir/configuration";
-import type { Command } from "@mustardweir/kernel";
+import { type Command, CommandPriority } from "@mustardweir/kernel";
 import {
   ConfigurationSection,
   jobSpecSchema,
   KeyRole,
+  Outcome,
   RefusalReason,
+  refuse,
 } from "@mustardweir/model";
 import {
   type CallerCall,
@@ -12,7 +15,7 @@
   type LogChangeEffect,
 } from "@mustardweir/protocol";
 import { expect } from "chai";
-import { ok } from "neverthrow";
+import { err, ok } from "neverthrow";
 import { Bench, CONFIG, hashOf } from "./hand_driven_test.ts";
 
 const { Operator, Submitter, Viewer } = KeyRole;
@@ -127,6 +130,29 @@
   },
 ];
 
+describe("Burn reports", () => {
+  it("are waited for by a planned stop, and a submitter's name its team", () => {
+    const bench = new Bench();
+    const asked: CollectRequest[] = [];
+    bench.kernel.registerCommand(
+      COLLECT_BURN,
+      (request) => void asked.push(request),
+      CommandPriority.Normal,
+    );
+    bench.request("s1", { kind: CallerCallKind.Burn });
+    bench.stop();
+    bench.advance(200);
+    expect([bench.isStopped, asked[0]?.team]).to.deep.equal([
+      false,
+      "storefront",
+    ]);
+    const { command, context } = asked[0]!.replyTo;
+    bench.run(command as Command<unknown>, { context, result: {} });
+    bench.advance(200);
+    expect([bench.isStopped, bench.answers]).to.deep.equal([true, ["burn"]]);
+  });
+});
+
 describe("Audit lines", () => {
   for (const { name, section, body, change } of AUDIT_CASES) {
     it(`tell who made ${name}, and no key or body`, () => {
@@ -151,6 +177,22 @@
       expectNoSecret(bench.logs);
     });
   }
+
+  it("tell of an edit that may be in force", () => {
+    const bench = new Bench();
+    bench.request("o1", DRAIN);
+    const { command, context } = bench.edits[0]!.replyTo;
+    const message = "No answer";
+    const outcome = Outcome.Unknown;
+    const refusal = refuse(RefusalReason.StoreUnavailable, {
+      message,
+      outcome,
+    });
+    bench.run(command as Command<unknown>, { context, result: err(refusal) });
+    expect(bench.logs.map((log) => log.message)).to.deep.equal([
+      "Operator's edit may be in force",
+    ]);
+  });
 });
 
 function expectNoSecret(logs: readonly LogChangeEffect[]): void {
