Start what fits beside work that finds no room; ask elsewhere

Cause: a slice tried 8 asks of a team and gave up, a home took the sum of a slice's free room for room, and each decline stopped all asks of the slice for 100 ms. Beside a backlog of 15,000 tasks that fit nowhere no request started.

Change: slices remember sizes that fit nowhere until room is given back; homes remember sizes that found no room in a slice for a second. Asks that wait in a slice without room for 300 ms are taken back, at most 32 each 100 ms, when another slice has room. Grants are tried only after room or asks have come.

Ruled out: more lookahead (cost grows with the queue and the 128 asks that a home may have out are still all of the one size).

--- a/packages/home/src/answers.ts
+++ b/packages/home/src/answers.ts
@@ -17,8 +17,8 @@
 import { requeueFirst, resetAttempt, setTaskState } from "./queue.ts";
 import { markStarted, settleEnd } from "./task_progress.ts";
 
-/** A slice without room is not asked again for this long. */
-const NO_ROOM_PAUSE_MS = 100;
+/** A slice that takes no work is not asked again for this long. */
+const DECLINED_PAUSE_MS = 100;
 
 /** Takes in a slice's answers to asks; late and doubled ones are harmless. */
 export function applyAnswers(
@@ -77,6 +77,7 @@
   if (task.state === TaskState.Asked && view !== undefined) {
     view.outstanding -= 1;
   }
+  view?.tight.noteRoom(task.job.size);
   setTaskState(home, task, TaskState.Held);
   advanceGang(update, home, task.job);
 }
@@ -87,8 +88,10 @@
   { task, answer }: Answered,
 ): void {
   const view = home.slices.get(task.sliceId);
-  if (view !== undefined && answer.reason !== DeclineReason.Withdrawn) {
-    view.notBefore = update.now + NO_ROOM_PAUSE_MS;
+  if (answer.reason === DeclineReason.NoRoom) {
+    view?.tight.note(task.job.size, update.now);
+  } else if (view !== undefined && answer.reason !== DeclineReason.Withdrawn) {
+    view.notBefore = update.now + DECLINED_PAUSE_MS;
   }
   update.emit(count("asks_declined"));
   resetAttempt(home, task);
--- a/packages/home/src/fencing.ts
+++ b/packages/home/src/fencing.ts
@@ -32,6 +32,7 @@
 import { ANY_SPEC, createJob, taskIndexOf } from "./job_factory.ts";
 import { addJob, requeueFirst, resetAttempt, setTaskState } from "./queue.ts";
 import { markStarted, settleEnd } from "./task_progress.ts";
+import { TightRoom } from "./tight_room.ts";
 
 /** Allowance for clocks that run at different rates, in milliseconds. */
 const CLOCK_MARGIN_MS = 100;
@@ -90,6 +91,7 @@
     heardEpoch: 0,
     heardAt: -Infinity,
     notBefore: 0,
+    tight: new TightRoom(),
   };
 }
 
--- a/packages/home/src/home_state.ts
+++ b/packages/home/src/home_state.ts
@@ -6,6 +6,7 @@
   Resources,
 } from "@mustardweir/model";
 import type { JobQueue } from "./job_queue.ts";
+import type { TightRoom } from "./tight_room.ts";
 import type { TimerHeap } from "./timer_heap.ts";
 
 /** How far a home is with taking over from an earlier owner. */
@@ -119,8 +120,10 @@
   askedSince: Resources;
   heardEpoch: number;
   heardAt: number;
-  /** Not asked before this time, after it had no room. */
+  /** Not asked before this time, after it declined all alike. */
   notBefore: number;
+  /** Sizes that it has no room for. */
+  readonly tight: TightRoom;
 }
 
 /** The home of a team on its owner. */
--- a/packages/home/src/slice_chooser.ts
+++ b/packages/home/src/slice_chooser.ts
@@ -48,17 +48,30 @@
 
   /** The slice to ask for one task, if any should be asked now. */
   choose(task: HomeTask): string | undefined {
-    const able = this.#options.filter((option) =>
-      isUsable(option, this.#update.now) &&
-      canHold(option.outline, task.job.size)
-    );
-    const roomy = able.filter(({ free }) => fitsWithin(task.job.size, free));
+    const able = this.#listAble(task);
+    const roomy = able.filter((option) => this.#hasRoom(option, task));
     const best = roomy.length > 0
       ? this.#pickRoomy(roomy, task)
       : pickShortestQueue(able);
     return best?.outline.spec.sliceId;
   }
 
+  /**
+   * True when a slice other than the one that was asked has room for the
+   * task, which is then reckoned to be taken.
+   */
+  reserveElsewhere(task: HomeTask): boolean {
+    const option = this.#listAble(task).find((candidate) =>
+      candidate.outline.spec.sliceId !== task.sliceId &&
+      this.#hasRoom(candidate, task)
+    );
+    if (option === undefined) {
+      return false;
+    }
+    option.free = subtractResources(option.free, task.job.size);
+    return true;
+  }
+
   /** A slice for each task of a gang, or nothing when room is missing. */
   chooseAll(tasks: readonly HomeTask[]): string[] | undefined {
     const left = new Map(
@@ -97,6 +110,18 @@
     );
   }
 
+  #listAble(task: HomeTask): SliceOption[] {
+    return this.#options.filter((option) =>
+      isUsable(option, this.#update.now) &&
+      canHold(option.outline, task.job.size)
+    );
+  }
+
+  #hasRoom({ free, view }: SliceOption, { job }: HomeTask): boolean {
+    return fitsWithin(job.size, free) &&
+      !view.tight.covers(job.size, this.#update.now);
+  }
+
   /** Services go where fewest of their own run; other work at random. */
   #pickRoomy(
     roomy: readonly SliceOption[],
--- a/packages/home/src/task_progress.ts
+++ b/packages/home/src/task_progress.ts
@@ -32,6 +32,7 @@
   const view = home.slices.get(task.sliceId);
   if (task.state === TaskState.Asked && view !== undefined) {
     view.outstanding -= 1;
+    view.tight.noteRoom(job.size);
   }
   setTaskState(home, task, TaskState.Started);
   home.bySeq.delete(task.seq);
--- a/packages/home/src/upkeep.ts
+++ b/packages/home/src/upkeep.ts
@@ -19,6 +19,7 @@
   TaskState,
 } from "./home_state.ts";
 import { requeueFirst } from "./queue.ts";
+import { rebalance } from "./rebalance.ts";
 import { continueCancels } from "./recovery.ts";
 import { trimToCeiling } from "./trim.ts";
 
@@ -47,6 +48,7 @@
   trimToCeiling(update, home);
   resendAsks(update, home);
   resendStops(update, home);
+  rebalance(update, home);
   advanceGangs(update, home);
   for (const task of home.delayed.takeDue(update.now)) {
     requeueFirst(home, task);
--- a/packages/slice/src/asks.ts
+++ b/packages/slice/src/asks.ts
@@ -173,6 +173,7 @@
     declineAsk(slice, view, { seq, taskId, reason });
     return;
   }
+  slice.mayGrantMore = true;
   view.queue.set(seq, {
     ask,
     receivedAt: update.now,
--- a/packages/slice/src/grant.ts
+++ b/packages/slice/src/grant.ts
@@ -29,13 +29,17 @@
 } from "./slice_state.ts";
 import { addTask } from "./tasks.ts";
 
-/** Asks of a team that are tried after one that finds no room. */
-const MAX_LOOKAHEAD = 8;
+/** Sizes of a team's asks that may find no room before it is passed over. */
+const MAX_MISSES = 8;
 
 /** Gives room to waiting asks until none of them fits. */
 export function grantRoom(update: Update, slice: Slice): void {
+  if (!slice.mayGrantMore || !mayGrant(update, slice)) {
+    return;
+  }
+  slice.mayGrantMore = false;
   const hasAsks = [...slice.teams.values()].some(({ queue }) => queue.size > 0);
-  if (hasAsks && mayGrant(update, slice)) {
+  if (hasAsks) {
     new GrantRound(update, slice).run();
   }
 }
@@ -57,6 +61,7 @@
 
 interface Contender {
   readonly view: TeamView;
+  /** The next is at the end. */
   readonly asks: QueuedAsk[];
   used: Resources;
   misses: number;
@@ -78,10 +83,11 @@
       .filter(({ queue }) => queue.size > 0)
       .map((view) => ({
         view,
-        asks: orderedAsks(view),
+        asks: orderedAsks(view).reverse(),
         used: usage.get(view.team) ?? NO_RESOURCES,
         misses: 0,
       }));
+    this.#passOver();
   }
 
   run(): void {
@@ -95,26 +101,38 @@
         return;
       }
       this.#serve(contender);
-      this.#contenders = this.#contenders.filter(({ asks, misses }) =>
-        asks.length > 0 && misses < MAX_LOOKAHEAD
-      );
+      this.#passOver();
+    }
+  }
+
+  /** Leaves out asks, and then teams, that are known to find no room. */
+  #passOver(): void {
+    const { noRoom } = this.#slice;
+    for (const { asks } of this.#contenders) {
+      while (asks.length > 0 && noRoom.covers(asks.at(-1)!.ask.task.size)) {
+        asks.pop();
+      }
     }
+    this.#contenders = this.#contenders.filter(({ asks, misses }) =>
+      asks.length > 0 && misses < MAX_MISSES
+    );
   }
 
   #describe(contender: Contender) {
-    const [next] = contender.asks;
+    const next = contender.asks.at(-1);
     const { view, used } = contender;
     return describeDemand(this.#update, { view, used, next: next! });
   }
 
   #serve(contender: Contender): void {
-    const queued = contender.asks.shift();
+    const queued = contender.asks.pop();
     if (queued === undefined) {
       return;
     }
     const worker = this.#choose(queued);
     if (worker === undefined) {
       contender.misses += 1;
+      this.#slice.noRoom.note(queued.ask.task.size);
       return;
     }
     grant(this.#update, this.#slice, {
--- a/packages/slice/src/instances.ts
+++ b/packages/slice/src/instances.ts
@@ -14,7 +14,13 @@
 import { stopTask } from "./asks.ts";
 import { isZoneOpen } from "./grant.ts";
 import { isTrusted } from "./health.ts";
-import { type Slice, type Worker, WorkerState } from "./slice_state.ts";
+import { NoRoom } from "./no_room.ts";
+import {
+  noteRoom,
+  type Slice,
+  type Worker,
+  WorkerState,
+} from "./slice_state.ts";
 import { takeBackStart } from "./tasks.ts";
 
 /** The slice of the inventory with this id. */
@@ -40,6 +46,8 @@
     claimKnownAt: Infinity,
     isFirstOwner: owned.isFirstOwner,
     table: new InstanceTable(),
+    noRoom: new NoRoom(),
+    mayGrantMore: true,
     workers: new Map(),
     touched: new Set(),
     tasks: new Map(),
@@ -174,6 +182,9 @@
       worker.state === WorkerState.Reachable &&
       update.now >= worker.fullUntil &&
       isTrusted(update, worker.instanceId);
+    if (isEligible && !slice.table.isEligible(worker.index)) {
+      noteRoom(slice);
+    }
     slice.table.setEligible(worker.index, isEligible);
   }
 }
--- a/packages/slice/src/slice_plugin.ts
+++ b/packages/slice/src/slice_plugin.ts
@@ -41,7 +41,7 @@
   takeBackStarts,
   updateEligibility,
 } from "./instances.ts";
-import { type Slice, SLICES } from "./slice_state.ts";
+import { noteRoom, type Slice, SLICES } from "./slice_state.ts";
 import {
   describeSlices,
   expireAsks,
@@ -220,6 +220,7 @@
   for (const worker of slice.workers.values()) {
     slice.touched.add(worker);
   }
+  noteRoom(slice); // The policy may have overlooked some.
   settle(update, slice);
 }
 
--- a/packages/slice/src/slice_state.ts
+++ b/packages/slice/src/slice_state.ts
@@ -10,6 +10,7 @@
   TaskPhase,
   TaskSpec,
 } from "@mustardweir/protocol";
+import type { NoRoom } from "./no_room.ts";
 
 /** How a worker stands with the owner of its slice. */
 export enum WorkerState {
@@ -112,6 +113,9 @@
   claimKnownAt: number;
   readonly isFirstOwner: boolean;
   readonly table: InstanceTable;
+  readonly noRoom: NoRoom;
+  /** Room or asks have come that a grant was not tried with. */
+  mayGrantMore: boolean;
   readonly workers: Map<string, Worker>;
   /** Workers that changed since their calls and eligibility were settled. */
   readonly touched: Set<Worker>;
@@ -140,4 +144,10 @@
   worker.touched.add(worker);
 }
 
+/** Some instance may have more room than before. */
+export function noteRoom(slice: Slice): void {
+  slice.noRoom.clear();
+  slice.mayGrantMore = true;
+}
+
 export const SLICES = createStateKey<SlicesState>("slices");
--- a/packages/slice/src/tasks.ts
+++ b/packages/slice/src/tasks.ts
@@ -11,6 +11,7 @@
 import { noteOutcome } from "./health.ts";
 import {
   noteNews,
+  noteRoom,
   type Slice,
   type SliceTask,
   type Worker,
@@ -175,6 +176,7 @@
 
 function giveBack(slice: Slice, task: SliceTask): void {
   slice.table.giveBack(task.worker.index, task.task.size);
+  noteRoom(slice);
   const view = teamView(slice, task.task.team);
   view.used = subtractResources(view.used, task.task.size);
 }
