Index claims by unit, so that an owner is found without a search

resolveOwner searched the owned units of every peer's last heartbeat, for each slice of each choice, and newestEpochs built a map of all units for each heartbeat and each vouch. Both grew with the number of schedulers. Claims are now kept by unit as heartbeats come; the newest epoch of a unit is a look-up, because every claim that a view holds has been remembered anyway.

Ruled out: a map for each heartbeat, which still looks at every peer.

--- a/packages/admission/src/hand_driven_test.ts
+++ b/packages/admission/src/hand_driven_test.ts
@@ -10,7 +10,13 @@
   Kernel,
   Role,
 } from "@mustardweir/kernel";
-import { homeUnit, OWNERSHIP, PEERS } from "@mustardweir/membership";
+import {
+  CLAIMS_HEARD,
+  homeUnit,
+  OWNERSHIP,
+  PEERS,
+  recordHeartbeat,
+} from "@mustardweir/membership";
 import {
   type Configuration,
   EMPTY_CONFIGURATION,
@@ -130,6 +136,10 @@
     });
     kernel.registerState(CONFIGURATION, { current: CONFIG, confirmedAt: 0 });
     kernel.registerState(PEERS, { views: new Map() });
+    kernel.registerState(CLAIMS_HEARD, {
+      epochs: new Map(),
+      claimants: new Map(),
+    });
     kernel.registerState(OWNERSHIP, {
       rows: new Map(),
       revision: 0,
@@ -180,20 +190,17 @@
 
   hear(heartbeat: Partial<Heartbeat> & { readonly nodeId: string }): void {
     this.kernel.update(this.now, (update) => {
-      update.write(PEERS).views.set(heartbeat.nodeId, {
-        heardAt: this.now,
-        heartbeat: {
-          kind: PeerMessageKind.Heartbeat,
-          incarnation: "i1",
-          availabilityZone: "tx-a",
-          configurationVersion: 1,
-          stopping: false,
-          owned: [],
-          superseded: [],
-          slices: [],
-          usage: [],
-          ...heartbeat,
-        },
+      recordHeartbeat(update, {
+        kind: PeerMessageKind.Heartbeat,
+        incarnation: "i1",
+        availabilityZone: "tx-a",
+        configurationVersion: 1,
+        stopping: false,
+        owned: [],
+        superseded: [],
+        slices: [],
+        usage: [],
+        ...heartbeat,
       });
     });
   }
--- a/packages/membership/src/claiming.ts
+++ b/packages/membership/src/claiming.ts
@@ -18,7 +18,7 @@
 } from "./claim_state.ts";
 import { isStopping } from "./heartbeat_plugin.ts";
 import { CLAIM_ANSWERED, type ClaimContext } from "./claim_answered.ts";
-import { newestEpochs } from "./claims.ts";
+import { newestEpoch } from "./claims.ts";
 import { nextEpoch } from "./epochs.ts";
 import { OWNED, resolveOwner } from "./owned.ts";
 import { acquire } from "./owned_units.ts";
@@ -109,7 +109,7 @@
   const { unit } = needed;
   const { nodeId } = update.service(NODE_IDENTITY);
   const known = update.read(OWNERSHIP).rows.get(unit);
-  const epoch = nextEpoch(newestEpochs(update).get(unit) ?? 0);
+  const epoch = nextEpoch(newestEpoch(update, unit));
   const row: OwnershipRow = {
     owner: nodeId,
     epoch,
--- a/packages/membership/src/claims.ts
+++ b/packages/membership/src/claims.ts
@@ -1,16 +1,47 @@
 import { createStateKey, type Update } from "@mustardweir/kernel";
-import type { OwnedUnit } from "@mustardweir/protocol";
+import type { Heartbeat, OwnedUnit } from "@mustardweir/protocol";
 import { OWNERSHIP } from "./ownership.ts";
 import { PEERS } from "./peers.ts";
 
 export interface ClaimsHeardState {
   /** Highest epoch that any node has claimed for a unit. */
   readonly epochs: Map<string, number>;
+  /** By unit and node: the epoch that the node last claimed it with. */
+  readonly claimants: Map<string, Map<string, number>>;
 }
 
 /** Kept apart from the peers' views: a claim outlives who made it. */
 export const CLAIMS_HEARD = createStateKey<ClaimsHeardState>("claims-heard");
 
+/** Remembers a heartbeat and what its sender says it owns. */
+export function recordHeartbeat(update: Update, heartbeat: Heartbeat): void {
+  const { views } = update.write(PEERS);
+  const { nodeId, owned } = heartbeat;
+  const before = views.get(nodeId)?.heartbeat.owned ?? [];
+  views.set(nodeId, { heartbeat, heardAt: update.now });
+  const { claimants } = update.write(CLAIMS_HEARD);
+  for (const { unit } of before) {
+    removeClaimant(claimants, unit, nodeId);
+  }
+  for (const { unit, epoch } of owned) {
+    const epochs = claimants.get(unit) ?? new Map<string, number>();
+    claimants.set(unit, epochs.set(nodeId, epoch));
+  }
+  rememberClaims(update, owned);
+}
+
+function removeClaimant(
+  claimants: ClaimsHeardState["claimants"],
+  unit: string,
+  nodeId: string,
+): void {
+  const epochs = claimants.get(unit);
+  epochs?.delete(nodeId);
+  if (epochs?.size === 0) {
+    claimants.delete(unit);
+  }
+}
+
 /** Remembers what a node says it owns. */
 export function rememberClaims(
   update: Update,
@@ -22,16 +53,9 @@
   }
 }
 
-/** The highest epoch known of each unit, from rows and from claims. */
-export function newestEpochs(update: Update): Map<string, number> {
-  const newest = new Map(update.read(CLAIMS_HEARD).epochs);
-  const raise = (unit: string, epoch: number) =>
-    newest.set(unit, Math.max(newest.get(unit) ?? 0, epoch));
-  for (const [unit, { row }] of update.read(OWNERSHIP).rows) {
-    raise(unit, row.epoch);
-  }
-  for (const { heartbeat } of update.read(PEERS).views.values()) {
-    heartbeat.owned.forEach(({ unit, epoch }) => raise(unit, epoch));
-  }
-  return newest;
+/** The highest epoch known of a unit, from its row and from claims. */
+export function newestEpoch(update: Update, unit: string): number {
+  const claimed = update.read(CLAIMS_HEARD).epochs.get(unit) ?? 0;
+  const row = update.read(OWNERSHIP).rows.get(unit)?.row;
+  return Math.max(claimed, row?.epoch ?? 0);
 }
--- a/packages/membership/src/follower_plugin.ts
+++ b/packages/membership/src/follower_plugin.ts
@@ -13,7 +13,6 @@
 import {
   type Answered,
   EffectKind,
-  type Heartbeat,
   type ListInstancesResult,
   logChange,
   NODE_IDENTITY,
@@ -32,7 +31,7 @@
   type OwnershipRow,
   type VersionedOwnership,
 } from "./ownership.ts";
-import { CLAIMS_HEARD, rememberClaims } from "./claims.ts";
+import { CLAIMS_HEARD, recordHeartbeat } from "./claims.ts";
 import { PEERS } from "./peers.ts";
 
 /** Time between scans of the ownership rows, in milliseconds. */
@@ -93,7 +92,10 @@
         scannedAt: -Infinity,
       }),
       kernel.registerState(PEERS, { views: new Map() }),
-      kernel.registerState(CLAIMS_HEARD, { epochs: new Map() }),
+      kernel.registerState(CLAIMS_HEARD, {
+        epochs: new Map(),
+        claimants: new Map(),
+      }),
       kernel.registerState(FOLLOWER, {
         scanStartedAt: undefined,
         scanId: 0,
@@ -217,12 +219,6 @@
   return JSON.parse(value) as OwnershipRow;
 }
 
-function recordHeartbeat(update: Update, heartbeat: Heartbeat): void {
-  const { views } = update.write(PEERS);
-  views.set(heartbeat.nodeId, { heartbeat, heardAt: update.now });
-  rememberClaims(update, heartbeat.owned);
-}
-
 function listInstances(update: Update): void {
   if (update.read(SCHEDULERS).peers.length === 0) {
     connect(update, []);
--- a/packages/membership/src/heartbeat_plugin.ts
+++ b/packages/membership/src/heartbeat_plugin.ts
@@ -20,7 +20,7 @@
   type SliceSummary,
   type TeamUsage,
 } from "@mustardweir/protocol";
-import { newestEpochs } from "./claims.ts";
+import { newestEpoch } from "./claims.ts";
 import { OWNED } from "./owned.ts";
 import { HEARTBEAT_MS, PEERS, type PeerView } from "./peers.ts";
 
@@ -106,14 +106,12 @@
 
 /** Claims of peers that a row or another peer's claim has overtaken. */
 function supersededClaims(update: Update): OwnedUnit[] {
-  const newest = newestEpochs(update);
   const claims = [...update.read(PEERS).views.values()].flatMap(
     (view) => view.heartbeat.owned,
   );
-  const stale = claims.filter(({ unit, epoch }) =>
-    epoch < (newest.get(unit) ?? 0)
-  );
-  return stale.map(({ unit }) => ({ unit, epoch: newest.get(unit) ?? 0 }));
+  return claims
+    .filter(({ unit, epoch }) => epoch < newestEpoch(update, unit))
+    .map(({ unit }) => ({ unit, epoch: newestEpoch(update, unit) }));
 }
 
 registerPlugin({
--- a/packages/membership/src/mod.ts
+++ b/packages/membership/src/mod.ts
@@ -1,4 +1,5 @@
 export * from "./claim_plugin.ts";
+export * from "./claims.ts";
 export * from "./confirmation_plugin.ts";
 export { FIRST_EPOCH } from "./epochs.ts";
 export * from "./follower_plugin.ts";
--- a/packages/membership/src/owned.ts
+++ b/packages/membership/src/owned.ts
@@ -3,8 +3,8 @@
   createStateKey,
   type Update,
 } from "@mustardweir/kernel";
+import { CLAIMS_HEARD } from "./claims.ts";
 import { OWNERSHIP } from "./ownership.ts";
-import { PEERS } from "./peers.ts";
 
 /** A unit that this node owns. */
 export interface Owned {
@@ -70,11 +70,12 @@
     owner = { nodeId: row.owner, epoch: row.epoch };
   }
   let newest = row?.epoch ?? 0;
-  for (const { heartbeat } of update.read(PEERS).views.values()) {
-    const claim = heartbeat.owned.find((owned) => owned.unit === unit);
-    if (claim !== undefined && claim.epoch > newest) {
-      newest = claim.epoch;
-      owner = { nodeId: heartbeat.nodeId, epoch: claim.epoch };
+  for (
+    const [nodeId, epoch] of update.read(CLAIMS_HEARD).claimants.get(unit) ?? []
+  ) {
+    if (epoch > newest) {
+      newest = epoch;
+      owner = { nodeId, epoch };
     }
   }
   return owner;
--- a/packages/membership/src/succession.ts
+++ b/packages/membership/src/succession.ts
@@ -11,7 +11,7 @@
   listCandidates,
   type NeededUnit,
 } from "./claim_state.ts";
-import { newestEpochs } from "./claims.ts";
+import { newestEpoch } from "./claims.ts";
 import { CLAIM_ANSWERED } from "./claim_answered.ts";
 import { MAX_SUCCESSORS, reservedEpoch } from "./epochs.ts";
 import { isOwnershipConfirmed, OWNED } from "./owned.ts";
@@ -63,10 +63,9 @@
   if (!isOwnershipConfirmed(update)) {
     return;
   }
-  const newest = newestEpochs(update);
   for (const [unit, { row, version }] of update.read(OWNERSHIP).rows) {
     const epoch = epochToSucceedWith(update, row);
-    const isNewest = epoch !== undefined && epoch > (newest.get(unit) ?? 0);
+    const isNewest = epoch !== undefined && epoch > newestEpoch(update, unit);
     if (isNewest && !update.read(OWNED).units.has(unit)) {
       update.emit(count("slices_succeeded"));
       update.emit(logChange("Slice taken over in an outage", { unit, epoch }));
--- a/packages/membership/src/vouch_plugin.ts
+++ b/packages/membership/src/vouch_plugin.ts
@@ -17,7 +17,7 @@
   sendPeer,
   type VouchRequest,
 } from "@mustardweir/protocol";
-import { newestEpochs, rememberClaims } from "./claims.ts";
+import { newestEpoch, rememberClaims } from "./claims.ts";
 import { OWNERSHIP } from "./ownership.ts";
 import { COMPOSE_OWN_VOUCH } from "./vouching.ts";
 
@@ -118,11 +118,10 @@
   { tickMs, owned }: VouchRequest,
 ): void {
   rememberClaims(update, owned);
-  const newest = newestEpochs(update);
   const superseded = owned
     .map(({ unit, epoch }) => ({
       unit,
-      epoch: Math.max(newest.get(unit) ?? 0, epoch),
+      epoch: Math.max(newestEpoch(update, unit), epoch),
     }))
     .filter((claim, index) => claim.epoch > (owned[index]?.epoch ?? 0));
   update.emit(sendPeer(from, {
