Measure how soon waiting work finds room that comes free elsewhere

Ruled out: shorter waits of all asks in slices, which would resend every ask of a full fleet several times a second.

--- a/packages/bench/src/loopback/loopback.ts
+++ b/packages/bench/src/loopback/loopback.ts
@@ -2,10 +2,13 @@
 import { type Command, createPlugins, Kernel, Role } from "@mustardweir/kernel";
 import { homeUnit, OWNED } from "@mustardweir/membership";
 import {
+  addResources,
   type Configuration,
   instanceCapacity,
   JobKind,
   jobSpecSchema,
+  NO_RESOURCES,
+  type Resources,
   sliceFleet,
 } from "@mustardweir/model";
 import {
@@ -14,6 +17,7 @@
   EffectKind,
   HomeCallKind,
   type HomeReply,
+  HomeReplyKind,
   NODE_IDENTITY,
   type NodeEffect,
   PEER_MESSAGE_RECEIVED,
@@ -21,8 +25,9 @@
   PeerMessageKind,
   type ReplyTo,
   StoreStatus,
+  type TaskSpec,
 } from "@mustardweir/protocol";
-import { WorkerState } from "@mustardweir/worker";
+import { type WorkerListener, WorkerState } from "@mustardweir/worker";
 import { EventQueue } from "./event_queue.ts";
 import { InstantStore } from "./instant_store.ts";
 import { PolledWorker } from "./polled_worker.ts";
@@ -45,6 +50,13 @@
   readonly onEvent?: (spentMs: number) => void;
 }
 
+export interface LoopbackStart {
+  /** In milliseconds. */
+  readonly at: number;
+  readonly instanceId: string;
+  readonly task: TaskSpec;
+}
+
 export type JobRequest = Parameters<typeof jobSpecSchema.parse>[0] & object;
 
 /** Real scheduler kernels that share a queue of events with fake workers. */
@@ -54,6 +66,8 @@
   readonly kernels = new Map<string, Kernel>();
   readonly workers = new Map<string, PolledWorker>();
   readonly counters = new Map<string, number>();
+  /** Every start of a task, in order. */
+  readonly starts: LoopbackStart[] = [];
   readonly replies = new Map<string, HomeReply>();
   readonly #options: LoopbackOptions;
   #calls = 0;
@@ -65,6 +79,7 @@
       for (const { spec } of slice.instances) {
         const capacity = instanceCapacity(spec);
         const state = new WorkerState({ capacity, incarnation: spec.id });
+        state.registerListener(this.#listenTo(spec.id));
         this.workers.set(spec.id, new PolledWorker(state, this.queue));
       }
     }
@@ -98,6 +113,30 @@
     return callId;
   }
 
+  /** The id of the job that a call handed in, once it was accepted. */
+  jobIdOf(callId: string): string | undefined {
+    const reply = this.replies.get(callId)?.reply;
+    return reply?.kind === HomeReplyKind.Status
+      ? reply.status.jobId
+      : undefined;
+  }
+
+  /** What each team's running tasks take together. */
+  usage(): Map<string, Resources> {
+    const usage = new Map<string, Resources>();
+    for (const { state } of this.workers.values()) {
+      for (const { task: { team, size } } of state.runningTasks()) {
+        usage.set(team, addResources(usage.get(team) ?? NO_RESOURCES, size));
+      }
+    }
+    return usage;
+  }
+
+  /** Puts another configuration in force. */
+  configure(configuration: Configuration): void {
+    this.store.configure(configuration);
+  }
+
   cancel(team: string, jobId: string): void {
     const callId = `c${++this.#calls}`;
     this.#callHome(team, callId, { kind: HomeCallKind.Cancel, jobId });
@@ -119,6 +158,14 @@
     this.#perform(nodeId, effects as readonly NodeEffect[]);
   }
 
+  #listenTo(instanceId: string): WorkerListener {
+    return {
+      taskStarted: ({ task }) =>
+        this.starts.push({ at: this.now, instanceId, task }),
+      taskEnded: () => {},
+    };
+  }
+
   #callHome(team: string, callId: string, call: never | object): void {
     const unit = homeUnit(team);
     for (const [nodeId, kernel] of this.kernels) {
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -4,6 +4,7 @@
 import "./shares_benchmark.ts";
 import "./quarantine_benchmark.ts";
 import "./throughput_benchmark.ts";
+import "./decisions_benchmark.ts";
 import {
   type Benchmark,
   benchmarkNames,
