Leave teams that use and want nothing out of heartbeats

A heartbeat named each team up to twice, by its slices and by its home, also when the team used nothing. With 180 teams one was 19 KB.

--- a/packages/membership/src/heartbeat_plugin.ts
+++ b/packages/membership/src/heartbeat_plugin.ts
@@ -23,6 +23,7 @@
 import { newestEpoch } from "./claims.ts";
 import { OWNED } from "./owned.ts";
 import { HEARTBEAT_MS, PEERS, type PeerView } from "./peers.ts";
+import { joinUsage } from "./usage.ts";
 
 /** The parts of a heartbeat that other plug-ins fill in. */
 export interface HeartbeatDraft {
@@ -93,7 +94,8 @@
     stopping: update.read(HEARTBEAT).stopping,
     owned: ownedUnits(update),
     superseded: supersededClaims(update),
-    ...draft,
+    slices: draft.slices,
+    usage: joinUsage(draft.usage),
   };
 }
 
