Make room for urgent work and for teams below their entitlement

Cause: nothing called pickVictims; urgent work on a full fleet waited for a task to end, and a team that came back got nothing from those that had taken what it left.

Change: PreemptionPolicy with EntitledPreemption; preempt.ts in slices chooses victims for asks that waited (50 ms urgent, 500 ms below entitlement) on at most 32 instances an ask and 16 asks a step, keeps the instance for the ask until it is placed or 3 s are over, and stops at most a fifth of its tasks a second for shares. Entitlements are by water filling over the open zones, from rules, usage and waiting work, at most twice a second. A slice closes its part of a team's gap in a second, as it learns late what other slices grant. Urgent asks are sent to slices that have 16 waiting asks of the team.

--- a/packages/bench/src/decisions/decisions_test.ts
+++ b/packages/bench/src/decisions/decisions_test.ts
@@ -1,5 +1,7 @@
 import { expect } from "chai";
 import { runRebalanceTrial } from "./rebalance_trial.ts";
+import { runSharingTrial } from "./sharing_trial.ts";
+import { runUrgentTrial } from "./urgent_trial.ts";
 
 interface DecisionCase {
   readonly name: string;
@@ -10,12 +12,29 @@
 
 const SEED = 7;
 
+const SHORT_SHARING = { seed: SEED, instances: 8, sharedMs: 16_000 };
+
 const DECISION_CASES: readonly DecisionCase[] = [
   {
     name: "asks another slice when it gets room",
     measure: () => Math.max(...runRebalanceTrial(SEED)),
     atMost: 1_000,
   },
+  {
+    name: "starts urgent work on a full fleet",
+    measure: () => Math.max(...runUrgentTrial(SEED).waits),
+    atMost: 2_200,
+  },
+  {
+    name: "gives lent room back to teams that return",
+    measure: () => runSharingTrial(SHORT_SHARING).errors.at(-1)!,
+    atMost: 0.02,
+  },
+  {
+    name: "stops no work once the teams have their shares",
+    measure: () => runSharingTrial(SHORT_SHARING).preemptedLate,
+    atMost: 0,
+  },
 ];
 
 describe("Decisions", function () {
--- a/packages/bench/src/decisions/sharing_trial.ts
+++ b/packages/bench/src/decisions/sharing_trial.ts
@@ -7,6 +7,8 @@
 /** Time between looks at what the teams have. */
 const LOOK_MS = 500;
 
+const PREEMPTED = "tasks_ended_preempted";
+
 const SHARES = { storefront: 3, imaging: 2, ledger: 1 };
 
 export interface SharingTrialOptions {
@@ -27,6 +29,8 @@
   /** Part of the fleet in use, smallest of all looks. */
   readonly leastUsed: number;
   readonly preempted: number;
+  /** Of them, those in the second half of the time. */
+  readonly preemptedLate: number;
 }
 
 /** Lets one team have the fleet to itself, then the others come back. */
@@ -48,9 +52,13 @@
   loopback.submit("ledger", endless(1, 2 * cores));
   const errors: number[] = [];
   let leastUsed = 1;
+  let preemptedEarly = 0;
   for (let elapsed = 0; elapsed < sharedMs; elapsed += LOOK_MS) {
     loopback.run(LOOK_MS);
     errors.push(largestError(loopback, cores));
+    if (elapsed < sharedMs / 2) {
+      preemptedEarly = loopback.counter(PREEMPTED);
+    }
     leastUsed = Math.min(leastUsed, usedPart(loopback, cores));
   }
   return {
@@ -58,7 +66,8 @@
     convergedMs: convergedAfter(errors),
     lent,
     leastUsed,
-    preempted: loopback.counter("tasks_ended_preempted"),
+    preempted: loopback.counter(PREEMPTED),
+    preemptedLate: loopback.counter(PREEMPTED) - preemptedEarly,
   };
 }
 
--- a/packages/bench/src/decisions_benchmark.ts
+++ b/packages/bench/src/decisions_benchmark.ts
@@ -4,14 +4,20 @@
   registerBenchmark,
 } from "./benchmark.ts";
 import { runRebalanceTrial } from "./decisions/rebalance_trial.ts";
-import type { Metric } from "./metric.ts";
+import { runSharingTrial } from "./decisions/sharing_trial.ts";
+import { runUrgentTrial } from "./decisions/urgent_trial.ts";
+import { BoundKind, type Metric } from "./metric.ts";
 
 /** What homes and slices decide when room is short, over real kernels. */
 export class DecisionsBenchmark extends Benchmark {
   override readonly name = "decisions";
 
   override run({ seed }: BenchmarkOptions): Metric[] {
-    return [...measureRebalance(seed)];
+    return [
+      ...measureRebalance(seed),
+      ...measureUrgent(seed),
+      ...measureSharing(seed),
+    ];
   }
 }
 
@@ -21,4 +27,40 @@
   return [{ name: "room-elsewhere.wait.max", value, unit: "ms", bound: 2_200 }];
 }
 
+function measureUrgent(seed: number): Metric[] {
+  const { waits, preempted } = runUrgentTrial(seed);
+  const value = Math.max(...waits);
+  return [
+    { name: "urgent.wait.max", value, unit: "ms", bound: 2_200 },
+    { name: "urgent.preempted", value: preempted, unit: "tasks" },
+  ];
+}
+
+function measureSharing(seed: number): Metric[] {
+  const result = runSharingTrial({ seed });
+  return [
+    {
+      name: "shares.error",
+      value: result.errors.at(-1) ?? Infinity,
+      unit: "of fleet",
+      bound: 0.02,
+    },
+    { name: "shares.converged", value: result.convergedMs, unit: "ms" },
+    { name: "shares.preempted", value: result.preempted, unit: "tasks" },
+    {
+      name: "shares.preempted-late",
+      value: result.preemptedLate,
+      unit: "tasks",
+    },
+    {
+      name: "shares.lent",
+      value: result.lent,
+      unit: "of fleet",
+      bound: 0.95,
+      boundKind: BoundKind.AtLeast,
+    },
+    { name: "shares.used.min", value: result.leastUsed, unit: "of fleet" },
+  ];
+}
+
 registerBenchmark(new DecisionsBenchmark());
--- a/packages/fairness/src/mod.ts
+++ b/packages/fairness/src/mod.ts
@@ -1,4 +1,5 @@
 export * from "./entitlement.ts";
 export * from "./plugin.ts";
 export * from "./preemption.ts";
+export * from "./preemption_policy.ts";
 export * from "./queue_order.ts";
--- a/packages/fairness/src/plugin.ts
+++ b/packages/fairness/src/plugin.ts
@@ -1,18 +1,23 @@
 import {
   type Kernel,
+  mergeUndo,
   Plugin,
   registerPlugin,
   Role,
   type Undo,
 } from "@mustardweir/kernel";
+import { EntitledPreemption, PREEMPTION_POLICY } from "./preemption_policy.ts";
 import { DominantShareOrder, QUEUE_ORDER } from "./queue_order.ts";
 
-/** Offers the order of teams to the kernel. */
+/** Offers the order of teams and preemption to the kernel. */
 export class FairnessPlugin extends Plugin {
   override readonly name = "fairness";
 
   override register(kernel: Kernel): Undo {
-    return kernel.registerService(QUEUE_ORDER, new DominantShareOrder());
+    return mergeUndo(
+      kernel.registerService(QUEUE_ORDER, new DominantShareOrder()),
+      kernel.registerService(PREEMPTION_POLICY, new EntitledPreemption()),
+    );
   }
 }
 
--- a/packages/fairness/src/preemption.ts
+++ b/packages/fairness/src/preemption.ts
@@ -89,7 +89,9 @@
 }
 
 /** True when the team stays within its due with the ask granted. */
-function isBelowDue(options: PickVictimsOptions): boolean {
+export function isBelowDue(
+  options: Omit<PickVictimsOptions, "places">,
+): boolean {
   const standing = options.standings.find((s) => s.team === options.team);
   if (!standing) {
     return false;
--- /dev/null
+++ b/packages/fairness/src/preemption_policy_test.ts
@@ -0,0 +1,48 @@
+import { NO_RESOURCES, type Resources } from "@mustardweir/model";
+import { expect } from "chai";
+import { EntitledPreemption } from "./mod.ts";
+
+interface PolicyCase {
+  readonly name: string;
+  readonly usedCores: number;
+  readonly urgent?: boolean;
+  readonly mayPreempt: boolean;
+}
+
+/** Half of the fleet is due to the team, which asks for one core. */
+const POLICY_CASES: readonly PolicyCase[] = [
+  { name: "a team well below its due", usedCores: 40, mayPreempt: true },
+  {
+    name: "no team that lacks less than the slack",
+    usedCores: 49.6,
+    mayPreempt: false,
+  },
+  {
+    name: "no team that the ask would take past its due",
+    usedCores: 49.4,
+    mayPreempt: false,
+  },
+  { name: "no team above its due", usedCores: 60, mayPreempt: false },
+  {
+    name: "urgent work whatever its team has",
+    usedCores: 60,
+    urgent: true,
+    mayPreempt: true,
+  },
+];
+
+describe("EntitledPreemption", () => {
+  for (const { name, usedCores, urgent, mayPreempt } of POLICY_CASES) {
+    it(`makes room for ${name}`, () => {
+      const policy = new EntitledPreemption();
+      const standings = [{ team: "a", used: cores(usedCores), due: 0.5 }];
+      const request = { team: "a", size: cores(1), urgent, standings };
+      expect(policy.mayPreempt({ ...request, total: cores(100) }))
+        .to.equal(mayPreempt);
+    });
+  }
+});
+
+function cores(count: number): Resources {
+  return { ...NO_RESOURCES, cpuMillis: count * 1_000 };
+}
--- a/packages/home/src/slice_chooser.ts
+++ b/packages/home/src/slice_chooser.ts
@@ -9,6 +9,7 @@
   fitsWithin,
   JobKind,
   NO_RESOURCES,
+  Priority,
   type Resources,
   subtractResources,
 } from "@mustardweir/model";
@@ -24,6 +25,9 @@
 /** Most asks without an answer that a home keeps with one slice. */
 const MAX_OUTSTANDING = 128;
 
+/** The same when the next one is urgent. */
+const MAX_WITH_URGENT = 256;
+
 /** Most of them that wait in a slice that has no room to tell of. */
 const MAX_WAITING = 16;
 
@@ -52,7 +56,7 @@
     const roomy = able.filter((option) => this.#hasRoom(option, task));
     const best = roomy.length > 0
       ? this.#pickRoomy(roomy, task)
-      : pickShortestQueue(able);
+      : pickShortestQueue(able, task);
     return best?.outline.spec.sliceId;
   }
 
@@ -80,7 +84,7 @@
     const plan: string[] = [];
     for (const task of tasks) {
       const option = this.#options.find((candidate) =>
-        isUsable(candidate, this.#update.now) &&
+        isUsable(candidate, task, this.#update.now) &&
         canHold(candidate.outline, task.job.size) &&
         fitsWithin(task.job.size, left.get(candidate) ?? NO_RESOURCES)
       );
@@ -112,7 +116,7 @@
 
   #listAble(task: HomeTask): SliceOption[] {
     return this.#options.filter((option) =>
-      isUsable(option, this.#update.now) &&
+      isUsable(option, task, this.#update.now) &&
       canHold(option.outline, task.job.size)
     );
   }
@@ -188,15 +192,26 @@
   return summaries;
 }
 
-function isUsable({ view }: SliceOption, now: number): boolean {
-  return view.outstanding < MAX_OUTSTANDING && now >= view.notBefore;
+function isUsable(
+  { view }: SliceOption,
+  task: HomeTask,
+  now: number,
+): boolean {
+  const limit = isUrgent(task) ? MAX_WITH_URGENT : MAX_OUTSTANDING;
+  return view.outstanding < limit && now >= view.notBefore;
+}
+
+function isUrgent({ job }: HomeTask): boolean {
+  return job.spec.priority === Priority.Urgent;
 }
 
 function pickShortestQueue(
   able: readonly SliceOption[],
+  task: HomeTask,
 ): SliceOption | undefined {
+  const limit = isUrgent(task) ? MAX_WITH_URGENT : MAX_WAITING;
   return able
-    .filter(({ view }) => view.outstanding < MAX_WAITING)
+    .filter(({ view }) => view.outstanding < limit)
     .sort((a, b) => queueLoad(a) - queueLoad(b))[0];
 }
 
--- a/packages/slice/src/demand.ts
+++ b/packages/slice/src/demand.ts
@@ -10,6 +10,7 @@
   Priority,
   type Resources,
   sliceFleet,
+  ZoneState,
 } from "@mustardweir/model";
 import {
   type QueuedAsk,
@@ -18,6 +19,17 @@
   type TeamView,
 } from "./slice_state.ts";
 
+/** How long the usage that a peer told of counts, in milliseconds. */
+const USAGE_MS = 4_000;
+
+const openTotals = new WeakMap<
+  Configuration["zones"],
+  {
+    readonly inventory: Configuration["inventory"];
+    readonly total: Resources;
+  }
+>();
+
 const totals = new WeakMap<Configuration["inventory"], Resources>();
 
 /** What all instances of the fleet have together. */
@@ -35,12 +47,35 @@
   return total;
 }
 
+/** What the instances of open availability zones have together. */
+export function openTotal(update: Update): Resources {
+  const { zones, inventory } = update.read(CONFIGURATION).current;
+  const known = openTotals.get(zones);
+  if (known?.inventory === inventory) {
+    return known.total;
+  }
+  const total = sliceFleet(inventory)
+    .filter((slice) => isOpen(zones, slice.availabilityZone))
+    .flatMap((slice) => slice.instances)
+    .map(({ spec }) => instanceCapacity(spec))
+    .reduce(addResources, NO_RESOURCES);
+  openTotals.set(zones, { inventory, total });
+  return total;
+}
+
+function isOpen(zones: Configuration["zones"], zone: string): boolean {
+  return (zones[zone] ?? ZoneState.Open) === ZoneState.Open;
+}
+
 /** What each team uses, fleet-wide: own slices now, others as last told. */
 export function usageByTeam(update: Update): Map<string, Resources> {
   const usage = new Map<string, Resources>();
   const add = (team: string, used: Resources) =>
     usage.set(team, addResources(usage.get(team) ?? NO_RESOURCES, used));
-  for (const { heartbeat } of update.read(PEERS).views.values()) {
+  for (const { heartbeat, heardAt } of update.read(PEERS).views.values()) {
+    if (update.now - heardAt > USAGE_MS) {
+      continue; // Others have taken its slices over.
+    }
     heartbeat.usage.forEach(({ team, used }) => add(team, used));
   }
   for (const slice of update.read(SLICES).slices.values()) {
--- a/packages/slice/src/grant.ts
+++ b/packages/slice/src/grant.ts
@@ -12,6 +12,7 @@
 import { NO_INSTANCE, PLACEMENT_POLICY } from "@mustardweir/placement";
 import { AskMode, count, TaskPhase } from "@mustardweir/protocol";
 import { tellHeld } from "./asks.ts";
+import { takeReadyClaims } from "./claims.ts";
 import {
   describeDemand,
   fleetTotal,
@@ -26,6 +27,7 @@
   type SliceTask,
   type TeamView,
   type Worker,
+  WorkerState,
 } from "./slice_state.ts";
 import { addTask } from "./tasks.ts";
 
@@ -59,6 +61,20 @@
   return (zones[slice.availabilityZone] ?? ZoneState.Open) === ZoneState.Open;
 }
 
+/** Gives room that was made for asks to them. */
+export function serveClaims(update: Update, slice: Slice): void {
+  if (slice.claims.size === 0 || !mayGrant(update, slice)) {
+    return;
+  }
+  for (const ready of takeReadyClaims(slice, update.now)) {
+    const { view, queued } = ready;
+    const worker = slice.workers.get(ready.instanceId);
+    if (worker !== undefined && worker.state === WorkerState.Reachable) {
+      grant(update, slice, { view, queued, worker });
+    }
+  }
+}
+
 interface Contender {
   readonly view: TeamView;
   /** The next is at the end. */
--- a/packages/slice/src/instances.ts
+++ b/packages/slice/src/instances.ts
@@ -54,6 +54,13 @@
     ended: new Set(),
     untold: new Set(),
     teams: new Map(),
+    claims: new Map(),
+    window: {
+      startedAt: -Infinity,
+      stops: 0,
+      granted: new Map(),
+      gaps: new Map(),
+    },
     nextStartSeq: 1,
     complete: false,
     outbox: new Map(),
@@ -181,6 +188,7 @@
     const isEligible = isOpen && isStaying(update, worker) &&
       worker.state === WorkerState.Reachable &&
       update.now >= worker.fullUntil &&
+      !slice.claims.has(worker.instanceId) &&
       isTrusted(update, worker.instanceId);
     if (isEligible && !slice.table.isEligible(worker.index)) {
       noteRoom(slice);
--- a/packages/slice/src/slice_plugin.ts
+++ b/packages/slice/src/slice_plugin.ts
@@ -31,7 +31,7 @@
   tellInventory,
 } from "./asks.ts";
 import { drain } from "./drain.ts";
-import { beginStart, grantRoom } from "./grant.ts";
+import { beginStart, grantRoom, serveClaims } from "./grant.ts";
 import {
   createSlice,
   dropRetired,
@@ -41,6 +41,7 @@
   takeBackStarts,
   updateEligibility,
 } from "./instances.ts";
+import { preempt } from "./preempt.ts";
 import { noteRoom, type Slice, SLICES } from "./slice_state.ts";
 import {
   describeSlices,
@@ -74,6 +75,7 @@
     return mergeUndo(
       kernel.registerState(SLICES, {
         slices: new Map(),
+        dues: undefined,
         configurationVersion: 0,
       }),
       kernel.registerCommand(UNIT_ACQUIRED, acquire, Normal),
@@ -229,6 +231,7 @@
  * grant touches is called now and looked at again with the next event.
  */
 function settle(update: Update, slice: Slice): void {
+  serveClaims(update, slice);
   const changed = [...slice.touched];
   slice.touched.clear();
   updateEligibility(update, slice, changed);
@@ -258,6 +261,7 @@
     expireAsks(update, slice);
     dropRetired(slice);
     retellEnds(update, slice);
+    preempt(update, slice);
     settleAll(update, slice);
   }
 }
--- a/packages/slice/src/slice_state.ts
+++ b/packages/slice/src/slice_state.ts
@@ -125,6 +125,9 @@
   /** Those of them that no home was told of. */
   readonly untold: Set<SliceTask>;
   readonly teams: Map<string, TeamView>;
+  /** By instance. */
+  readonly claims: Map<string, RoomClaim>;
+  window: PreemptionWindow;
   nextStartSeq: number;
   /** Every worker has told what it runs, or is known to run nothing. */
   complete: boolean;
@@ -132,8 +135,34 @@
   readonly outbox: Map<string, AskAnswer[]>;
 }
 
+/** An instance that is kept for an ask while tasks there are stopped. */
+export interface RoomClaim {
+  readonly view: TeamView;
+  readonly seq: number;
+  readonly victims: readonly SliceTask[];
+  readonly expiresAt: number;
+}
+
+/** What was stopped for teams' shares lately. */
+export interface PreemptionWindow {
+  readonly startedAt: number;
+  stops: number;
+  /** By team: the sizes of the asks that room was made for. */
+  readonly granted: Map<string, Resources>;
+  /** By team: what it lacked of its due when the window began. */
+  readonly gaps: Map<string, number>;
+}
+
+/** The dominant share that each team is due. */
+export interface TeamDues {
+  readonly computedAt: number;
+  readonly byTeam: ReadonlyMap<string, number>;
+}
+
 export interface SlicesState {
   readonly slices: Map<string, Slice>;
+  /** Undefined until they are needed. */
+  dues: TeamDues | undefined;
   /** Version of the configuration that the slices follow. */
   configurationVersion: number;
 }
