Add a start page whose commands a test runs, and generated settings

Cause: an operator had no page to start from and no list of settings. Change: docs/START.md, run as written by a test against a fleet of its own; docs/SETTINGS.md, written from the definitions of the flags and checked.

--- /dev/null
+++ b/packages/demo/src/docs/pages_test.ts
@@ -0,0 +1,71 @@
+import { expect } from "chai";
+import { BlockMark, joinBlocks, readBlocks, readPage } from "./page.ts";
+import { type PageRun, runPage } from "./page_run.ts";
+
+/** Generous, as each page starts a fleet. */
+const LIMIT_MS = 180_000;
+
+/** The page whose fleet the others use. */
+const START = "docs/START.md";
+
+interface PageCase {
+  readonly page: string;
+  /** What the output of its commands must show. */
+  readonly shows: readonly RegExp[];
+}
+
+const STAMPED = /^as of \d{4}-\S+Z, configuration version \d+$/m;
+
+const PAGE_CASES: readonly PageCase[] = [
+  {
+    page: START,
+    shows: [
+      STAMPED,
+      /^inventory in version 1$/m,
+      /^blue +2 +66\.7%/m,
+      /^blue-1 +submitter +blue/m,
+      /outcome done, reason completed, answer "hello"/,
+      /0 running and 3 ended of 3, outcome done/,
+      /0 running and 4 ended of 4, outcome done/,
+      /It is running and waits for nothing/,
+      /^drain of zone-b in version \d+$/m,
+      /^return of zone-b in version \d+$/m,
+      /^blue batch: 95% start within 5000 ms/m,
+      /^report in burn\.html$/m,
+      /unknown-key, not-run/,
+    ],
+  },
+];
+
+describe("Pages run as written", function () {
+  this.timeout(LIMIT_MS);
+
+  for (const { page, shows } of PAGE_CASES) {
+    describe(page, () => {
+      let run: PageRun = { exitCode: undefined, output: "" };
+
+      before(async () => {
+        run = await runPage(scriptOf(page));
+      });
+
+      it("runs to its end", () => {
+        expect(run.exitCode, run.output).to.equal(0);
+      });
+
+      for (const pattern of shows) {
+        it(`shows ${pattern.source}`, () => {
+          expect(run.output).to.match(pattern);
+        });
+      }
+    });
+  }
+});
+
+/** The fleet of the first page, the page's own blocks, and the stop. */
+function scriptOf(page: string): string {
+  const start = readBlocks(readPage(START));
+  const own = readBlocks(readPage(page));
+  const fleet = joinBlocks(start, [BlockMark.Fleet]);
+  const stop = joinBlocks(start, [BlockMark.Stop]);
+  return [fleet, joinBlocks(own, [BlockMark.Run]), stop].join("\n");
+}
--- /dev/null
+++ b/packages/demo/src/docs/settings_page_test.ts
@@ -0,0 +1,35 @@
+import { expect } from "chai";
+import { readPage } from "./page.ts";
+import { renderSettingsPage, SETTINGS_PAGE } from "./settings_page.ts";
+
+/** Generous, as the help of three binaries is printed. */
+const LIMIT_MS = 60_000;
+
+/** Rows that each kind of source must lead to. */
+const ROW_CASES: readonly RegExp[] = [
+  /^\| `--node-id <id>` +\| `MUSTARDWEIR_NODE_ID` +\| required/m,
+  /^\| `--admin-listen <host:port>` +\| `MUSTARDWEIR_ADMIN_LISTEN`/m,
+  /^\| `--entry <url>` +\| `MUSTARDWEIR_ENTRY` +\| +\| an entry/m,
+  /^\| `--timeout-ms <ms>` +\| +\| `30000`/m,
+  /^\| `--listen <host:port>` +\| `MUSTARDWEIR_PLATFORM_LISTEN` +\| `127/m,
+  /^\| `--worker <spec>` +\| `MUSTARDWEIR_WORKER_WORKER`/m,
+];
+
+describe("Settings page", function () {
+  this.timeout(LIMIT_MS);
+  let rendered = "";
+
+  before(() => {
+    rendered = renderSettingsPage();
+  });
+
+  for (const row of ROW_CASES) {
+    it(`has a row like ${row.source}`, () => {
+      expect(rendered).to.match(row);
+    });
+  }
+
+  it("is up to date", () => {
+    expect(readPage(SETTINGS_PAGE)).to.equal(rendered);
+  });
+});
