--- a/packages/journal/src/journal_plugin.ts
+++ b/packages/journal/src/journal_plugin.ts
@@ -22,6 +22,7 @@
   nodeEffect,
   observe,
   replyTo,
+  type RowPut,
   type ScanResult,
   StoreStatus,
 } from "@mustardweir/protocol";
@@ -37,11 +38,12 @@
   type HomeBatch,
   type HomeJournal,
   JOURNAL,
-  journalKey,
   journalPrefix,
   type JournalState,
 } from "./journal_state.ts";
 import type { JournalRecord } from "./records.ts";
+import { composeRows, countChars, isSnapshotDue } from "./rows.ts";
+import { createPace, takeTurn } from "./write_pace.ts";
 
 /** Time before a failed read or write is sent again, in milliseconds. */
 const RETRY_MS = 200;
@@ -49,9 +51,6 @@
 /** Time between looks for work that was put off, in milliseconds. */
 const PULSE_MS = 50;
 
-/** Rows of one home after which a snapshot takes their place. */
-const SNAPSHOT_ROWS = 64;
-
 /** Most records in one row; the rest waits for the next write. */
 const MAX_RECORDS_PER_ROW = 2_000;
 
@@ -79,6 +78,7 @@
         inFlightSince: 0,
         separately: [],
         retryAt: Infinity,
+        pace: createPace(),
       }),
       kernel.registerCommand(OPEN_JOURNAL, open, Normal),
       kernel.registerCommand(APPEND_JOURNAL, append, Normal),
@@ -93,7 +93,7 @@
         ({ context, result }, update) => settle(update, context, result),
         Normal,
       ),
-      kernel.registerPeriodic({ intervalMs: PULSE_MS, run: retry }),
+      kernel.registerPeriodic({ intervalMs: PULSE_MS, run: pulse }),
     );
   }
 }
@@ -111,6 +111,8 @@
     nextSeq: 0,
     pending: [],
     rowKeys: [],
+    snapshotChars: 0,
+    charsSince: 0,
   };
   update.write(JOURNAL).homes.set(request.team, journal);
   scan(update, journal);
@@ -140,6 +142,7 @@
   }
   const rows = [...result.page.rows].sort((a, b) => a.key < b.key ? -1 : 1);
   journal.rowKeys = rows.map((row) => row.key);
+  journal.charsSince = countChars(rows);
   journal.isOpen = true;
   const records = rows.flatMap((row) =>
     JSON.parse(row.value) as JournalRecord[]
@@ -162,9 +165,9 @@
   update.write(JOURNAL).homes.delete(team);
 }
 
-/** Starts the next write unless one is in flight. */
+/** Starts the next write unless one is in flight or it isn't time for one. */
 function flush(update: Update, state: JournalState): void {
-  if (state.inFlight !== undefined) {
+  if (!hasWork(state) || !takeTurn(update, state.pace)) {
     return;
   }
   state.separately = state.separately.filter((b) => isCurrent(state, b));
@@ -177,29 +180,48 @@
   }
 }
 
+function hasWork(state: Readonly<JournalState>): boolean {
+  return state.inFlight === undefined &&
+    (state.separately.length > 0 || [...state.homes.values()].some(isWaiting));
+}
+
+/** True when the home has records that can be written. */
+function isWaiting({ isOpen, pending }: HomeJournal): boolean {
+  return isOpen && pending.length > 0;
+}
+
 function collect(update: Update, state: JournalState): HomeBatch[] {
   return [...state.homes.values()]
-    .filter((home) => home.isOpen && home.pending.length > 0)
+    .filter(isWaiting)
     .map((home) => takeBatch(update, home));
 }
 
 function takeBatch(update: Update, home: HomeJournal): HomeBatch {
   const records = home.pending.splice(0, MAX_RECORDS_PER_ROW);
-  const key = journalKey(home, home.nextSeq);
-  home.nextSeq += 1;
   const { team, epoch } = home;
-  const batch = { team, epoch, records };
-  if (home.rowKeys.length < SNAPSHOT_ROWS) {
-    home.rowKeys.push(key);
-    const put = { key, value: JSON.stringify(records) };
-    return { ...batch, put, deletes: [] };
+  if (isSnapshotDue(home)) {
+    const puts = takeSnapshot(update, home, records);
+    const deletes = home.rowKeys;
+    home.rowKeys = puts.map(({ key }) => key);
+    return { team, epoch, records, puts, deletes };
   }
+  const puts = composeRows(home, records);
+  home.rowKeys.push(...puts.map(({ key }) => key));
+  home.charsSince += countChars(puts);
+  return { team, epoch, records, puts, deletes: [] };
+}
+
+function takeSnapshot(
+  update: Update,
+  home: HomeJournal,
+  records: readonly JournalRecord[],
+): RowPut[] {
   const snapshot: JournalRecord[] = [];
-  update.dispatch(COMPOSE_SNAPSHOT, { team, records: snapshot });
-  const deletes = home.rowKeys;
-  home.rowKeys = [key];
-  const put = { key, value: JSON.stringify([...snapshot, ...records]) };
-  return { ...batch, put, deletes };
+  update.dispatch(COMPOSE_SNAPSHOT, { team: home.team, records: snapshot });
+  const puts = composeRows(home, [...snapshot, ...records]);
+  home.snapshotChars = countChars(puts);
+  home.charsSince = 0;
+  return puts;
 }
 
 function write(update: Update, batches: readonly HomeBatch[]): void {
@@ -212,7 +234,7 @@
         key: `${OWNERSHIP_PREFIX}${homeUnit(team)}`,
         version: homes.get(team)?.ownershipVersion ?? 0,
       })),
-      puts: batches.map((batch) => batch.put),
+      puts: batches.flatMap((batch) => batch.puts),
       deletes: batches.flatMap((batch) => batch.deletes),
     },
     replyTo: replyTo(JOURNAL_WRITTEN, { startedAt: update.now }),
@@ -272,6 +294,14 @@
   state.separately.push(...batches);
 }
 
+/** Does what was put off. */
+function pulse(update: Update): void {
+  retry(update);
+  if (hasWork(update.read(JOURNAL))) {
+    flush(update, update.write(JOURNAL));
+  }
+}
+
 /** Sends again what failed; drops what belongs to homes that are gone. */
 function retry(update: Update): void {
   const { retryAt } = update.read(JOURNAL);
--- a/packages/journal/src/journal_state.ts
+++ b/packages/journal/src/journal_state.ts
@@ -1,6 +1,7 @@
 import { createStateKey } from "@mustardweir/kernel";
 import type { RowPut } from "@mustardweir/protocol";
 import type { JournalRecord } from "./records.ts";
+import type { WritePace } from "./write_pace.ts";
 
 /** Prefix of the table keys of journal rows. */
 export const JOURNAL_PREFIX = "journal/";
@@ -19,6 +20,9 @@
   pending: JournalRecord[];
   /** Keys of the rows in the table, oldest first. */
   rowKeys: string[];
+  /** Characters of the rows of the last snapshot, and of those since. */
+  snapshotChars: number;
+  charsSince: number;
 }
 
 /** What a write in flight carries of one home. */
@@ -26,8 +30,8 @@
   readonly team: string;
   readonly epoch: number;
   readonly records: readonly JournalRecord[];
-  readonly put: RowPut;
-  /** Rows that the put replaces: it is a snapshot. */
+  readonly puts: readonly RowPut[];
+  /** Rows that the puts replace: they are a snapshot. */
   readonly deletes: readonly string[];
 }
 
@@ -41,6 +45,7 @@
   inFlightSince: number;
   /** A failed write is sent again after this time. */
   retryAt: number;
+  readonly pace: WritePace;
 }
 
 export const JOURNAL = createStateKey<JournalState>("journal");
