--- a/packages/prove/src/commands.ts
+++ b/packages/prove/src/commands.ts
@@ -580,7 +580,7 @@
   faults: Partial<Cluster["store"]["faults"]>,
 ): void {
   cluster.noteFault();
-  cluster.store.faults = { ...cluster.store.faults, ...faults };
+  cluster.spoilStore({ ...cluster.store.faults, ...faults });
 }
 
 function spoilNetwork(
--- a/packages/prove/src/history.ts
+++ b/packages/prove/src/history.ts
@@ -107,6 +107,8 @@
   readonly leaving: Leaving[] = [];
   /** When a fault was brought in; a planned stop is none. */
   readonly faults: number[] = [];
+  /** Times at which the platform became, or ceased to be, faulty. */
+  readonly platform: { readonly at: number; readonly isFaulty: boolean }[] = [];
   /** When all faults had ceased. */
   healedAt = Infinity;
   /** When the run ended; later answers were not waited for. */
@@ -142,6 +144,14 @@
     }
   }
 
+  /** True when the platform was not faulty from `from` to `to`. */
+  isPlatformSound(from: number, to: number): boolean {
+    const changes = this.platform.filter(({ at }) => at <= to);
+    const before = changes.filter(({ at }) => at <= from).at(-1);
+    return !before?.isFaulty &&
+      !changes.some(({ at, isFaulty }) => at > from && isFaulty);
+  }
+
   /** The versions in force at some time from `from` to `to`. */
   versionsBetween(from: number, to: number): readonly Version[] {
     return this.versions.filter(({ committedAt }, index) => {
--- a/packages/prove/src/oracles/running.ts
+++ b/packages/prove/src/oracles/running.ts
@@ -158,10 +158,13 @@
   }
 }
 
-function hasLeft({ leaving }: History, run: Run): boolean {
-  return leaving.some(({ instanceId, at, until }) =>
-    instanceId === run.instanceId && run.startedAt > at + SECONDS_MS &&
-    run.startedAt < until
+/** While the platform is faulty, nobody can read its list. */
+function hasLeft(history: History, run: Run): boolean {
+  const { startedAt } = run;
+  return history.leaving.some(({ instanceId, at, until }) =>
+    instanceId === run.instanceId && startedAt > at + SECONDS_MS &&
+    startedAt < until &&
+    history.isPlatformSound(startedAt - SECONDS_MS, startedAt)
   );
 }
 
--- /dev/null
+++ b/packages/prove/src/report.ts
@@ -0,0 +1,53 @@
+import type { Point } from "./point.ts";
+import type { Failure, Proof } from "./prover.ts";
+import type { Scenario } from "./scenario.ts";
+
+const NAME_WIDTH = 24;
+const NUMBER_WIDTH = 9;
+
+/** Prints what was seen of each point, and the verdict. */
+export function printProof({ tallies, runs, failure }: Proof): void {
+  const broken = new Set(failure?.breaches.map(({ point }) => point));
+  console.log(row("point", "runs", "events", "verdict"));
+  for (const { point, runs: counted, events } of tallies) {
+    const verdict = broken.has(point) ? "BROKEN" : "held";
+    console.log(row(point, String(counted), String(events), verdict));
+  }
+  console.log(`${runs} runs altogether`);
+}
+
+/** Prints a failing scenario and how to replay it. */
+export function printFailure(failure: Failure, point?: Point): void {
+  const { seed, path, scenario, breaches } = failure;
+  console.log("");
+  for (const breach of breaches) {
+    console.log(`${breach.point}: ${breach.message}`);
+  }
+  console.log("");
+  console.log(describeScenario(scenario));
+  const focus = point === undefined ? "" : ` --point ${point}`;
+  console.log(
+    `Replay: npm run prove --${focus} --seed ${seed} --path ${path}`,
+  );
+}
+
+/** One line for each command of a scenario. */
+export function describeScenario(scenario: Scenario): string {
+  const { chance, schedulers, commands } = scenario;
+  const lines = commands.map(({ kind, gapMs, pick, other, forMs }, index) =>
+    `  ${
+      index + 1
+    }. +${gapMs} ms ${kind} pick=${pick} other=${other} forMs=${forMs}`
+  );
+  return [`chance ${chance}, ${schedulers} schedulers`, ...lines].join("\n");
+}
+
+function row(...cells: readonly [string, string, string, string]): string {
+  const [name, runs, events, verdict] = cells;
+  return [
+    name.padEnd(NAME_WIDTH),
+    runs.padStart(NUMBER_WIDTH),
+    events.padStart(NUMBER_WIDTH),
+    `  ${verdict}`,
+  ].join("");
+}
--- a/packages/prove/src/simulation/cluster.ts
+++ b/packages/prove/src/simulation/cluster.ts
@@ -38,7 +38,7 @@
 import { type Call, History, type Submission } from "../history.ts";
 import { Network } from "./network.ts";
 import { ProcessState, SimulatedNode } from "./node.ts";
-import { NO_STORE_FAULTS, SimulatedStore } from "./store.ts";
+import { NO_STORE_FAULTS, SimulatedStore, type StoreFaults } from "./store.ts";
 import { Tampering } from "./tampering.ts";
 import { VirtualClock } from "./virtual_clock.ts";
 import { WorkerHost } from "./worker_host.ts";
@@ -214,7 +214,7 @@
   /** Ends all faults and starts what is down. */
   heal(): void {
     this.network.heal();
-    this.store.faults = NO_STORE_FAULTS;
+    this.spoilStore(NO_STORE_FAULTS);
     for (const worker of this.workers.values()) {
       worker.state.setFaults({ failEverything: false, lieFactor: 1 });
     }
@@ -229,6 +229,12 @@
     this.history.healedAt = this.now;
   }
 
+  spoilStore(faults: StoreFaults): void {
+    this.store.faults = faults;
+    const isFaulty = JSON.stringify(faults) !== JSON.stringify(NO_STORE_FAULTS);
+    this.history.platform.push({ at: this.now, isFaulty });
+  }
+
   noteFault(): void {
     this.history.faults.push(this.now);
   }
