--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -4,20 +4,11 @@
 import "@mustardweir/burn";
 import "@mustardweir/admission";
 import { Role } from "@mustardweir/kernel";
+import { createPlatformPerformers } from "@mustardweir/platform-client";
 import {
-  HttpInstanceList,
-  HttpObjectStore,
-  HttpTableStore,
-  InstanceListPerformer,
-  ObjectPerformer,
-  PlatformConnection,
-  TablePerformer,
-} from "@mustardweir/platform-client";
-import type { NodeIdentity } from "@mustardweir/protocol";
-import {
-  createIncarnation,
   createLogger,
   exitOnSettingError,
+  identityFromSettings,
   linkTlsFromSettings,
   type Logger,
   Metrics,
@@ -43,7 +34,7 @@
   const { operatorKeyHash } = settings;
   const entry = new EntryPlugin({ operatorKeyHash });
   registerEntryPlugin(entry);
-  const identity = createIdentity(settings);
+  const identity = identityFromSettings(settings, Role.Entry);
   const metrics = new Metrics();
   const logger = createLogger({
     node: settings.nodeId,
@@ -91,25 +82,6 @@
     .match((files) => files, exitOnSettingError);
 }
 
-function createIdentity(settings: EntrySettings): NodeIdentity {
-  return {
-    nodeId: settings.nodeId,
-    role: Role.Entry,
-    incarnation: createIncarnation(),
-    availabilityZone: settings.availabilityZone,
-    seedPeers: settings.peers,
-  };
-}
-
-function createPlatformPerformers(baseUrl: string) {
-  const connection = new PlatformConnection({ baseUrl });
-  return [
-    new TablePerformer(new HttpTableStore(connection)),
-    new ObjectPerformer(new HttpObjectStore(connection)),
-    new InstanceListPerformer(new HttpInstanceList(connection)),
-  ];
-}
-
 parseSettings(ENTRY_SETTINGS, {
   command: "mustardweir-entry",
   description: "Takes the calls of callers and operators over HTTP",
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -1,9 +1,7 @@
 import {
   defineSetting,
   hostPortSetting,
-  idSetting,
   NODE_SETTINGS,
-  peersSetting,
   textSetting,
 } from "@mustardweir/runtime";
 import { z } from "zod";
@@ -17,31 +15,7 @@
     default: "127.0.0.1:7400",
     schema: hostPortSetting,
   }),
-  nodeId: defineSetting({
-    name: "node-id",
-    value: "<id>",
-    description: "name of this node, unlike that of any other",
-    schema: idSetting,
-  }),
-  availabilityZone: defineSetting({
-    name: "availability-zone",
-    value: "<name>",
-    description: "availability zone that this node runs in",
-    schema: idSetting,
-  }),
-  peers: defineSetting({
-    name: "peers",
-    value: "<id=host:port,...>",
-    description: "schedulers known at the start",
-    default: "",
-    schema: peersSetting,
-  }),
-  platform: defineSetting({
-    name: "platform",
-    value: "<url>",
-    description: "base URL of the platform's table, objects and list",
-    schema: z.url({ protocol: /^https?$/, error: "must be an http URL" }),
-  }),
+  ...NODE_SETTINGS,
   operatorKeyHash: defineSetting({
     name: "operator-key-hash",
     value: "<sha256>",
@@ -63,7 +37,6 @@
     description: "PEM key of the certificate shown to callers",
     schema: textSetting.optional(),
   }),
-  ...NODE_SETTINGS,
   stopTimeoutMs: defineSetting({
     ...NODE_SETTINGS.stopTimeoutMs,
     // Longer than any caller may wait, so that a stop cuts no call.
--- a/packages/platform-client/src/performers.ts
+++ b/packages/platform-client/src/performers.ts
@@ -10,9 +10,10 @@
   type ScanTableEffect,
 } from "@mustardweir/protocol";
 import { type EventSink, Performer, postAnswer } from "@mustardweir/runtime";
-import type { InstanceList } from "./instance_list.ts";
-import type { ObjectStore } from "./object_store.ts";
-import type { TableStore } from "./table_store.ts";
+import { PlatformConnection } from "./connection.ts";
+import { HttpInstanceList, type InstanceList } from "./instance_list.ts";
+import { HttpObjectStore, type ObjectStore } from "./object_store.ts";
+import { HttpTableStore, type TableStore } from "./table_store.ts";
 
 /**
  * Scans and commits to the table.
@@ -139,3 +140,20 @@
 function refuse(effect: NodeEffect): never {
   invariant(false, `effect ${effect.kind} came to the wrong performer`);
 }
+
+/**
+ * The performers of everything that the platform offers, over one connection.
+ *
+ * @example
+ * ```ts
+ * const performers = createPlatformPerformers("http://127.0.0.1:7070");
+ * ```
+ */
+export function createPlatformPerformers(baseUrl: string): Performer[] {
+  const connection = new PlatformConnection({ baseUrl });
+  return [
+    new TablePerformer(new HttpTableStore(connection)),
+    new ObjectPerformer(new HttpObjectStore(connection)),
+    new InstanceListPerformer(new HttpInstanceList(connection)),
+  ];
+}
--- a/packages/runtime/src/mod.ts
+++ b/packages/runtime/src/mod.ts
@@ -6,6 +6,7 @@
 export * from "./logger.ts";
 export * from "./metrics.ts";
 export * from "./metrics_performer.ts";
+export * from "./node_identity.ts";
 export * from "./performer.ts";
 export * from "./probes.ts";
 export * from "./process_host.ts";
--- a/packages/runtime/src/settings.ts
+++ b/packages/runtime/src/settings.ts
@@ -10,10 +10,13 @@
 } from "./setting.ts";
 import {
   durationSetting,
+  idSetting,
   logFormatSetting,
   logLevelSetting,
+  peersSetting,
   textSetting,
 } from "./setting_schemas.ts";
+import { z } from "zod";
 
 /** Exit code of a process whose settings are wrong. */
 export const EXIT_BAD_SETTINGS = 2;
@@ -71,6 +74,31 @@
 
 /** Settings of the nodes: entries and schedulers. */
 export const NODE_SETTINGS = {
+  nodeId: defineSetting({
+    name: "node-id",
+    value: "<id>",
+    description: "name of this node, unlike that of any other",
+    schema: idSetting,
+  }),
+  availabilityZone: defineSetting({
+    name: "availability-zone",
+    value: "<name>",
+    description: "availability zone that this node runs in",
+    schema: idSetting,
+  }),
+  peers: defineSetting({
+    name: "peers",
+    value: "<id=host:port,...>",
+    description: "schedulers known at the start",
+    default: "",
+    schema: peersSetting,
+  }),
+  platform: defineSetting({
+    name: "platform",
+    value: "<url>",
+    description: "base URL of the platform's table, objects and list",
+    schema: z.url({ protocol: /^https?$/, error: "must be an http URL" }),
+  }),
   ...COMMON_SETTINGS,
   drainDelayMs: defineSetting({
     name: "drain-delay",
--- a/packages/scheduler/src/main.ts
+++ b/packages/scheduler/src/main.ts
@@ -9,21 +9,12 @@
 import "@mustardweir/home";
 import "@mustardweir/burn/recorder";
 import { Role } from "@mustardweir/kernel";
-import {
-  HttpInstanceList,
-  HttpObjectStore,
-  HttpTableStore,
-  InstanceListPerformer,
-  ObjectPerformer,
-  PlatformConnection,
-  TablePerformer,
-} from "@mustardweir/platform-client";
-import type { NodeIdentity } from "@mustardweir/protocol";
+import { createPlatformPerformers } from "@mustardweir/platform-client";
 import {
   AdminListener,
-  createIncarnation,
   createLogger,
   exitOnSettingError,
+  identityFromSettings,
   linkTlsFromSettings,
   Metrics,
   parseSettings,
@@ -46,7 +37,7 @@
 async function main(settings: SchedulerSettings): Promise<void> {
   const scheduler = new SchedulerPlugin();
   registerSchedulerPlugin(scheduler);
-  const identity = createIdentity(settings);
+  const identity = identityFromSettings(settings, Role.Scheduler);
   const metrics = new Metrics();
   const logger = createLogger({
     node: settings.nodeId,
@@ -93,25 +84,6 @@
     : [new AdminListener({ listen: adminListen, ...probes })];
 }
 
-function createIdentity(settings: SchedulerSettings): NodeIdentity {
-  return {
-    nodeId: settings.nodeId,
-    role: Role.Scheduler,
-    incarnation: createIncarnation(),
-    availabilityZone: settings.availabilityZone,
-    seedPeers: settings.peers,
-  };
-}
-
-function createPlatformPerformers(baseUrl: string) {
-  const connection = new PlatformConnection({ baseUrl });
-  return [
-    new TablePerformer(new HttpTableStore(connection)),
-    new ObjectPerformer(new HttpObjectStore(connection)),
-    new InstanceListPerformer(new HttpInstanceList(connection)),
-  ];
-}
-
 parseSettings(SCHEDULER_SETTINGS, {
   command: "mustardweir-scheduler",
   description: "Owns homes of teams and slices of instances",
