--- a/packages/fairness/src/preemption.ts
+++ b/packages/fairness/src/preemption.ts
@@ -43,7 +43,8 @@
   /** Urgent work may take room from teams that have no more than is due. */
   readonly urgent?: boolean;
   readonly places: readonly PreemptionPlace[];
-  readonly standings: readonly TeamStanding[];
+  /** By team. */
+  readonly standings: ReadonlyMap<string, TeamStanding>;
   readonly total: Resources;
 }
 
@@ -92,7 +93,7 @@
 export function isBelowDue(
   options: Omit<PickVictimsOptions, "places">,
 ): boolean {
-  const standing = options.standings.find((s) => s.team === options.team);
+  const standing = options.standings.get(options.team);
   if (!standing) {
     return false;
   }
@@ -162,12 +163,10 @@
 /** What each team would still have over its due as tasks are taken. */
 class ExcessLedger {
   readonly #options: PickVictimsOptions;
-  readonly #standings: ReadonlyMap<string, TeamStanding>;
   readonly #taken = new Map<string, Resources>();
 
   constructor(options: PickVictimsOptions) {
     this.#options = options;
-    this.#standings = new Map(options.standings.map((s) => [s.team, s]));
   }
 
   excess(team: string): number {
@@ -193,7 +192,7 @@
   }
 
   #excessWithout(team: string, taken: Resources): number {
-    const standing = this.#standings.get(team);
+    const standing = this.#options.standings.get(team);
     if (!standing) {
       return 0;
     }
--- a/packages/fairness/src/preemption_policy.ts
+++ b/packages/fairness/src/preemption_policy.ts
@@ -61,7 +61,7 @@
   }
 
   #lacksEnough({ team, standings, total }: PreemptionRequest): boolean {
-    const standing = standings.find((known) => known.team === team);
+    const standing = standings.get(team);
     return standing !== undefined &&
       dominantShare(standing.used, total) <= standing.due * (1 - this.#slack);
   }
--- a/packages/fairness/src/preemption_policy_test.ts
+++ b/packages/fairness/src/preemption_policy_test.ts
@@ -35,7 +35,8 @@
   for (const { name, usedCores, urgent, mayPreempt } of POLICY_CASES) {
     it(`makes room for ${name}`, () => {
       const policy = new EntitledPreemption();
-      const standings = [{ team: "a", used: cores(usedCores), due: 0.5 }];
+      const standing = { team: "a", used: cores(usedCores), due: 0.5 };
+      const standings = new Map([["a", standing]]);
       const request = { team: "a", size: cores(1), urgent, standings };
       expect(policy.mayPreempt({ ...request, total: cores(100) }))
         .to.equal(mayPreempt);
--- a/packages/fairness/src/preemption_test.ts
+++ b/packages/fairness/src/preemption_test.ts
@@ -45,11 +45,11 @@
   team: "poor",
   size: cpu(10),
   total: TOTAL,
-  standings: [
-    { team: "rich", used: cpu(80), due: 0.4 },
-    { team: "fair", used: cpu(20), due: 0.2 },
-    { team: "poor", used: cpu(0), due: 0.4 },
-  ],
+  standings: new Map([
+    ["rich", { team: "rich", used: cpu(80), due: 0.4 }],
+    ["fair", { team: "fair", used: cpu(20), due: 0.2 }],
+    ["poor", { team: "poor", used: cpu(0), due: 0.4 }],
+  ]),
 };
 
 interface VictimsCase {
--- a/packages/slice/src/asks.ts
+++ b/packages/slice/src/asks.ts
@@ -174,7 +174,7 @@
     return;
   }
   slice.mayGrantMore = true;
-  view.queue.set(seq, {
+  view.queue.set({
     ask,
     receivedAt: update.now,
     expiresAt: update.now + ask.ttlMs,
@@ -187,7 +187,7 @@
   const expiresAt = update.now + ask.ttlMs;
   const queued = view.queue.get(seq);
   if (queued !== undefined) {
-    view.queue.set(seq, { ...queued, expiresAt });
+    view.queue.set({ ...queued, expiresAt });
   }
   const task = view.bySeq.get(seq);
   if (task?.phase === TaskPhase.Starting) {
--- a/packages/slice/src/claims.ts
+++ b/packages/slice/src/claims.ts
@@ -1,5 +1,6 @@
 import { fitsWithin } from "@mustardweir/model";
-import type { QueuedAsk, RoomClaim, Slice, TeamView } from "./slice_state.ts";
+import type { QueuedAsk } from "./ask_queue.ts";
+import type { RoomClaim, Slice, TeamView } from "./slice_state.ts";
 
 /** Longest time that an instance is kept for an ask, in milliseconds. */
 const CLAIM_MS = 3_000;
--- a/packages/slice/src/demand.ts
+++ b/packages/slice/src/demand.ts
@@ -7,21 +7,28 @@
   type Configuration,
   instanceCapacity,
   NO_RESOURCES,
-  Priority,
   type Resources,
   sliceFleet,
+  type TeamRule,
   ZoneState,
 } from "@mustardweir/model";
-import {
-  type QueuedAsk,
-  type Slice,
-  SLICES,
-  type TeamView,
-} from "./slice_state.ts";
+import type { Heartbeat } from "@mustardweir/protocol";
+import { isUrgent, type QueuedAsk } from "./ask_queue.ts";
+import { type Slice, SLICES, type TeamView } from "./slice_state.ts";
 
 /** How long the usage that a peer told of counts, in milliseconds. */
 const USAGE_MS = 4_000;
 
+const usageIndexes = new WeakMap<
+  Heartbeat,
+  ReadonlyMap<string, Resources>
+>();
+
+const ruleIndexes = new WeakMap<
+  Configuration["rules"],
+  ReadonlyMap<string, TeamRule>
+>();
+
 const openTotals = new WeakMap<
   Configuration["zones"],
   {
@@ -67,6 +74,35 @@
   return (zones[zone] ?? ZoneState.Open) === ZoneState.Open;
 }
 
+/** What one team uses, as {@link usageByTeam} tells of all. */
+export function usageOf(update: Update, team: string): Resources {
+  let usage = NO_RESOURCES;
+  for (const { heartbeat, heardAt } of update.read(PEERS).views.values()) {
+    const used = indexUsage(heartbeat).get(team);
+    if (used !== undefined && update.now - heardAt <= USAGE_MS) {
+      usage = addResources(usage, used);
+    }
+  }
+  for (const { teams } of update.read(SLICES).slices.values()) {
+    const used = teams.get(team)?.used;
+    usage = used === undefined ? usage : addResources(usage, used);
+  }
+  return usage;
+}
+
+function indexUsage(heartbeat: Heartbeat): ReadonlyMap<string, Resources> {
+  const known = usageIndexes.get(heartbeat);
+  if (known !== undefined) {
+    return known;
+  }
+  const index = new Map<string, Resources>();
+  for (const { team, used } of heartbeat.usage) {
+    index.set(team, addResources(index.get(team) ?? NO_RESOURCES, used));
+  }
+  usageIndexes.set(heartbeat, index);
+  return index;
+}
+
 /** What each team uses, fleet-wide: own slices now, others as last told. */
 export function usageByTeam(update: Update): Map<string, Resources> {
   const usage = new Map<string, Resources>();
@@ -84,17 +120,6 @@
   return usage;
 }
 
-/** A team's asks, urgent ones first. */
-export function orderedAsks(view: TeamView): QueuedAsk[] {
-  return [...view.queue.values()].sort((a, b) =>
-    Number(isUrgent(b)) - Number(isUrgent(a))
-  );
-}
-
-export function isUrgent({ ask }: QueuedAsk): boolean {
-  return ask.task.priority === Priority.Urgent;
-}
-
 export interface DescribeDemandOptions {
   readonly view: TeamView;
   readonly next: QueuedAsk;
@@ -106,8 +131,7 @@
   update: Update,
   { view, next, used }: DescribeDemandOptions,
 ): TeamDemand {
-  const { rules } = update.read(CONFIGURATION).current;
-  const rule = rules.teams.find(({ name }) => name === view.team);
+  const rule = rulesByTeam(update).get(view.team);
   return {
     team: view.team,
     weight: rule?.share ?? 0,
@@ -118,6 +142,18 @@
   };
 }
 
+/** The teams' rules, indexed once for each edit. */
+function rulesByTeam(update: Update): ReadonlyMap<string, TeamRule> {
+  const { rules } = update.read(CONFIGURATION).current;
+  const known = ruleIndexes.get(rules);
+  if (known !== undefined) {
+    return known;
+  }
+  const index = new Map(rules.teams.map((rule) => [rule.name, rule]));
+  ruleIndexes.set(rules, index);
+  return index;
+}
+
 /** Number of asks that wait for room in a slice. */
 export function countWaiting(slice: Slice): number {
   let waiting = 0;
--- a/packages/slice/src/grant.ts
+++ b/packages/slice/src/grant.ts
@@ -1,11 +1,10 @@
 import type { Update } from "@mustardweir/kernel";
 import { CONFIGURATION, isConfirmed } from "@mustardweir/configuration";
-import { QUEUE_ORDER } from "@mustardweir/fairness";
+import { QUEUE_ORDER, type TeamDemand } from "@mustardweir/fairness";
 import { isOwnershipConfirmed, isStopping } from "@mustardweir/membership";
 import {
   addResources,
   JobKind,
-  NO_RESOURCES,
   type Resources,
   ZoneState,
 } from "@mustardweir/model";
@@ -13,16 +12,11 @@
 import { AskMode, count, TaskPhase } from "@mustardweir/protocol";
 import { tellHeld } from "./asks.ts";
 import { takeReadyClaims } from "./claims.ts";
-import {
-  describeDemand,
-  fleetTotal,
-  orderedAsks,
-  usageByTeam,
-} from "./demand.ts";
+import type { QueuedAsk } from "./ask_queue.ts";
+import { describeDemand, fleetTotal, usageOf } from "./demand.ts";
 import { noteStart } from "./health.ts";
 import {
   noteNews,
-  type QueuedAsk,
   type Slice,
   type SliceTask,
   type TeamView,
@@ -77,8 +71,8 @@
 
 interface Contender {
   readonly view: TeamView;
-  /** The next is at the end. */
-  readonly asks: QueuedAsk[];
+  /** The first ask that is not known to find no room. */
+  next: QueuedAsk;
   used: Resources;
   misses: number;
 }
@@ -88,75 +82,82 @@
   readonly #update: Update;
   readonly #slice: Slice;
   readonly #total: Resources;
-  #contenders: Contender[];
+  readonly #contenders: Contender[] = [];
+  readonly #demands: TeamDemand[] = [];
 
   constructor(update: Update, slice: Slice) {
     this.#update = update;
     this.#slice = slice;
     this.#total = fleetTotal(update);
-    const usage = usageByTeam(update);
-    this.#contenders = [...slice.teams.values()]
-      .filter(({ queue }) => queue.size > 0)
-      .map((view) => ({
-        view,
-        asks: orderedAsks(view).reverse(),
-        used: usage.get(view.team) ?? NO_RESOURCES,
-        misses: 0,
-      }));
-    this.#passOver();
+    for (const view of slice.teams.values()) {
+      const next = this.#nextOf(view);
+      if (next !== undefined) {
+        this.#enter(view, next);
+      }
+    }
   }
 
   run(): void {
     const order = this.#update.service(QUEUE_ORDER);
     while (this.#contenders.length > 0) {
-      const demands = this.#contenders.map((contender) =>
-        this.#describe(contender)
-      );
-      const contender = this.#contenders[order.pick(demands, this.#total)];
+      const index = order.pick(this.#demands, this.#total);
+      const contender = this.#contenders[index];
       if (contender === undefined) {
         return;
       }
-      this.#serve(contender);
-      this.#passOver();
+      const isServed = this.#serve(contender);
+      this.#goOn(index, !isServed);
     }
   }
 
-  /** Leaves out asks, and then teams, that are known to find no room. */
-  #passOver(): void {
-    const { noRoom } = this.#slice;
-    for (const { asks } of this.#contenders) {
-      while (asks.length > 0 && noRoom.covers(asks.at(-1)!.ask.task.size)) {
-        asks.pop();
-      }
-    }
-    this.#contenders = this.#contenders.filter(({ asks, misses }) =>
-      asks.length > 0 && misses < MAX_MISSES
-    );
+  #enter(view: TeamView, next: QueuedAsk): void {
+    const used = usageOf(this.#update, view.team);
+    this.#contenders.push({ view, next, used, misses: 0 });
+    this.#demands.push(describeDemand(this.#update, { view, next, used }));
   }
 
-  #describe(contender: Contender) {
-    const next = contender.asks.at(-1);
-    const { view, used } = contender;
-    return describeDemand(this.#update, { view, used, next: next! });
+  #nextOf(view: TeamView): QueuedAsk | undefined {
+    const { noRoom } = this.#slice;
+    return view.queue.first((size) => noRoom.covers(size));
   }
 
-  #serve(contender: Contender): void {
-    const queued = contender.asks.pop();
-    if (queued === undefined) {
+  /** Takes up the next ask of a team, or of all when a size fits nowhere. */
+  #goOn(index: number, hasMissed: boolean): void {
+    if (!hasMissed) {
+      this.#takeNext(index);
       return;
     }
+    for (let other = this.#contenders.length - 1; other >= 0; other--) {
+      this.#takeNext(other);
+    }
+  }
+
+  /** Leaves the team out when it has no ask that may find room. */
+  #takeNext(index: number): void {
+    const contender = this.#contenders[index]!;
+    const next = this.#nextOf(contender.view);
+    if (next === undefined || contender.misses >= MAX_MISSES) {
+      this.#contenders.splice(index, 1);
+      this.#demands.splice(index, 1);
+    } else {
+      contender.next = next;
+      this.#demands[index] = describeDemand(this.#update, contender);
+    }
+  }
+
+  /** False when the ask finds no room. */
+  #serve(contender: Contender): boolean {
+    const { view, next: queued } = contender;
+    const { size } = queued.ask.task;
     const worker = this.#choose(queued);
     if (worker === undefined) {
       contender.misses += 1;
-      this.#slice.noRoom.note(queued.ask.task.size);
-      return;
+      this.#slice.noRoom.note(size);
+      return false;
     }
-    grant(this.#update, this.#slice, {
-      view: contender.view,
-      queued,
-      worker,
-    });
-    contender.used = addResources(contender.used, queued.ask.task.size);
+    grant(this.#update, this.#slice, { view, queued, worker });
+    contender.used = addResources(contender.used, size);
+    return true;
   }
 
   #choose({ ask }: QueuedAsk): Worker | undefined {
--- a/packages/slice/src/preempt.ts
+++ b/packages/slice/src/preempt.ts
@@ -20,15 +20,10 @@
 import { count, StopMode, TaskPhase } from "@mustardweir/protocol";
 import { stopTask } from "./asks.ts";
 import { claimRoom, hasClaim } from "./claims.ts";
-import { isUrgent, openTotal, usageByTeam } from "./demand.ts";
+import { isUrgent, type QueuedAsk } from "./ask_queue.ts";
+import { openTotal, usageByTeam } from "./demand.ts";
 import { mayGrant } from "./grant.ts";
-import type {
-  QueuedAsk,
-  Slice,
-  SliceTask,
-  TeamView,
-  Worker,
-} from "./slice_state.ts";
+import type { Slice, SliceTask, TeamView, Worker } from "./slice_state.ts";
 import { duesByTeam } from "./standings.ts";
 
 /** Urgent work waits this long for room that comes free, in milliseconds. */
@@ -92,6 +87,8 @@
   readonly #policy: PreemptionPolicy;
   readonly #total: Resources;
   readonly #standings = new Map<string, TeamStanding>();
+  /** Teams that room is not made for in this step but for urgent work. */
+  readonly #refused = new Set<TeamView>();
   readonly #places = new Map<Worker, PreemptionPlace>();
   readonly #workers: readonly Worker[];
 
@@ -145,23 +142,28 @@
   /** True when something was stopped for the ask. */
   #serve({ view, queued }: WaitingAsk): boolean {
     const { ask: { seq, task: { size } } } = queued;
+    const urgent = isUrgent(queued);
+    const isRefused = !urgent && this.#refused.has(view);
+    if (isRefused || hasClaim(this.#slice, view, seq)) {
+      return false;
+    }
     const request: PreemptionRequest = {
       team: view.team,
       size,
-      urgent: isUrgent(queued),
-      standings: [...this.#standings.values()],
+      urgent,
+      standings: this.#standings,
       total: this.#total,
     };
-    const isServed = hasClaim(this.#slice, view, seq);
-    if (isServed || !this.#policy.mayPreempt(request)) {
-      return false;
-    }
-    if (!request.urgent && !this.#isWithinPart(view.team, size)) {
+    const mayPreempt = this.#policy.mayPreempt(request) &&
+      (urgent || this.#isWithinPart(view.team, size));
+    if (!mayPreempt) {
+      this.#refused.add(view);
       return false;
     }
     const places = this.#findPlaces(size);
     const preemption = this.#policy.pick({ ...request, places });
     if (preemption === undefined || !this.#isAllowed(request, preemption)) {
+      this.#refused.add(view);
       return false;
     }
     this.#carryOut({ view, queued }, preemption);
--- a/packages/slice/src/slice_state.ts
+++ b/packages/slice/src/slice_state.ts
@@ -2,7 +2,6 @@
 import type { Resources } from "@mustardweir/model";
 import type { InstanceTable } from "@mustardweir/placement";
 import type {
-  Ask,
   AskAnswer,
   DeclineReason,
   StopMode,
@@ -10,6 +9,7 @@
   TaskPhase,
   TaskSpec,
 } from "@mustardweir/protocol";
+import type { AskQueue } from "./ask_queue.ts";
 import type { NoRoom } from "./no_room.ts";
 
 /** How a worker stands with the owner of its slice. */
@@ -78,13 +78,6 @@
   toldAt: number;
 }
 
-/** An ask that waits for room. */
-export interface QueuedAsk {
-  readonly ask: Ask;
-  readonly receivedAt: number;
-  readonly expiresAt: number;
-}
-
 /** What a slice knows of a team and its home. */
 export interface TeamView {
   readonly team: string;
@@ -93,7 +86,7 @@
   homeNode: string;
   /** Asks below are settled. */
   floor: number;
-  readonly queue: Map<number, QueuedAsk>;
+  readonly queue: AskQueue;
   /** Tasks by the ask that led to them; of the home's epoch only. */
   readonly bySeq: Map<number, SliceTask>;
   /** Asks whose tasks have ended; late copies must not start them again. */
--- a/packages/slice/src/standings.ts
+++ b/packages/slice/src/standings.ts
@@ -59,7 +59,9 @@
   }
   for (const slice of update.read(SLICES).slices.values()) {
     for (const { team, queue } of slice.teams.values()) {
-      queue.forEach(({ ask }) => addTo(waiting, team, ask.task.size));
+      for (const { ask } of queue.values()) {
+        addTo(waiting, team, ask.task.size);
+      }
     }
   }
   return waiting;
--- a/packages/slice/src/team_view.ts
+++ b/packages/slice/src/team_view.ts
@@ -4,6 +4,7 @@
   type DeclineReason,
   RoomResult,
 } from "@mustardweir/protocol";
+import { AskQueue } from "./ask_queue.ts";
 import type { Slice, TeamView } from "./slice_state.ts";
 
 /** The view of a team, made when it is first needed. */
@@ -17,7 +18,7 @@
     homeEpoch: 0,
     homeNode: "",
     floor: 0,
-    queue: new Map(),
+    queue: new AskQueue(),
     bySeq: new Map(),
     settled: new Set(),
     declined: new Map(),
