Let the launcher replace, relay and end processes

Cause: tests of failures need processes that are killed, paused, replaced at another address and reached through a relay that swallows one direction. Ruled out: a launcher of the tests' own, which would stand twice. Change: Launcher keeps the processes and ends them with the test's process; Cluster adds and retires entries and schedulers; Relay makes open connections silent one way while new ones work; PlatformControl operates the stand-in. A job may take a refusal for its end, and runs are found by the job's id also when the submitter was told nothing, so that the demo's audit sees them too.

--- a/packages/demo/src/child.ts
+++ b/packages/demo/src/child.ts
@@ -45,6 +45,11 @@
     return this.#process.exitCode === null && this.#process.signalCode === null;
   }
 
+  /** Null while it runs, or when a signal ended it. */
+  get exitCode(): number | null {
+    return this.#process.exitCode;
+  }
+
   get pid(): number | undefined {
     return this.#process.pid;
   }
@@ -79,6 +84,12 @@
     clearTimeout(force);
   }
 
+  /** Ends the process by force. */
+  async kill(): Promise<void> {
+    this.signal("SIGKILL");
+    await this.#exited;
+  }
+
   async exited(): Promise<void> {
     await this.#exited;
   }
--- a/packages/demo/src/cluster.ts
+++ b/packages/demo/src/cluster.ts
@@ -1,10 +1,11 @@
 import { createHash } from "node:crypto";
-import { fileURLToPath } from "node:url";
 import type { AvailabilityZone } from "@mustardweir/model";
-import { request } from "undici";
-import { Child } from "./child.ts";
+import type { Child } from "./child.ts";
 import { type Fleet, readdress } from "./fleet_file.ts";
-import { freePorts } from "./ports.ts";
+import { Binary, Launcher } from "./launcher.ts";
+import { PlatformControl } from "./platform_control.ts";
+import { freePort } from "./ports.ts";
+import { Relay } from "./relay.ts";
 
 /** Entry and scheduler processes of one user. */
 const NODES = 6;
@@ -12,45 +13,70 @@
 /** The operators' first key; the entries know its hash. */
 export const OPERATOR_KEY = "demo-operator-key";
 
+const NODE_NAME = /^(entry|scheduler)-/;
+
 export interface ClusterOptions {
   readonly fleet: Fleet;
   /** Number of entries and of schedulers; 6 by default. */
   readonly nodes?: number;
+  /** True: schedulers and workers are reached through relays. */
+  readonly relayed?: boolean;
   /** Called with each log line of a process. */
   readonly onLog?: (name: string, line: string) => void;
 }
 
-interface SchedulerAddress {
+export interface SchedulerAddress {
   readonly nodeId: string;
+  /** Where the process listens. */
+  readonly listen: string;
+  /** Where others reach it. */
   readonly address: string;
   readonly availabilityZone: string;
 }
 
+export interface EntryAddress {
+  readonly nodeId: string;
+  readonly url: string;
+  readonly availabilityZone: string;
+}
+
 /** The stand-ins and all processes of the system on this machine. */
 export class Cluster {
   readonly #options: ClusterOptions;
-  readonly #children = new Map<string, Child>();
+  readonly #launcher: Launcher;
+  readonly #relays = new Map<string, Relay>();
+  /** Where the worker process of each zone listens, and is reached. */
+  readonly #workerListens = new Map<string, string>();
   readonly #workerOrigins = new Map<string, string>();
   #platform = "";
-  #schedulers: SchedulerAddress[] = [];
-  #entries: string[] = [];
+  #schedulers: readonly SchedulerAddress[] = [];
+  #entries: readonly EntryAddress[] = [];
+  #lastScheduler = 0;
+  #lastEntry = 0;
 
   constructor(options: ClusterOptions) {
     this.#options = options;
+    this.#launcher = new Launcher(options.onLog);
   }
 
   /** Base URLs of the entries. */
   get entries(): readonly string[] {
+    return this.#entries.map(({ url }) => url);
+  }
+
+  get entryAddresses(): readonly EntryAddress[] {
     return this.#entries;
   }
 
-  get platform(): string {
-    return this.#platform;
+  get platform(): PlatformControl {
+    return new PlatformControl(this.#platform);
   }
 
-  /** Base URL of the worker process of each availability zone. */
+  /** Base URL of the worker process of each zone, past any relay. */
   get workerOrigins(): ReadonlyMap<string, string> {
-    return this.#workerOrigins;
+    return new Map(
+      [...this.#workerListens].map(([zone, at]) => [zone, `http://${at}`]),
+    );
   }
 
   get schedulers(): readonly SchedulerAddress[] {
@@ -63,150 +89,210 @@
   }
 
   async start(): Promise<void> {
-    const { nodes = NODES, fleet } = this.#options;
-    const zones = fleet.inventory.availabilityZones;
-    const ports = await freePorts(2 * nodes);
+    const { nodes = NODES } = this.#options;
+    const indexes = Array.from({ length: nodes }, (_, index) => index);
     await Promise.all([
       this.#startPlatform(),
-      ...zones.map((zone) => this.#startWorkers(zone)),
+      ...this.#zones.map((zone) => this.#startZone(zone)),
     ]);
-    const zoneOf = (index: number) => zones[index % zones.length]?.name ?? "";
-    this.#schedulers = Array.from({ length: nodes }, (_, index) => ({
-      nodeId: `scheduler-${index + 1}`,
-      address: `127.0.0.1:${ports[index]}`,
-      availabilityZone: zoneOf(index),
-    }));
-    this.#entries = Array.from(
-      { length: nodes },
-      (_, index) => `http://127.0.0.1:${ports[nodes + index]}`,
+    this.#schedulers = await Promise.all(
+      indexes.map(() => this.#addressScheduler()),
     );
+    this.#entries = await Promise.all(indexes.map(() => this.#addressEntry()));
     await Promise.all([
-      ...this.#schedulers.map(({ nodeId }) => this.startScheduler(nodeId)),
-      ...this.#entries.map((_, index) => this.startEntry(index)),
+      ...this.#schedulers.map((scheduler) => this.#startScheduler(scheduler)),
+      ...this.#entries.map((entry) => this.#startEntry(entry)),
     ]);
   }
 
-  /** Starts a scheduler, for the first time or again. */
-  async startScheduler(nodeId: string): Promise<void> {
-    const own = this.#schedulers.find((s) => s.nodeId === nodeId);
-    if (own === undefined) {
-      throw new Error(`No scheduler is named ${nodeId}`);
+  /** Starts a scheduler at a new address. */
+  async addScheduler(): Promise<SchedulerAddress> {
+    const scheduler = await this.#addressScheduler();
+    this.#schedulers = [...this.#schedulers, scheduler];
+    await this.#startScheduler(scheduler);
+    return scheduler;
+  }
+
+  /** Stops a scheduler as planned and takes it off the list. */
+  async retireScheduler(nodeId: string): Promise<void> {
+    const leaving = this.#schedulers.find((own) => own.nodeId === nodeId);
+    this.#schedulers = this.#schedulers.filter((own) => own !== leaving);
+    if (leaving !== undefined) {
+      await this.#list(leaving, { isLeaving: true });
     }
-    await this.#list(nodeId, {
-      role: "scheduler",
-      address: own.address,
-      availabilityZone: own.availabilityZone,
-      leaving: false,
-    });
-    await this.#start(nodeId, "scheduler", [
-      ["--listen", own.address],
-      ["--availability-zone", own.availabilityZone],
-    ]);
+    const child = this.child(nodeId);
+    child.signal("SIGTERM");
+    await child.exited();
+    await this.platform.unlist(nodeId);
   }
 
-  /** Starts an entry, for the first time or again. */
-  async startEntry(index: number): Promise<void> {
-    const nodeId = `entry-${index + 1}`;
-    const url = new URL(this.#entries[index] ?? "");
-    const hash = createHash("sha256").update(OPERATOR_KEY).digest("hex");
-    const zones = this.#options.fleet.inventory.availabilityZones;
-    await this.#start(nodeId, "entry", [
-      ["--listen", url.host],
-      ["--availability-zone", zones[index % zones.length]?.name ?? ""],
-      ["--operator-key-hash", hash],
-    ]);
+  /** Starts an entry at a new address. */
+  async addEntry(): Promise<EntryAddress> {
+    const entry = await this.#addressEntry();
+    await this.#startEntry(entry);
+    this.#entries = [...this.#entries, entry];
+    return entry;
+  }
+
+  /** Stops an entry as planned. Callers must have been sent elsewhere. */
+  async retireEntry(nodeId: string): Promise<void> {
+    this.#entries = this.#entries.filter((entry) => entry.nodeId !== nodeId);
+    const child = this.child(nodeId);
+    child.signal("SIGTERM");
+    await child.exited();
+  }
+
+  /** Starts the worker process of a zone again where it was. */
+  async restartWorkers(zoneName: string): Promise<void> {
+    const zone = this.#zones.find(({ name }) => name === zoneName);
+    if (zone !== undefined) {
+      const listen = this.#workerListens.get(zoneName) ?? "";
+      await this.#startWorkers(zone, listen);
+    }
   }
 
   child(name: string): Child {
-    const child = this.#children.get(name);
-    if (child === undefined) {
-      throw new Error(`No process is named ${name}`);
+    return this.#launcher.child(name);
+  }
+
+  /** The relay before a scheduler or a worker process, by its name. */
+  relay(name: string): Relay {
+    const relay = this.#relays.get(name);
+    if (relay === undefined) {
+      throw new Error(`No relay stands before ${name}`);
     }
-    return child;
+    return relay;
   }
 
-  /** Ends every process; none is left behind. */
+  /** Ends every process as planned; none is left behind. */
   async stop(): Promise<void> {
-    const names = [...this.#children.keys()];
-    const isStandIn = (name: string) => !/^(entry|scheduler)-/.test(name);
-    const stopAll = (some: string[]) =>
-      Promise.all(some.map((name) => this.child(name).stop()));
-    await stopAll(names.filter((name) => !isStandIn(name)));
-    await stopAll(names.filter(isStandIn));
+    await this.#launcher.stop(NODE_NAME);
+    await this.#stopRelays();
+  }
+
+  /** Ends every process by force; none is left behind. */
+  async kill(): Promise<void> {
+    await this.#launcher.kill();
+    await this.#stopRelays();
+  }
+
+  get #zones(): readonly AvailabilityZone[] {
+    return this.#options.fleet.inventory.availabilityZones;
   }
 
   async #startPlatform(): Promise<void> {
-    this.#platform = await this.#startStandIn("platform", "platform", []);
+    const line = await this.#launcher.launch({
+      name: "platform",
+      binary: Binary.Platform,
+      args: ["--listen", "127.0.0.1:0"],
+    });
+    this.#platform = line.replace("listening on ", "").trim();
+  }
+
+  async #startZone(zone: AvailabilityZone): Promise<void> {
+    const port = await freePort();
+    const listen = `127.0.0.1:${port}`;
+    this.#workerListens.set(zone.name, listen);
+    await this.#startWorkers(zone, listen);
+    const reached = await this.#relayed(`workers-${zone.name}`, listen);
+    this.#workerOrigins.set(zone.name, `http://${reached}`);
   }
 
-  async #startWorkers(zone: AvailabilityZone): Promise<void> {
+  async #startWorkers(zone: AvailabilityZone, listen: string): Promise<void> {
     const workers = zone.racks.flatMap((rack) => rack.instances).map((i) =>
       [i.id, i.cpu, i.memoryMb, i.accelerators, i.slots].join(",")
     );
-    const origin = await this.#startStandIn(
-      `workers-${zone.name}`,
-      "worker",
-      workers.flatMap((worker) => ["--worker", worker]),
-    );
-    this.#workerOrigins.set(zone.name, origin);
+    await this.#launcher.launch({
+      name: `workers-${zone.name}`,
+      binary: Binary.Worker,
+      args: [
+        ...["--listen", listen],
+        ...workers.flatMap((worker) => ["--worker", worker]),
+      ],
+    });
+  }
+
+  async #addressScheduler(): Promise<SchedulerAddress> {
+    this.#lastScheduler += 1;
+    const index = this.#lastScheduler;
+    const port = await freePort();
+    const nodeId = `scheduler-${index}`;
+    const listen = `127.0.0.1:${port}`;
+    const address = await this.#relayed(nodeId, listen);
+    return { nodeId, listen, address, availabilityZone: this.#zoneOf(index) };
+  }
+
+  async #addressEntry(): Promise<EntryAddress> {
+    this.#lastEntry += 1;
+    const index = this.#lastEntry;
+    const port = await freePort();
+    return {
+      nodeId: `entry-${index}`,
+      url: `http://127.0.0.1:${port}`,
+      availabilityZone: this.#zoneOf(index),
+    };
   }
 
-  async #startStandIn(
-    name: string,
-    binary: string,
-    args: readonly string[],
-  ): Promise<string> {
-    const child = this.#spawn(name, binary, [
+  #zoneOf(index: number): string {
+    return this.#zones[(index - 1) % this.#zones.length]?.name ?? "";
+  }
+
+  async #startScheduler(scheduler: SchedulerAddress): Promise<void> {
+    await this.#list(scheduler, { isLeaving: false });
+    await this.#startNode(scheduler, Binary.Scheduler, [
       "--listen",
-      "127.0.0.1:0",
-      ...args,
+      scheduler.listen,
     ]);
-    const line = await child.ready();
-    return line.replace("listening on ", "").trim();
   }
 
-  async #start(
-    nodeId: string,
-    binary: string,
-    flags: readonly (readonly [string, string])[],
-  ): Promise<void> {
-    const peers = this.#schedulers
-      .filter((scheduler) => scheduler.nodeId !== nodeId)
-      .map((scheduler) => `${scheduler.nodeId}=${scheduler.address}`);
-    const child = this.#spawn(nodeId, binary, [
-      "--node-id",
-      nodeId,
-      "--platform",
-      this.#platform,
-      "--peers",
-      peers.join(","),
-      ...flags.flat(),
+  async #startEntry(entry: EntryAddress): Promise<void> {
+    const hash = createHash("sha256").update(OPERATOR_KEY).digest("hex");
+    await this.#startNode(entry, Binary.Entry, [
+      ...["--listen", new URL(entry.url).host],
+      ...["--operator-key-hash", hash],
     ]);
-    await child.ready();
   }
 
-  #spawn(name: string, binary: string, args: readonly string[]): Child {
-    const script = new URL(
-      `../../${binary}/bin/mustardweir-${binary}.js`,
-      import.meta.url,
-    );
-    const child = new Child({
-      name,
-      script: fileURLToPath(script),
-      args,
-      onLine: (line) => this.#options.onLog?.(name, line),
+  async #startNode(
+    node: { readonly nodeId: string; readonly availabilityZone: string },
+    binary: Binary,
+    flags: readonly string[],
+  ): Promise<void> {
+    const peers = this.#schedulers
+      .filter(({ nodeId }) => nodeId !== node.nodeId)
+      .map(({ nodeId, address }) => `${nodeId}=${address}`);
+    await this.#launcher.launch({
+      name: node.nodeId,
+      binary,
+      args: [
+        ...["--node-id", node.nodeId],
+        ...["--availability-zone", node.availabilityZone],
+        ...["--platform", this.#platform],
+        ...["--peers", peers.join(",")],
+        ...flags,
+      ],
     });
-    this.#children.set(name, child);
-    return child;
   }
 
-  async #list(nodeId: string, entry: object): Promise<void> {
-    const url = `${this.#platform}/v1/instances/${nodeId}`;
-    const res = await request(url, {
-      method: "PUT",
-      headers: { "content-type": "application/json" },
-      body: JSON.stringify(entry),
-    });
-    await res.body.dump();
+  async #list(
+    { nodeId, address, availabilityZone }: SchedulerAddress,
+    { isLeaving }: { readonly isLeaving: boolean },
+  ): Promise<void> {
+    const leaving = isLeaving;
+    await this.platform.list({ nodeId, address, availabilityZone, leaving });
+  }
+
+  /** Puts a relay before a listener when the cluster has relays. */
+  async #relayed(name: string, listen: string): Promise<string> {
+    if (this.#options.relayed !== true) {
+      return listen;
+    }
+    const relay = new Relay({ target: listen });
+    this.#relays.set(name, relay);
+    return await relay.start();
+  }
+
+  async #stopRelays(): Promise<void> {
+    await Promise.all([...this.#relays.values()].map((relay) => relay.stop()));
   }
 }
--- a/packages/demo/src/demo.ts
+++ b/packages/demo/src/demo.ts
@@ -3,7 +3,7 @@
 import { audit, describePacking, describeParts } from "./audit.ts";
 import { Cluster } from "./cluster.ts";
 import { renderReport } from "./demo_report.ts";
-import type { Fleet } from "./fleet_file.ts";
+import type { ExampleFleet } from "./fleet_file.ts";
 import { Operator } from "./operator.ts";
 import { collectRuns, matchRuns } from "./runs.ts";
 import { Submitter } from "./submitter.ts";
@@ -23,7 +23,7 @@
 const GIVE_UP_MS = 36_000;
 
 export interface DemoOptions {
-  readonly fleet: Fleet;
+  readonly fleet: ExampleFleet;
   /** Seed of the workload; 1 by default. */
   readonly seed?: number;
   readonly onLog?: (name: string, line: string) => void;
--- a/packages/demo/src/fleet_file.ts
+++ b/packages/demo/src/fleet_file.ts
@@ -13,17 +13,22 @@
   Salamavahti = "salamavahti",
 }
 
-/** A fleet and its rules, as the examples describe them. */
+/** A fleet and its rules. */
 export interface Fleet {
-  readonly name: FleetName;
+  readonly name: string;
   readonly inventory: Inventory;
   readonly rules: Rules;
 }
 
+/** A fleet that the examples describe. */
+export interface ExampleFleet extends Fleet {
+  readonly name: FleetName;
+}
+
 const EXAMPLES = new URL("../../../examples/", import.meta.url);
 
 /** Reads a fleet from the files under `examples/`. */
-export function readFleet(name: FleetName): Fleet {
+export function readFleet(name: FleetName): ExampleFleet {
   return {
     name,
     inventory: inventorySchema.parse(readYaml(`${name}/inventory.yaml`)),
--- a/packages/demo/src/operator.ts
+++ b/packages/demo/src/operator.ts
@@ -27,12 +27,16 @@
   }
 
   /** Grants a submitter's key and returns it. */
-  async grantKey(team: string): Promise<string> {
-    const body = { id: `${team}-key`, role: "submitter", team };
+  async grantKey(team: string, id = `${team}-key`): Promise<string> {
+    const body = { id, role: "submitter", team };
     const answer = await this.#edit("POST", "/v1/config/keys", body);
     return answer.key ?? "";
   }
 
+  async withdrawKey(id: string): Promise<void> {
+    await this.#edit("DELETE", `/v1/config/keys/${id}`);
+  }
+
   async drain(zone: string): Promise<void> {
     await this.#edit("POST", `/v1/config/zones/${zone}/drain`);
   }
@@ -42,7 +46,7 @@
   }
 
   async #edit(
-    method: "PUT" | "POST",
+    method: "PUT" | "POST" | "DELETE",
     path: string,
     body?: unknown,
   ): Promise<EditAnswer> {
--- a/packages/demo/src/ports.ts
+++ b/packages/demo/src/ports.ts
@@ -1,13 +1,29 @@
 import { createServer } from "node:net";
 
+/** Ports that were given out; none is given twice. */
+const given = new Set<number>();
+
 /** Finds ports on the loopback address that nothing listens on. */
 export async function freePorts(count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer());
-  const ports = await Promise.all(servers.map(listen));
-  await Promise.all(servers.map(close));
+  const ports: number[] = [];
+  while (ports.length < count) {
+    ports.push(await freePort());
+  }
   return ports;
 }
 
+/** Finds a port on the loopback address that nothing listens on. */
+export async function freePort(): Promise<number> {
+  const server = createServer();
+  const port = await listen(server);
+  await close(server);
+  if (given.has(port)) {
+    return await freePort();
+  }
+  given.add(port);
+  return port;
+}
+
 function listen(server: ReturnType<typeof createServer>): Promise<number> {
   return new Promise((resolve, reject) => {
     server.once("error", reject);
--- a/packages/demo/src/runs.ts
+++ b/packages/demo/src/runs.ts
@@ -1,4 +1,5 @@
-import type { EndReason } from "@mustardweir/model";
+import { createHash } from "node:crypto";
+import { type EndReason, formatJobId } from "@mustardweir/model";
 import { request } from "undici";
 import type { Fleet } from "./fleet_file.ts";
 import type { JobStory } from "./submitter.ts";
@@ -52,14 +53,22 @@
   readonly story: JobStory;
 }
 
+/** Hexadecimal digits of a job id's own part. */
+const JOB_ID_DIGITS = 24;
+
+/** The id that the job has, also when the submitter was not told of it. */
+export function jobIdOf({ job }: Pick<JobStory, "job">): string {
+  const name = JSON.stringify([job.team, job.idempotencyKey]);
+  const digest = createHash("sha256").update(name).digest("hex");
+  return formatJobId(job.team, digest.slice(0, JOB_ID_DIGITS));
+}
+
 /** Finds the job of each run; runs of unknown jobs are left out. */
 export function matchRuns(
   runs: readonly Run[],
   stories: readonly JobStory[],
 ): MatchedRun[] {
-  const byJobId = new Map(
-    stories.map((story) => [story.status?.jobId ?? "", story]),
-  );
+  const byJobId = new Map(stories.map((story) => [jobIdOf(story), story]));
   return runs.flatMap((run) => {
     const story = byJobId.get(run.jobId);
     return story === undefined ? [] : [{ ...run, story }];
--- a/packages/demo/src/submitter.ts
+++ b/packages/demo/src/submitter.ts
@@ -17,6 +17,8 @@
   };
 }
 
+type RefusalTold = RefusalBody["error"];
+
 type JobAnswer = ApiAnswer<JobStatus & RefusalBody>;
 
 /** What a submitter was told of one job. */
@@ -28,6 +30,8 @@
   refusal: string | undefined;
   /** What a refusal said of the work. */
   refusedOutcome: Outcome | undefined;
+  /** A call got no answer, or one that doesn't know whether the job runs. */
+  unclear: boolean;
 }
 
 export interface SubmitterOptions {
@@ -55,6 +59,7 @@
       status: undefined,
       refusal: undefined,
       refusedOutcome: undefined,
+      unclear: false,
     };
     this.stories.push(story);
     await delay(job.atMs);
@@ -93,9 +98,8 @@
       const refusal = answer.body?.error;
       story.refusal = refusal?.reason ?? "no answer";
       story.refusedOutcome = refusal?.outcome;
-      const mayRepeat = refusal === undefined || refusal.retryable ||
-        refusal.outcome === Outcome.Unknown;
-      if (!mayRepeat) {
+      story.unclear ||= refusal?.outcome !== Outcome.NotRun;
+      if (isFinal(story, refusal)) {
         return;
       }
       await delay(RETRY_MS);
@@ -142,3 +146,11 @@
     return api!.call({ ...call, key }) as Promise<JobAnswer>;
   }
 }
+
+/** True when the submitter gives the job up. */
+function isFinal({ job, unclear }: JobStory, refusal: RefusalTold): boolean {
+  if (refusal === undefined || refusal.outcome === Outcome.Unknown) {
+    return false;
+  }
+  return !refusal.retryable || (job.takesRefusal === true && !unclear);
+}
--- a/packages/demo/src/workload.ts
+++ b/packages/demo/src/workload.ts
@@ -8,6 +8,8 @@
   readonly atMs: number;
   readonly team: string;
   readonly idempotencyKey: string;
+  /** Not handed in again after a refusal that says "not run". */
+  readonly takesRefusal?: boolean;
   readonly spec: DemoSpec;
 }
 
