Test failures of real processes under load

Each case brings up three entries, three schedulers, three worker processes and the platform, keeps load on, acts, waits for a state and audits all that was told against all that ran: lost, doubled, over limit, untrue, crossed. Cases: owners killed in the middle of gangs; an owner paused past the takeover and woken; outages of the platform with answers lost or writes late around them; connections silent one way; planned stops with long requests in flight; all nodes replaced one by one; operators editing at once and a key withdrawn under load; instances restarted, killed and paused past their leases. No case asserts a time; measured times are printed with the target's bound.

--- a/packages/failure-tests/src/mod.ts
+++ b/packages/failure-tests/src/mod.ts
@@ -1,1 +1,7 @@
-export {};
+export * from "./caller.ts";
+export * from "./entry_probe.ts";
+export * from "./fleet.ts";
+export * from "./load.ts";
+export * from "./run_trial.ts";
+export * from "./trial.ts";
+export * from "./verdict.ts";
--- /dev/null
+++ b/packages/failure-tests/src/trial.ts
@@ -0,0 +1,283 @@
+import { setTimeout as delay } from "node:timers/promises";
+import {
+  Cluster,
+  collectRuns,
+  type EntryAddress,
+  type JobStory,
+  matchRuns,
+  Operator,
+  type OwnershipView,
+  type Run,
+  Submitter,
+} from "@mustardweir/demo";
+import { JobState } from "@mustardweir/model";
+import { Caller } from "./caller.ts";
+import { statusOfKey } from "./entry_probe.ts";
+import { FLEET } from "./fleet.ts";
+import { Load } from "./load.ts";
+import { judge, type Verdict } from "./verdict.ts";
+
+/** Entries, and schedulers, of a trial. */
+const NODES = 3;
+
+/** Longest wait for a state, in milliseconds. */
+const WAIT_LIMIT_MS = 60_000;
+
+const POLL_MS = 50;
+
+/** Load before the first failure, in milliseconds. */
+const WARM_UP_MS = 1_500;
+
+/** Most unfinished jobs that are printed after a failure. */
+const UNFINISHED_SHOWN = 12;
+
+/** Bound that the target sets for what is to happen within seconds. */
+export const SECONDS_BOUND_MS = 4_000;
+
+export interface TrialOptions {
+  /** Seed of the load; 1 by default. */
+  readonly seed?: number;
+  /** True: schedulers and workers are reached through relays. */
+  readonly relayed?: boolean;
+}
+
+/** A log line of a process. */
+export interface LogLine {
+  readonly node: string;
+  readonly text: string;
+}
+
+/** A cluster, the load on it and what is observed of both. */
+export class Trial {
+  readonly cluster: Cluster;
+  /** Those entries that callers are sent to. */
+  readonly callers: Caller[] = [];
+  readonly logs: LogLine[] = [];
+  /** Teams whose submissions may be refused for good. */
+  readonly mayRefuse = new Set<string>();
+  readonly keys: Map<string, string> = new Map();
+  readonly #seed: number;
+  readonly #allCallers: Caller[] = [];
+  readonly #keptRuns: Run[] = [];
+  readonly #submitters: Submitter[] = [];
+  #load: Load | undefined;
+  #isClosed = false;
+
+  constructor({ seed = 1, relayed = false }: TrialOptions) {
+    this.#seed = seed;
+    this.cluster = new Cluster({
+      fleet: FLEET,
+      nodes: NODES,
+      relayed,
+      onLog: (node, text) => this.#log({ node, text }),
+    });
+  }
+
+  get load(): Load {
+    if (this.#load === undefined) {
+      throw new Error("The load has not started");
+    }
+    return this.#load;
+  }
+
+  /** Starts the cluster, configures it and puts the load on. */
+  async start(): Promise<void> {
+    await this.cluster.start();
+    this.cluster.entryAddresses.forEach((entry) => this.addCaller(entry));
+    await this.#configure();
+    this.#load = new Load({
+      apis: this.callers,
+      keyOfTeam: this.keys,
+      seed: this.#seed,
+    });
+    await this.waitFor(
+      "an owner of every home and slice",
+      () => this.#isOwned(),
+    );
+    this.#submitters.push(this.#load.submitter);
+    this.#load.start();
+    await delay(WARM_UP_MS);
+  }
+
+  /** Sends callers to an entry. */
+  addCaller({ nodeId, url }: EntryAddress): Caller {
+    const caller = new Caller(nodeId, url);
+    this.callers.push(caller);
+    this.#allCallers.push(caller);
+    return caller;
+  }
+
+  /** Sends no new call to an entry, as a balancer does. */
+  removeCaller(nodeId: string): Caller {
+    const index = this.callers.findIndex((own) => own.nodeId === nodeId);
+    const [caller] = this.callers.splice(index, 1);
+    if (index < 0 || caller === undefined) {
+      throw new Error(`No caller uses ${nodeId}`);
+    }
+    return caller;
+  }
+
+  /** A submitter who uses one entry only, with the teams' keys by default. */
+  submitterAt(caller: Caller, keyOfTeam = this.keys): Submitter {
+    const submitter = new Submitter({
+      apis: [caller],
+      keyOfTeam,
+      giveUpAt: () => this.#isClosed ? -Infinity : Infinity,
+    });
+    this.#submitters.push(submitter);
+    return submitter;
+  }
+
+  get stories(): JobStory[] {
+    return this.#submitters.flatMap(({ stories }) => stories);
+  }
+
+  /** Calls that got no answer. */
+  get cutCalls(): number {
+    return this.#allCallers.reduce((sum, { cut }) => sum + cut, 0);
+  }
+
+  /** Waits for a state; resolves to the time it took, in milliseconds. */
+  async waitFor(
+    what: string,
+    isReached: () => boolean | Promise<boolean>,
+  ): Promise<number> {
+    const from = performance.now();
+    while (!await isReached()) {
+      if (performance.now() - from > WAIT_LIMIT_MS) {
+        throw new Error(`${what} did not come about`);
+      }
+      await delay(POLL_MS);
+    }
+    return performance.now() - from;
+  }
+
+  /** Prints a measured time next to the target's bound. */
+  report(what: string, ms: number, boundMs = SECONDS_BOUND_MS): void {
+    this.note(`${what} ${Math.round(ms)} ms (target ${boundMs} ms)`);
+  }
+
+  note(line: string): void {
+    console.log(`      ${line}`);
+  }
+
+  /** The owner of a home or slice by the table. */
+  async ownerOf(unit: string): Promise<OwnershipView> {
+    const owners = await this.cluster.platform.owners();
+    const found = owners.find((row) => row.unit === unit);
+    if (found === undefined) {
+      throw new Error(`${unit} has no owner`);
+    }
+    return found;
+  }
+
+  /** Waits until other nodes own all that `nodeId` owned. */
+  async waitForTakeover(nodeId: string): Promise<number> {
+    return await this.waitFor(`a takeover from ${nodeId}`, async () => {
+      const owners = await this.cluster.platform.owners();
+      return owners.every(({ owner }) => owner !== "" && owner !== nodeId);
+    });
+  }
+
+  /** Jobs that have ended so far. */
+  get ended(): number {
+    return this.stories
+      .filter(({ status }) => status?.state === JobState.Ended).length;
+  }
+
+  /** Waits until `count` more jobs have ended. */
+  async waitForWork(count: number): Promise<number> {
+    const wanted = this.ended + count;
+    return await this.waitFor(
+      `the end of ${count} jobs`,
+      () => this.ended >= wanted,
+    );
+  }
+
+  /** What the workers of a zone have run so far. */
+  async runsIn(zone: string): Promise<Run[]> {
+    return await this.#collect((name) => name === zone);
+  }
+
+  /** Keeps what the workers have run, before their log goes with them. */
+  async keepRuns(zone: string): Promise<void> {
+    this.#keptRuns.push(...await this.runsIn(zone));
+  }
+
+  /** Waits for the end of all work and judges it. */
+  async finish(): Promise<Verdict> {
+    await this.load.finish();
+    const { stories } = this;
+    const runs = [...this.#keptRuns, ...await this.#collect()];
+    const verdict = judge({
+      fleet: FLEET,
+      stories,
+      runs: matchRuns(runs, stories),
+      mayRefuse: this.mayRefuse,
+    });
+    this.note(`${stories.length} jobs, ${runs.length} starts`);
+    return verdict;
+  }
+
+  /** Prints some of the jobs that have not ended and what they wait for. */
+  noteUnfinished(): void {
+    this.stories
+      .filter(({ status }) => status?.state !== JobState.Ended)
+      .slice(0, UNFINISHED_SHOWN)
+      .forEach(({ job, status, refusal }) =>
+        this.note(
+          `${job.team} ${job.idempotencyKey}: ${
+            JSON.stringify(status ?? refusal)
+          }`,
+        )
+      );
+  }
+
+  async close(): Promise<void> {
+    this.#load?.abandon();
+    this.#isClosed = true;
+    await this.cluster.kill();
+    await Promise.all(this.#allCallers.map((caller) => caller.close()));
+  }
+
+  async #configure(): Promise<void> {
+    const operator = new Operator(this.callers[0]!);
+    await operator.put("rules", FLEET.rules);
+    await operator.put("inventory", this.cluster.inventory);
+    for (const { name } of FLEET.rules.teams) {
+      this.keys.set(name, await operator.grantKey(name));
+    }
+    await this.waitFor("the last key in force", async () => {
+      const key = [...this.keys.values()].at(-1) ?? "";
+      const statuses = await Promise.all(
+        this.callers.map((caller) => statusOfKey(caller, key)),
+      );
+      return statuses.every((status) => status === 200);
+    });
+  }
+
+  async #isOwned(): Promise<boolean> {
+    const { availabilityZones } = FLEET.inventory;
+    const units = FLEET.rules.teams.length + availabilityZones.length;
+    const owners = await this.cluster.platform.owners();
+    return owners.filter(({ owner }) => owner !== "").length === units;
+  }
+
+  #collect(isWanted = (_zone: string) => true): Promise<Run[]> {
+    const { inventory } = FLEET;
+    const availabilityZones = inventory.availabilityZones
+      .filter(({ name }) => isWanted(name));
+    return collectRuns({
+      fleet: { ...FLEET, inventory: { ...inventory, availabilityZones } },
+      originOfZone: this.cluster.workerOrigins,
+      now: Date.now(),
+    });
+  }
+
+  #log(line: LogLine): void {
+    this.logs.push(line);
+    if (process.env["MUSTARDWEIR_TEST_LOGS"] !== undefined) {
+      console.error(`${line.node}: ${line.text}`);
+    }
+  }
+}
