Spread services over racks before instances

Cause: a slice counted the tasks of a service on each instance, not in its rack, by a walk over the instance's tasks.

Change: SpreadCounts keeps both by job; a rack weighs more than an instance.

--- a/packages/bench/src/decisions/decisions_test.ts
+++ b/packages/bench/src/decisions/decisions_test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import { runRebalanceTrial } from "./rebalance_trial.ts";
 import { runSharingTrial } from "./sharing_trial.ts";
+import { runSpreadTrial } from "./spread_trial.ts";
 import { runUrgentTrial } from "./urgent_trial.ts";
 
 interface DecisionCase {
@@ -35,6 +36,11 @@
     measure: () => runSharingTrial(SHORT_SHARING).preemptedLate,
     atMost: 0,
   },
+  {
+    name: "spreads a service over racks",
+    measure: () => runSpreadTrial(SEED).inRack,
+    atMost: 1,
+  },
 ];
 
 describe("Decisions", function () {
--- /dev/null
+++ b/packages/bench/src/decisions/spread_trial.ts
@@ -0,0 +1,67 @@
+import { JobKind } from "@mustardweir/model";
+import { createFleet } from "../loopback/fleet.ts";
+import { Loopback } from "../loopback/loopback.ts";
+
+const WARM_UP_MS = 20_000;
+const OBSERVED_MS = 10_000;
+
+/** Five racks of five instances in each of the three zones. */
+const INSTANCES = 25;
+const SERVICES = 10;
+
+/** One for each rack. */
+const TASKS = 15;
+
+export interface SpreadTrialResult {
+  /** Most tasks of one service in one rack. */
+  readonly inRack: number;
+  /** Most tasks of one service in one zone. */
+  readonly inZone: number;
+  readonly started: number;
+}
+
+/** Starts services on a fleet that batch work has half filled. */
+export function runSpreadTrial(seed: number): SpreadTrialResult {
+  const loopback = new Loopback({
+    configuration: createFleet({
+      shares: { storefront: 1 },
+      instances: INSTANCES,
+    }),
+    seed,
+    schedulers: 3,
+  });
+  loopback.run(WARM_UP_MS);
+  loopback.submit("storefront", batch());
+  loopback.run(WARM_UP_MS);
+  for (let index = 0; index < SERVICES; index++) {
+    loopback.submit("storefront", service());
+    loopback.run(OBSERVED_MS / SERVICES);
+  }
+  const inRacks = new Map<string, number>();
+  const inZones = new Map<string, number>();
+  for (const { instanceId, task } of loopback.starts) {
+    if (task.kind === JobKind.Service) {
+      const [zone, rack] = instanceId.split("-");
+      add(inRacks, `${task.jobId} ${zone} ${rack}`);
+      add(inZones, `${task.jobId} ${zone}`);
+    }
+  }
+  return {
+    inRack: Math.max(...inRacks.values()),
+    inZone: Math.max(...inZones.values()),
+    started: [...inZones.values()].reduce((sum, tasks) => sum + tasks, 0),
+  };
+}
+
+function batch() {
+  const payload = JSON.stringify({ runMs: 3_600_000 });
+  return { kind: JobKind.Batch, cpu: 5, memoryMb: 512, tasks: 120, payload };
+}
+
+function service() {
+  return { kind: JobKind.Service, cpu: 1, memoryMb: 512, tasks: TASKS };
+}
+
+function add(counts: Map<string, number>, key: string): void {
+  counts.set(key, (counts.get(key) ?? 0) + 1);
+}
--- a/packages/bench/src/decisions_benchmark.ts
+++ b/packages/bench/src/decisions_benchmark.ts
@@ -5,6 +5,7 @@
 } from "./benchmark.ts";
 import { runRebalanceTrial } from "./decisions/rebalance_trial.ts";
 import { runSharingTrial } from "./decisions/sharing_trial.ts";
+import { runSpreadTrial } from "./decisions/spread_trial.ts";
 import { runUrgentTrial } from "./decisions/urgent_trial.ts";
 import { BoundKind, type Metric } from "./metric.ts";
 
@@ -17,6 +18,7 @@
       ...measureRebalance(seed),
       ...measureUrgent(seed),
       ...measureSharing(seed),
+      ...measureSpread(seed),
     ];
   }
 }
@@ -63,4 +65,12 @@
   ];
 }
 
+function measureSpread(seed: number): Metric[] {
+  const { inRack, inZone } = runSpreadTrial(seed);
+  return [
+    { name: "spread.in-one-rack", value: inRack, unit: "of 15", bound: 1 },
+    { name: "spread.in-one-zone", value: inZone, unit: "of 15", bound: 5 },
+  ];
+}
+
 registerBenchmark(new DecisionsBenchmark());
--- a/packages/slice/src/grant.ts
+++ b/packages/slice/src/grant.ts
@@ -161,29 +161,20 @@
   }
 
   #choose({ ask }: QueuedAsk): Worker | undefined {
-    const { table, workers } = this.#slice;
+    const { table, workers, spread } = this.#slice;
+    const { jobId } = ask.task;
     const isService = ask.task.kind === JobKind.Service;
     const policy = this.#update.service(PLACEMENT_POLICY);
     const index = policy.choose(table, {
       size: ask.task.size,
       ...(isService
-        ? { crowding: (at: number) => this.#crowding(at, ask.task.jobId) }
+        ? { crowding: (at) => spread.crowding(jobId, at, table.rackAt(at)) }
         : {}),
     }, this.#update.random);
     return index === NO_INSTANCE
       ? undefined
       : workers.get(table.instanceIdAt(index));
   }
-
-  #crowding(index: number, jobId: string): number {
-    const { table, workers } = this.#slice;
-    const worker = workers.get(table.instanceIdAt(index));
-    let crowding = 0;
-    for (const { task } of worker?.tasks ?? []) {
-      crowding += task.jobId === jobId ? 1 : 0;
-    }
-    return crowding;
-  }
 }
 
 interface Grant {
--- a/packages/slice/src/instances.ts
+++ b/packages/slice/src/instances.ts
@@ -21,6 +21,7 @@
   type Worker,
   WorkerState,
 } from "./slice_state.ts";
+import { SpreadCounts } from "./spread_counts.ts";
 import { takeBackStart } from "./tasks.ts";
 
 /** The slice of the inventory with this id. */
@@ -47,6 +48,7 @@
     isFirstOwner: owned.isFirstOwner,
     table: new InstanceTable(),
     noRoom: new NoRoom(),
+    spread: new SpreadCounts(),
     mayGrantMore: true,
     workers: new Map(),
     touched: new Set(),
@@ -130,6 +132,7 @@
     instanceId,
     address,
     index,
+    rack,
     state: WorkerState.Unknown,
     incarnation: "",
     upSince: Infinity,
--- a/packages/slice/src/slice_state.ts
+++ b/packages/slice/src/slice_state.ts
@@ -11,6 +11,7 @@
 } from "@mustardweir/protocol";
 import type { AskQueue } from "./ask_queue.ts";
 import type { NoRoom } from "./no_room.ts";
+import type { SpreadCounts } from "./spread_counts.ts";
 
 /** How a worker stands with the owner of its slice. */
 export enum WorkerState {
@@ -28,6 +29,7 @@
   readonly instanceId: string;
   readonly address: string;
   readonly index: number;
+  readonly rack: string;
   state: WorkerState;
   incarnation: string;
   /** Since when it has forgotten nothing; Infinity while that is unknown. */
@@ -107,6 +109,7 @@
   readonly isFirstOwner: boolean;
   readonly table: InstanceTable;
   readonly noRoom: NoRoom;
+  readonly spread: SpreadCounts;
   /** Room or asks have come that a grant was not tried with. */
   mayGrantMore: boolean;
   readonly workers: Map<string, Worker>;
--- a/packages/slice/src/tasks.ts
+++ b/packages/slice/src/tasks.ts
@@ -1,5 +1,10 @@
 import type { Update } from "@mustardweir/kernel";
-import { addResources, EndReason, subtractResources } from "@mustardweir/model";
+import {
+  addResources,
+  EndReason,
+  JobKind,
+  subtractResources,
+} from "@mustardweir/model";
 import {
   count,
   DeclineReason,
@@ -57,6 +62,9 @@
   } else {
     slice.table.take(worker.index, task.size);
   }
+  if (task.kind === JobKind.Service) {
+    slice.spread.add(added);
+  }
   const view = teamView(slice, task.team);
   view.used = addResources(view.used, task.size);
   return added;
@@ -177,6 +185,9 @@
 function giveBack(slice: Slice, task: SliceTask): void {
   slice.table.giveBack(task.worker.index, task.task.size);
   noteRoom(slice);
+  if (task.task.kind === JobKind.Service) {
+    slice.spread.remove(task);
+  }
   const view = teamView(slice, task.task.team);
   view.used = subtractResources(view.used, task.task.size);
 }
