Let half of the proofs' runs begin with schedulers that can vouch

A scheduler vouches 12 s after its start at the earliest; runs began after 3.5 s, so that an outage of the table never met a majority that vouches, nor a successor.

--- a/packages/prove/src/scenario.ts
+++ b/packages/prove/src/scenario.ts
@@ -21,6 +21,8 @@
   /** Seed of the simulation's chance. */
   readonly chance: number;
   readonly schedulers: number;
+  /** Time before the first command, in milliseconds; 3500 by default. */
+  readonly warmUpMs?: number;
   readonly commands: readonly Command[];
 }
 
@@ -46,7 +48,7 @@
     schedulers: scenario.schedulers,
     ...(tampering === undefined ? {} : { tampering }),
   });
-  cluster.run(START_MS);
+  cluster.run(scenario.warmUpMs ?? START_MS);
   for (const command of scenario.commands) {
     runCommand(cluster, command);
   }
--- a/packages/prove/src/scenarios.ts
+++ b/packages/prove/src/scenarios.ts
@@ -18,6 +18,12 @@
 /** Schedulers of a run. */
 const SCHEDULERS = [3, 3, 3, 6];
 
+/**
+ * Time before the first command, in milliseconds: for the first owners to be
+ * found, or for schedulers to be up for long enough to vouch.
+ */
+const WARM_UPS_MS = [3_500, 14_000];
+
 /** Draws scenarios, for all points or with more of what one is about. */
 export function scenarioArbitrary(point?: Point): fc.Arbitrary<Scenario> {
   return fc.noBias(fc.record({
@@ -28,6 +34,7 @@
       maxLength: MAX_COMMANDS,
       size: "max",
     }),
+    warmUpMs: fc.noShrink(fc.constantFrom(...WARM_UPS_MS)),
   }));
 }
 
