--- a/packages/bench/src/benchmark.ts
+++ b/packages/bench/src/benchmark.ts
@@ -10,7 +10,8 @@
 export abstract class Benchmark {
   abstract readonly name: string;
 
-  abstract run(options: BenchmarkOptions): Metric[];
+  /** A promise where real processes are measured. */
+  abstract run(options: BenchmarkOptions): Metric[] | Promise<Metric[]>;
 }
 
 const benchmarks = new Map<string, Benchmark>();
--- /dev/null
+++ b/packages/bench/src/configuration_benchmark.ts
@@ -0,0 +1,75 @@
+import { parseSection, sectionObjectKey } from "@mustardweir/configuration";
+import { ConfigurationSection, sliceFleet } from "@mustardweir/model";
+import { Benchmark, registerBenchmark } from "./benchmark.ts";
+import type { Metric } from "./metric.ts";
+import { liveHeapMb } from "./scaling/heap.ts";
+import { createRegionFleet } from "./scaling/region_fleet.ts";
+
+const FLEET_SIZES = [34, 340, 3_400, 23_000];
+const REPEATS = 5;
+
+/** Edits a second, at 39,000 a day. */
+const EDITS_PER_SECOND = 39_000 / 86_400;
+
+/** What a node spends to follow an edit of the inventory. */
+export class ConfigurationBenchmark extends Benchmark {
+  override readonly name = "configuration";
+
+  override run(): Metric[] {
+    return FLEET_SIZES.flatMap(measure);
+  }
+}
+
+function measure(instances: number): Metric[] {
+  const { inventory } = createRegionFleet({
+    instances,
+    regions: 10,
+    zones: 21,
+    teams: 180,
+  });
+  const body = JSON.stringify(inventory);
+  const heapBefore = liveHeapMb();
+  let parsed = loadInventory(body);
+  const heapMb = liveHeapMb() - heapBefore;
+  const times = Array.from({ length: REPEATS }, () => {
+    const start = performance.now();
+    parsed = loadInventory(body);
+    return performance.now() - start;
+  }).sort((a, b) => a - b);
+  const medianMs = times[Math.floor(REPEATS / 2)]!;
+  const bytes = Buffer.byteLength(body);
+  const metrics: Metric[] = [
+    { name: "inventory", value: bytes, unit: "B" },
+    { name: "slices", value: parsed.length, unit: "slices" },
+    { name: "heap", value: heapMb, unit: "MB" },
+    { name: "follow", value: medianMs, unit: "ms" },
+    { name: "follow.min", value: times[0]!, unit: "ms" },
+    { name: "follow.max", value: times.at(-1)!, unit: "ms" },
+    {
+      name: "cpu-if-all-edit-inventory",
+      value: EDITS_PER_SECOND * medianMs,
+      unit: "ms/s",
+    },
+    {
+      name: "bytes-if-all-edit-inventory",
+      value: EDITS_PER_SECOND * bytes,
+      unit: "B/s",
+    },
+  ];
+  return metrics.map((metric) => ({
+    ...metric,
+    name: `${instances}.${metric.name}`,
+  }));
+}
+
+/** As the follower does: checks the hash, parses, checks the shape, cuts. */
+function loadInventory(body: string) {
+  sectionObjectKey(body);
+  const inventory = parseSection(
+    ConfigurationSection.Inventory,
+    JSON.parse(body),
+  )._unsafeUnwrap();
+  return sliceFleet(inventory as Parameters<typeof sliceFleet>[0]);
+}
+
+registerBenchmark(new ConfigurationBenchmark());
--- /dev/null
+++ b/packages/bench/src/journal_benchmark.ts
@@ -0,0 +1,154 @@
+import { type JournalRecord, JournalRecordKind } from "@mustardweir/journal";
+import { EndReason, JobKind, jobSpecSchema } from "@mustardweir/model";
+import {
+  Benchmark,
+  type BenchmarkOptions,
+  registerBenchmark,
+} from "./benchmark.ts";
+import { createFleet } from "./loopback/fleet.ts";
+import { Loopback } from "./loopback/loopback.ts";
+import type { Metric } from "./metric.ts";
+import { runJournalTrial } from "./scaling/journal_trial.ts";
+import { countTraffic } from "./scaling/traffic.ts";
+
+/** Schedulers of the target: six in each of ten regions. */
+const SCHEDULERS = 60;
+const NODES = 120;
+
+/** Homes of a scheduler, of 180 teams. */
+const HOMES = 3;
+
+/** Task starts a second at the peak, in the whole fleet. */
+const PEAK_STARTS = 17_000;
+const JOBS_PER_DAY = 100_000;
+const MS_PER_DAY = 86_400_000;
+
+/** Time that the platform's table takes for a write, in milliseconds. */
+const WRITE_MS = 5;
+const TRIAL_MS = 10_000;
+const LONG_TRIAL_MS = 600_000;
+const MS_PER_SECOND = 1_000;
+const LARGE_JOB_TASKS = 10_000;
+
+const MAX_WRITES = 300;
+const MAX_READS = 1_000;
+
+/** Scans that a node makes in a second, of rows that have not changed. */
+const READS_PER_NODE = 4;
+
+/** Largest row that tables of this kind take, in bytes. */
+const MAX_ROW_BYTES = 400_000;
+
+/** What homes write to the table at the target's rates. */
+export class JournalBenchmark extends Benchmark {
+  override readonly name = "journal";
+
+  override run({ seed }: BenchmarkOptions): Metric[] {
+    return [
+      ...measureEnds(),
+      ...measureAcceptances(),
+      ...measureLargeJob(seed),
+      {
+        name: "scans.reads",
+        value: NODES * READS_PER_NODE,
+        unit: "1/s of all nodes",
+        bound: MAX_READS,
+      },
+    ];
+  }
+}
+
+/** Every start is of a batch task, whose end is put on record. */
+function measureEnds(): Metric[] {
+  const result = runJournalTrial({
+    homes: HOMES,
+    schedulers: SCHEDULERS,
+    writeMs: WRITE_MS,
+    forMs: TRIAL_MS,
+    recordsPerMs: PEAK_STARTS / SCHEDULERS / MS_PER_SECOND,
+    createRecord: (index) => ({
+      kind: JournalRecordKind.TaskEnded,
+      jobId: `team-${index % HOMES}.0123456789abcdef`,
+      taskIndex: index,
+      reason: EndReason.Completed,
+    }),
+  });
+  const seconds = TRIAL_MS / MS_PER_SECOND;
+  return [
+    {
+      name: "peak-ends.writes",
+      value: SCHEDULERS * result.writes / seconds,
+      unit: "1/s of all schedulers",
+      bound: MAX_WRITES,
+    },
+    {
+      name: "peak-ends.bytes",
+      value: result.bytes / seconds,
+      unit: "B/s of a scheduler",
+    },
+  ];
+}
+
+function measureAcceptances(): Metric[] {
+  const spec = jobSpecSchema.parse({
+    kind: JobKind.Batch,
+    cpu: 1,
+    memoryMb: 512,
+  });
+  const result = runJournalTrial({
+    homes: HOMES,
+    schedulers: SCHEDULERS,
+    writeMs: WRITE_MS,
+    forMs: LONG_TRIAL_MS,
+    recordsPerMs: 2 * JOBS_PER_DAY / SCHEDULERS / MS_PER_DAY,
+    createRecord: (index): JournalRecord => ({
+      kind: JournalRecordKind.Accepted,
+      jobId: `team-${index % HOMES}.0123456789abcdef`,
+      spec,
+      specHash: "0".repeat(64),
+    }),
+  });
+  return [{
+    name: "day-of-jobs.writes",
+    value: SCHEDULERS * result.writes * MS_PER_SECOND / LONG_TRIAL_MS,
+    unit: "1/s of all schedulers",
+    bound: MAX_WRITES,
+  }];
+}
+
+/** One team's job of many short tasks, from its acceptance to its end. */
+function measureLargeJob(seed: number): Metric[] {
+  const loopback = new Loopback({
+    configuration: createFleet({ shares: { storefront: 1 }, instances: 100 }),
+    seed,
+  });
+  loopback.run(20_000);
+  loopback.submit("storefront", {
+    kind: JobKind.Batch,
+    cpu: 0.25,
+    memoryMb: 128,
+    tasks: LARGE_JOB_TASKS,
+    payload: JSON.stringify({ runMs: 500 }),
+  });
+  const traffic = countTraffic(loopback, () => loopback.run(30_000));
+  return [
+    {
+      name: "large-job.writes",
+      value: traffic.tableWrites,
+      unit: `writes for ${LARGE_JOB_TASKS} tasks`,
+    },
+    {
+      name: "large-job.bytes-a-task",
+      value: traffic.tableWriteBytes / LARGE_JOB_TASKS,
+      unit: "B",
+    },
+    {
+      name: "large-job.largest-row",
+      value: traffic.largestRowBytes,
+      unit: "B",
+      bound: MAX_ROW_BYTES,
+    },
+  ];
+}
+
+registerBenchmark(new JournalBenchmark());
--- /dev/null
+++ b/packages/bench/src/scaling/journal_trial.ts
@@ -0,0 +1,127 @@
+import { Kernel } from "@mustardweir/kernel";
+import {
+  APPEND_JOURNAL,
+  JournalPlugin,
+  type JournalRecord,
+  OPEN_JOURNAL,
+} from "@mustardweir/journal";
+import { SCHEDULERS } from "@mustardweir/membership";
+import {
+  answerPayload,
+  EffectKind,
+  type NodeEffect,
+  StoreStatus,
+  type Transaction,
+} from "@mustardweir/protocol";
+import { EventQueue } from "../loopback/event_queue.ts";
+
+export interface JournalTrialOptions {
+  readonly homes: number;
+  /** Schedulers of the fleet, which share what the table takes. */
+  readonly schedulers: number;
+  /** Time that a write takes, in milliseconds. */
+  readonly writeMs: number;
+  readonly forMs: number;
+  /** Records that come in each millisecond, on average. */
+  readonly recordsPerMs: number;
+  readonly createRecord: (index: number) => JournalRecord;
+}
+
+export interface JournalTrialResult {
+  readonly writes: number;
+  readonly rows: number;
+  readonly bytes: number;
+  readonly largestRow: number;
+}
+
+/** Offers records to the journal of one scheduler at an even rate. */
+export function runJournalTrial(
+  options: JournalTrialOptions,
+): JournalTrialResult {
+  return new JournalTrial(options).run();
+}
+
+class JournalTrial {
+  readonly #options: JournalTrialOptions;
+  readonly #queue = new EventQueue();
+  readonly #kernel = new Kernel({ plugins: [new JournalPlugin()] });
+  readonly #result = { writes: 0, rows: 0, bytes: 0, largestRow: 0 };
+  #offered = 0;
+
+  constructor(options: JournalTrialOptions) {
+    this.#options = options;
+  }
+
+  run(): JournalTrialResult {
+    const { homes, forMs, schedulers } = this.#options;
+    this.#kernel.registerState(SCHEDULERS, {
+      isMember: true,
+      peers: Array.from({ length: schedulers - 1 }, (_, index) => ({
+        nodeId: `s${index}`,
+        address: "",
+      })),
+      leaving: new Set<string>(),
+    });
+    for (let home = 0; home < homes; home++) {
+      this.#perform(this.#kernel.run(OPEN_JOURNAL, {
+        team: `team-${home}`,
+        epoch: 1,
+        ownershipVersion: 1,
+      }, 0));
+    }
+    for (let now = 1; now <= forMs; now++) {
+      this.#queue.runUntil(now);
+      this.#perform(this.#kernel.advance(now));
+      this.#offer(now);
+    }
+    return this.#result;
+  }
+
+  #offer(now: number): void {
+    const { homes, recordsPerMs, createRecord } = this.#options;
+    while (this.#offered < now * recordsPerMs) {
+      const index = this.#offered++;
+      this.#perform(this.#kernel.run(APPEND_JOURNAL, {
+        team: `team-${index % homes}`,
+        records: [createRecord(index)],
+      }, now));
+    }
+  }
+
+  #perform(effects: readonly unknown[]): void {
+    for (const effect of effects as readonly NodeEffect[]) {
+      if (effect.kind === EffectKind.ScanTable) {
+        const page = { rows: [], deleted: [], revision: 1 };
+        const result = { status: StoreStatus.Ok, page } as const;
+        this.#answer(
+          effect.replyTo.command,
+          answerPayload(effect.replyTo, result),
+        );
+      } else if (effect.kind === EffectKind.CommitTable) {
+        this.#count(effect.transaction);
+        const result = { status: StoreStatus.Ok, revision: 1 } as const;
+        this.#answer(
+          effect.replyTo.command,
+          answerPayload(effect.replyTo, result),
+        );
+      }
+    }
+  }
+
+  #answer(command: Parameters<Kernel["run"]>[0], payload: unknown): void {
+    this.#queue.after(this.#options.writeMs, () => {
+      const effects = this.#kernel.run(command, payload, this.#queue.now);
+      this.#perform(effects);
+    });
+  }
+
+  #count({ puts }: Transaction): void {
+    this.#result.writes += 1;
+    this.#result.rows += puts.length;
+    for (const { value } of puts) {
+      const bytes = Buffer.byteLength(value);
+      this.#result.bytes += bytes;
+      this.#result.largestRow = Math.max(this.#result.largestRow, bytes);
+    }
+  }
+}
--- a/packages/bench/src/scaling/traffic.ts
+++ b/packages/bench/src/scaling/traffic.ts
@@ -21,6 +21,8 @@
   tableReads: number;
   tableWrites: number;
   tableWriteBytes: number;
+  /** Of the values written. */
+  largestRowBytes: number;
 }
 
 /** Counts what the kernels send while `act` runs. */
@@ -49,6 +51,7 @@
     tableReads: 0,
     tableWrites: 0,
     tableWriteBytes: 0,
+    largestRowBytes: 0,
   };
 }
 
@@ -86,6 +89,10 @@
     case EffectKind.CommitTable:
       traffic.tableWrites += 1;
       traffic.tableWriteBytes += sizeOf(effect.transaction);
+      traffic.largestRowBytes = Math.max(
+        traffic.largestRowBytes,
+        ...effect.transaction.puts.map(({ value }) => Buffer.byteLength(value)),
+      );
       break;
     default:
       break;
--- a/packages/wire/src/link_bench.ts
+++ b/packages/wire/src/link_bench.ts
@@ -215,7 +215,7 @@
   };
 }
 
-async function measure(sending: Sending): Promise<void> {
+async function measure(sending: Sending): Promise<SendingCost> {
   const receiver = new Receiver();
   const port = await receiver.tell();
   const baseUrl = `http://${HOST}:${port}`;
@@ -237,9 +237,9 @@
   const before = await takeSample(receiver, socket);
   await sending.send(clients, sending.messages);
   const after = await takeSample(receiver, socket);
-  report(sending, { before, after });
   sessionManager.abort();
   receiver.stop();
+  return report(sending, { before, after });
 }
 
 interface Samples {
@@ -247,7 +247,20 @@
   readonly after: Sample;
 }
 
-function report({ name, messages }: Sending, { before, after }: Samples): void {
+/** What one way of sending cost, for each message. */
+interface SendingCost {
+  readonly name: string;
+  /** Messages a second. */
+  readonly rate: number;
+  readonly bytes: number;
+  readonly senderUs: number;
+  readonly receiverUs: number;
+}
+
+function report(
+  { name, messages }: Sending,
+  { before, after }: Samples,
+): SendingCost {
   const perMessage = (value: (sample: Sample) => number) =>
     (value(after) - value(before)) / messages;
   const rate = 1_000 / perMessage(({ atMs }) => atMs);
@@ -259,13 +272,16 @@
       `${senderUs.toFixed(1)} us at the sender and ` +
       `${receiverUs.toFixed(1)} us at the receiver a message`,
   );
+  return { name, rate, bytes, senderUs, receiverUs };
 }
 
 if (process.argv[2] === RECEIVER_ARGUMENT) {
   receive();
 } else {
   console.log(`message body: ${codec.encode(MESSAGE).length} bytes`);
+  const costs: SendingCost[] = [];
   for (const sending of SENDINGS) {
-    await measure(sending);
+    costs.push(await measure(sending));
   }
+  process.send?.(costs, () => process.disconnect());
 }
