Add pages for operators, of the API and on troubleshooting

Cause: nothing explained commands, outages, replacements, refusals, counters and log lines to an operator. Change: three pages.

--- /dev/null
+++ b/packages/demo/src/docs/api_page_test.ts
@@ -0,0 +1,77 @@
+import { CALL_ROLES } from "@mustardweir/admission";
+import {
+  OPEN_PATHS,
+  REFUSAL_STATUS,
+  type Route,
+  ROUTES,
+} from "@mustardweir/entry";
+import { KeyRole, RefusalReason, refuse } from "@mustardweir/model";
+import { expect } from "chai";
+import { readPage } from "./page.ts";
+
+const PAGE = "docs/API.md";
+const EVERYONE = Object.values(KeyRole).length;
+
+/** Cells of the rows of a section's first table, without its head. */
+function rowsUnder(page: string, heading: string): string[][] {
+  const [, rest = ""] = page.split(`\n${heading}\n`);
+  const section = rest.split(/\n#{2,3} /)[0] ?? "";
+  return section.split("\n")
+    .filter((line) => line.startsWith("| `"))
+    .map((line) => line.split("|").slice(1, -1).map((cell) => cell.trim()));
+}
+
+interface TableCase {
+  readonly name: string;
+  readonly heading: string;
+  /** Columns that are compared. */
+  readonly columns: readonly number[];
+  readonly rows: readonly (readonly string[])[];
+}
+
+const TABLE_CASES: readonly TableCase[] = [
+  {
+    name: "routes and who may call them",
+    heading: "## Routes",
+    columns: [0, 3],
+    rows: [
+      ...ROUTES.map((route) => [showRoute(route), showRoles(route)]),
+      ...Object.keys(OPEN_PATHS).map((path) => [`\`GET ${path}\``, "no key"]),
+    ],
+  },
+  {
+    name: "reasons, their status and whether a retry helps",
+    heading: "## Refusals",
+    columns: [0, 1, 2],
+    rows: Object.values(RefusalReason).map((reason) => [
+      `\`${reason}\``,
+      String(REFUSAL_STATUS[reason]),
+      refuse(reason, { message: "" }).retryable ? "yes" : "no",
+    ]),
+  },
+];
+
+function showRoute({ method, path, query = {} }: Route): string {
+  const names = Object.keys(query).map((name) =>
+    `${name}=${name.toUpperCase()}`
+  );
+  return `\`${method} ${[path, ...names].join("?")}\``;
+}
+
+function showRoles({ call }: Route): string {
+  const roles = CALL_ROLES[call];
+  return roles.length === EVERYONE ? "all" : roles.join(", ");
+}
+
+describe(`Tables of ${PAGE}`, () => {
+  const page = readPage(PAGE);
+
+  for (const { name, heading, columns, rows } of TABLE_CASES) {
+    it(`name all ${name}`, () => {
+      const shown = rowsUnder(page, heading).map((cells) =>
+        columns.map((column) => cells[column])
+      );
+      expect(shown).to.have.deep.members(rows);
+    });
+  }
+});
--- a/packages/demo/src/docs/page_run.ts
+++ b/packages/demo/src/docs/page_run.ts
@@ -15,6 +15,7 @@
   "SCHEDULER3_PORT",
   "ENTRY1_PORT",
   "ENTRY2_PORT",
+  "ADMIN_PORT",
 ] as const;
 
 /** Longest run of one page; what it started is ended then. */
@@ -49,11 +50,13 @@
   child.stdout.on("data", (data) => lines.push(String(data)));
   child.stderr.on("data", (data) => lines.push(String(data)));
   const limit = setTimeout(() => endGroup(child.pid), RUN_LIMIT_MS);
+  const closed = new Promise((resolve) => child.once("close", resolve));
   const exitCode = await new Promise<number | undefined>((resolve) => {
     child.once("exit", (code) => resolve(code ?? undefined));
   });
   clearTimeout(limit);
   endGroup(child.pid);
+  await closed;
   rmSync(folder, { recursive: true, force: true });
   return { exitCode, output: lines.join("") };
 }
--- a/packages/demo/src/docs/pages_test.ts
+++ b/packages/demo/src/docs/pages_test.ts
@@ -35,6 +35,47 @@
       /unknown-key, not-run/,
     ],
   },
+  {
+    page: "docs/OPERATORS.md",
+    shows: [
+      /^0 differences to version \d+$/m,
+      /^night-shift +viewer +- +\d{4}-/m,
+      /^withdrawal of blue-2 in version \d+$/m,
+      /^~ rules\.teams\.blue\.share: 2 -> 3$/m,
+      /^mustardweir: .*stale-edit, not-run/m,
+      /^mustardweir: .*store-unavailable, /m,
+      /outcome done, reason completed, answer "hello"/,
+      /scheduler-3 +zone-a +up /,
+      /Home active team="(blue|green)"/,
+      /- inventory\..*\.b1: /,
+      /^mustardweir_calls_teams_total [1-9]/m,
+    ],
+  },
+  {
+    page: "docs/API.md",
+    shows: [
+      /"teams":\[\{"team":"blue"/,
+      /"availabilityZones":\[\{"availabilityZone":"zone-a"/,
+      /"outcome":"done","reason":"completed".*"answer":"hello"/,
+      /^status 202$/m,
+      /"reason":"idempotency-key-reused"/,
+      /"key":"mw_/,
+      /"reason":"stale-edit".*"outcome":"not-run"/,
+      /^status 412$/m,
+      /"reason":"impossible"/,
+      /^status 422$/m,
+    ],
+  },
+  {
+    page: "docs/TROUBLESHOOTING.md",
+    shows: [
+      /^nothing was refused$/m,
+      /No instance has enough free room at the moment/,
+      /^mustardweir: The key is not known \(unknown-key, not-run\)$/m,
+      /^mustardweir: \S*wrong\.yaml:2: teams\.0\.share \(blue\): /m,
+      /^mustardweir: No answer from http:\/\/127\.0\.0\.1:1: /m,
+    ],
+  },
 ];
 
 describe("Pages run as written", function () {
