Let gangs gather room on a busy fleet

Cause: a gang asked only when slices told of free room for all its members, so on a full fleet it never asked; small tasks took each piece that came free.

Fault found: a hold got its start sequence when it was granted, and starts of others meanwhile told the worker a higher floor, so it refused the start of the hold. The sequence is now given when the start begins.

Change: a gang that has waited 500 ms asks one slice that could hold it whole and gathers holds there for up to 30 s. A slice lets one gang at a time gather, so two can't each wait for the other; instances are kept for members that room does not come free for within 1.5 s, a quarter of the slice at the most, and not against teams below their entitlement. Under a ceiling, later work of the team leaves a waiting gang its part.

Ruled out: gathering in several slices at once (waits in a circle until the deadline). Left: a gang larger than any slice starts only when all its room is free at once.

--- a/packages/bench/src/decisions/decisions_test.ts
+++ b/packages/bench/src/decisions/decisions_test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { type GangTrialOptions, runGangTrial } from "./gang_trial.ts";
 import { runRebalanceTrial } from "./rebalance_trial.ts";
 import { runSharingTrial } from "./sharing_trial.ts";
 import { runSpreadTrial } from "./spread_trial.ts";
@@ -41,8 +42,28 @@
     measure: () => runSpreadTrial(SEED).inRack,
     atMost: 1,
   },
+  {
+    name: "starts a gang among small tasks",
+    measure: () => longestWait({}),
+    atMost: 5_000,
+  },
+  {
+    name: "starts a gang of whole instances among small tasks of its team",
+    measure: () => longestWait({ memberSize: 8, isOwnLoad: true }),
+    atMost: 30_000,
+  },
+  {
+    name: "starts gangs that want the same instances",
+    measure: () => longestWait({ memberSize: 8, gangs: 6 }),
+    atMost: 30_000,
+  },
 ];
 
+function longestWait(options: Omit<GangTrialOptions, "seed">): number {
+  const { waits } = runGangTrial({ seed: SEED, forMs: 40_000, ...options });
+  return Math.max(...waits);
+}
+
 describe("Decisions", function () {
   this.timeout(120_000);
   for (const { name, measure, atMost } of DECISION_CASES) {
--- a/packages/bench/src/decisions/gang_trial.ts
+++ b/packages/bench/src/decisions/gang_trial.ts
@@ -12,8 +12,7 @@
 /** Mean run time of small tasks, in milliseconds. */
 const SMALL_RUN_MS = 4_000;
 
-/** Longest time that is waited for the gangs, in milliseconds. */
-const OBSERVED_MS = 120_000;
+const DEFAULT_OBSERVED_MS = 120_000;
 
 /** Small tasks that always wait, over those that the fleet has room for. */
 const OVERLOAD = 3;
@@ -26,6 +25,8 @@
   readonly memberSize?: number;
   /** True when the team of the gangs runs the small tasks, too. */
   readonly isOwnLoad?: boolean;
+  /** Longest time that is waited for the gangs; 2 min by default. */
+  readonly forMs?: number;
 }
 
 export interface GangTrialResult {
@@ -38,6 +39,7 @@
 /** Hands gangs to a fleet on which small tasks come and go all the while. */
 export function runGangTrial(options: GangTrialOptions): GangTrialResult {
   const { gangs = 1, memberSize = 1, isOwnLoad = false } = options;
+  const { forMs = DEFAULT_OBSERVED_MS } = options;
   const loopback = new Loopback({
     configuration: createFleet({
       shares: { nowcast: 1, imaging: 1 },
@@ -58,7 +60,7 @@
     () => loopback.submit("nowcast", gang(memberSize)),
   );
   const handedInAt = loopback.now;
-  const used = load.run(OBSERVED_MS);
+  const used = load.run(forMs);
   const waits = calls.map((callId) => {
     const jobId = loopback.jobIdOf(callId);
     const starts = loopback.starts.filter(({ task }) => task.jobId === jobId);
--- a/packages/bench/src/decisions_benchmark.ts
+++ b/packages/bench/src/decisions_benchmark.ts
@@ -3,12 +3,27 @@
   type BenchmarkOptions,
   registerBenchmark,
 } from "./benchmark.ts";
+import { type GangTrialOptions, runGangTrial } from "./decisions/gang_trial.ts";
 import { runRebalanceTrial } from "./decisions/rebalance_trial.ts";
 import { runSharingTrial } from "./decisions/sharing_trial.ts";
 import { runSpreadTrial } from "./decisions/spread_trial.ts";
 import { runUrgentTrial } from "./decisions/urgent_trial.ts";
 import { BoundKind, type Metric } from "./metric.ts";
 
+interface GangLoad {
+  readonly name: string;
+  readonly options: Omit<GangTrialOptions, "seed">;
+}
+
+/** Gangs of 16 accelerators on a fleet of 96 that is busy all the while. */
+const GANG_LOADS: readonly GangLoad[] = [
+  { name: "gang", options: {} },
+  { name: "gang-of-instances", options: { memberSize: 8 } },
+  { name: "gang-own-load", options: { memberSize: 8, isOwnLoad: true } },
+  { name: "six-gangs", options: { gangs: 6 } },
+  { name: "six-gangs-of-instances", options: { gangs: 6, memberSize: 8 } },
+];
+
 /** What homes and slices decide when room is short, over real kernels. */
 export class DecisionsBenchmark extends Benchmark {
   override readonly name = "decisions";
@@ -19,6 +34,7 @@
       ...measureUrgent(seed),
       ...measureSharing(seed),
       ...measureSpread(seed),
+      ...GANG_LOADS.flatMap((load) => measureGangs(seed, load)),
     ];
   }
 }
@@ -73,4 +89,13 @@
   ];
 }
 
+function measureGangs(seed: number, { name, options }: GangLoad): Metric[] {
+  const { waits, used } = runGangTrial({ seed, ...options });
+  const value = Math.max(...waits);
+  return [
+    { name: `${name}.wait.max`, value, unit: "ms" },
+    { name: `${name}.used`, value: used, unit: "of accelerators" },
+  ];
+}
+
 registerBenchmark(new DecisionsBenchmark());
--- a/packages/home/src/ask_messages.ts
+++ b/packages/home/src/ask_messages.ts
@@ -18,6 +18,9 @@
 /** How long a slice holds room for a gang, in milliseconds. */
 export const HOLD_TTL_MS = 3_000;
 
+/** The same while the gang's holds add up. */
+export const ACCUMULATION_TTL_MS = 60_000;
+
 /**
  * An ask holds for this long after the configuration, with its ceiling, was
  * confirmed, in milliseconds; asks are sent again with more time. With the
@@ -151,7 +154,7 @@
 
 function toAsk(update: Update, home: Home, task: HomeTask): Ask {
   const isGang = task.job.spec.kind === JobKind.Gang;
-  const endsAt = task.askedAt + (isGang ? HOLD_TTL_MS : ASK_TTL_MS);
+  const endsAt = task.askedAt + waitLimit(task);
   const { confirmedAt } = update.read(CONFIGURATION);
   const validUntil = Math.min(endsAt, confirmedAt + ASK_VALID_MS);
   return {
@@ -162,6 +165,13 @@
   };
 }
 
+function waitLimit({ job }: HomeTask): number {
+  if (job.spec.kind !== JobKind.Gang) {
+    return ASK_TTL_MS;
+  }
+  return job.accumulates ? ACCUMULATION_TTL_MS : HOLD_TTL_MS;
+}
+
 /** Everything below has been answered; the slice may forget it. */
 function lowestSeq(home: Home): number {
   const [lowest] = home.bySeq.keys(); // Sequences are added in growing order.
--- a/packages/home/src/dispatch.ts
+++ b/packages/home/src/dispatch.ts
@@ -2,7 +2,12 @@
 import { CONFIGURATION, isConfirmed } from "@mustardweir/configuration";
 import { JournalRecordKind } from "@mustardweir/journal";
 import { isOwnershipConfirmed, isStopping } from "@mustardweir/membership";
-import { addResources, JobKind, type TeamRule } from "@mustardweir/model";
+import {
+  addResources,
+  JobKind,
+  NO_RESOURCES,
+  type TeamRule,
+} from "@mustardweir/model";
 import { sendAsks } from "./ask_messages.ts";
 import { findRule, isBelowCeiling } from "./ceiling.ts";
 import { appendRecords } from "./ending.ts";
@@ -19,6 +24,9 @@
 import { setTaskState } from "./queue.ts";
 import { SliceChooser } from "./slice_chooser.ts";
 
+/** A gang that has waited for longer asks where there is no room yet. */
+const GANG_PATIENCE_MS = 500;
+
 /** Tasks looked at past the first that can't be asked for. */
 const MAX_LOOKAHEAD = 64;
 
@@ -52,6 +60,8 @@
   readonly #chooser: SliceChooser;
   readonly #asksBySlice = new Map<string, HomeTask[]>();
   #skipped = 0;
+  /** Part of the ceiling that later work leaves to a gang. */
+  #kept = NO_RESOURCES;
 
   constructor(update: Update, home: Home, rule: TeamRule) {
     this.#update = update;
@@ -96,7 +106,7 @@
   }
 
   #askOne(task: HomeTask): boolean {
-    if (!isBelowCeiling(this.#home, task.job.size, this.#rule.ceiling)) {
+    if (!this.#isBelowCeiling(task)) {
       return false;
     }
     const sliceId = this.#chooser.choose(task);
@@ -115,14 +125,22 @@
     const isReady = job.gang === GangPhase.Idle &&
       this.#update.now >= job.gangNotBefore &&
       job.tasks.every(isIdle);
+    if (!isReady) {
+      return false;
+    }
     const members = job.tasks.filter(isPending);
-    if (!isReady || !this.#fitsBelowCeiling(job, members)) {
+    const isOld = this.#update.now - job.createdAt >= GANG_PATIENCE_MS;
+    if (!this.#fitsBelowCeiling(job, members)) {
+      this.#keepBelowCeiling(isOld ? members : []);
       return false;
     }
-    const plan = this.#chooser.chooseAll(members);
+    const atOnce = this.#chooser.chooseAll(members);
+    const plan = atOnce ??
+      (isOld ? this.#chooser.chooseWhole(members) : undefined);
     if (plan === undefined) {
       return false;
     }
+    job.accumulates = atOnce === undefined;
     if (!job.spec.idempotent && !members[0]?.startRecorded) {
       members.forEach((task) => this.#recordStart(task));
       return true;
@@ -138,6 +156,25 @@
     return true;
   }
 
+  #isBelowCeiling({ job }: HomeTask): boolean {
+    const used = addResources(this.#home.used, this.#kept);
+    const { ceiling } = this.#rule;
+    return isBelowCeiling({ ...this.#home, used }, job.size, ceiling);
+  }
+
+  /**
+   * What is behind a gang that has waited for long leaves it its part of the
+   * ceiling, of one gang at a time.
+   */
+  #keepBelowCeiling(members: readonly HomeTask[]): void {
+    if (this.#kept === NO_RESOURCES) {
+      this.#kept = members.reduce(
+        (sum, { job }) => addResources(sum, job.size),
+        NO_RESOURCES,
+      );
+    }
+  }
+
   #fitsBelowCeiling(job: HomeJob, members: readonly HomeTask[]): boolean {
     const { ceiling } = this.#rule;
     const home = this.#home;
--- a/packages/home/src/fleet_view.ts
+++ b/packages/home/src/fleet_view.ts
@@ -42,6 +42,23 @@
   return outline.shapes.some((shape) => fitsWithin(size, shape));
 }
 
+/** How many tasks of `size` the slice could run if it were empty. */
+export function countPlaces({ spec }: SliceOutline, size: Resources): number {
+  return spec.instances.reduce((places, instance) => {
+    const capacity = instanceCapacity(instance.spec);
+    return places + Math.min(
+      timesIn(capacity.cpuMillis, size.cpuMillis),
+      timesIn(capacity.memoryMb, size.memoryMb),
+      timesIn(capacity.accelerators, size.accelerators),
+      timesIn(capacity.slots, size.slots),
+    );
+  }, 0);
+}
+
+function timesIn(capacity: number, amount: number): number {
+  return amount > 0 ? Math.floor(capacity / amount) : Infinity;
+}
+
 /** True when the zone of the slice takes new work. */
 export function isZoneOpen(update: Update, outline: SliceOutline): boolean {
   const { zones } = update.read(CONFIGURATION).current;
--- a/packages/home/src/gang.ts
+++ b/packages/home/src/gang.ts
@@ -2,6 +2,7 @@
 import { EndReason } from "@mustardweir/model";
 import { StopMode } from "@mustardweir/protocol";
 import {
+  ACCUMULATION_TTL_MS,
   groupBySlice,
   HOLD_TTL_MS,
   sendCommit,
@@ -26,6 +27,9 @@
 /** Holds older than this are given back: their slice may let them lapse. */
 const HOLD_LIMIT_MS = HOLD_TTL_MS / 2;
 
+/** The same while the gang's holds add up. */
+const ACCUMULATION_LIMIT_MS = ACCUMULATION_TTL_MS / 2;
+
 /** Takes the gang a step on: commit when all is held, release when late. */
 export function advanceGang(update: Update, home: Home, job: HomeJob): void {
   switch (job.gang) {
@@ -45,8 +49,9 @@
 }
 
 function advanceHolding(update: Update, home: Home, job: HomeJob): void {
+  const limitMs = job.accumulates ? ACCUMULATION_LIMIT_MS : HOLD_LIMIT_MS;
   const isLate = job.tasks.some((task) =>
-    isPartOfAsk(task) && update.now - task.askedAt > HOLD_LIMIT_MS
+    isPartOfAsk(task) && update.now - task.askedAt > limitMs
   );
   const isBroken = job.tasks.some(({ state }) => state === TaskState.Pending);
   if (isLate || isBroken || job.cancelled) {
--- a/packages/home/src/home_state.ts
+++ b/packages/home/src/home_state.ts
@@ -96,6 +96,8 @@
   cancelled: boolean;
   gang: GangPhase;
   gangNotBefore: number;
+  /** Its holds add up for a while, as there is no room for all at once. */
+  accumulates: boolean;
   outcome: Outcome | undefined;
   reason: EndReason | undefined;
   answer: string | undefined;
--- a/packages/home/src/job_factory.ts
+++ b/packages/home/src/job_factory.ts
@@ -62,6 +62,7 @@
     cancelled: false,
     gang: GangPhase.Idle,
     gangNotBefore: 0,
+    accumulates: false,
     outcome: undefined,
     reason: undefined,
     answer: undefined,
--- a/packages/home/src/slice_chooser.ts
+++ b/packages/home/src/slice_chooser.ts
@@ -16,6 +16,7 @@
 import type { SliceSummary } from "@mustardweir/protocol";
 import {
   canHold,
+  countPlaces,
   isZoneOpen,
   outlineSlices,
   type SliceOutline,
@@ -98,6 +99,23 @@
     return plan;
   }
 
+  /**
+   * The slice for all tasks of a gang that could hold them, were it empty: the
+   * one with the shortest queue. Gangs that wait in one slice only can't wait
+   * for each other.
+   */
+  chooseWhole(tasks: readonly HomeTask[]): string[] | undefined {
+    const [first] = tasks;
+    if (first === undefined) {
+      return undefined;
+    }
+    const able = this.#listAble(first).filter(({ outline }) =>
+      countPlaces(outline, first.job.size) >= tasks.length
+    );
+    const best = able.sort((a, b) => queueLoad(a) - queueLoad(b))[0];
+    return best && tasks.map(() => best.outline.spec.sliceId);
+  }
+
   /** Takes the task's size off the room known of its slice. */
   noteAsk(task: HomeTask): void {
     const option = this.#options.find(({ outline }) =>
--- a/packages/home/src/upkeep.ts
+++ b/packages/home/src/upkeep.ts
@@ -70,9 +70,7 @@
     update.now - task.sentAt >= RESEND_MS
   );
   for (const [sliceId, tasks] of groupBySlice(late)) {
-    const kept = tasks.filter(({ state, withdrawn }) =>
-      state === TaskState.Asked && !withdrawn
-    );
+    const kept = tasks.filter(mayBeAskedAgain);
     const withdrawn = tasks.filter((task) => task.withdrawn);
     if (kept.length > 0) {
       sendAsks(update, home, { sliceId, tasks: kept });
@@ -83,6 +81,13 @@
   }
 }
 
+/** Holds that add up last as long as they are asked for. */
+function mayBeAskedAgain({ state, withdrawn, job }: HomeTask): boolean {
+  const isWaiting = state === TaskState.Asked ||
+    (state === TaskState.Held && job.accumulates);
+  return isWaiting && !withdrawn;
+}
+
 function resendStops(update: Update, home: Home): void {
   for (const task of home.stopping) {
     if (!task.stopping || task.state === TaskState.Ended) {
--- a/packages/slice/src/ask_queue.ts
+++ b/packages/slice/src/ask_queue.ts
@@ -1,4 +1,4 @@
-import { Priority, type Resources } from "@mustardweir/model";
+import { Priority } from "@mustardweir/model";
 import type { Ask } from "@mustardweir/protocol";
 
 /** An ask that waits for room. */
@@ -52,15 +52,25 @@
     yield* this.#normal.values();
   }
 
+  /** True when an ask of the job waits. */
+  hasJob(jobId: string): boolean {
+    for (const { ask } of this.values()) {
+      if (ask.task.jobId === jobId) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /**
-   * The first ask that is not passed over by its size.
+   * The first ask that is not passed over.
    *
    * @example
    * ```ts
-   * const next = view.queue.first((size) => slice.noRoom.covers(size));
+   * const next = view.queue.first(({ ask }) => noRoom.covers(ask.task.size));
    * ```
    */
-  first(isPassedOver: (size: Resources) => boolean): QueuedAsk | undefined {
+  first(isPassedOver: (queued: QueuedAsk) => boolean): QueuedAsk | undefined {
     return firstOf(this.#urgent, isPassedOver) ??
       firstOf(this.#normal, isPassedOver);
   }
@@ -68,10 +78,10 @@
 
 function firstOf(
   asks: ReadonlyMap<number, QueuedAsk>,
-  isPassedOver: (size: Resources) => boolean,
+  isPassedOver: (queued: QueuedAsk) => boolean,
 ): QueuedAsk | undefined {
   for (const queued of asks.values()) {
-    if (!isPassedOver(queued.ask.task.size)) {
+    if (!isPassedOver(queued)) {
       return queued;
     }
   }
--- a/packages/slice/src/asks.ts
+++ b/packages/slice/src/asks.ts
@@ -181,7 +181,7 @@
   });
 }
 
-/** Gives an ask that waits, or whose start does, more time; false if none. */
+/** Gives an ask, hold or start that waits more time; false if no ask does. */
 function extendAsk(update: Update, { view, ask }: ViewedAsk): boolean {
   const { seq } = ask;
   const expiresAt = update.now + ask.ttlMs;
@@ -190,7 +190,9 @@
     view.queue.set({ ...queued, expiresAt });
   }
   const task = view.bySeq.get(seq);
-  if (task?.phase === TaskPhase.Starting) {
+  const isOpen = task?.phase === TaskPhase.Starting ||
+    task?.phase === TaskPhase.Held;
+  if (task !== undefined && isOpen) {
     task.startBy = expiresAt;
   }
   return queued !== undefined;
--- a/packages/slice/src/claims.ts
+++ b/packages/slice/src/claims.ts
@@ -11,16 +11,19 @@
   readonly queued: QueuedAsk;
   readonly victims: RoomClaim["victims"];
   readonly now: number;
+  /** How long the instance is kept at most; 3 s by default. */
+  readonly forMs?: number;
 }
 
 /** Keeps an instance for an ask until what is stopped there has ended. */
 export function claimRoom(slice: Slice, options: ClaimOptions): void {
   const { instanceId, view, queued, victims, now } = options;
+  const { forMs = CLAIM_MS } = options;
   slice.claims.set(instanceId, {
     view,
     seq: queued.ask.seq,
     victims,
-    expiresAt: now + CLAIM_MS,
+    expiresAt: now + forMs,
   });
   const worker = slice.workers.get(instanceId);
   if (worker !== undefined) {
--- a/packages/slice/src/grant.ts
+++ b/packages/slice/src/grant.ts
@@ -14,6 +14,7 @@
 import { takeReadyClaims } from "./claims.ts";
 import type { QueuedAsk } from "./ask_queue.ts";
 import { describeDemand, fleetTotal, usageOf } from "./demand.ts";
+import { findHolder, waitsForHolder } from "./holder.ts";
 import { noteStart } from "./health.ts";
 import {
   noteNews,
@@ -84,11 +85,13 @@
   readonly #total: Resources;
   readonly #contenders: Contender[] = [];
   readonly #demands: TeamDemand[] = [];
+  #holder: string | undefined;
 
   constructor(update: Update, slice: Slice) {
     this.#update = update;
     this.#slice = slice;
     this.#total = fleetTotal(update);
+    this.#holder = findHolder(slice);
     for (const view of slice.teams.values()) {
       const next = this.#nextOf(view);
       if (next !== undefined) {
@@ -105,8 +108,10 @@
       if (contender === undefined) {
         return;
       }
+      const { mode } = contender.next.ask;
       const isServed = this.#serve(contender);
-      this.#goOn(index, !isServed);
+      this.#holder = findHolder(this.#slice);
+      this.#goOn(index, !isServed || mode === AskMode.Hold);
     }
   }
 
@@ -118,12 +123,15 @@
 
   #nextOf(view: TeamView): QueuedAsk | undefined {
     const { noRoom } = this.#slice;
-    return view.queue.first((size) => noRoom.covers(size));
+    return view.queue.first((queued) =>
+      noRoom.covers(queued.ask.task.size) ||
+      waitsForHolder(queued, this.#holder)
+    );
   }
 
-  /** Takes up the next ask of a team, or of all when a size fits nowhere. */
-  #goOn(index: number, hasMissed: boolean): void {
-    if (!hasMissed) {
+  /** Takes up the next ask of a team, or of all when others may be out. */
+  #goOn(index: number, hasChanged: boolean): void {
+    if (!hasChanged) {
       this.#takeNext(index);
       return;
     }
@@ -192,20 +200,28 @@
     task: ask.task,
     worker,
     phase: isHold ? TaskPhase.Held : TaskPhase.Starting,
-    startSeq: slice.nextStartSeq++,
     startBy: expiresAt,
   });
   view.bySeq.set(ask.seq, task);
   update.emit(count("placements"));
   if (isHold) {
+    slice.held.add(task);
     tellHeld(slice, view, task);
   } else {
-    beginStart(update, task);
+    beginStart(update, slice, task);
   }
 }
 
 /** Has the start sent with the next call to the worker. */
-export function beginStart(update: Update, task: SliceTask): void {
+export function beginStart(
+  update: Update,
+  slice: Slice,
+  task: SliceTask,
+): void {
+  // Not before: calls meanwhile tell workers a floor above.
+  task.startSeq = slice.nextStartSeq++;
+  slice.held.delete(task);
+  slice.mayGrantMore = true; // Another gang may be given holds now.
   task.phase = TaskPhase.Starting;
   noteNews(task.worker);
   noteStart(update, task.worker.instanceId);
--- a/packages/slice/src/instances.ts
+++ b/packages/slice/src/instances.ts
@@ -53,6 +53,7 @@
     workers: new Map(),
     touched: new Set(),
     tasks: new Map(),
+    held: new Set(),
     ended: new Set(),
     untold: new Set(),
     teams: new Map(),
--- a/packages/slice/src/preempt.ts
+++ b/packages/slice/src/preempt.ts
@@ -23,6 +23,7 @@
 import { isUrgent, type QueuedAsk } from "./ask_queue.ts";
 import { openTotal, usageByTeam } from "./demand.ts";
 import { mayGrant } from "./grant.ts";
+import { findHolder, waitsForHolder } from "./holder.ts";
 import type { Slice, SliceTask, TeamView, Worker } from "./slice_state.ts";
 import { duesByTeam } from "./standings.ts";
 
@@ -66,10 +67,12 @@
 /** Asks that have waited for long enough, urgent ones and old ones first. */
 function listWaiting(update: Update, slice: Slice): WaitingAsk[] {
   const waiting: WaitingAsk[] = [];
+  const holder = findHolder(slice);
   for (const view of slice.teams.values()) {
     for (const queued of view.queue.values()) {
       const patienceMs = isUrgent(queued) ? URGENT_PATIENCE_MS : PATIENCE_MS;
-      if (update.now - queued.receivedAt >= patienceMs) {
+      const isOld = update.now - queued.receivedAt >= patienceMs;
+      if (isOld && !waitsForHolder(queued, holder)) {
         waiting.push({ view, queued });
       }
     }
@@ -192,7 +195,9 @@
   #isAllowed({ urgent }: PreemptionRequest, { victims }: Preemption): boolean {
     const { window, tasks } = this.#slice;
     const allowed = Math.max(MIN_STOPS, tasks.size * MAX_STOPPED_PART);
-    return urgent === true || window.stops + victims.length <= allowed;
+    const isFirst = window.stops === 0; // It may need more by itself.
+    return urgent === true || isFirst ||
+      window.stops + victims.length <= allowed;
   }
 
   #carryOut(
--- a/packages/slice/src/slice_plugin.ts
+++ b/packages/slice/src/slice_plugin.ts
@@ -42,6 +42,7 @@
   updateEligibility,
 } from "./instances.ts";
 import { preempt } from "./preempt.ts";
+import { reserveRoom } from "./reserve.ts";
 import { noteRoom, type Slice, SLICES } from "./slice_state.ts";
 import {
   describeSlices,
@@ -181,7 +182,7 @@
         message.sliceId,
         (slice) =>
           receiveCommit(update, slice, { from, message }).forEach((task) =>
-            beginStart(update, task)
+            beginStart(update, slice, task)
           ),
       );
       break;
@@ -262,6 +263,7 @@
     dropRetired(slice);
     retellEnds(update, slice);
     preempt(update, slice);
+    reserveRoom(update, slice);
     settleAll(update, slice);
   }
 }
--- a/packages/slice/src/slice_state.ts
+++ b/packages/slice/src/slice_state.ts
@@ -63,8 +63,8 @@
   readonly task: TaskSpec;
   readonly worker: Worker;
   phase: TaskPhase;
-  /** Sequence of the start; 0 when an earlier owner started it. */
-  readonly startSeq: number;
+  /** Sequence of the start; 0 while held and when an earlier owner started it. */
+  startSeq: number;
   /** The room is given back when no worker is known to run it by then. */
   startBy: number;
   /** When a worker was first seen to run it. */
@@ -116,6 +116,8 @@
   /** Workers that changed since their calls and eligibility were settled. */
   readonly touched: Set<Worker>;
   readonly tasks: Map<string, SliceTask>;
+  /** Tasks of gangs that room is held for. */
+  readonly held: Set<SliceTask>;
   /** Ended tasks whose homes have not acknowledged the end. */
   readonly ended: Set<SliceTask>;
   /** Those of them that no home was told of. */
--- a/packages/slice/src/tasks.ts
+++ b/packages/slice/src/tasks.ts
@@ -32,7 +32,6 @@
   readonly phase: TaskPhase;
   /** For a task that a worker runs already, even where room is missing. */
   readonly isAdopted?: boolean;
-  readonly startSeq?: number;
   readonly startBy?: number;
 }
 
@@ -43,7 +42,7 @@
     task,
     worker,
     phase,
-    startSeq: options.startSeq ?? 0,
+    startSeq: 0,
     startBy: options.startBy ?? Infinity,
     runningSince: NEVER,
     stop: undefined,
@@ -108,6 +107,7 @@
   giveBack(slice, task);
   task.phase = TaskPhase.Ended;
   task.end = end;
+  slice.held.delete(task);
   noteEnded(slice, task);
   settleAsk(slice, task);
   update.emit(count(`tasks_ended_${end.reason.replaceAll("-", "_")}`));
@@ -173,6 +173,7 @@
     giveBack(slice, task);
   }
   slice.tasks.delete(task.task.taskId);
+  slice.held.delete(task);
   slice.ended.delete(task);
   slice.untold.delete(task);
   task.worker.tasks.delete(task);
