--- a/packages/prove/src/commands.ts
+++ b/packages/prove/src/commands.ts
@@ -180,7 +180,7 @@
   },
   [CommandKind.Pause]: {
     weight: 6,
-    points: [Point.SingleRun, Point.AtMostOnce],
+    points: [Point.SingleRun, Point.AtMostOnce, Point.TrueRefusal],
     run: pause,
   },
   [CommandKind.Resume]: {
@@ -221,7 +221,7 @@
   },
   [CommandKind.TableHeals]: {
     weight: 6,
-    points: [],
+    points: [Point.ZoneDrain],
     run: (cluster) =>
       spoilStore(cluster, {
         slowMs: 0,
@@ -243,7 +243,7 @@
   },
   [CommandKind.MessagesLost]: {
     weight: 4,
-    points: [Point.OwnAnswer],
+    points: [Point.OwnAnswer, Point.TrueRefusal],
     run: (cluster) => spoilNetwork(cluster, { lost: 0.2 }),
   },
   [CommandKind.MessagesHeal]: {
@@ -253,7 +253,12 @@
   },
   [CommandKind.Silence]: {
     weight: 6,
-    points: [Point.OwnAnswer, Point.SingleRun, Point.ZoneDrain],
+    points: [
+      Point.OwnAnswer,
+      Point.SingleRun,
+      Point.TrueRefusal,
+      Point.ZoneDrain,
+    ],
     run: silence,
   },
   [CommandKind.WorkerFails]: {
--- a/packages/prove/src/history.ts
+++ b/packages/prove/src/history.ts
@@ -1,10 +1,11 @@
-import type {
-  Configuration,
-  EndReason,
-  JobKind,
-  JobSpec,
-  JobStatus,
-  Resources,
+import {
+  type Configuration,
+  type EndReason,
+  type JobKind,
+  type JobSpec,
+  type JobStatus,
+  type Resources,
+  taskSize,
 } from "@mustardweir/model";
 import type { Role } from "@mustardweir/kernel";
 import type { CallerAnswer, CallerCall } from "@mustardweir/protocol";
@@ -102,6 +103,8 @@
   readonly calls = new Map<string, Call>();
   readonly submissions = new Map<string, Submission>();
   readonly versions: Version[] = [];
+  /** Schedulers that run when none is down. */
+  schedulers = 0;
   readonly probes: Probe[] = [];
   readonly stops: Stop[] = [];
   readonly leaving: Leaving[] = [];
@@ -118,15 +121,15 @@
   readonly #open = new Map<string, Run>();
 
   override started({ task, instanceId, startedMs }: RunStarted): void {
+    const spec = submissionSpec(this, task.payload);
     const run: Run = {
       taskId: task.taskId,
       jobId: task.jobId,
       taskIndex: taskIndexOf(task.taskId),
       team: task.team,
       kind: task.kind,
-      idempotent: submissionSpec(this, task.payload)?.idempotent ??
-        task.idempotent,
-      size: task.size,
+      idempotent: spec?.idempotent ?? task.idempotent,
+      size: spec === undefined ? task.size : taskSize(spec),
       submission: submissionName(task.payload),
       instanceId,
       startedAt: startedMs,
--- a/packages/prove/src/oracles/operating.ts
+++ b/packages/prove/src/oracles/operating.ts
@@ -2,7 +2,7 @@
 import { Role } from "@mustardweir/kernel";
 import { EndReason } from "@mustardweir/model";
 import { CallerAnswerKind, CallerCallKind } from "@mustardweir/protocol";
-import type { Call, History, Probe, Stop } from "../history.ts";
+import type { Call, History, Probe, Run, Stop } from "../history.ts";
 import { Oracle } from "../oracle.ts";
 import { Point, SECONDS_MS } from "../point.ts";
 import { describeRun } from "./runs.ts";
@@ -45,22 +45,40 @@
     .map(({ requestId }) => `${requestId} was cut by the stop of its entry`);
 }
 
-/** Tasks that were lost though nothing else went wrong. */
+/** Tasks that were lost or stopped though nobody and nothing else did. */
 function findLostRuns(history: History, stop: Stop): string[] {
   const isCalm = !history.faults.some((at) =>
     at > stop.at - FAULT_EFFECT_MS && at < stop.at + STOP_EFFECT_MS
   );
-  if (stop.role !== Role.Scheduler || !isCalm) {
+  const isFollowed = countStopping(history, stop) < history.schedulers;
+  if (stop.role !== Role.Scheduler || !isCalm || !isFollowed) {
     return [];
   }
   return history.runs
-    .filter(({ reason, endedAt }) =>
-      reason === EndReason.Lost && endedAt > stop.at &&
-      endedAt < stop.at + STOP_EFFECT_MS
+    .filter((run) =>
+      isLostOrStopped(history, run) && run.endedAt > stop.at &&
+      run.endedAt < stop.at + STOP_EFFECT_MS
     )
     .map((run) => `lost by the stop of ${stop.nodeId}: ${describeRun(run)}`);
 }
 
+/** Schedulers that stop at about the time of `stop`. */
+function countStopping({ stops }: History, stop: Stop): number {
+  const near = stops.filter(({ role, at }) =>
+    role === Role.Scheduler && Math.abs(at - stop.at) < FAULT_EFFECT_MS
+  );
+  return new Set(near.map(({ nodeId }) => nodeId)).size;
+}
+
+function isLostOrStopped({ calls }: History, run: Run): boolean {
+  const isCancelled = [...calls.values()].some(({ call, sentAt }) =>
+    call.kind === CallerCallKind.Cancel && call.jobId === run.jobId &&
+    sentAt <= run.endedAt
+  );
+  return run.reason === EndReason.Lost ||
+    (run.reason === EndReason.Cancelled && !isCancelled);
+}
+
 /** What was accepted is in force everywhere in seconds, and stays. */
 export class ConfigurationInForceOracle extends Oracle {
   override readonly point = Point.ConfigurationInForce;
--- a/packages/prove/src/scenarios.ts
+++ b/packages/prove/src/scenarios.ts
@@ -1,6 +1,6 @@
 import fc from "fast-check";
 import { type Command, CommandKind, COMMANDS } from "./commands.ts";
-import type { Point } from "./point.ts";
+import { Point } from "./point.ts";
 import type { Scenario } from "./scenario.ts";
 
 /** How much more often the commands of a point are drawn for it. */
@@ -15,6 +15,8 @@
 /** Longest time that a command speaks of, in milliseconds. */
 const MAX_FOR_MS = 8_000;
 
+const allKinds = Object.values(CommandKind);
+
 /** Schedulers of a run. */
 const SCHEDULERS = [3, 3, 3, 6];
 
@@ -24,23 +26,44 @@
  */
 const WARM_UPS_MS = [3_500, 14_000];
 
+/** What a planned stop is judged beside: no fault can be blamed. */
+const CALM: readonly CommandKind[] = [
+  CommandKind.Submit,
+  CommandKind.SubmitOnce,
+  CommandKind.Repeat,
+  CommandKind.StatusWave,
+  CommandKind.PlannedStop,
+];
+
 /** Draws scenarios, for all points or with more of what one is about. */
 export function scenarioArbitrary(point?: Point): fc.Arbitrary<Scenario> {
   return fc.noBias(fc.record({
     chance: fc.noShrink(fc.integer({ min: 1, max: 0x3fff_ffff })),
     schedulers: fc.noShrink(fc.constantFrom(...SCHEDULERS)),
-    commands: fc.array(commandArbitrary(point), {
-      minLength: 1,
-      maxLength: MAX_COMMANDS,
-      size: "max",
-    }),
+    commands: commandsArbitrary(point),
     warmUpMs: fc.noShrink(fc.constantFrom(...WARM_UPS_MS)),
   }));
 }
 
-function commandArbitrary(point: Point | undefined): fc.Arbitrary<Command> {
+function commandsArbitrary(point: Point | undefined): fc.Arbitrary<Command[]> {
+  const all = arrayOf(commandArbitrary(kindArbitrary(allKinds, point)));
+  const calm = arrayOf(commandArbitrary(kindArbitrary(CALM, point)));
+  return point === Point.GracefulStop ? fc.oneof(all, calm) : all;
+}
+
+function arrayOf(command: fc.Arbitrary<Command>): fc.Arbitrary<Command[]> {
+  return fc.array(command, {
+    minLength: 1,
+    maxLength: MAX_COMMANDS,
+    size: "max",
+  });
+}
+
+function commandArbitrary(
+  kind: fc.Arbitrary<CommandKind>,
+): fc.Arbitrary<Command> {
   return fc.record({
-    kind: kindArbitrary(point),
+    kind,
     gapMs: fc.oneof(
       { weight: 3, arbitrary: fc.nat(60) },
       { weight: 4, arbitrary: fc.nat(800) },
@@ -52,14 +75,15 @@
   });
 }
 
-function kindArbitrary(point: Point | undefined): fc.Arbitrary<CommandKind> {
-  return fc.oneof(
-    ...Object.values(CommandKind).map((kind) => {
-      const { weight, points } = COMMANDS[kind];
-      const isFocus = point !== undefined && points.includes(point) &&
-        kind !== CommandKind.Submit;
-      const arbitrary = fc.constant(kind);
-      return { weight: isFocus ? weight * FOCUS_FACTOR : weight, arbitrary };
-    }),
-  );
+function kindArbitrary(
+  kinds: readonly CommandKind[],
+  point: Point | undefined,
+): fc.Arbitrary<CommandKind> {
+  return fc.oneof(...kinds.map((kind) => {
+    const { weight, points } = COMMANDS[kind];
+    const isFocus = point !== undefined && points.includes(point) &&
+      kind !== CommandKind.Submit;
+    const arbitrary = fc.constant(kind);
+    return { weight: isFocus ? weight * FOCUS_FACTOR : weight, arbitrary };
+  }));
 }
--- a/packages/prove/src/simulation/cluster.ts
+++ b/packages/prove/src/simulation/cluster.ts
@@ -107,6 +107,7 @@
     });
     this.schedulerIds = [...Array(options.schedulers ?? 3).keys()]
       .map((index) => `s${index + 1}`);
+    this.history.schedulers = this.schedulerIds.length;
     this.#initialise();
   }
 
