--- a/packages/demo/src/docs/pages_test.ts
+++ b/packages/demo/src/docs/pages_test.ts
@@ -51,6 +51,14 @@
       /^mustardweir_calls_teams_total [1-9]/m,
     ],
   },
+  {
+    page: "README.md",
+    shows: [
+      /0 running and 8 ended of 8, outcome done, reason completed/,
+      /^blue +2 +66\.7%/m,
+      /^blue batch: 95% start within 5000 ms/m,
+    ],
+  },
   {
     page: "docs/API.md",
     shows: [
