--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -10,6 +10,7 @@
 import "./configuration_benchmark.ts";
 import "./links_benchmark.ts";
 import "./idle_benchmark.ts";
+import "./outage_benchmark.ts";
 import {
   type Benchmark,
   benchmarkNames,
--- /dev/null
+++ b/packages/bench/src/outage_benchmark.ts
@@ -0,0 +1,69 @@
+import {
+  BlindRule,
+  OUTAGE_MS,
+  type OutageResult,
+  runOutageTrial,
+} from "@mustardweir/prove";
+import {
+  Benchmark,
+  type BenchmarkOptions,
+  registerBenchmark,
+} from "./benchmark.ts";
+import { BoundKind, type Metric } from "./metric.ts";
+
+/** Tasks of the batch that runs through the outage. */
+const BATCH_TASKS = 4;
+
+/** Part of the work that has to go on. */
+const MIN_PART = 0.9;
+
+/** What is done in an outage of the table, next to failing closed. */
+export class OutageBenchmark extends Benchmark {
+  override readonly name = "outage";
+
+  override run({ seed }: BenchmarkOptions): Metric[] {
+    return [false, true].flatMap((killsOwner) => {
+      const measure = (rule: BlindRule) =>
+        runOutageTrial({ seed, rule, killsOwner });
+      return compare(killsOwner ? "owner-killed" : "undisturbed", {
+        value: measure(BlindRule.Majority),
+        baseline: measure(BlindRule.FailClosed),
+      });
+    });
+  }
+}
+
+interface Comparison {
+  readonly value: OutageResult;
+  /** The same outage with nodes that fail closed. */
+  readonly baseline: OutageResult;
+}
+
+function compare(name: string, { value, baseline }: Comparison): Metric[] {
+  const bound = { bound: MIN_PART, boundKind: BoundKind.AtLeast };
+  return [
+    {
+      name: `${name}.requests-done`,
+      value: value.done / value.requests,
+      unit: "of those handed in",
+      baseline: baseline.done / baseline.requests,
+      ...bound,
+    },
+    {
+      name: `${name}.batch-time`,
+      value: value.batchMs / (BATCH_TASKS * OUTAGE_MS),
+      unit: "of the outage",
+      baseline: baseline.batchMs / (BATCH_TASKS * OUTAGE_MS),
+      ...bound,
+    },
+    {
+      name: `${name}.doubled`,
+      value: value.doubled,
+      unit: "tasks",
+      baseline: baseline.doubled,
+      bound: 0,
+    },
+  ];
+}
+
+registerBenchmark(new OutageBenchmark());
