Empty a draining zone by a deadline, without stopping what ends before

Cause: a drain stopped a tenth of what was left every half second, in no order: its end came the later the more ran there, and tasks that were about to end were stopped.

Change: a drain has 10 s. The tasks that may be left fall evenly with the time that is left; what does not end by itself goes first, what is expected to end before the deadline is left to end.

Ruled out: stopping all at once (the other zones would have to make room for a third of the fleet in one step).

--- a/packages/bench/src/decisions/decisions_test.ts
+++ b/packages/bench/src/decisions/decisions_test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { runDrainTrial } from "./drain_trial.ts";
 import { type GangTrialOptions, runGangTrial } from "./gang_trial.ts";
 import { runRebalanceTrial } from "./rebalance_trial.ts";
 import { runSharingTrial } from "./sharing_trial.ts";
@@ -57,6 +58,21 @@
     measure: () => longestWait({ memberSize: 8, gangs: 6 }),
     atMost: 30_000,
   },
+  {
+    name: "empties a zone before the deadline of its drain",
+    measure: () => runDrainTrial(SEED).emptiedMs,
+    atMost: 12_000,
+  },
+  {
+    name: "leaves what ends by itself to end while its zone drains",
+    measure: () => runDrainTrial(SEED).stopped,
+    atMost: 250,
+  },
+  {
+    name: "keeps the other zones in use while one drains",
+    measure: () => 1 - runDrainTrial(SEED).leastUsedAway,
+    atMost: 0.1,
+  },
 ];
 
 function longestWait(options: Omit<GangTrialOptions, "seed">): number {
--- a/packages/bench/src/decisions_benchmark.ts
+++ b/packages/bench/src/decisions_benchmark.ts
@@ -3,6 +3,7 @@
   type BenchmarkOptions,
   registerBenchmark,
 } from "./benchmark.ts";
+import { runDrainTrial } from "./decisions/drain_trial.ts";
 import { type GangTrialOptions, runGangTrial } from "./decisions/gang_trial.ts";
 import { runRebalanceTrial } from "./decisions/rebalance_trial.ts";
 import { runSharingTrial } from "./decisions/sharing_trial.ts";
@@ -34,6 +35,7 @@
       ...measureUrgent(seed),
       ...measureSharing(seed),
       ...measureSpread(seed),
+      ...measureDrain(seed),
       ...GANG_LOADS.flatMap((load) => measureGangs(seed, load)),
     ];
   }
@@ -89,6 +91,30 @@
   ];
 }
 
+function measureDrain(seed: number): Metric[] {
+  const result = runDrainTrial(seed);
+  return [
+    {
+      name: "drain.used.min",
+      value: result.leastUsedAway,
+      unit: "of open zones",
+      bound: 0.9,
+      boundKind: BoundKind.AtLeast,
+    },
+    { name: "drain.emptied", value: result.emptiedMs, unit: "ms" },
+    { name: "drain.stopped", value: result.stopped, unit: "tasks" },
+    {
+      name: "return.used.mean",
+      value: result.meanUsedBack,
+      unit: "of fleet",
+      bound: 0.9,
+      boundKind: BoundKind.AtLeast,
+    },
+    { name: "return.filled", value: result.filledMs, unit: "ms" },
+    { name: "return.asks-moved", value: result.moved, unit: "asks" },
+  ];
+}
+
 function measureGangs(seed: number, { name, options }: GangLoad): Metric[] {
   const { waits, used } = runGangTrial({ seed, ...options });
   const value = Math.max(...waits);
--- a/packages/slice/src/drain.ts
+++ b/packages/slice/src/drain.ts
@@ -6,18 +6,31 @@
 import type { Slice, SliceTask } from "./slice_state.ts";
 import { declineAsk } from "./team_view.ts";
 
-/** Part of a slice's tasks that is stopped in one step of a drain. */
-const DRAIN_FRACTION = 0.1;
+/** Time in which a draining zone is emptied, in milliseconds. */
+const DRAIN_MS = 10_000;
 
-/** Moves work away step by step while the zone drains. */
+/**
+ * Moves work away evenly until the deadline while the zone drains. What is
+ * expected to end before is left to end.
+ */
 export function drain(update: Update, slice: Slice): void {
   if (isZoneOpen(update, slice)) {
+    slice.drain = undefined;
     return;
   }
   declineAll(slice);
   const movable = [...slice.tasks.values()].filter(isMovable);
-  const step = Math.ceil(slice.tasks.size * DRAIN_FRACTION);
-  for (const task of movable.slice(0, step)) {
+  slice.drain ??= { startedAt: update.now, tasks: movable.length };
+  const { startedAt, tasks } = slice.drain;
+  const leftMs = Math.max(0, startedAt + DRAIN_MS - update.now);
+  const mayStay = Math.floor(tasks * leftMs / DRAIN_MS);
+  const { now } = update;
+  const inOrder = movable
+    .map((task) => ({ task, endsInMs: expectedEnd(task, now) }))
+    .filter(({ endsInMs }) => endsInMs > leftMs)
+    .sort((a, b) => b.endsInMs - a.endsInMs);
+  const stops = Math.min(movable.length - mayStay, inOrder.length);
+  for (const { task } of inOrder.slice(0, Math.max(stops, 0))) {
     stopTask(task, StopMode.Preempt);
   }
 }
@@ -28,6 +41,12 @@
     task.idempotent && task.kind !== JobKind.Request;
 }
 
+/** Infinity for what declares no run time, or has passed the declared one. */
+function expectedEnd({ task, runningSince }: SliceTask, now: number): number {
+  const endsInMs = (task.durationMs ?? Infinity) - (now - runningSince);
+  return endsInMs > 0 ? endsInMs : Infinity;
+}
+
 function declineAll(slice: Slice): void {
   const reason = DeclineReason.ZoneClosed;
   for (const view of slice.teams.values()) {
--- a/packages/slice/src/instances.ts
+++ b/packages/slice/src/instances.ts
@@ -64,6 +64,7 @@
       granted: new Map(),
       gaps: new Map(),
     },
+    drain: undefined,
     nextStartSeq: 1,
     complete: false,
     outbox: new Map(),
--- a/packages/slice/src/slice_state.ts
+++ b/packages/slice/src/slice_state.ts
@@ -126,6 +126,8 @@
   /** By instance. */
   readonly claims: Map<string, RoomClaim>;
   window: PreemptionWindow;
+  /** Undefined while the zone is open. */
+  drain: DrainProgress | undefined;
   nextStartSeq: number;
   /** Every worker has told what it runs, or is known to run nothing. */
   complete: boolean;
@@ -151,6 +153,13 @@
   readonly gaps: Map<string, number>;
 }
 
+/** A drain of the slice's zone. */
+export interface DrainProgress {
+  readonly startedAt: number;
+  /** Tasks that could be moved at its start. */
+  readonly tasks: number;
+}
+
 /** The dominant share that each team is due. */
 export interface TeamDues {
   readonly computedAt: number;
