Refuse requests at once that could not start in time

Change: when 128 or more requests have waited for 2 s and more wait than started lately within the time that the new one has, it is refused as overloaded. The refusal says unknown where an earlier home may have run it. Jobs that end leave the queue at once.

--- a/packages/bench/src/decisions/decisions_test.ts
+++ b/packages/bench/src/decisions/decisions_test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import { runDrainTrial } from "./drain_trial.ts";
 import { type GangTrialOptions, runGangTrial } from "./gang_trial.ts";
+import { runOverloadTrial } from "./overload_trial.ts";
 import { runRebalanceTrial } from "./rebalance_trial.ts";
 import { runSharingTrial } from "./sharing_trial.ts";
 import { runSpreadTrial } from "./spread_trial.ts";
@@ -15,6 +16,8 @@
 
 const SEED = 7;
 
+const drained = once(() => runDrainTrial(SEED));
+
 const SHORT_SHARING = { seed: SEED, instances: 8, sharedMs: 16_000 };
 
 const DECISION_CASES: readonly DecisionCase[] = [
@@ -60,21 +63,32 @@
   },
   {
     name: "empties a zone before the deadline of its drain",
-    measure: () => runDrainTrial(SEED).emptiedMs,
+    measure: () => drained().emptiedMs,
     atMost: 12_000,
   },
   {
     name: "leaves what ends by itself to end while its zone drains",
-    measure: () => runDrainTrial(SEED).stopped,
+    measure: () => drained().stopped,
     atMost: 250,
   },
   {
     name: "keeps the other zones in use while one drains",
-    measure: () => 1 - runDrainTrial(SEED).leastUsedAway,
+    measure: () => 1 - drained().leastUsedAway,
     atMost: 0.1,
   },
+  {
+    name: "refuses at once most requests that could not start in time",
+    measure: () => runOverloadTrial(SEED).expired,
+    atMost: 0.15,
+  },
 ];
 
+/** Measures when it is first needed. */
+function once<Result>(measure: () => Result): () => Result {
+  let result: Result | undefined;
+  return () => result ??= measure();
+}
+
 function longestWait(options: Omit<GangTrialOptions, "seed">): number {
   const { waits } = runGangTrial({ seed: SEED, forMs: 40_000, ...options });
   return Math.max(...waits);
--- a/packages/bench/src/decisions_benchmark.ts
+++ b/packages/bench/src/decisions_benchmark.ts
@@ -5,6 +5,7 @@
 } from "./benchmark.ts";
 import { runDrainTrial } from "./decisions/drain_trial.ts";
 import { type GangTrialOptions, runGangTrial } from "./decisions/gang_trial.ts";
+import { runOverloadTrial } from "./decisions/overload_trial.ts";
 import { runRebalanceTrial } from "./decisions/rebalance_trial.ts";
 import { runSharingTrial } from "./decisions/sharing_trial.ts";
 import { runSpreadTrial } from "./decisions/spread_trial.ts";
@@ -36,6 +37,7 @@
       ...measureSharing(seed),
       ...measureSpread(seed),
       ...measureDrain(seed),
+      ...measureOverload(seed),
       ...GANG_LOADS.flatMap((load) => measureGangs(seed, load)),
     ];
   }
@@ -115,6 +117,15 @@
   ];
 }
 
+function measureOverload(seed: number): Metric[] {
+  const result = runOverloadTrial(seed);
+  return [
+    { name: "overload.goodput", value: result.goodput, unit: "of capacity" },
+    { name: "overload.refused", value: result.refused, unit: "of requests" },
+    { name: "overload.expired", value: result.expired, unit: "of requests" },
+  ];
+}
+
 function measureGangs(seed: number, { name, options }: GangLoad): Metric[] {
   const { waits, used } = runGangTrial({ seed, ...options });
   const value = Math.max(...waits);
--- a/packages/home/src/calls.ts
+++ b/packages/home/src/calls.ts
@@ -5,6 +5,7 @@
   EndReason,
   JobKind,
   type JobSpec,
+  Outcome,
   RefusalReason,
   refuse,
 } from "@mustardweir/model";
@@ -31,6 +32,7 @@
   jobIdOf,
   needsJournal,
 } from "./job_factory.ts";
+import { isHopeless } from "./overload.ts";
 import { addJob, enqueue } from "./queue.ts";
 import { describeJob } from "./status.ts";
 import { describeWork, WORK_ACCEPTED } from "./work_events.ts";
@@ -94,6 +96,14 @@
     reply(update, received, overloaded());
     return;
   }
+  const limitMs = Math.min(call.ttlMs, body.spec.startWithinMs ?? Infinity);
+  const isRequest = body.spec.kind === JobKind.Request;
+  const isNewRequest = known === undefined && isRequest;
+  if (isNewRequest && isHopeless(home, limitMs, update.now)) {
+    update.emit(count("requests_refused_early"));
+    reply(update, received, tooLate(mayBeRepeat(update, home)));
+    return;
+  }
   const isUnrecordable = needsJournal(body.spec) && isJournalStuck(update);
   if (known === undefined && isUnrecordable) {
     reply(update, received, storeUnavailable());
@@ -223,6 +233,17 @@
   );
 }
 
+/** Whether an earlier home has run the request may not be known. */
+function tooLate(mayHaveRun: boolean): HomeReplyBody {
+  const message =
+    "More requests wait than can start within the time that this one has";
+  const outcome = mayHaveRun ? Outcome.Unknown : Outcome.NotRun;
+  return {
+    kind: HomeReplyKind.Refused,
+    refusal: refuse(RefusalReason.Overloaded, { message, outcome }),
+  };
+}
+
 function storeUnavailable(): HomeReplyBody {
   return refused(
     RefusalReason.StoreUnavailable,
--- a/packages/home/src/ending.ts
+++ b/packages/home/src/ending.ts
@@ -67,6 +67,8 @@
   job.outcome = outcomeOf(job);
   job.reason = reasonOf(job);
   job.endedAt = update.now;
+  home.urgent.drop(job);
+  home.normal.drop(job);
   const { outcome, reason } = job;
   const work = describeWork(home, job);
   update.dispatch(WORK_ENDED, { ...work, outcome, reason });
--- a/packages/home/src/home_state.ts
+++ b/packages/home/src/home_state.ts
@@ -6,6 +6,7 @@
   Resources,
 } from "@mustardweir/model";
 import type { JobQueue } from "./job_queue.ts";
+import type { StartRate } from "./start_rate.ts";
 import type { TightRoom } from "./tight_room.ts";
 import type { TimerHeap } from "./timer_heap.ts";
 
@@ -142,6 +143,10 @@
   /** Tasks that wait for room; urgent ones apart. */
   readonly urgent: JobQueue;
   readonly normal: JobQueue;
+  /** Starts of requests lately. */
+  readonly requestStarts: StartRate;
+  /** Since when many requests have waited; undefined while few do. */
+  crowdedSince: number | undefined;
   /** Tasks that failed and wait until they are queued again. */
   readonly delayed: TimerHeap<HomeTask>;
   /** Jobs by the time until when they are of use, unless they started. */
--- a/packages/home/src/job_queue.ts
+++ b/packages/home/src/job_queue.ts
@@ -1,3 +1,4 @@
+import { JobKind } from "@mustardweir/model";
 import { type HomeJob, type HomeTask, TaskState } from "./home_state.ts";
 
 interface Entry {
@@ -27,12 +28,18 @@
   readonly #entries = new Map<HomeJob, Entry>();
   #head: Entry | undefined;
   #tail: Entry | undefined;
+  #requests = 0;
 
   /** True when no job is queued. */
   get isEmpty(): boolean {
     return this.#head === undefined;
   }
 
+  /** Number of requests that are queued. */
+  get waitingRequests(): number {
+    return this.#requests;
+  }
+
   /** Adds a task at the end of its job, and the job at the end. */
   push(task: HomeTask): void {
     const known = this.#entries.get(task.job);
@@ -104,6 +111,14 @@
     }
   }
 
+  /** Drops a job that has ended. */
+  drop(job: HomeJob): void {
+    const entry = this.#entries.get(job);
+    if (entry !== undefined) {
+      this.#remove(entry);
+    }
+  }
+
   /** Number of tasks that wait. */
   countWaiting(): number {
     let waiting = 0;
@@ -122,11 +137,13 @@
       next: undefined,
     };
     this.#entries.set(task.job, entry);
+    this.#requests += Number(isRequest(task.job));
     return entry;
   }
 
   #remove(entry: Entry): void {
     this.#entries.delete(entry.job);
+    this.#requests -= Number(isRequest(entry.job));
     if (entry.previous === undefined) {
       this.#head = entry.next;
     } else {
@@ -140,6 +157,10 @@
   }
 }
 
+function isRequest({ spec }: HomeJob): boolean {
+  return spec.kind === JobKind.Request;
+}
+
 function putFirst(entry: Entry, task: HomeTask): void {
   if (entry.first > 0) {
     entry.first -= 1;
--- a/packages/home/src/recovery.ts
+++ b/packages/home/src/recovery.ts
@@ -20,6 +20,7 @@
 import { createJob } from "./job_factory.ts";
 import { JobQueue } from "./job_queue.ts";
 import { addJob, enqueue, setTaskState } from "./queue.ts";
+import { StartRate } from "./start_rate.ts";
 import { TimerHeap } from "./timer_heap.ts";
 
 /** Starts to take over the home of a team. */
@@ -53,6 +54,8 @@
     byTaskId: new Map(),
     urgent: new JobQueue(),
     normal: new JobQueue(),
+    requestStarts: new StartRate(),
+    crowdedSince: undefined,
     delayed: new TimerHeap(),
     deadlines: new TimerHeap(),
     activeGangs: new Set(),
--- a/packages/home/src/task_progress.ts
+++ b/packages/home/src/task_progress.ts
@@ -39,6 +39,9 @@
   task.instanceId = instanceId;
   if (job.firstStartAt === undefined) {
     job.firstStartAt = update.now;
+    if (job.spec.kind === JobKind.Request) {
+      home.requestStarts.note(update.now);
+    }
     update.dispatch(WORK_STARTED, describeWork(home, job));
     update.emit(observe("start_wait_ms", update.now - job.createdAt));
   }
