Test outages early and late in the life of a cluster

Cause: both outages came within 12 s of the schedulers' start, when none vouches for the configuration yet, so entries refused all; the usual case, a majority that vouches, was not tested. Ruled out: a fault of vouching; schedulers that had run longer went on. Change: the outages follow each other on one cluster, the long one second.

--- a/packages/failure-tests/src/platform_test.ts
+++ b/packages/failure-tests/src/platform_test.ts
@@ -15,7 +15,6 @@
 
 interface OutageCase {
   readonly name: string;
-  readonly seed: number;
   readonly outage: PlatformFaults;
   readonly outageMs: number;
   readonly around: PlatformFaults;
@@ -23,22 +22,24 @@
   readonly killsOwner?: boolean;
 }
 
+/**
+ * Run one after the other on one cluster. The first comes before schedulers
+ * vouch for the configuration, which they don't for 12 s after their start.
+ */
 const CASES: readonly OutageCase[] = [
   {
-    name: "down, answers lost before and after",
-    seed: 41,
-    outage: { down: true },
-    outageMs: OUTAGE_MS,
-    around: { loseAnswers: LOST_ANSWERS },
-  },
-  {
-    name: "silent, writes late before and after, an owner killed meanwhile",
-    seed: 42,
+    name: "silent, writes late around it, an owner killed meanwhile",
     outage: { silent: true },
     outageMs: OUTAGE_MS / 2,
     around: { lateWrites: LOST_ANSWERS, lateMs: 1_500 },
     killsOwner: true,
   },
+  {
+    name: "down, answers lost before and after",
+    outage: { down: true },
+    outageMs: OUTAGE_MS,
+    around: { loseAnswers: LOST_ANSWERS },
+  },
 ];
 
 async function interrupt(trial: Trial, test: OutageCase): Promise<void> {
@@ -55,7 +56,7 @@
   await delay(test.outageMs / 2);
   const after = countWork(trial);
   trial.note(
-    `in ${test.outageMs / 1_000} s without the platform: ${
+    `${test.name}: in ${test.outageMs / 1_000} s ${
       after.handedIn - before.handedIn
     } jobs handed in, ${after.ended - before.ended} ended`,
   );
@@ -71,8 +72,10 @@
 
 describe("Outages of the platform under load", function () {
   this.timeout(CASE_TIMEOUT_MS + 2 * OUTAGE_MS);
-  for (const test of CASES) {
-    const { name, seed } = test;
-    it(name, () => runTrial((trial) => interrupt(trial, test), { seed }));
-  }
+  it("leave no work lost or doubled", () =>
+    runTrial(async (trial) => {
+      for (const test of CASES) {
+        await interrupt(trial, test);
+      }
+    }, { seed: 41 }));
 });
