Know repeats of requests that ended and were forgotten early

Cause: a home kept its last 5,000 ended jobs. A repeat of an older one that had run was taken for new: it was told "not run" when it did not start in time, and a request that must not run twice would have run again.

Ruled out: keeping all (1.8 million jobs at 3,000 a second); telling unknown to all after the first was forgotten.

Left: a home that is taken over does not know what the earlier one forgot of journaled work.

--- a/packages/home/src/calls.ts
+++ b/packages/home/src/calls.ts
@@ -101,7 +101,7 @@
   const isNewRequest = known === undefined && isRequest;
   if (isNewRequest && isHopeless(home, limitMs, update.now)) {
     update.emit(count("requests_refused_early"));
-    reply(update, received, tooLate(mayBeRepeat(update, home)));
+    reply(update, received, tooLate(mayBeRepeat(update, home, jobId)));
     return;
   }
   const isUnrecordable = needsJournal(body.spec) && isJournalStuck(update);
@@ -129,7 +129,9 @@
 ): HomeJob {
   const specHash = hashSpec(spec);
   const job = createJob({ jobId, spec, specHash, now: update.now });
-  job.mayHaveRun = !job.journaled && mayBeRepeat(update, home);
+  job.mayHaveRun = job.journaled
+    ? home.forgotten.mayHave(jobId, update.now)
+    : mayBeRepeat(update, home, jobId);
   addJob(home, job);
   update.emit(count(`jobs_received_${spec.kind}`));
   if (job.journaled) {
@@ -143,10 +145,11 @@
   return job;
 }
 
-/** True when an earlier home may have had the request, which kept no record. */
-function mayBeRepeat(update: Update, home: Home): boolean {
-  return home.epoch > FIRST_EPOCH &&
+/** True when the request may have been had and forgotten, here or earlier. */
+function mayBeRepeat(update: Update, home: Home, jobId: string): boolean {
+  const isRecent = home.epoch > FIRST_EPOCH &&
     update.now - home.acquiredAt < REPEAT_WINDOW_MS;
+  return isRecent || home.forgotten.mayHave(jobId, update.now);
 }
 
 /** A request is answered at its end, other work on acceptance. */
--- a/packages/home/src/home_state.ts
+++ b/packages/home/src/home_state.ts
@@ -5,6 +5,7 @@
   Outcome,
   Resources,
 } from "@mustardweir/model";
+import type { ForgottenIds } from "./forgotten_ids.ts";
 import type { JobQueue } from "./job_queue.ts";
 import type { StartRate } from "./start_rate.ts";
 import type { TightRoom } from "./tight_room.ts";
@@ -143,6 +144,8 @@
   /** Tasks that wait for room; urgent ones apart. */
   readonly urgent: JobQueue;
   readonly normal: JobQueue;
+  /** Jobs that ended lately and are not kept. */
+  readonly forgotten: ForgottenIds;
   /** Starts of requests lately. */
   readonly requestStarts: StartRate;
   /** Since when many requests have waited; undefined while few do. */
--- a/packages/home/src/recovery.ts
+++ b/packages/home/src/recovery.ts
@@ -18,6 +18,7 @@
   TaskState,
 } from "./home_state.ts";
 import { createJob } from "./job_factory.ts";
+import { ForgottenIds } from "./forgotten_ids.ts";
 import { JobQueue } from "./job_queue.ts";
 import { addJob, enqueue, setTaskState } from "./queue.ts";
 import { StartRate } from "./start_rate.ts";
@@ -54,6 +55,7 @@
     byTaskId: new Map(),
     urgent: new JobQueue(),
     normal: new JobQueue(),
+    forgotten: new ForgottenIds(),
     requestStarts: new StartRate(),
     crowdedSince: undefined,
     delayed: new TimerHeap(),
--- a/packages/home/src/upkeep.ts
+++ b/packages/home/src/upkeep.ts
@@ -35,7 +35,7 @@
 /** More deadlines than this for each job that has not ended are cleared. */
 const MAX_DEADLINES_PER_JOB = 16;
 
-/** Most ended jobs that stay known. */
+/** Most ended jobs that stay known, but for those that run at most once. */
 const MAX_ENDED_JOBS = 5_000;
 
 /** Sends again what may have been lost and ends what is too late. */
@@ -151,13 +151,20 @@
   }
 }
 
-/** Forgets jobs that ended long ago. */
+/**
+ * Forgets jobs that ended long ago, and earlier what is too many. What must not
+ * run twice is kept for as long as callers repeat their requests.
+ */
 export function forgetEnded(update: Update, home: Home): void {
   const ended = [...home.jobs.values()].filter((job) => job.endRecorded);
   const excess = ended.length - MAX_ENDED_JOBS;
   for (const [index, job] of ended.entries()) {
-    if (index < excess || update.now - job.endedAt > RETENTION_MS) {
+    const isOld = update.now - job.endedAt > RETENTION_MS;
+    if (isOld || (index < excess && job.spec.idempotent)) {
       home.jobs.delete(job.jobId);
     }
+    if (!isOld && index < excess) {
+      home.forgotten.add(job.jobId, update.now);
+    }
   }
 }
