--- a/packages/bench/src/configuration_benchmark.ts
+++ b/packages/bench/src/configuration_benchmark.ts
@@ -1,5 +1,5 @@
 import { parseSection, sectionObjectKey } from "@mustardweir/configuration";
-import { ConfigurationSection, sliceFleet } from "@mustardweir/model";
+import { ConfigurationSection, KeyRole, sliceFleet } from "@mustardweir/model";
 import { Benchmark, registerBenchmark } from "./benchmark.ts";
 import type { Metric } from "./metric.ts";
 import { liveHeapMb } from "./scaling/heap.ts";
@@ -7,16 +7,18 @@
 
 const FLEET_SIZES = [34, 340, 3_400, 23_000];
 const REPEATS = 5;
+const TEAMS = 180;
+const KEYS = 5 * TEAMS;
 
 /** Edits a second, at 39,000 a day. */
 const EDITS_PER_SECOND = 39_000 / 86_400;
 
-/** What a node spends to follow an edit of the inventory. */
+/** What a node spends to follow an edit of the inventory or of the keys. */
 export class ConfigurationBenchmark extends Benchmark {
   override readonly name = "configuration";
 
   override run(): Metric[] {
-    return FLEET_SIZES.flatMap(measure);
+    return [...FLEET_SIZES.flatMap(measure), ...measureKeys()];
   }
 }
 
@@ -25,7 +27,7 @@
     instances,
     regions: 10,
     zones: 21,
-    teams: 180,
+    teams: TEAMS,
   });
   const body = JSON.stringify(inventory);
   const heapBefore = liveHeapMb();
@@ -62,6 +64,37 @@
   }));
 }
 
+/** The section of keys, which each grant and withdrawal replaces. */
+function measureKeys(): Metric[] {
+  const keys = Array.from({ length: KEYS }, (_, index) => ({
+    id: `team-${index % TEAMS}-key-${index}`,
+    hash: index.toString(16).padStart(64, "0"),
+    role: KeyRole.Submitter,
+    team: `team-${index % TEAMS}`,
+  }));
+  const body = JSON.stringify(keys);
+  const bytes = Buffer.byteLength(body);
+  const times = Array.from({ length: REPEATS }, () => {
+    const start = performance.now();
+    sectionObjectKey(body);
+    parseSection(ConfigurationSection.Keys, JSON.parse(body))._unsafeUnwrap();
+    return performance.now() - start;
+  }).sort((a, b) => a - b);
+  return [
+    { name: `keys.${KEYS}`, value: bytes, unit: "B" },
+    {
+      name: `keys.${KEYS}.follow`,
+      value: times[Math.floor(REPEATS / 2)]!,
+      unit: "ms",
+    },
+    {
+      name: "keys.bytes-if-all-edit-keys",
+      value: EDITS_PER_SECOND * bytes,
+      unit: "B/s",
+    },
+  ];
+}
+
 /** As the follower does: checks the hash, parses, checks the shape, cuts. */
 function loadInventory(body: string) {
   sectionObjectKey(body);
--- a/packages/bench/src/idle_benchmark.ts
+++ b/packages/bench/src/idle_benchmark.ts
@@ -1,9 +1,15 @@
 import { setTimeout as delay } from "node:timers/promises";
-import { Cluster, type Fleet, FleetName, readFleet } from "@mustardweir/demo";
+import {
+  Api,
+  Cluster,
+  type Fleet,
+  FleetName,
+  Operator,
+  readFleet,
+} from "@mustardweir/demo";
 import { request } from "undici";
 import { Benchmark, registerBenchmark } from "./benchmark.ts";
 import type { Metric } from "./metric.ts";
-import { configureCluster } from "./scaling/configure_cluster.ts";
 import { type ProcessUsage, readUsage } from "./scaling/process_usage.ts";
 import { createRegionFleet } from "./scaling/region_fleet.ts";
 
@@ -20,7 +26,9 @@
 const MAX_BYTES = 26_000;
 const MAX_RSS_MB = 128;
 const MAX_READS = 1_000;
-const LARGE_FLEET = 340;
+
+/** In the last a scheduler has 383 workers, as at the target. */
+const LARGER_FLEETS = [340, 1_150];
 
 /** What idle processes of one user spend; six entries, six schedulers. */
 export class IdleBenchmark extends Benchmark {
@@ -36,31 +44,37 @@
 }
 
 function listCases(): IdleCase[] {
+  const today = readFleet(FleetName.LoneStar);
+  return [
+    { name: "today", fleet: today, isBounded: true },
+    ...LARGER_FLEETS.map((instances) => ({
+      name: `${instances}`,
+      fleet: createFleet(instances),
+      isBounded: false,
+    })),
+  ];
+}
+
+function createFleet(instances: number): Fleet {
   const { inventory, rules } = createRegionFleet({
-    instances: LARGE_FLEET,
+    instances,
     regions: 1,
     zones: 3,
     teams: 6,
   });
-  const large = { name: FleetName.LoneStar, inventory, rules };
-  const today = readFleet(FleetName.LoneStar);
-  return [
-    { name: "today", fleet: today, isBounded: true },
-    { name: `${LARGE_FLEET}`, fleet: large, isBounded: false },
-  ];
+  return { name: FleetName.LoneStar, inventory, rules };
 }
 
 async function measure(
   { name, fleet, isBounded }: IdleCase,
 ): Promise<Metric[]> {
-  const cluster = new Cluster({ fleet });
+  const idle = new IdleCluster(fleet);
   try {
-    await cluster.start();
-    await configureCluster(cluster, fleet);
+    await idle.start();
     await delay(SETTLE_MS);
-    const before = await takeSample(cluster);
+    const before = await idle.takeSample();
     await delay(MEASURED_MS);
-    const after = await takeSample(cluster);
+    const after = await idle.takeSample();
     const metrics = [
       ...describeRole("entry", { before, after, isBounded }),
       ...describeRole("scheduler", { before, after, isBounded }),
@@ -78,7 +92,7 @@
     ];
     return metrics.map((m) => ({ ...m, name: `${name}.${m.name}` }));
   } finally {
-    await cluster.stop();
+    await idle.stop();
   }
 }
 
@@ -88,17 +102,49 @@
   readonly writes: number;
 }
 
-async function takeSample(cluster: Cluster): Promise<Sample> {
-  const res = await request(`${cluster.platform}/v1/stats`);
-  const stats = await res.body.json() as { reads: number; writes: number };
-  const names = [
-    ...cluster.schedulers.map(({ nodeId }) => nodeId),
-    ...cluster.entries.map((_, index) => `entry-${index + 1}`),
-  ];
-  const usage = names.map((name) =>
-    [name, readUsage(cluster.child(name).pid ?? 0)] as const
-  );
-  return { usage: new Map(usage), reads: stats.reads, writes: stats.writes };
+/** What the platform's stand-in prints before its base URL. */
+const PLATFORM_READY = "listening on ";
+
+/** The processes of one user, with a configuration and without work. */
+class IdleCluster {
+  readonly #fleet: Fleet;
+  readonly #cluster: Cluster;
+  #platform = "";
+
+  constructor(fleet: Fleet) {
+    this.#fleet = fleet;
+    this.#cluster = new Cluster({
+      fleet,
+      onLog: (name, line) => {
+        if (name === "platform" && line.startsWith(PLATFORM_READY)) {
+          this.#platform = line.slice(PLATFORM_READY.length).trim();
+        }
+      },
+    });
+  }
+
+  async start(): Promise<void> {
+    await this.#cluster.start();
+    const api = new Api(this.#cluster.entries[0]!);
+    const operator = new Operator(api);
+    await operator.put("rules", this.#fleet.rules);
+    await operator.put("inventory", this.#cluster.inventory);
+    await api.close();
+  }
+
+  async stop(): Promise<void> {
+    await this.#cluster.stop();
+  }
+
+  async takeSample(): Promise<Sample> {
+    const { schedulers, entryAddresses } = this.#cluster;
+    const res = await request(`${this.#platform}/v1/stats`);
+    const { reads, writes } = await res.body.json() as Omit<Sample, "usage">;
+    const usage = [...schedulers, ...entryAddresses].map(({ nodeId }) =>
+      [nodeId, readUsage(this.#cluster.child(nodeId).pid ?? 0)] as const
+    );
+    return { usage: new Map(usage), reads, writes };
+  }
 }
 
 interface Samples {
--- a/packages/bench/src/journal_benchmark.ts
+++ b/packages/bench/src/journal_benchmark.ts
@@ -33,8 +33,8 @@
 const MAX_WRITES = 300;
 const MAX_READS = 1_000;
 
-/** Scans that a node makes in a second, of rows that have not changed. */
-const READS_PER_NODE = 4;
+/** Two scans and a half of the list in half a second; `idle` measures it. */
+const READS_PER_NODE = 5;
 
 /** Largest row that tables of this kind take, in bytes. */
 const MAX_ROW_BYTES = 400_000;
--- a/packages/bench/src/scaling/fleet_trial.ts
+++ b/packages/bench/src/scaling/fleet_trial.ts
@@ -34,12 +34,21 @@
   /** Processor time of the kernels for a request, in microseconds. */
   readonly placementUs: number;
   readonly placements: number;
+  /** What the schedulers sent for a request, heartbeats left out. */
+  readonly messagesOfPlacement: number;
+  readonly bytesOfPlacement: number;
+  readonly workerCallsOfPlacement: number;
   readonly running: number;
   /** Homes and slices that were ready before. */
   readonly units: number;
   /** Until each unit has an owner that is ready, in milliseconds. */
   readonly recoveryMs: number;
-  /** Processor time of all kernels beyond the ordinary, in milliseconds. */
+  /** Longest event meanwhile, in milliseconds. */
+  readonly recoveryEventMs: number;
+  /**
+   * Processor time of all kernels beyond that of the time after, in
+   * milliseconds; lost in the noise of a large fleet.
+   */
   readonly recoveryCpuMs: number;
 }
 
@@ -92,7 +101,8 @@
     const longestEventMs = this.#longestMs;
     const loadedTraffic = this.#traffic();
     const placement = this.#place(loadedMs);
-    const recovery = this.#recover(loadedMs);
+    const placementTraffic = this.#countPlacements(loadedTraffic);
+    const recovery = this.#recover();
     const heapMb = this.#heapMb();
     return {
       idleMs,
@@ -102,6 +112,7 @@
       loadedTraffic,
       running,
       ...placement,
+      ...placementTraffic,
       ...recovery,
       heapMb,
     };
@@ -145,9 +156,39 @@
   #place(
     loadedMs: number,
   ): Pick<FleetTrialResult, "placements" | "placementUs"> {
-    const { teams, schedulers } = this.#options;
+    const { schedulers } = this.#options;
     const before = this.#loopback.counter("tasks_started");
     this.#spentMs = 0;
+    this.#offerRequests();
+    const placements = this.#loopback.counter("tasks_started") - before;
+    const seconds = ROUNDS * ROUND_MS / MS_PER_SECOND;
+    const extraMs = this.#spentMs - loadedMs * schedulers * seconds;
+    return {
+      placements,
+      placementUs: extraMs * MS_PER_SECOND / placements,
+    };
+  }
+
+  /** What is sent for requests beyond the ordinary. */
+  #countPlacements(usual: Traffic): Pick<
+    FleetTrialResult,
+    "messagesOfPlacement" | "bytesOfPlacement" | "workerCallsOfPlacement"
+  > {
+    const { schedulers } = this.#options;
+    const before = this.#loopback.counter("tasks_started");
+    const traffic = countTraffic(this.#loopback, () => this.#offerRequests());
+    const placements = this.#loopback.counter("tasks_started") - before;
+    const usualCalls = usual.workerCalls * schedulers * ROUNDS * ROUND_MS /
+      MS_PER_SECOND;
+    return {
+      messagesOfPlacement: traffic.peerMessages / placements,
+      bytesOfPlacement: traffic.peerBytes / placements,
+      workerCallsOfPlacement: (traffic.workerCalls - usualCalls) / placements,
+    };
+  }
+
+  #offerRequests(): void {
+    const { teams } = this.#options;
     for (let round = 0; round < ROUNDS; round++) {
       for (let index = 0; index < REQUESTS_PER_ROUND; index++) {
         const team = (round * REQUESTS_PER_ROUND + index) % teams;
@@ -160,23 +201,18 @@
       }
       this.#loopback.run(ROUND_MS);
     }
-    const placements = this.#loopback.counter("tasks_started") - before;
-    const seconds = ROUNDS * ROUND_MS / MS_PER_SECOND;
-    const extraMs = this.#spentMs - loadedMs * schedulers * seconds;
-    return {
-      placements,
-      placementUs: extraMs * MS_PER_SECOND / placements,
-    };
   }
 
   /** Takes one scheduler away and waits until others do all of its work. */
-  #recover(
-    loadedMs: number,
-  ): Pick<FleetTrialResult, "units" | "recoveryMs" | "recoveryCpuMs"> {
+  #recover(): Pick<
+    FleetTrialResult,
+    "units" | "recoveryMs" | "recoveryEventMs" | "recoveryCpuMs"
+  > {
     const { kernels } = this.#loopback;
     const units = this.#readyUnits().size;
     kernels.set(KILLED, new Kernel());
     this.#spentMs = 0;
+    this.#longestMs = 0;
     let recoveryMs = 0;
     while (
       this.#readyUnits().size < units && recoveryMs < RECOVERY_LIMIT_MS
@@ -184,9 +220,12 @@
       this.#loopback.run(RECOVERY_STEP_MS);
       recoveryMs += RECOVERY_STEP_MS;
     }
-    const usualMs = loadedMs * this.#options.schedulers * recoveryMs /
-      MS_PER_SECOND;
-    return { units, recoveryMs, recoveryCpuMs: this.#spentMs - usualMs };
+    const recoveryEventMs = this.#longestMs;
+    const spentMs = this.#spentMs;
+    const usualMs = this.#rate(recoveryMs) * this.#options.schedulers *
+      recoveryMs / MS_PER_SECOND;
+    const recoveryCpuMs = spentMs - usualMs;
+    return { units, recoveryMs, recoveryEventMs, recoveryCpuMs };
   }
 
   /** Homes that take work and slices that know what their workers run. */
--- a/packages/bench/src/scaling_benchmark.ts
+++ b/packages/bench/src/scaling_benchmark.ts
@@ -167,6 +167,26 @@
       unit: "ms",
       bound: MAX_RECOVERY_MS,
     },
+    {
+      name: "placement.messages",
+      value: result.messagesOfPlacement,
+      unit: "messages",
+    },
+    {
+      name: "placement.bytes",
+      value: result.bytesOfPlacement,
+      unit: "B",
+    },
+    {
+      name: "placement.worker-calls",
+      value: result.workerCallsOfPlacement,
+      unit: "calls",
+    },
+    {
+      name: "recovery.longest-event",
+      value: result.recoveryEventMs,
+      unit: "ms",
+    },
     { name: "recovery.cpu", value: result.recoveryCpuMs, unit: "ms" },
   ];
   return metrics.map((metric) => ({
