--- a/packages/failure-tests/src/load.ts
+++ b/packages/failure-tests/src/load.ts
@@ -195,7 +195,7 @@
 
 /** Tasks that run for longer than a lease lasts. */
 export function makeLongBatch(): DemoJob {
-  const runMs = 12_000;
+  const runMs = 10_000;
   const shape: Shape = {
     team: Team.Ovens,
     kind: Batch,
