--- a/packages/prove/src/commands.ts
+++ b/packages/prove/src/commands.ts
@@ -18,7 +18,7 @@
 } from "./fleet.ts";
 import { type Call, payloadOf, type Submission } from "./history.ts";
 import { Point } from "./point.ts";
-import type { Cluster } from "./simulation/cluster.ts";
+import { type Cluster, PLATFORM } from "./simulation/cluster.ts";
 
 /** What a run of the model may do. */
 export enum CommandKind {
@@ -52,6 +52,7 @@
   MessagesLost = "messages-lost",
   MessagesHeal = "messages-heal",
   Silence = "connection-silent",
+  StoreSilence = "platform-connection-silent",
   WorkerFails = "worker-fails-everything",
   WorkerLies = "worker-lies",
   WorkerRestarts = "worker-restarts",
@@ -261,6 +262,15 @@
     ],
     run: silence,
   },
+  [CommandKind.StoreSilence]: {
+    weight: 4,
+    points: [Point.ZoneDrain, Point.KeyWithdrawal, Point.ConfigurationInForce],
+    run: (cluster, { pick, forMs }) => {
+      cluster.noteFault();
+      const nodeId = pickNode(cluster, pick);
+      cluster.network.silence(nodeId, PLATFORM, RECONNECT_MS + forMs);
+    },
+  },
   [CommandKind.WorkerFails]: {
     weight: 3,
     points: [Point.AtMostOnce],
--- a/packages/prove/src/mutants/running_mutants_test.ts
+++ b/packages/prove/src/mutants/running_mutants_test.ts
@@ -6,6 +6,7 @@
 import { HOMES, TaskState } from "@mustardweir/home";
 import { JOURNAL_OPENED, JournalRecordKind } from "@mustardweir/journal";
 import { Role } from "@mustardweir/kernel";
+import { OWNED } from "@mustardweir/membership";
 import {
   addResources,
   type Configuration,
@@ -176,11 +177,12 @@
       }),
   },
   {
-    name: "configuration taken for confirmed while it can't be read",
+    name: "configuration and ownership taken for confirmed",
     point: Point.ZoneDrain,
     create: () =>
       new StateMutant(Role.Scheduler, (update) => {
         update.write(CONFIGURATION).confirmedAt = update.now;
+        update.write(OWNED).confirmedAt = update.now;
       }),
   },
   {
--- a/packages/prove/src/simulation/cluster.ts
+++ b/packages/prove/src/simulation/cluster.ts
@@ -77,6 +77,9 @@
   readonly submission?: Submission;
 }
 
+/** The platform as an end of connections. */
+export const PLATFORM = "platform";
+
 const ENTRY_IDS = ["e1", "e2"];
 const DEFAULT_TTL_MS = 6_000;
 
@@ -103,6 +106,7 @@
     this.store = new SimulatedStore({
       clock,
       random: this.#fork(),
+      isCutOff: (nodeId) => this.network.isSilent(nodeId, PLATFORM),
       onCommit: (transaction) => this.#noteCommit(transaction),
     });
     this.schedulerIds = [...Array(options.schedulers ?? 3).keys()]
@@ -411,15 +415,27 @@
   [EffectKind.SyncTarget]: (cluster, from, effect) =>
     cluster.syncTarget(from, effect),
   [EffectKind.ScanTable]: ({ store }, from, effect) =>
-    store.scan(effect, (result) => reply(from, effect.replyTo, result)),
+    store.scan(
+      effect,
+      from.nodeId,
+      (result) => reply(from, effect.replyTo, result),
+    ),
   [EffectKind.CommitTable]: ({ store }, from, { transaction, replyTo }) =>
-    store.commit(transaction, (result) => reply(from, replyTo, result)),
+    store.commit(
+      transaction,
+      from.nodeId,
+      (result) => reply(from, replyTo, result),
+    ),
   [EffectKind.GetObject]: ({ store }, from, { key, replyTo }) =>
-    store.getObject(key, (result) => reply(from, replyTo, result)),
+    store.getObject(key, from.nodeId, (result) => reply(from, replyTo, result)),
   [EffectKind.PutObject]: ({ store }, from, { key, body, replyTo }) =>
-    store.putObject(key, body, (result) => reply(from, replyTo, result)),
+    store.putObject(
+      { key, body },
+      from.nodeId,
+      (result) => reply(from, replyTo, result),
+    ),
   [EffectKind.ListInstances]: ({ store }, from, { replyTo }) =>
-    store.listInstances((result) => reply(from, replyTo, result)),
+    store.listInstances(from.nodeId, (result) => reply(from, replyTo, result)),
   [EffectKind.AnswerCaller]: ({ history, now }, _from, effect) => {
     const { requestId, answer } = effect;
     history.calls.get(requestId)?.answers.push({ at: now, answer });
--- a/packages/prove/src/simulation/network.ts
+++ b/packages/prove/src/simulation/network.ts
@@ -44,9 +44,8 @@
 
   /** Has `deliver` called when, and as often as, the message arrives. */
   send(from: string, to: string, deliver: () => void): void {
-    const until = this.#silentUntil.get(linkName(from, to)) ?? 0;
     const isLost = this.#random.fraction() < this.faults.lost;
-    if (this.#clock.now < until || isLost) {
+    if (this.isSilent(from, to) || isLost) {
       return;
     }
     const delay = this.#latency();
@@ -62,6 +61,11 @@
     this.#silentUntil.set(linkName(from, to), this.#clock.now + forMs);
   }
 
+  /** True while nothing comes through from one end to the other. */
+  isSilent(from: string, to: string): boolean {
+    return this.#clock.now < (this.#silentUntil.get(linkName(from, to)) ?? 0);
+  }
+
   heal(): void {
     this.faults = NO_NETWORK_FAULTS;
     this.#silentUntil.clear();
--- a/packages/prove/src/simulation/store.ts
+++ b/packages/prove/src/simulation/store.ts
@@ -43,6 +43,8 @@
 export interface StoreOptions {
   readonly clock: VirtualClock;
   readonly random: Random;
+  /** True while calls of a node don't come through. */
+  readonly isCutOff: (nodeId: string) => boolean;
   /** Told of each transaction that took effect. */
   readonly onCommit: (transaction: Transaction) => void;
 }
@@ -72,44 +74,72 @@
     );
   }
 
-  commit(transaction: Transaction, respond: Respond<CommitResult>): void {
-    this.#write(() => this.apply(transaction), respond);
+  commit(
+    transaction: Transaction,
+    from: string,
+    respond: Respond<CommitResult>,
+  ): void {
+    this.#write(() => this.apply(transaction), from, respond);
   }
 
   putObject(
-    key: string,
-    body: string,
+    { key, body }: { readonly key: string; readonly body: string },
+    from: string,
     respond: Respond<PutObjectResult>,
   ): void {
-    this.#write<PutObjectResult>(() => {
-      this.objects.set(key, body);
-      return { status: StoreStatus.Ok };
-    }, respond);
+    this.#write<PutObjectResult>(
+      () => {
+        this.objects.set(key, body);
+        return { status: StoreStatus.Ok };
+      },
+      from,
+      respond,
+    );
   }
 
   scan(
     request: { readonly prefix: string; readonly afterRevision: number },
+    from: string,
     respond: Respond<ScanResult>,
   ): void {
-    this.#read<ScanResult>(() => {
-      return { status: StoreStatus.Ok, page: this.table.scan(request) };
-    }, respond);
+    this.#read<ScanResult>(
+      () => {
+        return { status: StoreStatus.Ok, page: this.table.scan(request) };
+      },
+      from,
+      respond,
+    );
   }
 
-  getObject(key: string, respond: Respond<GetObjectResult>): void {
-    this.#read<GetObjectResult>(() => {
-      const body = this.objects.get(key);
-      return body === undefined
-        ? { status: StoreStatus.NotFound }
-        : { status: StoreStatus.Ok, body };
-    }, respond);
+  getObject(
+    key: string,
+    from: string,
+    respond: Respond<GetObjectResult>,
+  ): void {
+    this.#read<GetObjectResult>(
+      () => {
+        const body = this.objects.get(key);
+        return body === undefined
+          ? { status: StoreStatus.NotFound }
+          : { status: StoreStatus.Ok, body };
+      },
+      from,
+      respond,
+    );
   }
 
-  listInstances(respond: Respond<ListInstancesResult>): void {
-    this.#read<ListInstancesResult>(() => ({
-      status: StoreStatus.Ok,
-      instances: this.#list.read(this.#options.clock.now),
-    }), respond);
+  listInstances(
+    from: string,
+    respond: Respond<ListInstancesResult>,
+  ): void {
+    this.#read<ListInstancesResult>(
+      () => ({
+        status: StoreStatus.Ok,
+        instances: this.#list.read(this.#options.clock.now),
+      }),
+      from,
+      respond,
+    );
   }
 
   /** Puts an instance on the list, which shows it after its lag. */
@@ -120,22 +150,26 @@
 
   #write<Result>(
     act: () => Result,
+    from: string,
     respond: Respond<Result | { readonly status: StoreStatus.Unknown }>,
   ): void {
-    const { random, clock } = this.#options;
-    const isLate = random.fraction() < this.faults.lateWrites;
+    const { random, clock, isCutOff } = this.#options;
+    const isSilent = isCutOff(from);
+    const isLate = !isSilent && random.fraction() < this.faults.lateWrites;
     const isLost = random.fraction() < this.faults.answersLost;
     if (isLate && !this.faults.down) {
       clock.after(CALL_TIMEOUT_MS * (0.5 + random.fraction()), act);
     }
-    this.#call(act, { respond, isSilent: isLate, isLost });
+    this.#call(act, { respond, isSilent: isSilent || isLate, isLost });
   }
 
   #read<Result>(
     act: () => Result,
+    from: string,
     respond: Respond<Result | { readonly status: StoreStatus.Unknown }>,
   ): void {
-    this.#call(act, { respond, isSilent: false, isLost: false });
+    const isSilent = this.#options.isCutOff(from);
+    this.#call(act, { respond, isSilent, isLost: false });
   }
 
   #call<Result>(act: () => Result, options: CallOptions<Result>): void {
