--- a/packages/bench/src/scaling/fleet_trial.ts
+++ b/packages/bench/src/scaling/fleet_trial.ts
@@ -17,6 +17,8 @@
   readonly schedulers: number;
   /** Tasks that run in the whole fleet. */
   readonly runningTasks: number;
+  /** Requests offered to the whole fleet in a second. */
+  readonly startsPerSecond: number;
 }
 
 export interface FleetTrialResult {
@@ -61,7 +63,6 @@
 const TRAFFIC_MS = 2_000;
 const ROUND_MS = 10;
 const ROUNDS = 100;
-const REQUESTS_PER_ROUND = 30;
 const RECOVERY_STEP_MS = 50;
 const RECOVERY_LIMIT_MS = 60_000;
 const MS_PER_SECOND = 1_000;
@@ -188,15 +189,16 @@
   }
 
   #offerRequests(): void {
-    const { teams } = this.#options;
+    const { teams, startsPerSecond } = this.#options;
+    const requests = startsPerSecond * ROUND_MS / MS_PER_SECOND;
     for (let round = 0; round < ROUNDS; round++) {
-      for (let index = 0; index < REQUESTS_PER_ROUND; index++) {
-        const team = (round * REQUESTS_PER_ROUND + index) % teams;
+      for (let index = 0; index < requests; index++) {
+        const team = (round * requests + index) % teams;
         this.#loopback.submit(teamName(team), {
           kind: JobKind.Request,
           cpu: 0.5,
           memoryMb: 256,
-          payload: JSON.stringify({ runMs: 20 + index }),
+          payload: JSON.stringify({ runMs: 20 + index % 60 }),
         });
       }
       this.#loopback.run(ROUND_MS);
--- a/packages/bench/src/scaling_benchmark.ts
+++ b/packages/bench/src/scaling_benchmark.ts
@@ -25,6 +25,7 @@
     teams: 6,
     schedulers: 6,
     runningTasks: 300,
+    startsPerSecond: 3_000,
     isBounded: true,
   },
   {
@@ -35,6 +36,7 @@
     teams: 6,
     schedulers: 6,
     runningTasks: 3_000,
+    startsPerSecond: 3_000,
     isBounded: false,
   },
   {
@@ -45,6 +47,7 @@
     teams: 180,
     schedulers: 6,
     runningTasks: 20_000,
+    startsPerSecond: 3_000,
     isBounded: false,
   },
   {
@@ -55,6 +58,7 @@
     teams: 6,
     schedulers: 6,
     runningTasks: 30_000,
+    startsPerSecond: 3_000,
     isBounded: false,
   },
   {
@@ -65,6 +69,7 @@
     teams: 180,
     schedulers: 60,
     runningTasks: 200_000,
+    startsPerSecond: 17_000,
     isBounded: false,
   },
 ];
@@ -92,7 +97,7 @@
 }
 
 function describe(
-  { name, isBounded, runningTasks }: ScalingCase,
+  { name, isBounded, runningTasks, startsPerSecond }: ScalingCase,
   result: FleetTrialResult,
 ): Metric[] {
   const { idleTraffic, loadedTraffic } = result;
@@ -158,7 +163,7 @@
       name: "placements",
       value: result.placements,
       unit: "tasks",
-      bound: 3_000,
+      bound: startsPerSecond,
       boundKind: BoundKind.AtLeast,
     },
     {
