--- /dev/null
+++ b/packages/prove/src/commands/edits.ts
@@ -0,0 +1,128 @@
+/** Commands of operators. */
+import {
+  type Configuration,
+  ConfigurationSection,
+  ZoneState,
+} from "@mustardweir/model";
+import { CallerCallKind } from "@mustardweir/protocol";
+import {
+  FLEET,
+  INITIAL_CONFIGURATION,
+  OPERATOR_KEY,
+  TEAMS,
+  ZONES,
+} from "../fleet.ts";
+import { type Call } from "../history.ts";
+import type { Cluster } from "../simulation/cluster.ts";
+import type { Command } from "./command.ts";
+import { pickEntry, pickFrom } from "./picks.ts";
+
+/** An edit against the newest version there is. */
+export function editLatest(
+  cluster: Cluster,
+  section: ConfigurationSection,
+  change: (current: Configuration) => unknown,
+  entryIndex = 0,
+): Call {
+  const { configuration } = cluster.history.versions.at(-1)!;
+  return cluster.call({
+    kind: CallerCallKind.EditConfiguration,
+    section,
+    body: change(configuration),
+    ifMatch: configuration.version,
+  }, { entryId: pickEntry(cluster, entryIndex), keyId: OPERATOR_KEY });
+}
+
+export function grantKey(cluster: Cluster, { pick, other }: Command): void {
+  const key = pickFrom(INITIAL_CONFIGURATION.keys, pick)!;
+  editLatest(cluster, ConfigurationSection.Keys, ({ keys }) => [
+    ...keys.filter(({ id }) => id !== key.id),
+    key,
+  ], other);
+}
+
+/** Withdraws a key and goes on using it. */
+export function withdrawKey(cluster: Cluster, { pick, other }: Command): void {
+  const { id, team } = pickFrom(INITIAL_CONFIGURATION.keys, pick)!;
+  editLatest(
+    cluster,
+    ConfigurationSection.Keys,
+    ({ keys }) => keys.filter((key) => key.id !== id),
+    other,
+  );
+  for (const delayMs of [500, 2_500, 4_500, 7_000, 10_000]) {
+    cluster.clock.after(delayMs, () => {
+      const entryId = pickEntry(cluster, other + delayMs / 500);
+      const call = { kind: CallerCallKind.List } as const;
+      cluster.call(call, { entryId, keyId: id, team });
+    });
+  }
+}
+
+/** Two edits of one version, through both entries. */
+export function raceEdits(cluster: Cluster, { pick }: Command): void {
+  const zone = ZONES[pick % ZONES.length]!;
+  editLatest(cluster, ConfigurationSection.Zones, ({ zones }) => ({
+    ...zones,
+    [zone]: ZoneState.Draining,
+  }), 0);
+  editLatest(
+    cluster,
+    ConfigurationSection.Rules,
+    ({ rules }) => withCeiling(rules, TEAMS[pick % TEAMS.length]!, 3),
+    1,
+  );
+}
+
+export function setZone(
+  cluster: Cluster,
+  { pick, other }: Command,
+  state: ZoneState,
+): void {
+  const zone = ZONES[pick % ZONES.length]!;
+  editLatest(cluster, ConfigurationSection.Zones, ({ zones }) => ({
+    ...zones,
+    [zone]: state,
+  }), other);
+}
+
+export function setCeiling(
+  cluster: Cluster,
+  command: Command,
+  tasks: number,
+): void {
+  const team = TEAMS[command.pick % TEAMS.length]!;
+  editLatest(
+    cluster,
+    ConfigurationSection.Rules,
+    ({ rules }) => withCeiling(rules, team, tasks),
+    command.other,
+  );
+}
+
+export function withCeiling(
+  rules: Configuration["rules"],
+  name: string,
+  tasks: number,
+): Configuration["rules"] {
+  const teams = rules.teams.map((team) =>
+    team.name === name ? { ...team, ceiling: { tasks } } : team
+  );
+  return { ...rules, teams };
+}
+
+export function removeInstance(
+  cluster: Cluster,
+  { pick, other }: Command,
+): void {
+  const { instanceId } = pickFrom(FLEET, pick)!;
+  editLatest(cluster, ConfigurationSection.Inventory, ({ inventory }) => ({
+    availabilityZones: inventory.availabilityZones.map((zone) => ({
+      ...zone,
+      racks: zone.racks.map((rack) => ({
+        ...rack,
+        instances: rack.instances.filter(({ id }) => id !== instanceId),
+      })),
+    })),
+  }), other);
+}
--- /dev/null
+++ b/packages/prove/src/commands/faults.ts
@@ -0,0 +1,75 @@
+/** Commands that bring faults and stops. */
+import { FLEET } from "../fleet.ts";
+import type { Cluster } from "../simulation/cluster.ts";
+import type { Command } from "./command.ts";
+import { pickFrom, pickNode } from "./picks.ts";
+
+/** Ways of a link to go silent: one, or both. */
+const SILENT_WAYS = 3;
+
+/** A fresh connection takes the place of a silent one within this time. */
+export const RECONNECT_MS = 3_000;
+
+/** The platform's list shows the instance as leaving. */
+export function leaveTarget(cluster: Cluster, { pick }: Command): void {
+  const { instanceId } = pickFrom(FLEET, pick)!;
+  cluster.leaveTarget(instanceId);
+}
+
+export function pause(cluster: Cluster, { pick, forMs }: Command): void {
+  const nodeId = pickNode(cluster, pick);
+  const node = cluster.nodes.get(nodeId)!;
+  cluster.pause(nodeId);
+  cluster.clock.after(1_000 + forMs * 2, () => node.resume());
+}
+
+export function replace(cluster: Cluster, { pick, forMs }: Command): void {
+  const nodeId = pickNode(cluster, pick);
+  cluster.kill(nodeId);
+  cluster.clock.after(forMs, () => cluster.start(nodeId));
+}
+
+export function plannedStop(cluster: Cluster, { pick, forMs }: Command): void {
+  const nodeId = pickNode(cluster, pick);
+  cluster.stop(nodeId);
+  cluster.clock.after(10_500 + forMs, () => cluster.start(nodeId));
+}
+
+export function spoilStore(
+  cluster: Cluster,
+  faults: Partial<Cluster["store"]["faults"]>,
+): void {
+  cluster.noteFault();
+  cluster.spoilStore({ ...cluster.store.faults, ...faults });
+}
+
+export function spoilNetwork(
+  cluster: Cluster,
+  faults: Partial<Cluster["network"]["faults"]>,
+): void {
+  cluster.noteFault();
+  cluster.network.faults = { ...cluster.network.faults, ...faults };
+}
+
+/** A connection loses one direction for good; a fresh one comes later. */
+export function silence(
+  cluster: Cluster,
+  { pick, other, forMs }: Command,
+): void {
+  cluster.noteFault();
+  const ends = [
+    ...cluster.schedulerIds,
+    ...cluster.entryIds,
+    ...cluster.workers.keys(),
+  ];
+  const from = cluster.schedulerIds[pick % cluster.schedulerIds.length]!;
+  const to = ends[other % ends.length]!;
+  const silentMs = RECONNECT_MS + forMs;
+  const way = pick % SILENT_WAYS;
+  if (way !== 0) {
+    cluster.network.silence(from, to, silentMs);
+  }
+  if (way !== 1) {
+    cluster.network.silence(to, from, silentMs);
+  }
+}
--- a/packages/prove/src/simulation/cluster.ts
+++ b/packages/prove/src/simulation/cluster.ts
@@ -13,14 +13,11 @@
 } from "@mustardweir/model";
 import {
   ALL_PEERS,
-  answerPayload,
   CALLER_REQUESTED,
   type CallerCall,
-  EffectKind,
   type NodeEffect,
   PEER_MESSAGE_RECEIVED,
   type PeerMessage,
-  type ReplyTo,
   STOP_REQUESTED,
   type SyncResult,
   SyncResultKind,
@@ -38,6 +35,7 @@
 import { type Call, History, type Submission } from "../history.ts";
 import { Network } from "./network.ts";
 import { ProcessState, SimulatedNode } from "./node.ts";
+import { type Perform, PERFORMERS, reply } from "./performers.ts";
 import { NO_STORE_FAULTS, SimulatedStore, type StoreFaults } from "./store.ts";
 import { Tampering } from "./tampering.ts";
 import { VirtualClock } from "./virtual_clock.ts";
@@ -397,64 +395,6 @@
   }
 }
 
-type Perform<Kind> = (
-  cluster: Cluster,
-  from: SimulatedNode,
-  effect: Kind,
-) => void;
-
-type Performers = {
-  readonly [Kind in EffectKind]: Perform<Extract<NodeEffect, { kind: Kind }>>;
-};
-
-function ignore(): void {}
-
-const PERFORMERS: Performers = {
-  [EffectKind.SendPeer]: (cluster, from, { to, message }) =>
-    cluster.sendPeer(from, to, message),
-  [EffectKind.SyncTarget]: (cluster, from, effect) =>
-    cluster.syncTarget(from, effect),
-  [EffectKind.ScanTable]: ({ store }, from, effect) =>
-    store.scan(
-      effect,
-      from.nodeId,
-      (result) => reply(from, effect.replyTo, result),
-    ),
-  [EffectKind.CommitTable]: ({ store }, from, { transaction, replyTo }) =>
-    store.commit(
-      transaction,
-      from.nodeId,
-      (result) => reply(from, replyTo, result),
-    ),
-  [EffectKind.GetObject]: ({ store }, from, { key, replyTo }) =>
-    store.getObject(key, from.nodeId, (result) => reply(from, replyTo, result)),
-  [EffectKind.PutObject]: ({ store }, from, { key, body, replyTo }) =>
-    store.putObject(
-      { key, body },
-      from.nodeId,
-      (result) => reply(from, replyTo, result),
-    ),
-  [EffectKind.ListInstances]: ({ store }, from, { replyTo }) =>
-    store.listInstances(from.nodeId, (result) => reply(from, replyTo, result)),
-  [EffectKind.AnswerCaller]: ({ history, now }, _from, effect) => {
-    const { requestId, answer } = effect;
-    history.calls.get(requestId)?.answers.push({ at: now, answer });
-  },
-  [EffectKind.Stopped]: (cluster, from) => cluster.noteStopped(from),
-  [EffectKind.ConnectPeers]: ignore,
-  [EffectKind.Count]: ignore,
-  [EffectKind.Observe]: ignore,
-  [EffectKind.LogChange]: ignore,
-};
-
-function reply<Result>(
-  node: SimulatedNode,
-  replyTo: ReplyTo<Result>,
-  result: Result,
-): void {
-  node.post(replyTo.command, answerPayload(replyTo, result));
-}
-
 function addressOf(nodeId: string) {
   return { nodeId, address: `${nodeId}:1` };
 }
