--- a/packages/configuration/src/follower.ts
+++ b/packages/configuration/src/follower.ts
@@ -39,7 +39,7 @@
 import { CONFIGURATION, CONFIGURATION_CHANGED } from "./state.ts";
 
 /** Time between scans for a newer version, in milliseconds. */
-export const SCAN_INTERVAL_MS = 500;
+export const SCAN_INTERVAL_MS = 1_000;
 
 /** A scan without an answer is given up after this, in milliseconds. */
 export const SCAN_TIMEOUT_MS = 3_000;
--- a/packages/journal/src/journal_plugin.ts
+++ b/packages/journal/src/journal_plugin.ts
@@ -49,7 +49,7 @@
 const RETRY_MS = 200;
 
 /** Time between looks for work that was put off, in milliseconds. */
-const PULSE_MS = 50;
+const PULSE_MS = 100;
 
 /** Most records in one row; the rest waits for the next write. */
 const MAX_RECORDS_PER_ROW = 2_000;
--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -172,7 +172,7 @@
     }
     return this.update(now, (update) => {
       for (const entry of due) {
-        entry.due = now + entry.options.intervalMs;
+        entry.due = nextMultiple(now, entry.options.intervalMs);
         entry.options.run(update);
       }
     });
@@ -257,3 +257,11 @@
     this.#open = false;
   }
 }
+
+/**
+ * The next time that is a multiple of `intervalMs`: work of different plug-ins
+ * falls due together, so that an idle process wakes less often.
+ */
+function nextMultiple(now: number, intervalMs: number): number {
+  return (Math.floor(now / intervalMs) + 1) * intervalMs;
+}
--- a/packages/membership/src/confirmation_plugin.ts
+++ b/packages/membership/src/confirmation_plugin.ts
@@ -33,7 +33,7 @@
 const REQUEST_INTERVAL_MS = 500;
 
 /** A table that was not read for this long is taken for unreadable. */
-const BLIND_AFTER_MS = 1_200;
+const BLIND_AFTER_MS = 2_000;
 
 /** Announcements without a majority are forgotten after this time. */
 const ANNOUNCEMENT_TTL_MS = 2_000;
--- a/packages/membership/src/follower_plugin.ts
+++ b/packages/membership/src/follower_plugin.ts
@@ -35,7 +35,7 @@
 import { PEERS } from "./peers.ts";
 
 /** Time between scans of the ownership rows, in milliseconds. */
-const SCAN_INTERVAL_MS = 500;
+const SCAN_INTERVAL_MS = 1_000;
 
 /** A scan without an answer for this long is given up, in milliseconds. */
 const SCAN_TIMEOUT_MS = 3_000;
--- a/packages/slice/src/target_calls.ts
+++ b/packages/slice/src/target_calls.ts
@@ -16,10 +16,13 @@
 import type { Slice, SliceTask, Worker } from "./slice_state.ts";
 
 /** How long a worker may wait for news before it answers. */
-const POLL_WAIT_MS = 1_000;
+const POLL_WAIT_MS = 2_000;
 
-/** Time after which a call without an answer is given up. */
-const CALL_TIMEOUT_MS = 2_500;
+/** Time after which a call for news without an answer is given up. */
+const POLL_TIMEOUT_MS = 3_500;
+
+/** Time after which a call with commands is given up and repeated. */
+const COMMAND_TIMEOUT_MS = 1_500;
 
 export interface SyncContext {
   readonly sliceId: string;
@@ -95,7 +98,7 @@
     instanceId: worker.instanceId,
     address: worker.address,
     call,
-    timeoutMs: CALL_TIMEOUT_MS,
+    timeoutMs: isPoll ? POLL_TIMEOUT_MS : COMMAND_TIMEOUT_MS,
     replyTo: replyTo(TARGET_SYNCED, context),
   }));
 }
--- a/packages/slice/src/workers.ts
+++ b/packages/slice/src/workers.ts
@@ -41,7 +41,7 @@
 const SILENT_RETRY_MS = 500;
 
 /** A worker not heard from for this long gets no new work. */
-const SILENT_AFTER_MS = 3_000;
+const SILENT_AFTER_MS = 4_500;
 
 /** A worker that refused a start for want of room gets none for this long. */
 const FULL_PAUSE_MS = 5_000;
