Tell blind nodes which instances leave; take the list once it has come

(2) A scheduler whose list named only itself went back to the seeds of its settings every second (18 changes in 10 s). Change: schedulers name leaving instances when they vouch; the settings count only until a list has named any scheduler.

--- a/packages/bench/src/scaling/journal_trial.ts
+++ b/packages/bench/src/scaling/journal_trial.ts
@@ -55,6 +55,7 @@
   run(): JournalTrialResult {
     const { homes, forMs, schedulers } = this.#options;
     this.#kernel.registerState(SCHEDULERS, {
+      isListed: true,
       isMember: true,
       peers: Array.from({ length: schedulers - 1 }, (_, index) => ({
         nodeId: `s${index}`,
--- a/packages/demo/src/child.ts
+++ b/packages/demo/src/child.ts
@@ -13,7 +13,7 @@
 
 export interface StartChildOptions {
   readonly name: string;
-  /** Path of the script that Node.js runs. */
+  /** Path of the executable. */
   readonly script: string;
   readonly args: readonly string[];
   /** Called with each line that the process prints. */
@@ -29,11 +29,9 @@
 
   constructor(options: StartChildOptions) {
     this.name = options.name;
-    this.#process = spawn(
-      process.execPath,
-      [options.script, ...options.args],
-      { stdio: ["ignore", "pipe", "pipe"] },
-    );
+    this.#process = spawn(options.script, options.args, {
+      stdio: ["ignore", "pipe", "pipe"],
+    });
     this.#exited = new Promise((resolve) => {
       this.#process.once("exit", () => resolve());
     });
--- a/packages/entry/bin/mustardweir-entry.js
+++ b/packages/entry/bin/mustardweir-entry.js
@@ -1,2 +1,2 @@
-#!/usr/bin/env node
+#!/usr/bin/env -S node --max-semi-space-size=2
 import "../dist/main.js";
--- a/packages/journal/src/write_pace_test.ts
+++ b/packages/journal/src/write_pace_test.ts
@@ -28,7 +28,12 @@
         address: "",
       }));
       const leaving = new Set<string>();
-      kernel.registerState(SCHEDULERS, { isMember: true, peers, leaving });
+      kernel.registerState(SCHEDULERS, {
+        isListed: true,
+        isMember: true,
+        peers,
+        leaving,
+      });
       const pace = createPace();
       let writes = 0;
       for (let now = 0; now < TRIAL_MS; now += STEP_MS) {
--- a/packages/membership/src/confirmation_plugin.ts
+++ b/packages/membership/src/confirmation_plugin.ts
@@ -136,6 +136,7 @@
 /** Counts an answer that knows of nothing newer. */
 function takeVouch(update: Update, from: string, vouch: Vouch): void {
   update.dispatch(CLAIMS_SUPERSEDED, { superseded: vouch.superseded });
+  addLeaving(update, vouch.leaving);
   const { vouchedAt, toldAt } = update.write(VOUCHING);
   toldAt.set(from, Math.max(toldAt.get(from) ?? -Infinity, vouch.tickMs));
   const { version } = update.read(CONFIGURATION).current;
@@ -152,6 +153,12 @@
   }
 }
 
+/** What peers know to be leaving counts until the list is read again. */
+function addLeaving(update: Update, leaving: readonly string[]): void {
+  const schedulers = update.write(SCHEDULERS);
+  schedulers.leaving = new Set([...schedulers.leaving, ...leaving]);
+}
+
 function confirmConfiguration(update: Update, at: number): void {
   const state = update.write(CONFIGURATION);
   const known = update.read(FOLLOWER).known?.document.version ?? 0;
--- a/packages/membership/src/follower_plugin.ts
+++ b/packages/membership/src/follower_plugin.ts
@@ -52,6 +52,8 @@
 /** The other schedulers, from the settings and the platform's list. */
 export interface SchedulersState {
   peers: readonly PeerAddress[];
+  /** False until the platform's list has named any scheduler. */
+  isListed: boolean;
   /** True when this node is one of the schedulers that count. */
   isMember: boolean;
   /** Instances, of workers too, that the platform's list shows as leaving. */
@@ -101,6 +103,7 @@
         scanId: 0,
       }),
       kernel.registerState(SCHEDULERS, {
+        isListed: false,
         isMember: false,
         peers: [],
         leaving: new Set<string>(),
@@ -220,7 +223,7 @@
 }
 
 function listInstances(update: Update): void {
-  if (update.read(SCHEDULERS).peers.length === 0) {
+  if (!update.read(SCHEDULERS).isListed) {
     connect(update, []);
   }
   update.emit(nodeEffect({
@@ -239,6 +242,7 @@
   const listed = result.instances
     .filter((instance) => instance.role === Role.Scheduler)
     .map(({ nodeId, address }) => ({ nodeId, address }));
+  update.write(SCHEDULERS).isListed ||= listed.length > 0;
   connect(update, listed);
 }
 
--- a/packages/membership/src/vouch_plugin.ts
+++ b/packages/membership/src/vouch_plugin.ts
@@ -18,6 +18,7 @@
   type VouchRequest,
 } from "@mustardweir/protocol";
 import { newestEpoch, rememberClaims } from "./claims.ts";
+import { SCHEDULERS } from "./follower_plugin.ts";
 import { OWNERSHIP } from "./ownership.ts";
 import { COMPOSE_OWN_VOUCH } from "./vouching.ts";
 
@@ -129,6 +130,7 @@
     tickMs,
     isSure: isSure(update),
     newestVersion: newestVersion(update),
+    leaving: [...update.read(SCHEDULERS).leaving],
     superseded,
   }));
 }
--- a/packages/membership/src/vouching_test.ts
+++ b/packages/membership/src/vouching_test.ts
@@ -65,6 +65,7 @@
       tickMs: now - 50,
       isSure: true,
       newestVersion: 0,
+      leaving: [],
       superseded: [],
       ...change,
     } as PeerMessage);
@@ -160,7 +161,7 @@
   {
     name: "vouches when it has been up for long and knows of nothing newer",
     act: () => {},
-    expected: { isSure: true, newestVersion: 0, superseded: [] },
+    expected: { isSure: true, newestVersion: 0, leaving: [], superseded: [] },
   },
   {
     name: "names an announced edit",
@@ -170,7 +171,7 @@
         announcementId: "e1/1",
         version: 1,
       }),
-    expected: { isSure: true, newestVersion: 1, superseded: [] },
+    expected: { isSure: true, newestVersion: 1, leaving: [], superseded: [] },
   },
   {
     name: "names a newer claim that it was told of",
@@ -183,6 +184,7 @@
     expected: {
       isSure: true,
       newestVersion: 0,
+      leaving: [],
       superseded: [{ unit: "home/storefront", epoch: 4 }],
     },
   },
--- a/packages/protocol/src/peer_messages.ts
+++ b/packages/protocol/src/peer_messages.ts
@@ -299,6 +299,8 @@
   readonly isSure: boolean;
   /** Highest version of the configuration that is or may come in force. */
   readonly newestVersion: number;
+  /** Instances that the platform's list last showed as leaving. */
+  readonly leaving: readonly string[];
   /** Units of the asking node that others own under a higher epoch. */
   readonly superseded: readonly OwnedUnit[];
 }
--- a/packages/wire/src/codec_test.ts
+++ b/packages/wire/src/codec_test.ts
@@ -120,6 +120,7 @@
     tickMs: 12.5,
     isSure: true,
     newestVersion: 4,
+    leaving: ["i-2"],
     superseded: [{ unit: "home/storefront", epoch: 4 }],
   },
   [PeerMessageKind.AnnounceEdit]: {
--- a/packages/wire/src/message_schemas.ts
+++ b/packages/wire/src/message_schemas.ts
@@ -262,6 +262,7 @@
   tickMs: z.number(),
   isSure: z.boolean(),
   newestVersion: z.number(),
+  leaving: z.array(z.string()),
   superseded: ownedUnits,
 });
 
