--- a/packages/membership/src/vouching_test.ts
+++ b/packages/membership/src/vouching_test.ts
@@ -17,6 +17,7 @@
   OWNED,
   OWNERSHIP,
   OwnershipFollowerPlugin,
+  SCHEDULERS,
   VouchPlugin,
   WRITE_LIFETIME_MS,
 } from "./mod.ts";
@@ -221,6 +222,12 @@
     });
   }
 
+  it("takes over which instances leave", () => {
+    const node = new HandDriven();
+    node.vouch(START + 100, "s2", { leaving: ["i-2"] });
+    expect([...node.kernel.read(SCHEDULERS).leaving]).to.deep.equal(["i-2"]);
+  });
+
   it("gives a unit up that a vouching peer knows a newer owner of", () => {
     const node = new HandDriven();
     node.own("home/storefront", 3);
