--- a/packages/home/src/home_plugin.ts
+++ b/packages/home/src/home_plugin.ts
@@ -28,7 +28,8 @@
 import { applyAnswers, applyEvents } from "./answers.ts";
 import { handleCall } from "./calls.ts";
 import { pump } from "./dispatch.ts";
-import { applyInventory, fenceSlices } from "./fencing.ts";
+import { applyInventory } from "./adoption.ts";
+import { fenceSlices } from "./fencing.ts";
 import { findHome, type Home, HomePhase, HOMES } from "./home_state.ts";
 import { applyCommitted } from "./records.ts";
 import { closeHome, loadRecords, openHome } from "./recovery.ts";
--- a/packages/home/src/recovery.ts
+++ b/packages/home/src/recovery.ts
@@ -9,7 +9,8 @@
 import { JobKind, NO_RESOURCES } from "@mustardweir/model";
 import { logChange } from "@mustardweir/protocol";
 import { continueCancel } from "./cancel.ts";
-import { activate, fenceSlices } from "./fencing.ts";
+import { activate } from "./activation.ts";
+import { fenceSlices } from "./fencing.ts";
 import {
   type Home,
   type HomeJob,
