Show 0 waiting for idle teams whose home is heard

Cause: heartbeats leave out teams that use and want nothing since, and the entry took a team that no heartbeat names for one that it knows nothing of: teams and top showed ? for each idle team. The other way round, joined words of slices had a waiting of 0 though no home was heard. Ruled out: naming idle teams in heartbeats again, for their size. Change: waiting is told exactly when a live scheduler owns the team's home, and is 0 when its heartbeat leaves the team out.

--- a/packages/admission/src/admission_test.ts
+++ b/packages/admission/src/admission_test.ts
@@ -465,6 +465,28 @@
   },
 ] as const;
 
+const HOME = { unit: "home/storefront", epoch: 1 };
+
+/** What `storefront` waits for, by what one scheduler tells. */
+const WAITING_CASES = [
+  { name: "what the home tells", owned: [HOME], told: 4, age: 0, waiting: 4 },
+  { name: "0 for an idle home", owned: [HOME], age: 0, waiting: 0 },
+  { name: "nothing without a home", owned: [], age: 0, waiting: undefined },
+  {
+    name: "nothing without a home, though a slice runs its work",
+    owned: [],
+    told: 0,
+    age: 0,
+    waiting: undefined,
+  },
+  {
+    name: "nothing when the home's owner is silent",
+    owned: [HOME],
+    age: 2_000,
+    waiting: undefined,
+  },
+] as const;
+
 describe("Checks of a call", () => {
   for (const { name, key, call, refusal, message } of CHECK_CASES) {
     it(`${refusal ? "refuses" : "takes"} ${name}`, () => {
@@ -522,3 +544,21 @@
     });
   }
 });
+
+describe("Queues of teams", () => {
+  for (const { name, owned, age, waiting, ...rest } of WAITING_CASES) {
+    it(`show ${name}`, () => {
+      const bench = new Bench();
+      const usage = "told" in rest
+        ? [{ team: "storefront", used: ONE, waiting: rest.told }]
+        : [];
+      bench.hear({ nodeId: "s1", owned, usage });
+      bench.now += age;
+      bench.confirm();
+      bench.request("v1", { kind: CallerCallKind.Teams });
+      const answer = bench.lastAnswer;
+      const teams = answer && "teams" in answer ? answer.teams : [];
+      expect(teams[0]?.waiting).to.equal(waiting);
+    });
+  }
+});
--- a/packages/admission/src/standing.ts
+++ b/packages/admission/src/standing.ts
@@ -31,6 +31,7 @@
   const total = totals.reduce(addResources, NO_RESOURCES);
   const used = usageByTeam(heartbeats);
   const waiting = waitingByTeam(heartbeats);
+  const owned = ownedUnits(heartbeats);
   const { teams } = current.rules;
   const shares = teams.reduce((sum, team) => sum + team.share, 0);
   return {
@@ -44,7 +45,8 @@
         used: usage,
         dominantShare: dominantShare(usage, total),
         entitlement: share / shares,
-        waiting: waiting.get(name),
+        // Heartbeats leave out teams that use and want nothing.
+        waiting: owned.has(homeUnit(name)) ? waiting.get(name) ?? 0 : undefined,
       };
     }),
     configurationVersion: current.version,
@@ -76,8 +78,7 @@
 function missingParts(update: Update): MissingParts {
   const heartbeats = aliveHeartbeats(update);
   const slices = newestSlices(heartbeats);
-  const units = heartbeats.flatMap(({ owned }) => owned.map((o) => o.unit));
-  const owned = new Set(units);
+  const owned = ownedUnits(heartbeats);
   const alive = new Set(heartbeats.map(({ nodeId }) => nodeId));
   const { teams } = update.read(CONFIGURATION).current.rules;
   return {
@@ -111,6 +112,12 @@
     .map((view) => view.heartbeat);
 }
 
+function ownedUnits(heartbeats: readonly Heartbeat[]): Set<string> {
+  return new Set(
+    heartbeats.flatMap(({ owned }) => owned.map(({ unit }) => unit)),
+  );
+}
+
 function newestSlices(
   heartbeats: readonly Heartbeat[],
 ): Map<string, SliceSummary> {
