Call schedulers that are not heard from silent

Cause: status showed up for each scheduler that did not stop as planned, also for one that was killed 19 s before. Ruled out: a limit of the command line's own, which could differ from the schedulers'; the entry names as missing who is silent beyond PEER_TIMEOUT_MS. Change: status and top show silent for those. The tables are made apart from the lines of what is missing, which top shows once. Before: the new row fails.

--- a/packages/cli/src/commands/top_command.ts
+++ b/packages/cli/src/commands/top_command.ts
@@ -4,9 +4,9 @@
 import type { EntryClient } from "../entry_client.ts";
 import {
   type FleetReply,
-  formatFleet,
   formatMissing,
-  formatTeams,
+  listFleet,
+  listTeams,
   type TeamsReply,
 } from "../format.ts";
 import {
@@ -87,18 +87,14 @@
   }
   const teams = await client.call({ method: "GET", path: "/v1/teams" });
   return teams.map((json) => {
-    const { missingSlices: _slices, missingHomes: _homes, ...rest } = fleet
-      .value as FleetReply;
-    const zones = formatFleet({ ...rest, missingSchedulers: [] });
-    const shares = formatTeams({
-      ...json as TeamsReply,
-      missingSlices: [],
-      missingHomes: [],
-      missingSchedulers: [],
-    });
-    const missing = formatMissing(json as TeamsReply);
-    const text = [zones, "", shares, ...missing].join("\n");
-    return { text: withStamp(text, json as TeamsReply) };
+    const shares = json as TeamsReply;
+    const text = [
+      ...listFleet(fleet.value as FleetReply),
+      "",
+      ...listTeams(shares),
+      ...formatMissing(shares),
+    ].join("\n");
+    return { text: withStamp(text, shares) };
   });
 }
 
--- a/packages/cli/src/format.ts
+++ b/packages/cli/src/format.ts
@@ -59,6 +59,11 @@
 
 /** A table of the teams, then what is missing from it. */
 export function formatTeams(reply: TeamsReply): string {
+  return [...listTeams(reply), ...formatMissing(reply)].join("\n");
+}
+
+/** The lines of the table of the teams. */
+export function listTeams(reply: TeamsReply): string[] {
   const rows = reply.teams.map((team) => [
     team.team,
     String(team.share ?? UNKNOWN),
@@ -73,12 +78,16 @@
   ]);
   const head =
     "TEAM SHARE ENTITLED USES CEILING WAITING CPU MEMORY-MB ACCELERATORS TASKS";
-  return [...alignColumns([head.split(" "), ...rows]), ...formatMissing(reply)]
-    .join("\n");
+  return alignColumns([head.split(" "), ...rows]);
 }
 
 /** Tables of availability zones and schedulers, then what is missing. */
 export function formatFleet(reply: FleetReply): string {
+  return [...listFleet(reply), ...formatMissing(reply)].join("\n");
+}
+
+/** The lines of the tables of availability zones and schedulers. */
+export function listFleet(reply: FleetReply): string[] {
   const zones = reply.availabilityZones.map((zone) => [
     zone.availabilityZone,
     zone.state,
@@ -91,7 +100,7 @@
   const schedulers = reply.schedulers.map((scheduler) => [
     scheduler.nodeId,
     scheduler.availabilityZone,
-    scheduler.isStopping ? "stopping" : "up",
+    describeScheduler(scheduler, reply.missingSchedulers),
     String(scheduler.configurationVersion),
     String(scheduler.owned),
     `${(scheduler.silentMs / 1000).toFixed(1)} s ago`,
@@ -108,8 +117,7 @@
       "SCHEDULER ZONE STATE CONFIG OWNS HEARD".split(" "),
       ...schedulers,
     ]),
-    ...formatMissing(reply),
-  ].join("\n");
+  ];
 }
 
 /** One line for each key. */
@@ -158,6 +166,17 @@
   return `${(fraction * 100).toFixed(1)}%`;
 }
 
+/** The entry names as missing who is silent for longer than its peers wait. */
+function describeScheduler(
+  { nodeId, isStopping }: SchedulerStanding,
+  missing: readonly string[] = [],
+): string {
+  if (missing.includes(nodeId)) {
+    return "silent";
+  }
+  return isStopping ? "stopping" : "up";
+}
+
 function formatCeiling(ceiling: Ceiling = {}): string {
   const limits = Object.entries(ceiling).map(([name, limit]) =>
     `${name}=${limit}`
--- a/packages/cli/src/program_test.ts
+++ b/packages/cli/src/program_test.ts
@@ -89,18 +89,19 @@
     missingSchedulers: [],
   },
 };
+const SCHEDULER = {
+  nodeId: "s1",
+  availabilityZone: "tx-a",
+  configurationVersion: 4,
+  isStopping: false,
+  silentMs: 240,
+  owned: 2,
+};
 const FLEET = {
   status: 200,
   body: {
     ...STAMP,
-    schedulers: [{
-      nodeId: "s1",
-      availabilityZone: "tx-a",
-      configurationVersion: 4,
-      isStopping: false,
-      silentMs: 240,
-      owned: 2,
-    }],
+    schedulers: [SCHEDULER],
     availabilityZones: [{
       availabilityZone: "tx-a",
       state: "draining",
@@ -118,6 +119,22 @@
     missingSchedulers: ["s2"],
   },
 };
+/** The second scheduler was killed, the third one was stopped. */
+const FLEET_AFTER_ENDS = {
+  status: 200,
+  body: {
+    ...STAMP,
+    schedulers: [
+      { ...SCHEDULER, isStopping: true },
+      { ...SCHEDULER, nodeId: "s2", silentMs: 19_100 },
+      { ...SCHEDULER, nodeId: "s3", silentMs: 1_600, isStopping: true },
+    ],
+    availabilityZones: [],
+    missingSlices: [],
+    missingHomes: [],
+    missingSchedulers: ["s2", "s3"],
+  },
+};
 const BURN = {
   status: 200,
   body: {
@@ -431,6 +448,22 @@
       STAMP_LINE,
     ].join("\n"),
   },
+  {
+    name: "says that schedulers are silent",
+    argv: ["status"],
+    replies: [FLEET_AFTER_ENDS],
+    exitCode: ExitCode.Ok,
+    out: [
+      "ZONE  STATE  INSTANCES  FREE-CPU  FREE-ACCELERATORS  FREE-SLOTS  ASKS",
+      "",
+      "SCHEDULER  ZONE  STATE     CONFIG  OWNS  HEARD",
+      "s1         tx-a  stopping  4       2     0.2 s ago",
+      "s2         tx-a  silent    4       2     19.1 s ago",
+      "s3         tx-a  silent    4       2     1.6 s ago",
+      "not heard from, schedulers: s2, s3",
+      STAMP_LINE,
+    ].join("\n"),
+  },
   {
     name: "shows views one after another",
     argv: ["top", "--count", "2", "--interval-ms", "1"],
