Let scripts read top and failures

Ruled out: JSON of failures on standard output, which holds answers only. The test looks at the whole output of top; it let any output pass that began with a screen code.

--- a/packages/cli/src/cli_error.ts
+++ b/packages/cli/src/cli_error.ts
@@ -35,14 +35,42 @@
   readonly message: string;
   /** More lines, printed below the message. */
   readonly details?: readonly string[];
-  /** True when the entry said that nothing came of the call. */
-  readonly isNotRun?: boolean;
+  /** What the entry said of the call's work. */
+  readonly outcome?: string;
   /** Why the entry refused the call. */
   readonly reason?: string;
   /** True when the same call may succeed later. */
   readonly mayRetry?: boolean;
 }
 
+/** A failure as `--json` prints it. */
+export interface ErrorJson {
+  readonly error: {
+    readonly message: string;
+    readonly exitCode: ExitCode;
+    /** Set when an entry refused the call. */
+    readonly reason?: string;
+    readonly outcome?: string;
+    /** True when the same call may succeed later. */
+    readonly retryable: boolean;
+    readonly details?: readonly string[];
+  };
+}
+
+/**
+ * Encodes a failure for scripts.
+ *
+ * @example
+ * ```ts
+ * printError(JSON.stringify(errorJson(error)));
+ * ```
+ */
+export function errorJson(error: CliError): ErrorJson {
+  const { message, exitCode, reason, outcome, details } = error;
+  const retryable = error.mayRetry ?? false;
+  return { error: { message, exitCode, reason, outcome, retryable, details } };
+}
+
 /** Makes a failed result. */
 export function fail<Value>(
   exitCode: ExitCode,
--- a/packages/cli/src/commands/command_group.ts
+++ b/packages/cli/src/commands/command_group.ts
@@ -21,6 +21,10 @@
 export interface CommandContext {
   /** The program with all its commands. */
   readonly program: Command;
+  /** True when answers are printed as JSON. */
+  readonly asJson: boolean;
+  /** True when output goes to a terminal. */
+  readonly isTerminal: boolean;
   /** Runs an action with a client and shows its answer. */
   serve(action: (client: EntryClient) => Promise<ShownResult>): Promise<void>;
   /** Shows what needs no entry. */
--- a/packages/cli/src/commands/submit_command.ts
+++ b/packages/cli/src/commands/submit_command.ts
@@ -128,7 +128,7 @@
   });
   const repeat = `to repeat it: --idempotency-key ${idempotencyKey}`;
   const accepted = submitted.mapErr((error) =>
-    error.isNotRun
+    error.outcome === Outcome.NotRun
       ? error
       : { ...error, message: `${error.message}; ${repeat}` }
   );
--- a/packages/cli/src/commands/top_command.ts
+++ b/packages/cli/src/commands/top_command.ts
@@ -1,6 +1,6 @@
 import type { Command } from "commander";
 import { err, ok, type Result } from "neverthrow";
-import type { CliError } from "../cli_error.ts";
+import { type CliError, errorJson } from "../cli_error.ts";
 import type { EntryClient } from "../entry_client.ts";
 import {
   type FleetReply,
@@ -44,7 +44,11 @@
       .action((options: TopOptions) =>
         context.serve((client) => watch(client, context, options))
       );
-    addExamples(top, ["top", "top --interval-ms 5000 --count 3"]);
+    addExamples(top, [
+      "top",
+      "top --interval-ms 5000 --count 3",
+      "--json top --count 1",
+    ]);
   }
 }
 
@@ -58,14 +62,13 @@
 ): Promise<ShownResult> {
   const pause = new Pause();
   const undo = context.onInterrupt(() => pause.end());
-  let view: Result<View, CliError> = ok({ text: "" });
+  let view: Result<View, CliError> = ok({ json: undefined, text: "" });
   for (let drawn = 0; drawn < count && !pause.hasEnded; drawn += 1) {
     view = await readView(client);
     if (view.isErr() && !view.error.mayRetry) {
       break;
     }
-    const text = view.match(({ text }) => text, ({ message }) => message);
-    context.print(`${CLEAR_SCREEN}${text}`);
+    context.print(formatView(view, { context, isFirst: drawn === 0 }));
     if (drawn + 1 < count) {
       await pause.wait(intervalMs);
     }
@@ -76,10 +79,32 @@
     : ok({ json: undefined, text: "" });
 }
 
+/** One look at fleet and teams. */
 interface View {
+  readonly json: unknown;
   readonly text: string;
 }
 
+interface FormatViewOptions {
+  readonly context: CommandContext;
+  readonly isFirst: boolean;
+}
+
+/** A line of JSON, or text: on a clear screen, or below the last view. */
+function formatView(
+  view: Result<View, CliError>,
+  { context, isFirst }: FormatViewOptions,
+): string {
+  if (context.asJson) {
+    return JSON.stringify(view.match(({ json }) => json, errorJson));
+  }
+  const text = view.match(({ text }) => text, ({ message }) => message);
+  if (context.isTerminal) {
+    return `${CLEAR_SCREEN}${text}`;
+  }
+  return isFirst ? text : `\n${text}`;
+}
+
 async function readView(client: EntryClient): Promise<Result<View, CliError>> {
   const fleet = await client.call({ method: "GET", path: "/v1/fleet" });
   if (fleet.isErr()) {
@@ -94,7 +119,10 @@
       ...listTeams(shares),
       ...formatMissing(shares),
     ].join("\n");
-    return { text: withStamp(text, shares) };
+    return {
+      json: { fleet: fleet.value, teams: shares },
+      text: withStamp(text, shares),
+    };
   });
 }
 
--- a/packages/cli/src/entry_client.ts
+++ b/packages/cli/src/entry_client.ts
@@ -1,4 +1,3 @@
-import { Outcome } from "@mustardweir/model";
 import { err, ok, type Result } from "neverthrow";
 import { Client, type Dispatcher } from "undici";
 import { z } from "zod";
@@ -132,7 +131,7 @@
   return err({
     exitCode,
     message: `${message} (${reason}, ${outcome})`,
-    isNotRun: outcome === Outcome.NotRun,
+    outcome,
     reason,
     mayRetry: retryable,
   });
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -1,6 +1,12 @@
 import { Command, CommanderError } from "commander";
 import { err, ok, type Result } from "neverthrow";
-import { type CliError, EXIT_CODE_HELP, ExitCode, fail } from "./cli_error.ts";
+import {
+  type CliError,
+  errorJson,
+  EXIT_CODE_HELP,
+  ExitCode,
+  fail,
+} from "./cli_error.ts";
 import {
   type CommandContext,
   commandGroups,
@@ -20,6 +26,8 @@
   readonly print: (line: string) => void;
   /** Takes the line that says why the command failed. */
   readonly printError: (line: string) => void;
+  /** True when the lines of output go to a terminal; false by default. */
+  readonly isTerminal?: boolean;
   /** Calls a listener at ctrl-c until it is taken back; never by default. */
   readonly onInterrupt?: (listener: () => void) => () => void;
 }
@@ -48,16 +56,24 @@
   const program = new Program(options);
   const result = await program.run();
   if (result.isErr()) {
-    const { exitCode, message, details = [] } = result.error;
-    if (message !== "") {
-      options.printError(`mustardweir: ${message}`);
-    }
-    details.forEach((line) => options.printError(`  ${line}`));
-    return exitCode;
+    describeFailure(result.error, program.asJson).forEach((line) =>
+      options.printError(line)
+    );
+    return result.error.exitCode;
   }
   return result.value;
 }
 
+function describeFailure(error: CliError, asJson: boolean): string[] {
+  const { message, details = [] } = error;
+  if (message === "") {
+    return [];
+  }
+  return asJson
+    ? [JSON.stringify(errorJson(error))]
+    : [`mustardweir: ${message}`, ...details.map((line) => `  ${line}`)];
+}
+
 /** The command line and what came of it. */
 class Program implements CommandContext {
   readonly program: Command;
@@ -72,6 +88,16 @@
     }
   }
 
+  /** Known also when the command line fails before the option is read. */
+  get asJson(): boolean {
+    return this.program.opts<GlobalOptions>().json ||
+      this.#options.argv.includes("--json");
+  }
+
+  get isTerminal(): boolean {
+    return this.#options.isTerminal ?? false;
+  }
+
   async run(): Promise<Result<ExitCode, CliError>> {
     try {
       await this.program.parseAsync([...this.#options.argv], { from: "user" });
@@ -99,9 +125,10 @@
   }
 
   show(shown: ShownResult): void {
-    const { json: asJson } = this.program.opts<GlobalOptions>();
     this.#result = shown.map(({ json, text, stamp, exitCode }) => {
-      const output = asJson ? JSON.stringify(json) : withStamp(text, stamp);
+      const output = this.asJson
+        ? JSON.stringify(json)
+        : withStamp(text, stamp);
       if (output) {
         this.print(output);
       }
@@ -132,7 +159,7 @@
         parseInteger,
         DEFAULT_TIMEOUT_MS,
       )
-      .option("--json", "print answers as JSON", false)
+      .option("--json", "print answers and failures as JSON", false)
       .exitOverride()
       .showSuggestionAfterError(false)
       .addHelpText("after", describeExitCodes())
--- a/packages/cli/src/program_test.ts
+++ b/packages/cli/src/program_test.ts
@@ -26,6 +26,8 @@
   readonly calls?: readonly string[];
   /** Presses ctrl-c as soon as something was printed. */
   readonly interrupts?: boolean;
+  /** Output goes to a terminal. */
+  readonly isTerminal?: boolean;
 }
 
 const STAMP = { asOf: "2030-01-01T00:00:00.000Z", configurationVersion: 4 };
@@ -157,6 +159,32 @@
   };
 }
 
+const CLEAR = "\u001b[2J\u001b[H";
+const VIEW = [
+  "ZONE  STATE     INSTANCES  FREE-CPU  FREE-ACCELERATORS  FREE-SLOTS  ASKS",
+  "tx-a  draining  3          0/64      0/0                0/8         4",
+  "",
+  "SCHEDULER  ZONE  STATE  CONFIG  OWNS  HEARD",
+  "s1         tx-a  up     4       2     0.2 s ago",
+  "",
+  "TEAM     SHARE  ENTITLED  USES  CEILING  WAITING  CPU  MEMORY-MB  ACCELERATORS  TASKS",
+  "imaging  1      50.0%     0.0%  tasks=2  7        0    0          0             0",
+  "ledger   1      50.0%     0.0%  -        ?        0    0          0             0",
+  "not heard from, slices: tx-a/0",
+  "not heard from, homes of teams: ledger",
+  STAMP_LINE,
+].join("\n");
+
+const STOPPING_JSON = JSON.stringify({
+  error: {
+    message: "No (stopping, not-run)",
+    exitCode: 1,
+    reason: "stopping",
+    outcome: "not-run",
+    retryable: true,
+  },
+});
+
 const STALE = refused(412, RefusalReason.StaleEdit);
 
 const CLI_CASES: readonly CliCase[] = [
@@ -469,15 +497,37 @@
     argv: ["top", "--count", "2", "--interval-ms", "1"],
     replies: [FLEET, TEAMS, refused(503, RefusalReason.Stopping)],
     exitCode: ExitCode.Refused,
+    out: `${VIEW}\n\nNo (stopping, not-run)`,
     error: "mustardweir: No (stopping, not-run)",
     calls: ["GET /v1/fleet", "GET /v1/teams", "GET /v1/fleet"],
   },
+  {
+    name: "clears a terminal before each view",
+    argv: ["top", "--count", "2", "--interval-ms", "1"],
+    replies: [FLEET, TEAMS, FLEET, TEAMS],
+    isTerminal: true,
+    exitCode: ExitCode.Ok,
+    out: `${CLEAR}${VIEW}\n${CLEAR}${VIEW}`,
+  },
+  {
+    name: "prints a line of JSON for each look",
+    argv: ["top", "--json", "--count", "2", "--interval-ms", "1"],
+    replies: [FLEET, TEAMS, refused(503, RefusalReason.Stopping)],
+    isTerminal: true,
+    exitCode: ExitCode.Refused,
+    out: [
+      JSON.stringify({ fleet: FLEET.body, teams: TEAMS.body }),
+      STOPPING_JSON,
+    ].join("\n"),
+    error: STOPPING_JSON,
+  },
   {
     name: "ends a view at ctrl-c",
     argv: ["top", "--interval-ms", "600000"],
     interrupts: true,
     replies: [FLEET, TEAMS],
     exitCode: ExitCode.Ok,
+    out: VIEW,
     calls: ["GET /v1/fleet", "GET /v1/teams"],
   },
   {
@@ -494,6 +544,35 @@
       STAMP_LINE,
     ].join("\n"),
   },
+  {
+    name: "prints a failure as JSON, with what changed",
+    argv: ["--json", "apply", "rules.yaml"],
+    replies: [VERSION_4, STALE, {
+      status: 200,
+      body: { ...VERSION_4.body, version: 5, zones: { "tx-a": "draining" } },
+    }],
+    exitCode: ExitCode.Stale,
+    error: JSON.stringify({
+      error: {
+        message: "No (stale-edit, not-run)",
+        exitCode: 4,
+        reason: "stale-edit",
+        outcome: "not-run",
+        retryable: false,
+        details: [
+          "changed from version 4 to 5:",
+          '+ zones.tx-a: "draining"',
+        ],
+      },
+    }),
+  },
+  {
+    name: "prints a wrong command line as JSON",
+    argv: ["frobnicate", "--json"],
+    exitCode: ExitCode.Usage,
+    error:
+      '{"error":{"message":"unknown command \'frobnicate\'","exitCode":2,"retryable":false}}',
+  },
   {
     name: "says that a withdrawn key is refused",
     argv: ["teams"],
@@ -586,7 +665,10 @@
   });
 
   async function run(
-    { argv, env, interrupts }: Pick<CliCase, "argv" | "env" | "interrupts">,
+    { argv, env, interrupts, isTerminal }: Pick<
+      CliCase,
+      "argv" | "env" | "interrupts" | "isTerminal"
+    >,
   ) {
     const out: string[] = [];
     let interrupt = () => {};
@@ -594,6 +676,7 @@
     const exitCode = await runCli({
       argv: argv.map((arg) => /\.(yaml|json)$/.test(arg) ? inFolder(arg) : arg),
       env: { MUSTARDWEIR_ENTRY: entry, MUSTARDWEIR_KEY: "k", ...env },
+      isTerminal,
       onInterrupt: (listener) => {
         interrupt = listener;
         return () => {};
@@ -619,8 +702,7 @@
       const result = await run(testCase);
       expect(result).to.deep.equal({
         exitCode: testCase.exitCode,
-        out: testCase.out ??
-          (result.out.startsWith("\u001b") ? result.out : ""),
+        out: testCase.out ?? "",
         error: testCase.error ?? "",
       });
       expect(calls).to.deep.equal(testCase.calls ?? calls);
