Say in words what a key may not do and what a job's id is

Cause: refusals were put together from the names of roles and calls ("A operator's key may not submit", "A submitter's key may not fleet"), and a job's id without a team was answered with "Name a team", or to a submitter with "The key belongs to another team". Ruled out: not-found for such an id; the call itself is wrong. Change: each call and role has its words; an id without a team is malformed for every role, and the message says how ids begin.

--- a/packages/admission/src/admission_plugin.ts
+++ b/packages/admission/src/admission_plugin.ts
@@ -44,7 +44,7 @@
   refuseCaller,
   removePending,
 } from "./admission_state.ts";
-import { CALL_ROLES } from "./call_roles.ts";
+import { CALL_ROLES, describeDenial } from "./call_roles.ts";
 import { describeFleet } from "./fleet_shape.ts";
 import { type HomeTarget, resolveTarget } from "./home_target.ts";
 import { type CallerIdentity, KeyRing } from "./key_ring.ts";
@@ -187,7 +187,7 @@
 ): Result<void, Refusal> {
   const { kind } = request.call;
   if (!CALL_ROLES[kind].includes(caller.role)) {
-    return err(notPermitted(`A ${caller.role}'s key may not ${kind}`));
+    return err(notPermitted(describeDenial(caller.role, kind)));
   }
   const { call, requestId } = request;
   switch (call.kind) {
--- a/packages/admission/src/admission_test.ts
+++ b/packages/admission/src/admission_test.ts
@@ -88,12 +88,14 @@
     key: "v1",
     call: submit(),
     refusal: NotPermitted,
+    message: "A viewer's key may not submit jobs",
   },
   {
     name: "a job with an operator's key",
     key: "o1",
     call: submit(),
     refusal: NotPermitted,
+    message: "An operator's key may not submit jobs",
   },
   {
     name: "a job of a team that may not submit",
@@ -119,6 +121,13 @@
     call: CANCEL,
     refusal: NotPermitted,
   },
+  {
+    name: "a submitter's look at the fleet",
+    key: "s1",
+    call: { kind: CallerCallKind.Fleet },
+    refusal: NotPermitted,
+    message: "A submitter's key may not read the fleet",
+  },
   {
     name: "a submitter's read of the configuration",
     key: "s1",
@@ -136,12 +145,21 @@
     key: "o1",
     call: LIST,
     refusal: RefusalReason.Malformed,
+    message: "Name a team",
   },
   {
     name: "a job id without a team",
     key: "o1",
     call: status("x"),
     refusal: RefusalReason.Malformed,
+    message: '"x" is no job\'s id; those begin with the team and a full stop',
+  },
+  {
+    name: "a submitter's job id without a team",
+    key: "s1",
+    call: status("x"),
+    refusal: RefusalReason.Malformed,
+    message: '"x" is no job\'s id; those begin with the team and a full stop',
   },
   {
     name: "a list of an unknown team",
--- a/packages/admission/src/home_target.ts
+++ b/packages/admission/src/home_target.ts
@@ -47,7 +47,7 @@
     case CallerCallKind.Submit:
       return resolveSubmit(call, options);
     case CallerCallKind.Status:
-      return resolveTeam(teamOfJobId(call.jobId), options).map((team) => ({
+      return resolveJob(call.jobId, options).map((team) => ({
         team,
         call: { kind: HomeCallKind.Status, jobId: call.jobId },
       }));
@@ -55,7 +55,7 @@
       if (caller.role === KeyRole.Viewer) {
         return err(notPermitted("A viewer's key changes nothing"));
       }
-      return resolveTeam(teamOfJobId(call.jobId), options).map((team) => ({
+      return resolveJob(call.jobId, options).map((team) => ({
         team,
         call: { kind: HomeCallKind.Cancel, jobId: call.jobId },
       }));
@@ -90,6 +90,20 @@
   return ok({ team, call: { kind, idempotencyKey, spec } });
 }
 
+/** The team that a job's id begins with. */
+function resolveJob(
+  jobId: string,
+  options: TargetOptions,
+): Result<string, Refusal> {
+  const team = teamOfJobId(jobId);
+  if (team === "") {
+    const message =
+      `"${jobId}" is no job's id; those begin with the team and a full stop`;
+    return err(refuse(RefusalReason.Malformed, { message }));
+  }
+  return resolveTeam(team, options);
+}
+
 /** Submitters see their own team only; others name any team of the rules. */
 function resolveTeam(
   team: string,
