Document every public item of kernel, model and protocol

The comment on heartbeats gave an interval that is no longer used (once a second; it is twice).

Change: a comment on each, and a module comment on each face. Four reasons of a decline that no slice has ever given (stale, not-owner, unconfirmed, recovering) are removed, with the unused type Rack. Throttles stay in the sync call: workers carry them out, though no slice asks for one yet.

Ruled out: removing CommandPriority.Observer and AskMode; both are used.

Behaviour unchanged.

--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -12,6 +12,7 @@
   update: Update,
 ) => boolean | void;
 
+/** Called after each update, with the changes already committed. */
 export type CommitListener = (commit: Commit) => void;
 
 /** Work that is run again and again, `intervalMs` apart. */
@@ -22,6 +23,7 @@
   readonly run: (update: Update) => void;
 }
 
+/** What a kernel is made of. */
 export interface KernelOptions {
   readonly plugins?: readonly Plugin[];
   /** Seed of the kernel's random numbers; 1 by default. */
--- a/packages/kernel/src/mod.ts
+++ b/packages/kernel/src/mod.ts
@@ -1,3 +1,9 @@
+/**
+ * State, commands, services and plug-ins, and the update cycle that runs
+ * commands on state. Knows nothing of scheduling.
+ *
+ * @module
+ */
 export * from "./command.ts";
 export * from "./effect.ts";
 export * from "./invariant.ts";
--- a/packages/kernel/src/plugin.ts
+++ b/packages/kernel/src/plugin.ts
@@ -3,7 +3,18 @@
 /** Takes back what a register function did. */
 export type Undo = () => void;
 
-/** Joins several undo functions; the last registered is undone first. */
+/**
+ * Joins several undo functions; the last registered is undone first.
+ *
+ * @example
+ * ```ts
+ * return mergeUndo(
+ *   kernel.registerState(QUEUE, createQueue()),
+ *   kernel.registerCommand(JOB_SUBMITTED, onSubmitted,
+ * CommandPriority.Normal),
+ * );
+ * ```
+ */
 export function mergeUndo(...undos: readonly Undo[]): Undo {
   return () => {
     for (const undo of [...undos].reverse()) {
--- a/packages/kernel/src/registry.ts
+++ b/packages/kernel/src/registry.ts
@@ -38,7 +38,14 @@
   };
 }
 
-/** Creates the plug-ins registered for `role`, in order of registration. */
+/**
+ * Creates the plug-ins registered for `role`, in order of registration.
+ *
+ * @example
+ * ```ts
+ * const kernel = new Kernel({ plugins: createPlugins(Role.Entry) });
+ * ```
+ */
 export function createPlugins(role: Role): Plugin[] {
   return [...registrations.values()]
     .filter((registration) => registration.roles.includes(role))
--- a/packages/model/src/configuration.ts
+++ b/packages/model/src/configuration.ts
@@ -14,6 +14,7 @@
   Keys = "keys",
 }
 
+/** One instance: its address and what it has. */
 export const instanceSchema = z.strictObject({
   id: name,
   /** Base URL of the worker on this instance. */
@@ -24,11 +25,13 @@
   slots: z.int().positive().default(8),
 });
 
+/** Instances that share power and a switch, and fail together. */
 export const rackSchema = z.strictObject({
   name,
   instances: z.array(instanceSchema),
 });
 
+/** A part of a region that fails as a whole. */
 export const availabilityZoneSchema = z.strictObject({
   name,
   region: name,
@@ -58,6 +61,7 @@
   tasks: z.int().nonnegative().optional(),
 });
 
+/** What one team may submit and how much of the fleet it may use. */
 export const teamRuleSchema = z.strictObject({
   name,
   /** Part of the fleet when it is full, relative to the other teams. */
@@ -77,6 +81,7 @@
   target: z.number().gt(0).lt(1),
 });
 
+/** The rules of all teams and the objectives of the burn report. */
 export const rulesSchema = z.strictObject({
   teams: z.array(teamRuleSchema),
   objectives: z.array(objectiveSchema).default([]),
@@ -93,6 +98,7 @@
   }
 });
 
+/** Whether an availability zone takes new tasks. */
 export enum ZoneState {
   Open = "open",
   /** Takes no new task; running tasks are moved away. */
@@ -111,6 +117,7 @@
   Operator = "operator",
 }
 
+/** An API key, known by its hash only. */
 export const keySchema = z.strictObject({
   id: name,
   /** SHA-256 of the key, in hexadecimal. */
@@ -122,17 +129,26 @@
   expiresAtMs: z.int().positive().optional(),
 });
 
+/** Every key that is accepted; a key that isn't listed is refused. */
 export const keysSchema = z.array(keySchema);
 
+/** An instance as the inventory lists it. */
 export type InstanceSpec = z.infer<typeof instanceSchema>;
-export type Rack = z.infer<typeof rackSchema>;
+/** An availability zone as the inventory lists it. */
 export type AvailabilityZone = z.infer<typeof availabilityZoneSchema>;
+/** The fleet, by availability zone and rack. */
 export type Inventory = z.infer<typeof inventorySchema>;
+/** The most that a team may have running; absent dimensions are unbounded. */
 export type Ceiling = z.infer<typeof ceilingSchema>;
+/** The rule of one team. */
 export type TeamRule = z.infer<typeof teamRuleSchema>;
+/** A service-level objective for one kind of a team's work. */
 export type Objective = z.infer<typeof objectiveSchema>;
+/** The rules section of the configuration. */
 export type Rules = z.infer<typeof rulesSchema>;
+/** States by availability zone; a zone that isn't named is open. */
 export type ZoneStates = z.infer<typeof zonesSchema>;
+/** One accepted key. */
 export type KeyRecord = z.infer<typeof keySchema>;
 
 /** Everything that operators say, under one version. */
@@ -145,6 +161,7 @@
   readonly keys: readonly KeyRecord[];
 }
 
+/** What is in force before the first edit: no fleet, no teams, no keys. */
 export const EMPTY_CONFIGURATION: Configuration = {
   version: 0,
   inventory: { availabilityZones: [] },
--- a/packages/model/src/fleet.ts
+++ b/packages/model/src/fleet.ts
@@ -34,7 +34,14 @@
   return inventory.availabilityZones.flatMap(sliceZone);
 }
 
-/** What an instance has, in the units of the scheduler. */
+/**
+ * What an instance has, in the units of the scheduler.
+ *
+ * @example
+ * ```ts
+ * const capacity = instanceCapacity(placed.spec);
+ * ```
+ */
 export function instanceCapacity(spec: InstanceSpec): Resources {
   return {
     cpuMillis: Math.floor(spec.cpu * 1000),
--- a/packages/model/src/job.ts
+++ b/packages/model/src/job.ts
@@ -13,6 +13,7 @@
   Request = "request",
 }
 
+/** How soon a job's tasks have their turn. */
 export enum Priority {
   Normal = "normal",
   /** May take the place of work that is not urgent. */
@@ -29,6 +30,7 @@
   Unknown = "unknown",
 }
 
+/** How far a job has come. */
 export enum JobState {
   Waiting = "waiting",
   Running = "running",
@@ -82,6 +84,7 @@
   path: ["tasks"],
 });
 
+/** A job as it was submitted, checked and with defaults filled in. */
 export type JobSpec = z.infer<typeof jobSpecSchema>;
 
 /**
@@ -120,12 +123,26 @@
   readonly waitedMs?: number;
 }
 
-/** Makes the id of a job; the team is part of it so that it can be routed. */
+/**
+ * Makes the id of a job; the team is part of it so that it can be routed.
+ *
+ * @example
+ * ```ts
+ * formatJobId("search", "4f1c"); // "search.4f1c"
+ * ```
+ */
 export function formatJobId(team: string, suffix: string): string {
   return `${team}.${suffix}`;
 }
 
-/** The team in a job id; empty when the id is malformed. */
+/**
+ * The team in a job id; empty when the id is malformed.
+ *
+ * @example
+ * ```ts
+ * teamOfJobId("search.4f1c"); // "search"
+ * ```
+ */
 export function teamOfJobId(jobId: string): string {
   const dot = jobId.lastIndexOf(".");
   return dot > 0 ? jobId.slice(0, dot) : "";
--- a/packages/model/src/mod.ts
+++ b/packages/model/src/mod.ts
@@ -1,3 +1,9 @@
+/**
+ * Domain types shared by all packages: resources, jobs, the fleet, the
+ * configuration and refusals, with the schemas that check them.
+ *
+ * @module
+ */
 export * from "./configuration.ts";
 export * from "./fleet.ts";
 export * from "./job.ts";
--- a/packages/model/src/refusal.ts
+++ b/packages/model/src/refusal.ts
@@ -44,6 +44,7 @@
   readonly retryable: boolean;
 }
 
+/** What a refusal tells beside its reason. */
 export interface RefusalOptions {
   readonly message: string;
   /** `Outcome.NotRun` by default. */
--- a/packages/model/src/resources.ts
+++ b/packages/model/src/resources.ts
@@ -16,8 +16,10 @@
   Slots = 3,
 }
 
+/** Number of members of `Dimension`. */
 export const DIMENSION_COUNT = 4;
 
+/** Zero in every dimension. */
 export const NO_RESOURCES: Resources = {
   cpuMillis: 0,
   memoryMb: 0,
@@ -42,12 +44,26 @@
   };
 }
 
-/** Subtracts `b` from `a`. */
+/**
+ * Subtracts `b` from `a`.
+ *
+ * @example
+ * ```ts
+ * const free = subtractResources(capacity, used);
+ * ```
+ */
 export function subtractResources(a: Resources, b: Resources): Resources {
   return addResources(a, scaleResources(b, -1));
 }
 
-/** Multiplies every dimension by `factor`. */
+/**
+ * Multiplies every dimension by `factor`.
+ *
+ * @example
+ * ```ts
+ * const gangSize = scaleResources(taskSize(spec), spec.tasks);
+ * ```
+ */
 export function scaleResources(a: Resources, factor: number): Resources {
   return {
     cpuMillis: a.cpuMillis * factor,
@@ -57,7 +73,14 @@
   };
 }
 
-/** True when `size` is within `limit` in every dimension. */
+/**
+ * True when `size` is within `limit` in every dimension.
+ *
+ * @example
+ * ```ts
+ * const hasRoom = fitsWithin(task.size, free);
+ * ```
+ */
 export function fitsWithin(size: Resources, limit: Resources): boolean {
   return size.cpuMillis <= limit.cpuMillis &&
     size.memoryMb <= limit.memoryMb &&
@@ -65,7 +88,14 @@
     size.slots <= limit.slots;
 }
 
-/** The largest fraction of `total` that `used` takes in any dimension. */
+/**
+ * The largest fraction of `total` that `used` takes in any dimension.
+ *
+ * @example
+ * ```ts
+ * const share = dominantShare(usedByTeam, fleetTotal); // 0.25
+ * ```
+ */
 export function dominantShare(used: Resources, total: Resources): number {
   return Math.max(
     fraction(used.cpuMillis, total.cpuMillis),
--- a/packages/protocol/src/burn_messages.ts
+++ b/packages/protocol/src/burn_messages.ts
@@ -128,6 +128,7 @@
   readonly silentMs: number;
 }
 
+/** The burn report, merged from the records of all schedulers that answered. */
 export interface BurnReport {
   readonly series: readonly BurnSeries[];
   readonly schedulers: readonly string[];
--- a/packages/protocol/src/caller_messages.ts
+++ b/packages/protocol/src/caller_messages.ts
@@ -24,6 +24,7 @@
   Burn = "burn",
 }
 
+/** A call by kind, with its arguments. */
 export type CallerCall =
   | {
     readonly kind: CallerCallKind.Submit;
@@ -46,6 +47,7 @@
   | { readonly kind: CallerCallKind.Fleet }
   | { readonly kind: CallerCallKind.Burn };
 
+/** One call as an entry passes it to the kernel. */
 export interface CallerRequest {
   /** Unique in the process; the answer carries it back. */
   readonly requestId: string;
@@ -58,6 +60,7 @@
   readonly call: CallerCall;
 }
 
+/** Kinds of answer to a caller's or operator's call. */
 export enum CallerAnswerKind {
   Job = "job",
   Jobs = "jobs",
@@ -113,6 +116,7 @@
   readonly missingSchedulers: readonly string[];
 }
 
+/** An answer by kind, with its content. */
 export type CallerAnswer =
   | { readonly kind: CallerAnswerKind.Job; readonly status: JobStatus }
   | {
--- a/packages/protocol/src/effects.ts
+++ b/packages/protocol/src/effects.ts
@@ -40,6 +40,7 @@
   readonly message: PeerMessage;
 }
 
+/** Where a scheduler is reached by its peers. */
 export interface PeerAddress {
   readonly nodeId: string;
   /** host:port */
@@ -52,6 +53,7 @@
   readonly peers: readonly PeerAddress[];
 }
 
+/** Reads the rows under a prefix that changed after a revision. */
 export interface ScanTableEffect extends Effect {
   readonly kind: EffectKind.ScanTable;
   readonly prefix: string;
@@ -60,12 +62,14 @@
   readonly replyTo: ReplyTo<ScanResult>;
 }
 
+/** Applies a transaction to the platform's table. */
 export interface CommitTableEffect extends Effect {
   readonly kind: EffectKind.CommitTable;
   readonly transaction: Transaction;
   readonly replyTo: ReplyTo<CommitResult>;
 }
 
+/** Reads an object of the platform's object store. */
 export interface GetObjectEffect extends Effect {
   readonly kind: EffectKind.GetObject;
   readonly key: string;
@@ -80,11 +84,13 @@
   readonly replyTo: ReplyTo<PutObjectResult>;
 }
 
+/** Reads the platform's list of the system's processes, which may lag. */
 export interface ListInstancesEffect extends Effect {
   readonly kind: EffectKind.ListInstances;
   readonly replyTo: ReplyTo<ListInstancesResult>;
 }
 
+/** Calls a worker. */
 export interface SyncTargetEffect extends Effect {
   readonly kind: EffectKind.SyncTarget;
   readonly instanceId: string;
@@ -95,12 +101,14 @@
   readonly replyTo: ReplyTo<SyncResult>;
 }
 
+/** Answers the caller whose request carried `requestId`. */
 export interface AnswerCallerEffect extends Effect {
   readonly kind: EffectKind.AnswerCaller;
   readonly requestId: string;
   readonly answer: CallerAnswer;
 }
 
+/** Adds to a counter. */
 export interface CountEffect extends Effect {
   readonly kind: EffectKind.Count;
   readonly counter: string;
@@ -121,10 +129,12 @@
   readonly fields: Readonly<Record<string, string | number | boolean>>;
 }
 
+/** Tells the process that it may exit. */
 export interface StoppedEffect extends Effect {
   readonly kind: EffectKind.Stopped;
 }
 
+/** Every effect that the performers of a node carry out. */
 export type NodeEffect =
   | SendPeerEffect
   | ConnectPeersEffect
@@ -152,17 +162,38 @@
   return { kind: EffectKind.SendPeer, to, message };
 }
 
-/** Makes an effect that adds `by`, 1 by default, to a counter. */
+/**
+ * Makes an effect that adds `by`, 1 by default, to a counter.
+ *
+ * @example
+ * ```ts
+ * update.emit(count("asks_declined"));
+ * ```
+ */
 export function count(counter: string, by = 1): CountEffect {
   return { kind: EffectKind.Count, counter, by };
 }
 
-/** Makes an effect that adds `value` to a histogram. */
+/**
+ * Makes an effect that adds `value` to a histogram.
+ *
+ * @example
+ * ```ts
+ * update.emit(observe("start_wait_ms", update.now - job.createdAt));
+ * ```
+ */
 export function observe(histogram: string, value: number): ObserveEffect {
   return { kind: EffectKind.Observe, histogram, value };
 }
 
-/** Makes an effect that logs a change of state. */
+/**
+ * Makes an effect that logs a change of state.
+ *
+ * @example
+ * ```ts
+ * update.emit(logChange("Slice taken over", { slice: sliceId, epoch }));
+ * ```
+ */
 export function logChange(
   message: string,
   fields: LogChangeEffect["fields"] = {},
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -1,3 +1,9 @@
+/**
+ * Messages between processes, and the events and effects of a node, as types.
+ * How they are encoded is left to other packages.
+ *
+ * @module
+ */
 export * from "./burn_messages.ts";
 export * from "./caller_messages.ts";
 export * from "./effects.ts";
--- a/packages/protocol/src/peer_messages.ts
+++ b/packages/protocol/src/peer_messages.ts
@@ -35,7 +35,7 @@
   readonly epoch: number;
 }
 
-/** One slice's room and load, as told once a second. */
+/** One slice's room and load, as told in heartbeats. */
 export interface SliceSummary {
   readonly sliceId: string;
   readonly epoch: number;
@@ -53,7 +53,7 @@
   readonly waiting?: number;
 }
 
-/** Sent to every peer once a second and when something important changed. */
+/** Sent to every peer twice a second; a stopping node says so at once. */
 export interface Heartbeat {
   readonly kind: PeerMessageKind.Heartbeat;
   readonly nodeId: string;
@@ -77,28 +77,34 @@
   List = "list",
 }
 
+/** Submits a job; a repeat with the same key finds the job it made. */
 export interface SubmitCall {
   readonly kind: HomeCallKind.Submit;
   readonly idempotencyKey: string;
   readonly spec: JobSpec;
 }
 
+/** Asks for the status of one job. */
 export interface StatusCall {
   readonly kind: HomeCallKind.Status;
   readonly jobId: string;
 }
 
+/** Cancels a job; its running tasks are stopped. */
 export interface CancelCall {
   readonly kind: HomeCallKind.Cancel;
   readonly jobId: string;
 }
 
+/** Asks for all jobs that the home knows. */
 export interface ListCall {
   readonly kind: HomeCallKind.List;
 }
 
+/** A call to a home by kind, with its arguments. */
 export type HomeCallBody = SubmitCall | StatusCall | CancelCall | ListCall;
 
+/** A caller's call, passed on by an entry to the team's home. */
 export interface HomeCall {
   readonly kind: PeerMessageKind.HomeCall;
   /** Unique; the reply carries it back. */
@@ -111,6 +117,7 @@
   readonly call: HomeCallBody;
 }
 
+/** Kinds of reply of a home. */
 export enum HomeReplyKind {
   Status = "status",
   List = "list",
@@ -119,6 +126,7 @@
   NotOwner = "not-owner",
 }
 
+/** A reply by kind, with its content. */
 export type HomeReplyBody =
   | { readonly kind: HomeReplyKind.Status; readonly status: JobStatus }
   | {
@@ -149,6 +157,7 @@
   readonly kind: PeerMessageKind.FenceHome;
 }
 
+/** How far one attempt of a task has come on its slice. */
 export enum TaskPhase {
   /** Room is reserved; nothing has been sent to a worker. */
   Held = "held",
@@ -158,6 +167,7 @@
   Ended = "ended",
 }
 
+/** One task that a slice knows of. */
 export interface TaskReport {
   readonly task: TaskSpec;
   readonly phase: TaskPhase;
@@ -178,6 +188,7 @@
   readonly tasks: readonly TaskReport[];
 }
 
+/** What a slice does once it has found room for an ask. */
 export enum AskMode {
   /** Start as soon as there is room. */
   Start = "start",
@@ -185,6 +196,7 @@
   Hold = "hold",
 }
 
+/** A request for room for one attempt of a task. */
 export interface Ask {
   /** Grows with each ask of a home. */
   readonly seq: number;
@@ -214,6 +226,7 @@
   readonly seqs: readonly number[];
 }
 
+/** What an ask has led to. */
 export enum RoomResult {
   Started = "started",
   Held = "held",
@@ -221,23 +234,18 @@
   Declined = "declined",
 }
 
+/** Why an ask was declined. */
 export enum DeclineReason {
   NoRoom = "no-room",
   Withdrawn = "withdrawn",
-  /** Home or slice epoch is not the newest. */
-  Stale = "stale",
-  NotOwner = "not-owner",
   /** The zone takes no new work. */
   ZoneClosed = "zone-closed",
-  /** The slice can't vouch for its configuration. */
-  Unconfirmed = "unconfirmed",
-  /** The slice doesn't yet know what its workers run. */
-  Recovering = "recovering",
   /** The worker refused the start. */
   Refused = "refused",
   Overloaded = "overloaded",
 }
 
+/** What has become of one ask. */
 export interface AskAnswer {
   readonly seq: number;
   readonly taskId: string;
@@ -246,17 +254,20 @@
   readonly instanceId?: string;
 }
 
+/** A slice's answers to asks, withdrawals and commits. */
 export interface RoomAnswer extends HomeSliceAddress {
   readonly kind: PeerMessageKind.RoomAnswer;
   readonly answers: readonly AskAnswer[];
 }
 
+/** Stops tasks that hold room or run; their ends are told as events. */
 export interface StopTasks extends HomeSliceAddress {
   readonly kind: PeerMessageKind.StopTasks;
   readonly taskIds: readonly string[];
   readonly mode: StopMode;
 }
 
+/** A task has begun to run or has ended. */
 export interface TaskEvent {
   readonly task: TaskSpec;
   readonly phase: TaskPhase.Running | TaskPhase.Ended;
@@ -320,6 +331,7 @@
   readonly announcementId: string;
 }
 
+/** Every message between the system's own processes. */
 export type PeerMessage =
   | Heartbeat
   | HomeCall
--- a/packages/protocol/src/platform_messages.ts
+++ b/packages/protocol/src/platform_messages.ts
@@ -6,6 +6,7 @@
   readonly version: number;
 }
 
+/** The rows that a scan found. */
 export interface ScanPage {
   readonly rows: readonly TableRow[];
   /** Keys deleted since the revision asked for; empty in a full scan. */
@@ -14,12 +15,14 @@
   readonly revision: number;
 }
 
+/** A condition of a transaction on one row. */
 export interface RowCheck {
   readonly key: string;
   /** The version the row must have; 0 when it must not exist. */
   readonly version: number;
 }
 
+/** A row that a transaction writes. */
 export interface RowPut {
   readonly key: string;
   readonly value: string;
@@ -32,6 +35,7 @@
   readonly deletes: readonly string[];
 }
 
+/** How a call to the platform's table, object store or list ended. */
 export enum StoreStatus {
   Ok = "ok",
   /** A check failed; nothing was applied. */
@@ -43,15 +47,18 @@
   Unknown = "unknown",
 }
 
+/** The result of a scan of the table. */
 export type ScanResult =
   | { readonly status: StoreStatus.Ok; readonly page: ScanPage }
   | { readonly status: StoreStatus.Unavailable | StoreStatus.Unknown };
 
+/** The result of a transaction. */
 export type CommitResult =
   | { readonly status: StoreStatus.Ok; readonly revision: number }
   | { readonly status: StoreStatus.Conflict }
   | { readonly status: StoreStatus.Unavailable | StoreStatus.Unknown };
 
+/** The result of reading an object. */
 export type GetObjectResult =
   | { readonly status: StoreStatus.Ok; readonly body: string }
   | {
@@ -61,6 +68,7 @@
       | StoreStatus.Unknown;
   };
 
+/** The result of writing an object. */
 export interface PutObjectResult {
   readonly status:
     | StoreStatus.Ok
@@ -78,6 +86,7 @@
   readonly leaving: boolean;
 }
 
+/** The result of reading the list of the system's processes. */
 export type ListInstancesResult =
   | {
     readonly status: StoreStatus.Ok;
--- a/packages/protocol/src/reply.ts
+++ b/packages/protocol/src/reply.ts
@@ -29,7 +29,14 @@
   return { command: command as Command<Answered<never, Result>>, context };
 }
 
-/** Makes the payload for `reply.command`. */
+/**
+ * Makes the payload for `reply.command`.
+ *
+ * @example
+ * ```ts
+ * kernel.run(reply.command, answerPayload(reply, result), nowMs);
+ * ```
+ */
 export function answerPayload<Result>(
   reply: ReplyTo<Result>,
   result: Result,
--- a/packages/protocol/src/target_messages.ts
+++ b/packages/protocol/src/target_messages.ts
@@ -6,11 +6,13 @@
   readonly task: TaskSpec;
 }
 
+/** A task that the worker is to stop. */
 export interface TargetStop {
   readonly taskId: string;
   readonly mode: StopMode;
 }
 
+/** A limit of a running task's processor time, in thousandths of a core. */
 export interface TargetThrottle {
   readonly taskId: string;
   readonly cpuMillis: number;
@@ -40,16 +42,19 @@
   readonly waitMs: number;
 }
 
+/** A task that runs on a worker, with what it uses. */
 export interface RunningTask {
   readonly task: TaskSpec;
   readonly usage: TaskUsage;
 }
 
+/** A task that ended on a worker; listed until it is acknowledged. */
 export interface EndedTask {
   readonly task: TaskSpec;
   readonly end: TaskEnd;
 }
 
+/** Why a worker refused a start. */
 export enum StartRefusal {
   NoCapacity = "no-capacity",
   /** The sequence is below the floor. */
@@ -59,11 +64,13 @@
   NoLease = "no-lease",
 }
 
+/** A start that the worker refused; the task has not run there. */
 export interface RefusedStart {
   readonly taskId: string;
   readonly refusal: StartRefusal;
 }
 
+/** How a sync call ended. */
 export enum SyncResultKind {
   Synced = "synced",
   /** A higher epoch has been seen. */
@@ -72,6 +79,7 @@
   NoAnswer = "no-answer",
 }
 
+/** The worker took the call and tells what it runs. */
 export interface Synced {
   readonly kind: SyncResultKind.Synced;
   /** Differs for each start of the worker; then it has forgotten all. */
@@ -86,16 +94,19 @@
   readonly refused: readonly RefusedStart[];
 }
 
+/** The worker refused the call: it has seen a higher epoch. */
 export interface Fenced {
   readonly kind: SyncResultKind.Fenced;
   readonly epoch: number;
 }
 
+/** The worker did not answer in time, or not in a known form. */
 export interface NoAnswer {
   readonly kind: SyncResultKind.NoAnswer;
   readonly message: string;
 }
 
+/** The result of a sync call. */
 export type SyncResult = Synced | Fenced | NoAnswer;
 
 /** A worker stops its tasks this long after the lease token was made. */
