--- a/packages/bench/src/loopback/loopback.ts
+++ b/packages/bench/src/loopback/loopback.ts
@@ -5,7 +5,6 @@
   addResources,
   type Configuration,
   instanceCapacity,
-  JobKind,
   jobSpecSchema,
   NO_RESOURCES,
   type Resources,
@@ -298,10 +297,3 @@
     });
   }
 }
-
-/** A batch job of one small task, for workloads that build on it. */
-export const SMALL_BATCH: JobRequest = {
-  kind: JobKind.Batch,
-  cpu: 1,
-  memoryMb: 256,
-};
