Refuse at once waits and teams of keys that make no sense

Ruled out: a check of keys in force, which could refuse every later edit of a configuration that holds such a key. Change: the command line takes waits that an entry takes, 1 to 300000 ms, and a team exactly for a submitter, exit code 2; the entry refuses a key of another role with a team. docs/openapi.json stays as it is. Before: 4 rows of program_test.ts and 1 of caller_front_test.ts fail.

--- a/packages/cli/src/commands/key_commands.ts
+++ b/packages/cli/src/commands/key_commands.ts
@@ -1,5 +1,6 @@
 import { KeyRole } from "@mustardweir/model";
 import { type Command, InvalidArgumentError, Option } from "commander";
+import { ExitCode, fail } from "../cli_error.ts";
 import { readConfiguration } from "../edits.ts";
 import { formatKeys, type ShownKey } from "../format.ts";
 import {
@@ -46,6 +47,15 @@
       .option("--expires <time>", "ISO 8601 time, or a term as 30d", parseTime)
       .action((id: string, options: GrantOptions) => {
         const { role, team, expires: expiresAtMs, ifMatch } = options;
+        const hasTeam = team !== undefined;
+        if (hasTeam !== (role === KeyRole.Submitter)) {
+          return context.show(fail(
+            ExitCode.Usage,
+            hasTeam
+              ? "Only a submitter's key has a team; leave out --team or --role"
+              : "Name the submitter's team with --team",
+          ));
+        }
         const body = { id, role, team, expiresAtMs };
         return serveEdit(context, {
           call: { method: "POST", path: "/v1/config/keys", body },
--- a/packages/cli/src/entry_client.ts
+++ b/packages/cli/src/entry_client.ts
@@ -12,6 +12,9 @@
 /** Time that the entry is given to answer, in milliseconds. */
 export const DEFAULT_TIMEOUT_MS = 30_000;
 
+/** Longest time that an entry may be given to answer, in milliseconds. */
+export const MAX_TIMEOUT_MS = 300_000;
+
 const PRECONDITION_FAILED = 412;
 const FIRST_ERROR_STATUS = 400;
 
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -1,4 +1,4 @@
-import { Command, CommanderError } from "commander";
+import { Command, CommanderError, InvalidArgumentError } from "commander";
 import { err, ok, type Result } from "neverthrow";
 import {
   type CliError,
@@ -14,7 +14,11 @@
   type ShownResult,
   withStamp,
 } from "./commands/mod.ts";
-import { DEFAULT_TIMEOUT_MS, EntryClient } from "./entry_client.ts";
+import {
+  DEFAULT_TIMEOUT_MS,
+  EntryClient,
+  MAX_TIMEOUT_MS,
+} from "./entry_client.ts";
 import { readText } from "./source_document.ts";
 
 export interface CliOptions {
@@ -156,7 +160,7 @@
       .option(
         "--timeout-ms <ms>",
         "longest wait for an answer",
-        parseInteger,
+        parseTimeout,
         DEFAULT_TIMEOUT_MS,
       )
       .option("--json", "print answers and failures as JSON", false)
@@ -187,6 +191,15 @@
   return `\nExit codes:\n${lines.join("\n")}`;
 }
 
+/** Reads a time that an entry may be given to answer. */
+function parseTimeout(text: string): number {
+  const timeoutMs = parseInteger(text);
+  if (timeoutMs < 1 || timeoutMs > MAX_TIMEOUT_MS) {
+    throw new InvalidArgumentError(`It must be from 1 to ${MAX_TIMEOUT_MS}`);
+  }
+  return timeoutMs;
+}
+
 function createClient(
   options: GlobalOptions,
   env: CliOptions["env"] = process.env,
--- a/packages/cli/src/program_test.ts
+++ b/packages/cli/src/program_test.ts
@@ -612,6 +612,29 @@
     error:
       "mustardweir: option '--if-match <version>' argument 'x' is invalid. It must be a whole number",
   },
+  ...["0", "300001"].map((timeout): CliCase => ({
+    name: `refuses a wait of ${timeout} ms`,
+    argv: ["teams", "--timeout-ms", timeout],
+    exitCode: ExitCode.Usage,
+    error:
+      `mustardweir: option '--timeout-ms <ms>' argument '${timeout}' is invalid. It must be from 1 to 300000`,
+    calls: [],
+  })),
+  {
+    name: "refuses a viewer's key with a team",
+    argv: ["keys", "grant", "v", "--role", "viewer", "--team", "imaging"],
+    exitCode: ExitCode.Usage,
+    error:
+      "mustardweir: Only a submitter's key has a team; leave out --team or --role",
+    calls: [],
+  },
+  {
+    name: "refuses a submitter's key without a team",
+    argv: ["keys", "grant", "k1"],
+    exitCode: ExitCode.Usage,
+    error: "mustardweir: Name the submitter's team with --team",
+    calls: [],
+  },
   {
     name: "needs an entry",
     argv: ["teams"],
--- a/packages/entry/src/caller_front_test.ts
+++ b/packages/entry/src/caller_front_test.ts
@@ -268,6 +268,17 @@
     body: { id: "k1", role: "viewer", hash: "a".repeat(64) },
     status: 400,
   },
+  {
+    name: "a viewer's key with a team",
+    request: "POST /v1/config/keys",
+    body: { id: "k1", role: "viewer", team: "imaging" },
+    status: 400,
+    reply: {
+      error: refuse(RefusalReason.Malformed, {
+        message: "team: Only a submitter's key has a team",
+      }),
+    },
+  },
   {
     name: "a time limit that is too long",
     request: "GET /v1/teams",
--- a/packages/entry/src/routes.ts
+++ b/packages/entry/src/routes.ts
@@ -3,6 +3,7 @@
   ConfigurationSection,
   inventorySchema,
   jobSpecSchema,
+  KeyRole,
   keySchema,
   rulesSchema,
   zonesSchema,
@@ -78,7 +79,10 @@
   readonly decode: (input: RouteInput) => Decoded<RoutedCall>;
 }
 
-const newKeySchema = keySchema.omit({ hash: true });
+const newKeySchema = keySchema.omit({ hash: true }).refine(
+  ({ role, team }) => team === undefined || role === KeyRole.Submitter,
+  { path: ["team"], error: "Only a submitter's key has a team" },
+);
 
 const { Submit, Status, Cancel, List, Teams, Fleet, Burn } = CallerCallKind;
 
