Stamp an accepted edit with its own version at least

Cause: the entry that answers an edit learns of the new version a moment later, as every node, so the answer said "in version 5" and then "configuration version 4". Ruled out: holding the answer back until the version is in force here, which would make edits slower and fail them when the watch is cut. Change: the reply to an edit or grant names the oldest version that its stamp may have; the front takes the newer of that and the one in force.

--- a/packages/entry/src/caller_front.ts
+++ b/packages/entry/src/caller_front.ts
@@ -208,11 +208,13 @@
   }
 
   /** Says in every answer as of when and of which configuration it is. */
-  #send(c: Context, { body, status, headers }: HttpReply): Response {
+  #send(c: Context, reply: HttpReply): Response {
+    const { body, status, headers, minVersion = 0 } = reply;
+    const inForce = this.#options.configurationVersion?.() ?? 0;
     const stamped = {
       ...body as object,
       asOf: new Date().toISOString(),
-      configurationVersion: this.#options.configurationVersion?.() ?? 0,
+      configurationVersion: Math.max(inForce, minVersion),
     };
     return c.json(stamped, status, headers as Record<string, string>);
   }
--- a/packages/entry/src/caller_front_test.ts
+++ b/packages/entry/src/caller_front_test.ts
@@ -93,6 +93,7 @@
   readonly id: string;
   readonly key: string;
   readonly version: number;
+  readonly configurationVersion: number;
   readonly error: { readonly reason: string; readonly outcome: string };
 }
 
@@ -313,13 +314,16 @@
   let kernel: FakeKernel;
   let front: CallerFront;
   let isReady: boolean;
+  let inForce: number;
 
   beforeEach(async () => {
     kernel = new FakeKernel();
     isReady = false;
+    inForce = 7;
     front = new CallerFront({
       listen: { host: "127.0.0.1", port: 0 },
       isReady: () => isReady,
+      configurationVersion: () => inForce,
     });
     kernel.front = front;
     await front.start(kernel);
@@ -437,6 +441,28 @@
     },
   ];
 
+  const STAMP_CASES = [
+    { request: "GET /v1/config", answer: CONFIGURATION, inForce: 7, stamp: 7 },
+    { request: "DELETE /v1/config/keys/k1", inForce: 7, stamp: 8 },
+    { request: "DELETE /v1/config/keys/k1", inForce: 9, stamp: 9 },
+    {
+      request: "POST /v1/config/keys",
+      body: { id: "k1", role: "viewer" },
+      inForce: 7,
+      stamp: 8,
+    },
+  ];
+
+  for (const { stamp, answer = EDITED, ...rest } of STAMP_CASES) {
+    const { request } = rest;
+    it(`stamps ${request} with ${stamp} when ${rest.inForce} is in force`, async () => {
+      inForce = rest.inForce;
+      kernel.answer = answer;
+      const reply = await bodyOf(await call(rest));
+      expect(reply.configurationVersion).to.equal(stamp);
+    });
+  }
+
   for (const { name, act } of FLOWS) {
     it(name, act);
   }
--- a/packages/entry/src/encode.ts
+++ b/packages/entry/src/encode.ts
@@ -19,6 +19,8 @@
   readonly status: ContentfulStatusCode;
   readonly headers: Readonly<Record<string, string>>;
   readonly body: unknown;
+  /** The oldest version of the configuration that the reply may name. */
+  readonly minVersion?: number;
 }
 
 /**
@@ -41,7 +43,7 @@
         withoutHashes(answer.configuration),
       );
     case CallerAnswerKind.Edited:
-      return taggedReply(answer.version, { version: answer.version });
+      return editedReply(answer.version);
     case CallerAnswerKind.Teams:
     case CallerAnswerKind.Fleet: {
       const { kind: _kind, ...body } = answer;
@@ -95,6 +97,11 @@
   return { status: OK, headers: { ETag: formatEntityTag(version) }, body };
 }
 
+/** The version that the edit led to may not be in force here yet. */
+function editedReply(version: number): HttpReply {
+  return { ...taggedReply(version, { version }), minVersion: version };
+}
+
 function withoutHashes(configuration: Configuration) {
   const keys = configuration.keys.map(({ hash: _hash, ...shown }) => shown);
   return { ...configuration, keys };
