Say of a job that its end is being recorded

Cause: a job whose tasks have all ended is told as ended once its end is on record. While the table could not be written, a cancelled job was shown as waiting with all its tasks ended and without an explanation. Ruled out: telling it as ended, which a new home might not know of. Change: the explanation says that the end is being recorded.

--- a/packages/home/src/explain.ts
+++ b/packages/home/src/explain.ts
@@ -4,7 +4,10 @@
 import { type Home, type HomeJob, HomePhase, TaskState } from "./home_state.ts";
 import { findCeilingObstacle } from "./obstacle.ts";
 
-/** Says what the job waits for; undefined when it waits for nothing. */
+/**
+ * Says what the job waits for, or that its end waits for its record; undefined
+ * when it waits for nothing.
+ */
 export function explainWait(
   update: Update,
   home: Home,
@@ -14,7 +17,8 @@
     state !== TaskState.Started && state !== TaskState.Ended
   );
   if (!waits) {
-    return undefined;
+    const isEnding = job.outcome !== undefined && !job.endRecorded;
+    return isEnding ? "Its end is being recorded" : undefined;
   }
   if (!job.accepted) {
     return "The acceptance is being recorded";
