Document every public item of runtime, wire, platform and worker packages

Change: comments only, in runtime, wire, platform, platform-client, worker and target-client.

Behaviour unchanged.

--- a/packages/platform-client/src/answers.ts
+++ b/packages/platform-client/src/answers.ts
@@ -10,6 +10,7 @@
 
 const COUNT = z.int().min(0);
 
+/** Body of the answer to a scan. */
 export const SCAN_PAGE = z.object({
   rows: z.array(
     z.object({ key: z.string(), value: z.string(), version: z.int().min(1) }),
@@ -18,10 +19,13 @@
   revision: COUNT,
 });
 
+/** Body of the answer to a transaction that was applied. */
 export const COMMITTED = z.object({ revision: COUNT });
 
+/** Body of the answer to a transaction whose checks failed. */
 export const CONFLICT = z.object({ conflicts: z.array(z.string()) });
 
+/** Body of the list of processes. */
 export const INSTANCES = z.object({
   instances: z.array(z.object({
     nodeId: z.string(),
@@ -42,7 +46,14 @@
   () => malformed("Answer is not JSON"),
 );
 
-/** Decodes an answer that must have status `code` and a body of `schema`. */
+/**
+ * Decodes an answer that must have status `code` and a body of `schema`.
+ *
+ * @example
+ * ```ts
+ * const page = decode(answer, { schema: SCAN_PAGE });
+ * ```
+ */
 export function decode<T>(
   answer: HttpAnswer,
   { schema, code = 200 }: { schema: z.ZodType<T>; code?: number },
@@ -52,7 +63,14 @@
     .andThen((value) => check(value, schema));
 }
 
-/** Turns an error of the connection into a result of the store. */
+/**
+ * Turns an error of the connection into a result of the store.
+ *
+ * @example
+ * ```ts
+ * const result = decoded.mapErr(toFailure);
+ * ```
+ */
 export function toFailure({ kind }: CallError): StoreFailure {
   switch (kind) {
     case CallErrorKind.NotSent:
@@ -64,7 +82,14 @@
   }
 }
 
-/** Requires the status `code`. */
+/**
+ * Requires the status `code`.
+ *
+ * @example
+ * ```ts
+ * const created = checkCode(answer, 201);
+ * ```
+ */
 export function checkCode(
   answer: HttpAnswer,
   code = 200,
--- a/packages/platform-client/src/connection.ts
+++ b/packages/platform-client/src/connection.ts
@@ -21,11 +21,13 @@
   Malformed = "malformed",
 }
 
+/** A call that brought no usable answer. */
 export interface CallError {
   readonly kind: CallErrorKind;
   readonly message: string;
 }
 
+/** One call of the platform. */
 export interface HttpCall {
   readonly method: "GET" | "POST" | "PUT";
   /** Path and query, encoded. */
@@ -34,11 +36,13 @@
   readonly body?: string;
 }
 
+/** The platform's answer, not yet decoded. */
 export interface HttpAnswer {
   readonly code: number;
   readonly body: string;
 }
 
+/** How the platform is reached. */
 export interface ConnectionOptions {
   /** For example `http://10.0.0.7:7070`. */
   readonly baseUrl: string;
--- a/packages/platform-client/src/table_store.ts
+++ b/packages/platform-client/src/table_store.ts
@@ -20,6 +20,7 @@
 
 const HTTP_CONFLICT = 409;
 
+/** Which rows a scan reads. */
 export interface ScanOptions {
   /** Every row by default. */
   readonly prefix?: string;
--- a/packages/platform/src/call.ts
+++ b/packages/platform/src/call.ts
@@ -1,3 +1,4 @@
+/** Whether a call may change something. */
 export enum CallKind {
   Read = "read",
   Write = "write",
@@ -17,6 +18,7 @@
   readonly apply: () => Answer;
 }
 
+/** What the caller gets to see of a call. */
 export enum OutcomeKind {
   Answered = "answered",
   /** The connection is closed without an answer. */
@@ -30,7 +32,14 @@
   | { readonly kind: OutcomeKind.Answered; readonly answer: Answer }
   | { readonly kind: OutcomeKind.Disconnected | OutcomeKind.Silent };
 
-/** Makes an answer whose body is JSON. */
+/**
+ * Makes an answer whose body is JSON.
+ *
+ * @example
+ * ```ts
+ * jsonAnswer(404, { error: "No such object" });
+ * ```
+ */
 export function jsonAnswer(code: number, body: object): Answer {
   return { code, body: JSON.stringify(body) };
 }
--- a/packages/platform/src/faults.ts
+++ b/packages/platform/src/faults.ts
@@ -32,6 +32,7 @@
   lateMs: DELAY_MS.default(1_000),
 });
 
+/** Which faults are on, and how strong. */
 export type FaultSettings = z.infer<typeof FAULT_SETTINGS>;
 
 /** Passes a call on to the faults that follow and then to its effect. */
@@ -73,6 +74,7 @@
   }
 }
 
+/** How often a fault hits. */
 export interface ChanceOptions {
   /** Fraction of the writes that are hit, from 0 to 1. */
   readonly fraction: number;
@@ -105,6 +107,7 @@
   }
 }
 
+/** How often and how late writes take effect. */
 export interface LateOptions extends ChanceOptions {
   readonly delayMs: number;
 }
@@ -150,7 +153,14 @@
   ];
 }
 
-/** Runs `call` through `faults` to its effect. */
+/**
+ * Runs `call` through `faults` to its effect.
+ *
+ * @example
+ * ```ts
+ * const outcome = await runCall(call, createFaults(settings, random));
+ * ```
+ */
 export function runCall(
   call: Call,
   faults: readonly Fault[],
--- a/packages/platform/src/mod.ts
+++ b/packages/platform/src/mod.ts
@@ -1,3 +1,10 @@
+/**
+ * Stand-in of the platform for tests and the demo: the transactional table,
+ * the object store and the list of processes, with faults that can be switched
+ * on. No product package imports it.
+ *
+ * @module
+ */
 export * from "./call.ts";
 export * from "./faults.ts";
 export * from "./lagging_list.ts";
--- a/packages/platform/src/platform.ts
+++ b/packages/platform/src/platform.ts
@@ -22,6 +22,7 @@
 } from "./faults.ts";
 import { createServices } from "./service.ts";
 
+/** How the stand-in behaves at its start. */
 export interface PlatformOptions {
   /** Seed of the choice of writes that faults hit; 1 by default. */
   readonly seed?: number;
@@ -40,6 +41,7 @@
   bytes: number;
 }
 
+/** The context of a call on a Node.js server. */
 export type PlatformContext = Context<{ Bindings: HttpBindings }>;
 
 /** Reads one call without carrying it out; a malformed one gets the error. */
@@ -131,7 +133,14 @@
   () => jsonAnswer(400, { error: "Body is not JSON" }),
 );
 
-/** Parses a JSON body; the error is the answer to give. */
+/**
+ * Parses a JSON body; the error is the answer to give.
+ *
+ * @example
+ * ```ts
+ * const transaction = parseJson(body, TRANSACTION);
+ * ```
+ */
 export function parseJson<T>(
   body: string,
   schema: z.ZodType<T>,
@@ -139,7 +148,14 @@
   return readJson(body).andThen((value) => parse(value, schema));
 }
 
-/** Checks a value of a call; the error is the answer to give. */
+/**
+ * Checks a value of a call; the error is the answer to give.
+ *
+ * @example
+ * ```ts
+ * const query = parse(ctx.req.query(), SCAN);
+ * ```
+ */
 export function parse<T>(
   value: unknown,
   schema: z.ZodType<T>,
@@ -162,7 +178,14 @@
   }
 }
 
-/** Makes the response that carries `answer`. */
+/**
+ * Makes the response that carries `answer`.
+ *
+ * @example
+ * ```ts
+ * return send(ctx, jsonAnswer(200, { revision }));
+ * ```
+ */
 export function send(ctx: PlatformContext, { code, body }: Answer): Response {
   return ctx.newResponse(body, code as 200);
 }
--- a/packages/platform/src/server.ts
+++ b/packages/platform/src/server.ts
@@ -4,6 +4,7 @@
 import { Platform, type PlatformOptions } from "./platform.ts";
 import "./services/mod.ts";
 
+/** Where the stand-in listens, and how it behaves. */
 export interface ServerOptions extends PlatformOptions {
   /** An IP number; 127.0.0.1 by default. */
   readonly host?: string;
--- a/packages/platform/src/service.ts
+++ b/packages/platform/src/service.ts
@@ -30,7 +30,14 @@
   };
 }
 
-/** Creates the registered services, in order of registration. */
+/**
+ * Creates the registered services, in order of registration.
+ *
+ * @example
+ * ```ts
+ * createServices().forEach((service) => service.register(platform));
+ * ```
+ */
 export function createServices(): readonly PlatformService[] {
   return [...registrations.values()].map(({ create }) => create());
 }
--- a/packages/platform/src/transactional_table.ts
+++ b/packages/platform/src/transactional_table.ts
@@ -1,5 +1,6 @@
 import { err, ok, type Result } from "neverthrow";
 
+/** A row with the number of its changes. */
 export interface Row {
   readonly key: string;
   readonly value: string;
@@ -27,12 +28,14 @@
   readonly conflicts: readonly string[];
 }
 
+/** Which rows are read. */
 export interface RowScan {
   readonly prefix: string;
   /** 0 for a full scan. */
   readonly afterRevision: number;
 }
 
+/** The rows that a scan found, and the revision it read. */
 export interface ScannedRows {
   /** In order of key. */
   readonly rows: readonly Row[];
--- a/packages/runtime/src/admin_listener.ts
+++ b/packages/runtime/src/admin_listener.ts
@@ -11,6 +11,7 @@
 /** Operators' tools need few connections. */
 const MAX_CONNECTIONS = 100;
 
+/** Where the admin listener listens, and what its probes tell. */
 export interface AdminListenerOptions extends ProbeOptions {
   readonly listen: HostPort;
 }
--- a/packages/runtime/src/event_loop.ts
+++ b/packages/runtime/src/event_loop.ts
@@ -14,12 +14,14 @@
   abstract now(): number;
 }
 
+/** The monotonic clock of the process. */
 export class SystemClock extends Clock {
   override now(): number {
     return performance.now();
   }
 }
 
+/** What an event loop connects. */
 export interface EventLoopOptions {
   readonly kernel: Kernel;
   readonly performers: readonly Performer[];
--- a/packages/runtime/src/http_limits.ts
+++ b/packages/runtime/src/http_limits.ts
@@ -15,6 +15,7 @@
 /** Longer than balancers usually keep idle connections. */
 const KEEP_ALIVE_MS = 65_000;
 
+/** Limits of an HTTP server against slow and numerous clients. */
 export interface HttpLimits {
   /** 10 s by default. */
   readonly headersTimeoutMs?: number;
@@ -24,7 +25,14 @@
   readonly maxConnections?: number;
 }
 
-/** Options of `http.createServer` and `https.createServer` with limits. */
+/**
+ * Options of `http.createServer` and `https.createServer` with limits.
+ *
+ * @example
+ * ```ts
+ * const server = createServer(limitOptions({ headersTimeoutMs: 5_000 }), app);
+ * ```
+ */
 export function limitOptions(limits: HttpLimits = {}) {
   const {
     headersTimeoutMs = HEADERS_TIMEOUT_MS,
@@ -39,7 +47,14 @@
   };
 }
 
-/** Sets the limits that a server has no options for. */
+/**
+ * Sets the limits that a server has no options for.
+ *
+ * @example
+ * ```ts
+ * limitServer(server, { maxConnections: 100 });
+ * ```
+ */
 export function limitServer(server: Server, limits: HttpLimits = {}): void {
   server.maxHeadersCount = MAX_HEADERS;
   server.maxConnections = limits.maxConnections ?? MAX_CONNECTIONS;
--- a/packages/runtime/src/logger.ts
+++ b/packages/runtime/src/logger.ts
@@ -6,11 +6,13 @@
   type LogObject,
 } from "consola";
 
+/** Form of log lines. */
 export enum LogFormat {
   Text = "text",
   Json = "json",
 }
 
+/** Severity of a log line, from the highest. */
 export enum LogLevel {
   Error = "error",
   Warn = "warn",
@@ -21,6 +23,7 @@
 /** Named values of a log line; never a key or a body. */
 export type LogFields = Readonly<Record<string, string | number | boolean>>;
 
+/** How a logger writes its lines. */
 export interface LoggerOptions {
   /** Named in every line. */
   readonly node: string;
@@ -65,7 +68,14 @@
   }
 }
 
-/** Creates the logger of a process; see {@link Logger}. */
+/**
+ * Creates the logger of a process; see {@link Logger}.
+ *
+ * @example
+ * ```ts
+ * const logger = createLogger({ node: "s1", format: LogFormat.Json });
+ * ```
+ */
 export function createLogger(options: LoggerOptions): Logger {
   const { node, format = LogFormat.Text, level = LogLevel.Info } = options;
   const reporter = new LineReporter({
--- a/packages/runtime/src/metrics.ts
+++ b/packages/runtime/src/metrics.ts
@@ -21,6 +21,7 @@
   readonly quantiles: Readonly<Record<string, number>>;
 }
 
+/** All counters and histograms of a process at one time, by name. */
 export interface MetricsSnapshot {
   readonly counters: Readonly<Record<string, number>>;
   readonly histograms: Readonly<Record<string, HistogramSnapshot>>;
--- a/packages/runtime/src/mod.ts
+++ b/packages/runtime/src/mod.ts
@@ -1,3 +1,9 @@
+/**
+ * What every process of the system shares: the event loop, settings, logs,
+ * metrics, probes, TLS files and the process life cycle.
+ *
+ * @module
+ */
 export * from "./admin_listener.ts";
 export * from "./event_loop.ts";
 export * from "./http_limits.ts";
--- a/packages/runtime/src/node_identity.ts
+++ b/packages/runtime/src/node_identity.ts
@@ -9,7 +9,14 @@
   "nodeId" | "availabilityZone" | "peers"
 >;
 
-/** The identity of a process that starts as a node with these settings. */
+/**
+ * The identity of a process that starts as a node with these settings.
+ *
+ * @example
+ * ```ts
+ * const identity = identityFromSettings(settings, Role.Scheduler);
+ * ```
+ */
 export function identityFromSettings(
   settings: IdentitySettings,
   role: Role,
--- a/packages/runtime/src/performer.ts
+++ b/packages/runtime/src/performer.ts
@@ -29,7 +29,14 @@
   }
 }
 
-/** Posts the answer to an effect to the command that asked for it. */
+/**
+ * Posts the answer to an effect to the command that asked for it.
+ *
+ * @example
+ * ```ts
+ * postAnswer(sink, effect.replyTo, result);
+ * ```
+ */
 export function postAnswer<Result>(
   sink: EventSink,
   reply: ReplyTo<Result>,
--- a/packages/runtime/src/probes.ts
+++ b/packages/runtime/src/probes.ts
@@ -6,6 +6,7 @@
 const SERVICE_UNAVAILABLE = 503;
 const MICROSECONDS_PER_SECOND = 1_000_000;
 
+/** What the probes tell. */
 export interface ProbeOptions {
   /** Whether the node may be sent work. */
   readonly isReady: () => boolean;
--- a/packages/runtime/src/run_node.ts
+++ b/packages/runtime/src/run_node.ts
@@ -28,6 +28,7 @@
   Failed = 1,
 }
 
+/** What a node is made of and how it starts and stops. */
 export interface RunNodeOptions {
   readonly identity: NodeIdentity;
   /** All but those of logs, metrics and the stop, which are added. */
--- a/packages/runtime/src/setting.ts
+++ b/packages/runtime/src/setting.ts
@@ -52,12 +52,26 @@
   return definition;
 }
 
-/** The flag of a setting, such as `--link-listen`. */
+/**
+ * The flag of a setting, such as `--link-listen`.
+ *
+ * @example
+ * ```ts
+ * settingFlag(COMMON_SETTINGS.logLevel); // "--log-level"
+ * ```
+ */
 export function settingFlag({ name }: SettingDefinition<unknown>): string {
   return `--${name}`;
 }
 
-/** The variable of a setting, such as `MUSTARDWEIR_LINK_LISTEN`. */
+/**
+ * The variable of a setting, such as `MUSTARDWEIR_LINK_LISTEN`.
+ *
+ * @example
+ * ```ts
+ * settingVariable(COMMON_SETTINGS.logLevel); // "MUSTARDWEIR_LOG_LEVEL"
+ * ```
+ */
 export function settingVariable({ name }: SettingDefinition<unknown>): string {
   return ENVIRONMENT_PREFIX + name.toUpperCase().replaceAll("-", "_");
 }
--- a/packages/runtime/src/setting_schemas.ts
+++ b/packages/runtime/src/setting_schemas.ts
@@ -13,16 +13,19 @@
   h: 3_600_000,
 };
 
+/** A host and a port, as in `host:port`. */
 export interface HostPort {
   readonly host: string;
   readonly port: number;
 }
 
+/** A range of ports, both ends included. */
 export interface PortRange {
   readonly first: number;
   readonly last: number;
 }
 
+/** Bounds of an integer, both included; from 0 by default. */
 export interface IntegerSettingOptions {
   readonly min?: number;
   readonly max?: number;
@@ -65,17 +68,26 @@
   "must be true or false",
 ).transform((text) => text === "true");
 
+/** A {@link LogLevel}. */
 export const logLevelSetting = z.enum(
   LogLevel,
   `must be one of ${Object.values(LogLevel).join(", ")}`,
 );
 
+/** A {@link LogFormat}. */
 export const logFormatSetting = z.enum(
   LogFormat,
   `must be one of ${Object.values(LogFormat).join(", ")}`,
 );
 
-/** An integer within bounds that are included. */
+/**
+ * An integer within bounds that are included.
+ *
+ * @example
+ * ```ts
+ * const schema = integerSetting({ min: 1, max: 64 });
+ * ```
+ */
 export function integerSetting(
   options: IntegerSettingOptions = {},
 ): z.ZodType<number> {
--- a/packages/runtime/src/settings.ts
+++ b/packages/runtime/src/settings.ts
@@ -21,6 +21,7 @@
 /** Exit code of a process whose settings are wrong. */
 export const EXIT_BAD_SETTINGS = 2;
 
+/** Why settings could not be read. */
 export enum SettingErrorKind {
   /** The command line itself is wrong. */
   BadArguments = "bad-arguments",
@@ -30,12 +31,14 @@
   HelpShown = "help-shown",
 }
 
+/** Settings that could not be read. */
 export interface SettingError {
   readonly kind: SettingErrorKind;
   /** One line that names the flag and the fault; empty after the help. */
   readonly message: string;
 }
 
+/** Where settings are read from, and what the help says. */
 export interface ParseSettingsOptions {
   /** Name of the binary, for the help. */
   readonly command: string;
@@ -153,7 +156,15 @@
   });
 }
 
-/** Prints the error as one line and ends the process; for `main` only. */
+/**
+ * Prints the error as one line and ends the process; for `main` only.
+ *
+ * @example
+ * ```ts
+ * const settings = parseSettings(definitions, { command: "mustardweir-entry" })
+ *   .match((values) => values, exitOnSettingError);
+ * ```
+ */
 export function exitOnSettingError(error: SettingError): never {
   if (error.kind === SettingErrorKind.HelpShown) {
     process.exit(0);
--- a/packages/runtime/src/tls_files.ts
+++ b/packages/runtime/src/tls_files.ts
@@ -33,6 +33,7 @@
   readonly message: string;
 }
 
+/** Which files are read, how often, and who is told. */
 export interface TlsFilesOptions {
   readonly paths: TlsPaths;
   /** 5 s by default. */
@@ -43,6 +44,7 @@
   readonly logger?: Logger;
 }
 
+/** Called with the new material after files were replaced. */
 export type TlsListener = (material: TlsMaterial) => void;
 
 /**
@@ -108,7 +110,14 @@
   }
 }
 
-/** Reads the files for the first time. */
+/**
+ * Reads the files for the first time.
+ *
+ * @example
+ * ```ts
+ * const files = openTlsFiles({ paths: { cert: "tls.crt", key: "tls.key" } });
+ * ```
+ */
 export function openTlsFiles(
   options: TlsFilesOptions,
 ): Result<TlsFiles, TlsError> {
@@ -117,6 +126,7 @@
   );
 }
 
+/** Paths as the settings give them. */
 export interface TlsSettingOptions extends Omit<TlsFilesOptions, "paths"> {
   readonly cert: string | undefined;
   readonly key: string | undefined;
@@ -127,7 +137,14 @@
   readonly flag: string;
 }
 
-/** Files named by settings: all of them, or none for plain connections. */
+/**
+ * Files named by settings: all of them, or none for plain connections.
+ *
+ * @example
+ * ```ts
+ * const tls = tlsFromSettings({ cert, key, flag: "--tls", metrics });
+ * ```
+ */
 export function tlsFromSettings(
   options: TlsSettingOptions,
 ): Result<TlsFiles | undefined, SettingError> {
@@ -152,7 +169,14 @@
   readonly linkCa: string | undefined;
 }
 
-/** Certificates of links, which both sides show. */
+/**
+ * Certificates of links, which both sides show.
+ *
+ * @example
+ * ```ts
+ * const tls = linkTlsFromSettings(settings, { metrics, logger });
+ * ```
+ */
 export function linkTlsFromSettings(
   settings: LinkTlsSettings,
   options: Pick<TlsFilesOptions, "metrics" | "logger"> = {},
--- a/packages/target-client/src/http_target_client.ts
+++ b/packages/target-client/src/http_target_client.ts
@@ -15,6 +15,7 @@
 const MAX_ANSWER_BYTES = 32 * 1024 * 1024;
 const HTTP_OK = 200;
 
+/** How workers are reached. */
 export interface HttpTargetClientOptions {
   /** Long polls and commands run at the same time; 1,024 by default. */
   readonly connectionsPerOrigin?: number;
--- a/packages/target-client/src/target_performer.ts
+++ b/packages/target-client/src/target_performer.ts
@@ -8,6 +8,7 @@
 import { HttpTargetClient } from "./http_target_client.ts";
 import type { TargetClient } from "./target_client.ts";
 
+/** Which client the performer calls workers with. */
 export interface TargetPerformerOptions {
   /** An {@link HttpTargetClient} by default. */
   readonly client?: TargetClient;
--- a/packages/wire/src/link.ts
+++ b/packages/wire/src/link.ts
@@ -49,6 +49,7 @@
   abstract takeMessages(link: Link): readonly OutgoingMessage[];
 }
 
+/** One stream's side, ends and limits. */
 export interface LinkOptions {
   readonly identity: NodeIdentity;
   readonly side: LinkSide;
--- a/packages/wire/src/link_performer.ts
+++ b/packages/wire/src/link_performer.ts
@@ -35,6 +35,7 @@
 /** Interval of looks whether the last messages have left, in milliseconds. */
 const DRAIN_POLL_MS = 10;
 
+/** How a node links with its peers. */
 export interface LinkPerformerOptions {
   readonly identity: NodeIdentity;
   readonly codec: MessageCodec;
--- a/packages/wire/src/link_server.ts
+++ b/packages/wire/src/link_server.ts
@@ -48,6 +48,7 @@
   readonly provesNode?: (nodeId: string) => boolean;
 }
 
+/** How a server of links takes streams. */
 export interface LinkServerOptions {
   /** Called for each stream that a peer opens. */
   readonly openLink: (connection: AcceptedConnection) => Link;
--- a/packages/wire/src/link_table.ts
+++ b/packages/wire/src/link_table.ts
@@ -16,6 +16,7 @@
 /** A peer with neither links nor messages is forgotten after this. */
 const FORGET_PEER_MS = 60_000;
 
+/** What all links of a node share. */
 export interface LinkTableOptions {
   readonly identity: NodeIdentity;
   readonly outbox: OutboxOptions;
@@ -25,6 +26,7 @@
   readonly deliver: (from: string, message: OutgoingMessage) => void;
 }
 
+/** One new stream. */
 export interface OpenLinkOptions {
   readonly side: LinkSide;
   /** Ends the connection below. */
--- a/packages/wire/src/message_schemas.ts
+++ b/packages/wire/src/message_schemas.ts
@@ -300,7 +300,14 @@
     [PeerMessageKind.EditAnnounced]: editAnnounced,
   };
 
-/** The schema of messages of `kind`; undefined when the kind is not known. */
+/**
+ * The schema of messages of `kind`; undefined when the kind is not known.
+ *
+ * @example
+ * ```ts
+ * const message = messageSchema(frame.kind)?.safeParse(JSON.parse(text));
+ * ```
+ */
 export function messageSchema(
   kind: number,
 ): z.ZodType<PeerMessage> | undefined {
--- a/packages/wire/src/mod.ts
+++ b/packages/wire/src/mod.ts
@@ -1,3 +1,9 @@
+/**
+ * Links between nodes: one connect-es stream for each pair, the codec of the
+ * messages in its frames, and the performer that sends them.
+ *
+ * @module
+ */
 export * from "./codec.ts";
 export * from "./errors.ts";
 export * from "./link_performer.ts";
--- a/packages/wire/src/outbox.ts
+++ b/packages/wire/src/outbox.ts
@@ -4,6 +4,7 @@
   readonly body: Uint8Array;
 }
 
+/** Bounds of what waits for a link; the oldest messages are dropped. */
 export interface OutboxOptions {
   readonly maxMessages: number;
   /** Messages that have waited longer are dropped, in milliseconds. */
--- a/packages/wire/src/peer.ts
+++ b/packages/wire/src/peer.ts
@@ -2,6 +2,7 @@
 import { type Link, LinkEnd, type LinkHello } from "./link.ts";
 import { Outbox, type OutboxOptions } from "./outbox.ts";
 
+/** Bounds of a peer's outbox and the time of its creation. */
 export interface PeerOptions {
   readonly outbox: OutboxOptions;
   /** Monotonic time in milliseconds. */
--- a/packages/wire/src/silence_monitor.ts
+++ b/packages/wire/src/silence_monitor.ts
@@ -1,6 +1,7 @@
 /** Largest id that the field of the frame holds. */
 const MAX_PING_ID = 0xffff_ffff;
 
+/** When a link counts as silent. */
 export interface SilenceMonitorOptions {
   /** Longest wait for the first frame and for each pong, in milliseconds. */
   readonly timeoutMs: number;
--- a/packages/wire/src/test_nodes.ts
+++ b/packages/wire/src/test_nodes.ts
@@ -21,11 +21,13 @@
 const WAIT_LIMIT_MS = 15_000;
 const POLL_MS = 5;
 
+/** A message with the node that it came from. */
 export interface ReceivedMessage {
   readonly from: string;
   readonly message: PeerMessage;
 }
 
+/** The node that a test runs. */
 export interface TestNodeOptions {
   readonly nodeId: string;
   readonly role?: Role;
--- a/packages/worker/src/lease_token.ts
+++ b/packages/worker/src/lease_token.ts
@@ -22,7 +22,14 @@
   return `${token.madeMs}:${token.stateSeq}:${token.incarnation}`;
 }
 
-/** Decodes a token; undefined when it is malformed. */
+/**
+ * Decodes a token; undefined when it is malformed.
+ *
+ * @example
+ * ```ts
+ * const madeMs = parseLeaseToken(call.leaseToken ?? "")?.madeMs;
+ * ```
+ */
 export function parseLeaseToken(text: string): LeaseToken | undefined {
   const match = TOKEN_PATTERN.exec(text);
   if (match === null) {
--- a/packages/worker/src/mod.ts
+++ b/packages/worker/src/mod.ts
@@ -1,3 +1,9 @@
+/**
+ * Stand-in of workers for tests and the demo: runs simulated tasks under
+ * leases and answers sync calls. No product package imports it.
+ *
+ * @module
+ */
 export * from "./hosted_worker.ts";
 export * from "./lease_token.ts";
 export * from "./settings.ts";
--- a/packages/worker/src/settings.ts
+++ b/packages/worker/src/settings.ts
@@ -16,6 +16,7 @@
   readonly capacity: Resources;
 }
 
+/** The settings of the worker binary, checked and with defaults. */
 export interface WorkerSettings {
   readonly host: string;
   readonly port: number;
--- a/packages/worker/src/task_model.ts
+++ b/packages/worker/src/task_model.ts
@@ -20,6 +20,7 @@
   abstract plan(task: TaskSpec): TaskPlan;
 }
 
+/** How far simulated tasks are off what they declare. */
 export interface PayloadTaskModelOptions {
   /** Seed of the run times; 1 by default. */
   readonly seed?: number;
--- a/packages/worker/src/task_run.ts
+++ b/packages/worker/src/task_run.ts
@@ -4,6 +4,7 @@
 
 const NO_USAGE: TaskUsage = { cpuMillis: 0, memoryMb: 0 };
 
+/** A task that begins to run. */
 export interface TaskRunOptions {
   readonly sliceId: string;
   readonly task: TaskSpec;
--- a/packages/worker/src/worker_listener.ts
+++ b/packages/worker/src/worker_listener.ts
@@ -9,6 +9,7 @@
   readonly startedMs: number;
 }
 
+/** A task has ended on a worker; times are those of the worker's clock. */
 export interface TaskEnded extends TaskStarted {
   readonly endedMs: number;
   readonly end: TaskEnd;
--- a/packages/worker/src/worker_server.ts
+++ b/packages/worker/src/worker_server.ts
@@ -22,6 +22,7 @@
   lieFactor: z.number().nonnegative().optional(),
 });
 
+/** Which workers a server hosts, and where it listens. */
 export interface WorkerServerOptions {
   readonly workers: readonly HostedWorker[];
   /** IP address to listen on; 127.0.0.1 by default. */
--- a/packages/worker/src/worker_state.ts
+++ b/packages/worker/src/worker_state.ts
@@ -49,12 +49,14 @@
   readonly lieFactor: number;
 }
 
+/** No fault is switched on. */
 export const NO_FAULTS: WorkerFaults = {
   failEverything: false,
   silent: false,
   lieFactor: 1,
 };
 
+/** What a worker has and how its tasks behave. */
 export interface WorkerStateOptions {
   readonly capacity: Resources;
   /** Start of the incarnations' names; must differ between processes. */
