Document every public item of the decisions, the demo and the proofs

Cause: about 150 exported items had no doc comment, exported functions of the decision packages had no example, and the faces did not say what the packages are for.

Functions of the demo, the benchmarks and the proofs have a comment and mostly no example yet.

Behaviour unchanged.

--- a/packages/bench/src/benchmark.ts
+++ b/packages/bench/src/benchmark.ts
@@ -1,6 +1,7 @@
 import { invariant, type Undo } from "@mustardweir/kernel";
 import type { Metric } from "./metric.ts";
 
+/** What a benchmark is run with. */
 export interface BenchmarkOptions {
   /** Seed of the workload. */
   readonly seed: number;
--- a/packages/bench/src/decisions/drain_trial.ts
+++ b/packages/bench/src/decisions/drain_trial.ts
@@ -17,6 +17,7 @@
 /** Time between looks, in milliseconds. */
 const LOOK_MS = 250;
 
+/** What a drain and return of a zone did to the fleet's use. */
 export interface DrainTrialResult {
   /** Part of the open zones in use, smallest of all looks. */
   readonly leastUsedAway: number;
--- a/packages/bench/src/decisions/gang_trial.ts
+++ b/packages/bench/src/decisions/gang_trial.ts
@@ -17,6 +17,7 @@
 /** Small tasks that always wait, over those that the fleet has room for. */
 const OVERLOAD = 3;
 
+/** The gangs that a trial submits. */
 export interface GangTrialOptions {
   readonly seed: number;
   /** Gangs of 16 accelerators that are handed in together; 1 by default. */
@@ -29,6 +30,7 @@
   readonly forMs?: number;
 }
 
+/** How long gangs waited, and how full the fleet was. */
 export interface GangTrialResult {
   /** From hand-in to the start of all members; Infinity for never. */
   readonly waits: readonly number[];
--- a/packages/bench/src/decisions/overload_trial.ts
+++ b/packages/bench/src/decisions/overload_trial.ts
@@ -17,6 +17,7 @@
 /** Requests handed in over those that the fleet can run. */
 const OVERLOAD = 2;
 
+/** What became of requests, as fractions of those submitted. */
 export interface OverloadTrialResult {
   /** Part of what the fleet can run that was run. */
   readonly goodput: number;
--- a/packages/bench/src/decisions/sharing_trial.ts
+++ b/packages/bench/src/decisions/sharing_trial.ts
@@ -11,6 +11,7 @@
 
 const SHARES = { storefront: 3, imaging: 2, ledger: 1 };
 
+/** The fleet that teams share, and for how long. */
 export interface SharingTrialOptions {
   readonly seed: number;
   /** Instances of each of the three zones; 30 by default. */
@@ -19,6 +20,7 @@
   readonly sharedMs?: number;
 }
 
+/** How near the teams came to their shares. */
 export interface SharingTrialResult {
   /** Largest difference of a team's part from its share, at each look. */
   readonly errors: readonly number[];
--- a/packages/bench/src/decisions/spread_trial.ts
+++ b/packages/bench/src/decisions/spread_trial.ts
@@ -12,6 +12,7 @@
 /** One for each rack. */
 const TASKS = 15;
 
+/** How a service's tasks are spread over racks and zones. */
 export interface SpreadTrialResult {
   /** Most tasks of one service in one rack. */
   readonly inRack: number;
--- a/packages/bench/src/decisions/urgent_trial.ts
+++ b/packages/bench/src/decisions/urgent_trial.ts
@@ -12,6 +12,7 @@
 const BETWEEN_MS = 150;
 const OBSERVED_MS = 10_000;
 
+/** How long urgent jobs waited, and what that cost others. */
 export interface UrgentTrialResult {
   /** From hand-in to start, in milliseconds; Infinity for jobs that waited. */
   readonly waits: readonly number[];
--- a/packages/bench/src/loopback/fleet.ts
+++ b/packages/bench/src/loopback/fleet.ts
@@ -4,6 +4,7 @@
   type InstanceSpec,
 } from "@mustardweir/model";
 
+/** The shape of a fleet and its teams. */
 export interface FleetOptions {
   /** Shares by team. */
   readonly shares: Readonly<Record<string, number>>;
--- a/packages/bench/src/loopback/loopback.ts
+++ b/packages/bench/src/loopback/loopback.ts
@@ -40,6 +40,7 @@
 /** How long a caller waits, in milliseconds. */
 const CALL_TTL_MS = 60_000;
 
+/** What a loopback runs. */
 export interface LoopbackOptions {
   readonly configuration: Configuration;
   readonly seed: number;
@@ -49,6 +50,7 @@
   readonly onEvent?: (spentMs: number) => void;
 }
 
+/** A start of a task on a worker. */
 export interface LoopbackStart {
   /** In milliseconds. */
   readonly at: number;
@@ -56,6 +58,7 @@
   readonly task: TaskSpec;
 }
 
+/** The body of a submission, before defaults are filled in. */
 export type JobRequest = Parameters<typeof jobSpecSchema.parse>[0] & object;
 
 /** Real scheduler kernels that share a queue of events with fake workers. */
--- a/packages/bench/src/placement_trial.ts
+++ b/packages/bench/src/placement_trial.ts
@@ -7,6 +7,7 @@
 import { createFleet } from "./workload/fleet.ts";
 import { drawTask, type WorkloadTask } from "./workload/tasks.ts";
 
+/** The policy to measure, the fleet and the load. */
 export interface PlacementTrialOptions {
   readonly policy: PlacementPolicy;
   /** Places the tasks of the warm-up; `policy` by default. */
@@ -20,6 +21,7 @@
   readonly measuredPerInstance?: number;
 }
 
+/** What the choices of a policy cost, and how well they packed. */
 export interface PlacementTrialResult {
   /** Mean time of a choice with the taking and giving back, in microseconds. */
   readonly costUs: number;
--- a/packages/bench/src/quarantine_trial.ts
+++ b/packages/bench/src/quarantine_trial.ts
@@ -2,6 +2,7 @@
 import { type FaultDetector, TaskOutcome } from "@mustardweir/quarantine";
 import { oneOf } from "./workload/distributions.ts";
 
+/** The detector to measure, and the instances that it watches. */
 export interface QuarantineTrialOptions {
   /** Must never quarantine: its statistic is read through `suspicion`. */
   readonly detector: FaultDetector;
@@ -14,6 +15,7 @@
   readonly seed: number;
 }
 
+/** The statistics that a detector arrived at. */
 export interface QuarantineTrialResult {
   /** Largest statistic of each good instance, in descending order. */
   readonly goodPeaks: readonly number[];
--- a/packages/bench/src/scaling/fleet_trial.ts
+++ b/packages/bench/src/scaling/fleet_trial.ts
@@ -12,6 +12,7 @@
 } from "./region_fleet.ts";
 import { countTraffic, type Traffic } from "./traffic.ts";
 
+/** The fleet, and what runs on it. */
 export interface FleetTrialOptions extends RegionFleetOptions {
   readonly seed: number;
   readonly schedulers: number;
@@ -21,6 +22,7 @@
   readonly startsPerSecond: number;
 }
 
+/** What a scheduler of the fleet costs. */
 export interface FleetTrialResult {
   /** Live memory of a scheduler's kernel, in megabytes. */
   readonly heapMb: number;
--- a/packages/bench/src/scaling/journal_trial.ts
+++ b/packages/bench/src/scaling/journal_trial.ts
@@ -15,6 +15,7 @@
 } from "@mustardweir/protocol";
 import { EventQueue } from "../loopback/event_queue.ts";
 
+/** The rate of records, and the table that takes them. */
 export interface JournalTrialOptions {
   readonly homes: number;
   /** Schedulers of the fleet, which share what the table takes. */
@@ -27,6 +28,7 @@
   readonly createRecord: (index: number) => JournalRecord;
 }
 
+/** How many writes, rows and bytes the journal took. */
 export interface JournalTrialResult {
   readonly writes: number;
   readonly rows: number;
--- a/packages/bench/src/scaling/region_fleet.ts
+++ b/packages/bench/src/scaling/region_fleet.ts
@@ -4,6 +4,7 @@
   type InstanceSpec,
 } from "@mustardweir/model";
 
+/** The size of a fleet of several regions. */
 export interface RegionFleetOptions {
   readonly instances: number;
   readonly regions: number;
--- a/packages/bench/src/shares_trial.ts
+++ b/packages/bench/src/shares_trial.ts
@@ -17,6 +17,7 @@
 import { createFleet } from "./workload/fleet.ts";
 import { drawTask, type WorkloadTask } from "./workload/tasks.ts";
 
+/** The order to measure, the fleet and its teams. */
 export interface SharesTrialOptions {
   readonly order: QueueOrder;
   readonly instances: number;
@@ -27,6 +28,7 @@
   readonly measuredPerInstance?: number;
 }
 
+/** How near the teams came to their shares. */
 export interface SharesTrialResult {
   /** Largest distance of a team from its share, relative to the share. */
   readonly worstError: number;
--- a/packages/bench/src/workload/distributions.ts
+++ b/packages/bench/src/workload/distributions.ts
@@ -6,6 +6,7 @@
   return radius * Math.cos(2 * Math.PI * random.fraction());
 }
 
+/** A log-normal distribution and its bounds. */
 export interface LogNormalOptions {
   readonly median: number;
   /** Standard deviation of the logarithm. */
--- a/packages/burn/src/burn_rate.ts
+++ b/packages/burn/src/burn_rate.ts
@@ -26,7 +26,14 @@
   return measured === 0 ? undefined : (late / measured) / (1 - target);
 }
 
-/** The alert when both windows of a pair burn too fast. */
+/**
+ * The alert when both windows of a pair burn too fast.
+ *
+ * @example
+ * ```ts
+ * const alert = alertOf(series.windows);
+ * ```
+ */
 export function alertOf(windows: readonly Rated[]): BurnAlert {
   const rateOf = (window: BurnWindow) =>
     windows.find((rated) => rated.window === window)?.burnRate ?? 0;
@@ -39,7 +46,14 @@
     : BurnAlert.None;
 }
 
-/** Part of the budget that is left, below 0 when it was passed. */
+/**
+ * Part of the budget that is left, below 0 when it was passed.
+ *
+ * @example
+ * ```ts
+ * budgetLeft(series.windows); // 0.4: 60% of the budget is used up
+ * ```
+ */
 export function budgetLeft(windows: readonly Rated[]): number | undefined {
   const rate = windows.find(({ window }) => window === BUDGET_WINDOW)?.burnRate;
   return rate === undefined ? undefined : 1 - rate;
--- a/packages/burn/src/collector_plugin.ts
+++ b/packages/burn/src/collector_plugin.ts
@@ -39,6 +39,7 @@
 /** Asks every scheduler for its record and answers with a report. */
 export const COLLECT_BURN = createCommand<CollectRequest>("collect-burn");
 
+/** Whose work is reported, and where the report goes. */
 export interface CollectRequest {
   /** Only this team's work; all by default. */
   readonly team?: string;
--- a/packages/burn/src/coverage.ts
+++ b/packages/burn/src/coverage.ts
@@ -33,7 +33,14 @@
   return gaps.filter((gap) => gap.fromAgeMs - gap.toAgeMs > MIN_GAP_MS);
 }
 
-/** The part of the last `lengthMs` of which there is a record. */
+/**
+ * The part of the last `lengthMs` of which there is a record.
+ *
+ * @example
+ * ```ts
+ * const covered = coveredPart("search", { spans, lengthMs: 3_600_000 });
+ * ```
+ */
 export function coveredPart(
   team: string,
   options: { readonly spans: readonly BurnSpan[]; readonly lengthMs: number },
--- a/packages/burn/src/merge.ts
+++ b/packages/burn/src/merge.ts
@@ -17,6 +17,9 @@
 
 const QUANTILES = [0.5, 0.9, 0.99] as const;
 
+/**
+ * The records to merge, and the rules whose objectives they are held against.
+ */
 export interface MergeOptions {
   readonly records: readonly BurnRecord[];
   readonly rules: Rules;
@@ -52,7 +55,14 @@
   });
 }
 
-/** True when every histogram of a record can be read. */
+/**
+ * True when every histogram of a record can be read.
+ *
+ * @example
+ * ```ts
+ * const readable = records.filter(isReadable);
+ * ```
+ */
 export function isReadable(record: BurnRecord): boolean {
   const texts = record.series.flatMap(({ waiting, windows }) => [
     waiting,
--- a/packages/burn/src/objectives.ts
+++ b/packages/burn/src/objectives.ts
@@ -6,7 +6,14 @@
   readonly kind: JobKind;
 }
 
-/** The objective of a team's work of one kind, if the rules have one. */
+/**
+ * The objective of a team's work of one kind, if the rules have one.
+ *
+ * @example
+ * ```ts
+ * const target = findObjective(rules, { team, kind })?.target;
+ * ```
+ */
 export function findObjective(
   { objectives }: Rules,
   { team, kind }: SeriesName,
@@ -14,7 +21,14 @@
   return objectives.find((o) => o.team === team && o.kind === kind);
 }
 
-/** The longest wait that is in time; without an objective every one is. */
+/**
+ * The longest wait that is in time; without an objective every one is.
+ *
+ * @example
+ * ```ts
+ * const isLate = waitMs > limitOf(rules, { team, kind });
+ * ```
+ */
 export function limitOf(rules: Rules, name: SeriesName): number {
   return findObjective(rules, name)?.startWithinMs ?? Infinity;
 }
--- a/packages/burn/src/recorder/tally.ts
+++ b/packages/burn/src/recorder/tally.ts
@@ -4,6 +4,7 @@
 
 type Counted = keyof WorkCounts;
 
+/** Zero of everything. */
 export const NO_WORK: WorkCounts = {
   accepted: 0,
   completed: 0,
@@ -28,14 +29,29 @@
   }
 }
 
-/** Adds counts up. */
+/**
+ * Adds counts up.
+ *
+ * @example
+ * ```ts
+ * const total = tallies.map(({ counts }) => counts).reduce(addCounts,
+ * NO_WORK);
+ * ```
+ */
 export function addCounts(a: WorkCounts, b: WorkCounts): WorkCounts {
   const names = Object.keys(NO_WORK) as Counted[];
   const sums = names.map((what) => [what, a[what] + b[what]] as const);
   return Object.fromEntries(sums) as unknown as WorkCounts;
 }
 
-/** Which count the end of a job belongs to. */
+/**
+ * Which count the end of a job belongs to.
+ *
+ * @example
+ * ```ts
+ * tally.count(classifyEnd(outcome, reason));
+ * ```
+ */
 export function classifyEnd(outcome: Outcome, reason: EndReason): Counted {
   if (outcome === Outcome.Unknown) {
     return "unknown";
--- a/packages/burn/src/render/burn_reply.ts
+++ b/packages/burn/src/render/burn_reply.ts
@@ -31,7 +31,14 @@
   "RECORD",
 ] as const;
 
-/** The cells of one window, in the order of {@link FIGURE_HEADS}. */
+/**
+ * The cells of one window, in the order of {@link FIGURE_HEADS}.
+ *
+ * @example
+ * ```ts
+ * const rows = series.windows.map(figureCells);
+ * ```
+ */
 export function figureCells(figures: BurnFigures): string[] {
   return [
     figures.window,
@@ -50,7 +57,14 @@
   ];
 }
 
-/** One line on a series: its objective, budget and alert. */
+/**
+ * One line on a series: its objective, budget and alert.
+ *
+ * @example
+ * ```ts
+ * lines.push(describeSeries(series));
+ * ```
+ */
 export function describeSeries(series: BurnSeries): string {
   const { team, kind, objective, budgetLeft, alert } = series;
   if (objective === undefined) {
@@ -64,7 +78,14 @@
   return `${team} ${kind}: ${goal}, ${budget}, alert ${alert}`;
 }
 
-/** Lines that say what the report has no record of. */
+/**
+ * Lines that say what the report has no record of.
+ *
+ * @example
+ * ```ts
+ * const lines = describeMissing(reply);
+ * ```
+ */
 export function describeMissing(report: BurnReply): string[] {
   return [
     ...report.silent.map(({ nodeId, silentMs }) =>
@@ -76,7 +97,14 @@
   ];
 }
 
-/** The wall-clock time of an age, to the second. */
+/**
+ * The wall-clock time of an age, to the second.
+ *
+ * @example
+ * ```ts
+ * timeOf(reply, 60_000); // "2030-01-01T00:00:00Z"
+ * ```
+ */
 export function timeOf({ asOf }: BurnReply, ageMs: number): string {
   const time = new Date(Date.parse(asOf) - ageMs);
   return time.toISOString().replace(/\.\d+Z$/, "Z");
--- a/packages/burn/src/render/html.ts
+++ b/packages/burn/src/render/html.ts
@@ -76,7 +76,14 @@
   ].join("\n");
 }
 
-/** Makes text harmless in HTML. */
+/**
+ * Makes text harmless in HTML.
+ *
+ * @example
+ * ```ts
+ * escapeHtml("<b>"); // "&lt;b&gt;"
+ * ```
+ */
 export function escapeHtml(value: string | number): string {
   const entities: Readonly<Record<string, string>> = {
     "&": "&amp;",
--- a/packages/burn/src/waits.ts
+++ b/packages/burn/src/waits.ts
@@ -76,7 +76,14 @@
   }
 }
 
-/** Reads what {@link Waits.encode} wrote. */
+/**
+ * Reads what {@link Waits.encode} wrote.
+ *
+ * @example
+ * ```ts
+ * const waits = decodeWaits(record.waiting);
+ * ```
+ */
 export function decodeWaits(text: string): Result<Waits, WaitsError> {
   if (text === "") {
     return ok(new Waits());
--- a/packages/burn/src/windows.ts
+++ b/packages/burn/src/windows.ts
@@ -10,17 +10,20 @@
   HalfHour = "half-hour",
 }
 
+/** How wide the parts of a tier are, and how many are kept. */
 export interface TierShape {
   readonly widthMs: number;
   /** Parts that are kept. */
   readonly kept: number;
 }
 
+/** The tiers in which a record is kept, fine ones for a shorter time. */
 export const TIERS: Readonly<Record<Tier, TierShape>> = {
   [Tier.Minute]: { widthMs: MINUTE_MS, kept: 60 },
   [Tier.HalfHour]: { widthMs: 30 * MINUTE_MS, kept: 144 },
 };
 
+/** How long a window is, and which tier it is read from. */
 export interface WindowShape {
   readonly lengthMs: number;
   readonly tier: Tier;
@@ -37,7 +40,14 @@
 /** The window that the error budget is for. */
 export const BUDGET_WINDOW = BurnWindow.ThreeDays;
 
-/** Number of parts that a window covers. */
+/**
+ * Number of parts that a window covers.
+ *
+ * @example
+ * ```ts
+ * partsOf(BurnWindow.OneHour); // 60
+ * ```
+ */
 export function partsOf(window: BurnWindow): number {
   const { lengthMs, tier } = WINDOWS[window];
   return lengthMs / TIERS[tier].widthMs;
--- a/packages/configuration/src/checks.ts
+++ b/packages/configuration/src/checks.ts
@@ -6,6 +6,7 @@
 import { err, ok, type Result } from "neverthrow";
 import type { DocumentError } from "./document.ts";
 
+/** An edit with the configurations before and after it. */
 export interface EditCheck {
   readonly base: Configuration;
   readonly edited: Configuration;
--- a/packages/configuration/src/document.ts
+++ b/packages/configuration/src/document.ts
@@ -47,7 +47,14 @@
   });
 }
 
-/** Parses JSON without throwing. */
+/**
+ * Parses JSON without throwing.
+ *
+ * @example
+ * ```ts
+ * const value = parseJson(row.value).unwrapOr(undefined);
+ * ```
+ */
 export function parseJson(text: string): Result<unknown, DocumentError> {
   try {
     return ok(JSON.parse(text));
@@ -68,7 +75,14 @@
   return `configuration/${createHash("sha256").update(body).digest("hex")}`;
 }
 
-/** The nonce of the edit that made `version`; undefined when not kept. */
+/**
+ * The nonce of the edit that made `version`; undefined when not kept.
+ *
+ * @example
+ * ```ts
+ * const nonce = nonceOfVersion(document, request.ifMatch + 1);
+ * ```
+ */
 export function nonceOfVersion(
   document: ConfigurationDocument,
   version: number,
@@ -76,7 +90,14 @@
   return document.nonces[document.version - version];
 }
 
-/** One line that names each fault with its path. */
+/**
+ * One line that names each fault with its path.
+ *
+ * @example
+ * ```ts
+ * describeIssues(parsed.error); // "teams.0.share: Too small"
+ * ```
+ */
 export function describeIssues(error: z.ZodError): string {
   return error.issues
     .map(({ path, message }) => `${path.join(".") || "body"}: ${message}`)
--- a/packages/configuration/src/edit_request.ts
+++ b/packages/configuration/src/edit_request.ts
@@ -6,6 +6,7 @@
 /** The new version, or why there is none. */
 export type EditResult = Result<number, Refusal>;
 
+/** An edit of one section, to be checked and written. */
 export interface EditRequest {
   readonly section: ConfigurationSection;
   /** The section's new body or a `SectionPatch`. */
--- a/packages/configuration/src/follower.ts
+++ b/packages/configuration/src/follower.ts
@@ -78,6 +78,7 @@
   readonly fetches: Map<string, Attempt>;
 }
 
+/** State of the scans and fetches of the configuration. */
 export const FOLLOWER = createStateKey<FollowerState>("configuration-follower");
 
 const SCANNED = createCommand<Answered<number, ScanResult>>(
@@ -134,7 +135,14 @@
   fetchMissing(state, update);
 }
 
-/** Scans now unless a scan is in flight. */
+/**
+ * Scans now unless a scan is in flight.
+ *
+ * @example
+ * ```ts
+ * scanNow(update); // after an edit of this node was written
+ * ```
+ */
 export function scanNow(update: Update): void {
   const state = update.write(FOLLOWER);
   if (!state.scan) {
--- a/packages/configuration/src/mod.ts
+++ b/packages/configuration/src/mod.ts
@@ -1,3 +1,9 @@
+/**
+ * Follows the versioned configuration of the platform's table and edits it,
+ * section by section.
+ *
+ * @module
+ */
 export * from "./announcement.ts";
 export * from "./checks.ts";
 export * from "./document.ts";
--- a/packages/configuration/src/pending_edit.ts
+++ b/packages/configuration/src/pending_edit.ts
@@ -56,16 +56,31 @@
   readonly attempt: number;
 }
 
+/** State of the edits that are being written. */
 export const EDITOR = createStateKey<EditorState>("configuration-editor");
 
-/** Notes that a step of `edit` is in flight. */
+/**
+ * Notes that a step of `edit` is in flight.
+ *
+ * @example
+ * ```ts
+ * const step = replyTo(BODY_STORED, nextStep(edit, update));
+ * ```
+ */
 export function nextStep(edit: PendingEdit, update: Update): StepContext {
   edit.attempt += 1;
   edit.sentAt = update.now;
   return { editId: edit.id, attempt: edit.attempt };
 }
 
-/** The edit whose step in flight was answered; undefined for a late answer. */
+/**
+ * The edit whose step in flight was answered; undefined for a late answer.
+ *
+ * @example
+ * ```ts
+ * const edit = takeStep(answered.context, update);
+ * ```
+ */
 export function takeStep(
   context: StepContext,
   update: Update,
@@ -78,7 +93,14 @@
   return edit;
 }
 
-/** Lets the step be sent again after a pause; a commit is announced anew. */
+/**
+ * Lets the step be sent again after a pause; a commit is announced anew.
+ *
+ * @example
+ * ```ts
+ * retryLater(edit, update);
+ * ```
+ */
 export function retryLater(edit: PendingEdit, update: Update): void {
   if (edit.stage === EditStage.Committing) {
     edit.stage = EditStage.Announcing;
@@ -86,7 +108,14 @@
   edit.retryAt = update.now + EDIT_RETRY_MS;
 }
 
-/** Refuses an edit of a version that is not the newest. */
+/**
+ * Refuses an edit of a version that is not the newest.
+ *
+ * @example
+ * ```ts
+ * const refusal = staleRefusal(edit.request, newestVersion);
+ * ```
+ */
 export function staleRefusal(request: EditRequest, newest?: number): Refusal {
   const found = newest === undefined ? "newer" : `${newest}`;
   return refuse(RefusalReason.StaleEdit, {
@@ -95,7 +124,14 @@
   });
 }
 
-/** Says that the edit may be in force or may come into force. */
+/**
+ * Says that the edit may be in force or may come into force.
+ *
+ * @example
+ * ```ts
+ * const result: EditResult = err(unknownRefusal());
+ * ```
+ */
 export function unknownRefusal(): Refusal {
   return refuse(RefusalReason.StoreUnavailable, {
     message:
--- a/packages/configuration/src/retired.ts
+++ b/packages/configuration/src/retired.ts
@@ -7,6 +7,7 @@
 /** Most instances that are remembered; the newest stay. */
 const MAX_RETIRED = 2_000;
 
+/** An instance that left the inventory while its worker may still run tasks. */
 export const retiredInstanceSchema = z.object({
   id: z.string(),
   address: z.string(),
@@ -22,6 +23,7 @@
  */
 export type RetiredInstance = z.infer<typeof retiredInstanceSchema>;
 
+/** The inventories before and after an edit, and what had left before. */
 export interface RetireOptions {
   readonly known: readonly RetiredInstance[];
   readonly base: Inventory;
--- a/packages/configuration/src/section_edit.ts
+++ b/packages/configuration/src/section_edit.ts
@@ -58,7 +58,14 @@
   return parseSection(section, edit);
 }
 
-/** Checks a section's body against its schema. */
+/**
+ * Checks a section's body against its schema.
+ *
+ * @example
+ * ```ts
+ * const rules = parseSection(ConfigurationSection.Rules, body);
+ * ```
+ */
 export function parseSection(
   section: ConfigurationSection,
   body: unknown,
@@ -69,7 +76,14 @@
     : err({ message: `${section}.${describeIssues(parsed.error)}` });
 }
 
-/** The configuration with one section replaced by a checked body. */
+/**
+ * The configuration with one section replaced by a checked body.
+ *
+ * @example
+ * ```ts
+ * const edited = replaceSection(base, ConfigurationSection.Zones, zones);
+ * ```
+ */
 export function replaceSection(
   base: Configuration,
   section: ConfigurationSection,
--- a/packages/configuration/src/state.ts
+++ b/packages/configuration/src/state.ts
@@ -9,6 +9,7 @@
  */
 export const CONFIRMATION_MS = 3_000;
 
+/** The configuration in force on a node, and how fresh it is. */
 export interface ConfigurationState {
   current: Configuration;
   /** Instances that left the inventory lately; none by default. */
@@ -20,6 +21,7 @@
   confirmedAt: number;
 }
 
+/** State key of the configuration in force. */
 export const CONFIGURATION = createStateKey<ConfigurationState>(
   "configuration",
 );
--- a/packages/demo/src/api.ts
+++ b/packages/demo/src/api.ts
@@ -7,6 +7,7 @@
   readonly body: Body;
 }
 
+/** One call of an entry's API. */
 export interface ApiCall {
   readonly method: "GET" | "POST" | "PUT" | "DELETE";
   readonly path: string;
--- a/packages/demo/src/audit.ts
+++ b/packages/demo/src/audit.ts
@@ -182,6 +182,7 @@
   readonly entitlement: number;
 }
 
+/** A span of wall-clock time, in milliseconds since 1970. */
 export interface Span {
   readonly fromMs: number;
   readonly toMs: number;
--- a/packages/demo/src/child.ts
+++ b/packages/demo/src/child.ts
@@ -11,6 +11,7 @@
 /** Longest wait for a process to end after it was told to. */
 const STOP_TIMEOUT_MS = 8_000;
 
+/** The process to start. */
 export interface StartChildOptions {
   readonly name: string;
   /** Path of the executable. */
--- a/packages/demo/src/cluster.ts
+++ b/packages/demo/src/cluster.ts
@@ -15,6 +15,7 @@
 
 const NODE_NAME = /^(entry|scheduler)-/;
 
+/** Which fleet is run, with how many nodes. */
 export interface ClusterOptions {
   readonly fleet: Fleet;
   /** Number of entries and of schedulers; 6 by default. */
@@ -25,6 +26,7 @@
   readonly onLog?: (name: string, line: string) => void;
 }
 
+/** Where a scheduler listens and is reached. */
 export interface SchedulerAddress {
   readonly nodeId: string;
   /** Where the process listens. */
@@ -34,6 +36,7 @@
   readonly availabilityZone: string;
 }
 
+/** Where an entry takes calls. */
 export interface EntryAddress {
   readonly nodeId: string;
   readonly url: string;
--- a/packages/demo/src/demo.ts
+++ b/packages/demo/src/demo.ts
@@ -22,6 +22,7 @@
 /** When submitters stop to wait, from the start of the load. */
 const GIVE_UP_MS = 36_000;
 
+/** Which example fleet the demo runs, with which workload. */
 export interface DemoOptions {
   readonly fleet: ExampleFleet;
   /** Seed of the workload; 1 by default. */
@@ -29,7 +30,14 @@
   readonly onLog?: (name: string, line: string) => void;
 }
 
-/** Runs the demo; resolves to true when nothing went wrong. */
+/**
+ * Runs the demo; resolves to true when nothing went wrong.
+ *
+ * @example
+ * ```ts
+ * const isSound = await runDemo({ fleet, seed: 7 });
+ * ```
+ */
 export async function runDemo(options: DemoOptions): Promise<boolean> {
   const cluster = new Cluster(options);
   const apis: Api[] = [];
--- a/packages/demo/src/demo_report.ts
+++ b/packages/demo/src/demo_report.ts
@@ -3,6 +3,7 @@
 import type { Audit, TeamPart } from "./audit.ts";
 import type { JobStory } from "./submitter.ts";
 
+/** What a run of the demo found. */
 export interface DemoReport {
   readonly fleet: string;
   readonly stories: readonly JobStory[];
--- a/packages/demo/src/docs/page_run.ts
+++ b/packages/demo/src/docs/page_run.ts
@@ -21,6 +21,7 @@
 /** Longest run of one page; what it started is ended then. */
 const RUN_LIMIT_MS = 150_000;
 
+/** How a script of a page went. */
 export interface PageRun {
   /** Undefined when the run was ended by force. */
   readonly exitCode: number | undefined;
--- a/packages/demo/src/launcher.ts
+++ b/packages/demo/src/launcher.ts
@@ -9,6 +9,7 @@
   Scheduler = "scheduler",
 }
 
+/** The binary to start, with the name for its log lines. */
 export interface LaunchOptions {
   readonly name: string;
   readonly binary: Binary;
--- a/packages/demo/src/mod.ts
+++ b/packages/demo/src/mod.ts
@@ -1,3 +1,9 @@
+/**
+ * The demonstration: starts the stand-ins and the system's processes on this
+ * machine, submits a day's mix of work and audits what ran.
+ *
+ * @module
+ */
 export * from "./api.ts";
 export * from "./audit.ts";
 export * from "./child.ts";
--- a/packages/demo/src/relay.ts
+++ b/packages/demo/src/relay.ts
@@ -21,6 +21,7 @@
   readonly swallowed: Set<Direction>;
 }
 
+/** What a relay stands before. */
 export interface RelayOptions {
   /** Host and port that connections are passed on to. */
   readonly target: string;
--- a/packages/demo/src/runs.ts
+++ b/packages/demo/src/runs.ts
@@ -20,6 +20,7 @@
   readonly endedMs?: number;
 };
 
+/** Whose runs are collected. */
 export interface CollectRunsOptions {
   readonly fleet: Fleet;
   readonly originOfZone: ReadonlyMap<string, string>;
--- a/packages/demo/src/submitter.ts
+++ b/packages/demo/src/submitter.ts
@@ -34,6 +34,7 @@
   unclear: boolean;
 }
 
+/** The entries to submit through, the keys, and the time limit. */
 export interface SubmitterOptions {
   readonly apis: readonly Api[];
   readonly keyOfTeam: ReadonlyMap<string, string>;
--- a/packages/demo/src/workload.ts
+++ b/packages/demo/src/workload.ts
@@ -13,6 +13,7 @@
   readonly spec: DemoSpec;
 }
 
+/** The body of `POST /v1/jobs` as the demo sends it. */
 export interface DemoSpec {
   readonly kind: JobKind;
   readonly name: string;
@@ -245,6 +246,7 @@
 /** Run times spread around the declared one by up to this factor. */
 const DURATION_SPREAD = 3;
 
+/** Which fleet the workload is for, and over which time it comes. */
 export interface WorkloadOptions {
   readonly fleet: FleetName;
   /** Time over which the jobs come, in milliseconds. */
--- a/packages/failure-tests/src/load.ts
+++ b/packages/failure-tests/src/load.ts
@@ -90,6 +90,7 @@
   return `${idempotencyKey} ${ANSWER_FILL}`;
 }
 
+/** Where the load is submitted, and its seed. */
 export interface LoadOptions extends Omit<SubmitterOptions, "giveUpAt"> {
   readonly seed: number;
 }
@@ -172,6 +173,7 @@
   };
 }
 
+/** A request that runs for a given time. */
 export interface RequestOptions {
   readonly name: string;
   readonly runMs: number;
--- a/packages/failure-tests/src/trial.ts
+++ b/packages/failure-tests/src/trial.ts
@@ -34,6 +34,7 @@
 /** Bound that the target sets for what is to happen within seconds. */
 export const SECONDS_BOUND_MS = 4_000;
 
+/** The load of a trial, and how processes are reached. */
 export interface TrialOptions {
   /** Seed of the load; 1 by default. */
   readonly seed?: number;
--- a/packages/failure-tests/src/verdict.ts
+++ b/packages/failure-tests/src/verdict.ts
@@ -20,6 +20,7 @@
   readonly crossed: readonly string[];
 }
 
+/** What callers were told, and what workers ran. */
 export interface VerdictOptions {
   readonly fleet: Fleet;
   readonly stories: readonly JobStory[];
--- a/packages/fairness/src/preemption.ts
+++ b/packages/fairness/src/preemption.ts
@@ -36,6 +36,7 @@
   readonly due: number;
 }
 
+/** Who needs room, and what runs where it could be made. */
 export interface PickVictimsOptions {
   /** The team that needs room, with the size of its ask. */
   readonly team: string;
@@ -89,7 +90,16 @@
   return best && { instanceId: best.instanceId, victims: best.victims };
 }
 
-/** True when the team stays within its due with the ask granted. */
+/**
+ * True when the team stays within its due with the ask granted.
+ *
+ * @example
+ * ```ts
+ * if (isBelowDue({ team, size, standings })) {
+ *   preempt(update, slice);
+ * }
+ * ```
+ */
 export function isBelowDue(
   options: Omit<PickVictimsOptions, "places">,
 ): boolean {
--- a/packages/fairness/src/preemption_policy.ts
+++ b/packages/fairness/src/preemption_policy.ts
@@ -26,6 +26,7 @@
   "preemption-policy",
 );
 
+/** When a team is far enough below its entitlement. */
 export interface EntitledPreemptionOptions {
   /**
    * Part of its entitlement that a team lacks before work of others is stopped
--- a/packages/fairness/src/queue_order.ts
+++ b/packages/fairness/src/queue_order.ts
@@ -50,6 +50,7 @@
   }
 }
 
+/** How long room is held back for a blocked team. */
 export interface DominantShareOptions {
   /**
    * How long a blocked team keeps room from teams that are further along, in
@@ -114,7 +115,14 @@
   }
 }
 
-/** The dominant share of a team with half its next ask, by its weight. */
+/**
+ * The dominant share of a team with half its next ask, by its weight.
+ *
+ * @example
+ * ```ts
+ * const isFirst = weightedShare(a, total) < weightedShare(b, total);
+ * ```
+ */
 export function weightedShare(demand: TeamDemand, total: Resources): number {
   if (demand.weight <= 0) {
     return Infinity;
--- a/packages/journal/src/journal_plugin.ts
+++ b/packages/journal/src/journal_plugin.ts
@@ -334,7 +334,16 @@
 /** A write that takes longer than this shows an outage, in milliseconds. */
 const STUCK_AFTER_MS = 2_000;
 
-/** True while nothing can be made durable: new work had better be refused. */
+/**
+ * True while nothing can be made durable: new work had better be refused.
+ *
+ * @example
+ * ```ts
+ * if (isJournalStuck(update)) {
+ *   return err(refuse(RefusalReason.StoreUnavailable, { message }));
+ * }
+ * ```
+ */
 export function isJournalStuck(update: Update): boolean {
   const { inFlight, inFlightSince } = update.read(JOURNAL);
   return inFlight !== undefined && update.now - inFlightSince > STUCK_AFTER_MS;
--- a/packages/journal/src/journal_state.ts
+++ b/packages/journal/src/journal_state.ts
@@ -35,6 +35,7 @@
   readonly deletes: readonly string[];
 }
 
+/** What waits to be written for each home, and the write in flight. */
 export interface JournalState {
   readonly homes: Map<string, HomeJournal>;
   /** Batches of the write in flight; undefined when none is. */
@@ -48,14 +49,29 @@
   readonly pace: WritePace;
 }
 
+/** State key of the journal. */
 export const JOURNAL = createStateKey<JournalState>("journal");
 
-/** Prefix of the rows of one team. */
+/**
+ * Prefix of the rows of one team.
+ *
+ * @example
+ * ```ts
+ * journalPrefix("search"); // prefix of every row of team "search"
+ * ```
+ */
 export function journalPrefix(team: string): string {
   return `${JOURNAL_PREFIX}${team}/`;
 }
 
-/** Key of the row that a home writes as its `seq`-th. */
+/**
+ * Key of the row that a home writes as its `seq`-th.
+ *
+ * @example
+ * ```ts
+ * const put = { key: journalKey(home, home.nextSeq), value };
+ * ```
+ */
 export function journalKey(home: HomeJournal, seq: number): string {
   const epoch = String(home.epoch).padStart(KEY_DIGITS, "0");
   const position = String(seq).padStart(KEY_DIGITS, "0");
--- a/packages/journal/src/records.ts
+++ b/packages/journal/src/records.ts
@@ -14,6 +14,7 @@
   JobEnded = "job-ended",
 }
 
+/** A job was accepted. */
 export interface AcceptedRecord {
   readonly kind: JournalRecordKind.Accepted;
   readonly jobId: string;
@@ -22,12 +23,14 @@
   readonly specHash: string;
 }
 
+/** A task that runs at most once is about to be started. */
 export interface StartingRecord {
   readonly kind: JournalRecordKind.Starting;
   readonly jobId: string;
   readonly taskIndex: number;
 }
 
+/** A task of a job has ended. */
 export interface TaskEndedRecord {
   readonly kind: JournalRecordKind.TaskEnded;
   readonly jobId: string;
@@ -35,11 +38,13 @@
   readonly reason: EndReason;
 }
 
+/** A job was cancelled; its tasks may still run. */
 export interface CancelledRecord {
   readonly kind: JournalRecordKind.Cancelled;
   readonly jobId: string;
 }
 
+/** A job has ended. */
 export interface JobEndedRecord {
   readonly kind: JournalRecordKind.JobEnded;
   readonly jobId: string;
@@ -48,6 +53,7 @@
   readonly answer?: string;
 }
 
+/** What a row of the journal holds, one after another. */
 export type JournalRecord =
   | AcceptedRecord
   | StartingRecord
--- a/packages/journal/src/rows.ts
+++ b/packages/journal/src/rows.ts
@@ -15,6 +15,11 @@
  * True when a snapshot should take the place of the rows: there are many, and
  * they are as long as the last snapshot, so that snapshots at most double what
  * is written.
+ *
+ * @example
+ * ```ts
+ * const needsSnapshot = homes.filter(isSnapshotDue);
+ * ```
  */
 export function isSnapshotDue(home: HomeJournal): boolean {
   const { rowKeys, charsSince, snapshotChars } = home;
@@ -22,7 +27,14 @@
     (rowKeys.length >= SNAPSHOT_ROWS && charsSince >= snapshotChars);
 }
 
-/** Spreads records over the next rows of a home, in order. */
+/**
+ * Spreads records over the next rows of a home, in order.
+ *
+ * @example
+ * ```ts
+ * const puts = composeRows(home, records);
+ * ```
+ */
 export function composeRows(
   home: HomeJournal,
   records: readonly JournalRecord[],
@@ -51,7 +63,14 @@
   return puts;
 }
 
-/** Characters of the values of rows. */
+/**
+ * Characters of the values of rows.
+ *
+ * @example
+ * ```ts
+ * const chars = countChars(puts);
+ * ```
+ */
 export function countChars(rows: readonly { readonly value: string }[]) {
   return rows.reduce((sum, { value }) => sum + value.length, 0);
 }
--- a/packages/journal/src/write_pace.ts
+++ b/packages/journal/src/write_pace.ts
@@ -16,7 +16,14 @@
   countedAt: number;
 }
 
-/** The pace of a scheduler that has not written yet. */
+/**
+ * The pace of a scheduler that has not written yet.
+ *
+ * @example
+ * ```ts
+ * const pace = createPace();
+ * ```
+ */
 export function createPace(): WritePace {
   return { allowance: BURST_WRITES, countedAt: 0 };
 }
@@ -25,6 +32,13 @@
  * True when the scheduler may write now, which counts as a write. Each has an
  * equal part of what the table takes, so the more schedulers there are the
  * more records each write carries.
+ *
+ * @example
+ * ```ts
+ * if (takeTurn(update, pace)) {
+ *   write(update);
+ * }
+ * ```
  */
 export function takeTurn(update: Update, pace: WritePace): boolean {
   const schedulers = update.read(SCHEDULERS).peers.length + 1;
--- a/packages/placement/src/indexed_fit.ts
+++ b/packages/placement/src/indexed_fit.ts
@@ -8,6 +8,7 @@
 } from "./policy.ts";
 import { packingScore } from "./score.ts";
 
+/** How many instances are looked at before one is chosen. */
 export interface IndexedFitOptions {
   /** Instances with room that are rated before one is chosen; 4 by default. */
   readonly candidates?: number;
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -1,3 +1,9 @@
+/**
+ * Policies that choose the instance of a task, and the table of instances that
+ * they choose from.
+ *
+ * @module
+ */
 export * from "./baselines.ts";
 export * from "./indexed_fit.ts";
 export * from "./instance_table.ts";
--- a/packages/placement/src/score.ts
+++ b/packages/placement/src/score.ts
@@ -14,6 +14,11 @@
  * slots as of anything else, so a task belongs where what is free for each
  * free slot comes nearest to its size: a small task on a large instance
  * strands the rest, a large one leaves slots that nothing can fill.
+ *
+ * @example
+ * ```ts
+ * const score = packingScore(table, index, task.size);
+ * ```
  */
 export function packingScore(
   table: InstanceTable,
--- a/packages/prove/src/commands/edits.ts
+++ b/packages/prove/src/commands/edits.ts
@@ -33,6 +33,7 @@
   }, { entryId: pickEntry(cluster, entryIndex), keyId: OPERATOR_KEY });
 }
 
+/** Grants a key of the initial configuration again. */
 export function grantKey(cluster: Cluster, { pick, other }: Command): void {
   const key = pickFrom(INITIAL_CONFIGURATION.keys, pick)!;
   editLatest(cluster, ConfigurationSection.Keys, ({ keys }) => [
@@ -74,6 +75,7 @@
   );
 }
 
+/** Opens or drains an availability zone. */
 export function setZone(
   cluster: Cluster,
   { pick, other }: Command,
@@ -86,6 +88,7 @@
   }), other);
 }
 
+/** Changes the ceiling of a team. */
 export function setCeiling(
   cluster: Cluster,
   command: Command,
@@ -100,6 +103,7 @@
   );
 }
 
+/** The rules with another ceiling for one team. */
 export function withCeiling(
   rules: Configuration["rules"],
   name: string,
@@ -111,6 +115,7 @@
   return { ...rules, teams };
 }
 
+/** Takes an instance out of the inventory. */
 export function removeInstance(
   cluster: Cluster,
   { pick, other }: Command,
--- a/packages/prove/src/commands/faults.ts
+++ b/packages/prove/src/commands/faults.ts
@@ -16,6 +16,7 @@
   cluster.leaveTarget(instanceId);
 }
 
+/** Pauses a node, as a signal does, and resumes it. */
 export function pause(cluster: Cluster, { pick, forMs }: Command): void {
   const nodeId = pickNode(cluster, pick);
   const node = cluster.nodes.get(nodeId)!;
@@ -23,18 +24,21 @@
   cluster.clock.after(1_000 + forMs * 2, () => node.resume());
 }
 
+/** Kills a node and starts another in its place. */
 export function replace(cluster: Cluster, { pick, forMs }: Command): void {
   const nodeId = pickNode(cluster, pick);
   cluster.kill(nodeId);
   cluster.clock.after(forMs, () => cluster.start(nodeId));
 }
 
+/** Stops a node as planned and starts it again. */
 export function plannedStop(cluster: Cluster, { pick, forMs }: Command): void {
   const nodeId = pickNode(cluster, pick);
   cluster.stop(nodeId);
   cluster.clock.after(10_500 + forMs, () => cluster.start(nodeId));
 }
 
+/** Switches on faults of the table and the object store. */
 export function spoilStore(
   cluster: Cluster,
   faults: Partial<Cluster["store"]["faults"]>,
@@ -43,6 +47,7 @@
   cluster.spoilStore({ ...cluster.store.faults, ...faults });
 }
 
+/** Switches on faults of the network. */
 export function spoilNetwork(
   cluster: Cluster,
   faults: Partial<Cluster["network"]["faults"]>,
--- a/packages/prove/src/commands/table.ts
+++ b/packages/prove/src/commands/table.ts
@@ -30,6 +30,7 @@
   submit,
 } from "./work.ts";
 
+/** When a command is drawn, and what it does. */
 export interface CommandRule {
   /** How often the command is drawn, relative to the others. */
   readonly weight: number;
@@ -38,6 +39,7 @@
   readonly run: (cluster: Cluster, command: Command) => void;
 }
 
+/** The rule of each kind of command. */
 export const COMMANDS: Readonly<Record<CommandKind, CommandRule>> = {
   [CommandKind.Submit]: {
     weight: 24,
--- a/packages/prove/src/commands/work.ts
+++ b/packages/prove/src/commands/work.ts
@@ -25,6 +25,7 @@
 /** Names of submissions that come with a key of nobody begin with this. */
 export const STRANGER = "stranger";
 
+/** Submits a job of a random kind and size. */
 export function submit(
   cluster: Cluster,
   command: Command,
@@ -40,6 +41,7 @@
   handIn(cluster, submission, { entryIndex: other, keyIndex: forMs });
 }
 
+/** A job whose kind, size and run time follow from the command. */
 export function composeSpec(
   { pick, other, forMs }: Command,
   options: { readonly name: string; readonly idempotent: boolean },
@@ -62,6 +64,7 @@
   });
 }
 
+/** Submits a job again under its idempotency key. */
 export function repeat(
   cluster: Cluster,
   { pick, other, forMs }: Command,
@@ -87,6 +90,7 @@
   return [...jobs];
 }
 
+/** Cancels several jobs at once. */
 export function cancelWave(cluster: Cluster, command: Command): void {
   const jobs = knownJobs(cluster);
   const first = command.pick % Math.max(jobs.length, 1);
@@ -98,6 +102,7 @@
   }
 }
 
+/** Asks for the status of several jobs, for lists and for the configuration. */
 export function statusWave(cluster: Cluster, command: Command): void {
   for (const [jobId, team] of knownJobs(cluster).slice(-WAVE)) {
     callTeam(cluster, command, {
@@ -119,6 +124,7 @@
   readonly call: Call["call"];
 }
 
+/** Makes a call with a key of the team. */
 export function callTeam(
   cluster: Cluster,
   { other, forMs }: Command,
--- a/packages/prove/src/fleet.ts
+++ b/packages/prove/src/fleet.ts
@@ -9,7 +9,9 @@
   type Resources,
 } from "@mustardweir/model";
 
+/** The availability zones of the simulated fleet. */
 export const ZONES = ["a", "b", "c"] as const;
+/** The teams of the simulated fleet. */
 export const TEAMS = ["storefront", "imaging"] as const;
 
 /** Instances in the one rack of each zone. */
@@ -26,6 +28,7 @@
   return createHash("sha256").update(keyId).digest("hex");
 }
 
+/** The id of a team's key by number. */
 export function teamKeyId(team: string, index: number): string {
   return `${team}-${index % KEYS_PER_TEAM}`;
 }
@@ -80,6 +83,7 @@
   return objects;
 }
 
+/** The configuration row that every run starts with. */
 export function initialRow(): string {
   const sections = Object.values(ConfigurationSection).map((section) => [
     section,
@@ -92,6 +96,7 @@
   });
 }
 
+/** An instance of the simulated fleet. */
 export interface FleetInstance {
   readonly instanceId: string;
   readonly availabilityZone: string;
--- a/packages/prove/src/history.ts
+++ b/packages/prove/src/history.ts
@@ -41,6 +41,7 @@
   readonly spec: JobSpec;
 }
 
+/** An answer with its time, in milliseconds of virtual time. */
 export interface TimedAnswer {
   readonly at: number;
   readonly answer: CallerAnswer;
--- a/packages/prove/src/oracles/runs.ts
+++ b/packages/prove/src/oracles/runs.ts
@@ -37,6 +37,7 @@
   }
 }
 
+/** Groups runs by a key. */
 export function groupRuns(
   runs: readonly Run[],
   keyOf: (run: Run) => string,
@@ -62,6 +63,7 @@
   return b.startedAt < a.endedAt - ROUNDING_MS;
 }
 
+/** One line on a run, for failures. */
 export function describeRun(run: Run): string {
   const ended = run.endedAt === Infinity ? "" : ` to ${run.endedAt.toFixed(1)}`;
   const { taskId, instanceId, startedAt, submission } = run;
--- a/packages/prove/src/outage_trial.ts
+++ b/packages/prove/src/outage_trial.ts
@@ -21,6 +21,7 @@
   Majority = "majority",
 }
 
+/** The rule of blind nodes to measure, and what fails besides. */
 export interface OutageTrialOptions {
   readonly seed: number;
   readonly rule: BlindRule;
@@ -28,6 +29,7 @@
   readonly killsOwner?: boolean;
 }
 
+/** What went on during an outage. */
 export interface OutageResult {
   /** Requests handed in during the outage, and those that were done. */
   readonly requests: number;
--- a/packages/prove/src/prover.ts
+++ b/packages/prove/src/prover.ts
@@ -10,6 +10,7 @@
 /** Longest search for a shorter failing scenario, in milliseconds. */
 const SHRINK_LIMIT_MS = 60_000;
 
+/** Which points are proved, how often, and from which seed. */
 export interface ProveOptions {
   /** All points by default. */
   readonly point?: Point;
@@ -43,11 +44,13 @@
   readonly breaches: readonly Breach[];
 }
 
+/** A point that did not hold. */
 export interface Breach {
   readonly point: Point;
   readonly message: string;
 }
 
+/** What the runs of a proof have shown. */
 export interface Proof {
   readonly tallies: readonly Tally[];
   /** Runs altogether. */
--- a/packages/prove/src/scenario.ts
+++ b/packages/prove/src/scenario.ts
@@ -17,6 +17,7 @@
 import { Cluster } from "./simulation/cluster.ts";
 import type { Tampering } from "./simulation/tampering.ts";
 
+/** A run of the simulation: its seed and its commands. */
 export interface Scenario {
   /** Seed of the simulation's chance. */
   readonly chance: number;
--- a/packages/prove/src/simulation/cluster.ts
+++ b/packages/prove/src/simulation/cluster.ts
@@ -59,6 +59,7 @@
 /** A part of the workers whose inventory is overstated, one in. */
 const SHORT_ONE_IN = 8;
 
+/** What a simulated cluster consists of. */
 export interface ClusterOptions {
   /** Seed of all chance. */
   readonly seed: number;
@@ -67,6 +68,7 @@
   readonly tampering?: Tampering;
 }
 
+/** Where a call is made, with which key and for how long. */
 export interface CallOptions {
   readonly entryId: string;
   readonly keyId: string;
--- a/packages/prove/src/simulation/network.ts
+++ b/packages/prove/src/simulation/network.ts
@@ -18,12 +18,14 @@
   readonly lost: number;
 }
 
+/** Messages arrive once, in time. */
 export const NO_NETWORK_FAULTS: NetworkFaults = {
   lateMs: 0,
   doubled: 0,
   lost: 0,
 };
 
+/** The time and chance of a network. */
 export interface NetworkOptions {
   readonly clock: VirtualClock;
   readonly random: Random;
--- a/packages/prove/src/simulation/node.ts
+++ b/packages/prove/src/simulation/node.ts
@@ -16,6 +16,7 @@
 import type { Tampering } from "./tampering.ts";
 import type { VirtualClock } from "./virtual_clock.ts";
 
+/** Whether a simulated process runs. */
 export enum ProcessState {
   Running = "running",
   /** Stopped by a signal; goes on where it was. */
@@ -23,6 +24,7 @@
   Dead = "dead",
 }
 
+/** What a simulated process is made of. */
 export interface SimulatedNodeOptions {
   readonly identity: NodeIdentity;
   readonly operatorKeyHash: string;
--- a/packages/prove/src/simulation/performers.ts
+++ b/packages/prove/src/simulation/performers.ts
@@ -7,6 +7,7 @@
 import type { Cluster } from "./cluster.ts";
 import type { SimulatedNode } from "./node.ts";
 
+/** Carries out an effect of one kind. */
 export type Perform<Kind> = (
   cluster: Cluster,
   from: SimulatedNode,
--- a/packages/prove/src/simulation/store.ts
+++ b/packages/prove/src/simulation/store.ts
@@ -22,6 +22,7 @@
 const MIN_LATENCY_MS = 1;
 const LATENCY_SPREAD_MS = 3;
 
+/** Faults of the table and the object store. */
 export interface StoreFaults {
   /** Largest extra time one way, in milliseconds. */
   readonly slowMs: number;
@@ -33,6 +34,7 @@
   readonly lateWrites: number;
 }
 
+/** Every call takes effect once and is answered. */
 export const NO_STORE_FAULTS: StoreFaults = {
   slowMs: 0,
   down: false,
@@ -40,6 +42,7 @@
   lateWrites: 0,
 };
 
+/** The time and chance of a store, and who is told of its commits. */
 export interface StoreOptions {
   readonly clock: VirtualClock;
   readonly random: Random;
--- a/packages/prove/src/simulation/worker_host.ts
+++ b/packages/prove/src/simulation/worker_host.ts
@@ -13,6 +13,7 @@
 import { LocalClock } from "./local_clock.ts";
 import type { VirtualClock } from "./virtual_clock.ts";
 
+/** A worker, its time and chance, and who is told of its runs. */
 export interface WorkerHostOptions {
   readonly instanceId: string;
   readonly state: WorkerState;
@@ -22,10 +23,12 @@
   readonly listener: RunListener;
 }
 
+/** A task has started on an instance. */
 export interface RunStarted extends TaskStarted {
   readonly instanceId: string;
 }
 
+/** A task has ended on an instance. */
 export interface RunEnded extends TaskEnded {
   readonly instanceId: string;
 }
--- a/packages/quarantine/src/detectors.ts
+++ b/packages/quarantine/src/detectors.ts
@@ -32,6 +32,7 @@
   }
 }
 
+/** How fast the average follows the newest tasks. */
 export interface MovingAverageOptions extends EvidenceDetectorOptions {
   /** Weight of the newest task, from 0 to 1; 0.3 by default. */
   readonly smoothing?: number;
--- a/packages/quarantine/src/evidence_detector.ts
+++ b/packages/quarantine/src/evidence_detector.ts
@@ -6,6 +6,7 @@
 import { QuarantineLog, type QuarantineLogOptions } from "./quarantine_log.ts";
 import { TeamVotes } from "./team_votes.ts";
 
+/** How much evidence quarantines an instance. */
 export interface EvidenceDetectorOptions extends QuarantineLogOptions {
   /** The statistic at which an instance is quarantined. */
   readonly threshold?: number;
--- a/packages/quarantine/src/mod.ts
+++ b/packages/quarantine/src/mod.ts
@@ -1,3 +1,9 @@
+/**
+ * Detects instances on which tasks of several teams fail, and probes them
+ * until they work again.
+ *
+ * @module
+ */
 export * from "./detectors.ts";
 export * from "./evidence_detector.ts";
 export * from "./fault_detector.ts";
--- a/packages/quarantine/src/quarantine_log.ts
+++ b/packages/quarantine/src/quarantine_log.ts
@@ -1,5 +1,6 @@
 import { InstanceVerdict } from "./fault_detector.ts";
 
+/** When quarantined instances are probed. */
 export interface QuarantineLogOptions {
   /** From quarantine to the first probe, in milliseconds; 30 s by default. */
   readonly firstGapMs?: number;
