Say submit for work that is handed in; give edits of the proofs options

Cause: comments and names spoke of handing in, where the calls and the field say submit. editLatest took four positional arguments.

Change: names and comments; sendSubmission (was handIn); an options object for editLatest. One unit in the output of the outage benchmark reads "of those submitted". Left: the same words in entry, admission, home, cli and the pages.

Behaviour unchanged.

--- a/packages/bench/src/decisions/gang_trial.ts
+++ b/packages/bench/src/decisions/gang_trial.ts
@@ -20,7 +20,7 @@
 /** The gangs that a trial submits. */
 export interface GangTrialOptions {
   readonly seed: number;
-  /** Gangs of 16 accelerators that are handed in together; 1 by default. */
+  /** Gangs of 16 accelerators that are submitted together; 1 by default. */
   readonly gangs?: number;
   /** Accelerators of one member; 1 by default. */
   readonly memberSize?: number;
@@ -32,13 +32,13 @@
 
 /** How long gangs waited, and how full the fleet was. */
 export interface GangTrialResult {
-  /** From hand-in to the start of all members; Infinity for never. */
+  /** From submission to the start of all members; Infinity for never. */
   readonly waits: readonly number[];
-  /** Part of the accelerators in use on average from hand-in to the end. */
+  /** Part of the accelerators in use on average from submission to the end. */
   readonly used: number;
 }
 
-/** Hands gangs to a fleet on which small tasks come and go all the while. */
+/** Submits gangs to a fleet on which small tasks come and go all the while. */
 export function runGangTrial(options: GangTrialOptions): GangTrialResult {
   const { gangs = 1, memberSize = 1, isOwnLoad = false } = options;
   const { forMs = DEFAULT_OBSERVED_MS } = options;
@@ -61,13 +61,13 @@
     { length: gangs },
     () => loopback.submit("nowcast", gang(memberSize)),
   );
-  const handedInAt = loopback.now;
+  const submittedAt = loopback.now;
   const used = load.run(forMs);
   const waits = calls.map((callId) => {
     const jobId = loopback.jobIdOf(callId);
     const starts = loopback.starts.filter(({ task }) => task.jobId === jobId);
     const last = starts[16 / memberSize - 1];
-    return (last?.at ?? Infinity) - handedInAt;
+    return (last?.at ?? Infinity) - submittedAt;
   });
   return { waits, used };
 }
@@ -77,12 +77,12 @@
   readonly team: string;
 }
 
-/** Keeps more small tasks handed in than there is room for. */
+/** Keeps more small tasks submitted than there is room for. */
 class SmallLoad {
   readonly #loopback: Loopback;
   readonly #random: Random;
   readonly #team: string;
-  #handedIn = 0;
+  #submitted = 0;
 
   constructor(loopback: Loopback, { seed, team }: SmallLoadOptions) {
     this.#loopback = loopback;
@@ -107,7 +107,7 @@
     const started =
       this.#loopback.starts.filter(({ task }) => task.kind === JobKind.Batch)
         .length;
-    while (this.#handedIn - started < OVERLOAD * ACCELERATORS) {
+    while (this.#submitted - started < OVERLOAD * ACCELERATORS) {
       const runMs = Math.round(
         SMALL_RUN_MS * (0.5 + this.#random.fraction()),
       );
@@ -119,7 +119,7 @@
         durationMs: SMALL_RUN_MS,
         payload: JSON.stringify({ runMs }),
       });
-      this.#handedIn += 1;
+      this.#submitted += 1;
     }
   }
 }
--- a/packages/bench/src/decisions/overload_trial.ts
+++ b/packages/bench/src/decisions/overload_trial.ts
@@ -14,7 +14,7 @@
 const RUN_MS = 100;
 const CAPACITY_PER_STEP = 48;
 
-/** Requests handed in over those that the fleet can run. */
+/** Requests submitted over those that the fleet can run. */
 const OVERLOAD = 2;
 
 /** What became of requests, as fractions of those submitted. */
@@ -29,7 +29,7 @@
   readonly longestWaitMs: number;
 }
 
-/** Hands in twice the requests that the fleet can run. */
+/** Submits twice the requests that the fleet can run. */
 export function runOverloadTrial(seed: number): OverloadTrialResult {
   const loopback = new Loopback({
     configuration: createFleet({ shares: { storefront: 1 }, instances: 2 }),
@@ -37,22 +37,23 @@
     schedulers: 3,
   });
   loopback.run(WARM_UP_MS);
-  const handedIn = new Map<string, number>();
+  const submittedAt = new Map<string, number>();
   for (let elapsed = 0; elapsed < OFFERED_MS; elapsed += STEP_MS) {
     for (let index = 0; index < OVERLOAD * CAPACITY_PER_STEP; index++) {
-      handedIn.set(loopback.submit("storefront", request()), loopback.now);
+      submittedAt.set(loopback.submit("storefront", request()), loopback.now);
     }
     loopback.run(STEP_MS);
   }
   loopback.run(2 * START_WITHIN_MS);
   const refused =
-    [...handedIn.keys()].filter((callId) => isRefused(loopback, callId)).length;
+    [...submittedAt.keys()].filter((callId) => isRefused(loopback, callId))
+      .length;
   const started = loopback.starts.length;
-  const waits = waitsOf(loopback, handedIn);
+  const waits = waitsOf(loopback, submittedAt);
   return {
     goodput: started / (CAPACITY_PER_STEP * OFFERED_MS / STEP_MS),
-    refused: refused / handedIn.size,
-    expired: (handedIn.size - refused - started) / handedIn.size,
+    refused: refused / submittedAt.size,
+    expired: (submittedAt.size - refused - started) / submittedAt.size,
     longestWaitMs: waits.reduce((a, b) => Math.max(a, b), 0),
   };
 }
@@ -65,12 +66,12 @@
 
 function waitsOf(
   loopback: Loopback,
-  handedIn: ReadonlyMap<string, number>,
+  submittedAt: ReadonlyMap<string, number>,
 ): number[] {
   const startedAt = new Map(
     loopback.starts.map(({ task, at }) => [task.jobId, at]),
   );
-  return [...handedIn].flatMap(([callId, at]) => {
+  return [...submittedAt].flatMap(([callId, at]) => {
     const start = startedAt.get(loopback.jobIdOf(callId) ?? "");
     return start === undefined ? [] : [start - at];
   });
--- a/packages/bench/src/decisions/urgent_trial.ts
+++ b/packages/bench/src/decisions/urgent_trial.ts
@@ -7,20 +7,20 @@
 const ZONES = 3;
 const CORES = 16;
 
-/** Urgent jobs, handed in one after another. */
+/** Urgent jobs, submitted one after another. */
 const URGENT_JOBS = 40;
 const BETWEEN_MS = 150;
 const OBSERVED_MS = 10_000;
 
 /** How long urgent jobs waited, and what that cost others. */
 export interface UrgentTrialResult {
-  /** From hand-in to start, in milliseconds; Infinity for jobs that waited. */
+  /** From submission to start, in milliseconds; Infinity for jobs that waited. */
   readonly waits: readonly number[];
   /** Tasks that were stopped to make room. */
   readonly preempted: number;
 }
 
-/** Hands urgent jobs to a fleet that batch work of others has filled. */
+/** Submits urgent jobs to a fleet that batch work of others has filled. */
 export function runUrgentTrial(seed: number): UrgentTrialResult {
   const loopback = new Loopback({
     configuration: createFleet({
@@ -34,13 +34,13 @@
   loopback.submit("imaging", fullOf(2));
   loopback.submit("storefront", fullOf(2));
   loopback.run(WARM_UP_MS);
-  const handedIn = new Map<string, number>();
+  const submittedAt = new Map<string, number>();
   for (let index = 0; index < URGENT_JOBS; index++) {
-    handedIn.set(loopback.submit("storefront", urgent()), loopback.now);
+    submittedAt.set(loopback.submit("storefront", urgent()), loopback.now);
     loopback.run(BETWEEN_MS);
   }
   loopback.run(OBSERVED_MS);
-  const waits = [...handedIn].map(([callId, at]) => {
+  const waits = [...submittedAt].map(([callId, at]) => {
     const jobId = loopback.jobIdOf(callId);
     const start = loopback.starts.find(({ task }) => task.jobId === jobId);
     return (start?.at ?? Infinity) - at;
--- a/packages/bench/src/loopback/loopback.ts
+++ b/packages/bench/src/loopback/loopback.ts
@@ -115,7 +115,7 @@
     return callId;
   }
 
-  /** The id of the job that a call handed in, once it was accepted. */
+  /** The id of the job that a call submitted, once it was accepted. */
   jobIdOf(callId: string): string | undefined {
     const reply = this.replies.get(callId)?.reply;
     return reply?.kind === HomeReplyKind.Status
--- a/packages/bench/src/outage_benchmark.ts
+++ b/packages/bench/src/outage_benchmark.ts
@@ -45,7 +45,7 @@
     {
       name: `${name}.requests-done`,
       value: value.done / value.requests,
-      unit: "of those handed in",
+      unit: "of those submitted",
       baseline: baseline.done / baseline.requests,
       ...bound,
     },
--- a/packages/demo/src/demo.ts
+++ b/packages/demo/src/demo.ts
@@ -9,7 +9,7 @@
 import { Submitter } from "./submitter.ts";
 import { makeWorkload } from "./workload.ts";
 
-/** Time over which jobs are handed in, in milliseconds. */
+/** Time over which jobs are submitted, in milliseconds. */
 const LOAD_MS = 16_000;
 
 /** When a scheduler is killed, from the start of the load. */
--- a/packages/demo/src/submitter.ts
+++ b/packages/demo/src/submitter.ts
@@ -42,7 +42,7 @@
   readonly giveUpAt: () => number;
 }
 
-/** Hands jobs in through the entries in turn and follows each to its end. */
+/** Submits jobs through the entries in turn and follows each to its end. */
 export class Submitter {
   readonly #options: SubmitterOptions;
   #next = 0;
--- a/packages/demo/src/workload.ts
+++ b/packages/demo/src/workload.ts
@@ -2,13 +2,13 @@
 import { JobKind, Priority } from "@mustardweir/model";
 import { FleetName } from "./fleet_file.ts";
 
-/** A job that the demo hands in. */
+/** A job that the demo submits. */
 export interface DemoJob {
-  /** When it is handed in, in milliseconds from the start of the load. */
+  /** When it is submitted, in milliseconds from the start of the load. */
   readonly atMs: number;
   readonly team: string;
   readonly idempotencyKey: string;
-  /** Not handed in again after a refusal that says "not run". */
+  /** Not submitted again after a refusal that says "not run". */
   readonly takesRefusal?: boolean;
   readonly spec: DemoSpec;
 }
--- a/packages/failure-tests/src/load.ts
+++ b/packages/failure-tests/src/load.ts
@@ -14,7 +14,7 @@
 /** How long submitters go on after the load has ended, in milliseconds. */
 const SETTLE_MS = 60_000;
 
-/** One of this many jobs is not handed in again after "not run". */
+/** One of this many jobs is not submitted again after "not run". */
 const TAKES_REFUSAL_EVERY = 4;
 
 /** Run times spread around the declared one by up to this factor. */
@@ -95,14 +95,14 @@
   readonly seed: number;
 }
 
-/** Hands jobs in without pause and follows each to its end. */
+/** Submits jobs without pause and follows each to its end. */
 export class Load {
   readonly submitter: Submitter;
   readonly #random: Random;
   readonly #work: Promise<void>[] = [];
   #giveUpAt = Infinity;
   #isOn = false;
-  #handedIn: Promise<void> = Promise.resolve();
+  #submitting: Promise<void> = Promise.resolve();
 
   constructor({ seed, ...options }: LoadOptions) {
     this.#random = new Random(seed);
@@ -114,31 +114,31 @@
 
   start(): void {
     this.#isOn = true;
-    this.#handedIn = this.#handIn();
+    this.#submitting = this.#submitJobs();
   }
 
-  /** Hands in a job besides the others; the promise ends with the job. */
+  /** Submits a job besides the others; the promise ends with the job. */
   add(job: DemoJob): Promise<void> {
     const work = this.submitter.run(job);
     this.#work.push(work);
     return work;
   }
 
-  /** Hands in no more and waits until every job has ended. */
+  /** Submits no more and waits until every job has ended. */
   async finish(): Promise<void> {
     this.#isOn = false;
     this.#giveUpAt = Date.now() + SETTLE_MS;
-    await this.#handedIn;
+    await this.#submitting;
     await Promise.all(this.#work);
   }
 
-  /** Hands in no more and waits for nothing. */
+  /** Submits no more and waits for nothing. */
   abandon(): void {
     this.#isOn = false;
     this.#giveUpAt = -Infinity;
   }
 
-  async #handIn(): Promise<void> {
+  async #submitJobs(): Promise<void> {
     for (let index = 0; this.#isOn; index++) {
       void this.add(makeJob(pickShape(this.#random), {
         random: this.#random,
--- a/packages/model/src/configuration.ts
+++ b/packages/model/src/configuration.ts
@@ -110,7 +110,7 @@
 
 /** What the holder of a key may do. */
 export enum KeyRole {
-  /** Hands in and cancels its own team's work. */
+  /** Submits and cancels its own team's work. */
   Submitter = "submitter",
   /** Reads everything, changes nothing. */
   Viewer = "viewer",
--- a/packages/model/src/job.ts
+++ b/packages/model/src/job.ts
@@ -20,7 +20,7 @@
   Urgent = "urgent",
 }
 
-/** What became of work that a caller handed in. */
+/** What became of work that a caller submitted. */
 export enum Outcome {
   /** It ran; see the end reason for how it ended. */
   Done = "done",
--- a/packages/prove/src/commands/edits.ts
+++ b/packages/prove/src/commands/edits.ts
@@ -2,6 +2,8 @@
 import {
   type Configuration,
   ConfigurationSection,
+  type Inventory,
+  type Rules,
   ZoneState,
 } from "@mustardweir/model";
 import { CallerCallKind } from "@mustardweir/protocol";
@@ -17,12 +19,19 @@
 import type { Command } from "./command.ts";
 import { pickEntry, pickFrom } from "./picks.ts";
 
-/** An edit against the newest version there is. */
+/** An edit of one section. */
+export interface LatestEdit {
+  readonly section: ConfigurationSection;
+  /** Makes the new body of the section. */
+  readonly change: (current: Configuration) => unknown;
+  /** The entry that takes the call; the first by default. */
+  readonly entryIndex?: number;
+}
+
+/** Edits the newest version of the configuration that there is. */
 export function editLatest(
   cluster: Cluster,
-  section: ConfigurationSection,
-  change: (current: Configuration) => unknown,
-  entryIndex = 0,
+  { section, change, entryIndex = 0 }: LatestEdit,
 ): Call {
   const { configuration } = cluster.history.versions.at(-1)!;
   return cluster.call({
@@ -36,21 +45,21 @@
 /** Grants a key of the initial configuration again. */
 export function grantKey(cluster: Cluster, { pick, other }: Command): void {
   const key = pickFrom(INITIAL_CONFIGURATION.keys, pick)!;
-  editLatest(cluster, ConfigurationSection.Keys, ({ keys }) => [
-    ...keys.filter(({ id }) => id !== key.id),
-    key,
-  ], other);
+  editLatest(cluster, {
+    section: ConfigurationSection.Keys,
+    change: ({ keys }) => [...keys.filter(({ id }) => id !== key.id), key],
+    entryIndex: other,
+  });
 }
 
 /** Withdraws a key and goes on using it. */
 export function withdrawKey(cluster: Cluster, { pick, other }: Command): void {
   const { id, team } = pickFrom(INITIAL_CONFIGURATION.keys, pick)!;
-  editLatest(
-    cluster,
-    ConfigurationSection.Keys,
-    ({ keys }) => keys.filter((key) => key.id !== id),
-    other,
-  );
+  editLatest(cluster, {
+    section: ConfigurationSection.Keys,
+    change: ({ keys }) => keys.filter((key) => key.id !== id),
+    entryIndex: other,
+  });
   for (const delayMs of [500, 2_500, 4_500, 7_000, 10_000]) {
     cluster.clock.after(delayMs, () => {
       const entryId = pickEntry(cluster, other + delayMs / 500);
@@ -63,16 +72,17 @@
 /** Two edits of one version, through both entries. */
 export function raceEdits(cluster: Cluster, { pick }: Command): void {
   const zone = ZONES[pick % ZONES.length]!;
-  editLatest(cluster, ConfigurationSection.Zones, ({ zones }) => ({
-    ...zones,
-    [zone]: ZoneState.Draining,
-  }), 0);
-  editLatest(
-    cluster,
-    ConfigurationSection.Rules,
-    ({ rules }) => withCeiling(rules, TEAMS[pick % TEAMS.length]!, 3),
-    1,
-  );
+  const team = TEAMS[pick % TEAMS.length]!;
+  editLatest(cluster, {
+    section: ConfigurationSection.Zones,
+    change: ({ zones }) => ({ ...zones, [zone]: ZoneState.Draining }),
+    entryIndex: 0,
+  });
+  editLatest(cluster, {
+    section: ConfigurationSection.Rules,
+    change: ({ rules }) => withCeiling(rules, team, 3),
+    entryIndex: 1,
+  });
 }
 
 /** Opens or drains an availability zone. */
@@ -82,10 +92,11 @@
   state: ZoneState,
 ): void {
   const zone = ZONES[pick % ZONES.length]!;
-  editLatest(cluster, ConfigurationSection.Zones, ({ zones }) => ({
-    ...zones,
-    [zone]: state,
-  }), other);
+  editLatest(cluster, {
+    section: ConfigurationSection.Zones,
+    change: ({ zones }) => ({ ...zones, [zone]: state }),
+    entryIndex: other,
+  });
 }
 
 /** Changes the ceiling of a team. */
@@ -95,20 +106,19 @@
   tasks: number,
 ): void {
   const team = TEAMS[command.pick % TEAMS.length]!;
-  editLatest(
-    cluster,
-    ConfigurationSection.Rules,
-    ({ rules }) => withCeiling(rules, team, tasks),
-    command.other,
-  );
+  editLatest(cluster, {
+    section: ConfigurationSection.Rules,
+    change: ({ rules }) => withCeiling(rules, team, tasks),
+    entryIndex: command.other,
+  });
 }
 
 /** The rules with another ceiling for one team. */
 export function withCeiling(
-  rules: Configuration["rules"],
+  rules: Rules,
   name: string,
   tasks: number,
-): Configuration["rules"] {
+): Rules {
   const teams = rules.teams.map((team) =>
     team.name === name ? { ...team, ceiling: { tasks } } : team
   );
@@ -121,7 +131,18 @@
   { pick, other }: Command,
 ): void {
   const { instanceId } = pickFrom(FLEET, pick)!;
-  editLatest(cluster, ConfigurationSection.Inventory, ({ inventory }) => ({
+  editLatest(cluster, {
+    section: ConfigurationSection.Inventory,
+    change: ({ inventory }) => withoutInstance(inventory, instanceId),
+    entryIndex: other,
+  });
+}
+
+function withoutInstance(
+  inventory: Inventory,
+  instanceId: string,
+): Inventory {
+  return {
     availabilityZones: inventory.availabilityZones.map((zone) => ({
       ...zone,
       racks: zone.racks.map((rack) => ({
@@ -129,5 +150,5 @@
         instances: rack.instances.filter(({ id }) => id !== instanceId),
       })),
     })),
-  }), other);
+  };
 }
--- a/packages/prove/src/commands/work.ts
+++ b/packages/prove/src/commands/work.ts
@@ -38,7 +38,7 @@
   const spec = composeSpec(command, { name, idempotent });
   const submission = { name, team, spec };
   submissions.set(name, submission);
-  handIn(cluster, submission, { entryIndex: other, keyIndex: forMs });
+  sendSubmission(cluster, submission, { entryIndex: other, keyIndex: forMs });
 }
 
 /** A job whose kind, size and run time follow from the command. */
@@ -73,7 +73,7 @@
     .filter(({ name }) => !name.startsWith(STRANGER));
   const submission = pickFrom(submissions, pick);
   if (submission !== undefined) {
-    handIn(cluster, submission, { entryIndex: other, keyIndex: forMs });
+    sendSubmission(cluster, submission, { entryIndex: other, keyIndex: forMs });
   }
 }
 
@@ -156,8 +156,8 @@
   });
 }
 
-/** Hands work in with the team's key, or hands it in again. */
-export function handIn(
+/** Sends a submission with a key of its team; also to send it again. */
+export function sendSubmission(
   cluster: Cluster,
   submission: Submission,
   options: { readonly entryIndex: number; readonly keyIndex: number },
--- a/packages/prove/src/history.ts
+++ b/packages/prove/src/history.ts
@@ -34,7 +34,7 @@
   reason?: EndReason;
 }
 
-/** Work that a caller hands in, under one idempotency key. */
+/** Work that a caller submits under one idempotency key. */
 export interface Submission {
   readonly name: string;
   readonly team: string;
--- a/packages/prove/src/outage_trial.ts
+++ b/packages/prove/src/outage_trial.ts
@@ -5,7 +5,7 @@
   PEER_MESSAGE_RECEIVED,
   PeerMessageKind,
 } from "@mustardweir/protocol";
-import { handIn } from "./commands.ts";
+import { sendSubmission } from "./commands.ts";
 import { TEAMS } from "./fleet.ts";
 import { type Call, payloadOf, type Run } from "./history.ts";
 import { Cluster } from "./simulation/cluster.ts";
@@ -31,7 +31,7 @@
 
 /** What went on during an outage. */
 export interface OutageResult {
-  /** Requests handed in during the outage, and those that were done. */
+  /** Requests submitted during the outage, and those that were done. */
   readonly requests: number;
   readonly done: number;
   /** Of batch tasks, time run in the outage against that without one. */
@@ -109,7 +109,7 @@
   });
   const submission = { name, team, spec };
   cluster.history.submissions.set(name, submission);
-  handIn(cluster, submission, { entryIndex: 0, keyIndex: 0 });
+  sendSubmission(cluster, submission, { entryIndex: 0, keyIndex: 0 });
   cluster.run(REQUEST_EVERY_MS);
 }
 
@@ -141,7 +141,7 @@
   });
   const submission = { name, team, spec };
   cluster.history.submissions.set(name, submission);
-  handIn(cluster, submission, { entryIndex: index, keyIndex: index });
+  sendSubmission(cluster, submission, { entryIndex: index, keyIndex: index });
   return name;
 }
 
--- a/packages/prove/src/scenario.ts
+++ b/packages/prove/src/scenario.ts
@@ -8,8 +8,8 @@
 import {
   type Command,
   editLatest,
-  handIn,
   runCommand,
+  sendSubmission,
   STRANGER,
 } from "./commands.ts";
 import { FINAL_CONFIGURATION, OPERATOR_KEY, TEAMS } from "./fleet.ts";
@@ -97,12 +97,11 @@
     if (section === undefined) {
       return true;
     }
-    editLatest(
-      this.#cluster,
+    editLatest(this.#cluster, {
       section,
-      () => FINAL_CONFIGURATION[section],
-      this.#round,
-    );
+      change: () => FINAL_CONFIGURATION[section],
+      entryIndex: this.#round,
+    });
     return false;
   }
 
@@ -147,7 +146,10 @@
       this.#callOperator({ kind: CallerCallKind.Cancel, jobId });
     } else if (status === undefined || spec.kind === JobKind.Request) {
       const keyIndex = this.#round;
-      handIn(this.#cluster, submission, { entryIndex: keyIndex, keyIndex });
+      sendSubmission(this.#cluster, submission, {
+        entryIndex: keyIndex,
+        keyIndex,
+      });
     }
     void team;
   }
