Call what an oracle finds a violation

Cause: Breach and findBreaches are no usual terms of property tests.

Change: Violation and findViolations; no check is touched.

Behaviour unchanged.

--- a/packages/prove/src/oracle.ts
+++ b/packages/prove/src/oracle.ts
@@ -8,6 +8,6 @@
   /** How many events of the run the point is about; 0 when it has none. */
   abstract countRelevant(history: History): number;
 
-  /** One line for each breach. */
-  abstract findBreaches(history: History): string[];
+  /** One line for each violation. */
+  abstract findViolations(history: History): string[];
 }
--- a/packages/prove/src/oracles/answers.ts
+++ b/packages/prove/src/oracles/answers.ts
@@ -25,7 +25,7 @@
     return calls.size;
   }
 
-  override findBreaches(history: History): string[] {
+  override findViolations(history: History): string[] {
     return [
       ...[...history.calls.values()].flatMap((call) =>
         judgeCall(history, call)
@@ -102,7 +102,7 @@
 /** Two submissions are never told of the same job, nor one of two. */
 function findSharedJobs(history: History): string[] {
   const owners = new Map<string, string>();
-  const breaches: string[] = [];
+  const violations: string[] = [];
   for (const { submission, answers } of history.calls.values()) {
     const answer = answers[0]?.answer;
     if (submission === undefined || answer?.kind !== CallerAnswerKind.Job) {
@@ -112,10 +112,10 @@
     const owner = owners.get(jobId) ?? submission.name;
     owners.set(jobId, owner);
     if (owner !== submission.name) {
-      breaches.push(`${submission.name} was told of ${owner}'s job ${jobId}`);
+      violations.push(`${submission.name} was told of ${owner}'s job ${jobId}`);
     }
   }
-  return breaches;
+  return violations;
 }
 
 /** Accepted work has ended, with an outcome that its runs bear out. */
@@ -160,7 +160,7 @@
     return [...calls.values()].filter(saysNotRun).length;
   }
 
-  override findBreaches(history: History): string[] {
+  override findViolations(history: History): string[] {
     return [
       ...this.#findRefusedRuns(history),
       ...this.#findDeniedRuns(history),
@@ -217,7 +217,7 @@
     return [...calls.values()].filter(isOutOfBounds).length;
   }
 
-  override findBreaches(history: History): string[] {
+  override findViolations(history: History): string[] {
     const strayRuns = history.runs.filter(({ submission, team }) =>
       history.submissions.get(submission)?.team !== team ||
       submission.startsWith(STRANGER)
@@ -255,7 +255,7 @@
     ).length;
   }
 
-  override findBreaches(history: History): string[] {
+  override findViolations(history: History): string[] {
     return [...history.calls.values()]
       .filter((call) => isWithdrawn(history, call) && isServed(call))
       .map(({ requestId, keyId, sentAt }) =>
--- a/packages/prove/src/oracles/operating.ts
+++ b/packages/prove/src/oracles/operating.ts
@@ -21,7 +21,7 @@
     return stops.length;
   }
 
-  override findBreaches(history: History): string[] {
+  override findViolations(history: History): string[] {
     return history.stops.filter(({ isCut }) => !isCut).flatMap((stop) => [
       ...findEndless(stop),
       ...findCutCalls(history, stop),
@@ -87,7 +87,7 @@
     return versions.length - 1;
   }
 
-  override findBreaches(history: History): string[] {
+  override findViolations(history: History): string[] {
     return [
       ...findReverts(history),
       ...findStale(history),
--- a/packages/prove/src/oracles/running.ts
+++ b/packages/prove/src/oracles/running.ts
@@ -26,17 +26,17 @@
     return runs.length;
   }
 
-  override findBreaches({ runs }: History): string[] {
-    const breaches: string[] = [];
+  override findViolations({ runs }: History): string[] {
+    const violations: string[] = [];
     for (const [instanceId, group] of groupRuns(runs, (r) => r.instanceId)) {
       const { capacity } = FLEET.find((i) => i.instanceId === instanceId)!;
       sweep(group, (run, used) => {
         if (!fitsWithin(used, capacity)) {
-          breaches.push(`over capacity by ${describeRun(run)}`);
+          violations.push(`over capacity by ${describeRun(run)}`);
         }
       });
     }
-    return breaches;
+    return violations;
   }
 }
 
@@ -48,7 +48,7 @@
     return runs.length;
   }
 
-  override findBreaches({ runs }: History): string[] {
+  override findViolations({ runs }: History): string[] {
     return [...runsOfTasks(runs).values()].flatMap((attempts) =>
       attempts.flatMap((later, index) =>
         attempts.slice(0, index)
@@ -69,7 +69,7 @@
     return runs.filter(({ idempotent }) => !idempotent).length;
   }
 
-  override findBreaches({ runs }: History): string[] {
+  override findViolations({ runs }: History): string[] {
     const once = runs.filter(({ idempotent }) => !idempotent);
     return [...runsOfTasks(once).values()]
       .filter((attempts) => attempts.length > 1)
@@ -85,8 +85,8 @@
     return runs.length;
   }
 
-  override findBreaches(history: History): string[] {
-    const breaches: string[] = [];
+  override findViolations(history: History): string[] {
+    const violations: string[] = [];
     for (const [team, group] of groupRuns(history.runs, (r) => r.team)) {
       sweep(group, (run, used) => {
         const { startedAt } = run;
@@ -96,7 +96,7 @@
             isBelow(used, ceilingOf(configuration, team))
           );
         if (!isAllowed) {
-          breaches.push(
+          violations.push(
             `team ${team} over its ceiling with ${used.slots} tasks, ${used.cpuMillis} m by ${
               describeRun(run)
             }`,
@@ -104,7 +104,7 @@
         }
       });
     }
-    return breaches;
+    return violations;
   }
 }
 
@@ -121,7 +121,7 @@
     ).length;
   }
 
-  override findBreaches(history: History): string[] {
+  override findViolations(history: History): string[] {
     return history.runs
       .filter((run) => isBarred(history, run))
       .map((run) => `start in a drained zone: ${describeRun(run)}`);
@@ -151,7 +151,7 @@
     return removals.length + leaving.length;
   }
 
-  override findBreaches(history: History): string[] {
+  override findViolations(history: History): string[] {
     return history.runs
       .filter((run) => hasLeft(history, run) || isOffInventory(history, run))
       .map((run) => `start on a leaving instance: ${describeRun(run)}`);
--- a/packages/prove/src/prover.ts
+++ b/packages/prove/src/prover.ts
@@ -41,11 +41,11 @@
   readonly seed: number;
   readonly path: string;
   readonly scenario: Scenario;
-  readonly breaches: readonly Breach[];
+  readonly violations: readonly Violation[];
 }
 
 /** A point that did not hold. */
-export interface Breach {
+export interface Violation {
   readonly point: Point;
   readonly message: string;
 }
@@ -91,19 +91,19 @@
   return { tallies, runs };
 }
 
-type Judge = (history: History) => readonly Breach[];
+type Judge = (history: History) => readonly Violation[];
 
 function runOnce(
   seed: number,
   options: ProveOptions,
   judgeRun: Judge,
 ): Failure | undefined {
-  let breaches: readonly Breach[] = [];
+  let violations: readonly Violation[] = [];
   const { shrinks = true, point, tampering, path: replayed } = options;
   const details = fc.check(
     fc.property(scenarioArbitrary(point), (scenario) => {
       const found = judgeRun(runScenario(scenario, tampering?.()));
-      breaches = found.length > 0 ? found : breaches;
+      violations = found.length > 0 ? found : violations;
       return found.length === 0;
     }),
     {
@@ -119,7 +119,7 @@
   }
   const [scenario] = details.counterexample;
   const path = details.counterexamplePath ?? "";
-  return { seed, path, scenario, breaches };
+  return { seed, path, scenario, violations };
 }
 
 /** The scenario at a path of a seed; undefined when there is none. */
@@ -139,13 +139,13 @@
   return scenario;
 }
 
-/** All breaches of a run. */
+/** All violations of a run. */
 export function judge(
   history: History,
   oracles: readonly Oracle[] = ORACLES,
-): Breach[] {
+): Violation[] {
   return oracles.flatMap((oracle) =>
-    oracle.findBreaches(history).map((message) => ({
+    oracle.findViolations(history).map((message) => ({
       point: oracle.point,
       message,
     }))
--- a/packages/prove/src/report.ts
+++ b/packages/prove/src/report.ts
@@ -7,7 +7,7 @@
 
 /** Prints what was seen of each point, and the verdict. */
 export function printProof({ tallies, runs, failure }: Proof): void {
-  const broken = new Set(failure?.breaches.map(({ point }) => point));
+  const broken = new Set(failure?.violations.map(({ point }) => point));
   console.log(row("point", "runs", "events", "verdict"));
   for (const { point, runs: counted, events } of tallies) {
     const verdict = broken.has(point) ? "BROKEN" : "held";
@@ -18,10 +18,10 @@
 
 /** Prints a failing scenario and how to replay it. */
 export function printFailure(failure: Failure, point?: Point): void {
-  const { seed, path, scenario, breaches } = failure;
+  const { seed, path, scenario, violations } = failure;
   console.log("");
-  for (const breach of breaches) {
-    console.log(`${breach.point}: ${breach.message}`);
+  for (const violation of violations) {
+    console.log(`${violation.point}: ${violation.message}`);
   }
   console.log("");
   console.log(describeScenario(scenario));
