--- a/packages/bench/src/loopback/loopback.ts
+++ b/packages/bench/src/loopback/loopback.ts
@@ -13,6 +13,7 @@
 import {
   ALL_PEERS,
   answerPayload,
+  type CountEffect,
   EffectKind,
   HomeCallKind,
   type HomeReply,
@@ -24,6 +25,7 @@
   PeerMessageKind,
   type ReplyTo,
   StoreStatus,
+  type SyncTargetEffect,
   type TaskSpec,
 } from "@mustardweir/protocol";
 import { type WorkerListener, WorkerState } from "@mustardweir/worker";
@@ -102,7 +104,7 @@
     return this.counters.get(name) ?? 0;
   }
 
-  /** Hands a job to the team's home; returns the id of the call. */
+  /** Submits a job to the team's home; returns the id of the call. */
   submit(team: string, job: JobRequest): string {
     const spec = jobSpecSchema.parse(job);
     const callId = `c${++this.#calls}`;
@@ -236,13 +238,7 @@
         this.#send(nodeId, effect.to, effect.message);
         break;
       case EffectKind.SyncTarget:
-        this.queue.after(LATENCY_MS, () => {
-          const worker = this.workers.get(effect.instanceId);
-          worker?.sync(
-            effect.call,
-            (result) => this.#reply(nodeId, effect.replyTo, result),
-          );
-        });
+        this.#sync(nodeId, effect);
         break;
       case EffectKind.ScanTable:
         this.#reply(nodeId, effect.replyTo, this.store.scan(effect));
@@ -264,16 +260,27 @@
         });
         break;
       case EffectKind.Count:
-        this.counters.set(
-          effect.counter,
-          this.counter(effect.counter) + effect.by,
-        );
+        this.#count(effect);
         break;
       default:
         break;
     }
   }
 
+  #sync(
+    nodeId: string,
+    { instanceId, call, replyTo }: SyncTargetEffect,
+  ): void {
+    this.queue.after(LATENCY_MS, () => {
+      const worker = this.workers.get(instanceId);
+      worker?.sync(call, (result) => this.#reply(nodeId, replyTo, result));
+    });
+  }
+
+  #count({ counter, by }: CountEffect): void {
+    this.counters.set(counter, this.counter(counter) + by);
+  }
+
   #send(from: string, to: string, message: PeerMessage): void {
     if (message.kind === PeerMessageKind.HomeReply) {
       this.replies.set(message.callId, message);
