Close the connection after a body that is too large

Cause: the rest of such a body is not read, so the server ends the connection, but the answer did not say so: a caller that used it again got no answer (seen with a pool of connections after a 413). Change: the answer says Connection: close, as one of a stopping entry does. Before: the new expectation of the row fails; after: the entry's tests pass.

--- a/packages/entry/src/caller_front_test.ts
+++ b/packages/entry/src/caller_front_test.ts
@@ -169,6 +169,7 @@
     request: "POST /v1/jobs",
     body: "x".repeat(1024 * 1024 + 1),
     status: 413,
+    replyHeaders: { connection: "close" },
   },
   {
     name: "an inventory larger than other bodies",
--- a/packages/entry/src/encode.ts
+++ b/packages/entry/src/encode.ts
@@ -64,6 +64,12 @@
   return isAccepted ? { ...reply, status: ACCEPTED } : reply;
 }
 
+/** Refusals after which the connection can't serve another call. */
+const CLOSES_CONNECTION: ReadonlySet<RefusalReason> = new Set([
+  RefusalReason.Stopping,
+  RefusalReason.BodyTooLarge, // The rest of the body is not read.
+]);
+
 /** Encodes a refusal; `status` replaces the one of its reason. */
 export function encodeRefusal(
   refusal: Refusal,
@@ -74,7 +80,7 @@
   if (retryable) {
     headers["Retry-After"] = RETRY_AFTER_S;
   }
-  if (reason === RefusalReason.Stopping) {
+  if (CLOSES_CONNECTION.has(reason)) {
     headers["Connection"] = "close";
   }
   return {
