--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -163,7 +163,7 @@
         parseTimeout,
         DEFAULT_TIMEOUT_MS,
       )
-      .option("--json", "print answers as JSON", false)
+      .option("--json", "print answers and failures as JSON", false)
       .exitOverride()
       .showSuggestionAfterError(false)
       .addHelpText("after", describeExitCodes())
