Take the composing of an edit out of the editor

Change: compose_edit.ts checks an edit against its base and composes what it writes; the editor drives the steps.

Behaviour unchanged.

--- a/packages/configuration/src/editor.ts
+++ b/packages/configuration/src/editor.ts
@@ -28,11 +28,10 @@
 } from "@mustardweir/protocol";
 import { err, ok } from "neverthrow";
 import { ANNOUNCE_EDIT } from "./announcement.ts";
-import { checkEdit } from "./checks.ts";
+import { composeEdit } from "./compose_edit.ts";
 import {
   CONFIGURATION_ROW,
   type ConfigurationDocument,
-  KEPT_NONCES,
   nonceOfVersion,
   parseDocument,
   sectionObjectKey,
@@ -54,8 +53,6 @@
   takeStep,
   unknownRefusal,
 } from "./pending_edit.ts";
-import { retireInstances } from "./retired.ts";
-import { replaceSection, resolveEdit } from "./section_edit.ts";
 import { CONFIGURATION } from "./state.ts";
 
 /** Edits that may be under way at one entry. */
@@ -194,36 +191,20 @@
     edit.retryAt = update.now + EDIT_INTERVAL_MS;
     return;
   }
-  const { section } = request;
-  const checked = resolveEdit(base, section, request.body).andThen((body) =>
-    checkEdit({
-      base,
-      edited: replaceSection(base, section, body),
-      section,
-      wallMs: request.wallMs,
-    }).map(() => body)
-  );
-  if (checked.isErr()) {
-    const { message } = checked.error;
+  const composed = composeEdit({
+    request,
+    nonce: edit.nonce,
+    base,
+    newest: known?.document,
+  });
+  if (composed.isErr()) {
+    const { message } = composed.error;
     finish(edit, err(refuse(RefusalReason.Malformed, { message })), update);
     return;
   }
-  edit.body = JSON.stringify(checked.value);
+  edit.body = composed.value.body;
+  edit.document = composed.value.document;
   edit.rowVersion = known?.rowVersion ?? 0;
-  edit.document = {
-    version: request.ifMatch + 1,
-    sections: {
-      ...known?.document.sections,
-      [section]: sectionObjectKey(edit.body),
-    },
-    nonces: [edit.nonce, ...known?.document.nonces ?? []].slice(0, KEPT_NONCES),
-    retired: retireInstances({
-      known: known?.document.retired ?? [],
-      base: base.inventory,
-      edited: replaceSection(base, section, checked.value).inventory,
-      wallMs: request.wallMs,
-    }),
-  };
   edit.stage = EditStage.StoringBody;
   storeBody(edit, update);
 }
