Take the reading of configurations out of the simulated cluster

Change: configuration_probe.ts reads the configuration from the table and from nodes.

Behaviour unchanged.

--- a/packages/prove/src/simulation/cluster.ts
+++ b/packages/prove/src/simulation/cluster.ts
@@ -1,16 +1,7 @@
 import "../plugins.ts";
-import {
-  CONFIGURATION,
-  CONFIGURATION_ROW,
-  isConfirmed,
-  parseDocument,
-} from "@mustardweir/configuration";
+import { CONFIGURATION_ROW } from "@mustardweir/configuration";
 import { Random, Role } from "@mustardweir/kernel";
-import {
-  type Configuration,
-  EMPTY_CONFIGURATION,
-  scaleResources,
-} from "@mustardweir/model";
+import { scaleResources } from "@mustardweir/model";
 import {
   ALL_PEERS,
   CALLER_REQUESTED,
@@ -33,6 +24,7 @@
   ZONES,
 } from "../fleet.ts";
 import { type Call, History, type Submission } from "../history.ts";
+import { probeNode, readConfiguration } from "./configuration_probe.ts";
 import { Network } from "./network.ts";
 import { ProcessState, SimulatedNode } from "./node.ts";
 import { type Perform, PERFORMERS, reply } from "./performers.ts";
@@ -366,31 +358,15 @@
   #noteCommit({ puts }: Transaction): void {
     const row = puts.find(({ key }) => key === CONFIGURATION_ROW);
     if (row !== undefined) {
-      const configuration = this.#readConfiguration(row.value);
+      const configuration = readConfiguration(row.value, this.store.objects);
       this.history.versions.push({ configuration, committedAt: this.now });
     }
   }
 
-  #readConfiguration(value: string): Configuration {
-    const { version, sections } = parseDocument(value)._unsafeUnwrap();
-    const bodies = Object.entries(sections).map(([section, key]) => [
-      section,
-      JSON.parse(this.store.objects.get(key) ?? "null"),
-    ]);
-    return { ...EMPTY_CONFIGURATION, ...Object.fromEntries(bodies), version };
-  }
-
   #probe(): void {
     for (const node of this.nodes.values()) {
       if (node.state === ProcessState.Running) {
-        const state = node.kernel.read(CONFIGURATION);
-        this.history.probes.push({
-          at: this.now,
-          nodeId: node.nodeId,
-          incarnation: node.identity.incarnation,
-          version: state.current.version,
-          isConfirmed: isConfirmed(state, node.localClock.now()),
-        });
+        this.history.probes.push(probeNode(node, this.now));
       }
     }
     this.clock.after(PROBE_MS, () => this.#probe());
