Decide in one place whether a sync call has commands

Cause: the stand-in of workers and the simulation each had the same function; times of the proofs' commands were bare numbers.

Change: hasCommands in the worker package serves both; the times are named constants. PolledWorker of the benchmarks waits by starts alone and stays as it is, since sharing would change what it does.

Behaviour unchanged.

--- a/packages/prove/src/commands/edits.ts
+++ b/packages/prove/src/commands/edits.ts
@@ -19,6 +19,9 @@
 import type { Command } from "./command.ts";
 import { pickEntry, pickFrom } from "./picks.ts";
 
+/** When a withdrawn key is used after its withdrawal, in milliseconds. */
+const WITHDRAWN_USES_MS = [500, 2_500, 4_500, 7_000, 10_000] as const;
+
 /** An edit of one section. */
 export interface LatestEdit {
   readonly section: ConfigurationSection;
@@ -60,7 +63,7 @@
     change: ({ keys }) => keys.filter((key) => key.id !== id),
     entryIndex: other,
   });
-  for (const delayMs of [500, 2_500, 4_500, 7_000, 10_000]) {
+  for (const delayMs of WITHDRAWN_USES_MS) {
     cluster.clock.after(delayMs, () => {
       const entryId = pickEntry(cluster, other + delayMs / 500);
       const call = { kind: CallerCallKind.List } as const;
--- a/packages/prove/src/commands/faults.ts
+++ b/packages/prove/src/commands/faults.ts
@@ -10,6 +10,12 @@
 /** A fresh connection takes the place of a silent one within this time. */
 export const RECONNECT_MS = 3_000;
 
+/** Shortest pause of a node, in milliseconds. */
+const MIN_PAUSE_MS = 1_000;
+
+/** From a planned stop to the next start, at least, in milliseconds. */
+const MIN_STOP_MS = 10_500;
+
 /** The platform's list shows the instance as leaving. */
 export function leaveTarget(cluster: Cluster, { pick }: Command): void {
   const { instanceId } = pickFrom(FLEET, pick)!;
@@ -21,7 +27,7 @@
   const nodeId = pickNode(cluster, pick);
   const node = cluster.nodes.get(nodeId)!;
   cluster.pause(nodeId);
-  cluster.clock.after(1_000 + forMs * 2, () => node.resume());
+  cluster.clock.after(MIN_PAUSE_MS + forMs * 2, () => node.resume());
 }
 
 /** Kills a node and starts another in its place. */
@@ -35,7 +41,7 @@
 export function plannedStop(cluster: Cluster, { pick, forMs }: Command): void {
   const nodeId = pickNode(cluster, pick);
   cluster.stop(nodeId);
-  cluster.clock.after(10_500 + forMs, () => cluster.start(nodeId));
+  cluster.clock.after(MIN_STOP_MS + forMs, () => cluster.start(nodeId));
 }
 
 /** Switches on faults of the table and the object store. */
--- a/packages/prove/src/simulation/worker_host.ts
+++ b/packages/prove/src/simulation/worker_host.ts
@@ -4,15 +4,19 @@
   type SyncResult,
   SyncResultKind,
 } from "@mustardweir/protocol";
-import type {
-  TaskEnded,
-  TaskStarted,
-  WorkerListener,
-  WorkerState,
+import {
+  hasCommands,
+  type TaskEnded,
+  type TaskStarted,
+  type WorkerListener,
+  type WorkerState,
 } from "@mustardweir/worker";
 import { LocalClock } from "./local_clock.ts";
 import type { VirtualClock } from "./virtual_clock.ts";
 
+/** A wake comes this much after the time that it is for, in milliseconds. */
+const WAKE_MARGIN_MS = 0.01;
+
 /** A worker, its time and chance, and who is told of its runs. */
 export interface WorkerHostOptions {
   readonly instanceId: string;
@@ -133,7 +137,7 @@
     if (due === Infinity) {
       return;
     }
-    const at = this.#localClock.toVirtual(due) + 0.01;
+    const at = this.#localClock.toVirtual(due) + WAKE_MARGIN_MS;
     if (at >= this.#wakeAt && this.#wakeAt > this.#clock.now) {
       return;
     }
@@ -150,8 +154,3 @@
 function pick({ sliceId, task, startedMs }: TaskStarted): TaskStarted {
   return { sliceId, task, startedMs };
 }
-
-function hasCommands(call: SyncCall): boolean {
-  return call.starts.length > 0 || call.stops.length > 0 ||
-    call.throttles.length > 0 || call.acks.length > 0;
-}
--- a/packages/worker/src/hosted_worker.ts
+++ b/packages/worker/src/hosted_worker.ts
@@ -3,6 +3,7 @@
   type SyncResult,
   SyncResultKind,
 } from "@mustardweir/protocol";
+import { hasCommands } from "./commands.ts";
 import { RunLog, type RunRecord } from "./worker_listener.ts";
 import type { WorkerFaults, WorkerState } from "./worker_state.ts";
 
@@ -109,8 +110,3 @@
     }
   }
 }
-
-function hasCommands(call: SyncCall): boolean {
-  return call.starts.length > 0 || call.stops.length > 0 ||
-    call.throttles.length > 0 || call.acks.length > 0;
-}
--- a/packages/worker/src/mod.ts
+++ b/packages/worker/src/mod.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+export * from "./commands.ts";
 export * from "./hosted_worker.ts";
 export * from "./lease_token.ts";
 export * from "./settings.ts";
