--- a/packages/worker/src/hosted_worker.ts
+++ b/packages/worker/src/hosted_worker.ts
@@ -4,8 +4,9 @@
   SyncResultKind,
 } from "@mustardweir/protocol";
 import { hasCommands } from "./commands.ts";
+import type { WorkerFaults } from "./worker_faults.ts";
 import { RunLog, type RunRecord } from "./worker_listener.ts";
-import type { WorkerFaults, WorkerState } from "./worker_state.ts";
+import type { WorkerState } from "./worker_state.ts";
 
 /** Longest sleep of a timer, in milliseconds. */
 const MAX_SLEEP_MS = 60_000;
@@ -31,10 +32,12 @@
     state.registerListener(this.#log);
   }
 
+  /** Which faults are on. */
   get faults(): WorkerFaults {
     return this.#state.faults;
   }
 
+  /** Every run since the process started. */
   get runs(): readonly RunRecord[] {
     return this.#log.runs;
   }
@@ -54,10 +57,12 @@
     return answer;
   }
 
+  /** Changes the faults that are given and keeps the others. */
   setFaults(faults: Partial<WorkerFaults>): void {
     this.#state.setFaults(faults);
   }
 
+  /** Loses all tasks and memory, as when the instance fails. */
   restart(): void {
     this.#state.restart(performance.now());
     this.#settle();
--- a/packages/worker/src/mod.ts
+++ b/packages/worker/src/mod.ts
@@ -10,6 +10,7 @@
 export * from "./settings.ts";
 export * from "./task_model.ts";
 export * from "./task_run.ts";
+export * from "./worker_faults.ts";
 export * from "./worker_listener.ts";
 export * from "./worker_server.ts";
 export * from "./worker_state.ts";
--- a/packages/worker/src/task_model.ts
+++ b/packages/worker/src/task_model.ts
@@ -17,6 +17,7 @@
 
 /** Decides what a task does when it is started. */
 export abstract class TaskModel {
+  /** How `task` will go. */
   abstract plan(task: TaskSpec): TaskPlan;
 }
 
--- a/packages/worker/src/worker_listener.ts
+++ b/packages/worker/src/worker_listener.ts
@@ -17,7 +17,9 @@
 
 /** Told of every start and end on a worker, at the moment it happens. */
 export abstract class WorkerListener {
+  /** A task has started. */
   abstract taskStarted(event: TaskStarted): void;
+  /** A task has ended. */
   abstract taskEnded(event: TaskEnded): void;
 }
 
@@ -43,6 +45,7 @@
     this.#originMs = originMs;
   }
 
+  /** Every run, in order of start. */
   get runs(): readonly RunRecord[] {
     return this.#runs;
   }
--- a/packages/worker/src/worker_state.ts
+++ b/packages/worker/src/worker_state.ts
@@ -33,29 +33,13 @@
   type TaskPlan,
 } from "./task_model.ts";
 import { TaskRun } from "./task_run.ts";
+import { NO_FAULTS, type WorkerFaults } from "./worker_faults.ts";
 import type { WorkerListener } from "./worker_listener.ts";
 import { WorkerSlice } from "./worker_slice.ts";
 
 /** How long a task runs on a worker that fails everything, in milliseconds. */
 const FAIL_EVERYTHING_AFTER_MS = 5;
 
-/** Faults that can be switched on for tests. */
-export interface WorkerFaults {
-  /** Tasks that are started fail after a few milliseconds. */
-  readonly failEverything: boolean;
-  /** Calls take effect and get no answer; heeded by the server. */
-  readonly silent: boolean;
-  /** Reported usage over real usage. */
-  readonly lieFactor: number;
-}
-
-/** No fault is switched on. */
-export const NO_FAULTS: WorkerFaults = {
-  failEverything: false,
-  silent: false,
-  lieFactor: 1,
-};
-
 /** What a worker has and how its tasks behave. */
 export interface WorkerStateOptions {
   readonly capacity: Resources;
@@ -98,10 +82,12 @@
     this.#usageLagMs = options.usageLagMs ?? 0;
   }
 
+  /** Differs for each start of the worker. */
   get incarnation(): string {
     return `${this.#namePrefix}-${this.#restarts}`;
   }
 
+  /** Which faults are on. */
   get faults(): WorkerFaults {
     return this.#faults;
   }
@@ -116,6 +102,7 @@
     this.#faults = { ...this.#faults, ...faults };
   }
 
+  /** Has `listener` told of starts and ends. */
   registerListener(listener: WorkerListener): Undo {
     this.#listeners.add(listener);
     return () => {
