Document the public members of classes

An example of the entitlements took the names of teams from elsewhere.

Change: comments only, in kernel, runtime, wire, platform, platform-client, placement, fairness, quarantine and burn. The entitlements name their method, progressive filling.

Behaviour unchanged.

--- a/packages/burn/src/recorder/series_record.ts
+++ b/packages/burn/src/recorder/series_record.ts
@@ -33,10 +33,12 @@
     }
   }
 
+  /** True when nothing is kept. */
   get isEmpty(): boolean {
     return Object.values(this.#parts).every((parts) => parts.size === 0);
   }
 
+  /** The counts and waits of each window that ends at `now`. */
   windows(now: number): BurnRecordWindow[] {
     return Object.values(BurnWindow).map((window) => {
       const parts = this.#partsWithin(window, now);
--- a/packages/burn/src/recorder/tally.ts
+++ b/packages/burn/src/recorder/tally.ts
@@ -20,10 +20,12 @@
   readonly waits = new WaitCounts();
   #counts = NO_WORK;
 
+  /** What was counted. */
   get counts(): WorkCounts {
     return this.#counts;
   }
 
+  /** Adds one to a count. */
   count(what: Counted): void {
     this.#counts = { ...this.#counts, [what]: this.#counts[what] + 1 };
   }
--- a/packages/burn/src/recorder/wait_counts.ts
+++ b/packages/burn/src/recorder/wait_counts.ts
@@ -22,6 +22,7 @@
   readonly #counts = new Map<number, number>();
   #total = 0;
 
+  /** Number of waits. */
   get total(): number {
     return this.#total;
   }
@@ -33,6 +34,7 @@
     this.#total += 1;
   }
 
+  /** Adds the waits to a histogram. */
   addTo(waits: Waits): void {
     for (const [value, count] of this.#counts) {
       waits.record(value, count);
--- a/packages/burn/src/waits.ts
+++ b/packages/burn/src/waits.ts
@@ -35,6 +35,7 @@
     this.#histogram = histogram;
   }
 
+  /** Number of waits. */
   get count(): number {
     return this.#histogram.totalCount;
   }
@@ -45,6 +46,7 @@
     this.#histogram.recordValueWithCount(value, count);
   }
 
+  /** Adds the waits of another histogram. */
   add(other: Waits): void {
     this.#histogram.add(other.#histogram);
   }
--- a/packages/fairness/src/entitlement.ts
+++ b/packages/fairness/src/entitlement.ts
@@ -33,14 +33,15 @@
 const EPSILON = 1e-9;
 
 /**
- * Raises all teams' dominant shares together, in proportion to their weights,
- * until each has what it wants or a resource that it needs is used up.
+ * Weighted dominant-resource fairness by progressive filling: raises all
+ * teams' dominant shares together, in proportion to their weights, until each
+ * has what it wants or a resource that it needs is used up.
  *
  * @example
  * ```ts
  * entitlements([
- *   { team: "pecan", weight: 2, wanted: all },
- *   { team: "red-dirt", weight: 1, wanted: all },
+ *   { team: "search", weight: 2, wanted: all },
+ *   { team: "reports", weight: 1, wanted: all },
  * ], total); // shares 2/3 and 1/3
  * ```
  */
--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -74,6 +74,10 @@
     this.#undoPlugins();
   }
 
+  /**
+   * Adds a handler of `command`; handlers of one priority run in the order in
+   * which they were added.
+   */
   registerCommand<Payload>(
     command: Command<Payload>,
     handler: CommandHandler<Payload>,
@@ -90,6 +94,7 @@
     };
   }
 
+  /** Adds state with its first value. Throws when the key is taken. */
   registerState<State>(key: StateKey<State>, initial: State): Undo {
     invariant(!this.#states.has(key), `state ${key.name} is registered twice`);
     this.#states.set(key, initial);
@@ -98,6 +103,7 @@
     };
   }
 
+  /** Adds a service. Throws when the key is taken. */
   registerService<Service>(key: ServiceKey<Service>, service: Service): Undo {
     invariant(
       !this.#services.has(key),
@@ -109,6 +115,7 @@
     };
   }
 
+  /** Has `listener` called after each commit. */
   registerListener(listener: CommitListener): Undo {
     this.#listeners.add(listener);
     return () => {
@@ -116,6 +123,7 @@
     };
   }
 
+  /** Adds work that {@link advance} runs when it is due. */
   registerPeriodic(options: PeriodicOptions): Undo {
     invariant(options.intervalMs > 0, "periodic interval must be positive");
     const entry: PeriodicEntry = { options, due: -Infinity };
@@ -125,11 +133,13 @@
     };
   }
 
+  /** The state under `key`. Throws when there is none. */
   read<State>(key: StateKey<State>): Readonly<State> {
     invariant(this.#states.has(key), `state ${key.name} is not registered`);
     return this.#states.get(key) as State;
   }
 
+  /** The service under `key`. Throws when there is none. */
   service<Service>(key: ServiceKey<Service>): Service {
     invariant(
       this.#services.has(key),
--- a/packages/kernel/src/update.ts
+++ b/packages/kernel/src/update.ts
@@ -18,6 +18,7 @@
   /** Gives state for changing and marks it as changed. */
   write<State>(key: StateKey<State>): State;
 
+  /** The service under `key`. Throws when there is none. */
   service<Service>(key: ServiceKey<Service>): Service;
 
   /** Runs another command within this update. */
--- a/packages/placement/src/instance_table.ts
+++ b/packages/placement/src/instance_table.ts
@@ -108,10 +108,12 @@
     return this.#instanceIds[index] ?? "";
   }
 
+  /** The rack of the instance at `index`. */
   rackAt(index: number): string {
     return this.#racks[index] ?? "";
   }
 
+  /** The availability zone of the instance at `index`. */
   availabilityZoneAt(index: number): string {
     return this.#availabilityZones[index] ?? "";
   }
@@ -151,6 +153,7 @@
     this.#updateIndex(index);
   }
 
+  /** True when new tasks may be placed on the instance. */
   isEligible(index: number): boolean {
     return this.#eligible[index] === 1;
   }
@@ -170,10 +173,12 @@
     return this.#capacity[dimension]![index]!;
   }
 
+  /** What the instance at `index` has free. */
   freeAt(index: number): Resources {
     return readRow(this.#free, index);
   }
 
+  /** What the instance at `index` has in all. */
   capacityAt(index: number): Resources {
     return readRow(this.#capacity, index);
   }
--- a/packages/placement/src/room_index.ts
+++ b/packages/placement/src/room_index.ts
@@ -49,6 +49,7 @@
     }
   }
 
+  /** Takes an instance out of the index. */
   remove(index: number): void {
     const bucket = this.#bucketOf[index] ?? NOWHERE;
     if (bucket === NOWHERE) {
--- a/packages/platform-client/src/instance_list.ts
+++ b/packages/platform-client/src/instance_list.ts
@@ -4,6 +4,7 @@
 
 /** The platform's lagging list of instances; its methods never reject. */
 export abstract class InstanceList {
+  /** All listed processes, as they were some time ago. */
   abstract list(): Promise<ListInstancesResult>;
 
   /** Ends what the list holds open. */
--- a/packages/platform-client/src/object_store.ts
+++ b/packages/platform-client/src/object_store.ts
@@ -11,7 +11,9 @@
 
 /** The platform's object store; its methods never reject. */
 export abstract class ObjectStore {
+  /** Reads an object. */
   abstract get(key: string): Promise<GetObjectResult>;
+  /** Writes an object; repeating it is harmless. */
   abstract put(key: string, body: string): Promise<PutObjectResult>;
 
   /** Ends what the store holds open. */
--- a/packages/platform-client/src/table_store.ts
+++ b/packages/platform-client/src/table_store.ts
@@ -30,7 +30,9 @@
 
 /** The platform's transactional table; its methods never reject. */
 export abstract class TableStore {
+  /** Reads rows that changed since a revision. */
   abstract scan(options: ScanOptions): Promise<ScanResult>;
+  /** Applies a transaction as a whole, or not at all. */
   abstract commit(transaction: Transaction): Promise<CommitResult>;
 
   /** Ends what the store holds open. */
--- a/packages/platform/src/faults.ts
+++ b/packages/platform/src/faults.ts
@@ -40,6 +40,7 @@
 
 /** Changes when a call takes effect or what its caller gets to see. */
 export abstract class Fault {
+  /** Carries out `call` by `next`, or does something else. */
   abstract intercept(call: Call, next: Next): Promise<Outcome>;
 }
 
--- a/packages/platform/src/lagging_list.ts
+++ b/packages/platform/src/lagging_list.ts
@@ -26,10 +26,12 @@
     this.#lagMs = lagMs;
   }
 
+  /** Adds or replaces an item; readers see it after the lag. */
   put(id: string, { item, now }: { item: Item; now: number }): void {
     this.#pending.push({ at: now, id, item });
   }
 
+  /** Removes an item; readers see it until the lag has passed. */
   remove(id: string, { now }: { now: number }): void {
     this.#pending.push({ at: now, id, item: undefined });
   }
--- a/packages/platform/src/platform.ts
+++ b/packages/platform/src/platform.ts
@@ -82,6 +82,7 @@
     }
   }
 
+  /** Which faults are on. */
   get faults(): FaultSettings {
     return this.#settings;
   }
--- a/packages/quarantine/src/fault_detector.ts
+++ b/packages/quarantine/src/fault_detector.ts
@@ -30,6 +30,7 @@
   /** From 0, no sign of a fault, to 1, enough to quarantine. */
   abstract suspicion(instanceId: string): number;
 
+  /** Whether work may be sent to an instance; `now` in milliseconds. */
   abstract verdict(instanceId: string, now: number): InstanceVerdict;
 
   /** Says that a task was sent to an instance that is being probed. */
--- a/packages/quarantine/src/quarantine_log.ts
+++ b/packages/quarantine/src/quarantine_log.ts
@@ -40,10 +40,12 @@
     this.#probesToReturn = options.probesToReturn ?? DEFAULT_PROBES_TO_RETURN;
   }
 
+  /** True while the instance is quarantined or probed. */
   has(instanceId: string): boolean {
     return this.#records.has(instanceId);
   }
 
+  /** Quarantines an instance; `now` in milliseconds. */
   enter(instanceId: string, now: number): void {
     this.#records.set(instanceId, {
       gapMs: this.#firstGapMs,
@@ -53,6 +55,7 @@
     });
   }
 
+  /** Whether work may be sent to an instance. */
   verdict(instanceId: string, now: number): InstanceVerdict {
     const record = this.#records.get(instanceId);
     if (!record) {
@@ -63,6 +66,7 @@
       : InstanceVerdict.Quarantined;
   }
 
+  /** Notes that a probe was sent; it is repeated if it doesn't end. */
   probeStarted(instanceId: string, now: number): void {
     const record = this.#records.get(instanceId);
     if (record) {
@@ -102,6 +106,7 @@
     record.nextProbeAt = now + record.gapMs;
   }
 
+  /** Drops what is known of an instance. */
   forget(instanceId: string): void {
     this.#records.delete(instanceId);
   }
--- a/packages/quarantine/src/team_votes.ts
+++ b/packages/quarantine/src/team_votes.ts
@@ -14,6 +14,7 @@
   readonly #outcomes = new Map<string, TaskOutcome>();
   #failures = 0;
 
+  /** Takes the latest outcome on an instance for its vote. */
   record(instanceId: string, outcome: TaskOutcome): void {
     this.forget(instanceId);
     this.#outcomes.set(instanceId, outcome);
@@ -24,6 +25,7 @@
     }
   }
 
+  /** Drops an instance's vote. */
   forget(instanceId: string): void {
     const failed = this.#outcomes.get(instanceId) === TaskOutcome.Failed;
     this.#failures -= failed ? 1 : 0;
--- a/packages/runtime/src/event_loop.ts
+++ b/packages/runtime/src/event_loop.ts
@@ -61,6 +61,7 @@
     }
   }
 
+  /** Starts the performers in their order, then the loop. */
   async start(): Promise<void> {
     for (const performer of this.#performers) {
       await performer.start(this);
@@ -77,6 +78,7 @@
     await Promise.all(this.#performers.map((performer) => performer.close()));
   }
 
+  /** Queues an event; it is handled after those that are queued. */
   post<Payload>(command: Command<Payload>, payload: Payload): void {
     this.#queue.push((now) => {
       this.#perform(this.#kernel.run(command, payload, now));
--- a/packages/runtime/src/logger.ts
+++ b/packages/runtime/src/logger.ts
@@ -51,18 +51,22 @@
     this.#consola = consola;
   }
 
+  /** Writes a line of level `LogLevel.Debug`. */
   debug(message: string, fields: LogFields = {}): void {
     this.#consola.debug(message, fields);
   }
 
+  /** Writes a line of level `LogLevel.Info`. */
   info(message: string, fields: LogFields = {}): void {
     this.#consola.info(message, fields);
   }
 
+  /** Writes a line of level `LogLevel.Warn`. */
   warn(message: string, fields: LogFields = {}): void {
     this.#consola.warn(message, fields);
   }
 
+  /** Writes a line of level `LogLevel.Error`. */
   error(message: string, fields: LogFields = {}): void {
     this.#consola.error(message, fields);
   }
--- a/packages/runtime/src/metrics.ts
+++ b/packages/runtime/src/metrics.ts
@@ -60,6 +60,7 @@
     this.#sums.set(histogram, (this.#sums.get(histogram) ?? 0) + recorded);
   }
 
+  /** All values as they are now. */
   snapshot(): MetricsSnapshot {
     const histograms = [...this.#histograms].map(([name, histogram]) =>
       [name, this.#snapshotOf(name, histogram)] as const
--- a/packages/runtime/src/process_host.ts
+++ b/packages/runtime/src/process_host.ts
@@ -8,6 +8,7 @@
   /** Calls `listener` with what nobody has caught. */
   abstract onUncaught(listener: (error: unknown) => void): Undo;
 
+  /** Ends the process with an exit code. */
   abstract exit(code: number): void;
 }
 
--- a/packages/runtime/src/readiness.ts
+++ b/packages/runtime/src/readiness.ts
@@ -16,6 +16,7 @@
     return this.#isDraining;
   }
 
+  /** Notes that a planned stop has begun. */
   drain(): void {
     this.#isDraining = true;
   }
--- a/packages/runtime/src/tls_files.ts
+++ b/packages/runtime/src/tls_files.ts
@@ -70,6 +70,7 @@
     this.#stamp = stampOf(options.paths);
   }
 
+  /** What the files held when they were last usable. */
   get current(): TlsMaterial {
     return this.#current;
   }
--- a/packages/wire/src/codec.ts
+++ b/packages/wire/src/codec.ts
@@ -5,6 +5,7 @@
 
 /** Turns messages into bytes and back; knows nothing of decisions. */
 export abstract class MessageCodec {
+  /** The bytes of a message, as the body of an envelope. */
   abstract encode(message: PeerMessage): Uint8Array;
 
   /** Decodes the body of an envelope whose kind is `kind`. */
--- a/packages/wire/src/dialer.ts
+++ b/packages/wire/src/dialer.ts
@@ -18,6 +18,7 @@
 export abstract class DialerOwner {
   /** False while the peer is to be reached over another link. */
   abstract mayDial(): boolean;
+  /** Creates the link of a stream that is about to be dialled. */
   abstract openLink(disconnect: () => void): Link;
   /** Certificates of both sides; plain connections without. */
   abstract readonly tls: TlsFiles | undefined;
--- a/packages/wire/src/link.ts
+++ b/packages/wire/src/link.ts
@@ -43,7 +43,9 @@
 export abstract class LinkObserver {
   /** Returns why the link is not taken, or undefined when it is. */
   abstract greeted(link: Link, hello: LinkHello): LinkEnd | undefined;
+  /** A message has arrived on a link that was taken. */
   abstract received(link: Link, message: OutgoingMessage): void;
+  /** The link has ended; called once. */
   abstract closed(link: Link, end: LinkEnd): void;
   /** Messages to send now; empty when another link has the turn. */
   abstract takeMessages(link: Link): readonly OutgoingMessage[];
--- a/packages/wire/src/link_table.ts
+++ b/packages/wire/src/link_table.ts
@@ -49,10 +49,12 @@
     this.#options = options;
   }
 
+  /** Every node that is known, with a link or without. */
   get peers(): readonly Peer[] {
     return [...this.#peers.values()];
   }
 
+  /** Every open link, also those not yet taken. */
   get links(): readonly Link[] {
     return [...this.#links];
   }
--- a/packages/wire/src/outbox.ts
+++ b/packages/wire/src/outbox.ts
@@ -27,6 +27,7 @@
     this.#options = options;
   }
 
+  /** Messages that wait. */
   get size(): number {
     return this.#waiting.length;
   }
