Remove results of the benchmarks that nobody reads

Cause: the drain and overload trials worked out three figures that no benchmark, test or page shows.

Change: they are gone, with the code that only they needed; two imports of one module in model are one.

Behaviour unchanged.

--- a/packages/bench/src/decisions/drain_trial.ts
+++ b/packages/bench/src/decisions/drain_trial.ts
@@ -21,8 +21,6 @@
 export interface DrainTrialResult {
   /** Part of the open zones in use, smallest of all looks. */
   readonly leastUsedAway: number;
-  /** The same on average. */
-  readonly meanUsedAway: number;
   /** Part of the whole fleet in use after the return, on average. */
   readonly meanUsedBack: number;
   /** From the return until nine tenths of the fleet are in use, in ms. */
@@ -31,7 +29,6 @@
   readonly emptiedMs: number;
   /** Tasks that were stopped, of those that ran there. */
   readonly stopped: number;
-  readonly ranThere: number;
   /** Asks taken back to be asked elsewhere. */
   readonly moved: number;
 }
@@ -50,7 +47,6 @@
     loopback.submit("imaging", batch(5_000 + random.below(20_000)));
   }
   loopback.run(2 * WARM_UP_MS);
-  const ranThere = coresIn(loopback, ZONE);
   const before = loopback.counter("tasks_ended_preempted");
   const zones = { [ZONE]: ZoneState.Draining };
   loopback.configure({ ...configuration, version: 2, zones });
@@ -65,12 +61,10 @@
   );
   return {
     leastUsedAway: Math.min(...usedAway),
-    meanUsedAway: mean(usedAway),
     meanUsedBack: mean(usedBack),
     filledMs: firstAt(usedBack, (used) => used >= 0.9),
     emptiedMs: firstAt(away, ({ drained }) => drained === 0),
     stopped,
-    ranThere,
     moved: loopback.counter("asks_moved") - moved,
   };
 }
--- a/packages/bench/src/decisions/overload_trial.ts
+++ b/packages/bench/src/decisions/overload_trial.ts
@@ -25,8 +25,6 @@
   readonly refused: number;
   /** Part of them that waited for nothing until their deadline. */
   readonly expired: number;
-  /** Longest wait of those that started, in milliseconds. */
-  readonly longestWaitMs: number;
 }
 
 /** Submits twice the requests that the fleet can run. */
@@ -37,24 +35,21 @@
     schedulers: 3,
   });
   loopback.run(WARM_UP_MS);
-  const submittedAt = new Map<string, number>();
+  const submitted: string[] = [];
   for (let elapsed = 0; elapsed < OFFERED_MS; elapsed += STEP_MS) {
     for (let index = 0; index < OVERLOAD * CAPACITY_PER_STEP; index++) {
-      submittedAt.set(loopback.submit("storefront", request()), loopback.now);
+      submitted.push(loopback.submit("storefront", request()));
     }
     loopback.run(STEP_MS);
   }
   loopback.run(2 * START_WITHIN_MS);
-  const refused =
-    [...submittedAt.keys()].filter((callId) => isRefused(loopback, callId))
-      .length;
+  const refused = submitted.filter((callId) => isRefused(loopback, callId))
+    .length;
   const started = loopback.starts.length;
-  const waits = waitsOf(loopback, submittedAt);
   return {
     goodput: started / (CAPACITY_PER_STEP * OFFERED_MS / STEP_MS),
-    refused: refused / submittedAt.size,
-    expired: (submittedAt.size - refused - started) / submittedAt.size,
-    longestWaitMs: waits.reduce((a, b) => Math.max(a, b), 0),
+    refused: refused / submitted.length,
+    expired: (submitted.length - refused - started) / submitted.length,
   };
 }
 
@@ -64,19 +59,6 @@
     reply.refusal.reason === RefusalReason.Overloaded;
 }
 
-function waitsOf(
-  loopback: Loopback,
-  submittedAt: ReadonlyMap<string, number>,
-): number[] {
-  const startedAt = new Map(
-    loopback.starts.map(({ task, at }) => [task.jobId, at]),
-  );
-  return [...submittedAt].flatMap(([callId, at]) => {
-    const start = startedAt.get(loopback.jobIdOf(callId) ?? "");
-    return start === undefined ? [] : [start - at];
-  });
-}
-
 function request() {
   return {
     kind: JobKind.Request,
--- a/packages/model/src/fleet.ts
+++ b/packages/model/src/fleet.ts
@@ -1,5 +1,8 @@
-import type { AvailabilityZone, Inventory } from "./configuration.ts";
-import type { InstanceSpec } from "./configuration.ts";
+import type {
+  AvailabilityZone,
+  InstanceSpec,
+  Inventory,
+} from "./configuration.ts";
 import type { Resources } from "./resources.ts";
 
 /** An instance with its place in the fleet. */
