Give examples of the functions of the proofs, benchmarks and trials

Change: comments only, in prove, bench and failure-tests. Functions of demo and those that draw the commands of the proofs have none yet.

Behaviour unchanged.

--- a/packages/bench/src/benchmark.ts
+++ b/packages/bench/src/benchmark.ts
@@ -34,12 +34,26 @@
   };
 }
 
-/** The names of all benchmarks, in order of registration. */
+/**
+ * The names of all benchmarks, in order of registration.
+ *
+ * @example
+ * ```ts
+ * benchmarkNames(); // ["placement", "shares", ...]
+ * ```
+ */
 export function benchmarkNames(): string[] {
   return [...benchmarks.keys()];
 }
 
-/** The benchmark of that name, if there is one. */
+/**
+ * The benchmark of that name, if there is one.
+ *
+ * @example
+ * ```ts
+ * const metrics = await findBenchmark("placement")?.run({ seed: 1 });
+ * ```
+ */
 export function findBenchmark(name: string): Benchmark | undefined {
   return benchmarks.get(name);
 }
--- a/packages/bench/src/metric.ts
+++ b/packages/bench/src/metric.ts
@@ -18,7 +18,14 @@
   readonly machineBound?: boolean;
 }
 
-/** True when the metric has a bound and is on the wrong side of it. */
+/**
+ * True when the metric has a bound and is on the wrong side of it.
+ *
+ * @example
+ * ```ts
+ * const missed = metrics.filter(missesBound);
+ * ```
+ */
 export function missesBound(metric: Metric): boolean {
   if (metric.bound === undefined) {
     return false;
@@ -29,7 +36,14 @@
     : !(metric.value <= metric.bound);
 }
 
-/** True when the metric makes the run fail. */
+/**
+ * True when the metric makes the run fail.
+ *
+ * @example
+ * ```ts
+ * process.exitCode = metrics.some(fails) ? 1 : 0;
+ * ```
+ */
 export function fails(metric: Metric): boolean {
   return missesBound(metric) && metric.machineBound !== true;
 }
--- a/packages/bench/src/report.ts
+++ b/packages/bench/src/report.ts
@@ -3,7 +3,14 @@
 const SIGNIFICANT_DIGITS = 4;
 const HEADER = ["metric", "value", "unit", "bound", "baseline", ""];
 
-/** One line of JSON for a metric, with the cores of the machine. */
+/**
+ * One line of JSON for a metric, with the cores of the machine.
+ *
+ * @example
+ * ```ts
+ * console.log(formatJson(metric, availableParallelism()));
+ * ```
+ */
 export function formatJson(metric: Metric, cores: number): string {
   const { name, value, unit, bound, baseline, machineBound } = metric;
   const boundKind = bound === undefined
@@ -22,7 +29,14 @@
   });
 }
 
-/** A table with aligned columns. */
+/**
+ * A table with aligned columns.
+ *
+ * @example
+ * ```ts
+ * console.log(formatTable(metrics));
+ * ```
+ */
 export function formatTable(metrics: readonly Metric[]): string {
   const rows = [HEADER, ...metrics.map(formatRow)];
   const widths = HEADER.map((_, column) =>
--- a/packages/failure-tests/src/load.ts
+++ b/packages/failure-tests/src/load.ts
@@ -85,7 +85,14 @@
   },
 ];
 
-/** What a worker answers when it has run the request. */
+/**
+ * What a worker answers when it has run the request.
+ *
+ * @example
+ * ```ts
+ * expect(status.answer).to.equal(expectedAnswer(job));
+ * ```
+ */
 export function expectedAnswer({ idempotencyKey }: DemoJob): string {
   return `${idempotencyKey} ${ANSWER_FILL}`;
 }
@@ -181,7 +188,14 @@
   readonly idempotent?: boolean;
 }
 
-/** A request of the orders' team that runs for a given time. */
+/**
+ * A request of the orders' team that runs for a given time.
+ *
+ * @example
+ * ```ts
+ * const job = makeRequest({ name: "late", runMs: 500 });
+ * ```
+ */
 export function makeRequest(options: RequestOptions): DemoJob {
   const { name, runMs, idempotent = true } = options;
   const shape: Shape = {
@@ -195,7 +209,14 @@
   return describeJob(shape, { name, runMs });
 }
 
-/** Tasks that run for longer than a lease lasts. */
+/**
+ * Tasks that run for longer than a lease lasts.
+ *
+ * @example
+ * ```ts
+ * await trial.load.add(makeLongBatch());
+ * ```
+ */
 export function makeLongBatch(): DemoJob {
   const runMs = 10_000;
   const shape: Shape = {
--- a/packages/failure-tests/src/verdict.ts
+++ b/packages/failure-tests/src/verdict.ts
@@ -29,7 +29,14 @@
   readonly mayRefuse?: ReadonlySet<string>;
 }
 
-/** Compares what submitters were told with what workers ran. */
+/**
+ * Compares what submitters were told with what workers ran.
+ *
+ * @example
+ * ```ts
+ * const verdict = judge({ fleet, stories, runs });
+ * ```
+ */
 export function judge(options: VerdictOptions): Verdict {
   const { fleet, stories, runs, mayRefuse = new Set() } = options;
   const runsOf = groupByStory(runs);
--- a/packages/prove/src/history.ts
+++ b/packages/prove/src/history.ts
@@ -166,7 +166,14 @@
   }
 }
 
-/** Work that names its submission, so that oracles find its runs. */
+/**
+ * Work that names its submission, so that oracles find its runs.
+ *
+ * @example
+ * ```ts
+ * const payload = payloadOf(submission.name, 500);
+ * ```
+ */
 export function payloadOf(name: string, runMs: number): string {
   return JSON.stringify({ answer: name, runMs });
 }
--- a/packages/prove/src/outage_trial.ts
+++ b/packages/prove/src/outage_trial.ts
@@ -73,7 +73,14 @@
   }
 }
 
-/** Takes the table away for five minutes and counts the work done. */
+/**
+ * Takes the table away for five minutes and counts the work done.
+ *
+ * @example
+ * ```ts
+ * const { done, requests } = runOutageTrial({ seed: 1, rule });
+ * ```
+ */
 export function runOutageTrial(options: OutageTrialOptions): OutageResult {
   const cluster = new Cluster({
     seed: options.seed,
--- a/packages/prove/src/prover.ts
+++ b/packages/prove/src/prover.ts
@@ -122,7 +122,14 @@
   return { seed, path, scenario, violations };
 }
 
-/** The scenario at a path of a seed; undefined when there is none. */
+/**
+ * The scenario at a path of a seed; undefined when there is none.
+ *
+ * @example
+ * ```ts
+ * const scenario = replay(failure.seed, failure.path);
+ * ```
+ */
 export function replay(
   seed: number,
   path: string,
@@ -139,7 +146,14 @@
   return scenario;
 }
 
-/** All violations of a run. */
+/**
+ * All violations of a run.
+ *
+ * @example
+ * ```ts
+ * const violations = judge(runScenario(scenario));
+ * ```
+ */
 export function judge(
   history: History,
   oracles: readonly Oracle[] = ORACLES,
--- a/packages/prove/src/report.ts
+++ b/packages/prove/src/report.ts
@@ -5,7 +5,14 @@
 const NAME_WIDTH = 24;
 const NUMBER_WIDTH = 9;
 
-/** Prints what was seen of each point, and the verdict. */
+/**
+ * Prints what was seen of each point, and the verdict.
+ *
+ * @example
+ * ```ts
+ * printProof(prove({ seed: 1, runs: 300 }));
+ * ```
+ */
 export function printProof({ tallies, runs, failure }: Proof): void {
   const broken = new Set(failure?.violations.map(({ point }) => point));
   console.log(row("point", "runs", "events", "verdict"));
@@ -16,7 +23,14 @@
   console.log(`${runs} runs altogether`);
 }
 
-/** Prints a failing scenario and how to replay it. */
+/**
+ * Prints a failing scenario and how to replay it.
+ *
+ * @example
+ * ```ts
+ * printFailure(proof.failure, Point.SingleRun);
+ * ```
+ */
 export function printFailure(failure: Failure, point?: Point): void {
   const { seed, path, scenario, violations } = failure;
   console.log("");
@@ -31,7 +45,14 @@
   );
 }
 
-/** One line for each command of a scenario. */
+/**
+ * One line for each command of a scenario.
+ *
+ * @example
+ * ```ts
+ * console.log(describeScenario(failure.scenario));
+ * ```
+ */
 export function describeScenario(scenario: Scenario): string {
   const { chance, schedulers, commands } = scenario;
   const lines = commands.map(({ kind, gapMs, pick, other, forMs }, index) =>
--- a/packages/prove/src/scenario.ts
+++ b/packages/prove/src/scenario.ts
@@ -39,7 +39,14 @@
 /** Time between looks at what has ended. */
 const ROUND_MS = 2_000;
 
-/** Runs a scenario, lets faults cease and everything end. */
+/**
+ * Runs a scenario, lets faults cease and everything end.
+ *
+ * @example
+ * ```ts
+ * const history = runScenario({ chance: 1, schedulers: 3, commands: [] });
+ * ```
+ */
 export function runScenario(
   scenario: Scenario,
   tampering?: Tampering,
@@ -178,14 +185,28 @@
   }
 }
 
-/** Calls that handed a submission in, in order. */
+/**
+ * Calls that handed a submission in, in order.
+ *
+ * @example
+ * ```ts
+ * const calls = callsOf(history, submission.name);
+ * ```
+ */
 export function callsOf(history: History, name: string): Call[] {
   return [...history.calls.values()].filter(({ submission }) =>
     submission?.name === name
   );
 }
 
-/** What was last told of a submission's job. */
+/**
+ * What was last told of a submission's job.
+ *
+ * @example
+ * ```ts
+ * const state = latestStatus(history, submission.name)?.state;
+ * ```
+ */
 export function latestStatus(
   history: History,
   name: string,
--- a/packages/prove/src/scenarios.ts
+++ b/packages/prove/src/scenarios.ts
@@ -35,7 +35,14 @@
   CommandKind.PlannedStop,
 ];
 
-/** Draws scenarios, for all points or with more of what one is about. */
+/**
+ * Draws scenarios, for all points or with more of what one is about.
+ *
+ * @example
+ * ```ts
+ * fc.assert(fc.property(scenarioArbitrary(), holds), { seed });
+ * ```
+ */
 export function scenarioArbitrary(point?: Point): fc.Arbitrary<Scenario> {
   return fc.noBias(fc.record({
     chance: fc.noShrink(fc.integer({ min: 1, max: 0x3fff_ffff })),
