Cut the fleet into slices once for each inventory; drop state nobody reads

The same inventory was cut anew by each caller, and at each edit once for every slice of a scheduler. sliceFleet keeps the slices of an inventory, which is replaced as a whole and never changed. Three fields were written and never read: SliceView.heardEpoch, SlicesState.configurationVersion, Slice.isFirstOwner.

--- a/packages/home/src/fencing.ts
+++ b/packages/home/src/fencing.ts
@@ -57,7 +57,6 @@
     fenceSentAt: -Infinity,
     outstanding: 0,
     askedSince: NO_RESOURCES,
-    heardEpoch: 0,
     heardAt: -Infinity,
     notBefore: 0,
     tight: new TightRoom(),
--- a/packages/home/src/home_state.ts
+++ b/packages/home/src/home_state.ts
@@ -122,7 +122,6 @@
   outstanding: number;
   /** Sum of what was asked for since the slice last told its free room. */
   askedSince: Resources;
-  heardEpoch: number;
   heardAt: number;
   /** Not asked before this time, after it declined all alike. */
   notBefore: number;
--- a/packages/model/src/fleet.ts
+++ b/packages/model/src/fleet.ts
@@ -33,10 +33,19 @@
  * const slices = sliceFleet(configuration.inventory);
  * ```
  */
-export function sliceFleet(inventory: Inventory): SliceSpec[] {
-  return inventory.availabilityZones.flatMap(sliceZone);
+export function sliceFleet(inventory: Inventory): readonly SliceSpec[] {
+  const known = slicesOf.get(inventory);
+  if (known !== undefined) {
+    return known;
+  }
+  const slices = inventory.availabilityZones.flatMap(sliceZone);
+  slicesOf.set(inventory, slices);
+  return slices;
 }
 
+/** Inventories are replaced as a whole, never changed. */
+const slicesOf = new WeakMap<Inventory, readonly SliceSpec[]>();
+
 /**
  * What an instance has, in the units of the scheduler.
  *
--- a/packages/slice/src/instances.ts
+++ b/packages/slice/src/instances.ts
@@ -45,7 +45,6 @@
     availabilityZone: spec.availabilityZone,
     acquiredAt: update.now,
     claimKnownAt: Infinity,
-    isFirstOwner: owned.isFirstOwner,
     table: new InstanceTable(),
     noRoom: new NoRoom(),
     spread: new SpreadCounts(),
--- a/packages/slice/src/slice_plugin.ts
+++ b/packages/slice/src/slice_plugin.ts
@@ -77,7 +77,6 @@
       kernel.registerState(SLICES, {
         slices: new Map(),
         dues: undefined,
-        configurationVersion: 0,
       }),
       kernel.registerCommand(UNIT_ACQUIRED, acquire, Normal),
       kernel.registerCommand(UNIT_LOST, lose, Normal),
--- a/packages/slice/src/slice_state.ts
+++ b/packages/slice/src/slice_state.ts
@@ -106,7 +106,6 @@
   readonly acquiredAt: number;
   /** When a majority of the schedulers was known to know of this owner. */
   claimKnownAt: number;
-  readonly isFirstOwner: boolean;
   readonly table: InstanceTable;
   readonly noRoom: NoRoom;
   readonly spread: SpreadCounts;
@@ -170,8 +169,6 @@
   readonly slices: Map<string, Slice>;
   /** Undefined until they are needed. */
   dues: TeamDues | undefined;
-  /** Version of the configuration that the slices follow. */
-  configurationVersion: number;
 }
 
 /** Has commands for the worker sent with the next call. */
