Run the combined node on the users' platform

Cause: the product's home and slice scheduler needs one ask for each task and waits for every worker after a takeover; the users' platform offers stages, permits, acknowledged ends and a store with a feed.

Change: a combined role whose plug-ins follow the records (replica), own the scheduling domain under an epoch (tenure), accept jobs at any node (intake), hold leases with workers (sessions), ask for permits through all nodes (permits) and run stages (dispatch). platform/ decodes the platform's wire.

Ruled out: recording each start before it is ordered (some milliseconds a task; asking the workers after a takeover needs none).

--- /dev/null
+++ b/packages/dispatch/src/candidates.ts
@@ -0,0 +1,131 @@
+import type { Update } from "@mustardweir/kernel";
+import {
+  addResources,
+  fitsWithin,
+  NO_RESOURCES,
+  type Resources,
+  subtractResources,
+  WorkerState,
+} from "@mustardweir/model";
+import { REPLICA } from "@mustardweir/replica";
+import { type Session, SESSIONS } from "@mustardweir/sessions";
+import type { StageRun } from "./book.ts";
+import { findTask, TaskPhase } from "./book.ts";
+import { WORKER_HEALTH } from "./health.ts";
+
+/** A worker that tasks may be started on. */
+export interface Candidate {
+  readonly session: Readonly<Session>;
+  free: Resources;
+  /** Runs a task with users of its own. */
+  hasServing: boolean;
+  /** Runs a task on what others leave. */
+  hasBestEffort: boolean;
+  /** Tasks of each stage that this round has booked here. */
+  readonly booked: Map<StageRun, number>;
+}
+
+/** The workers that may be given work now, by pool. */
+export function listCandidates(update: Update): Map<string, Candidate[]> {
+  const { drainedZones } = update.read(REPLICA);
+  const byPool = new Map<string, Candidate[]>();
+  for (const session of update.read(SESSIONS).byWorker.values()) {
+    if (!isEligible(update, session, drainedZones)) {
+      continue;
+    }
+    const candidates = byPool.get(session.info.pool) ?? [];
+    candidates.push(createCandidate(update, session));
+    byPool.set(session.info.pool, candidates);
+  }
+  return byPool;
+}
+
+function isEligible(
+  update: Update,
+  session: Readonly<Session>,
+  drainedZones: ReadonlyMap<string, number>,
+): boolean {
+  return session.isRegistered && session.isSettled && session.isRecorded &&
+    session.missed === 0 && session.clock !== undefined &&
+    session.info.state === WorkerState.Ready &&
+    !drainedZones.has(session.info.zone) &&
+    ![...session.attempts.values()].some(({ isForeign }) => isForeign) &&
+    update.read(WORKER_HEALTH).isUsable(session.info.id, update.now);
+}
+
+function createCandidate(
+  update: Update,
+  session: Readonly<Session>,
+): Candidate {
+  let used = NO_RESOURCES;
+  let hasServing = false;
+  let hasBestEffort = false;
+  for (const { task, size } of session.attempts.values()) {
+    used = addResources(used, size);
+    const spec = findTask(update, task)?.stage.spec;
+    hasServing ||= (spec?.latencyObjectiveMs ?? 0) > 0;
+    hasBestEffort ||= spec?.bestEffort === true;
+  }
+  return {
+    session,
+    free: subtractResources(session.info.capacity, used),
+    hasServing,
+    hasBestEffort,
+    booked: new Map(),
+  };
+}
+
+/** What a task of the stage takes of a worker's capacity. */
+export function bookedSize({ spec }: StageRun): Resources {
+  return spec.bestEffort ? { ...spec.size, cpuMillis: 0 } : spec.size;
+}
+
+/** True when the worker may ever run the stage, whatever is free now. */
+export function suits({ session }: Candidate, { spec }: StageRun): boolean {
+  return spec.requiredLabel === "" ||
+    session.info.labels.includes(spec.requiredLabel);
+}
+
+/** True when one more task of the stage can start on the worker now. */
+export function hasRoom(candidate: Candidate, stage: StageRun): boolean {
+  const { spec } = stage;
+  if (
+    !suits(candidate, stage) || !fitsWithin(bookedSize(stage), candidate.free)
+  ) {
+    return false;
+  }
+  // Interference between the two isn't known beforehand, so they are kept
+  // apart.
+  if (spec.bestEffort && candidate.hasServing) {
+    return false;
+  }
+  if (spec.latencyObjectiveMs > 0 && candidate.hasBestEffort) {
+    return false;
+  }
+  return spec.maxPerWorker === 0 ||
+    countOn(stage, candidate) < spec.maxPerWorker;
+}
+
+/** Books one task of the stage on the candidate. */
+export function book(candidate: Candidate, stage: StageRun): void {
+  candidate.free = subtractResources(candidate.free, bookedSize(stage));
+  candidate.hasServing ||= stage.spec.latencyObjectiveMs > 0;
+  candidate.hasBestEffort ||= stage.spec.bestEffort;
+  candidate.booked.set(stage, (candidate.booked.get(stage) ?? 0) + 1);
+}
+
+/** Tasks of the stage that run on the worker or are about to. */
+function countOn(stage: StageRun, { session, booked }: Candidate): number {
+  const placed = stage.tasks.filter((task) =>
+    task.phase === TaskPhase.Placed && task.workerId === session.info.id
+  );
+  return placed.length + (booked.get(stage) ?? 0);
+}
+
+/** Notes that what was booked in this round is placed, or taken back. */
+export function settleBookings(
+  candidates: readonly Candidate[],
+  stage: StageRun,
+): void {
+  candidates.forEach(({ booked }) => booked.delete(stage));
+}
--- a/packages/kernel/src/registry.ts
+++ b/packages/kernel/src/registry.ts
@@ -5,6 +5,8 @@
 export enum Role {
   Entry = "entry",
   Scheduler = "scheduler",
+  /** Entry and scheduler in one process, for fleets of small instances. */
+  Combined = "combined",
 }
 
 /** How a plug-in announces itself when its module is imported. */
--- a/packages/model/src/mod.ts
+++ b/packages/model/src/mod.ts
@@ -9,3 +9,6 @@
 export * from "./job.ts";
 export * from "./refusal.ts";
 export * from "./resources.ts";
+export * from "./desired_state.ts";
+export * from "./staged_job.ts";
+export * from "./record_schemas.ts";
--- /dev/null
+++ b/packages/protocol/src/domain_messages.ts
@@ -0,0 +1,27 @@
+import type { JobRecord } from "@mustardweir/model";
+import type { PeerMessageKind } from "./peer_messages.ts";
+import type { PermitResult } from "./worker_orders.ts";
+
+/** Tells the owner of the domain of a job that is durable. */
+export interface JobAdmitted {
+  readonly kind: PeerMessageKind.JobAdmitted;
+  readonly jobId: string;
+  readonly record: JobRecord;
+}
+
+/** Has a peer ask the external placement policy. */
+export interface PermitRequest {
+  readonly kind: PeerMessageKind.PermitRequest;
+  readonly requestId: number;
+  /** jobId.occurrence.stage */
+  readonly stage: string;
+  readonly workers: readonly string[];
+  readonly timeoutMs: number;
+}
+
+/** The answer to {@link PermitRequest}. */
+export interface PermitReply {
+  readonly kind: PeerMessageKind.PermitReply;
+  readonly requestId: number;
+  readonly result: PermitResult;
+}
--- a/packages/protocol/src/effects.ts
+++ b/packages/protocol/src/effects.ts
@@ -1,5 +1,6 @@
 import type { Effect } from "@mustardweir/kernel";
 import type { CallerAnswer } from "./caller_messages.ts";
+import type { AnswerFrontEffect } from "./front_calls.ts";
 import type { PeerMessage } from "./peer_messages.ts";
 import type {
   CommitResult,
@@ -9,8 +10,14 @@
   ScanResult,
   Transaction,
 } from "./platform_messages.ts";
+import type {
+  CommitRecordsEffect,
+  FollowSourceEffect,
+  ReadSourceEffect,
+} from "./record_store.ts";
 import type { ReplyTo } from "./reply.ts";
 import type { SyncCall, SyncResult } from "./target_messages.ts";
+import type { AskPermitsEffect, OrderWorkerEffect } from "./worker_orders.ts";
 
 /** Kinds of effect that the performers of a process carry out. */
 export enum EffectKind {
@@ -26,6 +33,12 @@
   Count = "count",
   Observe = "observe",
   LogChange = "log-change",
+  CommitRecords = "commit-records",
+  ReadSource = "read-source",
+  FollowSource = "follow-source",
+  OrderWorker = "order-worker",
+  AskPermits = "ask-permits",
+  AnswerFront = "answer-front",
   /** The planned stop is complete; the process may exit. */
   Stopped = "stopped",
 }
@@ -148,7 +161,13 @@
   | CountEffect
   | ObserveEffect
   | LogChangeEffect
-  | StoppedEffect;
+  | StoppedEffect
+  | CommitRecordsEffect
+  | ReadSourceEffect
+  | FollowSourceEffect
+  | OrderWorkerEffect
+  | AskPermitsEffect
+  | AnswerFrontEffect;
 
 /**
  * Makes an effect that sends `message` to the node `to`.
--- a/packages/protocol/src/node_identity.ts
+++ b/packages/protocol/src/node_identity.ts
@@ -8,6 +8,8 @@
   /** Differs for each start of the process. */
   readonly incarnation: string;
   readonly availabilityZone: string;
+  /** Where peers reach this node, host:port; absent when they don't dial. */
+  readonly peerAddress?: string;
   /** Schedulers named in the settings. */
   readonly seedPeers: readonly PeerAddress[];
 }
--- a/packages/protocol/src/peer_messages.ts
+++ b/packages/protocol/src/peer_messages.ts
@@ -1,3 +1,8 @@
+import type {
+  JobAdmitted,
+  PermitReply,
+  PermitRequest,
+} from "./domain_messages.ts";
 import type {
   JobSpec,
   JobStatus,
@@ -27,6 +32,9 @@
   Vouch = 16,
   AnnounceEdit = 17,
   EditAnnounced = 18,
+  JobAdmitted = 19,
+  PermitRequest = 20,
+  PermitReply = 21,
 }
 
 /** What an owner holds of the fleet: a home or a slice, under an epoch. */
@@ -350,4 +358,7 @@
   | VouchRequest
   | Vouch
   | AnnounceEdit
-  | EditAnnounced;
+  | EditAnnounced
+  | JobAdmitted
+  | PermitRequest
+  | PermitReply;
--- a/packages/prove/src/simulation/performers.ts
+++ b/packages/prove/src/simulation/performers.ts
@@ -57,6 +57,13 @@
   [EffectKind.Count]: ignore,
   [EffectKind.Observe]: ignore,
   [EffectKind.LogChange]: ignore,
+  // The combined node has a simulation of its own.
+  [EffectKind.CommitRecords]: ignore,
+  [EffectKind.ReadSource]: ignore,
+  [EffectKind.FollowSource]: ignore,
+  [EffectKind.OrderWorker]: ignore,
+  [EffectKind.AskPermits]: ignore,
+  [EffectKind.AnswerFront]: ignore,
 };
 
 /** Brings an answer to the command that asked for it. */
--- /dev/null
+++ b/packages/replica/src/apply.ts
@@ -0,0 +1,276 @@
+import type { Update } from "@mustardweir/kernel";
+import type { JobRecord, WorkerInfo } from "@mustardweir/model";
+import {
+  ChangeKind,
+  count,
+  logChange,
+  type SourceChange,
+  type StoredRecord,
+} from "@mustardweir/protocol";
+import {
+  type NodeRecord,
+  parseKey,
+  readFields,
+  readJob,
+  readProgress,
+  type RecordError,
+  RecordKind,
+  type SessionRecord,
+  type TenureRecord,
+} from "./record_keys.ts";
+import {
+  DESIRED_CHANGED,
+  JOB_CHANGED,
+  NODES_CHANGED,
+  REPLICA,
+  type Replica,
+  TENURE_SEEN,
+  WORKER_CHANGED,
+} from "./replica.ts";
+
+/** Takes one change of a source into the replica and tells of it. */
+export function applyChange(update: Update, change: SourceChange): void {
+  const replica = update.write(REPLICA);
+  switch (change.kind) {
+    case ChangeKind.Record:
+      applyRecord(update, replica, change.record);
+      break;
+    case ChangeKind.DesiredState:
+      applyDesired(update, replica, change.desired);
+      break;
+    case ChangeKind.ZoneDrain:
+      applyDrain(update, replica, change);
+      break;
+    case ChangeKind.Wave:
+      replica.waves.set(change.wave.wave, change.wave);
+      update.dispatch(DESIRED_CHANGED, {});
+      break;
+    case ChangeKind.Worker:
+      applyWorker(update, change.id, change.worker);
+      break;
+    case ChangeKind.Unreadable:
+      reportUnreadable(update, change.key, change.reason);
+      break;
+  }
+}
+
+/** Takes in a job that is known to be durable. */
+export function learnJob(
+  update: Update,
+  jobId: string,
+  record: JobRecord,
+): void {
+  const replica = update.write(REPLICA);
+  if (replica.jobs.has(jobId)) {
+    return;
+  }
+  replica.jobs.set(jobId, {
+    jobId,
+    record,
+    progress: replica.orphans.get(jobId),
+    isCancelled: replica.cancels.has(jobId),
+  });
+  replica.orphans.delete(jobId);
+  update.dispatch(JOB_CHANGED, { jobId });
+}
+
+/** Takes in a cancellation that is known to be durable. */
+export function learnCancel(update: Update, jobId: string): void {
+  const replica = update.write(REPLICA);
+  replica.cancels.add(jobId);
+  const job = replica.jobs.get(jobId);
+  if (job !== undefined && !job.isCancelled) {
+    job.isCancelled = true;
+    update.dispatch(JOB_CHANGED, { jobId });
+  }
+}
+
+function applyDesired(
+  update: Update,
+  replica: Replica,
+  desired: NonNullable<Replica["desired"]>,
+): void {
+  if (desired.version <= (replica.desired?.version ?? -1)) {
+    return;
+  }
+  replica.desired = desired;
+  update.emit(logChange("Desired state in force", {
+    version: desired.version,
+    queues: desired.queues.length,
+    teams: desired.teams.length,
+  }));
+  update.dispatch(DESIRED_CHANGED, {});
+}
+
+function applyDrain(
+  update: Update,
+  replica: Replica,
+  { zone, isDrained }: { zone: string; isDrained: boolean },
+): void {
+  if (replica.drainedZones.has(zone) === isDrained) {
+    return;
+  }
+  if (isDrained) {
+    replica.drainedZones.set(zone, update.now);
+  } else {
+    replica.drainedZones.delete(zone);
+  }
+  update.emit(
+    logChange(isDrained ? "Zone drained" : "Zone returned", { zone }),
+  );
+  update.dispatch(DESIRED_CHANGED, {});
+}
+
+function applyWorker(
+  update: Update,
+  id: string,
+  worker: WorkerInfo | undefined,
+): void {
+  const replica = update.write(REPLICA);
+  const known = replica.workers.get(id);
+  if (worker === undefined) {
+    if (known !== undefined) {
+      replica.workers.delete(id);
+      replica.departed.set(id, { info: known, departedMs: update.now });
+      update.emit(logChange("Worker left", { worker: id }));
+    }
+  } else {
+    replica.workers.set(id, worker);
+    replica.departed.delete(id);
+    if (known?.state !== worker.state || known.address !== worker.address) {
+      update.emit(logChange("Worker registered", {
+        worker: id,
+        pool: worker.pool,
+        state: worker.state,
+        incarnation: worker.incarnation,
+      }));
+    }
+  }
+  update.dispatch(WORKER_CHANGED, { workerId: id });
+}
+
+function applyRecord(
+  update: Update,
+  replica: Replica,
+  record: StoredRecord,
+): void {
+  const key = parseKey(record.key);
+  if (key === undefined) {
+    return;
+  }
+  const { kind, name } = key;
+  if (record.value === undefined) {
+    forget(update, replica, kind, name);
+    return;
+  }
+  READERS[kind](update, { replica, name, record, value: record.value })
+    ?.mapErr(({ reason }) => reportUnreadable(update, record.key, reason));
+}
+
+interface RecordRead {
+  readonly replica: Replica;
+  readonly name: string;
+  readonly record: StoredRecord;
+  readonly value: string;
+}
+
+type RecordReader = (
+  update: Update,
+  read: RecordRead,
+) => { mapErr(report: (err: RecordError) => void): unknown } | undefined;
+
+const READERS: { readonly [Kind in RecordKind]: RecordReader } = {
+  [RecordKind.Job]: (update, { name, value }) =>
+    readJob(value).map((job) => {
+      if (!("refused" in job)) {
+        learnJob(update, name, job);
+      }
+    }),
+  [RecordKind.Progress]: (update, { replica, name, value }) =>
+    readProgress(value).map((progress) => {
+      const job = replica.jobs.get(name);
+      if (job === undefined) {
+        replica.orphans.set(name, progress);
+      } else {
+        job.progress = progress;
+        update.dispatch(JOB_CHANGED, { jobId: name });
+      }
+    }),
+  [RecordKind.Cancel]: (update, { name }) => {
+    learnCancel(update, name);
+    return undefined;
+  },
+  [RecordKind.Session]: (_update, { replica, name, value }) =>
+    readFields<SessionRecord>(value, {
+      address: "string",
+      pool: "string",
+      incarnation: "number",
+      recorded: "number",
+    }).map((session) => replica.sessions.set(name, session)),
+  [RecordKind.Node]: (update, { replica, name, value }) =>
+    readFields<NodeRecord>(value, {
+      address: "string",
+      incarnation: "string",
+      zone: "string",
+      unixOffsetMs: "number",
+    }).map((node) => {
+      const known = replica.nodes.get(name);
+      replica.nodes.set(name, { ...node, nodeId: name, seenMs: update.now });
+      if (
+        known?.address !== node.address ||
+        known.incarnation !== node.incarnation
+      ) {
+        update.dispatch(NODES_CHANGED, {});
+      }
+    }),
+  [RecordKind.Tenure]: (update, { replica, record, value }) =>
+    readFields<TenureRecord>(value, {
+      nodeId: "string",
+      incarnation: "string",
+      epoch: "number",
+      sequence: "number",
+    }).map((tenure) => {
+      if (record.version <= (replica.tenure?.version ?? 0)) {
+        return;
+      }
+      const known = {
+        record: tenure,
+        version: record.version,
+        seenMs: update.now,
+      };
+      replica.tenure = known;
+      update.dispatch(TENURE_SEEN, known);
+    }),
+};
+
+function forget(
+  update: Update,
+  replica: Replica,
+  kind: RecordKind,
+  name: string,
+): void {
+  switch (kind) {
+    case RecordKind.Job:
+      replica.jobs.delete(name);
+      replica.cancels.delete(name);
+      update.dispatch(JOB_CHANGED, { jobId: name });
+      break;
+    case RecordKind.Progress:
+      replica.orphans.delete(name);
+      break;
+    case RecordKind.Session:
+      replica.sessions.delete(name);
+      break;
+    case RecordKind.Node:
+      replica.nodes.delete(name);
+      update.dispatch(NODES_CHANGED, {});
+      break;
+    default:
+      break;
+  }
+}
+
+function reportUnreadable(update: Update, key: string, reason: string): void {
+  update.emit(count("unreadable-entries"));
+  update.emit(logChange("Entry can't be read", { key, reason }));
+}
--- /dev/null
+++ b/packages/replica/src/mod.ts
@@ -0,0 +1,10 @@
+/**
+ * A node's copy of the system's records, the desired state and the workers'
+ * registrations, followed in the platform's store.
+ *
+ * @module
+ */
+export { learnCancel, learnJob } from "./apply.ts";
+export * from "./record_keys.ts";
+export * from "./replica.ts";
+export * from "./replica_plugin.ts";
--- /dev/null
+++ b/packages/replica/src/record_keys.ts
@@ -0,0 +1,189 @@
+import {
+  type JobProgress,
+  jobProgressSchema,
+  type JobRecord,
+  jobRecordSchema,
+} from "@mustardweir/model";
+import type { RecordKey } from "@mustardweir/protocol";
+import { err, ok, type Result } from "neverthrow";
+
+/** Part that holds everything the owner of the domain writes. */
+export const DOMAIN_PART = "domain";
+/** Part with a record for each node. */
+export const NODE_PART = "nodes";
+/** Parts that accepted jobs are spread over; more carry more writes. */
+export const JOB_PARTS = 4;
+
+/** The parts that a node lists when it starts. */
+export const RECORD_PARTS: readonly string[] = [
+  DOMAIN_PART,
+  NODE_PART,
+  ...Array.from({ length: JOB_PARTS }, (_, index) => `jobs-${index}`),
+];
+
+/** Kinds of record, as their keys begin. */
+export enum RecordKind {
+  Tenure = "tenure",
+  Progress = "progress",
+  Session = "session",
+  Job = "job",
+  Cancel = "cancel",
+  Node = "node",
+}
+
+/** Who owns the domain. Rewritten by each commit of the owner. */
+export interface TenureRecord {
+  readonly nodeId: string;
+  readonly incarnation: string;
+  readonly epoch: number;
+  /** Differs for each commit, so that an old one can't be mistaken. */
+  readonly sequence: number;
+}
+
+/** How far the ends of a worker are recorded. */
+export interface SessionRecord {
+  readonly address: string;
+  readonly pool: string;
+  readonly incarnation: number;
+  /** Number of the last end that is recorded. */
+  readonly recorded: number;
+}
+
+/** Where a node is reached. */
+export interface NodeRecord {
+  readonly address: string;
+  readonly incarnation: string;
+  readonly zone: string;
+  /** The node's time of day less the store's clock, in milliseconds. */
+  readonly unixOffsetMs: number;
+}
+
+/** A place kept by a refused submission, so that no late write takes it. */
+export interface RefusedJob {
+  readonly refused: true;
+}
+
+/**
+ * The part that holds a job's own records.
+ *
+ * @example
+ * ```ts
+ * jobPart("5c0e7a21d94b36f8"); // "jobs-0"
+ * ```
+ */
+export function jobPart(jobId: string): string {
+  let hash = 0;
+  for (let index = 0; index < jobId.length; index++) {
+    hash = (Math.imul(hash, 31) + jobId.charCodeAt(index)) >>> 0;
+  }
+  return `jobs-${hash % JOB_PARTS}`;
+}
+
+/**
+ * The key of a record.
+ *
+ * @example
+ * ```ts
+ * recordKey(RecordKind.Progress, "5c0e7a21d94b36f8");
+ * // { part: "domain", key: "progress/5c0e7a21d94b36f8" }
+ * ```
+ */
+export function recordKey(kind: RecordKind, name: string): RecordKey {
+  return { part: partOf(kind, name), key: `${kind}/${name}` };
+}
+
+/** The record that names the owner of the domain. */
+export const TENURE_KEY = recordKey(RecordKind.Tenure, "owner");
+
+function partOf(kind: RecordKind, name: string): string {
+  switch (kind) {
+    case RecordKind.Job:
+    case RecordKind.Cancel:
+      return jobPart(name);
+    case RecordKind.Node:
+      return NODE_PART;
+    default:
+      return DOMAIN_PART;
+  }
+}
+
+/** What a key names. */
+export interface ParsedKey {
+  readonly kind: RecordKind;
+  readonly name: string;
+}
+
+const KINDS = new Set<string>(Object.values(RecordKind));
+
+/**
+ * Reads a key; undefined for one that this system doesn't write.
+ *
+ * @example
+ * ```ts
+ * parseKey("cancel/5c0e7a21d94b36f8");
+ * ```
+ */
+export function parseKey(key: string): ParsedKey | undefined {
+  const slash = key.indexOf("/");
+  const kind = key.slice(0, slash);
+  return KINDS.has(kind)
+    ? { kind: kind as RecordKind, name: key.slice(slash + 1) }
+    : undefined;
+}
+
+/** Why a record can't be read. */
+export interface RecordError {
+  readonly reason: string;
+}
+
+/** Reads the record of a job; a refused place is told apart. */
+export function readJob(
+  text: string,
+): Result<JobRecord | RefusedJob, RecordError> {
+  return readJson(text).andThen((value) => {
+    if (isObject(value) && value.refused === true) {
+      return ok({ refused: true as const });
+    }
+    const parsed = jobRecordSchema.safeParse(value);
+    return parsed.success
+      ? ok(parsed.data)
+      : err({ reason: parsed.error.message });
+  });
+}
+
+/** Reads the record of a job's progress. */
+export function readProgress(text: string): Result<JobProgress, RecordError> {
+  return readJson(text).andThen((value) => {
+    const parsed = jobProgressSchema.safeParse(value);
+    return parsed.success
+      ? ok(parsed.data)
+      : err({ reason: parsed.error.message });
+  });
+}
+
+/** Reads one of the small records, checking the fields named. */
+export function readFields<Fields>(
+  text: string,
+  types: { readonly [Name in keyof Fields]: "string" | "number" },
+): Result<Fields, RecordError> {
+  return readJson(text).andThen((value) => {
+    const wrong = Object.entries(types).find(([name, type]) =>
+      !isObject(value) || typeof value[name] !== type
+    );
+    return wrong === undefined
+      ? ok(value as Fields)
+      : err({ reason: `field ${wrong[0]} is missing or of another type` });
+  });
+}
+
+function readJson(text: string): Result<unknown, RecordError> {
+  try {
+    return ok(JSON.parse(text));
+  } catch {
+    return err({ reason: "not JSON" });
+  }
+}
+
+function isObject(value: unknown): value is Record<string, unknown> {
+  return typeof value === "object" && value !== null;
+}
--- /dev/null
+++ b/packages/replica/src/replica_plugin.ts
@@ -0,0 +1,330 @@
+import {
+  CommandPriority,
+  createCommand,
+  type Kernel,
+  mergeUndo,
+  Plugin,
+  registerPlugin,
+  Role,
+  type Undo,
+  type Update,
+} from "@mustardweir/kernel";
+import {
+  type Answered,
+  ChangeKind,
+  count,
+  EffectKind,
+  logChange,
+  nodeEffect,
+  replyTo,
+  Source,
+  type SourceChange,
+  type SourceResult,
+  SourceResultKind,
+} from "@mustardweir/protocol";
+import { applyChange } from "./apply.ts";
+import { RECORD_PARTS } from "./record_keys.ts";
+import { REPLICA, type Replica, type SourceView } from "./replica.ts";
+
+/** How a source is followed. */
+interface FollowPace {
+  /** Longest wait of a call for a change, in milliseconds. */
+  readonly waitMs: number;
+  /** Pause between calls, in milliseconds. */
+  readonly pauseMs: number;
+}
+
+/**
+ * Records change with each commit of the owner, so they are fetched in
+ * batches; the pause bounds the calls that all nodes make together.
+ */
+const PACE: Record<Source, FollowPace> = {
+  [Source.Records]: { waitMs: 300, pauseMs: 120 },
+  [Source.Operator]: { waitMs: 1_000, pauseMs: 0 },
+  [Source.Workers]: { waitMs: 1_000, pauseMs: 50 },
+};
+
+/** Time allowed for an answer beyond its wait, in milliseconds. */
+const ANSWER_MS = 700;
+/** Pause after a failed call, in milliseconds. */
+const RETRY_MS = 150;
+/** How often paused sources are looked at, in milliseconds. */
+const TICK_MS = 20;
+/** Workers that left are remembered longer than any lease, in milliseconds. */
+const DEPARTED_MS = 30_000;
+/** Parts of sources that aren't the system's own records. */
+const SINGLE_PART: readonly string[] = [""];
+
+enum Phase {
+  Idle = "idle",
+  Listing = "listing",
+  Following = "following",
+}
+
+interface Progress {
+  phase: Phase;
+  /** Not called before this time, in milliseconds. */
+  nextMs: number;
+  /** Entries listed so far, shown together when the listing is whole. */
+  listed: SourceChange[];
+  partsLeft: string[];
+  listedVersion: number;
+  failures: number;
+}
+
+interface Asked {
+  readonly source: Source;
+  readonly phase: Phase;
+}
+
+const SOURCE_ANSWERED = createCommand<Answered<Asked, SourceResult>>(
+  "source-answered",
+);
+
+/** Keeps a node's copy of the records, the desired state and the workers. */
+export class ReplicaPlugin extends Plugin {
+  override readonly name = "replica";
+  readonly #progress = new Map<Source, Progress>(
+    Object.values(Source).map((source) => [source, {
+      phase: Phase.Idle,
+      nextMs: 0,
+      listed: [],
+      partsLeft: [],
+      listedVersion: 0,
+      failures: 0,
+    }]),
+  );
+
+  override register(kernel: Kernel): Undo {
+    return mergeUndo(
+      kernel.registerState(REPLICA, createReplica()),
+      kernel.registerCommand(
+        SOURCE_ANSWERED,
+        ({ context, result }, update) =>
+          this.#answered(update, context, result),
+        CommandPriority.Normal,
+      ),
+      kernel.registerPeriodic({
+        intervalMs: TICK_MS,
+        run: (update) => this.#tick(update),
+      }),
+    );
+  }
+
+  #tick(update: Update): void {
+    for (const [source, progress] of this.#progress) {
+      if (progress.phase === Phase.Idle && update.now >= progress.nextMs) {
+        this.#call(update, source, progress);
+      }
+    }
+    forgetDeparted(update);
+  }
+
+  #call(update: Update, source: Source, progress: Progress): void {
+    const view = update.read(REPLICA).sources[source];
+    if (view.isListed) {
+      this.#follow(update, source, progress);
+      return;
+    }
+    progress.listed = [];
+    progress.listedVersion = 0;
+    progress.partsLeft = [
+      ...(source === Source.Records ? RECORD_PARTS : SINGLE_PART),
+    ];
+    this.#list(update, source, progress);
+  }
+
+  #follow(update: Update, source: Source, progress: Progress): void {
+    const { waitMs } = PACE[source];
+    progress.phase = Phase.Following;
+    update.emit(nodeEffect({
+      kind: EffectKind.FollowSource,
+      source,
+      afterVersion: update.read(REPLICA).sources[source].version,
+      waitMs,
+      timeoutMs: waitMs + ANSWER_MS,
+      replyTo: replyTo(SOURCE_ANSWERED, { source, phase: Phase.Following }),
+    }));
+  }
+
+  #list(
+    update: Update,
+    source: Source,
+    progress: Progress,
+    after?: string,
+  ): void {
+    progress.phase = Phase.Listing;
+    update.emit(nodeEffect({
+      kind: EffectKind.ReadSource,
+      source,
+      part: progress.partsLeft[0] ?? "",
+      ...(after === undefined ? {} : { after }),
+      timeoutMs: 2 * ANSWER_MS,
+      replyTo: replyTo(SOURCE_ANSWERED, { source, phase: Phase.Listing }),
+    }));
+  }
+
+  #answered(
+    update: Update,
+    { source, phase }: Asked,
+    result: SourceResult,
+  ): void {
+    const progress = this.#progress.get(source)!;
+    const view = update.write(REPLICA).sources[source];
+    progress.phase = Phase.Idle;
+    progress.nextMs = update.now + RETRY_MS;
+    switch (result.kind) {
+      case SourceResultKind.Unavailable:
+        update.emit(count(`source-${source}-failures`));
+        if (progress.failures++ === 0) {
+          update.emit(logChange("Source lost", {
+            source,
+            reason: result.reason,
+            ageMs: Math.round(update.now - view.answeredMs),
+          }));
+        }
+        return;
+      case SourceResultKind.HistoryLost:
+        view.isListed = false;
+        progress.nextMs = update.now;
+        update.emit(logChange("History is gone, listing again", { source }));
+        return;
+      case SourceResultKind.Read:
+        break;
+    }
+    if (progress.failures > 0) {
+      update.emit(logChange("Source regained", { source }));
+      progress.failures = 0;
+    }
+    view.answeredMs = update.now;
+    takeClocks(update, result);
+    if (phase === Phase.Following) {
+      progress.nextMs = update.now + PACE[source].pauseMs;
+      view.version = Math.max(view.version, result.version);
+      for (const change of result.changes) {
+        applyChange(update, change);
+      }
+      if (progress.nextMs <= update.now) {
+        this.#follow(update, source, progress);
+      }
+      return;
+    }
+    this.#listedPage(update, source, { progress, view, result });
+  }
+
+  #listedPage(
+    update: Update,
+    source: Source,
+    { progress, view, result }: {
+      progress: Progress;
+      view: SourceView;
+      result: Extract<SourceResult, { kind: SourceResultKind.Read }>;
+    },
+  ): void {
+    progress.listed.push(...result.changes);
+    // Parts are listed one after the other; following from the oldest of the
+    // listings misses nothing.
+    progress.listedVersion = progress.listedVersion === 0
+      ? result.version
+      : Math.min(progress.listedVersion, result.version);
+    if (result.nextAfter !== undefined) {
+      this.#list(update, source, progress, result.nextAfter);
+      return;
+    }
+    progress.partsLeft.shift();
+    if (progress.partsLeft.length > 0) {
+      this.#list(update, source, progress);
+      return;
+    }
+    view.isListed = true;
+    view.version = progress.listedVersion;
+    dropMissing(update, source, progress.listed);
+    for (const change of progress.listed) {
+      applyChange(update, change);
+    }
+    progress.listed = [];
+    this.#follow(update, source, progress);
+  }
+}
+
+function takeClocks(
+  update: Update,
+  { clockMs, unixMs }: { readonly clockMs: number; readonly unixMs: number },
+): void {
+  const replica = update.write(REPLICA);
+  replica.storeClockOffsetMs = clockMs - update.now;
+  replica.unixOffsetMs = unixMs - clockMs;
+}
+
+/** Drops what a whole listing no longer names. */
+function dropMissing(
+  update: Update,
+  source: Source,
+  listed: readonly SourceChange[],
+): void {
+  const replica = update.read(REPLICA);
+  if (source === Source.Workers) {
+    const ids = new Set(
+      listed.map((c) => c.kind === ChangeKind.Worker ? c.id : ""),
+    );
+    for (const id of [...replica.workers.keys()].filter((id) => !ids.has(id))) {
+      applyChange(update, { kind: ChangeKind.Worker, id });
+    }
+  } else if (source === Source.Operator) {
+    const zones = new Set(
+      listed.map((c) => c.kind === ChangeKind.ZoneDrain ? c.zone : ""),
+    );
+    for (const zone of [...replica.drainedZones.keys()]) {
+      if (!zones.has(zone)) {
+        applyChange(update, {
+          kind: ChangeKind.ZoneDrain,
+          zone,
+          isDrained: false,
+        });
+      }
+    }
+  }
+}
+
+function forgetDeparted(update: Update): void {
+  const { departed } = update.read(REPLICA);
+  for (const [id, { departedMs }] of departed) {
+    if (update.now - departedMs > DEPARTED_MS) {
+      update.write(REPLICA).departed.delete(id);
+    }
+  }
+}
+
+function createReplica(): Replica {
+  const view = (): SourceView => ({
+    isListed: false,
+    version: 0,
+    answeredMs: -Infinity,
+  });
+  return {
+    sources: {
+      [Source.Records]: view(),
+      [Source.Operator]: view(),
+      [Source.Workers]: view(),
+    },
+    desired: undefined,
+    drainedZones: new Map(),
+    waves: new Map(),
+    workers: new Map(),
+    departed: new Map(),
+    jobs: new Map(),
+    orphans: new Map(),
+    cancels: new Set(),
+    sessions: new Map(),
+    nodes: new Map(),
+    tenure: undefined,
+    storeClockOffsetMs: undefined,
+    unixOffsetMs: 0,
+  };
+}
+
+registerPlugin({
+  name: "replica",
+  roles: [Role.Combined],
+  create: () => new ReplicaPlugin(),
+});
--- /dev/null
+++ b/packages/sessions/src/mod.ts
@@ -0,0 +1,17 @@
+/**
+ * Sessions of the domain's owner with the workers: leases, orders, listings
+ * and the ends that they bring.
+ *
+ * @module
+ */
+export { LEASE_MS } from "./leases.ts";
+export {
+  OWNER_FENCED,
+  startAttempt,
+  type StartOptions,
+  stopAttempt,
+  throttleAttempt,
+} from "./orders.ts";
+export { keepFound } from "./renewals.ts";
+export * from "./session_state.ts";
+export * from "./sessions_plugin.ts";
--- /dev/null
+++ b/packages/tenure/src/nodes.ts
@@ -0,0 +1,62 @@
+import { createCommand, type Update } from "@mustardweir/kernel";
+import {
+  type Answered,
+  EffectKind,
+  NODE_IDENTITY,
+  nodeEffect,
+  type RecordCommitResult,
+  replyTo,
+} from "@mustardweir/protocol";
+import {
+  type NodeRecord,
+  recordKey,
+  RecordKind,
+  REPLICA,
+} from "@mustardweir/replica";
+import { isLive } from "./claims.ts";
+
+const REGISTER_TIMEOUT_MS = 1_000;
+
+/** A node's registration has been answered; the next one repeats it. */
+export const REGISTRATION_ANSWERED = createCommand<
+  Answered<null, RecordCommitResult>
+>("registration-answered");
+
+/** Renews this node's record, so that peers find it. */
+export function registerNode(update: Update): void {
+  const identity = update.service(NODE_IDENTITY);
+  const record: NodeRecord = {
+    address: identity.peerAddress ?? "",
+    incarnation: identity.incarnation,
+    zone: identity.availabilityZone,
+    unixOffsetMs: update.read(REPLICA).unixOffsetMs,
+  };
+  update.emit(nodeEffect({
+    kind: EffectKind.CommitRecords,
+    transaction: {
+      expected: [],
+      puts: [{
+        ...recordKey(RecordKind.Node, identity.nodeId),
+        value: JSON.stringify(record),
+      }],
+      removes: [],
+    },
+    timeoutMs: REGISTER_TIMEOUT_MS,
+    replyTo: replyTo(REGISTRATION_ANSWERED, null),
+  }));
+}
+
+/** Has links held with all live nodes. */
+export function connectNodes(update: Update): void {
+  const { nodeId } = update.service(NODE_IDENTITY);
+  const peers = livePeers(update)
+    .filter((node) => node.nodeId !== nodeId && node.address !== "")
+    .map((node) => ({ nodeId: node.nodeId, address: node.address }));
+  update.emit(nodeEffect({ kind: EffectKind.ConnectPeers, peers }));
+}
+
+/** All nodes that are live, this one among them. */
+export function livePeers(update: Update) {
+  return [...update.read(REPLICA).nodes.values()]
+    .filter((node) => isLive(update, node));
+}
--- a/packages/wire/src/codec_test.ts
+++ b/packages/wire/src/codec_test.ts
@@ -17,6 +17,7 @@
   HomeReplyKind,
   type PeerMessage,
   PeerMessageKind,
+  PermitResultKind,
   RoomResult,
   StopMode,
   TaskPhase,
@@ -215,6 +216,42 @@
     }],
     spans: [{ team: "storefront", fromAgeMs: 9, toAgeMs: 0 }],
   },
+  [PeerMessageKind.JobAdmitted]: {
+    kind: PeerMessageKind.JobAdmitted,
+    jobId: "5c0e7a21d94b36f8",
+    record: {
+      queue: {
+        name: "plans",
+        host: "a.example",
+        pathPrefix: "/plans/",
+        pool: "ovens",
+        priority: 0,
+        maxAttempts: 3,
+        latencyObjectiveMs: 250,
+        stretch: 1.5,
+        isPublic: false,
+      },
+      team: "storefront",
+      acceptedMs: 12,
+      spec: { payload: "päivä", stages: [] },
+    },
+  },
+  [PeerMessageKind.PermitRequest]: {
+    kind: PeerMessageKind.PermitRequest,
+    requestId: 7,
+    stage: "5c0e7a21d94b36f8.0.1",
+    workers: ["w1", "w2"],
+    timeoutMs: 300,
+  },
+  [PeerMessageKind.PermitReply]: {
+    kind: PeerMessageKind.PermitReply,
+    requestId: 7,
+    result: {
+      kind: PermitResultKind.Judged,
+      permits: [{ workerId: "w1", permit: "p" }],
+      validMs: 2_000,
+    },
+  },
 };
 
 const REPLY_BODIES = [
--- a/packages/wire/src/message_schemas.ts
+++ b/packages/wire/src/message_schemas.ts
@@ -1,6 +1,7 @@
 import {
   EndReason,
   JobKind,
+  jobRecordSchema,
   jobSpecSchema,
   JobState,
   Outcome,
@@ -15,6 +16,7 @@
   HomeReplyKind,
   type PeerMessage,
   PeerMessageKind,
+  PermitResultKind,
   RoomResult,
   StopMode,
   TaskPhase,
@@ -277,6 +279,36 @@
   announcementId: z.string(),
 });
 
+const jobAdmitted = z.looseObject({
+  kind: z.literal(PeerMessageKind.JobAdmitted),
+  jobId: z.string(),
+  record: jobRecordSchema,
+});
+
+const permitRequest = z.looseObject({
+  kind: z.literal(PeerMessageKind.PermitRequest),
+  requestId: z.number(),
+  stage: z.string(),
+  workers: z.array(z.string()),
+  timeoutMs: z.number(),
+});
+
+const permitReply = z.looseObject({
+  kind: z.literal(PeerMessageKind.PermitReply),
+  requestId: z.number(),
+  result: z.discriminatedUnion("kind", [
+    z.looseObject({
+      kind: z.literal(PermitResultKind.Judged),
+      permits: z.array(
+        z.looseObject({ workerId: z.string(), permit: z.string() }),
+      ),
+      validMs: z.number(),
+    }),
+    z.looseObject({ kind: z.literal(PermitResultKind.Busy) }),
+    z.looseObject({ kind: z.literal(PermitResultKind.Unavailable) }),
+  ]),
+});
+
 /** The shape that each kind promises, checked against the protocol's types. */
 const MESSAGE_SCHEMAS: { readonly [Kind in PeerMessageKind]: SchemaOf<Kind> } =
   {
@@ -298,6 +330,9 @@
     [PeerMessageKind.Vouch]: vouch,
     [PeerMessageKind.AnnounceEdit]: announceEdit,
     [PeerMessageKind.EditAnnounced]: editAnnounced,
+    [PeerMessageKind.JobAdmitted]: jobAdmitted,
+    [PeerMessageKind.PermitRequest]: permitRequest,
+    [PeerMessageKind.PermitReply]: permitReply,
   };
 
 /**
