Prove the combined node in virtual time; let silent workers' leases end

Change: a worker that doesn't answer is only asked for its lists; attempts that were given up stay given up; quarantine is the product's likelihood detector and never takes more than a third of a pool.

--- a/packages/dispatch/src/attempts.ts
+++ b/packages/dispatch/src/attempts.ts
@@ -94,6 +94,7 @@
     worker: placed.workerId,
     reason: placed.reason,
   }));
+  task.givenUpAttempt = placed.attempt;
   release(update, task);
   breakGang(update, task);
   requestPump(update);
@@ -109,7 +110,7 @@
   },
 ): void {
   const task = findTask(update, ended.task);
-  if (task === undefined) {
+  if (task === undefined || isGivenUp(task, ended.attempt)) {
     return;
   }
   const { stage } = task;
@@ -128,7 +129,10 @@
     ranMs: isCurrent ? Math.round(update.now - task.placedMs) : 0,
   }));
   if (ended.end === AttemptEnd.Done && !stage.spec.lasting) {
-    update.write(WORKER_HEALTH).succeeded(ended.workerId);
+    update.write(WORKER_HEALTH).succeeded(ended.workerId, {
+      queue: stage.job.record.queue.name,
+      now: update.now,
+    });
     finishTask(update, task);
   } else if (ended.end === AttemptEnd.Failed && ended.isNew) {
     countFailure(update, task, ended.workerId);
@@ -147,7 +151,8 @@
 ): void {
   const task = findTask(update, found.task);
   const isWanted = task !== undefined && task.phase === TaskPhase.Waiting &&
-    isOpen(task.stage.job) && found.attempt >= task.attempt;
+    isOpen(task.stage.job) && found.attempt >= task.attempt &&
+    !isGivenUp(task, found.attempt);
   keepFound(update, {
     workerId,
     task: found.task,
@@ -176,6 +181,11 @@
   update.emit(count("attempts-adopted"));
 }
 
+/** True when the attempt's lease was over, or a newer one has been started. */
+function isGivenUp(task: TaskRun, attempt: number): boolean {
+  return attempt <= task.givenUpAttempt || attempt < task.attempt;
+}
+
 function findPlaced(
   update: Update,
   { task: name, attempt, workerId }: PlacedAttempt,
@@ -241,7 +251,8 @@
   task.failedOn.add(workerId);
   task.notBeforeMs = update.now + RETRY_MS;
   const health = update.write(WORKER_HEALTH);
-  if (health.failed(workerId, job.jobId, update.now)) {
+  const { name: queue } = job.record.queue;
+  if (health.failed(workerId, { queue, now: update.now })) {
     update.emit(logChange("Worker kept out", { worker: workerId }));
   }
   if (stage.spec.lasting || !isOpen(job)) {
--- a/packages/dispatch/src/book.ts
+++ b/packages/dispatch/src/book.ts
@@ -45,6 +45,8 @@
   readonly failedOn: Set<string>;
   /** Known before this tenure; it may run where nobody has looked yet. */
   isInherited: boolean;
+  /** Attempts up to this one were given up; what they say later is void. */
+  givenUpAttempt: number;
   /** Not placed before this time, in milliseconds. */
   notBeforeMs: number;
 }
@@ -163,6 +165,7 @@
         percent: 0,
         failedOn: new Set(),
         isInherited: job.isInherited,
+        givenUpAttempt: 0,
         notBeforeMs: 0,
       });
     }
--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -13,6 +13,9 @@
 import { findTask, TaskPhase } from "./book.ts";
 import { WORKER_HEALTH } from "./health.ts";
 
+/** Largest part of a pool's workers that quarantine keeps out. */
+const MAX_QUARANTINED_SHARE = 0.34;
+
 /** A worker that tasks may be started on. */
 export interface Candidate {
   readonly session: Readonly<Session>;
@@ -37,9 +40,25 @@
     candidates.push(createCandidate(update, session));
     byPool.set(session.info.pool, candidates);
   }
+  for (const [pool, candidates] of byPool) {
+    byPool.set(pool, withoutQuarantined(update, candidates));
+  }
   return byPool;
 }
 
+/** When many fail, the work is more likely at fault than the workers. */
+function withoutQuarantined(
+  update: Update,
+  candidates: Candidate[],
+): Candidate[] {
+  const health = update.read(WORKER_HEALTH);
+  const sound = candidates.filter(({ session }) =>
+    !health.isQuarantined(session.info.id, update.now)
+  );
+  const out = candidates.length - sound.length;
+  return out <= candidates.length * MAX_QUARANTINED_SHARE ? sound : candidates;
+}
+
 function isEligible(
   update: Update,
   session: Readonly<Session>,
@@ -50,7 +69,7 @@
     session.info.state === WorkerState.Ready &&
     !drainedZones.has(session.info.zone) &&
     ![...session.attempts.values()].some(({ isForeign }) => isForeign) &&
-    update.read(WORKER_HEALTH).isUsable(session.info.id, update.now);
+    !update.read(WORKER_HEALTH).isRefusing(session.info.id, update.now);
 }
 
 function createCandidate(
--- a/packages/dispatch/src/health.ts
+++ b/packages/dispatch/src/health.ts
@@ -1,78 +1,82 @@
 import { createStateKey } from "@mustardweir/kernel";
+import {
+  type FaultDetector,
+  InstanceVerdict,
+  LikelihoodDetector,
+  TaskOutcome,
+} from "@mustardweir/quarantine";
 
-/** Failures in a row after which a worker is kept out. */
-const MAX_FAILURES = 4;
-/** First time for which it is kept out, in milliseconds; doubled each time. */
-const FIRST_BAN_MS = 2_000;
-const MAX_BAN_MS = 16_000;
+/** Time in quarantine before the first probe, in milliseconds. */
+const FIRST_PROBE_MS = 2_000;
+/** Longest gap between probes, in milliseconds. */
+const MAX_PROBE_GAP_MS = 16_000;
+/** A probe without an end is repeated after this, in milliseconds. */
+const PROBE_TIMEOUT_MS = 6_000;
 /** Refusals as unhealthy keep a worker out for this long, in milliseconds. */
 const UNHEALTHY_BAN_MS = 500;
 
-interface Record {
-  failures: number;
-  /** Jobs whose tasks failed in a row; one bad job is no evidence. */
-  readonly jobs: Set<string>;
-  bannedUntilMs: number;
-  banMs: number;
+/** What an end is evidence of. */
+export interface EndContext {
+  /** Tasks of one queue are expected to fail alike on all workers. */
+  readonly queue: string;
+  readonly now: number;
 }
 
 /** Keeps out workers that fail what they are given. */
 export class WorkerHealth {
-  readonly #records = new Map<string, Record>();
+  readonly #refusedUntilMs = new Map<string, number>();
+  #detector: FaultDetector = createDetector();
 
-  /** True when the worker may be given work. */
-  isUsable(workerId: string, now: number): boolean {
-    return (this.#records.get(workerId)?.bannedUntilMs ?? 0) <= now;
+  /** True when the worker refused work lately. */
+  isRefusing(workerId: string, now: number): boolean {
+    return (this.#refusedUntilMs.get(workerId) ?? 0) > now;
   }
 
-  /** A task ended done. */
-  succeeded(workerId: string): void {
-    this.#records.delete(workerId);
+  /** True when the worker is quarantined, and not to be probed now. */
+  isQuarantined(workerId: string, now: number): boolean {
+    return this.#detector.verdict(workerId, now) ===
+      InstanceVerdict.Quarantined;
   }
 
-  /** A task failed; true when the worker is kept out from now on. */
-  failed(workerId: string, jobId: string, now: number): boolean {
-    const record = this.#record(workerId);
-    record.failures++;
-    record.jobs.add(jobId);
-    if (record.failures < MAX_FAILURES || record.jobs.size < 2) {
-      return false;
+  /** A task was started; on a quarantined worker it is a probe. */
+  started(workerId: string, now: number): void {
+    if (this.#detector.verdict(workerId, now) === InstanceVerdict.Probing) {
+      this.#detector.probeStarted(workerId, now);
     }
-    record.bannedUntilMs = now + record.banMs;
-    record.banMs = Math.min(record.banMs * 2, MAX_BAN_MS);
-    record.failures = MAX_FAILURES - 1;
-    return true;
+  }
+
+  /** A task ended done. */
+  succeeded(workerId: string, { queue, now }: EndContext): void {
+    this.#detector.observe(workerId, TaskOutcome.Ok, queue, now);
+  }
+
+  /** A task failed; true when the worker is quarantined by it. */
+  failed(workerId: string, { queue, now }: EndContext): boolean {
+    const wasOut = this.isQuarantined(workerId, now);
+    this.#detector.observe(workerId, TaskOutcome.Failed, queue, now);
+    return !wasOut && this.isQuarantined(workerId, now);
   }
 
   /** The worker refused a start as unhealthy. */
   refused(workerId: string, now: number): void {
-    const record = this.#record(workerId);
-    record.bannedUntilMs = Math.max(
-      record.bannedUntilMs,
-      now + UNHEALTHY_BAN_MS,
-    );
+    this.#refusedUntilMs.set(workerId, now + UNHEALTHY_BAN_MS);
   }
 
   /** Forgets everything, for a new tenure. */
   clear(): void {
-    this.#records.clear();
-  }
-
-  #record(workerId: string): Record {
-    const known = this.#records.get(workerId);
-    if (known !== undefined) {
-      return known;
-    }
-    const created = {
-      failures: 0,
-      jobs: new Set<string>(),
-      bannedUntilMs: 0,
-      banMs: FIRST_BAN_MS,
-    };
-    this.#records.set(workerId, created);
-    return created;
+    this.#refusedUntilMs.clear();
+    this.#detector = createDetector();
   }
 }
 
 /** Evidence against workers. */
 export const WORKER_HEALTH = createStateKey<WorkerHealth>("worker-health");
+
+function createDetector(): FaultDetector {
+  return new LikelihoodDetector({
+    firstGapMs: FIRST_PROBE_MS,
+    maxGapMs: MAX_PROBE_GAP_MS,
+    probeTimeoutMs: PROBE_TIMEOUT_MS,
+    probesToReturn: 1,
+  });
+}
--- a/packages/dispatch/src/pump.ts
+++ b/packages/dispatch/src/pump.ts
@@ -38,6 +38,7 @@
   GangRule,
   type PlacementRule,
 } from "./choice.ts";
+import { WORKER_HEALTH } from "./health.ts";
 import { writeProgress } from "./progress.ts";
 
 /** Shortest time between two rounds of placement, in milliseconds. */
@@ -308,6 +309,7 @@
     task.isRunning = false;
     task.percent = 0;
     takeRoom(book, task);
+    update.write(WORKER_HEALTH).started(workerId, update.now);
     const permit = heldPermit(update, stage.name, workerId);
     startAttempt(update, {
       workerId,
--- /dev/null
+++ b/packages/prove/src/domain/domain_cluster.ts
@@ -0,0 +1,348 @@
+import { Random, Role } from "@mustardweir/kernel";
+import {
+  type DesiredState,
+  NO_RESOURCES,
+  type Resources,
+  type StagedJobSpec,
+  type StageSpec,
+  type WorkerInfo,
+  WorkerState,
+} from "@mustardweir/model";
+import {
+  answerPayload,
+  EffectKind,
+  FRONT_CALL_RECEIVED,
+  type FrontAnswer,
+  FrontCallKind,
+  type NodeEffect,
+  PEER_MESSAGE_RECEIVED,
+  PermitResultKind,
+  type ReplyTo,
+  STOP_REQUESTED,
+} from "@mustardweir/protocol";
+import { TENURE, TenurePhase } from "@mustardweir/tenure";
+import { ProcessState, SimulatedNode } from "../simulation/node.ts";
+import { Tampering } from "../simulation/tampering.ts";
+import { VirtualClock } from "../simulation/virtual_clock.ts";
+import { DomainStore } from "./domain_store.ts";
+import {
+  DomainWorker,
+  type RunRecord,
+  type TaskBehaviour,
+} from "./domain_worker.ts";
+
+const NODES = 4;
+const WORKERS = 6;
+const CAPACITY: Resources = {
+  ...NO_RESOURCES,
+  cpuMillis: 4_000,
+  memoryMb: 8_000,
+};
+const RESTART_MS = 300;
+const PERMIT_MS = 20;
+const PERMIT_VALID_MS = 2_000;
+
+/** Key, host and path of the one queue. */
+export const CALLER = { key: "k1", host: "a.example", prefix: "/plans/" };
+
+/** What the clients were told about a job. */
+export interface ClientRecord {
+  readonly jobId: string;
+  readonly spec: StagedJobSpec;
+  readonly answers: FrontAnswer[];
+  cancelledMs: number | undefined;
+}
+
+/** A stage with the fields that a case doesn't name left at nothing. */
+export function stageSpec(options: Partial<StageSpec> = {}): StageSpec {
+  return {
+    tasks: 3,
+    size: { ...NO_RESOURCES, cpuMillis: 1_000, memoryMb: 500 },
+    estimateMs: 500,
+    dependsOn: [],
+    checkpoints: false,
+    gang: false,
+    sameRack: false,
+    requiredLabel: "",
+    preferredRack: "",
+    maxPerWorker: 0,
+    speculative: false,
+    lasting: false,
+    image: "",
+    latencyObjectiveMs: 0,
+    bestEffort: false,
+    disruptionBudget: 0,
+    ...options,
+  };
+}
+
+/** A payload that tells the simulated workers how its tasks behave. */
+export function payloadOf({ runMs, failures }: TaskBehaviour): string {
+  return JSON.stringify({ runMs, failures });
+}
+
+/** What a cluster is made of. */
+export interface DomainClusterOptions {
+  readonly seed: number;
+  readonly tampering?: Tampering;
+  /** The queue needs permits; true by default. */
+  readonly needsPermits?: boolean;
+}
+
+/** Combined nodes, workers and the store of the platform in virtual time. */
+export class DomainCluster {
+  readonly clock = new VirtualClock();
+  readonly store: DomainStore;
+  readonly workers = new Map<string, DomainWorker>();
+  readonly runs: RunRecord[] = [];
+  readonly clients = new Map<string, ClientRecord>();
+  readonly #options: DomainClusterOptions;
+  readonly #random: Random;
+  readonly #nodes = new Map<string, SimulatedNode>();
+  readonly #calls = new Map<string, (answer: FrontAnswer) => void>();
+  /** Pairs of nodes that can't reach each other. */
+  readonly #cutLinks = new Set<string>();
+  #lastCall = 0;
+  #life = 0;
+
+  constructor(options: DomainClusterOptions) {
+    this.#options = options;
+    this.#random = new Random(options.seed);
+    this.store = new DomainStore(this.clock, this.#random);
+    this.store.setDesired(desiredState(options.needsPermits ?? true));
+    for (let index = 0; index < WORKERS; index++) {
+      this.#addWorker(`w${index}`, `zone-${index % 2}`);
+    }
+    for (let index = 0; index < NODES; index++) {
+      this.startNode(`n${index}`);
+    }
+  }
+
+  get nodeIds(): readonly string[] {
+    return [...this.#nodes.keys()];
+  }
+
+  /** The node that owns the domain, by its own belief. */
+  get owner(): string | undefined {
+    return this.nodeIds.find((id) => {
+      const node = this.#nodes.get(id)!;
+      return node.state === ProcessState.Running &&
+        node.kernel.read(TENURE).phase === TenurePhase.Owner;
+    });
+  }
+
+  startNode(nodeId: string): void {
+    this.#nodes.set(
+      nodeId,
+      new SimulatedNode({
+        identity: {
+          nodeId,
+          role: Role.Combined,
+          incarnation: `${nodeId}-${++this.#life}`,
+          availabilityZone: "zone-0",
+          peerAddress: `${nodeId}:1`,
+          seedPeers: [],
+        },
+        operatorKeyHash: "",
+        clock: this.clock,
+        random: this.#random,
+        tampering: this.#options.tampering ?? new Tampering(),
+        perform: (node, effect) => this.#perform(node, effect),
+      }),
+    );
+  }
+
+  /** Ends a process; it starts again after a while unless told otherwise. */
+  kill(nodeId: string, restartMs: number = RESTART_MS): void {
+    this.#nodes.get(nodeId)?.kill();
+    this.clock.after(restartMs, () => this.startNode(nodeId));
+  }
+
+  pause(nodeId: string, forMs: number): void {
+    const node = this.#nodes.get(nodeId);
+    node?.pause();
+    this.clock.after(forMs, () => node?.resume());
+  }
+
+  stop(nodeId: string): void {
+    const node = this.#nodes.get(nodeId);
+    node?.markStopping();
+    node?.post(STOP_REQUESTED, {});
+  }
+
+  cutLink(a: string, b: string, isCut: boolean): void {
+    for (const pair of [`${a}-${b}`, `${b}-${a}`]) {
+      if (isCut) {
+        this.#cutLinks.add(pair);
+      } else {
+        this.#cutLinks.delete(pair);
+      }
+    }
+  }
+
+  /** Hands a job in at a node. */
+  submit(jobId: string, spec: StagedJobSpec, nodeId: string): void {
+    const client = this.clients.get(jobId) ??
+      { jobId, spec, answers: [], cancelledMs: undefined };
+    this.clients.set(jobId, client);
+    this.call(
+      nodeId,
+      FrontCallKind.Submit,
+      jobId,
+      (answer) => client.answers.push(answer),
+    );
+  }
+
+  cancel(jobId: string, nodeId: string): void {
+    this.call(nodeId, FrontCallKind.Cancel, jobId, () => {
+      this.clients.get(jobId)!.cancelledMs ??= this.clock.now;
+    });
+  }
+
+  /** Makes a call at a node's front. */
+  call(
+    nodeId: string,
+    kind: FrontCallKind,
+    jobId: string,
+    answer: (answer: FrontAnswer) => void,
+  ): void {
+    const callId = `${++this.#lastCall}`;
+    this.#calls.set(callId, answer);
+    const spec = this.clients.get(jobId)?.spec;
+    this.#nodes.get(nodeId)?.post(FRONT_CALL_RECEIVED, {
+      callId,
+      kind,
+      host: CALLER.host,
+      path: CALLER.prefix + jobId,
+      key: CALLER.key,
+      ...(kind === FrontCallKind.Submit && spec !== undefined
+        ? { body: { isReadable: true as const, spec } }
+        : {}),
+    });
+  }
+
+  #addWorker(id: string, zone: string): void {
+    const info: WorkerInfo = {
+      id,
+      incarnation: 1,
+      pool: "ovens",
+      address: `${id}:1`,
+      zone,
+      state: WorkerState.Ready,
+      capacity: CAPACITY,
+      labels: ["a", zone],
+      rack: zone,
+    };
+    this.workers.set(
+      id,
+      new DomainWorker({
+        info,
+        clock: this.clock,
+        random: this.#random,
+        runs: this.runs,
+        behave: (task) => this.#behaviour(task),
+      }),
+    );
+    this.store.setWorker(id, info);
+  }
+
+  #behaviour(task: string): TaskBehaviour {
+    const client = this.clients.get(task.split(".")[0]!);
+    return JSON.parse(client?.spec.payload ?? "{}") as TaskBehaviour;
+  }
+
+  #perform(node: SimulatedNode, effect: NodeEffect): void {
+    const from = node.nodeId;
+    switch (effect.kind) {
+      case EffectKind.CommitRecords:
+        this.store.commit(effect, from, reply(node, effect.replyTo));
+        break;
+      case EffectKind.ReadSource:
+        this.store.read(effect, from, reply(node, effect.replyTo));
+        break;
+      case EffectKind.FollowSource:
+        this.store.follow(effect, from, reply(node, effect.replyTo));
+        break;
+      case EffectKind.OrderWorker:
+        this.workers.get(effect.workerId)?.order(effect.order, from, {
+          timeoutMs: effect.timeoutMs,
+          answer: reply(node, effect.replyTo),
+        });
+        break;
+      case EffectKind.AskPermits:
+        this.clock.after(PERMIT_MS, () =>
+          reply(node, effect.replyTo)({
+            kind: PermitResultKind.Judged,
+            permits: effect.workers.map((workerId) => ({
+              workerId,
+              permit: "p",
+            })),
+            validMs: PERMIT_VALID_MS,
+          }));
+        break;
+      case EffectKind.SendPeer: {
+        const peer = this.#nodes.get(effect.to);
+        if (!this.#cutLinks.has(`${from}-${effect.to}`)) {
+          this.clock.after(1, () =>
+            peer?.post(PEER_MESSAGE_RECEIVED, {
+              from,
+              message: effect.message,
+            }));
+        }
+        break;
+      }
+      case EffectKind.AnswerFront:
+        if (node.state === ProcessState.Running) {
+          this.#calls.get(effect.callId)?.(effect.answer);
+          this.#calls.delete(effect.callId);
+        }
+        break;
+      case EffectKind.Stopped:
+        node.kill();
+        this.clock.after(RESTART_MS, () => this.startNode(from));
+        break;
+      default:
+        break;
+    }
+  }
+}
+
+function reply<Result>(
+  node: SimulatedNode,
+  to: ReplyTo<Result>,
+): (result: Result) => void {
+  return (result) => node.post(to.command, answerPayload(to, result));
+}
+
+function desiredState(needsPermits: boolean): DesiredState {
+  return {
+    version: 1,
+    queues: [{
+      name: "plans",
+      host: CALLER.host,
+      pathPrefix: CALLER.prefix,
+      pool: "ovens",
+      priority: 0,
+      maxAttempts: 3,
+      latencyObjectiveMs: 250,
+      stretch: 1.5,
+      isPublic: false,
+      ...(needsPermits
+        ? {
+          permits: {
+            decideMs: PERMIT_MS,
+            perWorkerMs: 0,
+            validMs: PERMIT_VALID_MS,
+          },
+        }
+        : {}),
+    }],
+    pools: [{ name: "ovens", guardsCapacity: false, isSpare: false }],
+    teams: [{
+      name: "storefront",
+      keys: [CALLER.key],
+      share: 1,
+      ceiling: NO_RESOURCES,
+    }],
+  };
+}
--- /dev/null
+++ b/packages/prove/src/domain/domain_store.ts
@@ -0,0 +1,310 @@
+import type { Random } from "@mustardweir/kernel";
+import type { DesiredState, WorkerInfo } from "@mustardweir/model";
+import {
+  ChangeKind,
+  type CommitRecordsEffect,
+  type FollowSourceEffect,
+  type ReadSourceEffect,
+  RecordCommitKind,
+  type RecordCommitResult,
+  type RecordTransaction,
+  Source,
+  type SourceChange,
+  type SourceResult,
+  SourceResultKind,
+  type StoredRecord,
+} from "@mustardweir/protocol";
+import type { VirtualClock } from "../simulation/virtual_clock.ts";
+
+const PAGE_RECORDS = 40;
+/** An answer that never comes shows as this after the caller's timeout. */
+const UNKNOWN: RecordCommitResult = { kind: RecordCommitKind.Unknown };
+
+/** What is wrong with the store now. */
+export interface StoreFaults {
+  /** Nodes that are refused without anything being done. */
+  readonly refused: Set<string>;
+  /** Nodes that get no answer and whose calls don't arrive. */
+  readonly silent: Set<string>;
+  /** Part of the commits that are done and not answered. */
+  lostShare: number;
+  /** Such commits are done this much later, in milliseconds. */
+  lateMs: number;
+  /** Time of a call, in milliseconds. */
+  callMs: number;
+}
+
+interface Entry {
+  readonly source: Source;
+  readonly change: SourceChange;
+  readonly version: number;
+}
+
+/** The store of the simulated platform: records, registrations, operators. */
+export class DomainStore {
+  readonly faults: StoreFaults = {
+    refused: new Set(),
+    silent: new Set(),
+    lostShare: 0,
+    lateMs: 0,
+    callMs: 4,
+  };
+  readonly #clock: VirtualClock;
+  readonly #random: Random;
+  readonly #records = new Map<string, StoredRecord>();
+  readonly #workers = new Map<string, WorkerInfo>();
+  readonly #drained = new Set<string>();
+  #desired: DesiredState | undefined;
+  #version = 0;
+  /** Changes after this version are still known. */
+  #historyFrom = 0;
+  #history: Entry[] = [];
+  readonly #watchers = new Set<() => void>();
+
+  constructor(clock: VirtualClock, random: Random) {
+    this.#clock = clock;
+    this.#random = random;
+  }
+
+  /** Every record as it is, for oracles. */
+  get records(): ReadonlyMap<string, StoredRecord> {
+    return this.#records;
+  }
+
+  setDesired(desired: DesiredState): void {
+    this.#desired = desired;
+    this.#publish(Source.Operator, {
+      kind: ChangeKind.DesiredState,
+      desired,
+    });
+  }
+
+  setDrained(zone: string, isDrained: boolean): void {
+    if (isDrained) {
+      this.#drained.add(zone);
+    } else {
+      this.#drained.delete(zone);
+    }
+    this.#publish(Source.Operator, {
+      kind: ChangeKind.ZoneDrain,
+      zone,
+      isDrained,
+    });
+  }
+
+  setWorker(id: string, worker: WorkerInfo | undefined): void {
+    if (worker === undefined) {
+      this.#workers.delete(id);
+    } else {
+      this.#workers.set(id, worker);
+    }
+    this.#publish(Source.Workers, {
+      kind: ChangeKind.Worker,
+      id,
+      ...(worker === undefined ? {} : { worker }),
+    });
+  }
+
+  /** Drops the history, as after a compaction. */
+  forgetHistory(): void {
+    this.#history = [];
+    this.#historyFrom = this.#version;
+  }
+
+  commit(
+    { transaction, timeoutMs }: CommitRecordsEffect,
+    node: string,
+    answer: (result: RecordCommitResult) => void,
+  ): void {
+    const { faults } = this;
+    if (faults.silent.has(node)) {
+      this.#clock.after(timeoutMs, () => answer(UNKNOWN));
+      return;
+    }
+    if (faults.refused.has(node)) {
+      this.#clock.after(2, () => answer({ kind: RecordCommitKind.Refused }));
+      return;
+    }
+    const isLost = this.#random.fraction() < faults.lostShare;
+    const delayMs = faults.callMs + (isLost ? faults.lateMs : 0);
+    this.#clock.after(delayMs, () => {
+      const result = this.#apply(transaction);
+      if (!isLost && faults.callMs <= timeoutMs) {
+        answer(result);
+      }
+    });
+    if (isLost || faults.callMs > timeoutMs) {
+      this.#clock.after(timeoutMs, () => answer(UNKNOWN));
+    }
+  }
+
+  read(
+    { source, part, after, only, timeoutMs }: ReadSourceEffect,
+    node: string,
+    answer: (result: SourceResult) => void,
+  ): void {
+    this.#reach(node, timeoutMs, answer, () => {
+      if (source !== Source.Records) {
+        return this.#result(this.#listOthers(source));
+      }
+      const all = [...this.#records.values()]
+        .filter((record) => record.part === part)
+        .filter(({ key }) =>
+          only === undefined ? after === undefined || key > after : key === only
+        )
+        .sort((a, b) => a.key < b.key ? -1 : 1);
+      const page = all.slice(0, PAGE_RECORDS);
+      return {
+        ...this.#result(
+          page.map((record) => ({ kind: ChangeKind.Record, record })),
+        ),
+        ...(all.length > page.length ? { nextAfter: page.at(-1)!.key } : {}),
+      };
+    });
+  }
+
+  follow(
+    { source, afterVersion, waitMs, timeoutMs }: FollowSourceEffect,
+    node: string,
+    answer: (result: SourceResult) => void,
+  ): void {
+    if (afterVersion < this.#historyFrom) {
+      this.#reach(
+        node,
+        timeoutMs,
+        answer,
+        () => ({ kind: SourceResultKind.HistoryLost }),
+      );
+      return;
+    }
+    const newer = () =>
+      this.#history.filter((entry) =>
+        entry.source === source && entry.version > afterVersion
+      );
+    let isOver = false;
+    const finish = () => {
+      if (!isOver) {
+        isOver = true;
+        this.#watchers.delete(look);
+        this.#reach(
+          node,
+          timeoutMs,
+          answer,
+          () => this.#result(newer().map(({ change }) => change)),
+        );
+      }
+    };
+    const look = () => {
+      if (newer().length > 0) {
+        finish();
+      }
+    };
+    this.#watchers.add(look);
+    this.#clock.after(waitMs, finish);
+    look();
+  }
+
+  #reach(
+    node: string,
+    timeoutMs: number,
+    answer: (result: SourceResult) => void,
+    read: () => SourceResult,
+  ): void {
+    const { refused, silent, callMs } = this.faults;
+    const isCut = silent.has(node) || callMs > timeoutMs;
+    if (isCut || refused.has(node)) {
+      this.#clock.after(
+        isCut ? timeoutMs : 2,
+        () => answer({ kind: SourceResultKind.Unavailable, reason: "fault" }),
+      );
+      return;
+    }
+    this.#clock.after(callMs, () => answer(read()));
+  }
+
+  #apply(
+    { expected, puts, removes }: RecordTransaction,
+  ): RecordCommitResult {
+    const holds = expected.every(({ part, key, version }) =>
+      (this.#records.get(nameOf(part, key))?.version ?? 0) === version
+    );
+    if (!holds) {
+      return {
+        kind: RecordCommitKind.Conflict,
+        records: expected.flatMap(({ part, key }) =>
+          this.#records.get(nameOf(part, key)) ?? []
+        ),
+      };
+    }
+    const version = ++this.#version;
+    for (const { part, key, value } of puts) {
+      const record = { part, key, value, version };
+      this.#records.set(nameOf(part, key), record);
+      this.#note(Source.Records, { kind: ChangeKind.Record, record });
+    }
+    for (const { part, key } of removes) {
+      this.#records.delete(nameOf(part, key));
+      const record = { part, key, version };
+      this.#note(Source.Records, { kind: ChangeKind.Record, record });
+    }
+    this.#wakeWatchers();
+    return {
+      kind: RecordCommitKind.Committed,
+      version,
+      clockMs: this.#clock.now,
+    };
+  }
+
+  #publish(source: Source, change: SourceChange): void {
+    this.#version++;
+    this.#note(source, change);
+    this.#wakeWatchers();
+  }
+
+  #note(source: Source, change: SourceChange): void {
+    this.#history.push({ source, change, version: this.#version });
+  }
+
+  #wakeWatchers(): void {
+    for (const look of [...this.#watchers]) {
+      look();
+    }
+  }
+
+  #listOthers(source: Source): SourceChange[] {
+    if (source === Source.Workers) {
+      return [...this.#workers].map(([id, worker]) => ({
+        kind: ChangeKind.Worker,
+        id,
+        worker,
+      }));
+    }
+    const desired = this.#desired;
+    return [
+      ...(desired === undefined
+        ? []
+        : [{ kind: ChangeKind.DesiredState, desired } as const]),
+      ...[...this.#drained].map((zone) => ({
+        kind: ChangeKind.ZoneDrain as const,
+        zone,
+        isDrained: true,
+      })),
+    ];
+  }
+
+  #result(
+    changes: SourceChange[],
+  ): Extract<SourceResult, { kind: SourceResultKind.Read }> {
+    return {
+      kind: SourceResultKind.Read,
+      changes,
+      version: this.#version,
+      clockMs: this.#clock.now,
+      unixMs: this.#clock.now,
+    };
+  }
+}
+
+function nameOf(part: string, key: string): string {
+  return `${part}\n${key}`;
+}
--- /dev/null
+++ b/packages/prove/src/domain/plugins.ts
@@ -0,0 +1,7 @@
+/** Registers the plug-ins of the combined node, as its binary does. */
+import "@mustardweir/replica";
+import "@mustardweir/tenure";
+import "@mustardweir/sessions";
+import "@mustardweir/permits";
+import "@mustardweir/dispatch";
+import "@mustardweir/intake";
--- a/packages/sessions/src/renewals.ts
+++ b/packages/sessions/src/renewals.ts
@@ -88,7 +88,11 @@
   ) {
     return;
   }
-  const leaseUntilMs = mayExtend ? leaseEnd(session, update.now) : undefined;
+  // Renewals without an answer may be carried out, so a worker that doesn't
+  // answer is only asked for its lists: its lease has to come to an end.
+  const leaseUntilMs = mayExtend && session.missed === 0
+    ? leaseEnd(session, update.now)
+    : undefined;
   const isQuick = waitsForRecord || leaseUntilMs === undefined ||
     session.missed > 0 || session.attempts.size === 0 ||
     hasUnknown(session);
