--- a/packages/dispatch/src/dispatch_plugin.ts
+++ b/packages/dispatch/src/dispatch_plugin.ts
@@ -13,7 +13,6 @@
 import {
   type Answered,
   EffectKind,
-  nodeEffect,
   RecordCommitKind,
   type RecordCommitResult,
   replyTo,
@@ -40,6 +39,7 @@
   WORKER_SETTLED,
 } from "@mustardweir/sessions";
 import { queueChange, TENURE_GAINED, TENURE_LOST } from "@mustardweir/tenure";
+import { callStore } from "@mustardweir/store-route";
 import {
   attemptEnded,
   attemptFound,
@@ -258,7 +258,7 @@
   const before = storeNow(update) - KEEP_ENDED_MS;
   for (const { jobId, progress } of update.read(REPLICA).jobs.values()) {
     if (progress?.endedMs !== undefined && progress.endedMs < before) {
-      update.emit(nodeEffect({
+      callStore(update, {
         kind: EffectKind.CommitRecords,
         transaction: {
           expected: [],
@@ -270,7 +270,7 @@
         },
         timeoutMs: FORGET_TIMEOUT_MS,
         replyTo: replyTo(JOB_FORGOTTEN, jobId),
-      }));
+      });
     }
   }
 }
--- a/packages/intake/src/submissions.ts
+++ b/packages/intake/src/submissions.ts
@@ -30,6 +30,7 @@
   REPLICA,
   stateOf,
 } from "@mustardweir/replica";
+import { callStore } from "@mustardweir/store-route";
 import {
   CallPurpose,
   CallStep,
@@ -70,7 +71,7 @@
 /** Writes that the job is to be cancelled; repeating it does no harm. */
 export function writeCancel(update: Update, call: PendingCall): void {
   call.step = CallStep.Writing;
-  update.emit(nodeEffect({
+  callStore(update, {
     kind: EffectKind.CommitRecords,
     transaction: {
       expected: [],
@@ -79,7 +80,7 @@
     },
     timeoutMs: STORE_TIMEOUT_MS,
     replyTo: replyTo(CALL_WRITTEN, { callId: call.callId, step: call.step }),
-  }));
+  });
 }
 
 /** Reads whether the job exists. */
@@ -90,14 +91,14 @@
 ): void {
   call.step = step;
   const { part, key } = recordKey(RecordKind.Job, call.jobId);
-  update.emit(nodeEffect({
+  callStore(update, {
     kind: EffectKind.ReadSource,
     source: Source.Records,
     part,
     only: key,
     timeoutMs: STORE_TIMEOUT_MS,
     replyTo: replyTo(CALL_READ, { callId: call.callId, step }),
-  }));
+  });
 }
 
 /** Takes the answer to a write. */
@@ -315,7 +316,7 @@
   },
 ): void {
   const place = recordKey(RecordKind.Job, call.jobId);
-  update.emit(nodeEffect({
+  callStore(update, {
     kind: EffectKind.CommitRecords,
     transaction: {
       expected: [{ ...place, version: expectedVersion }],
@@ -324,7 +325,7 @@
     },
     timeoutMs: STORE_TIMEOUT_MS,
     replyTo: replyTo(CALL_WRITTEN, { callId: call.callId, step: call.step }),
-  }));
+  });
 }
 
 function giveUp(update: Update, call: PendingCall): void {
--- a/packages/protocol/src/domain_messages.ts
+++ b/packages/protocol/src/domain_messages.ts
@@ -1,5 +1,12 @@
 import type { JobRecord } from "@mustardweir/model";
 import type { PeerMessageKind } from "./peer_messages.ts";
+import type {
+  CommitRecordsEffect,
+  FollowSourceEffect,
+  ReadSourceEffect,
+  RecordCommitResult,
+  SourceResult,
+} from "./record_store.ts";
 import type { PermitResult } from "./worker_orders.ts";
 
 /** Tells the owner of the domain of a job that is durable. */
@@ -25,3 +32,23 @@
   readonly requestId: number;
   readonly result: PermitResult;
 }
+
+/** A call to the store without the place that its answer goes to. */
+export type StoreCall =
+  | Omit<CommitRecordsEffect, "replyTo">
+  | Omit<ReadSourceEffect, "replyTo">
+  | Omit<FollowSourceEffect, "replyTo">;
+
+/** Has a peer call the store, which turns the sender away. */
+export interface StoreRequest {
+  readonly kind: PeerMessageKind.StoreRequest;
+  readonly requestId: number;
+  readonly call: StoreCall;
+}
+
+/** The answer to {@link StoreRequest}. */
+export interface StoreReply {
+  readonly kind: PeerMessageKind.StoreReply;
+  readonly requestId: number;
+  readonly result: RecordCommitResult | SourceResult;
+}
--- a/packages/protocol/src/peer_messages.ts
+++ b/packages/protocol/src/peer_messages.ts
@@ -2,6 +2,8 @@
   JobAdmitted,
   PermitReply,
   PermitRequest,
+  StoreReply,
+  StoreRequest,
 } from "./domain_messages.ts";
 import type {
   JobSpec,
@@ -35,6 +37,8 @@
   JobAdmitted = 19,
   PermitRequest = 20,
   PermitReply = 21,
+  StoreRequest = 22,
+  StoreReply = 23,
 }
 
 /** What an owner holds of the fleet: a home or a slice, under an epoch. */
@@ -361,4 +365,6 @@
   | EditAnnounced
   | JobAdmitted
   | PermitRequest
-  | PermitReply;
+  | PermitReply
+  | StoreRequest
+  | StoreReply;
--- a/packages/prove/src/domain/domain_oracle.ts
+++ b/packages/prove/src/domain/domain_oracle.ts
@@ -50,7 +50,9 @@
     }, 0);
     const { capacity } = workers.get(run.workerId)!.info;
     return cpu > capacity.cpuMillis
-      ? [`${run.workerId} has ${cpu} of ${capacity.cpuMillis} at ${run.startMs}`]
+      ? [
+        `${run.workerId} has ${cpu} of ${capacity.cpuMillis} at ${run.startMs}`,
+      ]
       : [];
   });
 }
@@ -91,10 +93,11 @@
 function untrueAnswers({ runs, clients }: DomainCluster): string[] {
   return [...clients.values()].flatMap(({ jobId, answers, cancelledMs }) => {
     const started = runs.filter(({ task }) => task.startsWith(`${jobId}.`));
-    const isRefused = answers.length > 0 && answers.every(({ kind }) =>
-      kind === FrontAnswerKind.Unavailable ||
-      kind === FrontAnswerKind.Overloaded
-    );
+    const isRefused = answers.length > 0 &&
+      answers.every(({ kind }) =>
+        kind === FrontAnswerKind.Unavailable ||
+        kind === FrontAnswerKind.Overloaded
+      );
     const late = started.filter(({ startMs }) =>
       startMs > (cancelledMs ?? Infinity) + CANCEL_MS
     );
--- a/packages/prove/src/domain/domain_scenarios_test.ts
+++ b/packages/prove/src/domain/domain_scenarios_test.ts
@@ -63,6 +63,7 @@
   },
   {
     name: "the store turns the owner away",
+    minAccepted: JOBS,
     disturb: ({ owner, store, clock }) => {
       store.faults.refused.add(owner!);
       clock.after(7_000, () => store.faults.refused.clear());
@@ -70,11 +71,20 @@
   },
   {
     name: "the store is silent to the owner",
+    minAccepted: JOBS - 2,
     disturb: ({ owner, store, clock }) => {
       store.faults.silent.add(owner!);
       clock.after(7_000, () => store.faults.silent.clear());
     },
   },
+  {
+    name: "the store turns two nodes away",
+    minAccepted: JOBS,
+    disturb: ({ store, clock }) => {
+      store.faults.refused.add("n1").add("n2");
+      clock.after(7_000, () => store.faults.refused.clear());
+    },
+  },
   {
     name: "the store is silent to all",
     minAccepted: 5,
@@ -128,7 +138,8 @@
     },
   },
   {
-    name: "a worker is cut off from all but the owner, who is cut off the store",
+    name:
+      "a worker is cut off from all but the owner, who is cut off the store",
     disturb: (cluster) => {
       const { owner, nodeIds, store, clock, workers } = cluster;
       const { cutFrom } = workers.get("w1")!.faults;
@@ -223,14 +234,17 @@
   const cluster = new DomainCluster({ seed });
   cluster.clock.runUntil(WARM_UP_MS);
   for (let index = 0; index < JOBS; index++) {
-    cluster.clock.after(index * JOB_GAP_MS, () =>
-      cluster.submit(jobIdOf(index), {
-        payload: payloadOf({
-          runMs: 300 + 100 * (index % 7),
-          failures: scenario.failures ?? 0,
-        }),
-        stages: scenario.stages ?? TWO_STAGES,
-      }, cluster.nodeIds[index % cluster.nodeIds.length]!));
+    cluster.clock.after(
+      index * JOB_GAP_MS,
+      () =>
+        cluster.submit(jobIdOf(index), {
+          payload: payloadOf({
+            runMs: 300 + 100 * (index % 7),
+            failures: scenario.failures ?? 0,
+          }),
+          stages: scenario.stages ?? TWO_STAGES,
+        }, cluster.nodeIds[index % cluster.nodeIds.length]!),
+    );
   }
   cluster.clock.after(1_000, () => scenario.disturb(cluster));
   cluster.clock.runUntil(WARM_UP_MS + JOBS * JOB_GAP_MS + SETTLE_MS);
--- a/packages/prove/src/domain/domain_worker.ts
+++ b/packages/prove/src/domain/domain_worker.ts
@@ -132,11 +132,18 @@
       noAnswer();
       return;
     }
-    clock.after(1, () =>
-      this.#obey(order, from, (result) =>
-        this.faults.cutFrom.has(from)
-          ? noAnswer()
-          : clock.after(1, () => answer(result))));
+    clock.after(
+      1,
+      () =>
+        this.#obey(
+          order,
+          from,
+          (result) =>
+            this.faults.cutFrom.has(from)
+              ? noAnswer()
+              : clock.after(1, () => answer(result)),
+        ),
+    );
   }
 
   #obey(
@@ -204,9 +211,10 @@
     runs.push(record);
     this.#running.set(key, { record, isStopping: false });
     const { runMs, failures } = behave(order.task);
-    const failed = runs.filter(({ task, end }) =>
-      task === order.task && end === AttemptEnd.Failed
-    ).length;
+    const failed =
+      runs.filter(({ task, end }) =>
+        task === order.task && end === AttemptEnd.Failed
+      ).length;
     const fails = this.faults.failsAll || failed < failures;
     const life = this.#life;
     clock.after(runMs, () => {
--- a/packages/prove/src/domain/plugins.ts
+++ b/packages/prove/src/domain/plugins.ts
@@ -1,4 +1,5 @@
 /** Registers the plug-ins of the combined node, as its binary does. */
+import "@mustardweir/store-route";
 import "@mustardweir/replica";
 import "@mustardweir/tenure";
 import "@mustardweir/sessions";
--- a/packages/replica/src/apply.ts
+++ b/packages/replica/src/apply.ts
@@ -112,12 +112,11 @@
   }
   if (isDrained) {
     replica.drainedZones.set(zone, update.now);
+    update.emit(logChange("Zone drained", { zone }));
   } else {
     replica.drainedZones.delete(zone);
+    update.emit(logChange("Zone returned", { zone }));
   }
-  update.emit(
-    logChange(isDrained ? "Zone drained" : "Zone returned", { zone }),
-  );
   update.dispatch(DESIRED_CHANGED, {});
 }
 
--- a/packages/replica/src/replica_plugin.ts
+++ b/packages/replica/src/replica_plugin.ts
@@ -15,13 +15,13 @@
   count,
   EffectKind,
   logChange,
-  nodeEffect,
   replyTo,
   Source,
   type SourceChange,
   type SourceResult,
   SourceResultKind,
 } from "@mustardweir/protocol";
+import { callStore } from "@mustardweir/store-route";
 import { applyChange } from "./apply.ts";
 import { RECORD_PARTS } from "./record_keys.ts";
 import { REPLICA, type Replica, type SourceView } from "./replica.ts";
@@ -137,14 +137,14 @@
   #follow(update: Update, source: Source, progress: Progress): void {
     const { waitMs } = PACE[source];
     progress.phase = Phase.Following;
-    update.emit(nodeEffect({
+    callStore(update, {
       kind: EffectKind.FollowSource,
       source,
       afterVersion: update.read(REPLICA).sources[source].version,
       waitMs,
       timeoutMs: waitMs + ANSWER_MS,
       replyTo: replyTo(SOURCE_ANSWERED, { source, phase: Phase.Following }),
-    }));
+    });
   }
 
   #list(
@@ -154,14 +154,14 @@
     after?: string,
   ): void {
     progress.phase = Phase.Listing;
-    update.emit(nodeEffect({
+    callStore(update, {
       kind: EffectKind.ReadSource,
       source,
       part: progress.partsLeft[0] ?? "",
       ...(after === undefined ? {} : { after }),
       timeoutMs: 2 * ANSWER_MS,
       replyTo: replyTo(SOURCE_ANSWERED, { source, phase: Phase.Listing }),
-    }));
+    });
   }
 
   #answered(
--- a/packages/tenure/src/claims.ts
+++ b/packages/tenure/src/claims.ts
@@ -4,7 +4,6 @@
   EffectKind,
   logChange,
   NODE_IDENTITY,
-  nodeEffect,
   RecordCommitKind,
   type RecordCommitResult,
   replyTo,
@@ -17,6 +16,7 @@
   TENURE_KEY,
   type TenureRecord,
 } from "@mustardweir/replica";
+import { callStore } from "@mustardweir/store-route";
 import { loseTenure } from "./commits.ts";
 import { TENURE, TENURE_GAINED, TenurePhase } from "./tenure_state.ts";
 
@@ -155,7 +155,7 @@
     previous: known?.record.nodeId ?? "none",
     silentMs: known === undefined ? 0 : Math.round(update.now - known.seenMs),
   }));
-  update.emit(nodeEffect({
+  callStore(update, {
     kind: EffectKind.CommitRecords,
     transaction: {
       expected: [{ ...TENURE_KEY, version: known?.version ?? 0 }],
@@ -164,5 +164,5 @@
     },
     timeoutMs: CLAIM_TIMEOUT_MS,
     replyTo: replyTo(CLAIM_ANSWERED, record),
-  }));
+  });
 }
--- a/packages/tenure/src/commits.ts
+++ b/packages/tenure/src/commits.ts
@@ -5,7 +5,6 @@
   EffectKind,
   logChange,
   NODE_IDENTITY,
-  nodeEffect,
   observe,
   RecordCommitKind,
   type RecordCommitResult,
@@ -18,6 +17,7 @@
   TENURE_KEY,
   type TenureRecord,
 } from "@mustardweir/replica";
+import { callStore } from "@mustardweir/store-route";
 import {
   CHANGES_DURABLE,
   type InFlightCommit,
@@ -257,7 +257,7 @@
 
 function send(update: Update, { transaction, sequence }: InFlightCommit): void {
   const { epoch, commitMs } = update.read(TENURE);
-  update.emit(nodeEffect({
+  callStore(update, {
     kind: EffectKind.CommitRecords,
     transaction,
     timeoutMs: Math.round(
@@ -267,5 +267,5 @@
       ),
     ),
     replyTo: replyTo(COMMIT_ANSWERED, { epoch, sequence }),
-  }));
+  });
 }
--- a/packages/tenure/src/nodes.ts
+++ b/packages/tenure/src/nodes.ts
@@ -13,6 +13,7 @@
   RecordKind,
   REPLICA,
 } from "@mustardweir/replica";
+import { callStore, RELAYS_KNOWN } from "@mustardweir/store-route";
 import { isLive } from "./claims.ts";
 
 const REGISTER_TIMEOUT_MS = 1_000;
@@ -31,7 +32,7 @@
     zone: identity.availabilityZone,
     unixOffsetMs: update.read(REPLICA).unixOffsetMs,
   };
-  update.emit(nodeEffect({
+  callStore(update, {
     kind: EffectKind.CommitRecords,
     transaction: {
       expected: [],
@@ -43,7 +44,7 @@
     },
     timeoutMs: REGISTER_TIMEOUT_MS,
     replyTo: replyTo(REGISTRATION_ANSWERED, null),
-  }));
+  });
 }
 
 /** Has links held with all live nodes. */
@@ -53,6 +54,7 @@
     .filter((node) => node.nodeId !== nodeId && node.address !== "")
     .map((node) => ({ nodeId: node.nodeId, address: node.address }));
   update.emit(nodeEffect({ kind: EffectKind.ConnectPeers, peers }));
+  update.dispatch(RELAYS_KNOWN, { peers: peers.map((peer) => peer.nodeId) });
 }
 
 /** All nodes that are live, this one among them. */
--- a/packages/wire/src/codec_test.ts
+++ b/packages/wire/src/codec_test.ts
@@ -13,11 +13,13 @@
   AskMode,
   BurnWindow,
   DeclineReason,
+  EffectKind,
   HomeCallKind,
   HomeReplyKind,
   type PeerMessage,
   PeerMessageKind,
   PermitResultKind,
+  RecordCommitKind,
   RoomResult,
   StopMode,
   TaskPhase,
@@ -252,6 +254,24 @@
       validMs: 2_000,
     },
   },
+  [PeerMessageKind.StoreRequest]: {
+    kind: PeerMessageKind.StoreRequest,
+    requestId: 8,
+    call: {
+      kind: EffectKind.CommitRecords,
+      transaction: {
+        expected: [{ part: "domain", key: "tenure/owner", version: 3 }],
+        puts: [{ part: "domain", key: "tenure/owner", value: "{}" }],
+        removes: [],
+      },
+      timeoutMs: 500,
+    },
+  },
+  [PeerMessageKind.StoreReply]: {
+    kind: PeerMessageKind.StoreReply,
+    requestId: 8,
+    result: { kind: RecordCommitKind.Committed, version: 4, clockMs: 12 },
+  },
 };
 
 const REPLY_BODIES = [
