--- a/packages/cli/src/commands/mod.ts
+++ b/packages/cli/src/commands/mod.ts
@@ -5,4 +5,5 @@
 export * from "./job_commands.ts";
 export * from "./report_commands.ts";
 export * from "./top_command.ts";
+export * from "./log_commands.ts";
 export * from "./completion_commands.ts";
