--- a/packages/bench/src/loopback/instant_store.ts
+++ b/packages/bench/src/loopback/instant_store.ts
@@ -3,7 +3,7 @@
   sectionObjectKey,
 } from "@mustardweir/configuration";
 import { type Configuration, ConfigurationSection } from "@mustardweir/model";
-import { TransactionalTable } from "@mustardweir/platform";
+import { TransactionalTable } from "@mustardweir/platform-stub";
 import {
   type CommitResult,
   type GetObjectResult,
--- a/packages/demo/src/docs/settings_page.ts
+++ b/packages/demo/src/docs/settings_page.ts
@@ -55,7 +55,7 @@
     ["mustardweir-entry", rowsOf(ENTRY_SETTINGS)],
     ["mustardweir-scheduler", rowsOf(SCHEDULER_SETTINGS)],
     ["mustardweir", rowsOfHelp("cli")],
-    ["mustardweir-platform (stand-in)", rowsOfHelp("platform")],
+    ["mustardweir-platform (stand-in)", rowsOfHelp("platform-stub")],
     ["mustardweir-worker (stand-in)", rowsOfHelp("worker")],
   ] as const;
   return [
--- a/packages/demo/src/docs/source_words.ts
+++ b/packages/demo/src/docs/source_words.ts
@@ -8,7 +8,7 @@
   "bench",
   "demo",
   "failure-tests",
-  "platform",
+  "platform-stub",
   "prove",
   "worker",
 ];
--- a/packages/demo/src/launcher.ts
+++ b/packages/demo/src/launcher.ts
@@ -18,7 +18,8 @@
 
 /** Path of the script that starts a binary. */
 export function scriptOf(binary: Binary): string {
-  const path = `../../${binary}/bin/mustardweir-${binary}.js`;
+  const folder = binary === Binary.Platform ? "platform-stub" : binary;
+  const path = `../../${folder}/bin/mustardweir-${binary}.js`;
   return fileURLToPath(new URL(path, import.meta.url));
 }
 
--- a/packages/platform-client/src/stores_test.ts
+++ b/packages/platform-client/src/stores_test.ts
@@ -2,7 +2,7 @@
   FAULT_SETTINGS,
   type FaultSettings,
   PlatformServer,
-} from "@mustardweir/platform";
+} from "@mustardweir/platform-stub";
 import { StoreStatus, type Transaction } from "@mustardweir/protocol";
 import { expect } from "chai";
 import {
--- a/packages/prove/src/simulation/store.ts
+++ b/packages/prove/src/simulation/store.ts
@@ -1,5 +1,5 @@
 import type { Random } from "@mustardweir/kernel";
-import { LaggingList, TransactionalTable } from "@mustardweir/platform";
+import { LaggingList, TransactionalTable } from "@mustardweir/platform-stub";
 import {
   type CommitResult,
   type GetObjectResult,
