--- /dev/null
+++ b/packages/prove/src/domain/domain_mutants_test.ts
@@ -0,0 +1,183 @@
+import type { Command } from "@mustardweir/kernel";
+import {
+  type Answered,
+  EffectKind,
+  FrontAnswerKind,
+  type NodeEffect,
+  OrderKind,
+  OrderOutcome,
+  type OrderResult,
+  RecordCommitKind,
+  type RecordCommitResult,
+} from "@mustardweir/protocol";
+import { expect } from "chai";
+import type { SimulatedNode } from "../simulation/node.ts";
+import { Tampering } from "../simulation/tampering.ts";
+import { findViolations } from "./domain_oracle.ts";
+import { runScenario, SCENARIOS } from "./domain_scenarios.ts";
+
+const SEEDS = [1, 2, 3];
+
+/** Spoils the effects of a node. */
+class EffectTampering extends Tampering {
+  readonly #change: (effect: NodeEffect) => NodeEffect;
+
+  constructor(change: (effect: NodeEffect) => NodeEffect) {
+    super();
+    this.#change = change;
+  }
+
+  override effect(_node: SimulatedNode, effect: NodeEffect): NodeEffect[] {
+    return [this.#change(effect)];
+  }
+}
+
+/** Spoils the answers that a command brings. */
+class AnswerTampering<Result> extends Tampering {
+  readonly #name: string;
+  readonly #change: (result: Result, context: unknown) => Result | undefined;
+
+  constructor(
+    name: string,
+    change: (result: Result, context: unknown) => Result | undefined,
+  ) {
+    super();
+    this.#name = name;
+    this.#change = change;
+  }
+
+  override event<Payload>(
+    _node: SimulatedNode,
+    command: Command<Payload>,
+    payload: Payload,
+  ): Payload | undefined {
+    if (command.name !== this.#name) {
+      return payload;
+    }
+    const { context, result } = payload as Answered<unknown, Result>;
+    const changed = this.#change(result, context);
+    return changed === undefined
+      ? undefined
+      : { context, result: changed } as Payload;
+  }
+}
+
+interface Mutant {
+  readonly name: string;
+  /** Scenarios under which it must show. */
+  readonly scenarios: RegExp;
+  readonly create: () => Tampering;
+}
+
+const MUTANTS: readonly Mutant[] = [
+  {
+    name: "takes a start without an answer for one that was refused",
+    scenarios: /late/,
+    create: () =>
+      new AnswerTampering<OrderResult>(
+        "order-answered",
+        (result, context) =>
+          result.outcome === OrderOutcome.NoAnswer &&
+            (context as { kind: OrderKind }).kind === OrderKind.Start
+            ? { outcome: OrderOutcome.Unhealthy }
+            : result,
+      ),
+  },
+  {
+    name: "sends all orders under one round",
+    scenarios: /late/,
+    create: () =>
+      new EffectTampering((effect) =>
+        effect.kind === EffectKind.OrderWorker
+          ? {
+            ...effect,
+            order: {
+              ...effect.order,
+              token: Math.floor(effect.order.token / 2 ** 24) * 2 ** 24,
+            },
+          }
+          : effect
+      ),
+  },
+  {
+    name: "acknowledges ends before they are recorded",
+    scenarios: /killed/,
+    create: () =>
+      new EffectTampering((effect) =>
+        effect.kind === EffectKind.OrderWorker &&
+          effect.order.kind === OrderKind.Renew
+          ? { ...effect, order: { ...effect.order, acknowledged: 1e9 } }
+          : effect
+      ),
+  },
+  {
+    name: "starts under leases that never end",
+    scenarios: /cut off/,
+    create: () =>
+      new EffectTampering((effect) =>
+        effect.kind === EffectKind.OrderWorker &&
+          "leaseUntilMs" in effect.order
+          ? {
+            ...effect,
+            order: {
+              ...effect.order,
+              leaseUntilMs: effect.order.leaseUntilMs! + 9_000,
+            },
+          }
+          : effect
+      ),
+  },
+  {
+    name: "takes a write that the store refused for done",
+    scenarios: /turns two nodes away|silent to all/,
+    create: () =>
+      new AnswerTampering<RecordCommitResult>(
+        "store-answered",
+        (result) =>
+          result.kind === RecordCommitKind.Refused ||
+            result.kind === RecordCommitKind.Unknown
+            ? { kind: RecordCommitKind.Committed, version: 1, clockMs: 1 }
+            : result,
+      ),
+  },
+  {
+    name: "says that a job never runs when it can't tell",
+    scenarios: /most writes are done late/,
+    create: () =>
+      new EffectTampering((effect) =>
+        effect.kind === EffectKind.AnswerFront &&
+          effect.answer.kind === FrontAnswerKind.Unknown
+          ? {
+            ...effect,
+            answer: {
+              kind: FrontAnswerKind.Unavailable,
+              reason: "",
+              retryAfterMs: 0,
+            },
+          }
+          : effect
+      ),
+  },
+];
+
+describe("mutants of the domain", () => {
+  for (const { name, scenarios, create } of MUTANTS) {
+    it(`one that ${name} is caught`, () => {
+      const tried = SCENARIOS.filter((scenario) =>
+        scenarios.test(scenario.name)
+      )
+        .flatMap((scenario) => SEEDS.map((seed) => ({ scenario, seed })));
+      const caught = tried.some(({ scenario, seed }) => {
+        try {
+          const cluster = runScenario(scenario, { seed, tampering: create() });
+          return findViolations(cluster).length > 0;
+        } catch {
+          // An invariant of the kernel caught it.
+          return true;
+        }
+      });
+      expect(tried).not.to.have.length(0);
+      expect(caught).to.equal(true);
+    }).timeout(60_000);
+  }
+});
--- /dev/null
+++ b/packages/prove/src/domain/domain_scenarios.ts
@@ -0,0 +1,273 @@
+import "./plugins.ts";
+import type { Tampering } from "../simulation/tampering.ts";
+import { DomainCluster, payloadOf, stageSpec } from "./domain_cluster.ts";
+
+/** Jobs start to come when the nodes have found each other. */
+const WARM_UP_MS = 3_000;
+/** Jobs of each run. */
+export const JOBS = 30;
+const JOB_GAP_MS = 200;
+/** Long enough for leases to lapse and for orders that come late. */
+const SETTLE_MS = 45_000;
+
+const TWO_STAGES = [stageSpec(), stageSpec({ tasks: 2, dependsOn: [0] })];
+
+/** What goes wrong while jobs come. */
+export interface Scenario {
+  readonly name: string;
+  /** Called while jobs come, a second after the first. */
+  readonly disturb: (cluster: DomainCluster) => void;
+  /** Jobs that are accepted at least; a third by default. */
+  readonly minAccepted?: number;
+  /** Run time of each task; 0.3 s to 0.9 s by default, in milliseconds. */
+  readonly runMs?: number;
+  readonly failures?: number;
+  readonly stages?: ReturnType<typeof stageSpec>[];
+}
+
+/** Everything that the domain's promises are tried under. */
+export const SCENARIOS: readonly Scenario[] = [
+  { name: "nothing is wrong", disturb: () => {} },
+  {
+    name: "the owner is killed",
+    disturb: (cluster) => cluster.kill(cluster.owner!),
+  },
+  {
+    name: "the owner is killed twice",
+    disturb: (cluster) => {
+      cluster.kill(cluster.owner!);
+      cluster.clock.after(2_500, () => cluster.kill(cluster.owner ?? "n0"));
+    },
+  },
+  {
+    name: "all nodes are killed",
+    disturb: (cluster) => cluster.nodeIds.forEach((id) => cluster.kill(id)),
+  },
+  {
+    name: "the owner stands still for 4 s",
+    disturb: (cluster) => cluster.pause(cluster.owner!, 4_000),
+  },
+  {
+    name: "the owner stands still for 15 s",
+    disturb: (cluster) => cluster.pause(cluster.owner!, 15_000),
+  },
+  {
+    name: "the owner is stopped as planned",
+    disturb: (cluster) => cluster.stop(cluster.owner!),
+  },
+  {
+    name: "nodes are stopped in turn",
+    disturb: (cluster) =>
+      cluster.nodeIds.forEach((id, index) =>
+        cluster.clock.after(index * 1_500, () => cluster.stop(id))
+      ),
+  },
+  {
+    name: "the store turns the owner away",
+    minAccepted: JOBS,
+    disturb: ({ owner, store, clock }) => {
+      store.faults.refused.add(owner!);
+      clock.after(7_000, () => store.faults.refused.clear());
+    },
+  },
+  {
+    name: "the store is silent to the owner",
+    minAccepted: JOBS - 2,
+    disturb: ({ owner, store, clock }) => {
+      store.faults.silent.add(owner!);
+      clock.after(7_000, () => store.faults.silent.clear());
+    },
+  },
+  {
+    name: "the store turns two nodes away",
+    minAccepted: JOBS,
+    disturb: ({ store, clock }) => {
+      store.faults.refused.add("n1").add("n2");
+      clock.after(7_000, () => store.faults.refused.clear());
+    },
+  },
+  {
+    name: "the store is silent to all",
+    minAccepted: 5,
+    disturb: ({ nodeIds, store, clock }) => {
+      nodeIds.forEach((id) => store.faults.silent.add(id));
+      clock.after(6_000, () => store.faults.silent.clear());
+    },
+  },
+  {
+    name: "the store is slow",
+    disturb: ({ store, clock }) => {
+      store.faults.callMs = 240;
+      clock.after(5_000, () => store.faults.callMs = 4);
+    },
+  },
+  {
+    name: "answers of the store are lost",
+    disturb: ({ store, clock }) => {
+      store.faults.lostShare = 0.35;
+      clock.after(5_000, () => store.faults.lostShare = 0);
+    },
+  },
+  {
+    name: "writes are done late",
+    disturb: ({ store, clock }) => {
+      store.faults.lostShare = 0.35;
+      store.faults.lateMs = 2_500;
+      clock.after(5_000, () => store.faults.lostShare = 0);
+    },
+  },
+  {
+    name: "most writes are done late",
+    minAccepted: 5,
+    disturb: ({ store, clock }) => {
+      store.faults.lostShare = 0.9;
+      store.faults.lateMs = 2_500;
+      clock.after(5_000, () => store.faults.lostShare = 0);
+    },
+  },
+  {
+    name: "the store forgets its history",
+    disturb: ({ store, clock }) => {
+      store.forgetHistory();
+      clock.after(1_000, () => store.forgetHistory());
+    },
+  },
+  {
+    name: "a worker is cut off for 3 s",
+    disturb: (cluster) => cutWorker(cluster, "w1", 3_000),
+  },
+  {
+    name: "a worker is cut off for 12 s",
+    disturb: (cluster) => cutWorker(cluster, "w1", 12_000),
+  },
+  {
+    name: "a worker is cut off in the middle of long tasks",
+    runMs: 9_000,
+    stages: [stageSpec({ tasks: 1 })],
+    disturb: (cluster) => cutWorker(cluster, "w1", 20_000),
+  },
+  {
+    name: "a worker is cut off and the owner is killed",
+    disturb: (cluster) => {
+      cutWorker(cluster, "w1", 20_000);
+      cluster.kill(cluster.owner!);
+    },
+  },
+  {
+    name:
+      "a worker is cut off from all but the owner, who is cut off the store",
+    disturb: (cluster) => {
+      const { owner, nodeIds, store, clock, workers } = cluster;
+      const { cutFrom } = workers.get("w1")!.faults;
+      nodeIds.filter((id) => id !== owner).forEach((id) => cutFrom.add(id));
+      store.faults.silent.add(owner!);
+      clock.after(14_000, () => {
+        cutFrom.clear();
+        store.faults.silent.clear();
+      });
+    },
+  },
+  {
+    name: "a worker restarts under its id",
+    disturb: ({ workers, store, clock }) => {
+      const worker = workers.get("w2")!;
+      worker.crash();
+      clock.after(500, () => {
+        worker.restart();
+        store.setWorker("w2", worker.info);
+      });
+    },
+  },
+  {
+    name: "a worker is lost for good",
+    disturb: ({ workers, store, clock }) => {
+      workers.get("w3")!.crash();
+      clock.after(4_500, () => store.setWorker("w3", undefined));
+    },
+  },
+  {
+    name: "orders are carried out late",
+    disturb: ({ workers, clock }) => {
+      for (const { faults } of workers.values()) {
+        faults.lateShare = 0.1;
+        clock.after(5_000, () => faults.lateShare = 0);
+      }
+    },
+  },
+  {
+    name: "orders are carried out late and the owner is killed",
+    disturb: (cluster) => {
+      for (const { faults } of cluster.workers.values()) {
+        faults.lateShare = 0.1;
+        cluster.clock.after(5_000, () => faults.lateShare = 0);
+      }
+      cluster.clock.after(2_000, () => cluster.kill(cluster.owner!));
+    },
+  },
+  {
+    name: "a zone is drained",
+    disturb: ({ store, clock }) => {
+      store.setDrained("zone-1", true);
+      clock.after(6_000, () => store.setDrained("zone-1", false));
+    },
+  },
+  {
+    name: "every task fails once, and the owner is killed",
+    failures: 1,
+    disturb: (cluster) => cluster.kill(cluster.owner!),
+  },
+  {
+    name: "every task fails always, and the owner is killed",
+    failures: 99,
+    disturb: (cluster) => cluster.kill(cluster.owner!),
+  },
+  {
+    name: "jobs are cancelled",
+    disturb: (cluster) => {
+      for (const jobId of [...cluster.clients.keys()]) {
+        cluster.cancel(jobId, "n1");
+      }
+    },
+  },
+  {
+    name: "gangs run and the owner is killed",
+    stages: [stageSpec({ gang: true, tasks: 4 })],
+    disturb: (cluster) => cluster.kill(cluster.owner!),
+  },
+];
+
+function cutWorker(cluster: DomainCluster, id: string, forMs: number): void {
+  const { cutFrom } = cluster.workers.get(id)!.faults;
+  cluster.nodeIds.forEach((node) => cutFrom.add(node));
+  cluster.clock.after(forMs, () => cutFrom.clear());
+}
+
+/** The id of the job with this number. */
+export function jobIdOf(index: number): string {
+  return index.toString(16).padStart(16, "0");
+}
+
+/** Runs a scenario to its end. */
+export function runScenario(
+  scenario: Scenario,
+  options: { readonly seed: number; readonly tampering?: Tampering },
+): DomainCluster {
+  const cluster = new DomainCluster(options);
+  cluster.clock.runUntil(WARM_UP_MS);
+  for (let index = 0; index < JOBS; index++) {
+    cluster.clock.after(
+      index * JOB_GAP_MS,
+      () =>
+        cluster.submit(jobIdOf(index), {
+          payload: payloadOf({
+            runMs: scenario.runMs ?? 300 + 100 * (index % 7),
+            failures: scenario.failures ?? 0,
+          }),
+          stages: scenario.stages ?? TWO_STAGES,
+        }, cluster.nodeIds[index % cluster.nodeIds.length]!),
+    );
+  }
+  cluster.clock.after(1_000, () => scenario.disturb(cluster));
+  cluster.clock.runUntil(WARM_UP_MS + JOBS * JOB_GAP_MS + SETTLE_MS);
+  return cluster;
+}
