Hand the domain over when its owner is slow; ask only where a task could start

The owner was slowed 4.6 times for 6.5 s and granted five permits in 4 s of it; questions named workers without room and were asked for teams at their ceiling.

Change: an owner whose timers are 90 ms late on average hands the domain over; questions name workers that have room, known good ones first; questions at a node that restarted are asked again at once.

--- a/packages/dispatch/src/pump.ts
+++ b/packages/dispatch/src/pump.ts
@@ -30,7 +30,6 @@
   hasRoom,
   listCandidates,
   settleBookings,
-  suits,
 } from "./candidates.ts";
 import {
   BestFitRule,
@@ -225,20 +224,22 @@
   if (known.isAsked) {
     return;
   }
+  // A permit holds for a short time only: whoever has no room isn't asked
+  // about.
   const without = candidates.filter((candidate) =>
-    suits(candidate, stage) &&
+    hasRoom(candidate, stage) &&
     heldPermit(update, stage.name, candidate.session.info.id) === undefined
   );
   const unjudged = without.filter(({ session }) =>
     !known.judged.has(session.info.id)
   );
-  const expired = without.filter((candidate) =>
-    known.good.has(candidate.session.info.id) && hasRoom(candidate, stage)
+  const expired = without.filter(({ session }) =>
+    known.good.has(session.info.id)
   );
-  const asked = [
-    ...expired.sort(byRoom).slice(0, MAX_REASKED),
-    ...unjudged.filter((candidate) => couldFit(candidate, stage)).sort(byRoom),
-  ].slice(0, MAX_ASKED);
+  // Verdicts never change, so workers that are known to be good come first.
+  const asked = expired.length > 0
+    ? expired.sort(byRoom).slice(0, MAX_REASKED)
+    : unjudged.sort(byRoom).slice(0, MAX_ASKED);
   askPermits(update, {
     stage: stage.name,
     workers: asked.map(({ session }) => session.info.id),
@@ -247,14 +248,6 @@
   });
 }
 
-function couldFit({ session }: Candidate, stage: StageRun): boolean {
-  const size = bookedSize(stage);
-  const { capacity } = session.info;
-  return size.cpuMillis <= capacity.cpuMillis &&
-    size.memoryMb <= capacity.memoryMb &&
-    size.accelerators <= capacity.accelerators;
-}
-
 function byRoom(a: Candidate, b: Candidate): number {
   return b.free.cpuMillis - a.free.cpuMillis;
 }
--- a/packages/permits/src/permits_plugin.ts
+++ b/packages/permits/src/permits_plugin.ts
@@ -9,11 +9,13 @@
   type Update,
 } from "@mustardweir/kernel";
 import { PEER_MESSAGE_RECEIVED, PeerMessageKind } from "@mustardweir/protocol";
+import { NODES_CHANGED } from "@mustardweir/replica";
 import { TENURE_GAINED, TENURE_LOST } from "@mustardweir/tenure";
 import { PERMITS, type Permits } from "./permits_state.ts";
 import {
   askForPeer,
   expireQuestions,
+  nodesChanged,
   POLICY_ANSWERED,
   policyAnswered,
   questionAnswered,
@@ -52,6 +54,11 @@
         },
         Normal,
       ),
+      kernel.registerCommand(
+        NODES_CHANGED,
+        (_, update) => nodesChanged(update),
+        Normal,
+      ),
       kernel.registerCommand(
         POLICY_ANSWERED,
         (answer, update) => policyAnswered(update, answer),
--- a/packages/permits/src/permits_state.ts
+++ b/packages/permits/src/permits_state.ts
@@ -30,6 +30,8 @@
 export interface PermitCall extends PermitQuestion {
   readonly requestId: number;
   readonly nodeId: string;
+  /** Life of the node that was asked; another one knows nothing of it. */
+  readonly incarnation: string;
   readonly expiresMs: number;
   readonly isLong: boolean;
   readonly sentMs: number;
--- a/packages/permits/src/questions.ts
+++ b/packages/permits/src/questions.ts
@@ -16,6 +16,7 @@
   replyTo,
   sendPeer,
 } from "@mustardweir/protocol";
+import { REPLICA } from "@mustardweir/replica";
 import { livePeers } from "@mustardweir/tenure";
 import {
   type PermitCall,
@@ -151,6 +152,18 @@
   }
 }
 
+/** Asks again what nodes were asked that have restarted since. */
+export function nodesChanged(update: Update): void {
+  const permits = update.write(PERMITS);
+  for (const call of [...permits.calls.values()]) {
+    if (incarnationOf(update, call.nodeId) !== call.incarnation) {
+      failed(update, call, "node restarted");
+      permits.sparedUntilMs.delete(call.nodeId);
+    }
+  }
+  pumpQuestions(update);
+}
+
 /** Takes what the policy has said to a question of this owner. */
 export function questionAnswered(
   update: Update,
@@ -237,6 +250,7 @@
     ...question,
     requestId,
     nodeId,
+    incarnation: incarnationOf(update, nodeId),
     isLong,
     sentMs: update.now,
     expiresMs: update.now + timeoutMs + SLACK_MS,
@@ -290,6 +304,10 @@
   };
 }
 
+function incarnationOf(update: Update, nodeId: string): string {
+  return update.read(REPLICA).nodes.get(nodeId)?.incarnation ?? "";
+}
+
 function usualMs({ policy, workers }: PermitQuestion): number {
   return policy.decideMs + policy.perWorkerMs * workers.length;
 }
--- a/packages/tenure/src/claims.ts
+++ b/packages/tenure/src/claims.ts
@@ -10,7 +10,6 @@
   Source,
 } from "@mustardweir/protocol";
 import {
-  type KnownNode,
   type KnownTenure,
   REPLICA,
   TENURE_KEY,
@@ -18,6 +17,7 @@
 } from "@mustardweir/replica";
 import { callStore } from "@mustardweir/store-route";
 import { loseTenure } from "./commits.ts";
+import { isLive } from "./nodes.ts";
 import { TENURE, TENURE_GAINED, TenurePhase } from "./tenure_state.ts";
 
 /** An owner that commits nothing for so long is taken for dead. */
@@ -29,8 +29,6 @@
 /** Silence is judged only on answers of the store newer than this. */
 const FRESH_MS = 600;
 const CLAIM_TIMEOUT_MS = 700;
-/** Nodes that were not heard of for so long are no candidates. */
-export const NODE_EXPIRY_MS = 7_000;
 
 /** A claim has been answered. */
 export const CLAIM_ANSWERED = createCommand<
@@ -110,6 +108,7 @@
   tenure.version = version;
   tenure.openedVersion = version;
   tenure.confirmedMs = update.now;
+  tenure.gainedMs = update.now;
   tenure.retryMs = 0;
 }
 
@@ -135,11 +134,6 @@
   return Math.max(0, live.indexOf(nodeId));
 }
 
-/** True when the node has renewed its record lately. */
-export function isLive(update: Update, node: KnownNode): boolean {
-  return update.now - node.seenMs <= NODE_EXPIRY_MS;
-}
-
 function claim(update: Update, known: KnownTenure | undefined): void {
   const { nodeId, incarnation } = update.service(NODE_IDENTITY);
   const record: TenureRecord = {
--- a/packages/tenure/src/commits.ts
+++ b/packages/tenure/src/commits.ts
@@ -18,6 +18,7 @@
   type TenureRecord,
 } from "@mustardweir/replica";
 import { callStore } from "@mustardweir/store-route";
+import { isLive } from "./nodes.ts";
 import {
   CHANGES_DURABLE,
   type InFlightCommit,
@@ -60,11 +61,11 @@
     return;
   }
   const isDue = update.now - tenure.confirmedMs >= BEAT_MS;
-  if (tenure.queue.length === 0 && !isDue && !tenure.isStopping) {
+  if (tenure.queue.length === 0 && !isDue && !tenure.isReleasing) {
     return;
   }
   const changes = takeChanges(tenure.queue);
-  const successor = tenure.isStopping && tenure.queue.length === changes.length
+  const successor = tenure.isReleasing && tenure.queue.length === changes.length
     ? findSuccessor(update)
     : undefined;
   const sequence = ++tenure.sequence;
@@ -193,6 +194,7 @@
   const tenure = update.write(TENURE);
   const held = tenure.phase !== TenurePhase.Follower;
   tenure.phase = TenurePhase.Follower;
+  tenure.isReleasing = tenure.isStopping;
   tenure.queue = [];
   tenure.inFlight = undefined;
   tenure.retryMs = 0;
@@ -244,9 +246,8 @@
   const { epoch } = update.read(TENURE);
   const { nodeId } = update.service(NODE_IDENTITY);
   const nodes = [...update.read(REPLICA).nodes.values()]
-    .filter((node) => node.nodeId !== nodeId)
-    .sort((a, b) => b.seenMs - a.seenMs);
-  const [next] = nodes;
+    .filter((node) => node.nodeId !== nodeId && isLive(update, node));
+  const next = nodes[update.random.below(Math.max(nodes.length, 1))];
   return next && {
     nodeId: next.nodeId,
     incarnation: next.incarnation,
--- a/packages/tenure/src/nodes.ts
+++ b/packages/tenure/src/nodes.ts
@@ -8,15 +8,17 @@
   replyTo,
 } from "@mustardweir/protocol";
 import {
+  type KnownNode,
   type NodeRecord,
   recordKey,
   RecordKind,
   REPLICA,
 } from "@mustardweir/replica";
 import { callStore, RELAYS_KNOWN } from "@mustardweir/store-route";
-import { isLive } from "./claims.ts";
 
 const REGISTER_TIMEOUT_MS = 1_000;
+/** Nodes that were not heard of for so long are not counted on, in ms. */
+const NODE_EXPIRY_MS = 7_000;
 
 /** A node's registration has been answered; the next one repeats it. */
 export const REGISTRATION_ANSWERED = createCommand<
@@ -62,3 +64,8 @@
   return [...update.read(REPLICA).nodes.values()]
     .filter((node) => isLive(update, node));
 }
+
+/** True when the node has renewed its record lately. */
+export function isLive(update: Update, node: KnownNode): boolean {
+  return update.now - node.seenMs <= NODE_EXPIRY_MS;
+}
--- a/packages/tenure/src/tenure_plugin.ts
+++ b/packages/tenure/src/tenure_plugin.ts
@@ -23,6 +23,7 @@
   resendCommit,
 } from "./commits.ts";
 import { connectNodes, registerNode, REGISTRATION_ANSWERED } from "./nodes.ts";
+import { considerRelease, measureLag } from "./lag.ts";
 import { TENURE, TenurePhase } from "./tenure_state.ts";
 
 /** How often claims, beats and repeats are looked at, in milliseconds. */
@@ -52,6 +53,10 @@
         commitMs: FIRST_COMMIT_MS,
         retryMs: 0,
         isStopping: false,
+        isReleasing: false,
+        gainedMs: 0,
+        lagMs: 0,
+        lastTickMs: 0,
       }),
       kernel.registerCommand(
         TENURE_SEEN,
@@ -77,13 +82,17 @@
       kernel.registerCommand(
         STOP_REQUESTED,
         (_, update) => {
-          update.write(TENURE).isStopping = true;
+          const tenure = update.write(TENURE);
+          tenure.isStopping = true;
+          tenure.isReleasing = true;
         },
         CommandPriority.High,
       ),
       kernel.registerPeriodic({
         intervalMs: TICK_MS,
         run: (update) => {
+          measureLag(update, TICK_MS);
+          considerRelease(update);
           considerClaim(update);
           considerOpening(update);
           resendCommit(update);
--- a/packages/tenure/src/tenure_state.ts
+++ b/packages/tenure/src/tenure_state.ts
@@ -54,6 +54,13 @@
   /** Not tried again before this time, in milliseconds. */
   retryMs: number;
   isStopping: boolean;
+  /** The domain is to be handed to another node. */
+  isReleasing: boolean;
+  /** When this node became the owner, in milliseconds. */
+  gainedMs: number;
+  /** How late this node's timers are of late, in milliseconds. */
+  lagMs: number;
+  lastTickMs: number;
 }
 
 /** State of the tenure plug-in. */
