Send urgent work to fast workers, none to workers whose tasks stand still

Change: slowness is learned from tasks of the same stage and weighs in the choice, most for urgent queues; a worker with a task that makes no progress gets no new ones. Long questions about permits take the nodes that short ones leave, by their load over the last 2 s.

--- a/packages/dispatch/src/attempts.ts
+++ b/packages/dispatch/src/attempts.ts
@@ -38,6 +38,7 @@
   const task = findPlaced(update, placed);
   if (task !== undefined) {
     task.isRunning = true;
+    task.progressedMs = update.now;
   }
 }
 
@@ -49,6 +50,9 @@
 ): void {
   const task = findPlaced(update, { workerId, ...listed });
   if (task !== undefined) {
+    if (listed.percent > task.percent) {
+      task.progressedMs = update.now;
+    }
     task.percent = listed.percent;
     task.checkpoint = listed.checkpoint || task.checkpoint;
   }
@@ -115,6 +119,7 @@
   }
   const { stage } = task;
   const isCurrent = findPlaced(update, ended) === task;
+  const ranMs = isCurrent ? Math.round(update.now - task.placedMs) : 0;
   if (isCurrent) {
     release(update, task);
   }
@@ -126,13 +131,16 @@
     attempt: ended.attempt,
     worker: ended.workerId,
     end: ended.end,
-    ranMs: isCurrent ? Math.round(update.now - task.placedMs) : 0,
+    ranMs,
   }));
   if (ended.end === AttemptEnd.Done && !stage.spec.lasting) {
     update.write(WORKER_HEALTH).succeeded(ended.workerId, {
       queue: stage.job.record.queue.name,
       now: update.now,
     });
+    if (isCurrent && ended.checkpoint === "") {
+      compareRun(update, stage, { workerId: ended.workerId, ranMs });
+    }
     finishTask(update, task);
   } else if (ended.end === AttemptEnd.Failed && ended.isNew) {
     countFailure(update, task, ended.workerId);
@@ -177,6 +185,7 @@
   task.isRunning = true;
   task.checkpoint = found.checkpoint || task.checkpoint;
   task.percent = found.percent;
+  task.progressedMs = update.now;
   takeRoom(update.write(BOOK), task);
   update.emit(count("attempts-adopted"));
 }
@@ -215,6 +224,20 @@
   }
 }
 
+/** Learns how fast the worker is from other tasks of the same stage. */
+function compareRun(
+  update: Update,
+  stage: StageRun,
+  { workerId, ranMs }: { readonly workerId: string; readonly ranMs: number },
+): void {
+  if (stage.ranCount > 0) {
+    const usualMs = stage.ranMs / stage.ranCount;
+    update.write(WORKER_HEALTH).ran(workerId, ranMs / Math.max(usualMs, 1));
+  }
+  stage.ranMs += ranMs;
+  stage.ranCount++;
+}
+
 function finishTask(update: Update, task: TaskRun): void {
   const { stage } = task;
   const finished = stage.spec.gang ? stage.tasks : [task];
--- a/packages/dispatch/src/book.ts
+++ b/packages/dispatch/src/book.ts
@@ -41,6 +41,8 @@
   checkpoint: string;
   /** Done so far as last listed, 0 to 100. */
   percent: number;
+  /** When that last grew, in milliseconds. */
+  progressedMs: number;
   /** Workers that failed the task; avoided while there are others. */
   readonly failedOn: Set<string>;
   /** Known before this tenure; it may run where nobody has looked yet. */
@@ -63,6 +65,9 @@
   readonly spec: StageSpec;
   readonly tasks: TaskRun[];
   doneCount: number;
+  /** Run times of tasks that ended done, in milliseconds, and their number. */
+  ranMs: number;
+  ranCount: number;
 }
 
 /** A job that has not ended. */
@@ -145,6 +150,8 @@
       spec,
       tasks: [],
       doneCount: 0,
+      ranMs: 0,
+      ranCount: 0,
     };
     const marks = progress?.marks[key] ?? "";
     for (let index = 0; index < spec.tasks; index++) {
@@ -163,6 +170,7 @@
         failures: isDone ? 0 : Number(mark),
         checkpoint: progress?.checkpoints[taskKey(key, index)] ?? "",
         percent: 0,
+        progressedMs: 0,
         failedOn: new Set(),
         isInherited: job.isInherited,
         givenUpAttempt: 0,
--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -9,13 +9,17 @@
 } from "@mustardweir/model";
 import { REPLICA } from "@mustardweir/replica";
 import { type Session, SESSIONS } from "@mustardweir/sessions";
-import type { StageRun } from "./book.ts";
-import { findTask, TaskPhase } from "./book.ts";
+import { findTask, type StageRun, TaskPhase, type TaskRun } from "./book.ts";
 import { WORKER_HEALTH } from "./health.ts";
 
 /** Largest part of a pool's workers that quarantine keeps out. */
 const MAX_QUARANTINED_SHARE = 0.34;
 
+/** A worker's task that makes no progress for so long stalls, in ms. */
+const MIN_STALL_MS = 1_300;
+/** The same as a part of the task's estimate; progress is told in percent. */
+const STALL_SHARE = 0.05;
+
 /** A worker that tasks may be started on. */
 export interface Candidate {
   readonly session: Readonly<Session>;
@@ -24,6 +28,8 @@
   hasServing: boolean;
   /** Runs a task on what others leave. */
   hasBestEffort: boolean;
+  /** How long runs take here, as a multiple of what is usual. */
+  readonly slowness: number;
   /** Tasks of each stage that this round has booked here. */
   readonly booked: Map<StageRun, number>;
 }
@@ -37,7 +43,10 @@
       continue;
     }
     const candidates = byPool.get(session.info.pool) ?? [];
-    candidates.push(createCandidate(update, session));
+    const candidate = createCandidate(update, session);
+    if (candidate !== undefined) {
+      candidates.push(candidate);
+    }
     byPool.set(session.info.pool, candidates);
   }
   for (const [pool, candidates] of byPool) {
@@ -72,16 +81,21 @@
     !update.read(WORKER_HEALTH).isRefusing(session.info.id, update.now);
 }
 
+/** Undefined when the tasks there stand still. */
 function createCandidate(
   update: Update,
   session: Readonly<Session>,
-): Candidate {
+): Candidate | undefined {
   let used = NO_RESOURCES;
   let hasServing = false;
   let hasBestEffort = false;
   for (const { task, size } of session.attempts.values()) {
     used = addResources(used, size);
-    const spec = findTask(update, task)?.stage.spec;
+    const placed = findTask(update, task);
+    if (placed !== undefined && isStalled(placed, update.now)) {
+      return undefined;
+    }
+    const spec = placed?.stage.spec;
     hasServing ||= (spec?.latencyObjectiveMs ?? 0) > 0;
     hasBestEffort ||= spec?.bestEffort === true;
   }
@@ -90,10 +104,20 @@
     free: subtractResources(session.info.capacity, used),
     hasServing,
     hasBestEffort,
+    slowness: update.read(WORKER_HEALTH).slowness(session.info.id),
     booked: new Map(),
   };
 }
 
+/** True when the task runs and has not got on for longer than it should. */
+function isStalled(task: TaskRun, now: number): boolean {
+  const { spec } = task.stage;
+  const patienceMs = Math.max(MIN_STALL_MS, spec.estimateMs * STALL_SHARE);
+  return task.phase === TaskPhase.Placed && task.isRunning &&
+    !task.isStopping && !spec.lasting && task.percent < 100 &&
+    now - task.progressedMs > patienceMs;
+}
+
 /** What a task of the stage takes of a worker's capacity. */
 export function bookedSize({ spec }: StageRun): Resources {
   return spec.bestEffort ? { ...spec.size, cpuMillis: 0 } : spec.size;
--- a/packages/dispatch/src/choice.ts
+++ b/packages/dispatch/src/choice.ts
@@ -16,6 +16,9 @@
 
 /** Weight of leaving accelerators idle beside processors, in a score. */
 const ACCELERATOR_WEIGHT = 4;
+/** Weight of a worker's slowness: urgent work goes to fast workers first. */
+const URGENT_SLOWNESS_WEIGHT = 4;
+const SLOWNESS_WEIGHT = 0.6;
 /** Added to the score of a worker that failed the task. */
 const FAILED_PENALTY = 100;
 /** Added to the score of a worker away from the task's data. */
@@ -132,7 +135,11 @@
     ? (free.accelerators - size.accelerators) / capacity.accelerators
     : 0;
   const { preferredRack } = stage.spec;
+  const slownessWeight = stage.job.record.queue.priority === 0
+    ? URGENT_SLOWNESS_WEIGHT
+    : SLOWNESS_WEIGHT;
   return cpu + memory + ACCELERATOR_WEIGHT * accelerators +
+    slownessWeight * (candidate.slowness - 1) +
     (task.failedOn.has(id) ? FAILED_PENALTY : 0) +
     (preferredRack !== "" && rack !== preferredRack ? FAR_PENALTY : 0);
 }
--- a/packages/dispatch/src/health.ts
+++ b/packages/dispatch/src/health.ts
@@ -15,6 +15,11 @@
 /** Refusals as unhealthy keep a worker out for this long, in milliseconds. */
 const UNHEALTHY_BAN_MS = 500;
 
+/** Weight of the newest run in a worker's smoothed slowness. */
+const SLOWNESS_SMOOTHING = 0.15;
+/** One run says no more than this about a worker. */
+const MAX_SLOWNESS = 8;
+
 /** What an end is evidence of. */
 export interface EndContext {
   /** Tasks of one queue are expected to fail alike on all workers. */
@@ -25,6 +30,7 @@
 /** Keeps out workers that fail what they are given. */
 export class WorkerHealth {
   readonly #refusedUntilMs = new Map<string, number>();
+  readonly #slowness = new Map<string, number>();
   #detector: FaultDetector = createDetector();
 
   /** True when the worker refused work lately. */
@@ -57,6 +63,20 @@
     return !wasOut && this.isQuarantined(workerId, now);
   }
 
+  /** A run took `ratio` times as long as others of its stage. */
+  ran(workerId: string, ratio: number): void {
+    const known = this.slowness(workerId);
+    this.#slowness.set(
+      workerId,
+      known + SLOWNESS_SMOOTHING * (Math.min(ratio, MAX_SLOWNESS) - known),
+    );
+  }
+
+  /** How long runs take there, as a multiple of what is usual. */
+  slowness(workerId: string): number {
+    return this.#slowness.get(workerId) ?? 1;
+  }
+
   /** The worker refused a start as unhealthy. */
   refused(workerId: string, now: number): void {
     this.#refusedUntilMs.set(workerId, now + UNHEALTHY_BAN_MS);
@@ -65,6 +85,7 @@
   /** Forgets everything, for a new tenure. */
   clear(): void {
     this.#refusedUntilMs.clear();
+    this.#slowness.clear();
     this.#detector = createDetector();
   }
 }
--- a/packages/permits/src/permits_plugin.ts
+++ b/packages/permits/src/permits_plugin.ts
@@ -76,6 +76,8 @@
     calls: new Map(),
     sparedUntilMs: new Map(),
     lastRequest: 0,
+    shortMs: 0,
+    shortAtMs: 0,
   };
 }
 
--- a/packages/permits/src/permits_state.ts
+++ b/packages/permits/src/permits_state.ts
@@ -45,6 +45,9 @@
   /** Nodes that failed to ask, with the time until which they are spared. */
   readonly sparedUntilMs: Map<string, number>;
   lastRequest: number;
+  /** Decaying sum of the time of short calls, in milliseconds. */
+  shortMs: number;
+  shortAtMs: number;
 }
 
 /** State of the permits plug-in. */
--- a/packages/permits/src/questions.ts
+++ b/packages/permits/src/questions.ts
@@ -28,8 +28,11 @@
 
 /** Questions that take longer than this are long, in milliseconds. */
 const LONG_MS = 150;
-/** Part of the nodes that long questions may hold at a time. */
-const LONG_SHARE = 0.67;
+/** Time over which the load of short questions is averaged, in ms. */
+const LOAD_WINDOW_MS = 2_000;
+/** Nodes kept free for short questions, by the nodes that these keep busy. */
+const SHORT_HEADROOM = 1.3;
+const SHORT_SPARE_NODES = 0.3;
 /** Time that a question may take beyond its usual time, in milliseconds. */
 const SLACK_MS = 250;
 /** The same as a multiple. */
@@ -121,7 +124,7 @@
     a.priority - b.priority || a.queuedMs - b.queuedMs
   );
   const nodes = askingNodes(update);
-  let longLeft = Math.max(1, Math.floor(nodes.total * LONG_SHARE)) -
+  let longLeft = longLimit(update, nodes.total) -
     [...permits.calls.values()].filter((call) => call.isLong).length;
   for (let index = 0; index < permits.waiting.length;) {
     const question = permits.waiting[index]!;
@@ -262,6 +265,10 @@
     workers: question.workers,
     timeoutMs,
   };
+  if (!isLong) {
+    permits.shortMs = shortLoadMs(update) + usualMs(question);
+    permits.shortAtMs = update.now;
+  }
   update.emit(count("permit-questions"));
   if (nodeId === update.service(NODE_IDENTITY).nodeId) {
     askForPeer(update, nodeId, request);
@@ -285,6 +292,18 @@
   }
 }
 
+/** Nodes that long questions may hold at a time. */
+function longLimit(update: Update, nodes: number): number {
+  const busyNodes = shortLoadMs(update) / LOAD_WINDOW_MS;
+  const kept = Math.ceil(SHORT_HEADROOM * busyNodes + SHORT_SPARE_NODES);
+  return Math.max(1, nodes - kept);
+}
+
+function shortLoadMs(update: Update): number {
+  const { shortMs, shortAtMs } = update.read(PERMITS);
+  return shortMs * Math.exp((shortAtMs - update.now) / LOAD_WINDOW_MS);
+}
+
 /** Nodes that no question holds; those in trouble only if there is no other. */
 function askingNodes(update: Update): { free: string[]; total: number } {
   const { calls, sparedUntilMs } = update.read(PERMITS);
