--- a/packages/intake/src/intake_plugin.ts
+++ b/packages/intake/src/intake_plugin.ts
@@ -52,6 +52,13 @@
   writeJob,
 } from "./submissions.ts";
 
+/**
+ * New connections come for so long after a planned stop was asked for, in
+ * milliseconds: balancers look once a second and need two failed looks.
+ */
+const DRAIN_MS = 2_200;
+/** A stop waits no longer for the hand-over of the domain, in milliseconds. */
+const MAX_RELEASE_MS = 4_500;
 /** How often paused and overdue calls are looked at, in milliseconds. */
 const TICK_MS = 40;
 
@@ -65,7 +72,7 @@
       kernel.registerState(INTAKE, {
         calls: new Map(),
         largest: new Map(),
-        isStopping: false,
+        stopAskedMs: Infinity,
       }),
       kernel.registerCommand(
         FRONT_CALL_RECEIVED,
@@ -99,7 +106,7 @@
       kernel.registerCommand(
         STOP_REQUESTED,
         (_, update) => {
-          update.write(INTAKE).isStopping = true;
+          update.write(INTAKE).stopAskedMs = update.now;
         },
         Normal,
       ),
@@ -316,13 +323,17 @@
   return waiting;
 }
 
-/** Ends the process once its calls are answered and the domain is handed on. */
+/**
+ * Ends the process once no new calls come, those that came are answered and
+ * the domain is handed on; that waits for the store, and not for ever.
+ */
 function considerStop(update: Update): void {
   const intake = update.write(INTAKE);
-  const { phase } = update.read(TENURE);
-  const isFree = phase === TenurePhase.Follower;
-  if (intake.isStopping && intake.calls.size === 0 && isFree) {
-    intake.isStopping = false;
+  const askedForMs = update.now - intake.stopAskedMs;
+  const isFree = update.read(TENURE).phase === TenurePhase.Follower ||
+    askedForMs >= MAX_RELEASE_MS;
+  if (askedForMs >= DRAIN_MS && intake.calls.size === 0 && isFree) {
+    intake.stopAskedMs = Infinity;
     update.emit(nodeEffect({ kind: EffectKind.Stopped }));
   }
 }
--- a/packages/intake/src/intake_state.ts
+++ b/packages/intake/src/intake_state.ts
@@ -45,7 +45,8 @@
   readonly calls: Map<string, PendingCall>;
   /** Largest worker seen of each pool, by dimension. */
   readonly largest: Map<string, Resources>;
-  isStopping: boolean;
+  /** When the planned stop was asked for; infinite before, in milliseconds. */
+  stopAskedMs: number;
 }
 
 /** State of the intake plug-in. */
--- a/packages/prove/src/domain/domain_scenarios.ts
+++ b/packages/prove/src/domain/domain_scenarios.ts
@@ -55,6 +55,19 @@
     name: "the owner is stopped as planned",
     disturb: (cluster) => cluster.stop(cluster.owner!),
   },
+  {
+    name: "the owner is stopped and the store goes silent at once",
+    minAccepted: 5,
+    disturb: (cluster) => {
+      const { nodeIds, store, clock } = cluster;
+      cluster.stop(cluster.owner!);
+      clock.after(
+        500,
+        () => nodeIds.forEach((id) => store.faults.silent.add(id)),
+      );
+      clock.after(6_500, () => store.faults.silent.clear());
+    },
+  },
   {
     name: "nodes are stopped in turn",
     disturb: (cluster) =>
