--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -129,6 +129,11 @@
     session.info.labels.includes(spec.requiredLabel);
 }
 
+/** True when the worker could hold a task of the stage if it were empty. */
+export function couldHold(stage: StageRun, { session }: Candidate): boolean {
+  return fitsWithin(bookedSize(stage), session.info.capacity);
+}
+
 /** True when one more task of the stage can start on the worker now. */
 export function hasRoom(candidate: Candidate, stage: StageRun): boolean {
   const { spec } = stage;
--- a/packages/dispatch/src/choice.ts
+++ b/packages/dispatch/src/choice.ts
@@ -1,4 +1,4 @@
-import { fitsWithin, type Resources } from "@mustardweir/model";
+import type { Resources } from "@mustardweir/model";
 import type { StageRun, TaskRun } from "./book.ts";
 import {
   book,
@@ -143,8 +143,3 @@
     (task.failedOn.has(id) ? FAILED_PENALTY : 0) +
     (preferredRack !== "" && rack !== preferredRack ? FAR_PENALTY : 0);
 }
-
-/** True when an empty worker of this capacity could hold a task. */
-export function couldHold(stage: StageRun, capacity: Resources): boolean {
-  return fitsWithin(bookedSize(stage), capacity);
-}
--- a/packages/dispatch/src/pump.ts
+++ b/packages/dispatch/src/pump.ts
@@ -27,9 +27,11 @@
 import {
   bookedSize,
   type Candidate,
+  couldHold,
   hasRoom,
   listCandidates,
   settleBookings,
+  suits,
 } from "./candidates.ts";
 import {
   BestFitRule,
@@ -224,22 +226,27 @@
   if (known.isAsked) {
     return;
   }
-  // A permit holds for a short time only: whoever has no room isn't asked
-  // about.
   const without = candidates.filter((candidate) =>
-    hasRoom(candidate, stage) &&
+    suits(candidate, stage) && couldHold(stage, candidate) &&
     heldPermit(update, stage.name, candidate.session.info.id) === undefined
   );
   const unjudged = without.filter(({ session }) =>
     !known.judged.has(session.info.id)
   );
-  const expired = without.filter(({ session }) =>
-    known.good.has(session.info.id)
+  const expired = without.filter((candidate) =>
+    known.good.has(candidate.session.info.id) && hasRoom(candidate, stage)
   );
-  // Verdicts never change, so workers that are known to be good come first.
-  const asked = expired.length > 0
-    ? expired.sort(byRoom).slice(0, MAX_REASKED)
-    : unjudged.sort(byRoom).slice(0, MAX_ASKED);
+  // A permit holds for a short time only, so nothing is asked while no task
+  // could start. Verdicts never change: one that is known is worth having of
+  // every worker, and most of a question's time goes before the first one.
+  const isUseful = expired.length > 0 ||
+    unjudged.some((candidate) => hasRoom(candidate, stage));
+  const asked = isUseful
+    ? [
+      ...expired.sort(byRoom).slice(0, MAX_REASKED),
+      ...unjudged.sort(byRoom),
+    ].slice(0, MAX_ASKED)
+    : [];
   askPermits(update, {
     stage: stage.name,
     workers: asked.map(({ session }) => session.info.id),
--- a/packages/replica/src/replica_plugin.ts
+++ b/packages/replica/src/replica_plugin.ts
@@ -52,6 +52,8 @@
 const TICK_MS = 20;
 /** Workers that left are remembered longer than any lease, in milliseconds. */
 const DEPARTED_MS = 30_000;
+/** Age of a source that was never known. */
+const NEVER = -1;
 /** Parts of sources that aren't the system's own records. */
 const SINGLE_PART: readonly string[] = [""];
 
@@ -180,7 +182,9 @@
           update.emit(logChange("Source lost", {
             source,
             reason: result.reason,
-            ageMs: Math.round(update.now - view.answeredMs),
+            ageMs: view.isListed
+              ? Math.round(update.now - view.answeredMs)
+              : NEVER,
           }));
         }
         return;
--- /dev/null
+++ b/packages/runtime/src/line_writer_test.ts
@@ -0,0 +1,68 @@
+import {
+  closeSync,
+  mkdtempSync,
+  openSync,
+  readFileSync,
+  rmSync,
+} from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { expect } from "chai";
+import { LineWriter } from "./line_writer.ts";
+
+const CASES = [
+  { name: "within the budget", lines: 5, perSecond: 10, bytes: 1_000, kept: 5 },
+  {
+    name: "beyond its second",
+    lines: 25,
+    perSecond: 10,
+    bytes: 1_000,
+    kept: 10,
+  },
+  { name: "beyond its memory", lines: 25, perSecond: 99, bytes: 40, kept: 10 },
+];
+
+describe("line writer", () => {
+  for (const { name, lines, perSecond, bytes, kept } of CASES) {
+    it(`keeps what is ${name} and counts the rest`, () => {
+      const folder = mkdtempSync(join(tmpdir(), "lines-"));
+      const path = join(folder, "out");
+      const descriptor = openSync(path, "w");
+      const leftOut: number[] = [];
+      let now = 5_000;
+      const writer = new LineWriter({
+        descriptor,
+        maxLinesPerSecond: perSecond,
+        maxWaitingBytes: bytes,
+        onLeftOut: (count) => leftOut.push(count),
+        now: () => now,
+      });
+      for (let index = 0; index < lines; index++) {
+        writer.write("abc\n");
+      }
+      writer.flush();
+      now += 1_000;
+      writer.write("end\n");
+      writer.flush();
+      expect(readFileSync(path, "utf8")).to.equal(
+        `${"abc\n".repeat(kept)}end\n`,
+      );
+      expect(leftOut).to.deep.equal(kept < lines ? [lines - kept] : []);
+      closeSync(descriptor);
+      rmSync(folder, { recursive: true });
+    });
+  }
+
+  it("writes urgent lines in any case", () => {
+    const folder = mkdtempSync(join(tmpdir(), "lines-"));
+    const path = join(folder, "out");
+    const descriptor = openSync(path, "w");
+    const writer = new LineWriter({ descriptor, maxLinesPerSecond: 0 });
+    writer.write("lost\n");
+    writer.write("kept\n", true);
+    writer.flush();
+    expect(readFileSync(path, "utf8")).to.equal("kept\n");
+    closeSync(descriptor);
+    rmSync(folder, { recursive: true });
+  });
+});
--- a/packages/runtime/src/mod.ts
+++ b/packages/runtime/src/mod.ts
@@ -8,6 +8,7 @@
 export * from "./event_loop.ts";
 export * from "./http_limits.ts";
 export * from "./incarnation.ts";
+export * from "./line_writer.ts";
 export * from "./log_performer.ts";
 export * from "./logger.ts";
 export * from "./metrics.ts";
