Stop ordering once a worker knows a newer owner

Cause: nothing handled the refusal of a fenced owner: one that was cut off the store and its peers went on with 3,018 refused orders in 10 s. Change: it gives the domain up. The oracle's first form counted orders that its own later rounds had voided, and orders carried out late; neither is a new order.

--- a/packages/prove/src/domain/domain_cluster.ts
+++ b/packages/prove/src/domain/domain_cluster.ts
@@ -27,6 +27,7 @@
 import { DomainStore } from "./domain_store.ts";
 import {
   DomainWorker,
+  type Refusal,
   type RunRecord,
   type TaskBehaviour,
 } from "./domain_worker.ts";
@@ -95,6 +96,7 @@
   readonly store: DomainStore;
   readonly workers = new Map<string, DomainWorker>();
   readonly runs: RunRecord[] = [];
+  readonly refusals: Refusal[] = [];
   readonly clients = new Map<string, ClientRecord>();
   readonly #options: DomainClusterOptions;
   readonly #random: Random;
@@ -240,6 +242,7 @@
         clock: this.clock,
         random: this.#random,
         runs: this.runs,
+        refusals: this.refusals,
         behave: (task) => this.#behaviour(task),
       }),
     );
--- a/packages/prove/src/domain/domain_oracle.ts
+++ b/packages/prove/src/domain/domain_oracle.ts
@@ -6,6 +6,10 @@
 /** Bounds of the promise about cancelled work, in milliseconds. */
 const CANCEL_MS = 3_000;
 
+/** A refused owner has so long to stop, in milliseconds. */
+const REFUSED_MS = 3_000;
+const MAX_LATE_ORDERS = 3;
+
 /** Everything that a finished run of the simulation has broken. */
 export function findViolations(cluster: DomainCluster): string[] {
   return [
@@ -15,6 +19,7 @@
     ...beyondAttempts(cluster),
     ...untrueAnswers(cluster),
     ...unfinished(cluster),
+    ...goesOnRefused(cluster),
   ];
 }
 
@@ -140,6 +145,22 @@
   });
 }
 
+/** A node that was refused for a newer owner soon stops to order. */
+function goesOnRefused({ refusals }: DomainCluster): string[] {
+  const byNode = groupBy(
+    refusals,
+    ({ node, token }) => `${node} under epoch ${Math.floor(token / 2 ** 24)}`,
+  );
+  return [...byNode].flatMap(([name, ofNode]) => {
+    const late = ofNode.filter(({ atMs }) =>
+      atMs > ofNode[0]!.atMs + REFUSED_MS
+    );
+    return late.length > MAX_LATE_ORDERS
+      ? [`${name} orders ${late.length} times after it was refused`]
+      : [];
+  });
+}
+
 function groupBy<Item>(
   items: readonly Item[],
   keyOf: (item: Item) => string,
--- a/packages/prove/src/domain/domain_scenarios.ts
+++ b/packages/prove/src/domain/domain_scenarios.ts
@@ -91,6 +91,19 @@
       clock.after(7_000, () => store.faults.silent.clear());
     },
   },
+  {
+    name: "the owner is cut off the store and its peers",
+    disturb: (cluster) => {
+      const { owner, nodeIds, store, clock } = cluster;
+      const others = nodeIds.filter((id) => id !== owner);
+      store.faults.silent.add(owner!);
+      others.forEach((id) => cluster.cutLink(owner!, id, true));
+      clock.after(14_000, () => {
+        store.faults.silent.clear();
+        others.forEach((id) => cluster.cutLink(owner!, id, false));
+      });
+    },
+  },
   {
     name: "the store turns two nodes away",
     minAccepted: JOBS,
--- a/packages/prove/src/domain/domain_worker.ts
+++ b/packages/prove/src/domain/domain_worker.ts
@@ -17,6 +17,9 @@
 const MIN_LATE_MS = 2_000;
 const MAX_LATE_MS = 12_000;
 
+/** Stands for the sender of an order that is carried out late. */
+const LATE = "late";
+
 /** One run of a task, as a worker saw it. */
 export interface RunRecord {
   readonly task: string;
@@ -53,6 +56,13 @@
   isStopping: boolean;
 }
 
+/** An order that a worker refused, knowing a newer owner. */
+export interface Refusal {
+  readonly node: string;
+  readonly token: number;
+  readonly atMs: number;
+}
+
 /** What a simulated worker needs. */
 export interface DomainWorkerOptions {
   readonly info: WorkerInfo;
@@ -60,6 +70,7 @@
   readonly random: Random;
   /** Taken down for the oracles. */
   readonly runs: RunRecord[];
+  readonly refusals: Refusal[];
   readonly behave: (task: string) => TaskBehaviour;
 }
 
@@ -128,7 +139,7 @@
     if (random.fraction() < this.faults.lateShare) {
       const delayMs = MIN_LATE_MS +
         random.below(MAX_LATE_MS - MIN_LATE_MS);
-      clock.after(delayMs, () => this.#obey(order, from, () => {}));
+      clock.after(delayMs, () => this.#obey(order, LATE, () => {}));
       noAnswer();
       return;
     }
@@ -157,6 +168,11 @@
       return;
     }
     if (order.token < this.#token) {
+      const { clock, refusals } = this.#options;
+      // What is only carried out late was ordered before.
+      if (from !== LATE && epochOf(order.token) < epochOf(this.#token)) {
+        refusals.push({ node: from, token: order.token, atMs: clock.now });
+      }
       say(OrderOutcome.Fenced);
       return;
     }
@@ -335,3 +351,7 @@
     return Math.floor(this.#options.clock.now - this.#bornMs);
   }
 }
+
+function epochOf(token: number): number {
+  return Math.floor(token / 2 ** 24);
+}
--- a/packages/sessions/src/sessions_plugin.ts
+++ b/packages/sessions/src/sessions_plugin.ts
@@ -20,13 +20,14 @@
 import {
   CHANGES_DURABLE,
   isOwner,
+  loseTenure,
   queueChange,
   TENURE,
   TENURE_GAINED,
   TENURE_LOST,
 } from "@mustardweir/tenure";
 import { INHERITED_LEASE_MS, UNCONFIRMED_MS } from "./leases.ts";
-import { ORDER_ANSWERED, orderAnswered } from "./orders.ts";
+import { ORDER_ANSWERED, orderAnswered, OWNER_FENCED } from "./orders.ts";
 import {
   considerLapse,
   considerRenewal,
@@ -69,6 +70,11 @@
         (answer, update) => orderAnswered(update, answer),
         Normal,
       ),
+      kernel.registerCommand(
+        OWNER_FENCED,
+        ({ workerId }, update) => fenced(update, workerId),
+        Normal,
+      ),
       kernel.registerCommand(
         RENEWAL_ANSWERED,
         (answer, update) => renewalAnswered(update, answer),
@@ -103,6 +109,13 @@
   }
 }
 
+/** A worker knows a newer owner, whatever the store has told this node. */
+function fenced(update: Update, workerId: string): void {
+  if (isOwner(update)) {
+    loseTenure(update, `worker ${workerId} knows a newer owner`);
+  }
+}
+
 function close(update: Update): void {
   const sessions = update.write(SESSIONS);
   sessions.isOpen = false;
