Start gangs whole; serve teams at their ceiling no questions

Cause: after a member of a gang failed, the others could be ready 20 ms before it and were started without it. Turns were chosen in time that grew with the square of the open stages.

--- a/packages/dispatch/src/pump.ts
+++ b/packages/dispatch/src/pump.ts
@@ -48,6 +48,8 @@
 const MAX_ASKED = 40;
 /** Workers of a known good verdict that are asked again. */
 const MAX_REASKED = 4;
+/** Share of a team that has none; it comes after all others. */
+const MIN_SHARE = 1e-6;
 /** Tasks that a team may start in one turn before others get theirs. */
 const TASKS_PER_TURN = 16;
 
@@ -87,22 +89,47 @@
   );
   const share = (team: string) =>
     dominantShare(book.used.get(team) ?? NO_RESOURCES, total) /
-    Math.max(teams.get(team)?.share ?? 1, 1e-6);
-  for (const priority of [...new Set(turns.map((t) => t.priority))].sort()) {
-    let open = turns.filter((turn) => turn.priority === priority);
-    while (open.length > 0) {
-      const next = open.reduce((a, b) => share(b.team) < share(a.team) ? b : a);
-      const placed = placeTurn(update, next, {
-        candidates: byPool.get(next.stage.job.record.queue.pool) ?? [],
-        team: teams.get(next.team),
+    Math.max(teams.get(team)?.share ?? 1, MIN_SHARE);
+  const priorities = [...new Set(turns.map((turn) => turn.priority))]
+    .sort((a, b) => a - b);
+  for (const priority of priorities) {
+    const byTeam = groupByTeam(
+      turns.filter((turn) => turn.priority === priority),
+    );
+    while (byTeam.size > 0) {
+      const team = [...byTeam.keys()].reduce((a, b) =>
+        share(b) < share(a) ? b : a
+      );
+      const waiting = byTeam.get(team)!;
+      const [next] = waiting;
+      const placed = placeTurn(update, next!, {
+        candidates: byPool.get(next!.stage.job.record.queue.pool) ?? [],
+        team: teams.get(team),
       });
       if (placed < TASKS_PER_TURN) {
-        open = open.filter((turn) => turn !== next);
+        waiting.shift();
+      }
+      if (waiting.length === 0) {
+        byTeam.delete(team);
       }
     }
   }
 }
 
+/** The turns of each team, in their order. */
+function groupByTeam(turns: readonly Turn[]): Map<string, Turn[]> {
+  const byTeam = new Map<string, Turn[]>();
+  for (const turn of turns) {
+    const known = byTeam.get(turn.team);
+    if (known === undefined) {
+      byTeam.set(turn.team, [turn]);
+    } else {
+      known.push(turn);
+    }
+  }
+  return byTeam;
+}
+
 function listTurns(update: Update): Turn[] {
   const inherited = inheritedPools(update);
   const turns: Turn[] = [];
@@ -116,14 +143,12 @@
       if (isStageDone(stage) || !isReady(stage)) {
         continue;
       }
-      const waiting = stage.tasks.filter((task) =>
+      const able = stage.tasks.filter((task) =>
         task.phase === TaskPhase.Waiting && task.notBeforeMs <= update.now &&
         !(task.isInherited && isHeld)
       );
-      const isWhole = !stage.spec.gang ||
-        stage.tasks.every((task) => task.phase !== TaskPhase.Placed) ||
-        waiting.some((task) => isLateMember(stage, task));
-      if (waiting.length > 0 && isWhole) {
+      const waiting = stage.spec.gang ? gangMembers(stage, able) : able;
+      if (waiting.length > 0) {
         turns.push({ stage, waiting, team: job.record.team, priority });
       }
     }
@@ -133,13 +158,19 @@
   );
 }
 
-/** A member of a running gang whose start was not taken. */
-function isLateMember(stage: StageRun, task: TaskRun): boolean {
-  return task.attempt > 0 &&
-    stage.tasks.some((other) =>
-      other.phase === TaskPhase.Placed && !other.isStopping &&
-      other.attempt === task.attempt
-    );
+/**
+ * The members that may start now: all of them, or those of a running gang
+ * whose start was not taken.
+ */
+function gangMembers(stage: StageRun, able: TaskRun[]): TaskRun[] {
+  const running = stage.tasks.filter((task) => task.phase === TaskPhase.Placed);
+  if (running.length === 0) {
+    return able.length === stage.tasks.length ? able : [];
+  }
+  const isBreaking = running.some((task) => task.isStopping);
+  return isBreaking
+    ? []
+    : able.filter((task) => task.attempt === running[0]!.attempt);
 }
 
 /** Pools where a predecessor may have left tasks that nobody has seen yet. */
@@ -162,18 +193,16 @@
     readonly team: FleetTeam | undefined;
   },
 ): number {
-  const allowed = permitted(update, stage, candidates);
-  if (allowed.length === 0) {
+  const isGang = stage.spec.gang;
+  const wanted = withinCeiling(update, { stage, waiting, team });
+  if (wanted.length === 0 || (isGang && wanted.length < waiting.length)) {
     return 0;
   }
-  const rule: PlacementRule = stage.spec.gang ? GANG : BEST_FIT;
-  const wanted = withinCeiling(update, { stage, waiting, team });
-  if (
-    wanted.length === 0 || (stage.spec.gang && wanted.length < waiting.length)
-  ) {
+  const allowed = permitted(update, stage, candidates);
+  if (allowed.length === 0) {
     return 0;
   }
-  const isGang = stage.spec.gang;
+  const rule: PlacementRule = isGang ? GANG : BEST_FIT;
   const choices = rule.choose(
     stage,
     isGang ? wanted : wanted.slice(0, TASKS_PER_TURN),
--- a/packages/prove/src/domain/domain_cluster.ts
+++ b/packages/prove/src/domain/domain_cluster.ts
@@ -244,14 +244,29 @@
         runs: this.runs,
         refusals: this.refusals,
         behave: (task) => this.#behaviour(task),
+        onFailed: (record) => this.#failed(record),
       }),
     );
     this.store.setWorker(id, info);
   }
 
   #behaviour(task: string): TaskBehaviour {
-    const client = this.clients.get(task.split(".")[0]!);
-    return JSON.parse(client?.spec.payload ?? "{}") as TaskBehaviour;
+    const [jobId, , stage, index] = task.split(".");
+    const spec = this.clients.get(jobId!)?.spec;
+    const behaviour = JSON.parse(spec?.payload ?? "{}") as TaskBehaviour;
+    // Of a gang one member fails, and breaks the others.
+    return spec?.stages[Number(stage)]?.gang === true && index !== "0"
+      ? { ...behaviour, failures: 0 }
+      : behaviour;
+  }
+
+  #failed({ task, attempt }: RunRecord): void {
+    const [jobId, occurrence, stage] = task.split(".");
+    if (this.clients.get(jobId!)?.spec.stages[Number(stage)]?.gang === true) {
+      for (const worker of this.workers.values()) {
+        worker.breakGang(`${jobId}.${occurrence}.${stage}.`, attempt);
+      }
+    }
   }
 
   #perform(node: SimulatedNode, effect: NodeEffect): void {
--- a/packages/prove/src/domain/domain_oracle.ts
+++ b/packages/prove/src/domain/domain_oracle.ts
@@ -20,6 +20,7 @@
     ...untrueAnswers(cluster),
     ...unfinished(cluster),
     ...goesOnRefused(cluster),
+    ...partialGangs(cluster),
   ];
 }
 
@@ -161,6 +162,23 @@
   });
 }
 
+/** All members of a gang are ordered to start together. */
+function partialGangs({ runs, clients }: DomainCluster): string[] {
+  const byAttempt = groupBy(
+    runs,
+    ({ task, attempt }) =>
+      `${task.split(".").slice(0, 3).join(".")}#${attempt}`,
+  );
+  return [...byAttempt].flatMap(([name, members]) => {
+    const [jobId, , stage] = name.split("#")[0]!.split(".");
+    const { gang, tasks } = clients.get(jobId!)!.spec.stages[Number(stage)]!;
+    const started = new Set(members.map(({ task }) => task)).size;
+    return gang && started < tasks
+      ? [`${name} starts ${started} of ${tasks} members`]
+      : [];
+  });
+}
+
 function groupBy<Item>(
   items: readonly Item[],
   keyOf: (item: Item) => string,
--- a/packages/prove/src/domain/domain_scenarios.ts
+++ b/packages/prove/src/domain/domain_scenarios.ts
@@ -255,6 +255,12 @@
       }
     },
   },
+  {
+    name: "every gang fails at first",
+    stages: [stageSpec({ gang: true, tasks: 4 })],
+    failures: 1,
+    disturb: () => {},
+  },
   {
     name: "gangs run and the owner is killed",
     stages: [stageSpec({ gang: true, tasks: 4 })],
--- a/packages/prove/src/domain/domain_worker.ts
+++ b/packages/prove/src/domain/domain_worker.ts
@@ -71,6 +71,8 @@
   /** Taken down for the oracles. */
   readonly runs: RunRecord[];
   readonly refusals: Refusal[];
+  /** Called when an attempt has failed. */
+  readonly onFailed: (record: RunRecord) => void;
   readonly behave: (task: string) => TaskBehaviour;
 }
 
@@ -114,6 +116,15 @@
     this.#leaseUntilMs = 0;
   }
 
+  /** Ends the other members of a gang of which one has failed. */
+  breakGang(stage: string, attempt: number): void {
+    for (const [key, { record }] of [...this.#running]) {
+      if (record.task.startsWith(stage) && record.attempt === attempt) {
+        this.#end(key, AttemptEnd.Broken);
+      }
+    }
+  }
+
   restart(): void {
     this.isUp = true;
     this.#bornMs = this.#options.clock.now;
@@ -271,6 +282,9 @@
       record,
     });
     this.#wake();
+    if (end === AttemptEnd.Failed) {
+      this.#options.onFailed(record);
+    }
   }
 
   #renew(
