--- a/packages/replica/src/apply.ts
+++ b/packages/replica/src/apply.ts
@@ -16,6 +16,7 @@
   type RecordError,
   RecordKind,
   type SessionRecord,
+  TENURE_FIELDS,
   type TenureRecord,
 } from "./record_keys.ts";
 import {
@@ -223,12 +224,7 @@
       }
     }),
   [RecordKind.Tenure]: (update, { replica, record, value }) =>
-    readFields<TenureRecord>(value, {
-      nodeId: "string",
-      incarnation: "string",
-      epoch: "number",
-      sequence: "number",
-    }).map((tenure) => {
+    readFields<TenureRecord>(value, TENURE_FIELDS).map((tenure) => {
       if (record.version <= (replica.tenure?.version ?? 0)) {
         return;
       }
--- a/packages/replica/src/record_keys.ts
+++ b/packages/replica/src/record_keys.ts
@@ -40,6 +40,14 @@
   readonly sequence: number;
 }
 
+/** Types of the fields of a {@link TenureRecord}. */
+export const TENURE_FIELDS = {
+  nodeId: "string",
+  incarnation: "string",
+  epoch: "number",
+  sequence: "number",
+} as const;
+
 /** How far the ends of a worker are recorded. */
 export interface SessionRecord {
   readonly address: string;
--- a/packages/sessions/src/mod.ts
+++ b/packages/sessions/src/mod.ts
@@ -12,6 +12,6 @@
   stopAttempt,
   throttleAttempt,
 } from "./orders.ts";
-export { keepFound } from "./renewals.ts";
+export { keepFound } from "./listings.ts";
 export * from "./session_state.ts";
 export * from "./sessions_plugin.ts";
--- a/packages/sessions/src/session_state.ts
+++ b/packages/sessions/src/session_state.ts
@@ -80,6 +80,8 @@
 export interface Sessions {
   epoch: number;
   isOpen: boolean;
+  /** Names renewals apart. */
+  lastRenewal: number;
   readonly byWorker: Map<string, Session>;
 }
 
--- a/packages/sessions/src/sessions_plugin.ts
+++ b/packages/sessions/src/sessions_plugin.ts
@@ -28,10 +28,10 @@
 } from "@mustardweir/tenure";
 import { INHERITED_LEASE_MS, UNCONFIRMED_MS } from "./leases.ts";
 import { ORDER_ANSWERED, orderAnswered, OWNER_FENCED } from "./orders.ts";
+import { recordSession } from "./listings.ts";
 import {
   considerLapse,
   considerRenewal,
-  recordSession,
   RENEWAL_ANSWERED,
   renewalAnswered,
 } from "./renewals.ts";
@@ -52,6 +52,7 @@
       kernel.registerState(SESSIONS, {
         epoch: 0,
         isOpen: false,
+        lastRenewal: 0,
         byWorker: new Map(),
       }),
       kernel.registerCommand(
--- a/packages/tenure/src/commits.ts
+++ b/packages/tenure/src/commits.ts
@@ -13,7 +13,9 @@
 } from "@mustardweir/protocol";
 import {
   DOMAIN_PART,
+  readFields,
   REPLICA,
+  TENURE_FIELDS,
   TENURE_KEY,
   type TenureRecord,
 } from "@mustardweir/replica";
@@ -157,15 +159,12 @@
 ): void {
   const tenure = update.write(TENURE);
   const [record] = records;
-  const held = record?.value === undefined
-    ? undefined
-    : JSON.parse(record.value) as TenureRecord;
-  const sent = JSON.parse(
-    inFlight.transaction.puts[0]!.value,
-  ) as TenureRecord;
-  const isMine = held?.nodeId === sent.nodeId &&
-    held.incarnation === sent.incarnation && held.epoch === sent.epoch;
-  if (record !== undefined && isMine && held.sequence === sent.sequence) {
+  const held = readTenure(record?.value ?? "");
+  const sent = readTenure(inFlight.transaction.puts[0]!.value);
+  const isSent = held !== undefined && sent !== undefined &&
+    held.nodeId === sent.nodeId && held.incarnation === sent.incarnation &&
+    held.epoch === sent.epoch && held.sequence === sent.sequence;
+  if (record !== undefined && isSent) {
     // An earlier try took effect and its answer was lost.
     committed(update, inFlight, record.version);
     return;
@@ -189,6 +188,10 @@
   loseTenure(update, "another node owns the domain");
 }
 
+function readTenure(text: string): TenureRecord | undefined {
+  return readFields<TenureRecord>(text, TENURE_FIELDS).unwrapOr(undefined);
+}
+
 /** Gives up the domain; what wasn't durable is left to the next owner. */
 export function loseTenure(update: Update, reason: string): void {
   const tenure = update.write(TENURE);
