--- a/packages/dispatch/src/pump.ts
+++ b/packages/dispatch/src/pump.ts
@@ -242,7 +242,7 @@
 }
 
 /** Asks for permits of workers with room that have none. */
-export function askForMore(
+function askForMore(
   update: Update,
   stage: StageRun,
   candidates: readonly Candidate[],
--- a/packages/protocol/src/worker_orders.ts
+++ b/packages/protocol/src/worker_orders.ts
@@ -8,8 +8,6 @@
   Stop = "stop",
   /** Renews the lease, acknowledges ends and lists what runs. */
   Renew = "renew",
-  /** Limits how fast a best-effort task works. */
-  Throttle = "throttle",
 }
 
 /** Names an attempt of a task on a worker. */
@@ -40,11 +38,6 @@
     readonly leaseUntilMs?: number;
     /** Longest wait for an end, in milliseconds; 0 for none. */
     readonly waitMs: number;
-  }
-  | AttemptName & {
-    readonly kind: OrderKind.Throttle;
-    readonly token: number;
-    readonly percent: number;
   };
 
 /** What came of an order. */
--- a/packages/prove/src/domain/domain_worker.ts
+++ b/packages/prove/src/domain/domain_worker.ts
@@ -199,9 +199,6 @@
       case OrderKind.Renew:
         this.#renew(order, answer);
         break;
-      case OrderKind.Throttle:
-        say(OrderOutcome.Obeyed);
-        break;
     }
   }
 
--- a/packages/replica/src/apply.ts
+++ b/packages/replica/src/apply.ts
@@ -43,8 +43,10 @@
       applyDrain(update, replica, change);
       break;
     case ChangeKind.Wave:
-      replica.waves.set(change.wave.wave, change.wave);
-      update.dispatch(DESIRED_CHANGED, {});
+      update.emit(logChange("Maintenance wave left to the operators", {
+        wave: change.wave.wave,
+        machines: change.wave.machines.length,
+      }));
       break;
     case ChangeKind.Worker:
       applyWorker(update, change.id, change.worker);
--- a/packages/replica/src/replica.ts
+++ b/packages/replica/src/replica.ts
@@ -7,7 +7,6 @@
   DesiredState,
   JobProgress,
   JobRecord,
-  MaintenanceWave,
   WorkerInfo,
 } from "@mustardweir/model";
 import { StagedJobState } from "@mustardweir/model";
@@ -59,7 +58,6 @@
   desired: DesiredState | undefined;
   /** Zones that operators want empty, with the time they were seen. */
   readonly drainedZones: Map<string, number>;
-  readonly waves: Map<number, MaintenanceWave>;
   readonly workers: Map<string, WorkerInfo>;
   readonly departed: Map<string, DepartedWorker>;
   readonly jobs: Map<string, KnownJob>;
@@ -78,7 +76,7 @@
 /** State of the replica plug-in. */
 export const REPLICA = createStateKey<Replica>("replica");
 
-/** The desired state, drains or waves changed. */
+/** The desired state or a drain changed. */
 export const DESIRED_CHANGED = createCommand<Record<string, never>>(
   "desired-changed",
 );
--- a/packages/replica/src/replica_plugin.ts
+++ b/packages/replica/src/replica_plugin.ts
@@ -313,7 +313,6 @@
     },
     desired: undefined,
     drainedZones: new Map(),
-    waves: new Map(),
     workers: new Map(),
     departed: new Map(),
     jobs: new Map(),
--- a/packages/sessions/src/mod.ts
+++ b/packages/sessions/src/mod.ts
@@ -10,7 +10,6 @@
   startAttempt,
   type StartOptions,
   stopAttempt,
-  throttleAttempt,
 } from "./orders.ts";
 export { keepFound } from "./listings.ts";
 export * from "./session_state.ts";
--- a/packages/sessions/src/orders.ts
+++ b/packages/sessions/src/orders.ts
@@ -37,7 +37,7 @@
   readonly token: number;
 }
 
-/** A start, stop or throttle has been answered. */
+/** A start or stop has been answered. */
 export const ORDER_ANSWERED = createCommand<
   Answered<OrderContext, OrderResult>
 >("order-answered");
@@ -121,26 +121,7 @@
   update.emit(count("stops"));
 }
 
-/** Limits how fast a best-effort attempt works, in percent. */
-export function throttleAttempt(
-  update: Update,
-  { workerId, task, attempt }: PlacedAttempt,
-  percent: number,
-): void {
-  const session = findSession(update, workerId);
-  if (session !== undefined) {
-    send(update, session, {
-      kind: OrderKind.Throttle,
-      task,
-      attempt,
-      percent,
-      token: tokenOf(update, session),
-    });
-    update.emit(count("throttles"));
-  }
-}
-
-/** Takes the answer to a start, stop or throttle. */
+/** Takes the answer to a start or stop. */
 export function orderAnswered(
   update: Update,
   { context, result }: Answered<OrderContext, OrderResult>,
@@ -157,7 +138,7 @@
     return;
   }
   const attempt = session.attempts.get(attemptKey(context));
-  if (attempt === undefined || context.kind === OrderKind.Throttle) {
+  if (attempt === undefined) {
     return;
   }
   if (context.kind === OrderKind.Stop) {
--- a/packages/tenure/src/mod.ts
+++ b/packages/tenure/src/mod.ts
@@ -5,6 +5,6 @@
  * @module
  */
 export { livePeers } from "./nodes.ts";
-export { loseTenure, pumpCommits } from "./commits.ts";
+export { loseTenure } from "./commits.ts";
 export * from "./tenure_plugin.ts";
 export * from "./tenure_state.ts";
