--- a/packages/intake/src/intake_plugin.ts
+++ b/packages/intake/src/intake_plugin.ts
@@ -36,7 +36,12 @@
   WORKER_CHANGED,
 } from "@mustardweir/replica";
 import { TENURE, TenurePhase } from "@mustardweir/tenure";
-import { CallPurpose, CallStep, INTAKE } from "./intake_state.ts";
+import {
+  CallPurpose,
+  CallStep,
+  INTAKE,
+  type PendingCall,
+} from "./intake_state.ts";
 import { findRoute, isJobId, teamOfKey } from "./routes.ts";
 import {
   answer,
@@ -260,12 +265,12 @@
 }
 
 type OpenOptions = Pick<
-  import("./intake_state.ts").PendingCall,
+  PendingCall,
   "callId" | "purpose" | "jobId" | "queue" | "record"
 >;
 
-function open(update: Update, options: OpenOptions) {
-  const call = {
+function open(update: Update, options: OpenOptions): PendingCall {
+  const call: PendingCall = {
     ...options,
     receivedMs: update.now,
     step: CallStep.Looking,
--- a/packages/wire/src/message_schemas.ts
+++ b/packages/wire/src/message_schemas.ts
@@ -1,7 +1,6 @@
 import {
   EndReason,
   JobKind,
-  jobRecordSchema,
   jobSpecSchema,
   JobState,
   Outcome,
@@ -12,21 +11,22 @@
   AskMode,
   BurnWindow,
   DeclineReason,
-  EffectKind,
   HomeCallKind,
   HomeReplyKind,
   type PeerMessage,
   PeerMessageKind,
-  PermitResultKind,
-  RecordCommitKind,
   RoomResult,
-  Source,
-  type SourceChange,
-  SourceResultKind,
   StopMode,
   TaskPhase,
 } from "@mustardweir/protocol";
 import { z } from "zod";
+import {
+  jobAdmitted,
+  permitReply,
+  permitRequest,
+  storeReply,
+  storeRequest,
+} from "./domain_schemas.ts";
 
 type SchemaOf<Kind extends PeerMessageKind> = z.ZodType<
   Extract<PeerMessage, { readonly kind: Kind }>
@@ -284,112 +284,6 @@
   announcementId: z.string(),
 });
 
-const jobAdmitted = z.looseObject({
-  kind: z.literal(PeerMessageKind.JobAdmitted),
-  jobId: z.string(),
-  record: jobRecordSchema,
-});
-
-const permitRequest = z.looseObject({
-  kind: z.literal(PeerMessageKind.PermitRequest),
-  requestId: z.number(),
-  stage: z.string(),
-  workers: z.array(z.string()),
-  timeoutMs: z.number(),
-});
-
-const permitReply = z.looseObject({
-  kind: z.literal(PeerMessageKind.PermitReply),
-  requestId: z.number(),
-  result: z.discriminatedUnion("kind", [
-    z.looseObject({
-      kind: z.literal(PermitResultKind.Judged),
-      permits: z.array(
-        z.looseObject({ workerId: z.string(), permit: z.string() }),
-      ),
-      validMs: z.number(),
-    }),
-    z.looseObject({ kind: z.literal(PermitResultKind.Busy) }),
-    z.looseObject({ kind: z.literal(PermitResultKind.Unavailable) }),
-  ]),
-});
-
-const recordName = { part: z.string(), key: z.string() };
-const storedRecord = z.looseObject({
-  ...recordName,
-  version: z.number(),
-  value: z.string().optional(),
-});
-
-const storeRequest = z.looseObject({
-  kind: z.literal(PeerMessageKind.StoreRequest),
-  requestId: z.number(),
-  call: z.discriminatedUnion("kind", [
-    z.looseObject({
-      kind: z.literal(EffectKind.CommitRecords),
-      transaction: z.looseObject({
-        expected: z.array(
-          z.looseObject({ ...recordName, version: z.number() }),
-        ),
-        puts: z.array(z.looseObject({ ...recordName, value: z.string() })),
-        removes: z.array(z.looseObject(recordName)),
-      }),
-      timeoutMs: z.number(),
-    }),
-    z.looseObject({
-      kind: z.literal(EffectKind.ReadSource),
-      source: z.enum(Source),
-      part: z.string(),
-      after: z.string().optional(),
-      only: z.string().optional(),
-      timeoutMs: z.number(),
-    }),
-    z.looseObject({
-      kind: z.literal(EffectKind.FollowSource),
-      source: z.enum(Source),
-      afterVersion: z.number(),
-      waitMs: z.number(),
-      timeoutMs: z.number(),
-    }),
-  ]),
-});
-
-/** Changes were decoded by the peer's adapter; their kind tells them apart. */
-const sourceChange = z.custom<SourceChange>((value) =>
-  typeof value === "object" && value !== null && "kind" in value
-);
-
-const storeReply = z.looseObject({
-  kind: z.literal(PeerMessageKind.StoreReply),
-  requestId: z.number(),
-  result: z.discriminatedUnion("kind", [
-    z.looseObject({
-      kind: z.literal(RecordCommitKind.Committed),
-      version: z.number(),
-      clockMs: z.number(),
-    }),
-    z.looseObject({
-      kind: z.literal(RecordCommitKind.Conflict),
-      records: z.array(storedRecord),
-    }),
-    z.looseObject({ kind: z.literal(RecordCommitKind.Refused) }),
-    z.looseObject({ kind: z.literal(RecordCommitKind.Unknown) }),
-    z.looseObject({
-      kind: z.literal(SourceResultKind.Read),
-      changes: z.array(sourceChange),
-      version: z.number(),
-      nextAfter: z.string().optional(),
-      clockMs: z.number(),
-      unixMs: z.number(),
-    }),
-    z.looseObject({ kind: z.literal(SourceResultKind.HistoryLost) }),
-    z.looseObject({
-      kind: z.literal(SourceResultKind.Unavailable),
-      reason: z.string(),
-    }),
-  ]),
-});
-
 /** The shape that each kind promises, checked against the protocol's types. */
 const MESSAGE_SCHEMAS: { readonly [Kind in PeerMessageKind]: SchemaOf<Kind> } =
   {
