Check amounts of resources by one schema

The schemas of records had a copy of the one that the links use. Same shape, same checks; types, lint, the codec's and links' tests (40) and the domain's scenarios (103) pass.

--- a/packages/model/src/record_schemas.ts
+++ b/packages/model/src/record_schemas.ts
@@ -5,7 +5,8 @@
   StagedJobState,
 } from "./staged_job.ts";
 
-const resources = z.looseObject({
+/** Checks amounts of resources that were read or received. */
+export const resourcesSchema = z.looseObject({
   cpuMillis: z.number(),
   memoryMb: z.number(),
   accelerators: z.number(),
@@ -14,7 +15,7 @@
 
 const stage = z.looseObject({
   tasks: z.number(),
-  size: resources,
+  size: resourcesSchema,
   estimateMs: z.number(),
   dependsOn: z.array(z.number()),
   checkpoints: z.boolean(),
--- a/packages/wire/src/message_schemas.ts
+++ b/packages/wire/src/message_schemas.ts
@@ -6,6 +6,7 @@
   Outcome,
   Priority,
   RefusalReason,
+  resourcesSchema,
 } from "@mustardweir/model";
 import {
   AskMode,
@@ -32,13 +33,6 @@
   Extract<PeerMessage, { readonly kind: Kind }>
 >;
 
-const resources = z.looseObject({
-  cpuMillis: z.number(),
-  memoryMb: z.number(),
-  accelerators: z.number(),
-  slots: z.number(),
-});
-
 const taskSpec = z.looseObject({
   taskId: z.string(),
   jobId: z.string(),
@@ -48,7 +42,7 @@
   kind: z.enum(JobKind),
   priority: z.enum(Priority),
   idempotent: z.boolean(),
-  size: resources,
+  size: resourcesSchema,
   durationMs: z.number().optional(),
   payload: z.string(),
   checkpoint: z.string().optional(),
@@ -96,11 +90,11 @@
   slices: z.array(z.looseObject({
     sliceId: z.string(),
     epoch: z.number(),
-    free: resources,
-    total: resources,
+    free: resourcesSchema,
+    total: resourcesSchema,
     waiting: z.number(),
   })),
-  usage: z.array(z.looseObject({ team: z.string(), used: resources })),
+  usage: z.array(z.looseObject({ team: z.string(), used: resourcesSchema })),
 });
 
 const homeCall = z.looseObject({
@@ -129,7 +123,7 @@
     z.looseObject({
       kind: z.literal(HomeReplyKind.List),
       jobs: z.array(jobStatus),
-      running: resources,
+      running: resourcesSchema,
     }),
     z.looseObject({ kind: z.literal(HomeReplyKind.Refused), refusal }),
     z.looseObject({
