Record that a silent worker is empty, so that takeovers don't wait for it

Ruled out: slow starts (ready after 0.8 s) and permits (granted at once for new jobs).

Change: the owner records a silent worker with no attempts as idle, and starts nothing there before it has recorded it anew. A successor doesn't wait for it.

--- a/packages/replica/src/apply.ts
+++ b/packages/replica/src/apply.ts
@@ -15,6 +15,7 @@
   readProgress,
   type RecordError,
   RecordKind,
+  SESSION_FIELDS,
   type SessionRecord,
   TENURE_FIELDS,
   type TenureRecord,
@@ -203,12 +204,8 @@
     return undefined;
   },
   [RecordKind.Session]: (_update, { replica, name, value }) =>
-    readFields<SessionRecord>(value, {
-      address: "string",
-      pool: "string",
-      incarnation: "number",
-      recorded: "number",
-    }).map((session) => replica.sessions.set(name, session)),
+    readFields<SessionRecord>(value, SESSION_FIELDS)
+      .map((session) => replica.sessions.set(name, session)),
   [RecordKind.Node]: (update, { replica, name, value }) =>
     readFields<NodeRecord>(value, {
       address: "string",
--- a/packages/replica/src/record_keys.ts
+++ b/packages/replica/src/record_keys.ts
@@ -55,8 +55,19 @@
   readonly incarnation: number;
   /** Number of the last end that is recorded. */
   readonly recorded: number;
+  /** Nothing runs there and nothing is started before a newer record. */
+  readonly isIdle: boolean;
 }
 
+/** Types of the fields of a {@link SessionRecord}. */
+export const SESSION_FIELDS = {
+  address: "string",
+  pool: "string",
+  incarnation: "number",
+  recorded: "number",
+  isIdle: "boolean",
+} as const;
+
 /** Where a node is reached. */
 export interface NodeRecord {
   readonly address: string;
@@ -172,7 +183,7 @@
 /** Reads one of the small records, checking the fields named. */
 export function readFields<Fields>(
   text: string,
-  types: { readonly [Name in keyof Fields]: "string" | "number" },
+  types: { readonly [Name in keyof Fields]: "string" | "number" | "boolean" },
 ): Result<Fields, RecordError> {
   return readJson(text).andThen((value) => {
     const wrong = Object.entries(types).find(([name, type]) =>
--- a/packages/sessions/src/listings.ts
+++ b/packages/sessions/src/listings.ts
@@ -112,19 +112,39 @@
 
 /** Records how far the ends are handled, after what they changed. */
 export function recordSession(update: Update, session: Session): void {
+  const ticket = queueRecord(update, session, false);
+  session.ticket ||= ticket;
+  session.pendingRecords.push({ number: session.handled, ticket });
+}
+
+/**
+ * Records that nothing runs on a silent worker, so that a successor doesn't
+ * wait for its leases. Nothing is started there before it is recorded anew.
+ */
+export function recordIdle(update: Update, session: Session): void {
+  session.isRecorded = false;
+  session.ticket = 0;
+  session.pendingRecords.length = 0;
+  queueRecord(update, session, true);
+}
+
+function queueRecord(
+  update: Update,
+  { info, incarnation, handled }: Session,
+  isIdle: boolean,
+): number {
   const record: SessionRecord = {
-    address: session.info.address,
-    pool: session.info.pool,
-    incarnation: session.incarnation,
-    recorded: session.handled,
+    address: info.address,
+    pool: info.pool,
+    incarnation,
+    recorded: handled,
+    isIdle,
   };
-  const ticket = queueChange(
+  return queueChange(
     update,
-    recordKey(RecordKind.Session, session.info.id),
+    recordKey(RecordKind.Session, info.id),
     JSON.stringify(record),
   );
-  session.ticket ||= ticket;
-  session.pendingRecords.push({ number: session.handled, ticket });
 }
 
 function takeRunning(
--- a/packages/sessions/src/session_state.ts
+++ b/packages/sessions/src/session_state.ts
@@ -65,6 +65,7 @@
   readonly pendingRecords: PendingRecord[];
   /** Ticket of the record of this session; 0 before it is queued. */
   ticket: number;
+  /** The record says that tasks may run there, so that they may be started. */
   isRecorded: boolean;
   /** Identifies the renewal on its way; 0 for none. */
   renewal: number;
--- a/packages/sessions/src/sessions_plugin.ts
+++ b/packages/sessions/src/sessions_plugin.ts
@@ -28,7 +28,7 @@
 } from "@mustardweir/tenure";
 import { INHERITED_LEASE_MS, UNCONFIRMED_MS } from "./leases.ts";
 import { ORDER_ANSWERED, orderAnswered, OWNER_FENCED } from "./orders.ts";
-import { recordSession } from "./listings.ts";
+import { recordIdle, recordSession } from "./listings.ts";
 import {
   considerLapse,
   considerRenewal,
@@ -39,6 +39,8 @@
 
 /** How often renewals and lapses are looked at, in milliseconds. */
 const TICK_MS = 20;
+/** Renewals without an answer after which an empty worker is recorded so. */
+const IDLE_MISSES = 2;
 /** Workers that left and answer no more are dropped after this. */
 const DEPARTED_DROP_MS = 15_000;
 
@@ -148,7 +150,7 @@
 ): void {
   const record = update.read(REPLICA).sessions.get(info.id);
   const recorded = record?.recorded ?? 0;
-  const hasPast = record !== undefined;
+  const hasPast = record?.isIdle === false;
   update.write(SESSIONS).byWorker.set(info.id, {
     info,
     isRegistered,
@@ -223,7 +225,11 @@
   for (const [id, session] of [...update.read(SESSIONS).byWorker]) {
     considerLapse(update, session);
     considerRenewal(update, session, mayExtend);
-    if (!session.isRecorded && session.ticket === 0) {
+    if (isSilentAndEmpty(session)) {
+      recordIdle(update, session);
+    } else if (
+      !session.isRecorded && session.ticket === 0 && session.missed === 0
+    ) {
       considerRecording(update, session);
     }
     if (isGone(session, update.now)) {
@@ -241,6 +247,12 @@
   }
 }
 
+function isSilentAndEmpty(session: Readonly<Session>): boolean {
+  return session.isRecorded && session.isSettled &&
+    session.missed >= IDLE_MISSES && session.attempts.size === 0 &&
+    session.recorded >= session.handled;
+}
+
 function isGone(session: Readonly<Session>, now: number): boolean {
   return !session.isRegistered && session.isSettled &&
     session.attempts.size === 0 && session.missed > 0 &&
