Place what can still be done in time before what is late, useless or in excess

Ruled out: permits (median wait 0.1 s in that span).

Change: turns rank by queue priority, within one by whether the objective can still be met; jobs beyond the rate of their team and jobs past three times their objective run on what is left. Questions to the placement policy follow the same rank.

--- a/packages/dispatch/src/book.ts
+++ b/packages/dispatch/src/book.ts
@@ -15,6 +15,7 @@
   subtractResources,
   taskKey,
 } from "@mustardweir/model";
+import type { RateMeter } from "./rates.ts";
 
 /** Where a task stands. */
 export enum TaskPhase {
@@ -79,6 +80,8 @@
   dueOccurrences: number;
   state: StagedJobState;
   isInherited: boolean;
+  /** Handed in beyond the rate that its team is entitled to. */
+  readonly isExcess: boolean;
 }
 
 /** All jobs of the domain that have not ended, as its owner runs them. */
@@ -88,6 +91,7 @@
   readonly jobs: Map<string, JobRun>;
   /** Jobs that ended in this tenure; the records may still lag behind. */
   readonly ended: Set<string>;
+  readonly rates: RateMeter;
   /** What each team takes, with what is being stopped. */
   readonly used: Map<string, Resources>;
   isDirty: boolean;
@@ -113,10 +117,11 @@
 /** A job with its stages as they were recorded. */
 export function createJobRun(
   jobId: string,
-  { record, progress, isInherited }: {
+  { record, progress, isInherited, isExcess }: {
     readonly record: JobRecord;
     readonly progress: Readonly<JobProgress> | undefined;
     readonly isInherited: boolean;
+    readonly isExcess: boolean;
   },
 ): JobRun {
   const job: JobRun = {
@@ -126,6 +131,7 @@
     dueOccurrences: 0,
     state: progress?.state ?? StagedJobState.Pending,
     isInherited,
+    isExcess,
   };
   if (record.spec.schedule === undefined) {
     addOccurrence(job, progress);
--- a/packages/dispatch/src/dispatch_plugin.ts
+++ b/packages/dispatch/src/dispatch_plugin.ts
@@ -59,6 +59,7 @@
 import { WORKER_HEALTH, WorkerHealth } from "./health.ts";
 import { endJob } from "./progress.ts";
 import { pump, requestPump } from "./pump.ts";
+import { RateMeter } from "./rates.ts";
 
 /** How often waiting tasks are looked at in any case, in milliseconds. */
 const TICK_MS = 20;
@@ -89,6 +90,7 @@
         epoch: 0,
         jobs: new Map(),
         ended: new Set(),
+        rates: new RateMeter(),
         used: new Map(),
         isDirty: false,
         lastPumpMs: 0,
@@ -173,9 +175,12 @@
   book.epoch = epoch;
   book.jobs.clear();
   book.ended.clear();
+  book.rates.clear();
   book.used.clear();
   update.write(WORKER_HEALTH).clear();
-  for (const job of update.read(REPLICA).jobs.values()) {
+  const jobs = [...update.read(REPLICA).jobs.values()]
+    .sort((a, b) => a.record.acceptedMs - b.record.acceptedMs);
+  for (const job of jobs) {
     addJob(update, job, true);
   }
   requestPump(update);
@@ -194,13 +199,20 @@
   known: Readonly<KnownJob>,
   isInherited: boolean,
 ): void {
-  if (isFinal(known.progress?.state ?? StagedJobState.Pending)) {
+  const { record, progress } = known;
+  const { team, acceptedMs } = record;
+  const jobsPerS = update.read(REPLICA).desired?.teams
+    .find(({ name }) => name === team)?.jobsPerS ?? 0;
+  const isExcess = update.write(BOOK).rates
+    .isExcess(team, { jobsPerS, acceptedMs });
+  if (isFinal(progress?.state ?? StagedJobState.Pending)) {
     return;
   }
   const job = createJobRun(known.jobId, {
-    record: known.record,
-    progress: known.progress,
+    record,
+    progress,
     isInherited,
+    isExcess,
   });
   update.write(BOOK).jobs.set(known.jobId, job);
   if (known.isCancelled) {
--- a/packages/dispatch/src/pump.ts
+++ b/packages/dispatch/src/pump.ts
@@ -9,7 +9,7 @@
 } from "@mustardweir/model";
 import { logChange } from "@mustardweir/protocol";
 import { askPermits, heldPermit, stagePermits } from "@mustardweir/permits";
-import { REPLICA } from "@mustardweir/replica";
+import { REPLICA, storeNow, unixNow } from "@mustardweir/replica";
 import { SESSIONS, startAttempt } from "@mustardweir/sessions";
 import {
   BOOK,
@@ -41,6 +41,7 @@
 } from "./choice.ts";
 import { WORKER_HEALTH } from "./health.ts";
 import { writeProgress } from "./progress.ts";
+import { ObjectiveOrder, type TurnOrder } from "./turn_order.ts";
 
 /** Shortest time between two rounds of placement, in milliseconds. */
 const PUMP_GAP_MS = 8;
@@ -55,13 +56,15 @@
 
 const BEST_FIT = new BestFitRule();
 const GANG = new GangRule();
+const ORDER: TurnOrder = new ObjectiveOrder();
 
 /** A stage with tasks that wait for a worker. */
 interface Turn {
   readonly stage: StageRun;
   readonly waiting: TaskRun[];
   readonly team: string;
-  readonly priority: number;
+  /** Turns of a lower rank come first. */
+  readonly rank: number;
 }
 
 /** Notes that there may be something to place, and places it soon. */
@@ -73,7 +76,7 @@
   }
 }
 
-/** Places waiting tasks: urgent queues first, then the team with least. */
+/** Places waiting tasks: by rank, then the team with least. */
 export function pump(update: Update): void {
   const book = update.write(BOOK);
   if (!book.isOpen || !book.isDirty) {
@@ -90,12 +93,10 @@
   const share = (team: string) =>
     dominantShare(book.used.get(team) ?? NO_RESOURCES, total) /
     Math.max(teams.get(team)?.share ?? 1, MIN_SHARE);
-  const priorities = [...new Set(turns.map((turn) => turn.priority))]
+  const ranks = [...new Set(turns.map((turn) => turn.rank))]
     .sort((a, b) => a - b);
-  for (const priority of priorities) {
-    const byTeam = groupByTeam(
-      turns.filter((turn) => turn.priority === priority),
-    );
+  for (const rank of ranks) {
+    const byTeam = groupByTeam(turns.filter((turn) => turn.rank === rank));
     while (byTeam.size > 0) {
       const team = [...byTeam.keys()].reduce((a, b) =>
         share(b) < share(a) ? b : a
@@ -132,12 +133,13 @@
 
 function listTurns(update: Update): Turn[] {
   const inherited = inheritedPools(update);
+  const clock = { storeMs: storeNow(update), unixMs: unixNow(update) };
   const turns: Turn[] = [];
   for (const job of update.write(BOOK).jobs.values()) {
     if (!isOpen(job)) {
       continue;
     }
-    const { pool, priority } = job.record.queue;
+    const { pool } = job.record.queue;
     const isHeld = inherited.has(pool) || inherited.has("");
     for (const stage of job.stages.values()) {
       if (isStageDone(stage) || !isReady(stage)) {
@@ -149,7 +151,12 @@
       );
       const waiting = stage.spec.gang ? gangMembers(stage, able) : able;
       if (waiting.length > 0) {
-        turns.push({ stage, waiting, team: job.record.team, priority });
+        turns.push({
+          stage,
+          waiting,
+          team: job.record.team,
+          rank: ORDER.rank(stage, clock),
+        });
       }
     }
   }
@@ -187,7 +194,7 @@
 /** Places tasks of the turn; returns how many. */
 function placeTurn(
   update: Update,
-  { stage, waiting }: Turn,
+  { stage, waiting, rank }: Turn,
   { candidates, team }: {
     readonly candidates: readonly Candidate[];
     readonly team: FleetTeam | undefined;
@@ -198,7 +205,7 @@
   if (wanted.length === 0 || (isGang && wanted.length < waiting.length)) {
     return 0;
   }
-  const allowed = permitted(update, stage, candidates);
+  const allowed = permitted(update, { stage, rank, candidates });
   if (allowed.length === 0) {
     return 0;
   }
@@ -218,17 +225,21 @@
     );
   }
   if (choices.length < wanted.length) {
-    askForMore(update, stage, candidates);
+    askForMore(update, { stage, rank, candidates });
   }
   return choices.length;
 }
 
+/** A stage that waits, and the workers of its pool. */
+interface Offer {
+  readonly stage: StageRun;
+  readonly rank: number;
+  readonly candidates: readonly Candidate[];
+}
+
 /** The candidates that may run the stage; asks when none is known. */
-function permitted(
-  update: Update,
-  stage: StageRun,
-  candidates: readonly Candidate[],
-): readonly Candidate[] {
+function permitted(update: Update, offer: Offer): readonly Candidate[] {
+  const { stage, candidates } = offer;
   if (stage.job.record.queue.permits === undefined) {
     return candidates;
   }
@@ -236,7 +247,7 @@
     heldPermit(update, stage.name, session.info.id) !== undefined
   );
   if (!held.some((candidate) => hasRoom(candidate, stage))) {
-    askForMore(update, stage, candidates);
+    askForMore(update, offer);
   }
   return held;
 }
@@ -244,10 +255,9 @@
 /** Asks for permits of workers with room that have none. */
 function askForMore(
   update: Update,
-  stage: StageRun,
-  candidates: readonly Candidate[],
+  { stage, rank, candidates }: Offer,
 ): void {
-  const { permits: policy, priority } = stage.job.record.queue;
+  const { permits: policy } = stage.job.record.queue;
   if (policy === undefined) {
     return;
   }
@@ -280,7 +290,7 @@
     stage: stage.name,
     workers: asked.map(({ session }) => session.info.id),
     policy,
-    priority,
+    rank,
   });
 }
 
--- a/packages/model/src/desired_state.ts
+++ b/packages/model/src/desired_state.ts
@@ -45,6 +45,8 @@
   readonly name: string;
   readonly keys: readonly string[];
   readonly share: number;
+  /** Jobs a second that go before what other teams hand in; 0 for no limit. */
+  readonly jobsPerS: number;
   /** Most that may run at once; 0 in a dimension for no limit. */
   readonly ceiling: Resources;
 }
--- a/packages/permits/src/permits_state.ts
+++ b/packages/permits/src/permits_state.ts
@@ -21,8 +21,8 @@
   readonly stage: string;
   readonly workers: readonly string[];
   readonly policy: PermitPolicy;
-  /** 0 is asked first. */
-  readonly priority: number;
+  /** Questions of a lower rank are asked first. */
+  readonly rank: number;
   readonly queuedMs: number;
 }
 
--- a/packages/permits/src/questions.ts
+++ b/packages/permits/src/questions.ts
@@ -53,7 +53,7 @@
   readonly stage: string;
   readonly workers: readonly string[];
   readonly policy: PermitPolicy;
-  readonly priority: number;
+  readonly rank: number;
 }
 
 /** The permits of a stage. */
@@ -120,9 +120,7 @@
 /** Gives waiting questions to nodes that have none. */
 export function pumpQuestions(update: Update): void {
   const permits = update.write(PERMITS);
-  permits.waiting.sort((a, b) =>
-    a.priority - b.priority || a.queuedMs - b.queuedMs
-  );
+  permits.waiting.sort((a, b) => a.rank - b.rank || a.queuedMs - b.queuedMs);
   const nodes = askingNodes(update);
   let longLeft = longLimit(update, nodes.total) -
     [...permits.calls.values()].filter((call) => call.isLong).length;
--- a/packages/prove/src/domain/domain_cluster.ts
+++ b/packages/prove/src/domain/domain_cluster.ts
@@ -360,6 +360,7 @@
       name: "storefront",
       keys: [CALLER.key],
       share: 1,
+      jobsPerS: 0,
       ceiling: NO_RESOURCES,
     }],
   };
