Record workers out of use as idle as soon as they are empty

Ruled out: the record of the idle worker itself; it was never written.

Change: an empty worker that drains or has left is recorded as idle at once.

--- a/packages/prove/src/domain/domain_recovery_test.ts
+++ b/packages/prove/src/domain/domain_recovery_test.ts
@@ -1,3 +1,4 @@
+import { WorkerState } from "@mustardweir/model";
 import { expect } from "chai";
 import type { DomainCluster } from "./domain_cluster.ts";
 import { findViolations } from "./domain_oracle.ts";
@@ -28,6 +29,20 @@
       return killAllAfter(cluster, 7_000);
     },
   },
+  {
+    name: "an empty worker leaves just before all nodes are killed",
+    withinMs: ALL_LOST_MS / 2,
+    disturb: (cluster) => {
+      const { workers, store, clock } = cluster;
+      const worker = workers.get("w3")!;
+      store.setWorker("w3", { ...worker.info, state: WorkerState.Draining });
+      clock.after(6_500, () => {
+        worker.crash();
+        store.setWorker("w3", undefined);
+      });
+      return killAllAfter(cluster, 7_000);
+    },
+  },
   {
     name: "a worker fell silent long before all nodes are killed",
     withinMs: ALL_LOST_MS / 2,
--- a/packages/sessions/src/listings.ts
+++ b/packages/sessions/src/listings.ts
@@ -118,8 +118,8 @@
 }
 
 /**
- * Records that nothing runs on a silent worker, so that a successor doesn't
- * wait for its leases. Nothing is started there before it is recorded anew.
+ * Records that nothing runs on the worker, so that a successor doesn't wait
+ * for its leases. Nothing is started there before it is recorded anew.
  */
 export function recordIdle(update: Update, session: Session): void {
   session.isRecorded = false;
--- a/packages/sessions/src/sessions_plugin.ts
+++ b/packages/sessions/src/sessions_plugin.ts
@@ -225,11 +225,9 @@
   for (const [id, session] of [...update.read(SESSIONS).byWorker]) {
     considerLapse(update, session);
     considerRenewal(update, session, mayExtend);
-    if (isSilentAndEmpty(session)) {
-      recordIdle(update, session);
-    } else if (
-      !session.isRecorded && session.ticket === 0 && session.missed === 0
-    ) {
+    if (session.isRecorded) {
+      considerIdle(update, session);
+    } else if (session.ticket === 0 && takesWork(session)) {
       considerRecording(update, session);
     }
     if (isGone(session, update.now)) {
@@ -247,10 +245,21 @@
   }
 }
 
-function isSilentAndEmpty(session: Readonly<Session>): boolean {
-  return session.isRecorded && session.isSettled &&
-    session.missed >= IDLE_MISSES && session.attempts.size === 0 &&
+/** A successor need not wait for a worker that was empty and out of use. */
+function considerIdle(update: Update, session: Session): void {
+  const isEmpty = session.isSettled && session.attempts.size === 0 &&
     session.recorded >= session.handled;
+  if (isEmpty && (session.missed >= IDLE_MISSES || !isInUse(session))) {
+    recordIdle(update, session);
+  }
+}
+
+function takesWork(session: Readonly<Session>): boolean {
+  return session.missed === 0 && isInUse(session);
+}
+
+function isInUse({ isRegistered, info }: Readonly<Session>): boolean {
+  return isRegistered && info.state === WorkerState.Ready;
 }
 
 function isGone(session: Readonly<Session>, now: number): boolean {
