Tell nodes of ends at once; renew while records are slow; give orders up sooner

Cause: ends of jobs showed on other nodes only with their next follow of the records (120 ms pause), renewals waited up to 400 ms for the record of ends while the store was slow, and an order without an answer held its task 500 ms.

Change: the owner announces durable ends to its peers; renewals wait 60 ms for records; starts and stops are given up after 250 ms, renewals after 400 ms.

--- a/packages/dispatch/src/book.ts
+++ b/packages/dispatch/src/book.ts
@@ -15,6 +15,7 @@
   subtractResources,
   taskKey,
 } from "@mustardweir/model";
+import type { DurableProgress } from "@mustardweir/protocol";
 import type { RateMeter } from "./rates.ts";
 
 /** Where a task stands. */
@@ -84,6 +85,11 @@
   readonly isExcess: boolean;
 }
 
+/** The end of a job that isn't durable yet. */
+export interface PendingEnd extends DurableProgress {
+  readonly ticket: number;
+}
+
 /** All jobs of the domain that have not ended, as its owner runs them. */
 export interface Book {
   isOpen: boolean;
@@ -92,6 +98,8 @@
   /** Jobs that ended in this tenure; the records may still lag behind. */
   readonly ended: Set<string>;
   readonly rates: RateMeter;
+  /** Ends of jobs that are being recorded, oldest first. */
+  ending: PendingEnd[];
   /** What each team takes, with what is being stopped. */
   readonly used: Map<string, Resources>;
   isDirty: boolean;
--- a/packages/dispatch/src/dispatch_plugin.ts
+++ b/packages/dispatch/src/dispatch_plugin.ts
@@ -38,7 +38,12 @@
   LISTING_HANDLED,
   WORKER_SETTLED,
 } from "@mustardweir/sessions";
-import { queueChange, TENURE_GAINED, TENURE_LOST } from "@mustardweir/tenure";
+import {
+  CHANGES_DURABLE,
+  queueChange,
+  TENURE_GAINED,
+  TENURE_LOST,
+} from "@mustardweir/tenure";
 import { callStore } from "@mustardweir/store-route";
 import {
   attemptEnded,
@@ -57,7 +62,7 @@
   occurrencesOf,
 } from "./book.ts";
 import { WORKER_HEALTH, WorkerHealth } from "./health.ts";
-import { endJob } from "./progress.ts";
+import { announceEnds, endJob } from "./progress.ts";
 import { pump, requestPump } from "./pump.ts";
 import { RateMeter } from "./rates.ts";
 
@@ -89,8 +94,9 @@
         isOpen: false,
         epoch: 0,
         jobs: new Map(),
-        ended: new Set(),
+        ended: new Set<string>(),
         rates: new RateMeter(),
+        ending: [],
         used: new Map(),
         isDirty: false,
         lastPumpMs: 0,
@@ -111,6 +117,11 @@
         (answer, update) => jobForgotten(update, answer),
         Normal,
       ),
+      kernel.registerCommand(
+        CHANGES_DURABLE,
+        ({ upToTicket }, update) => announceEnds(update, upToTicket),
+        Normal,
+      ),
       ...registerAttempts(kernel),
       ...[PERMITS_CHANGED, WORKER_SETTLED, DESIRED_CHANGED, LISTING_HANDLED]
         .map((command) =>
@@ -175,6 +186,7 @@
   book.epoch = epoch;
   book.jobs.clear();
   book.ended.clear();
+  book.ending = [];
   book.rates.clear();
   book.used.clear();
   update.write(WORKER_HEALTH).clear();
@@ -191,6 +203,7 @@
   book.isOpen = false;
   book.jobs.clear();
   book.ended.clear();
+  book.ending = [];
   book.used.clear();
 }
 
--- a/packages/dispatch/src/progress.ts
+++ b/packages/dispatch/src/progress.ts
@@ -1,10 +1,20 @@
 import type { Update } from "@mustardweir/kernel";
 import { isFinal, StagedJobState } from "@mustardweir/model";
-import { logChange } from "@mustardweir/protocol";
+import {
+  logChange,
+  NODE_IDENTITY,
+  PeerMessageKind,
+  sendPeer,
+} from "@mustardweir/protocol";
 import { dropPermits } from "@mustardweir/permits";
-import { recordKey, RecordKind, storeNow } from "@mustardweir/replica";
+import {
+  learnProgress,
+  recordKey,
+  RecordKind,
+  storeNow,
+} from "@mustardweir/replica";
 import { stopAttempt } from "@mustardweir/sessions";
-import { queueChange } from "@mustardweir/tenure";
+import { livePeers, queueChange } from "@mustardweir/tenure";
 import {
   BOOK,
   type JobRun,
@@ -16,15 +26,39 @@
 
 /** Has the job's progress recorded as it is now. */
 export function writeProgress(update: Update, job: JobRun): void {
+  const { jobId } = job;
   const progress = progressOf(job);
   if (isFinal(job.state)) {
     progress.endedMs = storeNow(update);
   }
-  queueChange(
+  const ticket = queueChange(
     update,
-    recordKey(RecordKind.Progress, job.jobId),
+    recordKey(RecordKind.Progress, jobId),
     JSON.stringify(progress),
   );
+  if (isFinal(job.state)) {
+    update.write(BOOK).ending.push({ ticket, jobId, progress });
+  }
+}
+
+/** Tells all nodes of ends that are durable now, ahead of the records. */
+export function announceEnds(update: Update, upToTicket: number): void {
+  const book = update.write(BOOK);
+  const jobs = book.ending.filter(({ ticket }) => ticket <= upToTicket)
+    .map(({ jobId, progress }) => ({ jobId, progress }));
+  if (jobs.length === 0) {
+    return;
+  }
+  book.ending = book.ending.filter(({ ticket }) => ticket > upToTicket);
+  jobs.forEach((job) => learnProgress(update, job));
+  const { nodeId } = update.service(NODE_IDENTITY);
+  for (const peer of livePeers(update)) {
+    if (peer.nodeId !== nodeId) {
+      update.emit(
+        sendPeer(peer.nodeId, { kind: PeerMessageKind.JobsProgressed, jobs }),
+      );
+    }
+  }
 }
 
 /** Ends the job and stops what still runs of it. */
--- a/packages/protocol/src/domain_messages.ts
+++ b/packages/protocol/src/domain_messages.ts
@@ -1,4 +1,4 @@
-import type { JobRecord } from "@mustardweir/model";
+import type { JobProgress, JobRecord } from "@mustardweir/model";
 import type { PeerMessageKind } from "./peer_messages.ts";
 import type {
   CommitRecordsEffect,
@@ -16,6 +16,18 @@
   readonly record: JobRecord;
 }
 
+/** What has become durable of the run of a job. */
+export interface DurableProgress {
+  readonly jobId: string;
+  readonly progress: JobProgress;
+}
+
+/** Tells all nodes of jobs that have ended, ahead of the records. */
+export interface JobsProgressed {
+  readonly kind: PeerMessageKind.JobsProgressed;
+  readonly jobs: readonly DurableProgress[];
+}
+
 /** Has a peer ask the external placement policy. */
 export interface PermitRequest {
   readonly kind: PeerMessageKind.PermitRequest;
--- a/packages/protocol/src/peer_messages.ts
+++ b/packages/protocol/src/peer_messages.ts
@@ -1,5 +1,6 @@
 import type {
   JobAdmitted,
+  JobsProgressed,
   PermitReply,
   PermitRequest,
   StoreReply,
@@ -39,6 +40,7 @@
   PermitReply = 21,
   StoreRequest = 22,
   StoreReply = 23,
+  JobsProgressed = 24,
 }
 
 /** What an owner holds of the fleet: a home or a slice, under an epoch. */
@@ -364,6 +366,7 @@
   | AnnounceEdit
   | EditAnnounced
   | JobAdmitted
+  | JobsProgressed
   | PermitRequest
   | PermitReply
   | StoreRequest
--- a/packages/prove/src/domain/domain_scenarios.ts
+++ b/packages/prove/src/domain/domain_scenarios.ts
@@ -3,7 +3,7 @@
 import { DomainCluster, payloadOf, stageSpec } from "./domain_cluster.ts";
 
 /** Jobs start to come when the nodes have found each other. */
-const WARM_UP_MS = 3_000;
+export const WARM_UP_MS = 3_000;
 /** Jobs of each run. */
 export const JOBS = 30;
 const JOB_GAP_MS = 200;
--- a/packages/replica/src/apply.ts
+++ b/packages/replica/src/apply.ts
@@ -3,6 +3,7 @@
 import {
   ChangeKind,
   count,
+  type DurableProgress,
   logChange,
   type SourceChange,
   type StoredRecord,
@@ -78,6 +79,21 @@
   update.dispatch(JOB_CHANGED, { jobId });
 }
 
+/** Takes in progress that is known to be durable. */
+export function learnProgress(
+  update: Update,
+  { jobId, progress }: DurableProgress,
+): void {
+  const replica = update.write(REPLICA);
+  const job = replica.jobs.get(jobId);
+  if (job === undefined) {
+    replica.orphans.set(jobId, progress);
+  } else {
+    job.progress = progress;
+    update.dispatch(JOB_CHANGED, { jobId });
+  }
+}
+
 /** Takes in a cancellation that is known to be durable. */
 export function learnCancel(update: Update, jobId: string): void {
   const replica = update.write(REPLICA);
@@ -189,16 +205,10 @@
         learnJob(update, name, job);
       }
     }),
-  [RecordKind.Progress]: (update, { replica, name, value }) =>
-    readProgress(value).map((progress) => {
-      const job = replica.jobs.get(name);
-      if (job === undefined) {
-        replica.orphans.set(name, progress);
-      } else {
-        job.progress = progress;
-        update.dispatch(JOB_CHANGED, { jobId: name });
-      }
-    }),
+  [RecordKind.Progress]: (update, { name, value }) =>
+    readProgress(value).map((progress) =>
+      learnProgress(update, { jobId: name, progress })
+    ),
   [RecordKind.Cancel]: (update, { name }) => {
     learnCancel(update, name);
     return undefined;
--- a/packages/replica/src/mod.ts
+++ b/packages/replica/src/mod.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-export { learnCancel, learnJob } from "./apply.ts";
+export { learnCancel, learnJob, learnProgress } from "./apply.ts";
 export * from "./record_keys.ts";
 export * from "./replica.ts";
 export * from "./replica_plugin.ts";
--- a/packages/replica/src/replica_plugin.ts
+++ b/packages/replica/src/replica_plugin.ts
@@ -15,6 +15,8 @@
   count,
   EffectKind,
   logChange,
+  PEER_MESSAGE_RECEIVED,
+  PeerMessageKind,
   replyTo,
   Source,
   type SourceChange,
@@ -22,7 +24,7 @@
   SourceResultKind,
 } from "@mustardweir/protocol";
 import { callStore } from "@mustardweir/store-route";
-import { applyChange } from "./apply.ts";
+import { applyChange, learnProgress } from "./apply.ts";
 import { RECORD_PARTS } from "./record_keys.ts";
 import { REPLICA, type Replica, type SourceView } from "./replica.ts";
 
@@ -106,6 +108,15 @@
           this.#answered(update, context, result),
         CommandPriority.Normal,
       ),
+      kernel.registerCommand(
+        PEER_MESSAGE_RECEIVED,
+        ({ message }, update) => {
+          if (message.kind === PeerMessageKind.JobsProgressed) {
+            message.jobs.forEach((job) => learnProgress(update, job));
+          }
+        },
+        CommandPriority.Normal,
+      ),
       kernel.registerPeriodic({
         intervalMs: TICK_MS,
         run: (update) => this.#tick(update),
--- a/packages/sessions/src/orders.ts
+++ b/packages/sessions/src/orders.ts
@@ -25,8 +25,11 @@
   SESSIONS,
 } from "./session_state.ts";
 
-/** Time that a worker has to answer an order, in milliseconds. */
-export const ORDER_TIMEOUT_MS = 500;
+/**
+ * Time that a worker has to answer an order, in milliseconds. Its lists tell
+ * what came of an order that was given up too soon.
+ */
+const ORDER_TIMEOUT_MS = 250;
 /** Rounds of one epoch; the token is epoch times this plus the round. */
 const ROUNDS_PER_EPOCH = 2 ** 24;
 
--- a/packages/sessions/src/renewals.ts
+++ b/packages/sessions/src/renewals.ts
@@ -12,12 +12,7 @@
 } from "@mustardweir/protocol";
 import { isLapsed, leaseEnd } from "./leases.ts";
 import { settle, takeListing, vanishAll } from "./listings.ts";
-import {
-  ORDER_TIMEOUT_MS,
-  OWNER_FENCED,
-  tokenOf,
-  voidUnanswered,
-} from "./orders.ts";
+import { OWNER_FENCED, tokenOf, voidUnanswered } from "./orders.ts";
 import {
   AttemptPhase,
   findSession,
@@ -27,10 +22,15 @@
 
 /** Longest wait of a renewal for an end, in milliseconds. */
 const WAIT_MS = 800;
+/** Time that a worker has to answer beyond that, in milliseconds. */
+const ANSWER_TIMEOUT_MS = 400;
 /** Pause between renewals of a worker that runs nothing, in milliseconds. */
 const IDLE_RENEWAL_MS = 1_000;
-/** Ends that wait so long for their record don't hold a renewal back. */
-const RECORD_PATIENCE_MS = 400;
+/**
+ * Ends that wait so long for their record don't hold a renewal back, in
+ * milliseconds; several times a commit of a store that is well.
+ */
+const RECORD_PATIENCE_MS = 60;
 
 /** What a renewal was sent with. */
 interface RenewalContext {
@@ -92,7 +92,7 @@
       ...(leaseUntilMs === undefined ? {} : { leaseUntilMs }),
       waitMs,
     },
-    timeoutMs: waitMs + ORDER_TIMEOUT_MS,
+    timeoutMs: waitMs + ANSWER_TIMEOUT_MS,
     replyTo: replyTo(RENEWAL_ANSWERED, {
       workerId: session.info.id,
       epoch: update.read(SESSIONS).epoch,
--- a/packages/wire/src/codec_test.ts
+++ b/packages/wire/src/codec_test.ts
@@ -8,6 +8,7 @@
   RefusalReason,
   refuse,
   type Resources,
+  StagedJobState,
 } from "@mustardweir/model";
 import {
   AskMode,
@@ -218,6 +219,18 @@
     }],
     spans: [{ team: "storefront", fromAgeMs: 9, toAgeMs: 0 }],
   },
+  [PeerMessageKind.JobsProgressed]: {
+    kind: PeerMessageKind.JobsProgressed,
+    jobs: [{
+      jobId: "5c0e7a21d94b36f8",
+      progress: {
+        state: StagedJobState.Completed,
+        marks: { "0.0": "dd" },
+        checkpoints: {},
+        endedMs: 12,
+      },
+    }],
+  },
   [PeerMessageKind.JobAdmitted]: {
     kind: PeerMessageKind.JobAdmitted,
     jobId: "5c0e7a21d94b36f8",
--- a/packages/wire/src/domain_schemas.ts
+++ b/packages/wire/src/domain_schemas.ts
@@ -1,4 +1,4 @@
-import { jobRecordSchema } from "@mustardweir/model";
+import { jobProgressSchema, jobRecordSchema } from "@mustardweir/model";
 import {
   EffectKind,
   PeerMessageKind,
@@ -17,6 +17,14 @@
   record: jobRecordSchema,
 });
 
+/** Checks messages of the kind `JobsProgressed`. */
+export const jobsProgressed = z.looseObject({
+  kind: z.literal(PeerMessageKind.JobsProgressed),
+  jobs: z.array(
+    z.looseObject({ jobId: z.string(), progress: jobProgressSchema }),
+  ),
+});
+
 /** Checks messages of the kind `PermitRequest`. */
 export const permitRequest = z.looseObject({
   kind: z.literal(PeerMessageKind.PermitRequest),
--- a/packages/wire/src/message_schemas.ts
+++ b/packages/wire/src/message_schemas.ts
@@ -23,6 +23,7 @@
 import { z } from "zod";
 import {
   jobAdmitted,
+  jobsProgressed,
   permitReply,
   permitRequest,
   storeReply,
@@ -300,6 +301,7 @@
     [PeerMessageKind.AnnounceEdit]: announceEdit,
     [PeerMessageKind.EditAnnounced]: editAnnounced,
     [PeerMessageKind.JobAdmitted]: jobAdmitted,
+    [PeerMessageKind.JobsProgressed]: jobsProgressed,
     [PeerMessageKind.PermitRequest]: permitRequest,
     [PeerMessageKind.PermitReply]: permitReply,
     [PeerMessageKind.StoreRequest]: storeRequest,
