--- a/packages/replica/src/replica.ts
+++ b/packages/replica/src/replica.ts
@@ -90,6 +90,10 @@
 );
 /** The record of the domain's owner changed. */
 export const TENURE_SEEN = createCommand<KnownTenure>("tenure-seen");
+/** The newest records are wanted at once, without the usual pause. */
+export const RECORDS_WANTED = createCommand<Record<string, never>>(
+  "records-wanted",
+);
 /** A node came or went. */
 export const NODES_CHANGED = createCommand<Record<string, never>>(
   "nodes-changed",
--- a/packages/replica/src/replica_plugin.ts
+++ b/packages/replica/src/replica_plugin.ts
@@ -26,7 +26,12 @@
 import { callStore } from "@mustardweir/store-route";
 import { applyChange, learnProgress } from "./apply.ts";
 import { RECORD_PARTS } from "./record_keys.ts";
-import { REPLICA, type Replica, type SourceView } from "./replica.ts";
+import {
+  RECORDS_WANTED,
+  REPLICA,
+  type Replica,
+  type SourceView,
+} from "./replica.ts";
 
 /** How a source is followed. */
 interface FollowPace {
@@ -41,9 +46,9 @@
  * batches; the pause bounds the calls that all nodes make together.
  */
 const PACE: Record<Source, FollowPace> = {
-  [Source.Records]: { waitMs: 300, pauseMs: 120 },
+  [Source.Records]: { waitMs: 300, pauseMs: 200 },
   [Source.Operator]: { waitMs: 1_000, pauseMs: 0 },
-  [Source.Workers]: { waitMs: 1_000, pauseMs: 50 },
+  [Source.Workers]: { waitMs: 1_000, pauseMs: 150 },
 };
 
 /** Time allowed for an answer beyond its wait, in milliseconds. */
@@ -71,17 +76,30 @@
   nextMs: number;
   /** Entries listed so far, shown together when the listing is whole. */
   listed: SourceChange[];
-  partsLeft: string[];
+  readonly partsLeft: Set<string>;
+  /** Tells the answers of one listing from those of an earlier one. */
+  listing: number;
   listedVersion: number;
+  /** When the listing began, in milliseconds. */
+  startedMs: number;
   failures: number;
 }
 
 interface Asked {
   readonly source: Source;
-  readonly phase: Phase;
+  readonly phase: Phase.Following;
 }
 
-const SOURCE_ANSWERED = createCommand<Answered<Asked, SourceResult>>(
+interface AskedPart {
+  readonly source: Source;
+  readonly phase: Phase.Listing;
+  readonly part: string;
+  readonly listing: number;
+}
+
+const SOURCE_ANSWERED = createCommand<
+  Answered<Asked | AskedPart, SourceResult>
+>(
   "source-answered",
 );
 
@@ -93,8 +111,10 @@
       phase: Phase.Idle,
       nextMs: 0,
       listed: [],
-      partsLeft: [],
+      partsLeft: new Set<string>(),
+      listing: 0,
       listedVersion: 0,
+      startedMs: 0,
       failures: 0,
     }]),
   );
@@ -117,6 +137,17 @@
         },
         CommandPriority.Normal,
       ),
+      kernel.registerCommand(
+        RECORDS_WANTED,
+        (_, update) => {
+          const progress = this.#progress.get(Source.Records)!;
+          progress.nextMs = update.now;
+          if (progress.phase === Phase.Idle) {
+            this.#call(update, Source.Records, progress);
+          }
+        },
+        CommandPriority.Normal,
+      ),
       kernel.registerPeriodic({
         intervalMs: TICK_MS,
         run: (update) => this.#tick(update),
@@ -140,11 +171,14 @@
       return;
     }
     progress.listed = [];
+    progress.startedMs = update.now;
     progress.listedVersion = 0;
-    progress.partsLeft = [
-      ...(source === Source.Records ? RECORD_PARTS : SINGLE_PART),
-    ];
-    this.#list(update, source, progress);
+    progress.listing++;
+    progress.partsLeft.clear();
+    for (const part of source === Source.Records ? RECORD_PARTS : SINGLE_PART) {
+      progress.partsLeft.add(part);
+      this.#list(update, { source, progress, part });
+    }
   }
 
   #follow(update: Update, source: Source, progress: Progress): void {
@@ -162,27 +196,39 @@
 
   #list(
     update: Update,
-    source: Source,
-    progress: Progress,
-    after?: string,
+    { source, progress, part, after }: {
+      readonly source: Source;
+      readonly progress: Progress;
+      readonly part: string;
+      readonly after?: string;
+    },
   ): void {
     progress.phase = Phase.Listing;
     callStore(update, {
       kind: EffectKind.ReadSource,
       source,
-      part: progress.partsLeft[0] ?? "",
+      part,
       ...(after === undefined ? {} : { after }),
       timeoutMs: 2 * ANSWER_MS,
-      replyTo: replyTo(SOURCE_ANSWERED, { source, phase: Phase.Listing }),
+      replyTo: replyTo(SOURCE_ANSWERED, {
+        source,
+        phase: Phase.Listing,
+        part,
+        listing: progress.listing,
+      }),
     });
   }
 
   #answered(
     update: Update,
-    { source, phase }: Asked,
+    asked: Asked | AskedPart,
     result: SourceResult,
   ): void {
+    const { source } = asked;
     const progress = this.#progress.get(source)!;
+    if (progress.phase !== asked.phase || isOutdated(asked, progress)) {
+      return;
+    }
     const view = update.write(REPLICA).sources[source];
     progress.phase = Phase.Idle;
     progress.nextMs = update.now + RETRY_MS;
@@ -213,7 +259,7 @@
     }
     view.answeredMs = update.now;
     takeClocks(update, result);
-    if (phase === Phase.Following) {
+    if (asked.phase === Phase.Following) {
       progress.nextMs = update.now + PACE[source].pauseMs;
       view.version = Math.max(view.version, result.version);
       for (const change of result.changes) {
@@ -224,12 +270,12 @@
       }
       return;
     }
-    this.#listedPage(update, source, { progress, view, result });
+    this.#listedPage(update, asked, { progress, view, result });
   }
 
   #listedPage(
     update: Update,
-    source: Source,
+    { source, part }: AskedPart,
     { progress, view, result }: {
       progress: Progress;
       view: SourceView;
@@ -237,22 +283,26 @@
     },
   ): void {
     progress.listed.push(...result.changes);
-    // Parts are listed one after the other; following from the oldest of the
-    // listings misses nothing.
+    // Following from the oldest of the listings misses nothing.
     progress.listedVersion = progress.listedVersion === 0
       ? result.version
       : Math.min(progress.listedVersion, result.version);
     if (result.nextAfter !== undefined) {
-      this.#list(update, source, progress, result.nextAfter);
+      this.#list(update, { source, progress, part, after: result.nextAfter });
       return;
     }
-    progress.partsLeft.shift();
-    if (progress.partsLeft.length > 0) {
-      this.#list(update, source, progress);
+    progress.partsLeft.delete(part);
+    if (progress.partsLeft.size > 0) {
+      progress.phase = Phase.Listing;
       return;
     }
     view.isListed = true;
     view.version = progress.listedVersion;
+    update.emit(logChange("Source listed", {
+      source,
+      entries: progress.listed.length,
+      tookMs: Math.round(update.now - progress.startedMs),
+    }));
     dropMissing(update, source, progress.listed);
     for (const change of progress.listed) {
       applyChange(update, change);
@@ -262,6 +312,10 @@
   }
 }
 
+function isOutdated(asked: Asked | AskedPart, progress: Progress): boolean {
+  return asked.phase === Phase.Listing && asked.listing !== progress.listing;
+}
+
 function takeClocks(
   update: Update,
   { clockMs, unixMs }: { readonly clockMs: number; readonly unixMs: number },
--- a/packages/tenure/src/claims.ts
+++ b/packages/tenure/src/claims.ts
@@ -11,6 +11,7 @@
 } from "@mustardweir/protocol";
 import {
   type KnownTenure,
+  RECORDS_WANTED,
   REPLICA,
   TENURE_KEY,
   type TenureRecord,
@@ -27,7 +28,7 @@
 /** The same while no node has ever owned the domain. */
 const FIRST_RANK_GAP_MS = 60;
 /** Silence is judged only on answers of the store newer than this. */
-const FRESH_MS = 600;
+const FRESH_MS = 800;
 const CLAIM_TIMEOUT_MS = 700;
 
 /** A claim has been answered. */
@@ -110,6 +111,7 @@
   tenure.confirmedMs = update.now;
   tenure.gainedMs = update.now;
   tenure.retryMs = 0;
+  update.dispatch(RECORDS_WANTED, {});
 }
 
 function claimTime(update: Update, known: KnownTenure | undefined): number {
