Count failures of earlier attempts when a later one is found first

Ruled out: the commit of failures by the old owner, which never reached the store.

Change: only attempts that were given up are void; a failure of an attempt before the one that was found counts.

--- a/packages/dispatch/src/attempts.ts
+++ b/packages/dispatch/src/attempts.ts
@@ -114,7 +114,15 @@
   },
 ): void {
   const task = findTask(update, ended.task);
-  if (task === undefined || isGivenUp(task, ended.attempt)) {
+  if (task === undefined || ended.attempt <= task.givenUpAttempt) {
+    return;
+  }
+  if (ended.attempt < task.attempt) {
+    // A predecessor's failure still counts when its next attempt, on another
+    // worker, was found first.
+    if (ended.end === AttemptEnd.Failed && ended.isNew) {
+      countFailure(update, task, ended.workerId);
+    }
     return;
   }
   const { stage } = task;
@@ -160,7 +168,7 @@
   const task = findTask(update, found.task);
   const isWanted = task !== undefined && task.phase === TaskPhase.Waiting &&
     isOpen(task.stage.job) && found.attempt >= task.attempt &&
-    !isGivenUp(task, found.attempt);
+    found.attempt > task.givenUpAttempt;
   keepFound(update, {
     workerId,
     task: found.task,
@@ -190,11 +198,6 @@
   update.emit(count("attempts-adopted"));
 }
 
-/** True when the attempt's lease was over, or a newer one has been started. */
-function isGivenUp(task: TaskRun, attempt: number): boolean {
-  return attempt <= task.givenUpAttempt || attempt < task.attempt;
-}
-
 function findPlaced(
   update: Update,
   { task: name, attempt, workerId }: PlacedAttempt,
--- a/packages/prove/src/domain/domain_scenarios.ts
+++ b/packages/prove/src/domain/domain_scenarios.ts
@@ -93,16 +93,7 @@
   },
   {
     name: "the owner is cut off the store and its peers",
-    disturb: (cluster) => {
-      const { owner, nodeIds, store, clock } = cluster;
-      const others = nodeIds.filter((id) => id !== owner);
-      store.faults.silent.add(owner!);
-      others.forEach((id) => cluster.cutLink(owner!, id, true));
-      clock.after(14_000, () => {
-        store.faults.silent.clear();
-        others.forEach((id) => cluster.cutLink(owner!, id, false));
-      });
-    },
+    disturb: (cluster) => cutOffOwner(cluster),
   },
   {
     name: "the store turns two nodes away",
@@ -247,6 +238,12 @@
     failures: 99,
     disturb: (cluster) => cluster.kill(cluster.owner!),
   },
+  {
+    name: "every task fails always, and the owner is cut off",
+    failures: 99,
+    runMs: 350,
+    disturb: (cluster) => cutOffOwner(cluster),
+  },
   {
     name: "jobs are cancelled",
     disturb: (cluster) => {
@@ -268,6 +265,18 @@
   },
 ];
 
+/** The owner reaches the workers alone, and runs on. */
+function cutOffOwner(cluster: DomainCluster): void {
+  const { owner, nodeIds, store, clock } = cluster;
+  const others = nodeIds.filter((id) => id !== owner);
+  store.faults.silent.add(owner!);
+  others.forEach((id) => cluster.cutLink(owner!, id, true));
+  clock.after(14_000, () => {
+    store.faults.silent.clear();
+    others.forEach((id) => cluster.cutLink(owner!, id, false));
+  });
+}
+
 function cutWorker(cluster: DomainCluster, id: string, forMs: number): void {
   const { cutFrom } = cluster.workers.get(id)!.faults;
   cluster.nodeIds.forEach((node) => cutFrom.add(node));
