Stop tasks that resume from checkpoints for urgent work without room

Ruled out: permits, asked within 0.1 s whenever a start was possible.

Change: a stage of a queue with priority 0 that is in time has as many checkpointed tasks of less urgent queues stopped as it needs, counting room that is being freed already; a task is stopped so at most twice. Questions to the policy are asked also where room can be made.

--- a/packages/dispatch/src/attempts.ts
+++ b/packages/dispatch/src/attempts.ts
@@ -15,6 +15,7 @@
 } from "@mustardweir/sessions";
 import {
   BOOK,
+  bookedSize,
   findTask,
   freeRoom,
   isJobDone,
@@ -25,7 +26,6 @@
   TaskPhase,
   type TaskRun,
 } from "./book.ts";
-import { bookedSize } from "./candidates.ts";
 import { WORKER_HEALTH } from "./health.ts";
 import { endJob, stopTask, writeProgress } from "./progress.ts";
 import { requestPump } from "./pump.ts";
--- a/packages/dispatch/src/book.ts
+++ b/packages/dispatch/src/book.ts
@@ -53,6 +53,8 @@
   givenUpAttempt: number;
   /** Not placed before this time, in milliseconds. */
   notBeforeMs: number;
+  /** How often it was stopped for urgent work. */
+  preemptions: number;
 }
 
 /** A stage of one occurrence. */
@@ -189,6 +191,7 @@
         isInherited: job.isInherited,
         givenUpAttempt: 0,
         notBeforeMs: 0,
+        preemptions: 0,
       });
     }
     job.stages.set(key, stage);
@@ -261,6 +264,11 @@
   return !isFinal(job.state);
 }
 
+/** What a task of the stage takes of a worker's capacity. */
+export function bookedSize({ spec }: StageRun): Resources {
+  return spec.bestEffort ? { ...spec.size, cpuMillis: 0 } : spec.size;
+}
+
 /** Counts the room of a task that is being placed. */
 export function takeRoom(book: Book, { stage }: TaskRun): void {
   const { team } = stage.job.record;
--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -9,8 +9,15 @@
 } from "@mustardweir/model";
 import { REPLICA } from "@mustardweir/replica";
 import { type Session, SESSIONS } from "@mustardweir/sessions";
-import { findTask, type StageRun, TaskPhase, type TaskRun } from "./book.ts";
+import {
+  bookedSize,
+  findTask,
+  type StageRun,
+  TaskPhase,
+  type TaskRun,
+} from "./book.ts";
 import { WORKER_HEALTH } from "./health.ts";
+import { listVictims, stoppingRoom } from "./victims.ts";
 
 /** Largest part of a pool's workers that quarantine keeps out. */
 const MAX_QUARANTINED_SHARE = 0.34;
@@ -24,6 +31,10 @@
 export interface Candidate {
   readonly session: Readonly<Session>;
   free: Resources;
+  /** What will be free when the tasks that are being stopped have ended. */
+  expected: Resources;
+  /** Tasks that may be stopped for urgent work, best first. */
+  readonly victims: TaskRun[];
   /** Runs a task with users of its own. */
   hasServing: boolean;
   /** Runs a task on what others leave. */
@@ -89,19 +100,26 @@
   let used = NO_RESOURCES;
   let hasServing = false;
   let hasBestEffort = false;
+  const tasks: TaskRun[] = [];
   for (const { task, size } of session.attempts.values()) {
     used = addResources(used, size);
     const placed = findTask(update, task);
     if (placed !== undefined && isStalled(placed, update.now)) {
       return undefined;
     }
+    if (placed !== undefined) {
+      tasks.push(placed);
+    }
     const spec = placed?.stage.spec;
     hasServing ||= (spec?.latencyObjectiveMs ?? 0) > 0;
     hasBestEffort ||= spec?.bestEffort === true;
   }
+  const free = subtractResources(session.info.capacity, used);
   return {
     session,
-    free: subtractResources(session.info.capacity, used),
+    free,
+    expected: addResources(free, stoppingRoom(tasks)),
+    victims: listVictims(tasks, update.now),
     hasServing,
     hasBestEffort,
     slowness: update.read(WORKER_HEALTH).slowness(session.info.id),
@@ -118,11 +136,6 @@
     now - task.progressedMs > patienceMs;
 }
 
-/** What a task of the stage takes of a worker's capacity. */
-export function bookedSize({ spec }: StageRun): Resources {
-  return spec.bestEffort ? { ...spec.size, cpuMillis: 0 } : spec.size;
-}
-
 /** True when the worker may ever run the stage, whatever is free now. */
 export function suits({ session }: Candidate, { spec }: StageRun): boolean {
   return spec.requiredLabel === "" ||
@@ -156,7 +169,9 @@
 
 /** Books one task of the stage on the candidate. */
 export function book(candidate: Candidate, stage: StageRun): void {
-  candidate.free = subtractResources(candidate.free, bookedSize(stage));
+  const size = bookedSize(stage);
+  candidate.free = subtractResources(candidate.free, size);
+  candidate.expected = subtractResources(candidate.expected, size);
   candidate.hasServing ||= stage.spec.latencyObjectiveMs > 0;
   candidate.hasBestEffort ||= stage.spec.bestEffort;
   candidate.booked.set(stage, (candidate.booked.get(stage) ?? 0) + 1);
--- a/packages/dispatch/src/choice.ts
+++ b/packages/dispatch/src/choice.ts
@@ -1,12 +1,5 @@
-import type { Resources } from "@mustardweir/model";
-import type { StageRun, TaskRun } from "./book.ts";
-import {
-  book,
-  bookedSize,
-  type Candidate,
-  hasRoom,
-  settleBookings,
-} from "./candidates.ts";
+import { bookedSize, type StageRun, type TaskRun } from "./book.ts";
+import { book, type Candidate, hasRoom, settleBookings } from "./candidates.ts";
 
 /** A task with the worker that it will start on. */
 export interface Choice {
@@ -85,19 +78,21 @@
   tasks: readonly TaskRun[],
   candidates: readonly Candidate[],
 ): Choice[] {
-  const free: readonly Resources[] = candidates.map(({ free }) => free);
-  const flags = candidates.map(({ hasServing, hasBestEffort }) => ({
-    hasServing,
-    hasBestEffort,
-  }));
+  const before = candidates.map(
+    ({ free, expected, hasServing, hasBestEffort }) => ({
+      free,
+      expected,
+      hasServing,
+      hasBestEffort,
+    }),
+  );
   const choices = new BestFitRule().choose(stage, tasks, candidates);
   if (choices.length === tasks.length) {
     return choices;
   }
-  candidates.forEach((candidate, index) => {
-    candidate.free = free[index]!;
-    Object.assign(candidate, flags[index]);
-  });
+  candidates.forEach((candidate, index) =>
+    Object.assign(candidate, before[index])
+  );
   settleBookings(candidates, stage);
   return [];
 }
--- a/packages/dispatch/src/pump.ts
+++ b/packages/dispatch/src/pump.ts
@@ -13,6 +13,7 @@
 import { SESSIONS, startAttempt } from "@mustardweir/sessions";
 import {
   BOOK,
+  bookedSize,
   firstAttempt,
   isOpen,
   isReady,
@@ -25,7 +26,6 @@
   type TaskRun,
 } from "./book.ts";
 import {
-  bookedSize,
   type Candidate,
   couldHold,
   hasRoom,
@@ -40,8 +40,9 @@
   type PlacementRule,
 } from "./choice.ts";
 import { WORKER_HEALTH } from "./health.ts";
+import { canMakeRoom, makeRoom, mayPreempt } from "./preemption.ts";
 import { writeProgress } from "./progress.ts";
-import { ObjectiveOrder, type TurnOrder } from "./turn_order.ts";
+import { ObjectiveOrder, standingOf, type TurnOrder } from "./turn_order.ts";
 
 /** Shortest time between two rounds of placement, in milliseconds. */
 const PUMP_GAP_MS = 8;
@@ -65,6 +66,8 @@
   readonly team: string;
   /** Turns of a lower rank come first. */
   readonly rank: number;
+  /** Less urgent tasks may be stopped for it. */
+  readonly preempts: boolean;
 }
 
 /** Notes that there may be something to place, and places it soon. */
@@ -156,6 +159,7 @@
           waiting,
           team: job.record.team,
           rank: ORDER.rank(stage, clock),
+          preempts: mayPreempt(stage, standingOf(stage, clock)),
         });
       }
     }
@@ -194,7 +198,7 @@
 /** Places tasks of the turn; returns how many. */
 function placeTurn(
   update: Update,
-  { stage, waiting, rank }: Turn,
+  { stage, waiting, rank, preempts }: Turn,
   { candidates, team }: {
     readonly candidates: readonly Candidate[];
     readonly team: FleetTeam | undefined;
@@ -205,7 +209,8 @@
   if (wanted.length === 0 || (isGang && wanted.length < waiting.length)) {
     return 0;
   }
-  const allowed = permitted(update, { stage, rank, candidates });
+  const offer = { stage, rank, preempts, candidates };
+  const allowed = permitted(update, offer);
   if (allowed.length === 0) {
     return 0;
   }
@@ -225,7 +230,14 @@
     );
   }
   if (choices.length < wanted.length) {
-    askForMore(update, { stage, rank, candidates });
+    askForMore(update, offer);
+    if (preempts) {
+      makeRoom(update, {
+        stage,
+        missing: wanted.length - choices.length,
+        candidates: allowed,
+      });
+    }
   }
   return choices.length;
 }
@@ -234,6 +246,7 @@
 interface Offer {
   readonly stage: StageRun;
   readonly rank: number;
+  readonly preempts: boolean;
   readonly candidates: readonly Candidate[];
 }
 
@@ -246,17 +259,15 @@
   const held = candidates.filter(({ session }) =>
     heldPermit(update, stage.name, session.info.id) !== undefined
   );
-  if (!held.some((candidate) => hasRoom(candidate, stage))) {
+  if (!held.some((candidate) => mayStart(candidate, offer))) {
     askForMore(update, offer);
   }
   return held;
 }
 
 /** Asks for permits of workers with room that have none. */
-function askForMore(
-  update: Update,
-  { stage, rank, candidates }: Offer,
-): void {
+function askForMore(update: Update, offer: Offer): void {
+  const { stage, rank, candidates } = offer;
   const { permits: policy } = stage.job.record.queue;
   if (policy === undefined) {
     return;
@@ -273,13 +284,13 @@
     !known.judged.has(session.info.id)
   );
   const expired = without.filter((candidate) =>
-    known.good.has(candidate.session.info.id) && hasRoom(candidate, stage)
+    known.good.has(candidate.session.info.id) && mayStart(candidate, offer)
   );
   // A permit holds for a short time only, so nothing is asked while no task
   // could start. Verdicts never change: one that is known is worth having of
   // every worker, and most of a question's time goes before the first one.
   const isUseful = expired.length > 0 ||
-    unjudged.some((candidate) => hasRoom(candidate, stage));
+    unjudged.some((candidate) => mayStart(candidate, offer));
   const asked = isUseful
     ? [
       ...expired.sort(byRoom).slice(0, MAX_REASKED),
@@ -294,6 +305,12 @@
   });
 }
 
+/** True when a task of the stage has room, or room can be made for it. */
+function mayStart(candidate: Candidate, { stage, preempts }: Offer): boolean {
+  return hasRoom(candidate, stage) ||
+    (preempts && canMakeRoom(candidate, stage));
+}
+
 function byRoom(a: Candidate, b: Candidate): number {
   return b.free.cpuMillis - a.free.cpuMillis;
 }
--- a/packages/prove/src/domain/domain_cluster.ts
+++ b/packages/prove/src/domain/domain_cluster.ts
@@ -45,11 +45,15 @@
 
 /** Key, host and path of the one queue. */
 export const CALLER = { key: "k1", host: "a.example", prefix: "/plans/" };
+/** Path of the queue that gives way to the other. */
+export const NIGHTLY_PREFIX = "/nightly/";
 
 /** What the clients were told about a job. */
 export interface ClientRecord {
   readonly jobId: string;
   readonly spec: StagedJobSpec;
+  /** Path of the queue that it was handed in to. */
+  readonly prefix: string;
   readonly answers: FrontAnswer[];
   cancelledMs: number | undefined;
 }
@@ -183,9 +187,14 @@
   }
 
   /** Hands a job in at a node. */
-  submit(jobId: string, spec: StagedJobSpec, nodeId: string): void {
+  submit(
+    jobId: string,
+    spec: StagedJobSpec,
+    nodeId: string,
+    prefix: string = CALLER.prefix,
+  ): void {
     const client = this.clients.get(jobId) ??
-      { jobId, spec, answers: [], cancelledMs: undefined };
+      { jobId, spec, prefix, answers: [], cancelledMs: undefined };
     this.clients.set(jobId, client);
     this.call(
       nodeId,
@@ -210,12 +219,13 @@
   ): void {
     const callId = `${++this.#lastCall}`;
     this.#calls.set(callId, answer);
-    const spec = this.clients.get(jobId)?.spec;
+    const client = this.clients.get(jobId);
+    const spec = client?.spec;
     this.#nodes.get(nodeId)?.post(FRONT_CALL_RECEIVED, {
       callId,
       kind,
       host: CALLER.host,
-      path: CALLER.prefix + jobId,
+      path: (client?.prefix ?? CALLER.prefix) + jobId,
       key: CALLER.key,
       ...(kind === FrontCallKind.Submit && spec !== undefined
         ? { body: { isReadable: true as const, spec } }
@@ -333,28 +343,29 @@
 }
 
 function desiredState(needsPermits: boolean): DesiredState {
+  const queue = {
+    host: CALLER.host,
+    pool: "ovens",
+    maxAttempts: 3,
+    latencyObjectiveMs: 250,
+    stretch: 1.5,
+    isPublic: false,
+    ...(needsPermits
+      ? {
+        permits: {
+          decideMs: PERMIT_MS,
+          perWorkerMs: 0,
+          validMs: PERMIT_VALID_MS,
+        },
+      }
+      : {}),
+  };
   return {
     version: 1,
-    queues: [{
-      name: "plans",
-      host: CALLER.host,
-      pathPrefix: CALLER.prefix,
-      pool: "ovens",
-      priority: 0,
-      maxAttempts: 3,
-      latencyObjectiveMs: 250,
-      stretch: 1.5,
-      isPublic: false,
-      ...(needsPermits
-        ? {
-          permits: {
-            decideMs: PERMIT_MS,
-            perWorkerMs: 0,
-            validMs: PERMIT_VALID_MS,
-          },
-        }
-        : {}),
-    }],
+    queues: [
+      { ...queue, name: "plans", pathPrefix: CALLER.prefix, priority: 0 },
+      { ...queue, name: "nightly", pathPrefix: NIGHTLY_PREFIX, priority: 2 },
+    ],
     pools: [{ name: "ovens", guardsCapacity: false, isSpare: false }],
     teams: [{
       name: "storefront",
