Refuse jobs soon, and truly, while the store is away

Ruled out: refusing calls that were written; late writes would make the refusal untrue.

Change: nothing is written to a store that has answered no call for 0.7 s; such calls wait 1 s for its return and are then refused with the time to come back.

--- a/packages/intake/src/submissions.ts
+++ b/packages/intake/src/submissions.ts
@@ -30,7 +30,7 @@
   REPLICA,
   stateOf,
 } from "@mustardweir/replica";
-import { callStore } from "@mustardweir/store-route";
+import { callStore, STORE_ROUTE } from "@mustardweir/store-route";
 import {
   CallPurpose,
   CallStep,
@@ -42,6 +42,10 @@
 const CALL_DEADLINE_MS = 2_300;
 /** Time that the store has for a write or a read, in milliseconds. */
 const STORE_TIMEOUT_MS = 600;
+/** A store that answers nothing for so long is away, in milliseconds. */
+const STORE_AWAY_MS = 700;
+/** Calls that nothing was written for are held so long while it is away. */
+const AWAY_DEADLINE_MS = 1_000;
 /** Pause after the store refused, in milliseconds. */
 const REFUSED_PAUSE_MS = 120;
 /** When a caller who can't be served now may come back, in milliseconds. */
@@ -59,8 +63,15 @@
   Answered<{ readonly callId: string; readonly step: CallStep }, SourceResult>
 >("call-read");
 
-/** Writes the job's record unless there is one. */
+/**
+ * Writes the job's record unless there is one. Nothing is written to a store
+ * that is away: without an answer the caller could not be told the truth.
+ */
 export function writeJob(update: Update, call: PendingCall): void {
+  if (isStoreAway(update)) {
+    pause(update, call);
+    return;
+  }
   call.step = CallStep.Writing;
   write(update, call, {
     expectedVersion: call.placeVersion,
@@ -121,8 +132,7 @@
       takeExisting(update, call, result.records[0]);
       break;
     case RecordCommitKind.Refused:
-      call.resumeMs = update.now + REFUSED_PAUSE_MS;
-      call.step = CallStep.Pausing;
+      pause(update, call);
       break;
     case RecordCommitKind.Unknown:
       update.emit(count("call-write-unknown"));
@@ -145,8 +155,7 @@
     return;
   }
   if (result.kind !== SourceResultKind.Read) {
-    call.resumeMs = update.now + REFUSED_PAUSE_MS;
-    call.step = CallStep.Pausing;
+    pause(update, call);
     return;
   }
   const [change] = result.changes;
@@ -157,7 +166,7 @@
 /** Resumes calls whose pause is over and gives up those that are due. */
 export function resumeCalls(update: Update): void {
   for (const call of [...update.write(INTAKE).calls.values()]) {
-    if (update.now - call.receivedMs >= CALL_DEADLINE_MS) {
+    if (update.now - call.receivedMs >= deadlineOf(update, call)) {
       giveUp(update, call);
     } else if (
       call.step === CallStep.Pausing && update.now >= call.resumeMs
@@ -167,6 +176,28 @@
   }
 }
 
+function deadlineOf(update: Update, call: PendingCall): number {
+  const isUnwritten = call.purpose === CallPurpose.Submit &&
+    call.step === CallStep.Pausing && !call.isUncertain;
+  return isUnwritten && isStoreAway(update)
+    ? AWAY_DEADLINE_MS
+    : CALL_DEADLINE_MS;
+}
+
+function isStoreAway(update: Update): boolean {
+  const { sources } = update.read(REPLICA);
+  const answeredMs = Math.max(
+    ...Object.values(sources).map((source) => source.answeredMs),
+  );
+  return update.read(STORE_ROUTE).failures > 0 &&
+    update.now - answeredMs > STORE_AWAY_MS;
+}
+
+function pause(update: Update, call: PendingCall): void {
+  call.resumeMs = update.now + REFUSED_PAUSE_MS;
+  call.step = CallStep.Pausing;
+}
+
 /** Answers a call and forgets it. */
 export function answer(
   update: Update,
