--- a/packages/demo/src/docs/source_words.ts
+++ b/packages/demo/src/docs/source_words.ts
@@ -22,6 +22,9 @@
 /** Calls that name a histogram. */
 const HISTOGRAM_CALL = new RegExp(`\\bobserve\\(\\s*${TEXT}`, "g");
 
+/** Calls that name a gauge. */
+const GAUGE_CALL = new RegExp(`\\bgauge\\(\\s*${TEXT}`, "g");
+
 /** Calls that log a change of state, or write a line of their own. */
 const LOG_CALL = new RegExp(
   `\\b(?:logChange|logger\\??\\.(?:info|warn|error))\\(\\s*${TEXT}`,
@@ -33,6 +36,7 @@
   /** With `*` for parts that are known only at run time. */
   readonly counters: readonly string[];
   readonly histograms: readonly string[];
+  readonly gauges: readonly string[];
   readonly messages: readonly string[];
 }
 
@@ -50,6 +54,7 @@
   return {
     counters: findWords(texts, COUNTER_CALL).map(metricWord),
     histograms: findWords(texts, HISTOGRAM_CALL).map(metricWord),
+    gauges: findWords(texts, GAUGE_CALL).map(metricWord),
     messages: findWords(texts, LOG_CALL),
   };
 }
--- a/packages/demo/src/docs/source_words_test.ts
+++ b/packages/demo/src/docs/source_words_test.ts
@@ -11,6 +11,7 @@
   readonly words: keyof SourceWords;
 }[] = [
   { heading: "### Counters", words: "counters" },
+  { heading: "### Gauges", words: "gauges" },
   { heading: "### Histograms", words: "histograms" },
   { heading: "### Log lines", words: "messages" },
 ];
--- a/packages/dispatch/src/dispatch_plugin.ts
+++ b/packages/dispatch/src/dispatch_plugin.ts
@@ -13,6 +13,7 @@
 import {
   type Answered,
   EffectKind,
+  gauge,
   RecordCommitKind,
   type RecordCommitResult,
   replyTo,
@@ -60,6 +61,7 @@
   isOpen,
   type JobRun,
   occurrencesOf,
+  TaskPhase,
 } from "./book.ts";
 import { WORKER_HEALTH, WorkerHealth } from "./health.ts";
 import { announceEnds, endJob } from "./progress.ts";
@@ -77,6 +79,8 @@
 /** Ended jobs can be asked for at least this long, in milliseconds. */
 const KEEP_ENDED_MS = 180_000;
 const FORGET_TIMEOUT_MS = 2_000;
+/** How often gauges are set, in milliseconds. */
+const GAUGES_MS = 1_000;
 
 const JOB_FORGOTTEN = createCommand<Answered<string, RecordCommitResult>>(
   "job-forgotten",
@@ -140,6 +144,7 @@
       }),
       kernel.registerPeriodic({ intervalMs: SCHEDULE_MS, run: addDue }),
       kernel.registerPeriodic({ intervalMs: FORGET_MS, run: forgetOld }),
+      kernel.registerPeriodic({ intervalMs: GAUGES_MS, run: showTasks }),
     );
   }
 }
@@ -276,6 +281,18 @@
   }
 }
 
+function showTasks(update: Update): void {
+  const { jobs } = update.read(BOOK);
+  const tasks = [...jobs.values()].flatMap((job) =>
+    [...job.stages.values()].flatMap((stage) => stage.tasks)
+  );
+  const inPhase = (phase: TaskPhase) =>
+    tasks.filter((task) => task.phase === phase).length;
+  update.emit(gauge("jobs-open", jobs.size));
+  update.emit(gauge("tasks-waiting", inPhase(TaskPhase.Waiting)));
+  update.emit(gauge("tasks-placed", inPhase(TaskPhase.Placed)));
+}
+
 function forgetOld(update: Update): void {
   if (!update.read(BOOK).isOpen) {
     return;
--- a/packages/permits/src/permits_plugin.ts
+++ b/packages/permits/src/permits_plugin.ts
@@ -8,7 +8,11 @@
   type Undo,
   type Update,
 } from "@mustardweir/kernel";
-import { PEER_MESSAGE_RECEIVED, PeerMessageKind } from "@mustardweir/protocol";
+import {
+  gauge,
+  PEER_MESSAGE_RECEIVED,
+  PeerMessageKind,
+} from "@mustardweir/protocol";
 import { NODES_CHANGED } from "@mustardweir/replica";
 import { TENURE_GAINED, TENURE_LOST } from "@mustardweir/tenure";
 import { PERMITS, type Permits } from "./permits_state.ts";
@@ -23,6 +27,8 @@
 
 /** How often overdue questions are looked at, in milliseconds. */
 const TICK_MS = 40;
+/** How often gauges are set, in milliseconds. */
+const GAUGES_MS = 1_000;
 /** Request numbers of an epoch start here, apart from those of others. */
 const REQUESTS_PER_EPOCH = 1_000_000;
 
@@ -65,6 +71,14 @@
         Normal,
       ),
       kernel.registerPeriodic({ intervalMs: TICK_MS, run: expireQuestions }),
+      kernel.registerPeriodic({
+        intervalMs: GAUGES_MS,
+        run: (update) => {
+          const { waiting, calls } = update.read(PERMITS);
+          update.emit(gauge("permit-questions-waiting", waiting.length));
+          update.emit(gauge("permit-questions-asked", calls.size));
+        },
+      }),
     );
   }
 }
--- a/packages/protocol/src/effects.ts
+++ b/packages/protocol/src/effects.ts
@@ -32,6 +32,7 @@
   AnswerCaller = "answer-caller",
   Count = "count",
   Observe = "observe",
+  Gauge = "gauge",
   LogChange = "log-change",
   CommitRecords = "commit-records",
   ReadSource = "read-source",
@@ -135,6 +136,13 @@
   readonly value: number;
 }
 
+/** Sets a gauge to what is believed now. */
+export interface GaugeEffect extends Effect {
+  readonly kind: EffectKind.Gauge;
+  readonly gauge: string;
+  readonly value: number;
+}
+
 /** A log line for a change of state. */
 export interface LogChangeEffect extends Effect {
   readonly kind: EffectKind.LogChange;
@@ -160,6 +168,7 @@
   | AnswerCallerEffect
   | CountEffect
   | ObserveEffect
+  | GaugeEffect
   | LogChangeEffect
   | StoppedEffect
   | CommitRecordsEffect
@@ -193,6 +202,18 @@
   return { kind: EffectKind.Count, counter, by };
 }
 
+/**
+ * Makes an effect that sets a gauge.
+ *
+ * @example
+ * ```ts
+ * update.emit(gauge("jobs-open", book.jobs.size));
+ * ```
+ */
+export function gauge(name: string, value: number): GaugeEffect {
+  return { kind: EffectKind.Gauge, gauge: name, value };
+}
+
 /**
  * Makes an effect that adds `value` to a histogram.
  *
--- a/packages/prove/src/simulation/performers.ts
+++ b/packages/prove/src/simulation/performers.ts
@@ -56,6 +56,7 @@
   [EffectKind.ConnectPeers]: ignore,
   [EffectKind.Count]: ignore,
   [EffectKind.Observe]: ignore,
+  [EffectKind.Gauge]: ignore,
   [EffectKind.LogChange]: ignore,
   // The combined node has a simulation of its own.
   [EffectKind.CommitRecords]: ignore,
--- a/packages/replica/src/replica_plugin.ts
+++ b/packages/replica/src/replica_plugin.ts
@@ -14,6 +14,7 @@
   ChangeKind,
   count,
   EffectKind,
+  gauge,
   logChange,
   PEER_MESSAGE_RECEIVED,
   PeerMessageKind,
@@ -57,6 +58,8 @@
 const RETRY_MS = 150;
 /** How often paused sources are looked at, in milliseconds. */
 const TICK_MS = 20;
+/** How often gauges are set, in milliseconds. */
+const GAUGES_MS = 1_000;
 /** Workers that left are remembered longer than any lease, in milliseconds. */
 const DEPARTED_MS = 30_000;
 /** Age of a source that was never known. */
@@ -152,6 +155,7 @@
         intervalMs: TICK_MS,
         run: (update) => this.#tick(update),
       }),
+      kernel.registerPeriodic({ intervalMs: GAUGES_MS, run: showAges }),
     );
   }
 
@@ -312,6 +316,16 @@
   }
 }
 
+function showAges(update: Update): void {
+  const { sources, desired, workers } = update.read(REPLICA);
+  for (const [source, { isListed, answeredMs }] of Object.entries(sources)) {
+    const ageMs = isListed ? Math.round(update.now - answeredMs) : NEVER;
+    update.emit(gauge(`source-${source}-age-ms`, ageMs));
+  }
+  update.emit(gauge("desired-version", desired?.version ?? NEVER));
+  update.emit(gauge("workers-registered", workers.size));
+}
+
 function isOutdated(asked: Asked | AskedPart, progress: Progress): boolean {
   return asked.phase === Phase.Listing && asked.listing !== progress.listing;
 }
--- a/packages/runtime/src/metrics.ts
+++ b/packages/runtime/src/metrics.ts
@@ -2,7 +2,7 @@
   build,
   decodeFromCompressedBase64,
   encodeIntoCompressedBase64,
-  type Histogram,
+  type JsHistogram,
 } from "hdr-histogram-js";
 
 const SIGNIFICANT_DIGITS = 2;
@@ -11,6 +11,25 @@
 /** The quantiles that are shown of every histogram. */
 const QUANTILES = [0.5, 0.9, 0.99, 0.999] as const;
 
+/**
+ * Upper bounds of the buckets of every histogram, in milliseconds; among them
+ * the latency objectives of the users' queues.
+ */
+const BUCKETS_MS = [
+  5,
+  10,
+  25,
+  50,
+  100,
+  250,
+  500,
+  1_000,
+  2_500,
+  3_000,
+  5_000,
+  10_000,
+] as const;
+
 /** What a histogram holds, in the unit of the values observed. */
 export interface HistogramSnapshot {
   readonly count: number;
@@ -19,16 +38,19 @@
   readonly max: number;
   /** Value by quantile, such as 0.99. */
   readonly quantiles: Readonly<Record<string, number>>;
+  /** Values up to each bound of the buckets, by bound. */
+  readonly upTo: ReadonlyMap<number, number>;
 }
 
 /** All counters and histograms of a process at one time, by name. */
 export interface MetricsSnapshot {
   readonly counters: Readonly<Record<string, number>>;
+  readonly gauges: Readonly<Record<string, number>>;
   readonly histograms: Readonly<Record<string, HistogramSnapshot>>;
 }
 
 /**
- * Counters and histograms of a process.
+ * Counters, gauges and histograms of a process.
  *
  * @example
  * ```ts
@@ -40,7 +62,8 @@
  */
 export class Metrics {
   readonly #counters = new Map<string, number>();
-  readonly #histograms = new Map<string, Histogram>();
+  readonly #gauges = new Map<string, number>();
+  readonly #histograms = new Map<string, JsHistogram>();
   readonly #sums = new Map<string, number>();
 
   /** Adds `by`, 1 by default, to a counter. */
@@ -53,6 +76,11 @@
     return this.#counters.get(counter) ?? 0;
   }
 
+  /** Sets a gauge. */
+  set(gauge: string, value: number): void {
+    this.#gauges.set(gauge, value);
+  }
+
   /** Adds a value to a histogram; negative values count as 0. */
   observe(histogram: string, value: number): void {
     const recorded = Math.max(0, Math.round(value));
@@ -67,16 +95,18 @@
     );
     return {
       counters: Object.fromEntries(this.#counters),
+      gauges: Object.fromEntries(this.#gauges),
       histograms: Object.fromEntries(histograms),
     };
   }
 
   /** All metrics in the text format of Prometheus. */
   renderPrometheus(): string {
-    const { counters, histograms } = this.snapshot();
+    const { counters, gauges, histograms } = this.snapshot();
     const lines = [
       ...Object.entries(counters).sort(byName).flatMap(renderCounter),
-      ...Object.entries(histograms).sort(byName).flatMap(renderSummary),
+      ...Object.entries(gauges).sort(byName).flatMap(renderGauge),
+      ...Object.entries(histograms).sort(byName).flatMap(renderHistogram),
     ];
     return lines.map((line) => `${line}\n`).join("");
   }
@@ -92,14 +122,14 @@
   /** Adds the values of another process' encoded histograms. */
   mergeHistograms(encoded: Readonly<Record<string, string>>): void {
     for (const [name, text] of Object.entries(encoded)) {
-      const other = decodeFromCompressedBase64(text);
+      const other = decodeFromCompressedBase64(text) as JsHistogram;
       this.#histogram(name).add(other);
       const sum = this.#sums.get(name) ?? 0;
       this.#sums.set(name, sum + Math.round(other.mean * other.totalCount));
     }
   }
 
-  #histogram(name: string): Histogram {
+  #histogram(name: string): JsHistogram {
     const known = this.#histograms.get(name);
     if (known) {
       return known;
@@ -107,12 +137,13 @@
     const histogram = build({
       autoResize: true,
       numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
-    });
+      useWebAssembly: false,
+    }) as JsHistogram;
     this.#histograms.set(name, histogram);
     return histogram;
   }
 
-  #snapshotOf(name: string, histogram: Histogram): HistogramSnapshot {
+  #snapshotOf(name: string, histogram: JsHistogram): HistogramSnapshot {
     const quantiles = QUANTILES.map((quantile) =>
       [
         String(quantile),
@@ -125,6 +156,7 @@
       mean: histogram.mean,
       max: histogram.maxValue,
       quantiles: Object.fromEntries(quantiles),
+      upTo: countUpTo(histogram),
     };
   }
 }
@@ -134,14 +166,35 @@
   return [`# TYPE ${metric} counter`, `${metric} ${value}`];
 }
 
-function renderSummary([name, of]: [string, HistogramSnapshot]): string[] {
+function renderGauge([name, value]: [string, number]): string[] {
+  const metric = metricName(name);
+  return [`# TYPE ${metric} gauge`, `${metric} ${value}`];
+}
+
+/** Counts the values up to each bound, to the histogram's precision. */
+function countUpTo(histogram: JsHistogram): Map<number, number> {
+  const upTo = new Map<number, number>(BUCKETS_MS.map((bound) => [bound, 0]));
+  const values = histogram.recordedValuesIterator;
+  values.reset();
+  while (values.hasNext()) {
+    const { valueIteratedTo, countAtValueIteratedTo } = values.next();
+    const value = histogram.lowestEquivalentValue(valueIteratedTo);
+    for (const bound of BUCKETS_MS.filter((most) => value <= most)) {
+      upTo.set(bound, upTo.get(bound)! + countAtValueIteratedTo);
+    }
+  }
+  return upTo;
+}
+
+function renderHistogram([name, of]: [string, HistogramSnapshot]): string[] {
   const metric = metricName(name);
-  const quantiles = Object.entries(of.quantiles).map(([quantile, value]) =>
-    `${metric}{quantile="${quantile}"} ${value}`
+  const buckets = [...of.upTo].map(([bound, values]) =>
+    `${metric}_bucket{le="${bound}"} ${values}`
   );
   return [
-    `# TYPE ${metric} summary`,
-    ...quantiles,
+    `# TYPE ${metric} histogram`,
+    ...buckets,
+    `${metric}_bucket{le="+Inf"} ${of.count}`,
     `${metric}_sum ${of.sum}`,
     `${metric}_count ${of.count}`,
   ];
--- a/packages/runtime/src/metrics_performer.ts
+++ b/packages/runtime/src/metrics_performer.ts
@@ -2,9 +2,13 @@
 import { Metrics } from "./metrics.ts";
 import { Performer } from "./performer.ts";
 
-/** Carries out effects that count and observe. */
+/** Carries out effects that count, observe and set gauges. */
 export class MetricsPerformer extends Performer {
-  override readonly kinds = [EffectKind.Count, EffectKind.Observe];
+  override readonly kinds = [
+    EffectKind.Count,
+    EffectKind.Observe,
+    EffectKind.Gauge,
+  ];
   readonly metrics: Metrics;
 
   constructor(metrics: Metrics = new Metrics()) {
@@ -17,6 +21,8 @@
       this.metrics.count(effect.counter, effect.by);
     } else if (effect.kind === EffectKind.Observe) {
       this.metrics.observe(effect.histogram, effect.value);
+    } else if (effect.kind === EffectKind.Gauge) {
+      this.metrics.set(effect.gauge, effect.value);
     }
   }
 }
--- a/packages/store-route/src/route_plugin.ts
+++ b/packages/store-route/src/route_plugin.ts
@@ -8,7 +8,11 @@
   Role,
   type Undo,
 } from "@mustardweir/kernel";
-import { PEER_MESSAGE_RECEIVED, PeerMessageKind } from "@mustardweir/protocol";
+import {
+  gauge,
+  PEER_MESSAGE_RECEIVED,
+  PeerMessageKind,
+} from "@mustardweir/protocol";
 import {
   expireRelayed,
   RELAY_ANSWERED,
@@ -23,6 +27,9 @@
 /** How often relayed calls are looked at, in milliseconds. */
 const TICK_MS = 40;
 
+/** How often gauges are set, in milliseconds. */
+const GAUGES_MS = 1_000;
+
 /** Names the nodes that may be asked to call the store. */
 export const RELAYS_KNOWN = createCommand<
   { readonly peers: readonly string[] }
@@ -75,6 +82,13 @@
         Normal,
       ),
       kernel.registerPeriodic({ intervalMs: TICK_MS, run: expireRelayed }),
+      kernel.registerPeriodic({
+        intervalMs: GAUGES_MS,
+        run: (update) => {
+          const { isRelayed } = update.read(STORE_ROUTE);
+          update.emit(gauge("store-relayed", isRelayed ? 1 : 0));
+        },
+      }),
     );
   }
 }
--- a/packages/tenure/src/tenure_plugin.ts
+++ b/packages/tenure/src/tenure_plugin.ts
@@ -7,7 +7,7 @@
   Role,
   type Undo,
 } from "@mustardweir/kernel";
-import { STOP_REQUESTED } from "@mustardweir/protocol";
+import { gauge, STOP_REQUESTED } from "@mustardweir/protocol";
 import { NODES_CHANGED, TENURE_SEEN } from "@mustardweir/replica";
 import {
   CLAIM_ANSWERED,
@@ -24,7 +24,7 @@
 } from "./commits.ts";
 import { connectNodes, registerNode, REGISTRATION_ANSWERED } from "./nodes.ts";
 import { considerRelease, measureLag } from "./lag.ts";
-import { TENURE, TenurePhase } from "./tenure_state.ts";
+import { isOwner, TENURE, TenurePhase } from "./tenure_state.ts";
 
 /** How often claims, beats and repeats are looked at, in milliseconds. */
 const TICK_MS = 20;
@@ -106,6 +106,9 @@
             registerNode(update);
           }
           connectNodes(update);
+          const { epoch } = update.read(TENURE);
+          update.emit(gauge("owns-domain", isOwner(update) ? 1 : 0));
+          update.emit(gauge("domain-epoch", epoch));
         },
       }),
     );
