Split placement and the replica by what they do; one builder of plain stages

Permission, ceilings and starts, and the views of the replica have files of their own; nothing else changes. A test's copy of the plain stage goes.

--- /dev/null
+++ b/packages/dispatch/src/ceilings.ts
@@ -0,0 +1,41 @@
+import type { Update } from "@mustardweir/kernel";
+import {
+  addResources,
+  type FleetTeam,
+  NO_RESOURCES,
+  type Resources,
+} from "@mustardweir/model";
+import { BOOK, type StageRun, type TaskRun } from "./book.ts";
+
+/** The first of the waiting tasks that the team may run as well. */
+export function withinCeiling(
+  update: Update,
+  { stage, waiting, team }: {
+    readonly stage: StageRun;
+    readonly waiting: readonly TaskRun[];
+    readonly team: FleetTeam | undefined;
+  },
+): readonly TaskRun[] {
+  if (team === undefined) {
+    return waiting;
+  }
+  const used = update.read(BOOK).used.get(team.name) ?? NO_RESOURCES;
+  let sum = used;
+  for (let index = 0; index < waiting.length; index++) {
+    sum = addResources(sum, stage.spec.size);
+    if (exceeds(sum, team.ceiling)) {
+      return waiting.slice(0, index);
+    }
+  }
+  return waiting;
+}
+
+function exceeds(used: Resources, ceiling: Resources): boolean {
+  return isOver(used.cpuMillis, ceiling.cpuMillis) ||
+    isOver(used.memoryMb, ceiling.memoryMb) ||
+    isOver(used.accelerators, ceiling.accelerators);
+}
+
+function isOver(used: number, ceiling: number): boolean {
+  return ceiling > 0 && used > ceiling;
+}
--- a/packages/dispatch/src/pump.ts
+++ b/packages/dispatch/src/pump.ts
@@ -5,54 +5,32 @@
   type FleetTeam,
   NO_RESOURCES,
   type Resources,
-  StagedJobState,
 } from "@mustardweir/model";
-import { logChange } from "@mustardweir/protocol";
-import { askPermits, heldPermit, stagePermits } from "@mustardweir/permits";
 import { REPLICA, storeNow, unixNow } from "@mustardweir/replica";
-import { SESSIONS, startAttempt } from "@mustardweir/sessions";
+import { SESSIONS } from "@mustardweir/sessions";
 import {
   BOOK,
-  bookedSize,
-  firstAttempt,
   isOpen,
   isReady,
   isStageDone,
-  type JobRun,
   type StageRun,
-  takeRoom,
-  taskName,
   TaskPhase,
   type TaskRun,
 } from "./book.ts";
 import {
   type Candidate,
-  couldHold,
-  hasRoom,
   listCandidates,
   settleBookings,
-  suits,
 } from "./candidates.ts";
-import {
-  BestFitRule,
-  type Choice,
-  GangRule,
-  type PlacementRule,
-} from "./choice.ts";
-import { WORKER_HEALTH } from "./health.ts";
-import { canMakeRoom, makeRoom, mayPreempt } from "./preemption.ts";
-import { writeProgress } from "./progress.ts";
+import { withinCeiling } from "./ceilings.ts";
+import { BestFitRule, GangRule, type PlacementRule } from "./choice.ts";
+import { askForMore, mayStart, permitted } from "./permission.ts";
+import { makeRoom, mayPreempt } from "./preemption.ts";
+import { start } from "./starts.ts";
 import { ObjectiveOrder, standingOf, type TurnOrder } from "./turn_order.ts";
 
 /** Shortest time between two rounds of placement, in milliseconds. */
 const PUMP_GAP_MS = 8;
-/** Most workers named in one question, below the policy's limit of 100. */
-const MAX_ASKED = 40;
-/**
- * Workers of a known good verdict that are asked again together; most of a
- * question's time goes before the first one.
- */
-const MAX_REASKED = 12;
 /** Share of a team that has none; it comes after all others. */
 const MIN_SHARE = 1e-6;
 /** Tasks that a team may start in one turn before others get theirs. */
@@ -248,173 +226,6 @@
   return choices.length;
 }
 
-/** A stage that waits, and the workers of its pool. */
-interface Offer {
-  readonly stage: StageRun;
-  readonly rank: number;
-  readonly preempts: boolean;
-  readonly candidates: readonly Candidate[];
-}
-
-/** The candidates that may run the stage; asks when none is known. */
-function permitted(update: Update, offer: Offer): readonly Candidate[] {
-  const { stage, candidates } = offer;
-  if (stage.job.record.queue.permits === undefined) {
-    return candidates;
-  }
-  const held = candidates.filter(({ session }) =>
-    heldPermit(update, stage.name, session.info.id) !== undefined
-  );
-  if (!held.some((candidate) => mayStart(candidate, offer))) {
-    askForMore(update, offer);
-  }
-  return held;
-}
-
-/** Asks for permits of workers with room that have none. */
-function askForMore(update: Update, offer: Offer): void {
-  const { stage, rank, candidates } = offer;
-  const { permits: policy } = stage.job.record.queue;
-  if (policy === undefined) {
-    return;
-  }
-  const known = stagePermits(update, stage.name);
-  if (known.isAsked) {
-    return;
-  }
-  const without = candidates.filter((candidate) =>
-    suits(candidate, stage) && couldHold(stage, candidate) &&
-    heldPermit(update, stage.name, candidate.session.info.id) === undefined
-  );
-  const unjudged = without.filter(({ session }) =>
-    !known.judged.has(session.info.id)
-  );
-  const expired = without.filter(({ session }) =>
-    known.good.has(session.info.id)
-  );
-  // A permit holds for a short time only, so nothing is asked while no task
-  // could start. Room on the other workers may come free while it holds, and
-  // verdicts never change.
-  const isUseful = [...expired, ...unjudged].some((candidate) =>
-    mayStart(candidate, offer)
-  );
-  const asked = isUseful
-    ? [
-      ...expired.sort(byRoom).slice(0, MAX_REASKED),
-      ...unjudged.sort(byRoom),
-    ].slice(0, MAX_ASKED)
-    : [];
-  askPermits(update, {
-    stage: stage.name,
-    workers: asked.map(({ session }) => session.info.id),
-    policy,
-    rank,
-  });
-}
-
-/** True when a task of the stage has room, or room can be made for it. */
-function mayStart(candidate: Candidate, { stage, preempts }: Offer): boolean {
-  return hasRoom(candidate, stage) ||
-    (preempts && canMakeRoom(candidate, stage));
-}
-
-function byRoom(a: Candidate, b: Candidate): number {
-  return b.free.cpuMillis - a.free.cpuMillis;
-}
-
-function withinCeiling(
-  update: Update,
-  { stage, waiting, team }: {
-    readonly stage: StageRun;
-    readonly waiting: readonly TaskRun[];
-    readonly team: FleetTeam | undefined;
-  },
-): readonly TaskRun[] {
-  if (team === undefined) {
-    return waiting;
-  }
-  const used = update.read(BOOK).used.get(team.name) ?? NO_RESOURCES;
-  let sum = used;
-  for (let index = 0; index < waiting.length; index++) {
-    sum = addResources(sum, stage.spec.size);
-    if (exceeds(sum, team.ceiling)) {
-      return waiting.slice(0, index);
-    }
-  }
-  return waiting;
-}
-
-function exceeds(used: Resources, ceiling: Resources): boolean {
-  return isOver(used.cpuMillis, ceiling.cpuMillis) ||
-    isOver(used.memoryMb, ceiling.memoryMb) ||
-    isOver(used.accelerators, ceiling.accelerators);
-}
-
-function isOver(used: number, ceiling: number): boolean {
-  return ceiling > 0 && used > ceiling;
-}
-
-function start(
-  update: Update,
-  stage: StageRun,
-  choices: readonly Choice[],
-): void {
-  const book = update.write(BOOK);
-  const gang = stage.spec.gang ? gangStart(stage, book.epoch) : undefined;
-  for (const { task, candidate } of choices) {
-    const workerId = candidate.session.info.id;
-    task.attempt = gang?.attempt ??
-      Math.max(task.attempt + 1, firstAttempt(book.epoch));
-    task.phase = TaskPhase.Placed;
-    task.workerId = workerId;
-    task.placedMs = update.now;
-    task.isStopping = false;
-    task.isRunning = false;
-    task.percent = 0;
-    takeRoom(book, task);
-    update.write(WORKER_HEALTH).started(workerId, update.now);
-    const permit = heldPermit(update, stage.name, workerId);
-    startAttempt(update, {
-      workerId,
-      task: taskName(task),
-      attempt: task.attempt,
-      size: bookedSize(stage),
-      payload: stage.job.record.spec.payload,
-      checkpoint: gang?.checkpoint ?? task.checkpoint,
-      ...(permit === undefined ? {} : { permit }),
-    });
-  }
-  markRunning(update, stage.job);
-}
-
-/** All members start under one number, from one checkpoint. */
-function gangStart(stage: StageRun, epoch: number) {
-  const placed = stage.tasks.find((task) => task.phase === TaskPhase.Placed);
-  const highest = Math.max(...stage.tasks.map((task) => task.attempt));
-  const checkpoint = stage.tasks
-    .map((task) => task.checkpoint)
-    .reduce((a, b) => b > a ? b : a, "");
-  for (const task of stage.tasks) {
-    task.checkpoint = checkpoint;
-  }
-  return {
-    attempt: placed?.attempt ?? Math.max(highest + 1, firstAttempt(epoch)),
-    checkpoint,
-  };
-}
-
-function markRunning(update: Update, job: JobRun): void {
-  if (job.state === StagedJobState.Pending) {
-    job.state = StagedJobState.Running;
-    writeProgress(update, job);
-    update.emit(logChange("Job started", {
-      job: job.jobId,
-      queue: job.record.queue.name,
-      team: job.record.team,
-    }));
-  }
-}
-
 function totalCapacity(byPool: ReadonlyMap<string, Candidate[]>): Resources {
   return [...byPool.values()].flat()
     .map(({ session }) => session.info.capacity)
--- a/packages/dispatch/src/turn_order_test.ts
+++ b/packages/dispatch/src/turn_order_test.ts
@@ -1,8 +1,4 @@
-import {
-  NO_RESOURCES,
-  StagedJobState,
-  type StageSpec,
-} from "@mustardweir/model";
+import { plainStage, StagedJobState } from "@mustardweir/model";
 import { expect } from "chai";
 import { addOccurrence, createJobRun, type JobRun } from "./book.ts";
 import {
@@ -12,24 +8,7 @@
   standingOf,
 } from "./turn_order.ts";
 
-const STAGE: StageSpec = {
-  tasks: 1,
-  size: NO_RESOURCES,
-  estimateMs: 1_000,
-  dependsOn: [],
-  checkpoints: false,
-  gang: false,
-  sameRack: false,
-  requiredLabel: "",
-  preferredRack: "",
-  maxPerWorker: 0,
-  speculative: false,
-  lasting: false,
-  image: "",
-  latencyObjectiveMs: 0,
-  bestEffort: false,
-  disruptionBudget: 0,
-};
+const STAGE = plainStage({ estimateMs: 1_000 });
 
 interface JobOptions {
   readonly priority?: number;
--- a/packages/model/src/staged_job.ts
+++ b/packages/model/src/staged_job.ts
@@ -1,5 +1,5 @@
 import type { JobQueue } from "./desired_state.ts";
-import type { Resources } from "./resources.ts";
+import { NO_RESOURCES, type Resources } from "./resources.ts";
 
 /** Where a staged job stands, as callers are told. */
 export enum StagedJobState {
@@ -43,6 +43,36 @@
   readonly disruptionBudget: number;
 }
 
+/**
+ * A stage of one task with nothing but what `options` names.
+ *
+ * @example
+ * ```ts
+ * plainStage({ tasks: 8, estimateMs: 900 });
+ * ```
+ */
+export function plainStage(options: Partial<StageSpec> = {}): StageSpec {
+  return {
+    tasks: 1,
+    size: NO_RESOURCES,
+    estimateMs: 0,
+    dependsOn: [],
+    checkpoints: false,
+    gang: false,
+    sameRack: false,
+    requiredLabel: "",
+    preferredRack: "",
+    maxPerWorker: 0,
+    speculative: false,
+    lasting: false,
+    image: "",
+    latencyObjectiveMs: 0,
+    bestEffort: false,
+    disruptionBudget: 0,
+    ...options,
+  };
+}
+
 /** Occurrences of a scheduled job. */
 export interface JobSchedule {
   /** Due time of the first occurrence, Unix milliseconds. */
--- a/packages/prove/src/domain/domain_cluster.ts
+++ b/packages/prove/src/domain/domain_cluster.ts
@@ -2,6 +2,7 @@
 import {
   type DesiredState,
   NO_RESOURCES,
+  plainStage,
   type Resources,
   type StagedJobSpec,
   type StageSpec,
@@ -58,27 +59,14 @@
   cancelledMs: number | undefined;
 }
 
-/** A stage with the fields that a case doesn't name left at nothing. */
+/** A stage of small tasks, with what a case names. */
 export function stageSpec(options: Partial<StageSpec> = {}): StageSpec {
-  return {
+  return plainStage({
     tasks: 3,
     size: { ...NO_RESOURCES, cpuMillis: 1_000, memoryMb: 500 },
     estimateMs: 500,
-    dependsOn: [],
-    checkpoints: false,
-    gang: false,
-    sameRack: false,
-    requiredLabel: "",
-    preferredRack: "",
-    maxPerWorker: 0,
-    speculative: false,
-    lasting: false,
-    image: "",
-    latencyObjectiveMs: 0,
-    bestEffort: false,
-    disruptionBudget: 0,
     ...options,
-  };
+  });
 }
 
 /** A payload that tells the simulated workers how its tasks behave. */
--- a/packages/replica/src/replica_plugin.ts
+++ b/packages/replica/src/replica_plugin.ts
@@ -11,10 +11,8 @@
 } from "@mustardweir/kernel";
 import {
   type Answered,
-  ChangeKind,
   count,
   EffectKind,
-  gauge,
   logChange,
   PEER_MESSAGE_RECEIVED,
   PeerMessageKind,
@@ -27,12 +25,15 @@
 import { callStore } from "@mustardweir/store-route";
 import { applyChange, learnProgress } from "./apply.ts";
 import { RECORD_PARTS } from "./record_keys.ts";
+import { RECORDS_WANTED, REPLICA, type SourceView } from "./replica.ts";
 import {
-  RECORDS_WANTED,
-  REPLICA,
-  type Replica,
-  type SourceView,
-} from "./replica.ts";
+  createReplica,
+  dropMissing,
+  forgetDeparted,
+  NEVER,
+  showAges,
+  takeClocks,
+} from "./views.ts";
 
 /** How a source is followed. */
 interface FollowPace {
@@ -60,10 +61,6 @@
 const TICK_MS = 20;
 /** How often gauges are set, in milliseconds. */
 const GAUGES_MS = 1_000;
-/** Workers that left are remembered longer than any lease, in milliseconds. */
-const DEPARTED_MS = 30_000;
-/** Age of a source that was never known. */
-const NEVER = -1;
 /** Parts of sources that aren't the system's own records. */
 const SINGLE_PART: readonly string[] = [""];
 
@@ -316,95 +313,10 @@
   }
 }
 
-function showAges(update: Update): void {
-  const { sources, desired, workers } = update.read(REPLICA);
-  for (const [source, { isListed, answeredMs }] of Object.entries(sources)) {
-    const ageMs = isListed ? Math.round(update.now - answeredMs) : NEVER;
-    update.emit(gauge(`source-${source}-age-ms`, ageMs));
-  }
-  update.emit(gauge("desired-version", desired?.version ?? NEVER));
-  update.emit(gauge("workers-registered", workers.size));
-}
-
 function isOutdated(asked: Asked | AskedPart, progress: Progress): boolean {
   return asked.phase === Phase.Listing && asked.listing !== progress.listing;
 }
 
-function takeClocks(
-  update: Update,
-  { clockMs, unixMs }: { readonly clockMs: number; readonly unixMs: number },
-): void {
-  const replica = update.write(REPLICA);
-  replica.storeClockOffsetMs = clockMs - update.now;
-  replica.unixOffsetMs = unixMs - clockMs;
-}
-
-/** Drops what a whole listing no longer names. */
-function dropMissing(
-  update: Update,
-  source: Source,
-  listed: readonly SourceChange[],
-): void {
-  const replica = update.read(REPLICA);
-  if (source === Source.Workers) {
-    const ids = new Set(
-      listed.map((c) => c.kind === ChangeKind.Worker ? c.id : ""),
-    );
-    for (const id of [...replica.workers.keys()].filter((id) => !ids.has(id))) {
-      applyChange(update, { kind: ChangeKind.Worker, id });
-    }
-  } else if (source === Source.Operator) {
-    const zones = new Set(
-      listed.map((c) => c.kind === ChangeKind.ZoneDrain ? c.zone : ""),
-    );
-    for (const zone of [...replica.drainedZones.keys()]) {
-      if (!zones.has(zone)) {
-        applyChange(update, {
-          kind: ChangeKind.ZoneDrain,
-          zone,
-          isDrained: false,
-        });
-      }
-    }
-  }
-}
-
-function forgetDeparted(update: Update): void {
-  const { departed } = update.read(REPLICA);
-  for (const [id, { departedMs }] of departed) {
-    if (update.now - departedMs > DEPARTED_MS) {
-      update.write(REPLICA).departed.delete(id);
-    }
-  }
-}
-
-function createReplica(): Replica {
-  const view = (): SourceView => ({
-    isListed: false,
-    version: 0,
-    answeredMs: -Infinity,
-  });
-  return {
-    sources: {
-      [Source.Records]: view(),
-      [Source.Operator]: view(),
-      [Source.Workers]: view(),
-    },
-    desired: undefined,
-    drainedZones: new Map(),
-    workers: new Map(),
-    departed: new Map(),
-    jobs: new Map(),
-    orphans: new Map(),
-    cancels: new Set(),
-    sessions: new Map(),
-    nodes: new Map(),
-    tenure: undefined,
-    storeClockOffsetMs: undefined,
-    unixOffsetMs: 0,
-  };
-}
-
 registerPlugin({
   name: "replica",
   roles: [Role.Combined],
