--- a/packages/prove/src/domain/domain_mutants_test.ts
+++ b/packages/prove/src/domain/domain_mutants_test.ts
@@ -1,6 +1,7 @@
 import type { Command } from "@mustardweir/kernel";
 import {
   type Answered,
+  AttemptEnd,
   EffectKind,
   FrontAnswerKind,
   type NodeEffect,
@@ -140,6 +141,57 @@
             : result,
       ),
   },
+  {
+    name: "records every worker as idle",
+    scenarios: /with long tasks is cut off and the owner is killed/,
+    create: () =>
+      new EffectTampering((effect) =>
+        effect.kind === EffectKind.CommitRecords
+          ? {
+            ...effect,
+            transaction: {
+              ...effect.transaction,
+              puts: effect.transaction.puts.map((put) => ({
+                ...put,
+                value: put.value.replace('"isIdle":false', '"isIdle":true'),
+              })),
+            },
+          }
+          : effect
+      ),
+  },
+  {
+    name: "takes a silent worker for one that was replaced",
+    scenarios: /cut off in the middle of long tasks/,
+    create: () =>
+      new AnswerTampering<OrderResult>(
+        "renewal-answered",
+        (result) =>
+          result.outcome === OrderOutcome.NoAnswer
+            ? { outcome: OrderOutcome.OtherIncarnation }
+            : result,
+      ),
+  },
+  {
+    name: "forgets failures that a predecessor did not record",
+    scenarios: /every task fails always, and the owner is cut off/,
+    create: () =>
+      new AnswerTampering<OrderResult>(
+        "renewal-answered",
+        (result) =>
+          result.listing === undefined ? result : {
+            ...result,
+            listing: {
+              ...result.listing,
+              ended: result.listing.ended.map((ended) =>
+                ended.attempt === 2
+                  ? { ...ended, end: AttemptEnd.Stopped }
+                  : ended
+              ),
+            },
+          },
+      ),
+  },
   {
     name: "says that a job never runs when it can't tell",
     scenarios: /most writes are done late/,
--- a/packages/prove/src/domain/domain_scenarios.ts
+++ b/packages/prove/src/domain/domain_scenarios.ts
@@ -171,6 +171,15 @@
       cluster.kill(cluster.owner!);
     },
   },
+  {
+    name: "a worker with long tasks is cut off and the owner is killed",
+    runMs: 9_000,
+    stages: [stageSpec({ tasks: 1 })],
+    disturb: (cluster) => {
+      cutWorker(cluster, "w1", 20_000);
+      cluster.kill(cluster.owner!);
+    },
+  },
   {
     name:
       "a worker is cut off from all but the owner, who is cut off the store",
