--- a/packages/dispatch/src/permission.ts
+++ b/packages/dispatch/src/permission.ts
@@ -11,6 +11,7 @@
  * question's time goes before the first one.
  */
 const MAX_REASKED = 12;
+
 /** A stage that waits, and the workers of its pool. */
 export interface Offer {
   readonly stage: StageRun;
