Judge the standing of a turn once; order victims without the clock

Each waiting stage had its standing worked out twice in a round of placement, and the order of victims took a clock that cancels out. Nothing else changes; the tests keep their assertions.

--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -119,7 +119,7 @@
     session,
     free,
     expected: addResources(free, stoppingRoom(tasks)),
-    victims: listVictims(tasks, update.now),
+    victims: listVictims(tasks),
     hasServing,
     hasBestEffort,
     slowness: update.read(WORKER_HEALTH).slowness(session.info.id),
--- a/packages/dispatch/src/pump.ts
+++ b/packages/dispatch/src/pump.ts
@@ -135,12 +135,13 @@
       );
       const waiting = stage.spec.gang ? gangMembers(stage, able) : able;
       if (waiting.length > 0) {
+        const standing = standingOf(stage, clock);
         turns.push({
           stage,
           waiting,
           team: job.record.team,
-          rank: ORDER.rank(stage, clock),
-          preempts: mayPreempt(stage, standingOf(stage, clock)),
+          rank: ORDER.rank(stage, standing),
+          preempts: mayPreempt(stage, standing),
         });
       }
     }
--- a/packages/dispatch/src/turn_order.ts
+++ b/packages/dispatch/src/turn_order.ts
@@ -27,7 +27,7 @@
 /** Ranks the stages that wait for workers. */
 export abstract class TurnOrder {
   /** Stages of a lower rank are placed first. */
-  abstract rank(stage: StageRun, clock: TurnClock): number;
+  abstract rank(stage: StageRun, standing: Standing): number;
 }
 
 /** By the priority of the queue alone. */
@@ -45,9 +45,8 @@
  * that are useless by now, or beyond their team's rate, come after all others.
  */
 export class ObjectiveOrder extends TurnOrder {
-  override rank(stage: StageRun, clock: TurnClock): number {
+  override rank(stage: StageRun, standing: Standing): number {
     const { priority } = stage.job.record.queue;
-    const standing = standingOf(stage, clock);
     return standing === Standing.InTime || standing === Standing.Late
       ? 2 * Math.min(priority, PRIORITIES) + standing
       : 2 * PRIORITIES * standing + priority;
--- a/packages/dispatch/src/turn_order_test.ts
+++ b/packages/dispatch/src/turn_order_test.ts
@@ -6,6 +6,7 @@
   PriorityOrder,
   Standing,
   standingOf,
+  type TurnClock,
 } from "./turn_order.ts";
 
 const STAGE = plainStage({ estimateMs: 1_000 });
@@ -138,15 +139,19 @@
 
   it("places urgent queues first, then what is in time, then the rest", () => {
     const order = new ObjectiveOrder();
+    const rank = (job: JobOptions, clock: TurnClock) => {
+      const stage = stageOf(job);
+      return order.rank(stage, standingOf(stage, clock));
+    };
     const ranks = [
-      order.rank(stageOf({}), now),
-      order.rank(stageOf({}), late),
-      order.rank(stageOf({ priority: 1 }), now),
-      order.rank(stageOf({ priority: 1 }), late),
-      order.rank(stageOf({ isExcess: true }), now),
-      order.rank(stageOf({ priority: 1, isExcess: true }), now),
-      order.rank(stageOf({}), expired),
-      order.rank(stageOf({ priority: 1 }), expired),
+      rank({}, now),
+      rank({}, late),
+      rank({ priority: 1 }, now),
+      rank({ priority: 1 }, late),
+      rank({ isExcess: true }, now),
+      rank({ priority: 1, isExcess: true }, now),
+      rank({}, expired),
+      rank({ priority: 1 }, expired),
     ];
     expect(ranks).to.deep.equal([...ranks].sort((a, b) => a - b));
     expect(new Set(ranks).size).to.equal(ranks.length);
--- a/packages/dispatch/src/victims.ts
+++ b/packages/dispatch/src/victims.ts
@@ -5,14 +5,11 @@
 const MAX_PREEMPTIONS = 2;
 
 /** Tasks on the worker that may be stopped for others, best first. */
-export function listVictims(
-  tasks: readonly TaskRun[],
-  now: number,
-): TaskRun[] {
-  return tasks.filter((task) => isVictim(task))
+export function listVictims(tasks: readonly TaskRun[]): TaskRun[] {
+  return tasks.filter(isVictim)
     .sort((a, b) =>
       b.stage.job.record.queue.priority - a.stage.job.record.queue.priority ||
-      (now - a.placedMs) - (now - b.placedMs)
+      b.placedMs - a.placedMs
     );
 }
 
