--- a/packages/dispatch/src/dispatch_plugin.ts
+++ b/packages/dispatch/src/dispatch_plugin.ts
@@ -14,6 +14,7 @@
   type Answered,
   EffectKind,
   gauge,
+  GAUGES_MS,
   RecordCommitKind,
   type RecordCommitResult,
   replyTo,
@@ -79,8 +80,6 @@
 /** Ended jobs can be asked for at least this long, in milliseconds. */
 const KEEP_ENDED_MS = 180_000;
 const FORGET_TIMEOUT_MS = 2_000;
-/** How often gauges are set, in milliseconds. */
-const GAUGES_MS = 1_000;
 
 const JOB_FORGOTTEN = createCommand<Answered<string, RecordCommitResult>>(
   "job-forgotten",
--- a/packages/permits/src/permits_plugin.ts
+++ b/packages/permits/src/permits_plugin.ts
@@ -10,6 +10,7 @@
 } from "@mustardweir/kernel";
 import {
   gauge,
+  GAUGES_MS,
   PEER_MESSAGE_RECEIVED,
   PeerMessageKind,
 } from "@mustardweir/protocol";
@@ -27,8 +28,6 @@
 
 /** How often overdue questions are looked at, in milliseconds. */
 const TICK_MS = 40;
-/** How often gauges are set, in milliseconds. */
-const GAUGES_MS = 1_000;
 /** Request numbers of an epoch start here, apart from those of others. */
 const REQUESTS_PER_EPOCH = 1_000_000;
 
--- a/packages/protocol/src/effects.ts
+++ b/packages/protocol/src/effects.ts
@@ -202,6 +202,9 @@
   return { kind: EffectKind.Count, counter, by };
 }
 
+/** How often plug-ins set their gauges, in milliseconds. */
+export const GAUGES_MS = 1_000;
+
 /**
  * Makes an effect that sets a gauge.
  *
--- a/packages/replica/src/replica_plugin.ts
+++ b/packages/replica/src/replica_plugin.ts
@@ -13,6 +13,7 @@
   type Answered,
   count,
   EffectKind,
+  GAUGES_MS,
   logChange,
   PEER_MESSAGE_RECEIVED,
   PeerMessageKind,
@@ -59,8 +60,6 @@
 const RETRY_MS = 150;
 /** How often paused sources are looked at, in milliseconds. */
 const TICK_MS = 20;
-/** How often gauges are set, in milliseconds. */
-const GAUGES_MS = 1_000;
 /** Parts of sources that aren't the system's own records. */
 const SINGLE_PART: readonly string[] = [""];
 
--- a/packages/store-route/src/route_plugin.ts
+++ b/packages/store-route/src/route_plugin.ts
@@ -10,6 +10,7 @@
 } from "@mustardweir/kernel";
 import {
   gauge,
+  GAUGES_MS,
   PEER_MESSAGE_RECEIVED,
   PeerMessageKind,
 } from "@mustardweir/protocol";
@@ -27,9 +28,6 @@
 /** How often relayed calls are looked at, in milliseconds. */
 const TICK_MS = 40;
 
-/** How often gauges are set, in milliseconds. */
-const GAUGES_MS = 1_000;
-
 /** Names the nodes that may be asked to call the store. */
 export const RELAYS_KNOWN = createCommand<
   { readonly peers: readonly string[] }
