Place tasks from queues and an index of workers instead of scanning all

Cause: each placement pass listed all workers with all their tasks, all stages of all jobs, sorted them and tried every waiting stage on every worker; a pass came with every event. Change: stages wait in queues by rank, team and age that events keep up to date; one that waits for a permit or a time is set aside until it comes. A pass examines a bounded number of stages without room, part of them by rotation, and places a bounded number of tasks. Candidates are computed anew only for workers that have changed. Permit queries and queues without a policy look at a bounded choice of workers.

--- a/packages/dispatch/src/attempts.ts
+++ b/packages/dispatch/src/attempts.ts
@@ -29,6 +29,7 @@
 import { WORKER_HEALTH } from "./health.ts";
 import { endJob, stopTask, writeProgress } from "./progress.ts";
 import { requestPlacementPass } from "./placement_pass.ts";
+import { addDependents, addWaiting } from "./waiting.ts";
 
 /**
  * Delay before a failed task or a refused start is retried, in milliseconds.
@@ -161,7 +162,8 @@
   if (isCurrent && ended.end !== AttemptEnd.Done) {
     stopGang(update, task);
   }
-  requestPlacementPass(update);
+  // A pass follows when the whole listing has been handled.
+  update.write(DISPATCH_STATE).isDirty = true;
 }
 
 /**
@@ -222,6 +224,7 @@
   task.phase = TaskPhase.Waiting;
   task.isStopping = false;
   task.isRunning = false;
+  addWaiting(update, task.stage);
   removeIfFinished(update, task);
 }
 
@@ -270,6 +273,8 @@
   const { job } = stage;
   if (isStageDone(stage)) {
     dropPermits(update, stage.name);
+    update.write(DISPATCH_STATE).waiting.remove(stage);
+    addDependents(update, stage);
   }
   if (!isOpen(job)) {
     return;
--- /dev/null
+++ b/packages/dispatch/src/candidate_index.ts
@@ -0,0 +1,210 @@
+import { createStateKey, type Update } from "@mustardweir/kernel";
+import {
+  addResources,
+  fitsWithin,
+  NO_RESOURCES,
+  type Resources,
+  subtractResources,
+} from "@mustardweir/model";
+import { SESSIONS } from "@mustardweir/sessions";
+import { type Candidate, createCandidate, isEligible } from "./candidates.ts";
+import { WORKER_HEALTH } from "./health.ts";
+
+/** Largest share of a pool's workers that quarantine may exclude. */
+const MAX_QUARANTINED_SHARE = 0.34;
+
+const NO_CANDIDATES: readonly Candidate[] = [];
+
+/** The candidates of one pool. */
+class PoolCandidates {
+  /** All candidates, in no particular order. */
+  readonly all: Candidate[] = [];
+  readonly #positions = new Map<string, number>();
+  readonly #quarantined = new Set<string>();
+  #usable: readonly Candidate[] | undefined;
+  #capacity = NO_RESOURCES;
+  #mostFree: Resources | undefined;
+
+  /** Sum of the capacity of all candidates. */
+  get capacity(): Resources {
+    return this.#capacity;
+  }
+
+  /**
+   * Upper bound of the resources that any candidate has free, for each kind of
+   * resource.
+   */
+  get mostFree(): Resources {
+    this.#mostFree ??= mostFreeOf(this.all);
+    return this.#mostFree;
+  }
+
+  /**
+   * The candidates without quarantined workers. If those are too many, they are
+   * included: then the jobs are more likely the cause than the workers.
+   */
+  get usable(): readonly Candidate[] {
+    const excluded = this.#quarantined.size;
+    if (
+      excluded === 0 || excluded > this.all.length * MAX_QUARANTINED_SHARE
+    ) {
+      return this.all;
+    }
+    this.#usable ??= this.all.filter(({ session }) =>
+      !this.#quarantined.has(session.info.id)
+    );
+    return this.#usable;
+  }
+
+  /** Returns the usable candidate of a worker. */
+  find(workerId: string): Candidate | undefined {
+    const position = this.#positions.get(workerId);
+    const isExcluded = this.#quarantined.has(workerId) &&
+      this.usable !== this.all;
+    return position === undefined || isExcluded
+      ? undefined
+      : this.all[position];
+  }
+
+  /** Adds the candidate, or replaces the entry of its worker in place. */
+  put(candidate: Candidate, isQuarantined: boolean): void {
+    const { id, capacity } = candidate.session.info;
+    const position = this.#positions.get(id) ?? this.all.length;
+    const replaced = this.all[position]?.session.info.capacity;
+    this.#positions.set(id, position);
+    this.all[position] = candidate;
+    this.#quarantined.delete(id);
+    if (isQuarantined) {
+      this.#quarantined.add(id);
+    }
+    this.#capacity = subtractResources(
+      addResources(this.#capacity, capacity),
+      replaced ?? NO_RESOURCES,
+    );
+    this.#usable = undefined;
+    this.#mostFree = undefined;
+  }
+
+  remove(workerId: string): void {
+    const position = this.#positions.get(workerId);
+    if (position === undefined) {
+      return;
+    }
+    const removed = this.all[position]!;
+    const last = this.all.pop()!;
+    if (last !== removed) {
+      this.all[position] = last;
+      this.#positions.set(last.session.info.id, position);
+    }
+    this.#positions.delete(workerId);
+    this.#quarantined.delete(workerId);
+    this.#capacity = subtractResources(
+      this.#capacity,
+      removed.session.info.capacity,
+    );
+    this.#usable = undefined;
+    this.#mostFree = undefined;
+  }
+}
+
+/**
+ * The workers that can be given tasks, by pool. Only the entries of workers
+ * that have changed are computed anew.
+ */
+export class CandidateIndex {
+  readonly #pools = new Map<string, PoolCandidates>();
+  readonly #poolByWorker = new Map<string, string>();
+
+  /** Returns the candidates of a pool. */
+  inPool(pool: string): readonly Candidate[] {
+    return this.#pools.get(pool)?.usable ?? NO_CANDIDATES;
+  }
+
+  /** Returns the candidate of a worker; undefined if it gets no tasks now. */
+  find(workerId: string): Candidate | undefined {
+    return this.#pools.get(this.#poolByWorker.get(workerId) ?? "")
+      ?.find(workerId);
+  }
+
+  /** Returns whether any candidate of the pool may have room of this size. */
+  mayFit(pool: string, size: Resources): boolean {
+    const known = this.#pools.get(pool);
+    return known !== undefined && fitsWithin(size, known.mostFree);
+  }
+
+  /** Returns the capacity of all candidates of all pools. */
+  get capacity(): Resources {
+    let sum = NO_RESOURCES;
+    for (const { capacity } of this.#pools.values()) {
+      sum = addResources(sum, capacity);
+    }
+    return sum;
+  }
+
+  /** Computes the entries of the workers that have changed. */
+  refresh(update: Update): void {
+    const { changed, byWorker } = update.write(SESSIONS);
+    for (const workerId of changed) {
+      const session = byWorker.get(workerId);
+      const candidate = session !== undefined && isEligible(update, session)
+        ? createCandidate(update, session)
+        : undefined;
+      if (candidate === undefined) {
+        this.#remove(workerId);
+      } else {
+        this.#put(update, candidate);
+      }
+    }
+    changed.clear();
+  }
+
+  /**
+   * Marks all workers as changed: whether one is stalled, refuses starts or is
+   * quarantined also depends on the time.
+   */
+  invalidate(update: Update): void {
+    const { changed, byWorker } = update.write(SESSIONS);
+    for (const workerId of byWorker.keys()) {
+      changed.add(workerId);
+    }
+  }
+
+  /** Removes all entries, at the end of a tenure. */
+  clear(): void {
+    this.#pools.clear();
+    this.#poolByWorker.clear();
+  }
+
+  #put(update: Update, candidate: Candidate): void {
+    const { id, pool } = candidate.session.info;
+    if (this.#poolByWorker.get(id) !== pool) {
+      this.#remove(id);
+    }
+    const known = this.#pools.get(pool) ?? new PoolCandidates();
+    this.#pools.set(pool, known);
+    known.put(
+      candidate,
+      update.read(WORKER_HEALTH).isQuarantined(id, update.now),
+    );
+    this.#poolByWorker.set(id, pool);
+  }
+
+  #remove(workerId: string): void {
+    this.#pools.get(this.#poolByWorker.get(workerId) ?? "")?.remove(workerId);
+    this.#poolByWorker.delete(workerId);
+  }
+}
+
+/** State key of the workers that can be given tasks. */
+export const CANDIDATES = createStateKey<CandidateIndex>("candidates");
+
+function mostFreeOf(candidates: readonly Candidate[]): Resources {
+  const most = { ...NO_RESOURCES };
+  for (const { free } of candidates) {
+    most.cpuMillis = Math.max(most.cpuMillis, free.cpuMillis);
+    most.memoryMb = Math.max(most.memoryMb, free.memoryMb);
+    most.accelerators = Math.max(most.accelerators, free.accelerators);
+    most.slots = Math.max(most.slots, free.slots);
+  }
+  return most;
+}
--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -8,7 +8,7 @@
   WorkerState,
 } from "@mustardweir/model";
 import { REPLICA } from "@mustardweir/replica";
-import { type Session, SESSIONS } from "@mustardweir/sessions";
+import type { Session } from "@mustardweir/sessions";
 import {
   findTask,
   reservedSize,
@@ -19,9 +19,6 @@
 import { WORKER_HEALTH } from "./health.ts";
 import { capacityBeingFreed, listVictims } from "./victims.ts";
 
-/** Largest share of a pool's workers that quarantine may exclude. */
-const MAX_QUARANTINED_SHARE = 0.34;
-
 /**
  * Shortest time without progress after which a running task is stalled, in
  * milliseconds.
@@ -50,64 +47,34 @@
    * average.
    */
   readonly slowness: number;
-  /** Number of tasks of each stage that this pass has reserved here. */
+  /** Number of tasks of each stage that are being placed here. */
   readonly reserved: Map<StageRun, number>;
 }
 
-/** Returns the workers that can be given tasks now, by pool. */
-export function listCandidates(update: Update): Map<string, Candidate[]> {
-  const { drainedZones } = update.read(REPLICA);
-  const byPool = new Map<string, Candidate[]>();
-  for (const session of update.read(SESSIONS).byWorker.values()) {
-    if (!isEligible(update, session, drainedZones)) {
-      continue;
-    }
-    const candidates = byPool.get(session.info.pool) ?? [];
-    const candidate = createCandidate(update, session);
-    if (candidate !== undefined) {
-      candidates.push(candidate);
-    }
-    byPool.set(session.info.pool, candidates);
-  }
-  for (const [pool, candidates] of byPool) {
-    byPool.set(pool, withoutQuarantined(update, candidates));
-  }
-  return byPool;
-}
-
-/**
- * Excludes quarantined workers unless they are too many: then the jobs are more
- * likely the cause than the workers.
- */
-function withoutQuarantined(
-  update: Update,
-  candidates: Candidate[],
-): Candidate[] {
-  const health = update.read(WORKER_HEALTH);
-  const healthyCandidates = candidates.filter(({ session }) =>
-    !health.isQuarantined(session.info.id, update.now)
-  );
-  const quarantinedCount = candidates.length - healthyCandidates.length;
-  return quarantinedCount <= candidates.length * MAX_QUARANTINED_SHARE
-    ? healthyCandidates
-    : candidates;
-}
-
-function isEligible(
+/** Returns whether tasks may be given to the worker at all. */
+export function isEligible(
   update: Update,
   session: Readonly<Session>,
-  drainedZones: ReadonlyMap<string, number>,
 ): boolean {
   return session.isRegistered && session.isReconciled && session.isRecorded &&
     session.missed === 0 && session.clock !== undefined &&
     session.info.state === WorkerState.Ready &&
-    !drainedZones.has(session.info.zone) &&
-    ![...session.attempts.values()].some(({ isForeign }) => isForeign) &&
-    !update.read(WORKER_HEALTH).isRefusing(session.info.id, update.now);
+    !update.read(REPLICA).drainedZones.has(session.info.zone) &&
+    !update.read(WORKER_HEALTH).isRefusing(session.info.id, update.now) &&
+    !hasForeignAttempt(session);
+}
+
+function hasForeignAttempt({ attempts }: Readonly<Session>): boolean {
+  for (const { isForeign } of attempts.values()) {
+    if (isForeign) {
+      return true;
+    }
+  }
+  return false;
 }
 
 /** Returns undefined if a task on the worker is stalled. */
-function createCandidate(
+export function createCandidate(
   update: Update,
   session: Readonly<Session>,
 ): Candidate | undefined {
@@ -118,15 +85,16 @@
   for (const { task, size } of session.attempts.values()) {
     used = addResources(used, size);
     const placed = findTask(update, task);
-    if (placed !== undefined && isStalled(placed, update.now)) {
-      return undefined;
+    if (placed === undefined) {
+      continue;
     }
-    if (placed !== undefined) {
-      tasks.push(placed);
+    if (isStalled(placed, update.now)) {
+      return undefined;
     }
-    const spec = placed?.stage.spec;
-    hasLatencyTask ||= (spec?.latencyObjectiveMs ?? 0) > 0;
-    hasBestEffortTask ||= spec?.bestEffort === true;
+    tasks.push(placed);
+    const { spec } = placed.stage;
+    hasLatencyTask ||= spec.latencyObjectiveMs > 0;
+    hasBestEffortTask ||= spec.bestEffort;
   }
   const free = subtractResources(session.info.capacity, used);
   return {
@@ -176,8 +144,8 @@
 export function fitsNow(candidate: Candidate, stage: StageRun): boolean {
   const { spec } = stage;
   if (
-    !hasRequiredLabel(candidate, stage) ||
-    !fitsWithin(reservedSize(stage), candidate.free)
+    !fitsWithin(reservedSize(stage), candidate.free) ||
+    !hasRequiredLabel(candidate, stage)
   ) {
     return false;
   }
@@ -222,8 +190,10 @@
  * reservations undone.
  */
 export function clearReservations(
-  candidates: readonly Candidate[],
+  candidates: Iterable<Candidate>,
   stage: StageRun,
 ): void {
-  candidates.forEach(({ reserved }) => reserved.delete(stage));
+  for (const { reserved } of candidates) {
+    reserved.delete(stage);
+  }
 }
--- a/packages/dispatch/src/dispatch_plugin.ts
+++ b/packages/dispatch/src/dispatch_plugin.ts
@@ -59,15 +59,23 @@
   addOccurrence,
   createJobRun,
   DISPATCH_STATE,
+  findStage,
   isOpen,
   type JobRun,
   occurrenceCount,
   TaskPhase,
 } from "./dispatch_state.ts";
+import { CandidateIndex, CANDIDATES } from "./candidate_index.ts";
 import { WORKER_HEALTH, WorkerHealth } from "./health.ts";
 import { announceEnds, endJob } from "./progress.ts";
-import { requestPlacementPass, runPlacementPass } from "./placement_pass.ts";
+import {
+  requestPlacementPass,
+  runPlacementPass,
+  runRequestedPass,
+} from "./placement_pass.ts";
 import { RateMeter } from "./rates.ts";
+import { addWaiting, addWaitingJob } from "./waiting.ts";
+import { WaitingStages } from "./waiting_stages.ts";
 
 /**
  * Interval at which a placement pass runs if anything may have changed, in
@@ -79,6 +87,11 @@
  * milliseconds.
  */
 const RESCAN_INTERVAL_MS = 100;
+/**
+ * Interval at which all workers are judged anew, for what depends on the time:
+ * stalled tasks, refused starts and quarantine, in milliseconds.
+ */
+const WORKER_RESCAN_INTERVAL_MS = 200;
 /**
  * Interval at which schedules are checked for due occurrences, in milliseconds.
  */
@@ -106,10 +119,13 @@
     const { Normal } = CommandPriority;
     return mergeUndo(
       kernel.registerState(WORKER_HEALTH, new WorkerHealth()),
+      kernel.registerState(CANDIDATES, new CandidateIndex()),
       kernel.registerState(DISPATCH_STATE, {
         isActive: false,
         epoch: 0,
         jobs: new Map(),
+        scheduled: new Set<JobRun>(),
+        waiting: new WaitingStages(),
         ended: new Set<string>(),
         rates: new RateMeter(),
         pendingEnds: [],
@@ -143,14 +159,35 @@
         Normal,
       ),
       ...registerAttempts(kernel),
-      ...[PERMITS_CHANGED, WORKER_RECONCILED, DESIRED_CHANGED, LISTING_HANDLED]
-        .map((command) =>
-          kernel.registerCommand<unknown>(
-            command,
-            (_, update) => requestPlacementPass(update),
-            Normal,
-          )
-        ),
+      kernel.registerCommand(
+        PERMITS_CHANGED,
+        ({ stage: name }, update) => {
+          const stage = findStage(update, name);
+          if (stage !== undefined) {
+            addWaiting(update, stage);
+          }
+          requestPlacementPass(update);
+        },
+        Normal,
+      ),
+      kernel.registerCommand(
+        WORKER_RECONCILED,
+        (_, update) => requestPlacementPass(update),
+        Normal,
+      ),
+      kernel.registerCommand(
+        DESIRED_CHANGED,
+        (_, update) => {
+          update.write(CANDIDATES).invalidate(update);
+          requestPlacementPass(update);
+        },
+        Normal,
+      ),
+      kernel.registerCommand(
+        LISTING_HANDLED,
+        (_, update) => runRequestedPass(update),
+        Normal,
+      ),
       kernel.registerPeriodic({
         intervalMs: PASS_INTERVAL_MS,
         run: runPlacementPass,
@@ -161,6 +198,10 @@
           update.write(DISPATCH_STATE).isDirty = true;
         },
       }),
+      kernel.registerPeriodic({
+        intervalMs: WORKER_RESCAN_INTERVAL_MS,
+        run: (update) => update.write(CANDIDATES).invalidate(update),
+      }),
       kernel.registerPeriodic({
         intervalMs: OCCURRENCE_SCAN_INTERVAL_MS,
         run: addAllDueOccurrences,
@@ -219,11 +260,8 @@
   const state = update.write(DISPATCH_STATE);
   state.isActive = true;
   state.epoch = epoch;
-  state.jobs.clear();
-  state.ended.clear();
-  state.pendingEnds = [];
+  clearState(update);
   state.rates.clear();
-  state.used.clear();
   update.write(WORKER_HEALTH).clear();
   const jobs = [...update.read(REPLICA).jobs.values()]
     .sort((a, b) => a.record.acceptedMs - b.record.acceptedMs);
@@ -236,10 +274,18 @@
 function deactivate(update: Update): void {
   const state = update.write(DISPATCH_STATE);
   state.isActive = false;
+  clearState(update);
+}
+
+function clearState(update: Update): void {
+  const state = update.write(DISPATCH_STATE);
   state.jobs.clear();
+  state.scheduled.clear();
+  state.waiting.clear();
   state.ended.clear();
   state.pendingEnds = [];
   state.used.clear();
+  update.write(CANDIDATES).clear();
 }
 
 function addJob(
@@ -265,9 +311,13 @@
   update.write(DISPATCH_STATE).jobs.set(known.jobId, job);
   if (known.isCancelled) {
     endJob(update, job, StagedJobState.Cancelled);
-  } else {
-    addDueOccurrences(update, job);
+    return;
   }
+  if (record.spec.schedule !== undefined) {
+    update.write(DISPATCH_STATE).scheduled.add(job);
+  }
+  addDueOccurrences(update, job);
+  addWaitingJob(update, job);
 }
 
 function handleJobChange(update: Update, jobId: string): void {
@@ -289,10 +339,8 @@
 }
 
 function addAllDueOccurrences(update: Update): void {
-  for (const job of update.read(DISPATCH_STATE).jobs.values()) {
-    if (job.record.spec.schedule !== undefined) {
-      addDueOccurrences(update, job as JobRun);
-    }
+  for (const job of update.write(DISPATCH_STATE).scheduled) {
+    addDueOccurrences(update, job);
   }
 }
 
@@ -307,6 +355,7 @@
     schedule.firstDueMs + job.dueOccurrences * schedule.intervalMs <= now
   ) {
     addOccurrence(job, update.read(REPLICA).jobs.get(job.jobId)?.progress);
+    addWaitingJob(update, job);
     requestPlacementPass(update);
   }
 }
--- a/packages/dispatch/src/dispatch_state.ts
+++ b/packages/dispatch/src/dispatch_state.ts
@@ -17,6 +17,7 @@
 } from "@mustardweir/model";
 import type { DurableProgress } from "@mustardweir/protocol";
 import type { RateMeter } from "./rates.ts";
+import type { WaitingStages } from "./waiting_stages.ts";
 
 /** Phase of a task. */
 export enum TaskPhase {
@@ -110,6 +111,9 @@
   isActive: boolean;
   epoch: number;
   readonly jobs: Map<string, JobRun>;
+  /** Jobs with a schedule, of which occurrences become due. */
+  readonly scheduled: Set<JobRun>;
+  readonly waiting: WaitingStages;
   /** Jobs that ended in this tenure; their records may not show it yet. */
   readonly ended: Set<string>;
   readonly rates: RateMeter;
@@ -240,15 +244,21 @@
     : String(Math.min(failures, MAX_MARKED_FAILURES));
 }
 
+/** Finds a stage by its name. */
+export function findStage(update: Update, name: string): StageRun | undefined {
+  const end = name.indexOf(".");
+  return update.write(DISPATCH_STATE).jobs.get(name.slice(0, end))
+    ?.stages.get(name.slice(end + 1));
+}
+
 /** Finds a task by the name that attempts carry. */
 export function findTask(
   update: Update,
   name: string,
 ): TaskRun | undefined {
-  const [jobId, occurrence, stage, index] = name.split(".");
-  const job = update.write(DISPATCH_STATE).jobs.get(jobId ?? "");
-  return job?.stages.get(stageKey(Number(occurrence), Number(stage)))
-    ?.tasks[Number(index)];
+  const end = name.lastIndexOf(".");
+  return findStage(update, name.slice(0, end))
+    ?.tasks[Number(name.slice(end + 1))];
 }
 
 /** Returns the name by which workers identify the task. */
--- a/packages/dispatch/src/permission.ts
+++ b/packages/dispatch/src/permission.ts
@@ -2,9 +2,11 @@
 import {
   findValidPermit,
   queryPermits,
+  type StagePermits,
   stagePermits,
 } from "@mustardweir/permits";
 import type { StageRun } from "./dispatch_state.ts";
+import { CANDIDATES } from "./candidate_index.ts";
 import {
   type Candidate,
   fitsNow,
@@ -20,6 +22,11 @@
  * cost, so several are renewed together.
  */
 const MAX_RENEWED_PERMITS = 12;
+/**
+ * Most workers among which those for a query, or for tasks of a queue without a
+ * policy, are chosen. They start at a random one, so that all get their turn.
+ */
+const MAX_CONSIDERED = 80;
 
 /** A stage with waiting tasks and the workers of its pool. */
 export interface PlacementContext {
@@ -30,8 +37,8 @@
 }
 
 /**
- * Returns the candidates with a valid permit for the stage; queries the policy
- * if none of them can start a task.
+ * Returns the candidates on which the stage may run: those with a valid permit,
+ * or a selection of all if its queue has no policy.
  */
 export function permittedCandidates(
   update: Update,
@@ -39,13 +46,24 @@
 ): readonly Candidate[] {
   const { stage, candidates } = context;
   if (stage.job.record.queue.permits === undefined) {
-    return candidates;
+    return stage.spec.gang || candidates.length <= MAX_CONSIDERED
+      ? candidates
+      : selectCandidates(
+        update,
+        candidates,
+        (candidate) => canStartTask(candidate, context),
+      );
   }
-  const held = candidates.filter(({ session }) =>
-    findValidPermit(update, stage.name, session.info.id) !== undefined
-  );
-  if (!held.some((candidate) => canStartTask(candidate, context))) {
-    queryMorePermits(update, context);
+  const index = update.read(CANDIDATES);
+  const held: Candidate[] = [];
+  for (const workerId of stagePermits(update, stage.name).good.keys()) {
+    const candidate = index.find(workerId);
+    if (
+      candidate !== undefined &&
+      findValidPermit(update, stage.name, workerId) !== undefined
+    ) {
+      held.push(candidate);
+    }
   }
   return held;
 }
@@ -58,25 +76,14 @@
   update: Update,
   context: PlacementContext,
 ): void {
-  const { stage, rank, candidates } = context;
+  const { stage, rank } = context;
   const { permits: policy } = stage.job.record.queue;
-  if (policy === undefined) {
-    return;
-  }
   const known = stagePermits(update, stage.name);
-  if (known.isQueryPending) {
+  if (policy === undefined || known.isQueryPending) {
     return;
   }
-  const withoutPermit = candidates.filter((candidate) =>
-    hasRequiredLabel(candidate, stage) && fitsWhenEmpty(stage, candidate) &&
-    findValidPermit(update, stage.name, candidate.session.info.id) === undefined
-  );
-  const unjudged = withoutPermit.filter(({ session }) =>
-    !known.judged.has(session.info.id)
-  );
-  const expired = withoutPermit.filter(({ session }) =>
-    known.good.has(session.info.id)
-  );
+  const expired = listExpired(update, stage, known);
+  const unjudged = listUnjudged(update, context, known);
   // A permit is valid for a short time only, so there is no query while no task
   // could start. Other workers are included because they may get room while the
   // permit is valid, and verdicts never change.
@@ -97,10 +104,68 @@
   });
 }
 
+/** Returns the workers that are good for the stage but whose permit is over. */
+function listExpired(
+  update: Update,
+  stage: StageRun,
+  known: StagePermits,
+): Candidate[] {
+  const index = update.read(CANDIDATES);
+  const expired: Candidate[] = [];
+  for (const workerId of known.good.keys()) {
+    const candidate = index.find(workerId);
+    if (
+      candidate !== undefined &&
+      findValidPermit(update, stage.name, workerId) === undefined
+    ) {
+      expired.push(candidate);
+    }
+  }
+  return expired;
+}
+
+/** Returns workers for which the policy has given no verdict yet. */
+function listUnjudged(
+  update: Update,
+  { stage, candidates }: PlacementContext,
+  known: StagePermits,
+): Candidate[] {
+  return selectCandidates(
+    update,
+    candidates,
+    (candidate) =>
+      hasRequiredLabel(candidate, stage) && fitsWhenEmpty(stage, candidate) &&
+      !known.judged.has(candidate.session.info.id),
+  );
+}
+
+/** Returns some candidates for which `isWanted` holds. */
+function selectCandidates(
+  update: Update,
+  candidates: readonly Candidate[],
+  isWanted: (candidate: Candidate) => boolean,
+): Candidate[] {
+  const selected: Candidate[] = [];
+  const first = candidates.length > MAX_CONSIDERED
+    ? update.random.below(candidates.length)
+    : 0;
+  for (
+    let count = 0;
+    count < candidates.length && selected.length < MAX_CONSIDERED;
+    count++
+  ) {
+    const candidate = candidates[(first + count) % candidates.length]!;
+    if (isWanted(candidate)) {
+      selected.push(candidate);
+    }
+  }
+  return selected;
+}
+
 /** Returns whether a task of the stage fits now or after a preemption. */
 export function canStartTask(
   candidate: Candidate,
-  { stage, preempts }: PlacementContext,
+  { stage, preempts }: Pick<PlacementContext, "stage" | "preempts">,
 ): boolean {
   return fitsNow(candidate, stage) ||
     (preempts && fitsAfterPreemption(candidate, stage));
--- a/packages/dispatch/src/placement_pass.ts
+++ b/packages/dispatch/src/placement_pass.ts
@@ -1,27 +1,24 @@
 import type { Update } from "@mustardweir/kernel";
 import {
-  addResources,
   dominantShare,
   type FleetTeam,
   NO_RESOURCES,
-  type Resources,
 } from "@mustardweir/model";
-import { REPLICA, storeNow, unixNow } from "@mustardweir/replica";
+import { stagePermits } from "@mustardweir/permits";
+import { REPLICA } from "@mustardweir/replica";
 import { SESSIONS } from "@mustardweir/sessions";
 import {
   DISPATCH_STATE,
   isOpen,
   isReady,
   isStageDone,
+  reservedSize,
   type StageRun,
   TaskPhase,
   type TaskRun,
 } from "./dispatch_state.ts";
-import {
-  type Candidate,
-  clearReservations,
-  listCandidates,
-} from "./candidates.ts";
+import { CANDIDATES } from "./candidate_index.ts";
+import { type Candidate, clearReservations } from "./candidates.ts";
 import { withinCeiling } from "./ceilings.ts";
 import {
   BestFitRule,
@@ -31,15 +28,12 @@
 import {
   canStartTask,
   permittedCandidates,
+  type PlacementContext,
   queryMorePermits,
 } from "./permission.ts";
 import { mayPreempt, preemptFor } from "./preemption.ts";
 import { startTasks } from "./starts.ts";
-import {
-  ObjectiveRanking,
-  objectiveStatusOf,
-  type StageRanking,
-} from "./turn_order.ts";
+import { addWaiting, standingOf } from "./waiting.ts";
 
 /** Shortest time between two placement passes, in milliseconds. */
 const MIN_PASS_INTERVAL_MS = 8;
@@ -53,20 +47,42 @@
  * compared again.
  */
 const TASK_BATCH_SIZE = 16;
+/**
+ * Most tasks that one pass places; the next pass continues, so that renewals
+ * and ends are handled in between.
+ */
+const MAX_TASKS_PER_PASS = 128;
+/** Most stages without room that one pass examines in order of rank. */
+const MAX_BLOCKED_PER_PASS = 192;
+/** Most of these that belong to one team and rank. */
+const MAX_BLOCKED_PER_TEAM = 48;
+/**
+ * Most stages that one pass examines because they were examined longest ago,
+ * whatever their rank: each waiting stage gets its turn within seconds.
+ */
+const MAX_ROTATED_PER_PASS = 64;
+/**
+ * Longest time for which a stage that waits for a permit query is set aside,
+ * in milliseconds.
+ */
+const MAX_PERMIT_WAIT_MS = 1_000;
+/**
+ * Time after which a stage is examined again that waits for workers to report
+ * or for the members of its gang to end, in milliseconds.
+ */
+const RECHECK_MS = 40;
 
 const BEST_FIT = new BestFitRule();
 const GANG = new GangRule();
-const RANKING: StageRanking = new ObjectiveRanking();
 
-/** A stage with tasks that wait for a worker. */
-interface WaitingStage {
-  readonly stage: StageRun;
-  readonly waiting: TaskRun[];
-  readonly team: string;
-  /** Stages of a lower rank are placed first. */
-  readonly rank: number;
-  /** Whether less urgent tasks may be preempted for the stage. */
-  readonly preempts: boolean;
+/** What became of a stage that was examined. */
+enum Examined {
+  /** Tasks were placed; others of the stage still wait. */
+  Placed = "placed",
+  /** Nothing more can be placed now. */
+  Blocked = "blocked",
+  /** The stage is no longer in the order at its rank. */
+  Left = "left",
 }
 
 /**
@@ -74,16 +90,22 @@
  * recent.
  */
 export function requestPlacementPass(update: Update): void {
-  const state = update.write(DISPATCH_STATE);
-  state.isDirty = true;
-  if (update.now - state.lastPassMs >= MIN_PASS_INTERVAL_MS) {
+  update.write(DISPATCH_STATE).isDirty = true;
+  runRequestedPass(update);
+}
+
+/** Runs a pass if one was requested and the last one is not too recent. */
+export function runRequestedPass(update: Update): void {
+  const { lastPassMs } = update.read(DISPATCH_STATE);
+  if (update.now - lastPassMs >= MIN_PASS_INTERVAL_MS) {
     runPlacementPass(update);
   }
 }
 
 /**
  * Places waiting tasks by rank; within a rank, the team with the lowest usage
- * relative to its share goes first.
+ * relative to its share goes first. The cost is bounded by what is placed and a
+ * fixed number of stages, however many wait.
  */
 export function runPlacementPass(update: Update): void {
   const state = update.write(DISPATCH_STATE);
@@ -92,92 +114,247 @@
   }
   state.isDirty = false;
   state.lastPassMs = update.now;
-  const byPool = listCandidates(update);
-  const total = totalCapacity(byPool);
-  const stages = listWaitingStages(update);
-  const teams = new Map(
-    update.read(REPLICA).desired?.teams.map((team) => [team.name, team]) ?? [],
-  );
-  const share = (team: string) =>
-    dominantShare(state.used.get(team) ?? NO_RESOURCES, total) /
-    Math.max(teams.get(team)?.share ?? 1, MIN_SHARE);
-  const ranks = [...new Set(stages.map((entry) => entry.rank))]
-    .sort((a, b) => a - b);
-  for (const rank of ranks) {
-    const byTeam = groupByTeam(stages.filter((entry) => entry.rank === rank));
-    while (byTeam.size > 0) {
-      const team = [...byTeam.keys()].reduce((a, b) =>
-        share(b) < share(a) ? b : a
-      );
-      const waiting = byTeam.get(team)!;
-      const [next] = waiting;
-      const placed = placeStage(update, next!, {
-        candidates: byPool.get(next!.stage.job.record.queue.pool) ?? [],
-        team: teams.get(team),
-      });
-      if (placed < TASK_BATCH_SIZE) {
-        waiting.shift();
+  update.write(CANDIDATES).refresh(update);
+  for (const stage of state.waiting.due(update.now)) {
+    addWaiting(update, stage);
+  }
+  new PlacementPass(update).run();
+}
+
+/** One pass over the stages that wait. */
+class PlacementPass {
+  readonly #update: Update;
+  readonly #teams: ReadonlyMap<string, FleetTeam>;
+  readonly #shares = new Map<string, number>();
+  readonly #examined = new Set<StageRun>();
+  #unreconciledPools: ReadonlySet<string> | undefined;
+  #blocked = 0;
+  #placed = 0;
+
+  constructor(update: Update) {
+    this.#update = update;
+    this.#teams = new Map(
+      update.read(REPLICA).desired?.teams.map((team) => [team.name, team]) ??
+        [],
+    );
+  }
+
+  run(): void {
+    const { waiting } = this.#update.write(DISPATCH_STATE);
+    for (const rank of waiting.ranks) {
+      this.#placeRank(rank);
+    }
+    this.#placeRotated();
+    if (this.#isExhausted) {
+      this.#update.write(DISPATCH_STATE).isDirty = true;
+    }
+  }
+
+  get #isExhausted(): boolean {
+    return this.#placed >= MAX_TASKS_PER_PASS;
+  }
+
+  #placeRank(rank: number): void {
+    const { waiting } = this.#update.write(DISPATCH_STATE);
+    const skipped = new Map(waiting.teamsOf(rank).map((team) => [team, 0]));
+    while (
+      skipped.size > 0 && this.#blocked < MAX_BLOCKED_PER_PASS &&
+      !this.#isExhausted
+    ) {
+      const team = this.#teamWithLowestUsage(skipped.keys());
+      const blocked = skipped.get(team)!;
+      const stage = waiting.at({ rank, team }, blocked);
+      if (stage === undefined || blocked >= MAX_BLOCKED_PER_TEAM) {
+        skipped.delete(team);
+      } else if (this.#examine(stage, rank) === Examined.Blocked) {
+        skipped.set(team, blocked + 1);
+        this.#blocked++;
+      }
+    }
+  }
+
+  /** Examines stages behind those that {@link MAX_BLOCKED_PER_PASS} covers. */
+  #placeRotated(): void {
+    const { waiting } = this.#update.write(DISPATCH_STATE);
+    for (let count = 0; count < MAX_ROTATED_PER_PASS; count++) {
+      const stage = waiting.oldestExamined;
+      if (
+        stage === undefined || this.#examined.has(stage) || this.#isExhausted
+      ) {
+        return;
       }
-      if (waiting.length === 0) {
-        byTeam.delete(team);
+      this.#examine(stage, standingOf(this.#update, stage).rank);
+    }
+  }
+
+  #teamWithLowestUsage(teams: Iterable<string>): string {
+    let lowest = "";
+    let lowestShare = Infinity;
+    for (const team of teams) {
+      const share = this.#shareOf(team);
+      if (share < lowestShare) {
+        lowest = team;
+        lowestShare = share;
       }
     }
+    return lowest;
   }
-}
 
-/** Groups stages by team and keeps their order. */
-function groupByTeam(
-  stages: readonly WaitingStage[],
-): Map<string, WaitingStage[]> {
-  const byTeam = new Map<string, WaitingStage[]>();
-  for (const entry of stages) {
-    const known = byTeam.get(entry.team);
-    if (known === undefined) {
-      byTeam.set(entry.team, [entry]);
-    } else {
-      known.push(entry);
+  #shareOf(team: string): number {
+    const known = this.#shares.get(team);
+    if (known !== undefined) {
+      return known;
     }
+    const { used } = this.#update.read(DISPATCH_STATE);
+    const { capacity } = this.#update.read(CANDIDATES);
+    const share = dominantShare(used.get(team) ?? NO_RESOURCES, capacity) /
+      Math.max(this.#teams.get(team)?.share ?? 1, MIN_SHARE);
+    this.#shares.set(team, share);
+    return share;
   }
-  return byTeam;
-}
 
-function listWaitingStages(update: Update): WaitingStage[] {
-  const poolsToReconcile = unreconciledPools(update);
-  const clock = { storeMs: storeNow(update), unixMs: unixNow(update) };
-  const stages: WaitingStage[] = [];
-  for (const job of update.write(DISPATCH_STATE).jobs.values()) {
-    if (!isOpen(job)) {
-      continue;
+  #examine(stage: StageRun, rank: number): Examined {
+    const { waiting } = this.#update.write(DISPATCH_STATE);
+    this.#examined.add(stage);
+    waiting.markExamined(stage);
+    if (!isOpen(stage.job) || isStageDone(stage) || !isReady(stage)) {
+      waiting.remove(stage);
+      return Examined.Left;
     }
-    const { pool } = job.record.queue;
-    const isPoolUnreconciled = poolsToReconcile.has(pool) ||
-      poolsToReconcile.has("");
-    for (const stage of job.stages.values()) {
-      if (isStageDone(stage) || !isReady(stage)) {
-        continue;
-      }
-      const startable = stage.tasks.filter((task) =>
-        task.phase === TaskPhase.Waiting && task.notBeforeMs <= update.now &&
-        !(task.isInherited && isPoolUnreconciled)
-      );
-      const waiting = stage.spec.gang
-        ? startableMembers(stage, startable)
-        : startable;
-      if (waiting.length > 0) {
-        const status = objectiveStatusOf(stage, clock);
-        stages.push({
-          stage,
-          waiting,
-          team: job.record.team,
-          rank: RANKING.rank(stage, status),
-          preempts: mayPreempt(stage, status),
-        });
+    const standing = standingOf(this.#update, stage);
+    if (standing.rank !== rank) {
+      waiting.add(stage, standing.rank);
+      return Examined.Left;
+    }
+    waiting.add(stage, rank);
+    const startable = this.#startableTasks(stage);
+    if (startable.length === 0) {
+      this.#setAside(stage);
+      return Examined.Left;
+    }
+    const placed = this.#place(stage, startable, {
+      stage,
+      rank,
+      preempts: mayPreempt(stage, standing.status),
+    });
+    if (placed > 0) {
+      this.#placed += placed;
+      this.#shares.delete(stage.job.record.team);
+    }
+    if (!waiting.has(stage)) {
+      return Examined.Left;
+    }
+    if (placed === startable.length) {
+      this.#setAside(stage);
+      return Examined.Left;
+    }
+    return placed >= TASK_BATCH_SIZE ? Examined.Placed : Examined.Blocked;
+  }
+
+  #startableTasks(stage: StageRun): TaskRun[] {
+    const { now } = this.#update;
+    const startable = stage.tasks.filter((task) =>
+      task.phase === TaskPhase.Waiting && task.notBeforeMs <= now &&
+      !(task.isInherited && this.#isUnreconciled(stage))
+    );
+    return stage.spec.gang ? startableMembers(stage, startable) : startable;
+  }
+
+  /**
+   * Returns whether the previous owner may have left tasks in the stage's pool
+   * that are not reported yet.
+   */
+  #isUnreconciled({ job }: StageRun): boolean {
+    this.#unreconciledPools ??= listUnreconciledPools(this.#update);
+    return this.#unreconciledPools.has(job.record.queue.pool) ||
+      this.#unreconciledPools.has("");
+  }
+
+  /** Sets aside a stage none of whose tasks can start at this time. */
+  #setAside(stage: StageRun): void {
+    const { now } = this.#update;
+    const { waiting } = this.#update.write(DISPATCH_STATE);
+    const left = stage.tasks.filter((task) => task.phase === TaskPhase.Waiting);
+    if (left.length === 0) {
+      waiting.remove(stage);
+      return;
+    }
+    const nextMs = left.reduce(
+      (earliest, task) => Math.min(earliest, task.notBeforeMs),
+      Infinity,
+    );
+    waiting.setAside(stage, nextMs > now ? nextMs : now + RECHECK_MS);
+  }
+
+  /** Places waiting tasks of the stage; returns the number of tasks placed. */
+  #place(
+    stage: StageRun,
+    startable: readonly TaskRun[],
+    asked: Omit<PlacementContext, "candidates">,
+  ): number {
+    const update = this.#update;
+    const index = update.read(CANDIDATES);
+    const { record } = stage.job;
+    const { pool } = record.queue;
+    if (!asked.preempts && !index.mayFit(pool, reservedSize(stage))) {
+      return 0;
+    }
+    const isGang = stage.spec.gang;
+    const wanted = withinCeiling(update, {
+      stage,
+      waiting: startable,
+      team: this.#teams.get(record.team),
+    });
+    if (wanted.length === 0 || (isGang && wanted.length < startable.length)) {
+      return 0;
+    }
+    const context = { ...asked, candidates: index.inPool(pool) };
+    const allowed = permittedCandidates(update, context);
+    if (!allowed.some((candidate) => canStartTask(candidate, context))) {
+      this.#awaitPermits(context, allowed);
+      return 0;
+    }
+    const rule: PlacementRule = isGang ? GANG : BEST_FIT;
+    const placements = rule.choose(
+      stage,
+      isGang ? wanted : wanted.slice(0, TASK_BATCH_SIZE),
+      allowed,
+    );
+    if (placements.length > 0) {
+      startTasks(update, stage, placements);
+      clearReservations(placements.map(({ candidate }) => candidate), stage);
+    }
+    const missing = wanted.length - placements.length;
+    if (missing > 0) {
+      queryMorePermits(update, context);
+      if (asked.preempts) {
+        preemptFor(update, { stage, missing, candidates: allowed });
       }
     }
+    return placements.length;
+  }
+
+  /**
+   * Asks for permits for a stage that holds none with room. While it holds none
+   * at all, only the reply can change that.
+   */
+  #awaitPermits(
+    context: PlacementContext,
+    held: readonly Candidate[],
+  ): void {
+    const { stage } = context;
+    if (stage.job.record.queue.permits === undefined) {
+      return;
+    }
+    queryMorePermits(this.#update, context);
+    if (
+      held.length === 0 &&
+      stagePermits(this.#update, stage.name).isQueryPending
+    ) {
+      this.#update.write(DISPATCH_STATE).waiting
+        .setAside(stage, this.#update.now + MAX_PERMIT_WAIT_MS);
+    }
   }
-  return stages.sort((a, b) =>
-    a.stage.job.record.acceptedMs - b.stage.job.record.acceptedMs
-  );
 }
 
 /**
@@ -199,7 +376,7 @@
  * Returns pools in which the previous owner may have left tasks that are not
  * reported yet.
  */
-function unreconciledPools(update: Update): Set<string> {
+function listUnreconciledPools(update: Update): ReadonlySet<string> {
   const pools = new Set<string>();
   for (const session of update.read(SESSIONS).byWorker.values()) {
     if (session.isInherited) {
@@ -208,59 +385,3 @@
   }
   return pools;
 }
-
-/** Places waiting tasks of the stage; returns the number of tasks placed. */
-function placeStage(
-  update: Update,
-  { stage, waiting, rank, preempts }: WaitingStage,
-  { candidates, team }: {
-    readonly candidates: readonly Candidate[];
-    readonly team: FleetTeam | undefined;
-  },
-): number {
-  const context = { stage, rank, preempts, candidates };
-  if (!candidates.some((candidate) => canStartTask(candidate, context))) {
-    return 0;
-  }
-  const isGang = stage.spec.gang;
-  const wanted = withinCeiling(update, { stage, waiting, team });
-  if (wanted.length === 0 || (isGang && wanted.length < waiting.length)) {
-    return 0;
-  }
-  const allowed = permittedCandidates(update, context);
-  if (allowed.length === 0) {
-    return 0;
-  }
-  const rule: PlacementRule = isGang ? GANG : BEST_FIT;
-  const placements = rule.choose(
-    stage,
-    isGang ? wanted : wanted.slice(0, TASK_BATCH_SIZE),
-    allowed,
-  );
-  if (placements.length > 0) {
-    startTasks(update, stage, placements);
-    clearReservations(allowed, stage);
-    waiting.splice(
-      0,
-      waiting.length,
-      ...waiting.filter((task) => task.phase === TaskPhase.Waiting),
-    );
-  }
-  if (placements.length < wanted.length) {
-    queryMorePermits(update, context);
-    if (preempts) {
-      preemptFor(update, {
-        stage,
-        missing: wanted.length - placements.length,
-        candidates: allowed,
-      });
-    }
-  }
-  return placements.length;
-}
-
-function totalCapacity(byPool: ReadonlyMap<string, Candidate[]>): Resources {
-  return [...byPool.values()].flat()
-    .map(({ session }) => session.info.capacity)
-    .reduce(addResources, NO_RESOURCES);
-}
--- a/packages/dispatch/src/placement_rules.ts
+++ b/packages/dispatch/src/placement_rules.ts
@@ -86,22 +86,24 @@
   tasks: readonly TaskRun[],
   candidates: readonly Candidate[],
 ): Placement[] {
-  const before = candidates.map(
-    ({ free, expected, hasLatencyTask, hasBestEffortTask }) => ({
+  const before = new Map(candidates.map((candidate) => {
+    const { free, expected, hasLatencyTask, hasBestEffortTask } = candidate;
+    return [candidate, {
       free,
       expected,
       hasLatencyTask,
       hasBestEffortTask,
-    }),
-  );
+    }];
+  }));
   const placements = new BestFitRule().choose(stage, tasks, candidates);
   if (placements.length === tasks.length) {
     return placements;
   }
-  candidates.forEach((candidate, index) =>
-    Object.assign(candidate, before[index])
-  );
-  clearReservations(candidates, stage);
+  const reserved = placements.map(({ candidate }) => candidate);
+  for (const candidate of reserved) {
+    Object.assign(candidate, before.get(candidate));
+  }
+  clearReservations(reserved, stage);
   return [];
 }
 
--- a/packages/dispatch/src/preemption.ts
+++ b/packages/dispatch/src/preemption.ts
@@ -5,6 +5,7 @@
   subtractResources,
 } from "@mustardweir/model";
 import { count, logChange } from "@mustardweir/protocol";
+import { markChanged } from "@mustardweir/sessions";
 import {
   reservedSize,
   type StageRun,
@@ -54,7 +55,7 @@
 ): void {
   let remaining = missing;
   for (const candidate of candidates) {
-    remaining -= reserveExpected(candidate, stage, remaining);
+    remaining -= reserveExpected(update, candidate, { stage, most: remaining });
   }
   for (const candidate of candidates) {
     while (remaining > 0 && fitsAfterPreemption(candidate, stage)) {
@@ -65,7 +66,10 @@
         worker: candidate.session.info.id,
         stopped: stopped.map(taskName).join(" "),
       }));
-      remaining -= reserveExpected(candidate, stage, remaining);
+      remaining -= reserveExpected(update, candidate, {
+        stage,
+        most: remaining,
+      });
     }
   }
 }
@@ -75,9 +79,9 @@
  * returns the number of tasks.
  */
 function reserveExpected(
+  update: Update,
   candidate: Candidate,
-  stage: StageRun,
-  most: number,
+  { stage, most }: { readonly stage: StageRun; readonly most: number },
 ): number {
   const size = reservedSize(stage);
   let tasks = 0;
@@ -88,6 +92,10 @@
     candidate.expected = subtractResources(candidate.expected, size);
     tasks++;
   }
+  if (tasks > 0) {
+    // The next pass counts what is being freed anew.
+    markChanged(update, candidate.session.info.id);
+  }
   return tasks;
 }
 
--- a/packages/dispatch/src/progress.ts
+++ b/packages/dispatch/src/progress.ts
@@ -23,6 +23,7 @@
   TaskPhase,
   type TaskRun,
 } from "./dispatch_state.ts";
+import { removeWaitingJob } from "./waiting.ts";
 
 /** Queues the job's current progress to be recorded. */
 export function writeProgress(update: Update, job: JobRun): void {
@@ -78,6 +79,8 @@
   job.state = state;
   update.write(DISPATCH_STATE).ended.add(job.jobId);
   writeProgress(update, job);
+  update.write(DISPATCH_STATE).scheduled.delete(job);
+  removeWaitingJob(update, job);
   for (const stage of job.stages.values()) {
     dropPermits(update, stage.name);
     stage.tasks.forEach((task) => stopTask(update, task));
--- a/packages/prove/src/domain/domain_cluster.ts
+++ b/packages/prove/src/domain/domain_cluster.ts
@@ -33,8 +33,8 @@
   type TaskBehaviour,
 } from "./domain_worker.ts";
 
-const NODES = 4;
-const WORKERS = 6;
+const DEFAULT_NODES = 4;
+const DEFAULT_WORKERS = 6;
 const CAPACITY: Resources = {
   ...NO_RESOURCES,
   cpuMillis: 4_000,
@@ -80,6 +80,10 @@
   readonly tampering?: Tampering;
   /** Whether the queues need permits; true by default. */
   readonly needsPermits?: boolean;
+  /** Number of nodes; 4 by default. */
+  readonly nodes?: number;
+  /** Number of workers; 6 by default. */
+  readonly workers?: number;
 }
 
 /** Combined nodes, workers and the platform's store, in virtual time. */
@@ -104,10 +108,11 @@
     this.#random = new Random(options.seed);
     this.store = new DomainStore(this.clock, this.#random);
     this.store.setDesired(desiredState(options.needsPermits ?? true));
-    for (let index = 0; index < WORKERS; index++) {
+    const { workers = DEFAULT_WORKERS, nodes = DEFAULT_NODES } = options;
+    for (let index = 0; index < workers; index++) {
       this.#addWorker(`w${index}`, `zone-${index % 2}`);
     }
-    for (let index = 0; index < NODES; index++) {
+    for (let index = 0; index < nodes; index++) {
       this.startNode(`n${index}`);
     }
   }
--- a/packages/sessions/src/listings.ts
+++ b/packages/sessions/src/listings.ts
@@ -24,6 +24,7 @@
   AttemptPhase,
   findSession,
   LISTING_HANDLED,
+  markChanged,
   type Session,
   WORKER_RECONCILED,
 } from "./session_state.ts";
@@ -60,6 +61,7 @@
   if (session.incarnation === 0) {
     session.incarnation = listing.incarnation;
   }
+  markChanged(update, session.info.id);
   handleEnds(update, session, listing.ended);
   handleRunning(update, session, { context, listing });
   retryStops(update, session);
@@ -134,6 +136,7 @@
  */
 export function recordIdle(update: Update, session: Session): void {
   session.isRecorded = false;
+  markChanged(update, session.info.id);
   session.ticket = 0;
   session.pendingRecords.length = 0;
   queueRecord(update, session, true);
@@ -233,6 +236,7 @@
 ): void {
   const lost = [...session.attempts.values()];
   session.attempts.clear();
+  markChanged(update, session.info.id);
   for (const { task, attempt } of lost) {
     update.dispatch(ATTEMPT_VANISHED, {
       workerId: session.info.id,
@@ -248,6 +252,7 @@
   session.isInherited = false;
   if (!session.isReconciled) {
     session.isReconciled = true;
+    markChanged(update, session.info.id);
     update.dispatch(WORKER_RECONCILED, { workerId: session.info.id });
   }
 }
--- a/packages/sessions/src/orders.ts
+++ b/packages/sessions/src/orders.ts
@@ -20,6 +20,7 @@
   attemptKey,
   AttemptPhase,
   findSession,
+  markChanged,
   type PlacedAttempt,
   type Session,
   SESSIONS,
@@ -80,6 +81,7 @@
     options;
   const token = currentToken(update, session);
   session.leaseUntilMs = Math.max(session.leaseUntilMs, leaseUntilMs);
+  markChanged(update, workerId);
   session.attempts.set(attemptKey(options), {
     task,
     attempt,
@@ -121,6 +123,7 @@
   if (session === undefined || attempt === undefined) {
     return;
   }
+  markChanged(update, workerId);
   attempt.phase = AttemptPhase.Stopping;
   attempt.sinceMs = update.now;
   attempt.token = currentToken(update, session);
@@ -194,6 +197,7 @@
     return;
   }
   session.attempts.delete(attemptKey(context));
+  markChanged(update, workerId);
   if (outcome === OrderOutcome.OtherIncarnation) {
     invalidateUnanswered(update, session);
   }
--- a/packages/sessions/src/renewals.ts
+++ b/packages/sessions/src/renewals.ts
@@ -20,6 +20,7 @@
 import {
   AttemptPhase,
   findSession,
+  markChanged,
   type Session,
   SESSIONS,
 } from "./session_state.ts";
@@ -205,6 +206,7 @@
   outcome: OrderOutcome,
 ): void {
   session.missed++;
+  markChanged(update, session.info.id);
   update.emit(count("renewals-missed"));
   if (session.missed === 1) {
     update.emit(logChange("Worker doesn't answer", {
--- a/packages/sessions/src/session_state.ts
+++ b/packages/sessions/src/session_state.ts
@@ -115,6 +115,11 @@
   /** Id of the latest renewal. */
   lastRenewalId: number;
   readonly byWorker: Map<string, Session>;
+  /**
+   * Workers whose session has changed since the placement of tasks last
+   * looked, so that it need not look at all.
+   */
+  readonly changed: Set<string>;
 }
 
 /** State of the sessions plug-in. */
@@ -173,6 +178,11 @@
   return `${task}#${attempt}`;
 }
 
+/** Notes that what can be placed on the worker may have changed. */
+export function markChanged(update: Update, workerId: string): void {
+  update.write(SESSIONS).changed.add(workerId);
+}
+
 /** Returns the session of a worker in a form that can be changed. */
 export function findSession(
   update: Update,
--- a/packages/sessions/src/sessions_plugin.ts
+++ b/packages/sessions/src/sessions_plugin.ts
@@ -35,7 +35,7 @@
   RENEWAL_ANSWERED,
   renewIfDue,
 } from "./renewals.ts";
-import { type Session, SESSIONS } from "./session_state.ts";
+import { markChanged, type Session, SESSIONS } from "./session_state.ts";
 
 /** Interval at which renewals and leases are checked, in milliseconds. */
 const CHECK_INTERVAL_MS = 20;
@@ -62,6 +62,7 @@
         isActive: false,
         lastRenewalId: 0,
         byWorker: new Map(),
+        changed: new Set(),
       }),
       kernel.registerCommand(
         TENURE_GAINED,
@@ -139,6 +140,7 @@
   const sessions = update.write(SESSIONS);
   sessions.isActive = false;
   sessions.byWorker.clear();
+  sessions.changed.clear();
 }
 
 /**
@@ -170,6 +172,7 @@
   const record = update.read(REPLICA).sessions.get(info.id);
   const recorded = record?.recorded ?? 0;
   const mayHaveAttempts = record?.isIdle === false;
+  markChanged(update, info.id);
   update.write(SESSIONS).byWorker.set(info.id, {
     info,
     isRegistered,
@@ -211,6 +214,7 @@
     return;
   }
   session.isRegistered = info !== undefined;
+  markChanged(update, workerId);
   if (info === undefined) {
     return;
   }
@@ -231,7 +235,10 @@
     ) {
       const { number } = pendingRecords.shift()!;
       session.recorded = Math.max(session.recorded, number);
-      session.isRecorded = true;
+      if (!session.isRecorded) {
+        session.isRecorded = true;
+        markChanged(update, session.info.id);
+      }
     }
   }
 }
@@ -252,6 +259,7 @@
     }
     if (canRemove(session, update.now)) {
       update.write(SESSIONS).byWorker.delete(id);
+      markChanged(update, id);
       queueChange(update, recordKey(RecordKind.Session, id), undefined);
       update.emit(logChange("Worker forgotten", { worker: id }));
     }
