Tell the process's own lateness from the silence of others

Ruled out: the workers; they were nearly idle and had replied. Change: a reply timeout whose own timer fires late gives the reply that time once more; permit queries wait longer by the time that the node stood still; a hand-over for slowness goes only to a node as strong that reports a low lag, and less often with each one in a row. Planned hand-overs go to the strongest nodes. Nodes publish their strength from the settings' limits.

--- a/packages/permits/src/permits_state.ts
+++ b/packages/permits/src/permits_state.ts
@@ -40,6 +40,8 @@
   readonly expiresMs: number;
   readonly isLong: boolean;
   readonly sentMs: number;
+  /** This node's total stall time when the query was sent, in milliseconds. */
+  readonly stalledMs: number;
 }
 
 /** State of the permits plug-in; empty on nodes that don't own the domain. */
--- a/packages/permits/src/queries.ts
+++ b/packages/permits/src/queries.ts
@@ -17,7 +17,7 @@
   sendPeer,
 } from "@mustardweir/protocol";
 import { REPLICA } from "@mustardweir/replica";
-import { liveNodes } from "@mustardweir/tenure";
+import { liveNodes, TENURE } from "@mustardweir/tenure";
 import {
   type PermitCall,
   type PermitQuery,
@@ -106,7 +106,7 @@
     return;
   }
   known.isQueryPending = true;
-  update.write(PERMITS).waiting.push({ ...options, queuedMs: update.now });
+  insertQuery(update, { ...options, queuedMs: update.now });
   sendWaitingQueries(update);
 }
 
@@ -135,7 +135,9 @@
 /** Sends waiting queries through nodes that have none in flight. */
 export function sendWaitingQueries(update: Update): void {
   const permits = update.write(PERMITS);
-  permits.waiting.sort((a, b) => a.rank - b.rank || a.queuedMs - b.queuedMs);
+  if (permits.waiting.length === 0) {
+    return;
+  }
   const nodes = findAvailableNodes(update);
   let longQueriesLeft = maxLongQueries(update, nodes.total) -
     [...permits.calls.values()].filter((call) => call.isLong).length;
@@ -155,11 +157,27 @@
   }
 }
 
+/** Adds a query to those that wait, by rank and then by age. */
+function insertQuery(update: Update, query: PermitQuery): void {
+  const { waiting } = update.write(PERMITS);
+  let index = waiting.length;
+  while (index > 0 && isBefore(query, waiting[index - 1]!)) {
+    index--;
+  }
+  waiting.splice(index, 0, query);
+}
+
+function isBefore(a: PermitQuery, b: PermitQuery): boolean {
+  return a.rank < b.rank || (a.rank === b.rank && a.queuedMs < b.queuedMs);
+}
+
 /** Requeues queries that were not answered in time. */
 export function expireQueries(update: Update): void {
   const permits = update.write(PERMITS);
+  const { stalledMs } = update.read(TENURE);
   for (const call of [...permits.calls.values()]) {
-    if (update.now >= call.expiresMs) {
+    // A reply that came while this node stood still is still to be read.
+    if (update.now >= call.expiresMs + stalledMs - call.stalledMs) {
       handleQueryFailure(update, call, "no answer");
     }
   }
@@ -272,6 +290,7 @@
     incarnation: incarnationOf(update, nodeId),
     isLong,
     sentMs: update.now,
+    stalledMs: update.read(TENURE).stalledMs,
     expiresMs: update.now + timeoutMs + SLACK_MS,
   });
   const request: PermitRequest = {
@@ -308,7 +327,7 @@
     reason,
   }));
   if (permits.stages.has(call.stage)) {
-    permits.waiting.push(call);
+    insertQuery(update, call);
   }
 }
 
--- a/packages/protocol/src/node_identity.ts
+++ b/packages/protocol/src/node_identity.ts
@@ -10,6 +10,12 @@
   readonly availabilityZone: string;
   /** host:port for peers; absent when peers don't connect to this node. */
   readonly peerAddress?: string;
+  /**
+   * Processor cores that this node may use; absent where they aren't limited.
+   */
+  readonly cores?: number;
+  /** Bandwidth of this node's link in Mbit/s; absent where it isn't limited. */
+  readonly linkMbps?: number;
   /** Schedulers listed in the settings. */
   readonly seedPeers: readonly PeerAddress[];
 }
--- a/packages/replica/src/apply.ts
+++ b/packages/replica/src/apply.ts
@@ -9,6 +9,7 @@
   type StoredRecord,
 } from "@mustardweir/protocol";
 import {
+  NODE_FIELDS,
   type NodeRecord,
   parseKey,
   readFields,
@@ -217,12 +218,10 @@
     readFields<SessionRecord>(value, SESSION_FIELDS)
       .map((session) => replica.sessions.set(name, session)),
   [RecordKind.Node]: (update, { replica, name, value }) =>
-    readFields<NodeRecord>(value, {
-      address: "string",
-      incarnation: "string",
-      zone: "string",
-      unixOffsetMs: "number",
-    }).map((node) => {
+    readFields<Pick<NodeRecord, keyof typeof NODE_FIELDS>>(
+      value,
+      NODE_FIELDS,
+    ).map((node) => {
       const known = replica.nodes.get(name);
       replica.nodes.set(name, { ...node, nodeId: name, seenMs: update.now });
       if (
--- a/packages/replica/src/record_keys.ts
+++ b/packages/replica/src/record_keys.ts
@@ -41,6 +41,10 @@
    * mistaken for a later one.
    */
   readonly sequence: number;
+  /**
+   * Number of hand-overs in a row because the owner was slow; absent for 0.
+   */
+  readonly slowHandovers?: number;
 }
 
 /** Types of the fields of a {@link TenureRecord}. */
@@ -78,8 +82,23 @@
   readonly zone: string;
   /** The node's time of day minus the store's clock, in milliseconds. */
   readonly unixOffsetMs: number;
+  /**
+   * What the node can carry as the owner, in processor cores; absent if it was
+   * written by an earlier version.
+   */
+  readonly strength?: number;
+  /** Smoothed delay of the node's timers in ms; absent like the strength. */
+  readonly lagMs?: number;
 }
 
+/** Types of the fields of a {@link NodeRecord} that all versions write. */
+export const NODE_FIELDS = {
+  address: "string",
+  incarnation: "string",
+  zone: "string",
+  unixOffsetMs: "number",
+} as const;
+
 /**
  * Placeholder under the key of a job whose submission was refused: a late
  * write of that submission then fails its version check.
--- a/packages/runtime/src/mod.ts
+++ b/packages/runtime/src/mod.ts
@@ -18,6 +18,7 @@
 export * from "./probes.ts";
 export * from "./process_host.ts";
 export * from "./readiness.ts";
+export * from "./reply_timeout.ts";
 export * from "./run_node.ts";
 export * from "./setting.ts";
 export * from "./setting_schemas.ts";
--- a/packages/tenure/src/claims.ts
+++ b/packages/tenure/src/claims.ts
@@ -116,6 +116,7 @@
   tenure.openedVersion = version;
   tenure.confirmedMs = update.now;
   tenure.gainedMs = update.now;
+  tenure.slowHandovers = record.slowHandovers ?? 0;
   tenure.retryMs = 0;
   update.dispatch(RECORDS_WANTED, {});
 }
--- a/packages/tenure/src/commits.ts
+++ b/packages/tenure/src/commits.ts
@@ -13,14 +13,16 @@
 } from "@mustardweir/protocol";
 import {
   DOMAIN_PART,
+  type KnownNode,
   readFields,
-  REPLICA,
   TENURE_FIELDS,
   TENURE_KEY,
   type TenureRecord,
 } from "@mustardweir/replica";
 import { callStore } from "@mustardweir/store-route";
-import { isLive } from "./nodes.ts";
+import { findFasterNode } from "./lag.ts";
+import { liveNodes } from "./nodes.ts";
+import { selectStrongest } from "./strength.ts";
 import {
   CHANGES_DURABLE,
   type InFlightCommit,
@@ -35,10 +37,10 @@
 /** Most changes in a commit, below the store's limit of 100 entries. */
 const MAX_CHANGES_PER_COMMIT = 90;
 /**
- * Most characters of values in a commit, below the store's limit of 1 MB for
- * the encoded transaction.
+ * Most bytes of values in a commit; encoded in base64 they stay below the
+ * store's limit of 1 MB for a transaction.
  */
-const MAX_CHARS_PER_COMMIT = 600_000;
+const MAX_BYTES_PER_COMMIT = 600_000;
 /** Bounds of the timeout of a commit, in milliseconds. */
 const MIN_TIMEOUT_MS = 120;
 const MAX_TIMEOUT_MS = 1_500;
@@ -218,11 +220,11 @@
 
 /** Returns the first changes of the queue that fit in one commit. */
 function selectChanges(queue: readonly QueuedChange[]): QueuedChange[] {
-  let chars = 0;
+  let bytes = 0;
   const end = queue.findIndex(({ value }, index) => {
-    chars += value?.length ?? 0;
+    bytes += value === undefined ? 0 : Buffer.byteLength(value);
     return index >= MAX_CHANGES_PER_COMMIT ||
-      (index > 0 && chars > MAX_CHARS_PER_COMMIT);
+      (index > 0 && bytes > MAX_BYTES_PER_COMMIT);
   });
   return queue.slice(0, end < 0 ? queue.length : end);
 }
@@ -256,21 +258,31 @@
   };
 }
 
-/** Returns the tenure record that makes a random live peer the owner. */
+/**
+ * Returns the tenure record that makes another node the owner: one with time to
+ * spare if this node is slow, and otherwise a random one of the strongest.
+ */
 function findSuccessor(update: Update): TenureRecord | undefined {
-  const { epoch } = update.read(TENURE);
-  const { nodeId } = update.service(NODE_IDENTITY);
-  const nodes = [...update.read(REPLICA).nodes.values()]
-    .filter((node) => node.nodeId !== nodeId && isLive(update, node));
-  const next = nodes[update.random.below(Math.max(nodes.length, 1))];
+  const { epoch, isStopping, slowHandovers } = update.read(TENURE);
+  const isSlow = !isStopping && slowHandovers > 0;
+  const next = isSlow ? findFasterNode(update) : findStrongPeer(update);
   return next && {
     nodeId: next.nodeId,
     incarnation: next.incarnation,
     epoch: epoch + 1,
     sequence: 1,
+    ...(isSlow ? { slowHandovers } : {}),
   };
 }
 
+function findStrongPeer(update: Update): KnownNode | undefined {
+  const { nodeId } = update.service(NODE_IDENTITY);
+  const strongest = selectStrongest(
+    liveNodes(update).filter((node) => node.nodeId !== nodeId),
+  );
+  return strongest[update.random.below(Math.max(strongest.length, 1))];
+}
+
 function sendCommit(
   update: Update,
   { transaction, sequence }: InFlightCommit,
--- a/packages/tenure/src/nodes.ts
+++ b/packages/tenure/src/nodes.ts
@@ -15,6 +15,8 @@
   REPLICA,
 } from "@mustardweir/replica";
 import { callStore, RELAYS_KNOWN } from "@mustardweir/store-route";
+import { strengthOf } from "./strength.ts";
+import { TENURE } from "./tenure_state.ts";
 
 const REGISTER_TIMEOUT_MS = 1_000;
 /** A node that hasn't renewed its record for this long isn't live, in ms. */
@@ -36,6 +38,8 @@
     incarnation: identity.incarnation,
     zone: identity.availabilityZone,
     unixOffsetMs: update.read(REPLICA).unixOffsetMs,
+    strength: strengthOf(identity),
+    lagMs: Math.round(update.read(TENURE).lagMs),
   };
   callStore(update, {
     kind: EffectKind.CommitRecords,
--- a/packages/tenure/src/tenure_plugin.ts
+++ b/packages/tenure/src/tenure_plugin.ts
@@ -59,6 +59,8 @@
         isReleasing: false,
         gainedMs: 0,
         lagMs: 0,
+        stalledMs: 0,
+        slowHandovers: 0,
         lastTickMs: 0,
       }),
       kernel.registerCommand(
--- a/packages/tenure/src/tenure_state.ts
+++ b/packages/tenure/src/tenure_state.ts
@@ -61,6 +61,13 @@
   gainedMs: number;
   /** Smoothed delay of this node's timers, in milliseconds. */
   lagMs: number;
+  /**
+   * Total time in which this process stood still, in milliseconds; waits for
+   * others are extended by what was added to it meanwhile.
+   */
+  stalledMs: number;
+  /** Number of hand-overs in a row because the owner was slow. */
+  slowHandovers: number;
   lastTickMs: number;
 }
 
