Let only the strongest nodes keep all records; the others ask

Cause: each node followed every row of every table, held every job, linked to every other node and heard every end, so that processor time, memory and bytes of each node grew with the whole fleet; the owner was the first live node in order of names, however small. Weighed: splitting the fleet into domains first. A node without a domain would still have paid for all of them. Change: six standbys, the strongest live nodes over different zones, keep the copy of the records and may own the domain. The other nodes follow the desired state, the nodes and a summary that the owner publishes once a second (owner, waiting jobs by queue, largest workers); they read a job's records when someone asks and link only to the standbys. A node becomes a standby when it moves up. Node records move to a table of their own.

--- a/packages/dispatch/src/progress.ts
+++ b/packages/dispatch/src/progress.ts
@@ -14,7 +14,7 @@
   storeNow,
 } from "@mustardweir/replica";
 import { stopAttempt } from "@mustardweir/sessions";
-import { liveNodes, queueChange } from "@mustardweir/tenure";
+import { liveStandbys, queueChange } from "@mustardweir/tenure";
 import {
   DISPATCH_STATE,
   type JobRun,
@@ -43,8 +43,8 @@
 }
 
 /**
- * Announces ends of jobs that are durable to all nodes, before the nodes read
- * the records.
+ * Announces ends of jobs that are durable to the standbys, before they read the
+ * records.
  */
 export function announceEnds(update: Update, upToTicket: number): void {
   const state = update.write(DISPATCH_STATE);
@@ -58,7 +58,7 @@
   );
   jobs.forEach((job) => applyProgress(update, job));
   const { nodeId } = update.service(NODE_IDENTITY);
-  for (const peer of liveNodes(update)) {
+  for (const peer of liveStandbys(update)) {
     if (peer.nodeId !== nodeId) {
       update.emit(
         sendPeer(peer.nodeId, { kind: PeerMessageKind.JobsProgressed, jobs }),
--- a/packages/intake/src/intake_plugin.ts
+++ b/packages/intake/src/intake_plugin.ts
@@ -8,14 +8,7 @@
   type Undo,
   type Update,
 } from "@mustardweir/kernel";
-import {
-  fitsWithin,
-  type JobQueue,
-  NO_RESOURCES,
-  type Resources,
-  type StagedJobSpec,
-  StagedJobState,
-} from "@mustardweir/model";
+import { type JobQueue, StagedJobState } from "@mustardweir/model";
 import {
   EffectKind,
   FRONT_CALL_RECEIVED,
@@ -30,8 +23,8 @@
 } from "@mustardweir/protocol";
 import {
   applyJob,
+  hasAllRecords,
   REPLICA,
-  stateOf,
   storeNow,
   WORKER_CHANGED,
 } from "@mustardweir/replica";
@@ -56,6 +49,13 @@
   writeCancel,
   writeJob,
 } from "./submissions.ts";
+import {
+  countWaiting,
+  findInfeasibility,
+  publishSummary,
+  SUMMARY_INTERVAL_MS,
+  updateLargestWorkers,
+} from "./summary.ts";
 
 /**
  * Time for which new connections are accepted after a planned stop was
@@ -81,6 +81,8 @@
       kernel.registerState(INTAKE, {
         calls: new Map(),
         largestWorkers: new Map(),
+        waitingCounts: {},
+        countedMs: -Infinity,
         stopRequestedMs: Infinity,
       }),
       kernel.registerCommand(
@@ -119,6 +121,10 @@
         },
         Normal,
       ),
+      kernel.registerPeriodic({
+        intervalMs: SUMMARY_INTERVAL_MS,
+        run: publishSummary,
+      }),
       kernel.registerPeriodic({
         intervalMs: CALL_CHECK_INTERVAL_MS,
         run: (update) => {
@@ -266,7 +272,8 @@
   routedCall: RoutedCall,
 ): void {
   const { jobId, queue } = routedCall;
-  if (update.read(REPLICA).jobs.has(jobId)) {
+  const replica = update.read(REPLICA);
+  if (hasAllRecords(replica) && replica.jobs.has(jobId)) {
     answerState(update, callId, jobId);
     return;
   }
@@ -292,60 +299,13 @@
     step: CallStep.Looking,
     recordVersion: 0,
     isUncertain: false,
+    state: StagedJobState.Pending,
     resumeMs: 0,
   };
   update.write(INTAKE).calls.set(options.callId, call);
   return call;
 }
 
-/**
- * Returns why no worker could run one of the stages; undefined if all can run.
- */
-function findInfeasibility(
-  update: Update,
-  queue: JobQueue,
-  { stages }: StagedJobSpec,
-): string | undefined {
-  const largest = update.read(INTAKE).largestWorkers.get(queue.pool);
-  const index = stages.findIndex(({ size, bestEffort }) =>
-    largest !== undefined &&
-    !fitsWithin(bestEffort ? { ...size, cpuMillis: 0 } : size, largest)
-  );
-  return index < 0
-    ? undefined
-    : `Stage ${index} asks for more than any worker has`;
-}
-
-function updateLargestWorkers(update: Update, workerId: string): void {
-  const worker = update.read(REPLICA).workers.get(workerId);
-  if (worker === undefined) {
-    return;
-  }
-  const { largestWorkers } = update.write(INTAKE);
-  const known = largestWorkers.get(worker.pool) ?? NO_RESOURCES;
-  const { capacity } = worker;
-  const grown: Resources = {
-    cpuMillis: Math.max(known.cpuMillis, capacity.cpuMillis),
-    memoryMb: Math.max(known.memoryMb, capacity.memoryMb),
-    accelerators: Math.max(known.accelerators, capacity.accelerators),
-    slots: Math.max(known.slots, capacity.slots),
-  };
-  largestWorkers.set(worker.pool, grown);
-}
-
-function countWaiting(update: Update, queue: JobQueue): number {
-  let waiting = 0;
-  for (const job of update.read(REPLICA).jobs.values()) {
-    if (
-      job.record.queue.name === queue.name &&
-      stateOf(job) === StagedJobState.Pending
-    ) {
-      waiting++;
-    }
-  }
-  return waiting;
-}
-
 /**
  * Ends the process once no new calls arrive, all calls are answered and the
  * domain is handed over. The hand-over depends on the store, so the wait for it
--- a/packages/intake/src/intake_state.ts
+++ b/packages/intake/src/intake_state.ts
@@ -1,5 +1,10 @@
 import { createStateKey } from "@mustardweir/kernel";
-import type { JobQueue, JobRecord, Resources } from "@mustardweir/model";
+import type {
+  JobQueue,
+  JobRecord,
+  Resources,
+  StagedJobState,
+} from "@mustardweir/model";
 
 /** Step of a call: what it waits for. */
 export enum CallStep {
@@ -14,6 +19,10 @@
   Refusing = "refusing",
   /** A read checks whether the job exists. */
   Looking = "looking",
+  /** The job exists; its progress is being read. */
+  ReadingProgress = "reading-progress",
+  /** The job has not ended; a read checks whether it was cancelled. */
+  ReadingCancel = "reading-cancel",
   /** The store refused the operation; it is retried after a pause. */
   Pausing = "pausing",
 }
@@ -43,6 +52,8 @@
   recordVersion: number;
   /** Whether an earlier write may still take effect. */
   isUncertain: boolean;
+  /** State of the job in its progress record, once that was read. */
+  state: StagedJobState;
   resumeMs: number;
 }
 
@@ -51,6 +62,9 @@
   readonly calls: Map<string, PendingCall>;
   /** Largest capacity seen in each pool, per kind of resource. */
   readonly largestWorkers: Map<string, Resources>;
+  /** Number of waiting jobs by queue, counted at `countedMs`. */
+  waitingCounts: Readonly<Record<string, number>>;
+  countedMs: number;
   /**
    * Time at which the planned stop was requested, in milliseconds; infinite
    * before.
--- a/packages/intake/src/submissions.ts
+++ b/packages/intake/src/submissions.ts
@@ -1,5 +1,5 @@
 import { createCommand, type Update } from "@mustardweir/kernel";
-import type { JobRecord } from "@mustardweir/model";
+import { isFinal, type JobRecord, StagedJobState } from "@mustardweir/model";
 import {
   ChangeKind,
   count,
@@ -24,13 +24,17 @@
 import {
   applyCancel,
   applyJob,
+  hasAllRecords,
+  ownerOf,
   readJob,
+  readProgress,
   recordKey,
   RecordKind,
   REPLICA,
   stateOf,
 } from "@mustardweir/replica";
 import { callStore, STORE_ROUTE } from "@mustardweir/store-route";
+import { ok } from "neverthrow";
 import {
   CallPurpose,
   CallStep,
@@ -117,9 +121,17 @@
   update: Update,
   call: PendingCall,
   step: CallStep,
+): void {
+  readRecord(update, call, { kind: RecordKind.Job, step });
+}
+
+function readRecord(
+  update: Update,
+  call: PendingCall,
+  { kind, step }: { readonly kind: RecordKind; readonly step: CallStep },
 ): void {
   call.step = step;
-  const { part, key } = recordKey(RecordKind.Job, call.jobId);
+  const { part, key } = recordKey(kind, call.jobId);
   callStore(update, {
     kind: EffectKind.ReadSource,
     source: Source.Records,
@@ -178,7 +190,59 @@
   }
   const [change] = result.changes;
   const record = change?.kind === ChangeKind.Record ? change.record : undefined;
-  handleStoredRecord(update, call, record);
+  switch (context.step) {
+    case CallStep.ReadingProgress:
+      handleProgressRead(update, call, record);
+      break;
+    case CallStep.ReadingCancel:
+      answerCall(update, call.callId, {
+        kind: FrontAnswerKind.State,
+        state: record?.value === undefined
+          ? call.state
+          : StagedJobState.Cancelled,
+      });
+      break;
+    default:
+      handleStoredRecord(update, call, record);
+  }
+}
+
+/**
+ * Answers with the state in the job's progress record, or checks first whether
+ * the job was cancelled, which its progress may not show yet.
+ */
+function handleProgressRead(
+  update: Update,
+  call: PendingCall,
+  record: StoredRecord | undefined,
+): void {
+  const progress = record?.value === undefined
+    ? ok(undefined)
+    : readProgress(record.value);
+  if (progress.isErr()) {
+    update.emit(logChange("Entry can't be read", {
+      key: record?.key ?? "",
+      reason: progress.error.reason,
+    }));
+    answerCall(update, call.callId, {
+      kind: FrontAnswerKind.Unavailable,
+      reason: "The job's progress can't be read",
+      retryAfterMs: RETRY_AFTER_MS,
+    });
+    return;
+  }
+  call.state = progress.value?.state ?? StagedJobState.Pending;
+  if (isFinal(call.state)) {
+    answerCall(update, call.callId, {
+      kind: FrontAnswerKind.State,
+      state: call.state,
+    });
+  } else {
+    readRecord(update, call, {
+      kind: RecordKind.Cancel,
+      step: CallStep.ReadingCancel,
+    });
+  }
 }
 
 /** Resumes calls whose pause is over and gives up calls past their deadline. */
@@ -304,7 +368,7 @@
 }
 
 function notifyOwner(update: Update, jobId: string, record: JobRecord): void {
-  const owner = update.read(REPLICA).tenure?.record.nodeId;
+  const owner = ownerOf(update.read(REPLICA));
   if (
     owner !== undefined && owner !== update.service(NODE_IDENTITY).nodeId
   ) {
@@ -348,8 +412,15 @@
       completeSubmission(update, call, record);
       break;
     case CallPurpose.Status:
-      applyJob(update, call.jobId, record);
-      answerState(update, call.callId, call.jobId);
+      if (hasAllRecords(update.read(REPLICA))) {
+        applyJob(update, call.jobId, record);
+        answerState(update, call.callId, call.jobId);
+      } else {
+        readRecord(update, call, {
+          kind: RecordKind.Progress,
+          step: CallStep.ReadingProgress,
+        });
+      }
       break;
     case CallPurpose.Cancel:
       applyJob(update, call.jobId, record);
--- /dev/null
+++ b/packages/intake/src/summary.ts
@@ -0,0 +1,109 @@
+import type { Update } from "@mustardweir/kernel";
+import {
+  fitsWithin,
+  type JobQueue,
+  NO_RESOURCES,
+  type Resources,
+  type StagedJobSpec,
+  StagedJobState,
+} from "@mustardweir/model";
+import { NODE_IDENTITY } from "@mustardweir/protocol";
+import {
+  type DomainSummary,
+  hasAllRecords,
+  REPLICA,
+  stateOf,
+  SUMMARY_KEY,
+} from "@mustardweir/replica";
+import { isOwner, queueChange, TENURE } from "@mustardweir/tenure";
+import { INTAKE } from "./intake_state.ts";
+
+/** Interval at which the owner publishes a summary, in milliseconds. */
+export const SUMMARY_INTERVAL_MS = 1_000;
+/**
+ * Age up to which counts of waiting jobs are used again, in milliseconds:
+ * counting looks at every job.
+ */
+const MAX_COUNT_AGE_MS = 500;
+
+/** Publishes what nodes without a copy of the records need, if this one owns. */
+export function publishSummary(update: Update): void {
+  if (!isOwner(update)) {
+    return;
+  }
+  const summary: DomainSummary = {
+    nodeId: update.service(NODE_IDENTITY).nodeId,
+    epoch: update.read(TENURE).epoch,
+    waiting: waitingCounts(update),
+    largestWorkers: Object.fromEntries(update.read(INTAKE).largestWorkers),
+  };
+  queueChange(update, SUMMARY_KEY, JSON.stringify(summary));
+}
+
+/** Returns the number of accepted jobs of the queue that have not begun. */
+export function countWaiting(update: Update, { name }: JobQueue): number {
+  const replica = update.read(REPLICA);
+  const counts = hasAllRecords(replica)
+    ? waitingCounts(update)
+    : replica.summary?.waiting;
+  return counts?.[name] ?? 0;
+}
+
+function waitingCounts(update: Update): Readonly<Record<string, number>> {
+  const intake = update.write(INTAKE);
+  if (update.now - intake.countedMs < MAX_COUNT_AGE_MS) {
+    return intake.waitingCounts;
+  }
+  const counts: Record<string, number> = {};
+  for (const job of update.read(REPLICA).jobs.values()) {
+    if (stateOf(job) === StagedJobState.Pending) {
+      const { name } = job.record.queue;
+      counts[name] = (counts[name] ?? 0) + 1;
+    }
+  }
+  intake.waitingCounts = counts;
+  intake.countedMs = update.now;
+  return counts;
+}
+
+/**
+ * Returns why no worker could run one of the stages; undefined if all can run.
+ */
+export function findInfeasibility(
+  update: Update,
+  queue: JobQueue,
+  { stages }: StagedJobSpec,
+): string | undefined {
+  const largest = largestWorkerIn(update, queue.pool);
+  const index = stages.findIndex(({ size, bestEffort }) =>
+    largest !== undefined &&
+    !fitsWithin(bestEffort ? { ...size, cpuMillis: 0 } : size, largest)
+  );
+  return index < 0
+    ? undefined
+    : `Stage ${index} asks for more than any worker has`;
+}
+
+function largestWorkerIn(update: Update, pool: string): Resources | undefined {
+  const { isStandby, summary } = update.read(REPLICA);
+  return isStandby
+    ? update.read(INTAKE).largestWorkers.get(pool)
+    : summary?.largestWorkers[pool];
+}
+
+/** Adds a worker to the largest capacities seen in its pool. */
+export function updateLargestWorkers(update: Update, workerId: string): void {
+  const worker = update.read(REPLICA).workers.get(workerId);
+  if (worker === undefined) {
+    return;
+  }
+  const { largestWorkers } = update.write(INTAKE);
+  const known = largestWorkers.get(worker.pool) ?? NO_RESOURCES;
+  const { capacity } = worker;
+  largestWorkers.set(worker.pool, {
+    cpuMillis: Math.max(known.cpuMillis, capacity.cpuMillis),
+    memoryMb: Math.max(known.memoryMb, capacity.memoryMb),
+    accelerators: Math.max(known.accelerators, capacity.accelerators),
+    slots: Math.max(known.slots, capacity.slots),
+  });
+}
--- a/packages/protocol/src/effects.ts
+++ b/packages/protocol/src/effects.ts
@@ -65,6 +65,11 @@
 export interface ConnectPeersEffect extends Effect {
   readonly kind: EffectKind.ConnectPeers;
   readonly peers: readonly PeerAddress[];
+  /**
+   * Whether this node dials all of them, since they don't list it; by default
+   * the one with the lower id dials.
+   */
+  readonly alwaysDials?: boolean;
 }
 
 /** Reads the rows under a prefix that changed after a revision. */
--- a/packages/protocol/src/record_store.ts
+++ b/packages/protocol/src/record_store.ts
@@ -57,8 +57,10 @@
 
 /** Sets of entries in the store that can be listed and followed. */
 export enum Source {
-  /** The system's own records. */
+  /** The system's own records of jobs, workers and the domain's owner. */
   Records = "records",
+  /** The system's own records that every node needs: nodes and a summary. */
+  Fleet = "fleet",
   /** Entries that operators write. */
   Operator = "operator",
   /** Registrations that workers write. */
--- a/packages/prove/src/domain/domain_cluster.ts
+++ b/packages/prove/src/domain/domain_cluster.ts
@@ -1,4 +1,4 @@
-import { Random, Role } from "@mustardweir/kernel";
+import { Random, Role, type StateKey } from "@mustardweir/kernel";
 import {
   type DesiredState,
   NO_RESOURCES,
@@ -21,6 +21,7 @@
   type ReplyTo,
   STOP_REQUESTED,
 } from "@mustardweir/protocol";
+import { REPLICA } from "@mustardweir/replica";
 import { TENURE, TenurePhase } from "@mustardweir/tenure";
 import { ProcessState, SimulatedNode } from "../simulation/node.ts";
 import { Tampering } from "../simulation/tampering.ts";
@@ -130,6 +131,16 @@
     });
   }
 
+  /** The running nodes that keep a copy of all records. */
+  get standbys(): readonly string[] {
+    return this.nodeIds.filter((id) => this.#read(id, REPLICA).isStandby);
+  }
+
+  /** Number of jobs in the copy of the records that a node keeps. */
+  countCopiedJobs(nodeId: string): number {
+    return this.#read(nodeId, REPLICA).jobs.size;
+  }
+
   startNode(nodeId: string): void {
     this.#nodes.set(
       nodeId,
@@ -226,6 +237,10 @@
     });
   }
 
+  #read<State>(nodeId: string, key: StateKey<State>): Readonly<State> {
+    return this.#nodes.get(nodeId)!.kernel.read(key);
+  }
+
   #addWorker(id: string, zone: string): void {
     const info: WorkerInfo = {
       id,
--- a/packages/prove/src/domain/domain_scenarios.ts
+++ b/packages/prove/src/domain/domain_scenarios.ts
@@ -28,8 +28,13 @@
   readonly runMs?: number;
   readonly failures?: number;
   readonly stages?: ReturnType<typeof stageSpec>[];
+  /** Number of nodes; 4 by default, so that all keep a copy of the records. */
+  readonly nodes?: number;
 }
 
+/** Number of nodes of which some keep no copy of the records. */
+export const MANY_NODES = 10;
+
 /** The scenarios under which the domain is tested. */
 export const DOMAIN_SCENARIOS: readonly DomainScenario[] = [
   { name: "nothing is wrong", injectFault: () => {} },
@@ -290,6 +295,45 @@
     stages: [stageSpec({ gang: true, tasks: 4 })],
     injectFault: (cluster) => cluster.kill(cluster.owner!),
   },
+  { name: "ten nodes run", nodes: MANY_NODES, injectFault: () => {} },
+  {
+    name: "ten nodes run and the owner is killed",
+    nodes: MANY_NODES,
+    injectFault: (cluster) => cluster.kill(cluster.owner!),
+  },
+  {
+    name: "ten nodes run and all are killed",
+    nodes: MANY_NODES,
+    injectFault: (cluster) => cluster.nodeIds.forEach((id) => cluster.kill(id)),
+  },
+  {
+    name: "ten nodes run and all that keep the records are lost for 25 s",
+    nodes: MANY_NODES,
+    injectFault: (cluster) =>
+      cluster.standbys.forEach((id) => cluster.kill(id, 25_000)),
+  },
+  {
+    name: "ten nodes run, the owner is cut off and jobs are cancelled",
+    nodes: MANY_NODES,
+    injectFault: (cluster) => {
+      isolateOwner(cluster);
+      for (const jobId of [...cluster.clients.keys()]) {
+        cluster.cancel(jobId, "n8");
+      }
+    },
+  },
+  {
+    name: "ten nodes run and the store is slow and loses replies",
+    nodes: MANY_NODES,
+    injectFault: ({ store, clock }) => {
+      store.faults.callMs = 150;
+      store.faults.lostShare = 0.2;
+      clock.after(6_000, () => {
+        store.faults.callMs = 4;
+        store.faults.lostShare = 0;
+      });
+    },
+  },
 ];
 
 /** Lets the owner reach only the workers for 14 s. */
@@ -329,7 +373,11 @@
   scenario: DomainScenario,
   options: { readonly seed: number; readonly tampering?: Tampering },
 ): DomainCluster {
-  const cluster = new DomainCluster(options);
+  const { nodes } = scenario;
+  const cluster = new DomainCluster({
+    ...options,
+    ...(nodes === undefined ? {} : { nodes }),
+  });
   cluster.clock.runUntil(WARM_UP_MS);
   for (let index = 0; index < JOBS; index++) {
     cluster.clock.after(
--- a/packages/prove/src/domain/domain_scenarios_test.ts
+++ b/packages/prove/src/domain/domain_scenarios_test.ts
@@ -11,6 +11,7 @@
   DOMAIN_SCENARIOS,
   jobIdOf,
   JOBS,
+  MANY_NODES,
   runDomainScenario,
   WARM_UP_MS,
 } from "./domain_scenarios.ts";
@@ -21,6 +22,11 @@
 /** Time limit of the store's reply and a message to the peers, in ms. */
 const PROPAGATION_LIMIT_MS = 15;
 
+const FINAL_STATE_CASES = [
+  { name: "a few nodes", nodes: 4, standbys: 4 },
+  { name: "many nodes", nodes: MANY_NODES, standbys: 6 },
+];
+
 describe("domain", () => {
   for (const scenario of DOMAIN_SCENARIOS) {
     for (const seed of SEEDS) {
@@ -68,19 +74,28 @@
     );
   });
 
-  it("reports the same final state on every node", () => {
-    const cluster = runDomainScenario(DOMAIN_SCENARIOS[0]!, { seed: 1 });
-    const states: string[] = [];
-    for (const node of cluster.nodeIds) {
-      cluster.call(node, FrontCallKind.Status, jobIdOf(0), (answer) => {
-        states.push(
-          answer.kind === FrontAnswerKind.State ? answer.state : answer.kind,
-        );
-      });
-    }
-    cluster.clock.runUntil(cluster.clock.now + 1_000);
-    expect(states).to.deep.equal(
-      cluster.nodeIds.map(() => StagedJobState.Completed),
-    );
-  });
+  for (const { name, nodes, standbys } of FINAL_STATE_CASES) {
+    it(`reports the same final state on every one of ${name}`, () => {
+      const cluster = runDomainScenario(
+        { name, nodes, injectFault: () => {} },
+        { seed: 1 },
+      );
+      const states: string[] = [];
+      for (const node of cluster.nodeIds) {
+        cluster.call(node, FrontCallKind.Status, jobIdOf(0), (answer) => {
+          states.push(
+            answer.kind === FrontAnswerKind.State ? answer.state : answer.kind,
+          );
+        });
+      }
+      cluster.clock.runUntil(cluster.clock.now + 1_000);
+      expect(states).to.deep.equal(
+        cluster.nodeIds.map(() => StagedJobState.Completed),
+      );
+      const copies = cluster.nodeIds
+        .filter((id) => cluster.countCopiedJobs(id) > 0);
+      expect(copies).to.deep.equal(cluster.standbys);
+      expect(copies).to.have.length(standbys);
+    });
+  }
 });
--- a/packages/prove/src/domain/domain_store.ts
+++ b/packages/prove/src/domain/domain_store.ts
@@ -14,6 +14,7 @@
   SourceResultKind,
   type StoredRecord,
 } from "@mustardweir/protocol";
+import { sourceOfKey } from "@mustardweir/replica";
 import type { VirtualClock } from "../simulation/virtual_clock.ts";
 
 const PAGE_RECORDS = 40;
@@ -144,11 +145,13 @@
     answer: (result: SourceResult) => void,
   ): void {
     this.#respond(node, timeoutMs, answer, () => {
-      if (source !== Source.Records) {
+      if (source !== Source.Records && source !== Source.Fleet) {
         return this.#result(this.#listOthers(source));
       }
       const all = [...this.#records.values()]
-        .filter((record) => record.part === part)
+        .filter((record) =>
+          record.part === part && sourceOfKey(record.key) === source
+        )
         .filter(({ key }) =>
           only === undefined ? after === undefined || key > after : key === only
         )
@@ -240,12 +243,12 @@
     for (const { part, key, value } of puts) {
       const record = { part, key, value, version };
       this.#records.set(recordId(part, key), record);
-      this.#appendChange(Source.Records, { kind: ChangeKind.Record, record });
+      this.#appendChange(sourceOfKey(key), { kind: ChangeKind.Record, record });
     }
     for (const { part, key } of removes) {
       this.#records.delete(recordId(part, key));
       const record = { part, key, version };
-      this.#appendChange(Source.Records, { kind: ChangeKind.Record, record });
+      this.#appendChange(sourceOfKey(key), { kind: ChangeKind.Record, record });
     }
     this.#wakeWatchers();
     return {
--- a/packages/replica/src/apply.ts
+++ b/packages/replica/src/apply.ts
@@ -15,6 +15,7 @@
   readFields,
   readJob,
   readProgress,
+  readSummary,
   type RecordError,
   RecordKind,
   SESSION_FIELDS,
@@ -60,14 +61,17 @@
   }
 }
 
-/** Adds a job whose record is durable. */
+/**
+ * Adds a job whose record is durable. Like the functions below it does nothing
+ * on a node that keeps no copy of the records.
+ */
 export function applyJob(
   update: Update,
   jobId: string,
   record: JobRecord,
 ): void {
   const replica = update.write(REPLICA);
-  if (replica.jobs.has(jobId)) {
+  if (!replica.isStandby || replica.jobs.has(jobId)) {
     return;
   }
   replica.jobs.set(jobId, {
@@ -86,6 +90,9 @@
   { jobId, progress }: DurableProgress,
 ): void {
   const replica = update.write(REPLICA);
+  if (!replica.isStandby) {
+    return;
+  }
   const job = replica.jobs.get(jobId);
   if (job === undefined) {
     replica.orphans.set(jobId, progress);
@@ -98,6 +105,9 @@
 /** Marks a job as cancelled once the cancellation is durable. */
 export function applyCancel(update: Update, jobId: string): void {
   const replica = update.write(REPLICA);
+  if (!replica.isStandby) {
+    return;
+  }
   replica.cancels.add(jobId);
   const job = replica.jobs.get(jobId);
   if (job !== undefined && !job.isCancelled) {
@@ -231,6 +241,12 @@
         update.dispatch(NODES_CHANGED, {});
       }
     }),
+  [RecordKind.Summary]: (_update, { replica, value }) =>
+    readSummary(value).map((summary) => {
+      if (summary.epoch >= (replica.summary?.epoch ?? 0)) {
+        replica.summary = summary;
+      }
+    }),
   [RecordKind.Tenure]: (update, { replica, record, value }) =>
     readFields<TenureRecord>(value, TENURE_FIELDS).map((tenure) => {
       if (record.version <= (replica.tenure?.version ?? 0)) {
--- a/packages/replica/src/record_keys.ts
+++ b/packages/replica/src/record_keys.ts
@@ -3,9 +3,11 @@
   jobProgressSchema,
   type JobRecord,
   jobRecordSchema,
+  type Resources,
 } from "@mustardweir/model";
-import type { RecordKey } from "@mustardweir/protocol";
+import { type RecordKey, Source } from "@mustardweir/protocol";
 import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
 
 /** Part of the store with all records that the domain's owner writes. */
 export const DOMAIN_PART = "domain";
@@ -14,12 +16,16 @@
 /** Number of parts that accepted jobs are spread over to scale writes. */
 export const JOB_PARTS = 4;
 
-/** The parts that a node lists when it starts. */
-export const RECORD_PARTS: readonly string[] = [
-  DOMAIN_PART,
-  NODE_PART,
-  ...Array.from({ length: JOB_PARTS }, (_, index) => `jobs-${index}`),
-];
+/** The parts of each source that a node lists before it follows changes. */
+export const SOURCE_PARTS: Readonly<Record<Source, readonly string[]>> = {
+  [Source.Records]: [
+    DOMAIN_PART,
+    ...Array.from({ length: JOB_PARTS }, (_, index) => `jobs-${index}`),
+  ],
+  [Source.Fleet]: [DOMAIN_PART, NODE_PART],
+  [Source.Operator]: [""],
+  [Source.Workers]: [""],
+};
 
 /** Kinds of record; the value is the prefix of the record's key. */
 export enum RecordKind {
@@ -29,6 +35,7 @@
   Job = "job",
   Cancel = "cancel",
   Node = "node",
+  Summary = "summary",
 }
 
 /** The owner of the domain. Rewritten by each commit of the owner. */
@@ -89,6 +96,8 @@
   readonly strength?: number;
   /** Smoothed delay of the node's timers in ms; absent like the strength. */
   readonly lagMs?: number;
+  /** Whether the node keeps a copy of all records; absent like the strength. */
+  readonly isStandby?: boolean;
 }
 
 /** Types of the fields of a {@link NodeRecord} that all versions write. */
@@ -99,6 +108,19 @@
   unixOffsetMs: "number",
 } as const;
 
+/**
+ * What the domain's owner publishes for nodes that keep no copy of the records.
+ */
+export interface DomainSummary {
+  /** Node that owns the domain. */
+  readonly nodeId: string;
+  readonly epoch: number;
+  /** Number of jobs of each queue of which no task has started. */
+  readonly waiting: Readonly<Record<string, number>>;
+  /** Largest capacity in each pool, for each kind of resource. */
+  readonly largestWorkers: Readonly<Record<string, Resources>>;
+}
+
 /**
  * Placeholder under the key of a job whose submission was refused: a late
  * write of that submission then fails its version check.
@@ -157,6 +179,24 @@
   readonly name: string;
 }
 
+/** Key of the summary that the domain's owner publishes. */
+export const SUMMARY_KEY = recordKey(RecordKind.Summary, "owner");
+
+/**
+ * Returns the source in which records with this key are listed and followed.
+ *
+ * @example
+ * ```ts
+ * sourceOfKey("node/front-1"); // Source.Fleet
+ * ```
+ */
+export function sourceOfKey(key: string): Source {
+  const kind = parseKey(key)?.kind;
+  return kind === RecordKind.Node || kind === RecordKind.Summary
+    ? Source.Fleet
+    : Source.Records;
+}
+
 const KINDS = new Set<string>(Object.values(RecordKind));
 
 /**
@@ -205,6 +245,32 @@
   });
 }
 
+const count = z.number().nonnegative();
+const summarySchema = z.looseObject({
+  nodeId: z.string(),
+  epoch: z.number(),
+  waiting: z.record(z.string(), count),
+  largestWorkers: z.record(
+    z.string(),
+    z.object({
+      cpuMillis: count,
+      memoryMb: count,
+      accelerators: count,
+      slots: count,
+    }),
+  ),
+});
+
+/** Parses the summary of the domain. */
+export function readSummary(text: string): Result<DomainSummary, RecordError> {
+  return readJson(text).andThen((value) => {
+    const parsed = summarySchema.safeParse(value);
+    return parsed.success
+      ? ok(parsed.data)
+      : err({ reason: parsed.error.message });
+  });
+}
+
 /** Parses a flat record; fails if a field of `types` has another type. */
 export function readFields<Fields>(
   text: string,
--- a/packages/replica/src/replica.ts
+++ b/packages/replica/src/replica.ts
@@ -10,8 +10,13 @@
   WorkerInfo,
 } from "@mustardweir/model";
 import { StagedJobState } from "@mustardweir/model";
-import type { Source } from "@mustardweir/protocol";
-import type { NodeRecord, SessionRecord, TenureRecord } from "./record_keys.ts";
+import { Source } from "@mustardweir/protocol";
+import type {
+  DomainSummary,
+  NodeRecord,
+  SessionRecord,
+  TenureRecord,
+} from "./record_keys.ts";
 
 /** A job in this node's copy of the records. */
 export interface KnownJob {
@@ -68,6 +73,13 @@
   readonly sessions: Map<string, SessionRecord>;
   readonly nodes: Map<string, KnownNode>;
   tenure: KnownTenure | undefined;
+  /** What the owner last published; undefined before the first owner. */
+  summary: DomainSummary | undefined;
+  /**
+   * Whether this node keeps a copy of all records, so that it may own the
+   * domain. Other nodes read a record when a caller asks for it.
+   */
+  isStandby: boolean;
   /** Store clock minus this node's clock, in milliseconds. */
   storeClockOffsetMs: number | undefined;
   /** This node's time of day minus the store's clock, in milliseconds. */
@@ -100,6 +112,23 @@
   "nodes-changed",
 );
 
+/** Dispatched when this node begins to keep a copy of all records. */
+export const STANDBY_STARTED = createCommand<Record<string, never>>(
+  "standby-started",
+);
+
+/** Returns whether this node's copy of all records is complete. */
+export function hasAllRecords({ isStandby, sources }: Readonly<Replica>) {
+  return isStandby && sources[Source.Records].isListed;
+}
+
+/** Returns the id of the node that owns the domain, as far as it is known. */
+export function ownerOf(
+  { tenure, summary }: Readonly<Replica>,
+): string | undefined {
+  return tenure?.record.nodeId ?? summary?.nodeId;
+}
+
 /**
  * Returns the current time of the store's steady clock, in milliseconds; 0
  * before the first reply of the store.
--- a/packages/replica/src/replica_plugin.ts
+++ b/packages/replica/src/replica_plugin.ts
@@ -25,8 +25,13 @@
 } from "@mustardweir/protocol";
 import { callStore } from "@mustardweir/store-route";
 import { applyChange, applyProgress } from "./apply.ts";
-import { RECORD_PARTS } from "./record_keys.ts";
-import { RECORDS_WANTED, REPLICA, type SourceView } from "./replica.ts";
+import { SOURCE_PARTS } from "./record_keys.ts";
+import {
+  RECORDS_WANTED,
+  REPLICA,
+  type SourceView,
+  STANDBY_STARTED,
+} from "./replica.ts";
 import {
   createReplica,
   emitSourceGauges,
@@ -50,6 +55,7 @@
  */
 const FOLLOW_TIMING: Record<Source, FollowTiming> = {
   [Source.Records]: { waitMs: 300, pauseMs: 200 },
+  [Source.Fleet]: { waitMs: 1_000, pauseMs: 400 },
   [Source.Operator]: { waitMs: 1_000, pauseMs: 0 },
   [Source.Workers]: { waitMs: 1_000, pauseMs: 150 },
 };
@@ -60,11 +66,11 @@
 const RETRY_DELAY_MS = 150;
 /** Interval at which due calls are sent, in milliseconds. */
 const TICK_MS = 20;
-/**
- * Parts of a source that isn't divided: a single one. Only the system's own
- * records are divided into several parts.
- */
-const SINGLE_PART: readonly string[] = [""];
+/** Sources that only nodes follow which keep a copy of all records. */
+const STANDBY_SOURCES: ReadonlySet<Source> = new Set([
+  Source.Records,
+  Source.Workers,
+]);
 
 enum Phase {
   Idle = "idle",
@@ -153,6 +159,11 @@
         },
         CommandPriority.Normal,
       ),
+      kernel.registerCommand(
+        STANDBY_STARTED,
+        (_, update) => this.#tick(update),
+        CommandPriority.Low,
+      ),
       kernel.registerPeriodic({
         intervalMs: TICK_MS,
         run: (update) => this.#tick(update),
@@ -165,7 +176,11 @@
   }
 
   #tick(update: Update): void {
+    const { isStandby } = update.read(REPLICA);
     for (const [source, progress] of this.#progress) {
+      if (!isStandby && STANDBY_SOURCES.has(source)) {
+        continue;
+      }
       if (progress.phase === Phase.Idle && update.now >= progress.nextMs) {
         this.#call(update, source, progress);
       }
@@ -184,7 +199,7 @@
     progress.listedVersion = 0;
     progress.listing++;
     progress.partsLeft.clear();
-    for (const part of source === Source.Records ? RECORD_PARTS : SINGLE_PART) {
+    for (const part of SOURCE_PARTS[source]) {
       progress.partsLeft.add(part);
       this.#list(update, { source, progress, part });
     }
--- a/packages/replica/src/views.ts
+++ b/packages/replica/src/views.ts
@@ -86,6 +86,7 @@
   return {
     sources: {
       [Source.Records]: view(),
+      [Source.Fleet]: view(),
       [Source.Operator]: view(),
       [Source.Workers]: view(),
     },
@@ -99,6 +100,8 @@
     sessions: new Map(),
     nodes: new Map(),
     tenure: undefined,
+    summary: undefined,
+    isStandby: false,
     storeClockOffsetMs: undefined,
     unixOffsetMs: 0,
   };
--- a/packages/tenure/src/claims.ts
+++ b/packages/tenure/src/claims.ts
@@ -18,7 +18,8 @@
 } from "@mustardweir/replica";
 import { callStore } from "@mustardweir/store-route";
 import { loseTenure } from "./commits.ts";
-import { isLive } from "./nodes.ts";
+import { liveStandbys } from "./nodes.ts";
+import { orderCandidates } from "./strength.ts";
 import { TENURE, TENURE_GAINED, TenurePhase } from "./tenure_state.ts";
 
 /** An owner that commits nothing for this long is considered failed, in ms. */
@@ -140,11 +141,10 @@
 /** Returns this node's position, from 0, in the order of the candidates. */
 function claimRank(update: Update, owner: string): number {
   const { nodeId } = update.service(NODE_IDENTITY);
-  const live = [...update.read(REPLICA).nodes.values()]
-    .filter((node) => isLive(update, node) && node.nodeId !== owner)
-    .map((node) => node.nodeId)
-    .sort();
-  return Math.max(0, live.indexOf(nodeId));
+  const candidates = orderCandidates(
+    liveStandbys(update).filter((node) => node.nodeId !== owner),
+  );
+  return Math.max(0, candidates.findIndex((node) => node.nodeId === nodeId));
 }
 
 function sendClaim(update: Update, known: KnownTenure | undefined): void {
--- a/packages/tenure/src/commits.ts
+++ b/packages/tenure/src/commits.ts
@@ -21,7 +21,7 @@
 } from "@mustardweir/replica";
 import { callStore } from "@mustardweir/store-route";
 import { findFasterNode } from "./lag.ts";
-import { liveNodes } from "./nodes.ts";
+import { liveStandbys } from "./nodes.ts";
 import { selectStrongest } from "./strength.ts";
 import {
   CHANGES_DURABLE,
@@ -278,7 +278,7 @@
 function findStrongPeer(update: Update): KnownNode | undefined {
   const { nodeId } = update.service(NODE_IDENTITY);
   const strongest = selectStrongest(
-    liveNodes(update).filter((node) => node.nodeId !== nodeId),
+    liveStandbys(update).filter((node) => node.nodeId !== nodeId),
   );
   return strongest[update.random.below(Math.max(strongest.length, 1))];
 }
--- a/packages/tenure/src/lag.ts
+++ b/packages/tenure/src/lag.ts
@@ -1,7 +1,7 @@
 import type { Update } from "@mustardweir/kernel";
 import { logChange, NODE_IDENTITY } from "@mustardweir/protocol";
 import { type KnownNode, REPLICA } from "@mustardweir/replica";
-import { liveNodes } from "./nodes.ts";
+import { liveStandbys } from "./nodes.ts";
 import { orderCandidates } from "./strength.ts";
 import { TENURE, TenurePhase } from "./tenure_state.ts";
 
@@ -74,7 +74,7 @@
 export function findFasterNode(update: Update): KnownNode | undefined {
   const { nodeId } = update.service(NODE_IDENTITY);
   const own = update.read(REPLICA).nodes.get(nodeId)?.strength ?? 0;
-  return orderCandidates(liveNodes(update)).find((node) =>
+  return orderCandidates(liveStandbys(update)).find((node) =>
     node.nodeId !== nodeId && (node.strength ?? 0) >= own &&
     (node.lagMs ?? Infinity) <= MAX_LAG_MS * MAX_SUCCESSOR_LAG_SHARE
   );
--- a/packages/tenure/src/nodes.ts
+++ b/packages/tenure/src/nodes.ts
@@ -40,6 +40,7 @@
     unixOffsetMs: update.read(REPLICA).unixOffsetMs,
     strength: strengthOf(identity),
     lagMs: Math.round(update.read(TENURE).lagMs),
+    isStandby: update.read(REPLICA).isStandby,
   };
   callStore(update, {
     kind: EffectKind.CommitRecords,
@@ -56,13 +57,20 @@
   });
 }
 
-/** Requests links to all other live nodes and offers them as relays. */
+/**
+ * Requests links to the live standbys and offers these as relays. A node that
+ * is no standby itself dials them, since they don't list it.
+ */
 export function connectNodes(update: Update): void {
   const { nodeId } = update.service(NODE_IDENTITY);
-  const peers = liveNodes(update)
+  const peers = liveStandbys(update)
     .filter((node) => node.nodeId !== nodeId && node.address !== "")
     .map((node) => ({ nodeId: node.nodeId, address: node.address }));
-  update.emit(nodeEffect({ kind: EffectKind.ConnectPeers, peers }));
+  update.emit(nodeEffect({
+    kind: EffectKind.ConnectPeers,
+    peers,
+    alwaysDials: !update.read(REPLICA).isStandby,
+  }));
   update.dispatch(RELAYS_KNOWN, { peers: peers.map((peer) => peer.nodeId) });
 }
 
@@ -72,6 +80,11 @@
     .filter((node) => isLive(update, node));
 }
 
+/** Returns the live nodes that keep a copy of all records. */
+export function liveStandbys(update: Update): KnownNode[] {
+  return liveNodes(update).filter(({ isStandby }) => isStandby !== false);
+}
+
 /** Returns true if the node has renewed its record recently. */
 export function isLive(update: Update, node: KnownNode): boolean {
   return update.now - node.seenMs <= NODE_EXPIRY_MS;
--- a/packages/tenure/src/tenure_plugin.ts
+++ b/packages/tenure/src/tenure_plugin.ts
@@ -24,12 +24,15 @@
 } from "./commits.ts";
 import { connectNodes, registerNode, REGISTRATION_ANSWERED } from "./nodes.ts";
 import { measureLag, releaseIfSlow } from "./lag.ts";
+import { becomeStandbyIfDue } from "./standby.ts";
 import { isOwner, TENURE, TenurePhase } from "./tenure_state.ts";
 
 /** Interval at which due claims, commits and retries are sent, in ms. */
 const TICK_MS = 20;
 /** Interval at which a node renews its record, in milliseconds. */
 const REGISTER_INTERVAL_MS = 2_000;
+/** Interval at which a node checks whether to be a standby, in ms. */
+const STANDBY_CHECK_INTERVAL_MS = 100;
 /** Assumed duration of a commit until one is measured, in milliseconds. */
 const INITIAL_COMMIT_MS = 40;
 
@@ -61,6 +64,7 @@
         lagMs: 0,
         stalledMs: 0,
         slowHandovers: 0,
+        startedMs: Infinity,
         lastTickMs: 0,
       }),
       kernel.registerCommand(
@@ -96,6 +100,8 @@
       kernel.registerPeriodic({
         intervalMs: TICK_MS,
         run: (update) => {
+          const tenure = update.write(TENURE);
+          tenure.startedMs = Math.min(tenure.startedMs, update.now);
           measureLag(update, TICK_MS);
           releaseIfSlow(update);
           claimIfDue(update);
@@ -104,6 +110,10 @@
           sendNextCommit(update);
         },
       }),
+      kernel.registerPeriodic({
+        intervalMs: STANDBY_CHECK_INTERVAL_MS,
+        run: becomeStandbyIfDue,
+      }),
       kernel.registerPeriodic({
         intervalMs: REGISTER_INTERVAL_MS,
         run: (update) => {
--- a/packages/wire/src/link_performer.ts
+++ b/packages/wire/src/link_performer.ts
@@ -86,6 +86,7 @@
   #port = 0;
   #sink: EventSink | undefined;
   #ticker: NodeJS.Timeout | undefined;
+  #alwaysDials = false;
 
   constructor(options: LinkPerformerOptions) {
     super();
@@ -181,7 +182,8 @@
     );
   }
 
-  #connect({ peers }: ConnectPeersEffect): void {
+  #connect({ peers, alwaysDials = false }: ConnectPeersEffect): void {
+    this.#alwaysDials = alwaysDials;
     const listed = new Map(peers.map((peer) => [peer.nodeId, peer]));
     listed.delete(this.#identity.nodeId);
     for (const peer of this.#table.peers) {
@@ -207,6 +209,7 @@
         identity: this.#identity,
         peer,
         tls: this.#tls,
+        alwaysDials: () => this.#alwaysDials,
       }),
     );
     void peer.dialer.run();
@@ -229,6 +232,7 @@
   readonly identity: NodeIdentity;
   readonly peer: Peer;
   readonly tls: TlsFiles | undefined;
+  readonly alwaysDials: () => boolean;
 }
 
 /** Creates dialled links in a table and decides which side dials. */
@@ -236,6 +240,7 @@
   readonly #table: LinkTable;
   readonly #identity: NodeIdentity;
   readonly #peer: Peer;
+  readonly #alwaysDials: () => boolean;
   override readonly tls: TlsFiles | undefined;
 
   constructor(table: LinkTable, options: TableDialerContextOptions) {
@@ -243,16 +248,18 @@
     this.#table = table;
     this.#identity = options.identity;
     this.#peer = options.peer;
+    this.#alwaysDials = options.alwaysDials;
     this.tls = options.tls;
   }
 
   /**
-   * Entries always dial. Of two schedulers the one with the lower id dials, and
+   * Entries and nodes that are told to always dial. Of two schedulers the one with the lower id dials, and
    * the other if it has had no link for {@link DIAL_FALLBACK_DELAY_MS}.
    */
   override shouldDial(): boolean {
     const { nodeId, role } = this.#identity;
-    return role === Role.Entry || nodeId < this.#peer.nodeId ||
+    return role === Role.Entry || this.#alwaysDials() ||
+      nodeId < this.#peer.nodeId ||
       this.#peer.disconnectedMs(performance.now()) > DIAL_FALLBACK_DELAY_MS;
   }
 
