Build no log line that will be dropped

Cause: a busy owner writes some thousand lines a second about tasks, stages and jobs; each was rendered before the limit of 300 a second dropped it, and lines about permits of stages were never dropped.

--- a/packages/runtime/src/line_writer.ts
+++ b/packages/runtime/src/line_writer.ts
@@ -49,14 +49,29 @@
     process.once("exit", () => this.flush());
   }
 
+  /**
+   * Returns whether another line is within the limits, so that a line that
+   * would be dropped need not be built; otherwise counts it as dropped.
+   */
+  admit(): boolean {
+    this.#startSecond(this.#now());
+    const {
+      maxLinesPerSecond = DEFAULT_MAX_LINES_PER_SECOND,
+      maxPendingBytes = DEFAULT_MAX_PENDING_BYTES,
+    } = this.#options;
+    const hasRoom = this.#linesInSecond < maxLinesPerSecond &&
+      this.#pendingBytes < maxPendingBytes;
+    this.#droppedLines += hasRoom ? 0 : 1;
+    return hasRoom;
+  }
+
   /** Queues a line, with its line end. Urgent lines are never dropped. */
   write(line: string, isUrgent = false): void {
     const {
       maxLinesPerSecond = DEFAULT_MAX_LINES_PER_SECOND,
       maxPendingBytes = DEFAULT_MAX_PENDING_BYTES,
-      now = () => performance.now(),
     } = this.#options;
-    this.#startSecond(now());
+    this.#startSecond(this.#now());
     const exceedsLimit = this.#linesInSecond >= maxLinesPerSecond ||
       this.#pendingBytes + line.length > maxPendingBytes;
     if (exceedsLimit && !isUrgent) {
@@ -81,6 +96,10 @@
     }
   }
 
+  #now(): number {
+    return this.#options.now?.() ?? performance.now();
+  }
+
   #startSecond(now: number): void {
     if (now - this.#secondStart < SECOND_MS) {
       return;
--- a/packages/runtime/src/line_writer_test.ts
+++ b/packages/runtime/src/line_writer_test.ts
@@ -22,6 +22,11 @@
   { name: "above the memory", lines: 25, perSecond: 99, bytes: 40, kept: 10 },
 ];
 
+const ADMISSIONS = [
+  { name: "within the limit", lines: 5, perSecond: 10, kept: 5 },
+  { name: "above the limit", lines: 25, perSecond: 10, kept: 10 },
+];
+
 describe("LineWriter", () => {
   for (const { name, lines, perSecond, bytes, kept } of CASES) {
     it(`writes lines up to the limit and counts those dropped: ${name}`, () => {
@@ -53,6 +58,23 @@
     });
   }
 
+  for (const { name, lines, perSecond, kept } of ADMISSIONS) {
+    it(`admits lines before they are built: ${name}`, () => {
+      const writer = new LineWriter({
+        maxLinesPerSecond: perSecond,
+        now: () => 5_000,
+      });
+      let admitted = 0;
+      for (let index = 0; index < lines; index++) {
+        if (writer.admit()) {
+          admitted++;
+          writer.write("", true);
+        }
+      }
+      expect(admitted).to.equal(kept);
+    });
+  }
+
   it("writes urgent lines above the limit", () => {
     const folder = mkdtempSync(join(tmpdir(), "lines-"));
     const path = join(folder, "out");
--- a/packages/runtime/src/logger.ts
+++ b/packages/runtime/src/logger.ts
@@ -33,6 +33,8 @@
   readonly level?: LogLevel;
   /** Writes a line, with its line end; to standard error by default. */
   readonly write?: (line: string) => void;
+  /** Returns false for a line that is to be dropped unbuilt; none by default. */
+  readonly admit?: (fields: LogFields) => boolean;
 }
 
 /**
@@ -46,9 +48,14 @@
  */
 export class Logger {
   readonly #consola: ConsolaInstance;
+  readonly #admit: (fields: LogFields) => boolean;
 
-  constructor(consola: ConsolaInstance) {
+  constructor(
+    consola: ConsolaInstance,
+    admit: (fields: LogFields) => boolean = () => true,
+  ) {
     this.#consola = consola;
+    this.#admit = admit;
   }
 
   /** Writes a line of level `LogLevel.Debug`. */
@@ -58,7 +65,9 @@
 
   /** Writes a line of level `LogLevel.Info`. */
   info(message: string, fields: LogFields = {}): void {
-    this.#consola.info(message, fields);
+    if (this.#admit(fields)) {
+      this.#consola.info(message, fields);
+    }
   }
 
   /** Writes a line of level `LogLevel.Warn`. */
@@ -87,11 +96,12 @@
     render: format === LogFormat.Json ? renderJson : renderText,
     write: options.write ?? ((line) => process.stderr.write(line)),
   });
-  return new Logger(createConsola({
+  const consola = createConsola({
     level: LogLevels[level],
     reporters: [reporter],
     throttle: 0,
-  }));
+  });
+  return new Logger(consola, options.admit);
 }
 
 interface LogEntry {
