--- a/packages/journal/src/journal_plugin.ts
+++ b/packages/journal/src/journal_plugin.ts
@@ -19,6 +19,7 @@
   count,
   EffectKind,
   type EffectReply,
+  logChange,
   nodeEffect,
   observe,
   replyTo,
@@ -26,6 +27,7 @@
   type ScanResult,
   StoreStatus,
 } from "@mustardweir/protocol";
+import { err, ok, type Result } from "neverthrow";
 import {
   APPEND_JOURNAL,
   CLOSE_JOURNAL,
@@ -143,13 +145,45 @@
     return;
   }
   const rows = [...result.page.rows].sort((a, b) => a.key < b.key ? -1 : 1);
+  const records = parseRows(rows);
+  if (records.isErr()) {
+    // Without this row accepted jobs could be lost or run again, so the home
+    // stays closed until the row is repaired.
+    update.emit(logChange("Journal row can't be read", {
+      team,
+      key: records.error,
+    }));
+    update.write(JOURNAL).retryAt = update.now + RETRY_DELAY_MS;
+    return;
+  }
   journal.rowKeys = rows.map((row) => row.key);
   journal.charsSince = countChars(rows);
   journal.isOpen = true;
-  const records = rows.flatMap((row) =>
-    JSON.parse(row.value) as JournalRecord[]
-  );
-  update.dispatch(JOURNAL_OPENED, { team, epoch, records });
+  update.dispatch(JOURNAL_OPENED, { team, epoch, records: records.value });
+}
+
+/** Parses the journal's rows; the error is the key of the first bad one. */
+function parseRows(
+  rows: readonly { readonly key: string; readonly value: string }[],
+): Result<JournalRecord[], string> {
+  const records: JournalRecord[] = [];
+  for (const { key, value } of rows) {
+    const parsed = parseRow(value);
+    if (parsed === undefined) {
+      return err(key);
+    }
+    records.push(...parsed);
+  }
+  return ok(records);
+}
+
+function parseRow(value: string): JournalRecord[] | undefined {
+  try {
+    const parsed: unknown = JSON.parse(value);
+    return Array.isArray(parsed) ? parsed : undefined;
+  } catch {
+    return undefined;
+  }
 }
 
 interface AppendRequest {
--- a/packages/membership/src/follower_plugin.ts
+++ b/packages/membership/src/follower_plugin.ts
@@ -25,6 +25,7 @@
   type ScanResult,
   StoreStatus,
 } from "@mustardweir/protocol";
+import { z } from "zod";
 import {
   OWNERSHIP,
   OWNERSHIP_PREFIX,
@@ -189,7 +190,10 @@
   const changed: string[] = [];
   for (const { key, value, version } of page.rows) {
     const unit = key.slice(OWNERSHIP_PREFIX.length);
-    if (storeIfNewer(state.rows, unit, { row: parseRow(value), version })) {
+    const row = parseRow(value);
+    if (row === undefined) {
+      update.emit(logChange("Ownership row can't be read", { unit }));
+    } else if (storeIfNewer(state.rows, unit, { row, version })) {
       changed.push(unit);
     }
   }
@@ -220,8 +224,19 @@
   return true;
 }
 
-function parseRow(value: string): OwnershipRow {
-  return JSON.parse(value) as OwnershipRow;
+const ownershipRowSchema = z.looseObject({
+  owner: z.string(),
+  epoch: z.number(),
+  successors: z.array(z.looseObject({ nodeId: z.string(), epoch: z.number() })),
+});
+
+/** Parses the value of an ownership row; undefined if it is malformed. */
+function parseRow(value: string): OwnershipRow | undefined {
+  try {
+    return ownershipRowSchema.safeParse(JSON.parse(value)).data;
+  } catch {
+    return undefined;
+  }
 }
 
 function listInstances(update: Update): void {
