--- a/packages/runtime/src/metrics.ts
+++ b/packages/runtime/src/metrics.ts
@@ -76,6 +76,13 @@
     return this.#counters.get(counter) ?? 0;
   }
 
+  /** Returns the counters whose names begin with `prefix`, by name. */
+  countersWith(prefix: string): Readonly<Record<string, number>> {
+    return Object.fromEntries(
+      [...this.#counters].filter(([name]) => name.startsWith(prefix)),
+    );
+  }
+
   /** Sets a gauge. */
   set(gauge: string, value: number): void {
     this.#gauges.set(gauge, value);
--- a/packages/wire/src/link_performer.ts
+++ b/packages/wire/src/link_performer.ts
@@ -7,6 +7,7 @@
   type NodeIdentity,
   PEER_MESSAGE_RECEIVED,
   type PeerAddress,
+  PeerMessageKind,
   type SendPeerEffect,
 } from "@mustardweir/protocol";
 import {
@@ -167,6 +168,10 @@
       body: this.#codec.encode(message),
     };
     const receivers = to === ALL_PEERS ? this.livePeers : [to];
+    this.#metrics.count(
+      `bytes-sent-peer-${PeerMessageKind[message.kind]}`,
+      outgoing.body.length * receivers.length,
+    );
     for (const receiver of receivers) {
       this.#table.send(receiver, outgoing);
     }
@@ -176,6 +181,10 @@
     this.#codec.decode(kind, body).match(
       (message) => {
         this.#metrics.count("link-messages-received");
+        this.#metrics.count(
+          `bytes-received-peer-${PeerMessageKind[message.kind]}`,
+          body.length,
+        );
         this.#sink?.post(PEER_MESSAGE_RECEIVED, { from, message });
       },
       () => this.#metrics.count("link-messages-malformed"),
