Turn jobs away that would be of no use when their turn comes

Cause: every job that could be recorded was accepted, however much waited. Change: the owner publishes how long the workers of each full pool would be busy with what waits, by priority; every node compares that with three times the objective and refuses with a spread Retry-After. A refusal is recorded in place of the job, so that it is true for earlier tries as well; a later try replaces it. A pool with room counts as without backlog. Ruled out: refusing before anything is written; an earlier try of the caller may have been accepted although its answer was lost.

--- a/packages/dispatch/src/candidate_index.ts
+++ b/packages/dispatch/src/candidate_index.ts
@@ -1,6 +1,7 @@
 import { createStateKey, type Update } from "@mustardweir/kernel";
 import {
   addResources,
+  dominantShare,
   fitsWithin,
   NO_RESOURCES,
   type Resources,
@@ -132,6 +133,24 @@
     return known !== undefined && fitsWithin(size, known.mostFree);
   }
 
+  /** Returns the capacity of all candidates of a pool. */
+  capacityOf(pool: string): Resources {
+    return this.#pools.get(pool)?.capacity ?? NO_RESOURCES;
+  }
+
+  /**
+   * Returns the share of a pool's capacity that is in use, from 0 to 1, of the
+   * kind of resource that is used most.
+   */
+  usedShareOf(pool: string): number {
+    const capacity = this.capacityOf(pool);
+    const free = this.inPool(pool).reduce(
+      (sum, candidate) => addResources(sum, candidate.free),
+      NO_RESOURCES,
+    );
+    return dominantShare(subtractResources(capacity, free), capacity);
+  }
+
   /** Returns the capacity of all candidates of all pools. */
   get capacity(): Resources {
     let sum = NO_RESOURCES;
--- a/packages/dispatch/src/dispatch_plugin.ts
+++ b/packages/dispatch/src/dispatch_plugin.ts
@@ -28,6 +28,7 @@
   RecordKind,
   REPLICA,
   storeNow,
+  SUMMARY_WANTED,
   unixNow,
 } from "@mustardweir/replica";
 import {
@@ -65,6 +66,7 @@
   occurrenceCount,
   TaskPhase,
 } from "./dispatch_state.ts";
+import { addBacklog } from "./backlog.ts";
 import { CandidateIndex, CANDIDATES } from "./candidate_index.ts";
 import { WORKER_HEALTH, WorkerHealth } from "./health.ts";
 import { announceEnds, endJob } from "./progress.ts";
@@ -158,6 +160,11 @@
         ({ upToTicket }, update) => announceEnds(update, upToTicket),
         Normal,
       ),
+      kernel.registerCommand(
+        SUMMARY_WANTED,
+        (draft, update) => addBacklog(update, draft),
+        Normal,
+      ),
       ...registerAttempts(kernel),
       kernel.registerCommand(
         PERMITS_CHANGED,
--- a/packages/dispatch/src/turn_order.ts
+++ b/packages/dispatch/src/turn_order.ts
@@ -58,6 +58,17 @@
   }
 }
 
+/**
+ * Returns the priority of the queue of a stage with this rank of
+ * {@link ObjectiveRanking}; undefined for jobs that are expired or over their
+ * team's rate.
+ */
+export function priorityOfRank(rank: number): number | undefined {
+  return rank < 2 * PRIORITY_LIMIT + ObjectiveStatus.OverRate
+    ? Math.floor(rank / 2)
+    : undefined;
+}
+
 /** Returns the status of the stage's job against its objective. */
 export function objectiveStatusOf(
   stage: StageRun,
--- a/packages/dispatch/src/waiting_stages.ts
+++ b/packages/dispatch/src/waiting_stages.ts
@@ -58,6 +58,13 @@
     return this.#positions.keys().next().value;
   }
 
+  /** Returns the stages in the order with their ranks. */
+  *inOrder(): Generator<{ readonly stage: StageRun; readonly rank: number }> {
+    for (const [stage, { rank }] of this.#positions) {
+      yield { stage, rank };
+    }
+  }
+
   /** Puts the stage into the order, or moves it to another rank. */
   add(stage: StageRun, rank: number): void {
     const known = this.#positions.get(stage);
--- a/packages/intake/src/intake_plugin.ts
+++ b/packages/intake/src/intake_plugin.ts
@@ -29,6 +29,7 @@
   WORKER_CHANGED,
 } from "@mustardweir/replica";
 import { TENURE, TenurePhase } from "@mustardweir/tenure";
+import { type AdmissionPolicy, WaitBound } from "./admission_policy.ts";
 import {
   CallPurpose,
   CallStep,
@@ -46,6 +47,7 @@
   lookUpJob,
   resumeCalls,
   RETRY_AFTER_MS,
+  turnAway,
   writeCancel,
   writeJob,
 } from "./submissions.ts";
@@ -71,6 +73,8 @@
 /** Interval at which paused and overdue calls are checked, in milliseconds. */
 const CALL_CHECK_INTERVAL_MS = 40;
 
+const POLICY: AdmissionPolicy = new WaitBound();
+
 /** Accepts jobs on any node and answers queries about them. */
 export class IntakePlugin extends Plugin {
   override readonly name = "intake";
@@ -243,7 +247,18 @@
     queue,
     record: { queue, team, spec: body.spec, acceptedMs: storeNow(update) },
   });
-  writeJob(update, call);
+  call.overload = POLICY.findOverload({
+    queue,
+    spec: body.spec,
+    summary: update.read(REPLICA).summary,
+    storeMs: storeNow(update),
+    fraction: update.random.fraction(),
+  });
+  if (call.overload === undefined) {
+    writeJob(update, call);
+  } else {
+    turnAway(update, call);
+  }
 }
 
 function cancelJob(
@@ -299,6 +314,7 @@
     step: CallStep.Looking,
     recordVersion: 0,
     isUncertain: false,
+    overload: undefined,
     state: StagedJobState.Pending,
     resumeMs: 0,
   };
--- a/packages/intake/src/intake_state.ts
+++ b/packages/intake/src/intake_state.ts
@@ -5,6 +5,7 @@
   Resources,
   StagedJobState,
 } from "@mustardweir/model";
+import type { Overload } from "./admission_policy.ts";
 
 /** Step of a call: what it waits for. */
 export enum CallStep {
@@ -52,6 +53,8 @@
   recordVersion: number;
   /** Whether an earlier write may still take effect. */
   isUncertain: boolean;
+  /** Why the job is being turned away; only with a submission. */
+  overload: Overload | undefined;
   /** State of the job in its progress record, once that was read. */
   state: StagedJobState;
   resumeMs: number;
--- a/packages/intake/src/submissions.ts
+++ b/packages/intake/src/submissions.ts
@@ -30,9 +30,12 @@
   readProgress,
   recordKey,
   RecordKind,
+  type RefusedJob,
   REPLICA,
   stateOf,
+  storeNow,
 } from "@mustardweir/replica";
+import type { Overload } from "./admission_policy.ts";
 import { callStore, STORE_ROUTE } from "@mustardweir/store-route";
 import { ok } from "neverthrow";
 import {
@@ -101,6 +104,19 @@
   });
 }
 
+/**
+ * Turns a job away. A refusal is written in place of its record, because an
+ * earlier try of the caller, whose answer was lost, may have been accepted or
+ * may still be; without that the answer could be untrue.
+ */
+export function turnAway(update: Update, call: PendingCall): void {
+  if (isStoreUnreachable(update)) {
+    pauseCall(update, call);
+  } else {
+    writeRefusal(update, call, call.recordVersion);
+  }
+}
+
 /** Records the cancellation of the job; idempotent. */
 export function writeCancel(update: Update, call: PendingCall): void {
   call.step = CallStep.Writing;
@@ -317,6 +333,8 @@
   if (call.purpose === CallPurpose.Submit) {
     if (call.isUncertain) {
       lookUpJob(update, call, CallStep.Checking);
+    } else if (call.overload !== undefined) {
+      turnAway(update, call);
     } else {
       writeJob(update, call);
     }
@@ -334,6 +352,10 @@
   if (call.step === CallStep.Refusing) {
     // The earlier write can no longer take effect.
     call.isUncertain = false;
+    if (call.overload !== undefined) {
+      answerOverload(update, call, call.overload);
+      return;
+    }
     answerCall(update, call.callId, {
       kind: FrontAnswerKind.Unavailable,
       reason: "The store did not confirm the job",
@@ -350,6 +372,27 @@
   completeSubmission(update, call, call.record!);
 }
 
+function answerOverload(
+  update: Update,
+  { callId, jobId, queue }: PendingCall,
+  { reason, waitMs, ageMs, retryAfterMs }: Overload,
+): void {
+  update.emit(count(`turned-away-priority-${queue.priority}`));
+  update.emit(logChange("Job turned away", {
+    job: jobId,
+    queue: queue.name,
+    reason,
+    waitMs: Math.round(waitMs),
+    figuresAgeMs: Math.round(ageMs),
+    retryAfterMs,
+  }));
+  answerCall(update, callId, {
+    kind: FrontAnswerKind.Overloaded,
+    reason: `${reason}; it has not run`,
+    retryAfterMs,
+  });
+}
+
 function completeSubmission(
   update: Update,
   call: PendingCall,
@@ -389,12 +432,21 @@
     : readJob(stored.value).unwrapOr(undefined);
   if (record !== undefined && !("refused" in record)) {
     handleJobFound(update, call, record);
+  } else if (isSuperseded(call, record)) {
+    answerCall(update, call.callId, {
+      kind: FrontAnswerKind.Unavailable,
+      reason: "A later try of this job was refused",
+      retryAfterMs: RETRY_AFTER_MS,
+    });
   } else if (call.purpose !== CallPurpose.Submit) {
     answerCall(update, call.callId, {
       kind: FrontAnswerKind.UnknownJob,
       reason: "No such job",
     });
-  } else if (call.isUncertain) {
+  } else if (call.overload !== undefined && record !== undefined) {
+    // An earlier try was turned away as well; its mark still stands.
+    answerOverload(update, call, call.overload);
+  } else if (call.isUncertain || call.overload !== undefined) {
     writeRefusal(update, call, stored?.version ?? 0);
   } else {
     call.recordVersion = stored?.version ?? 0;
@@ -402,6 +454,18 @@
   }
 }
 
+/**
+ * Returns whether a try that was received after this one was refused. Its
+ * caller was told that the job never runs, so this one can't be accepted.
+ */
+function isSuperseded(
+  { record, overload }: PendingCall,
+  refused: RefusedJob | undefined,
+): boolean {
+  return refused !== undefined && record !== undefined &&
+    overload === undefined && refused.atMs > record.acceptedMs;
+}
+
 function handleJobFound(
   update: Update,
   call: PendingCall,
@@ -435,7 +499,11 @@
   expectedVersion: number,
 ): void {
   call.step = CallStep.Refusing;
-  writeRecord(update, call, { expectedVersion, value: '{"refused":true}' });
+  const refused: RefusedJob = { refused: true, atMs: storeNow(update) };
+  writeRecord(update, call, {
+    expectedVersion,
+    value: JSON.stringify(refused),
+  });
 }
 
 function writeRecord(
--- a/packages/intake/src/summary.ts
+++ b/packages/intake/src/summary.ts
@@ -13,7 +13,10 @@
   hasAllRecords,
   REPLICA,
   stateOf,
+  storeNow,
   SUMMARY_KEY,
+  SUMMARY_WANTED,
+  type SummaryDraft,
 } from "@mustardweir/replica";
 import { isOwner, queueChange, TENURE } from "@mustardweir/tenure";
 import { INTAKE } from "./intake_state.ts";
@@ -31,12 +34,17 @@
   if (!isOwner(update)) {
     return;
   }
+  const draft: SummaryDraft = { openJobs: 0, waits: {} };
+  update.dispatch(SUMMARY_WANTED, draft);
   const summary: DomainSummary = {
+    ...draft,
+    atMs: storeNow(update),
     nodeId: update.service(NODE_IDENTITY).nodeId,
     epoch: update.read(TENURE).epoch,
     waiting: waitingCounts(update),
     largestWorkers: Object.fromEntries(update.read(INTAKE).largestWorkers),
   };
+  update.write(REPLICA).summary = summary;
   queueChange(update, SUMMARY_KEY, JSON.stringify(summary));
 }
 
--- a/packages/prove/src/domain/domain_cluster.ts
+++ b/packages/prove/src/domain/domain_cluster.ts
@@ -81,6 +81,8 @@
   readonly tampering?: Tampering;
   /** Whether the queues need permits; true by default. */
   readonly needsPermits?: boolean;
+  /** What the team may have running in all; unlimited by default. */
+  readonly ceiling?: Resources;
   /** Number of nodes; 4 by default. */
   readonly nodes?: number;
   /** Number of workers; 6 by default. */
@@ -108,7 +110,7 @@
     this.#options = options;
     this.#random = new Random(options.seed);
     this.store = new DomainStore(this.clock, this.#random);
-    this.store.setDesired(desiredState(options.needsPermits ?? true));
+    this.store.setDesired(desiredState(options));
     const { workers = DEFAULT_WORKERS, nodes = DEFAULT_NODES } = options;
     for (let index = 0; index < workers; index++) {
       this.#addWorker(`w${index}`, `zone-${index % 2}`);
@@ -306,15 +308,18 @@
         });
         break;
       case EffectKind.AskPermits:
-        this.clock.after(PERMIT_DELAY_MS, () =>
-          reply(node, effect.replyTo)({
-            kind: PermitResultKind.Judged,
-            permits: effect.workers.map((workerId) => ({
-              workerId,
-              permit: "p",
-            })),
-            validMs: PERMIT_VALID_MS,
-          }));
+        this.clock.after(
+          PERMIT_DELAY_MS,
+          () =>
+            reply(node, effect.replyTo)({
+              kind: PermitResultKind.Judged,
+              permits: effect.workers.map((workerId) => ({
+                workerId,
+                permit: "p",
+              })),
+              validMs: PERMIT_VALID_MS,
+            }),
+        );
         break;
       case EffectKind.SendPeer: {
         const peer = this.#nodes.get(effect.to);
@@ -350,7 +355,9 @@
   return (result) => node.post(to.command, createEffectReply(to, result));
 }
 
-function desiredState(needsPermits: boolean): DesiredState {
+function desiredState(
+  { needsPermits = true, ceiling = NO_RESOURCES }: DomainClusterOptions,
+): DesiredState {
   const queue = {
     host: CALLER.host,
     pool: "ovens",
@@ -380,7 +387,7 @@
       keys: [CALLER.key],
       share: 1,
       jobsPerS: 0,
-      ceiling: NO_RESOURCES,
+      ceiling,
     }],
   };
 }
--- a/packages/replica/src/record_keys.ts
+++ b/packages/replica/src/record_keys.ts
@@ -119,6 +119,15 @@
   readonly waiting: Readonly<Record<string, number>>;
   /** Largest capacity in each pool, for each kind of resource. */
   readonly largestWorkers: Readonly<Record<string, Resources>>;
+  /** Store clock when the figures were taken, in milliseconds. */
+  readonly atMs: number;
+  /** Number of jobs that have not ended. */
+  readonly openJobs: number;
+  /**
+   * By pool and priority: how long all workers would be busy with the tasks
+   * that wait, in milliseconds. Jobs past their use or rate don't count.
+   */
+  readonly waits: Readonly<Record<string, Readonly<Record<string, number>>>>;
 }
 
 /**
@@ -127,6 +136,11 @@
  */
 export interface RefusedJob {
   readonly refused: true;
+  /**
+   * Store clock when it was written, in milliseconds: a try that was received
+   * earlier must not replace it. 0 if an earlier version wrote it.
+   */
+  readonly atMs: number;
 }
 
 /**
@@ -226,7 +240,8 @@
 ): Result<JobRecord | RefusedJob, RecordError> {
   return readJson(text).andThen((value) => {
     if (isObject(value) && value.refused === true) {
-      return ok({ refused: true as const });
+      const atMs = typeof value.atMs === "number" ? value.atMs : 0;
+      return ok({ refused: true as const, atMs });
     }
     const parsed = jobRecordSchema.safeParse(value);
     return parsed.success
@@ -259,6 +274,9 @@
       slots: count,
     }),
   ),
+  atMs: z.number().default(0),
+  openJobs: count.default(0),
+  waits: z.record(z.string(), z.record(z.string(), count)).default({}),
 });
 
 /** Parses the summary of the domain. */
--- a/packages/replica/src/replica.ts
+++ b/packages/replica/src/replica.ts
@@ -107,6 +107,15 @@
 export const RECORDS_WANTED = createCommand<Record<string, never>>(
   "records-wanted",
 );
+/** The part of the summary that other plug-ins fill in. */
+export interface SummaryDraft {
+  openJobs: number;
+  waits: Record<string, Record<string, number>>;
+}
+
+/** Requests the figures of the domain for the owner's next summary. */
+export const SUMMARY_WANTED = createCommand<SummaryDraft>("summary-wanted");
+
 /** Dispatched when a node was added, removed or has restarted. */
 export const NODES_CHANGED = createCommand<Record<string, never>>(
   "nodes-changed",
