Grant no lease by a start when the tenure is no longer confirmed

Cause: an owner cut off from the store renewed no leases after 4 s, but went on starting tasks, and each start extends the leases of all that runs on its worker. It also gave tasks up when their leases were over as far as it knew, although a successor may have renewed them. A successor that can't reach a worker waits for 8.4 s, then starts its tasks elsewhere: they ran twice. Ruled out: fencing; the workers in question had never heard of the successor. Change: placement pauses while the tenure is unconfirmed for 4 s, like renewals. Leases count as over only while no other node can own the domain, that is for 1.2 s after the last confirmation.

--- a/packages/dispatch/src/placement_pass.ts
+++ b/packages/dispatch/src/placement_pass.ts
@@ -6,7 +6,7 @@
 } from "@mustardweir/model";
 import { stagePermits } from "@mustardweir/permits";
 import { REPLICA } from "@mustardweir/replica";
-import { SESSIONS } from "@mustardweir/sessions";
+import { mayGrantLeases, SESSIONS } from "@mustardweir/sessions";
 import {
   DISPATCH_STATE,
   isOpen,
@@ -109,7 +109,7 @@
  */
 export function runPlacementPass(update: Update): void {
   const state = update.write(DISPATCH_STATE);
-  if (!state.isActive || !state.isDirty) {
+  if (!state.isActive || !state.isDirty || !mayGrantLeases(update)) {
     return;
   }
   state.isDirty = false;
--- a/packages/prove/src/domain/domain_scenarios.ts
+++ b/packages/prove/src/domain/domain_scenarios.ts
@@ -15,6 +15,9 @@
 /** Time after the last job: covers expiring leases and late orders, in ms. */
 const SETTLE_MS = 45_000;
 
+/** Time for which a scenario cuts the owner off, in milliseconds. */
+const ISOLATION_MS = 14_000;
+
 const TWO_STAGES = [stageSpec(), stageSpec({ tasks: 2, dependsOn: [0] })];
 
 /** A fault that occurs while jobs are submitted. */
@@ -334,15 +337,32 @@
       });
     },
   },
+  {
+    name: "the owner and some workers are cut off while much work waits",
+    runMs: 3_000,
+    stages: [stageSpec({ tasks: 12 })],
+    injectFault: (cluster) => {
+      isolateOwner(cluster);
+      const { owner, nodeIds, clock, workers } = cluster;
+      [...workers.values()].forEach(
+        ({ faults: { unreachableFrom } }, index) => {
+          const isWithOwner = index % 2 === 0;
+          nodeIds.filter((id) => (id === owner) !== isWithOwner)
+            .forEach((id) => unreachableFrom.add(id));
+          clock.after(ISOLATION_MS, () => unreachableFrom.clear());
+        },
+      );
+    },
+  },
 ];
 
-/** Lets the owner reach only the workers for 14 s. */
+/** Lets the owner reach only the workers for {@link ISOLATION_MS}. */
 function isolateOwner(cluster: DomainCluster): void {
   const { owner, nodeIds, store, clock } = cluster;
   const others = nodeIds.filter((id) => id !== owner);
   store.faults.silent.add(owner!);
   others.forEach((id) => cluster.setLinkDown(owner!, id, true));
-  clock.after(14_000, () => {
+  clock.after(ISOLATION_MS, () => {
     store.faults.silent.clear();
     others.forEach((id) => cluster.setLinkDown(owner!, id, false));
   });
--- a/packages/sessions/src/leases.ts
+++ b/packages/sessions/src/leases.ts
@@ -1,3 +1,5 @@
+import type { Update } from "@mustardweir/kernel";
+import { isOwner, TENURE } from "@mustardweir/tenure";
 import type { Session } from "./session_state.ts";
 
 /**
@@ -20,6 +22,16 @@
 export const MAX_INHERITED_LEASE_MS = LEASE_MS * (1 + MAX_CLOCK_DRIFT) +
   EXPIRY_MARGIN_MS;
 
+/**
+ * Returns whether this node may grant leases, by renewals or by starts. A
+ * successor that can't reach a worker waits for the leases that were granted up
+ * to {@link MAX_UNCONFIRMED_MS} after the last confirmation, and no longer.
+ */
+export function mayGrantLeases(update: Update): boolean {
+  return isOwner(update) &&
+    update.now - update.read(TENURE).confirmedMs < MAX_UNCONFIRMED_MS;
+}
+
 /**
  * Returns the end of a lease that starts now, on the worker's clock; undefined
  * if that clock isn't known.
--- a/packages/sessions/src/sessions_plugin.ts
+++ b/packages/sessions/src/sessions_plugin.ts
@@ -20,13 +20,17 @@
 import {
   CHANGES_DURABLE,
   isOwner,
+  isSoleOwner,
   loseTenure,
   queueChange,
-  TENURE,
   TENURE_GAINED,
   TENURE_LOST,
 } from "@mustardweir/tenure";
-import { MAX_INHERITED_LEASE_MS, MAX_UNCONFIRMED_MS } from "./leases.ts";
+import {
+  MAX_INHERITED_LEASE_MS,
+  MAX_UNCONFIRMED_MS,
+  mayGrantLeases,
+} from "./leases.ts";
 import { handleOrderResult, ORDER_ANSWERED, OWNER_FENCED } from "./orders.ts";
 import { recordIdle, recordSession } from "./listings.ts";
 import {
@@ -247,10 +251,14 @@
   if (!isOwner(update)) {
     return;
   }
-  const { confirmedMs } = update.read(TENURE);
-  const mayExtend = update.now - confirmedMs < MAX_UNCONFIRMED_MS;
+  const mayExtend = mayGrantLeases(update);
+  // Another owner may have renewed leases that are over as far as this one
+  // knows.
+  const mayGiveUp = isSoleOwner(update);
   for (const [id, session] of [...update.read(SESSIONS).byWorker]) {
-    giveUpExpiredAttempts(update, session);
+    if (mayGiveUp) {
+      giveUpExpiredAttempts(update, session);
+    }
     renewIfDue(update, session, mayExtend);
     if (session.isRecorded) {
       recordIfIdle(update, session);
--- a/packages/tenure/src/claims.ts
+++ b/packages/tenure/src/claims.ts
@@ -20,10 +20,13 @@
 import { loseTenure } from "./commits.ts";
 import { liveStandbys } from "./nodes.ts";
 import { orderCandidates } from "./strength.ts";
-import { TENURE, TENURE_GAINED, TenurePhase } from "./tenure_state.ts";
+import {
+  OWNER_TIMEOUT_MS,
+  TENURE,
+  TENURE_GAINED,
+  TenurePhase,
+} from "./tenure_state.ts";
 
-/** An owner that commits nothing for this long is considered failed, in ms. */
-const OWNER_TIMEOUT_MS = 1_200;
 /** Delay between the claims of successive candidates, in milliseconds. */
 const RANK_DELAY_MS = 200;
 /** The same delay while the domain has never had an owner. */
--- a/packages/tenure/src/tenure_state.ts
+++ b/packages/tenure/src/tenure_state.ts
@@ -92,6 +92,22 @@
   "changes-durable",
 );
 
+/**
+ * An owner that commits nothing for this long is considered failed, in
+ * milliseconds.
+ */
+export const OWNER_TIMEOUT_MS = 1_200;
+
+/**
+ * Returns true while no other node can own the domain: they claim it only when
+ * this one has committed nothing for {@link OWNER_TIMEOUT_MS}.
+ */
+export function isSoleOwner(update: Update): boolean {
+  const { phase, confirmedMs } = update.read(TENURE);
+  return phase === TenurePhase.Owner &&
+    update.now - confirmedMs < OWNER_TIMEOUT_MS;
+}
+
 /** Returns true while this node owns the domain and may act on it. */
 export function isOwner(update: Update): boolean {
   return update.read(TENURE).phase === TenurePhase.Owner;
