Send no more starts than the owner's link carries

Cause: each start carries its job's payload. A stage of 25 tasks put more bytes on a link of 2 Mbit/s than it carries in the 250 ms after which a start counts as not answered; the connections were closed, the orders sent anew, renewals behind them timed out, and nothing recovered.

--- a/packages/dispatch/src/dispatch_plugin.ts
+++ b/packages/dispatch/src/dispatch_plugin.ts
@@ -15,6 +15,7 @@
   type EffectReply,
   gauge,
   GAUGE_INTERVAL_MS,
+  NODE_IDENTITY,
   RecordCommitKind,
   type RecordCommitResult,
   replyTo,
@@ -69,6 +70,7 @@
 import { addBacklog } from "./backlog.ts";
 import { CandidateIndex, CANDIDATES } from "./candidate_index.ts";
 import { WORKER_HEALTH, WorkerHealth } from "./health.ts";
+import { LinkBudget } from "./link_budget.ts";
 import { announceEnds, endJob } from "./progress.ts";
 import {
   requestPlacementPass,
@@ -130,6 +132,7 @@
         waiting: new WaitingStages(),
         ended: new Set<string>(),
         rates: new RateMeter(),
+        link: new LinkBudget(undefined),
         pendingEnds: [],
         used: new Map(),
         isDirty: false,
@@ -269,6 +272,7 @@
   state.epoch = epoch;
   clearState(update);
   state.rates.clear();
+  state.link = new LinkBudget(update.service(NODE_IDENTITY).linkMbps);
   update.write(WORKER_HEALTH).clear();
   const jobs = [...update.read(REPLICA).jobs.values()]
     .sort((a, b) => a.record.acceptedMs - b.record.acceptedMs);
@@ -368,12 +372,15 @@
 }
 
 function emitTaskGauges(update: Update): void {
-  const { jobs } = update.read(DISPATCH_STATE);
+  const { jobs, link } = update.read(DISPATCH_STATE);
   const tasks = [...jobs.values()].flatMap((job) =>
     [...job.stages.values()].flatMap((stage) => stage.tasks)
   );
   const inPhase = (phase: TaskPhase) =>
     tasks.filter((task) => task.phase === phase).length;
+  update.emit(
+    gauge("starts-backlog-ms", Math.round(link.backlogMs(update.now))),
+  );
   update.emit(gauge("jobs-open", jobs.size));
   update.emit(gauge("tasks-waiting", inPhase(TaskPhase.Waiting)));
   update.emit(gauge("tasks-placed", inPhase(TaskPhase.Placed)));
--- a/packages/dispatch/src/dispatch_state.ts
+++ b/packages/dispatch/src/dispatch_state.ts
@@ -16,6 +16,7 @@
   taskKey,
 } from "@mustardweir/model";
 import type { DurableProgress } from "@mustardweir/protocol";
+import type { LinkBudget } from "./link_budget.ts";
 import type { RateMeter } from "./rates.ts";
 import type { WaitingStages } from "./waiting_stages.ts";
 
@@ -117,6 +118,8 @@
   /** Jobs that ended in this tenure; their records may not show it yet. */
   readonly ended: Set<string>;
   readonly rates: RateMeter;
+  /** Bytes of starts that this node's link can carry. */
+  link: LinkBudget;
   /** Ends of jobs that are being recorded, oldest first. */
   pendingEnds: PendingEnd[];
   /** Resources that each team uses, including tasks that are being stopped. */
--- a/packages/dispatch/src/placement_pass.ts
+++ b/packages/dispatch/src/placement_pass.ts
@@ -151,7 +151,13 @@
   }
 
   get #isExhausted(): boolean {
-    return this.#placed >= MAX_TASKS_PER_PASS;
+    return this.#placed >= MAX_TASKS_PER_PASS ||
+      this.#affordableStarts(0) === 0;
+  }
+
+  #affordableStarts(payloadBytes: number): number {
+    return this.#update.write(DISPATCH_STATE).link
+      .affordable(payloadBytes, this.#update.now);
   }
 
   #placeRank(rank: number): void {
@@ -248,7 +254,9 @@
       this.#setAside(stage);
       return Examined.Left;
     }
-    return placed >= TASK_BATCH_SIZE ? Examined.Placed : Examined.Blocked;
+    return placed >= TASK_BATCH_SIZE || this.#isExhausted
+      ? Examined.Placed
+      : Examined.Blocked;
   }
 
   #startableTasks(stage: StageRun): TaskRun[] {
@@ -315,9 +323,13 @@
       return 0;
     }
     const rule: PlacementRule = isGang ? GANG : BEST_FIT;
+    const most = Math.min(
+      TASK_BATCH_SIZE,
+      this.#affordableStarts(record.spec.payload.length),
+    );
     const placements = rule.choose(
       stage,
-      isGang ? wanted : wanted.slice(0, TASK_BATCH_SIZE),
+      isGang ? wanted : wanted.slice(0, most),
       allowed,
     );
     if (placements.length > 0) {
--- a/packages/dispatch/src/starts.ts
+++ b/packages/dispatch/src/starts.ts
@@ -24,6 +24,9 @@
   placements: readonly Placement[],
 ): void {
   const state = update.write(DISPATCH_STATE);
+  const { payload } = stage.job.record.spec;
+  state.link.spend(placements.length, payload.length, update.now);
+  const linkDelayMs = state.link.backlogMs(update.now);
   const gang = stage.spec.gang ? gangStart(stage, state.epoch) : undefined;
   for (const { task, candidate } of placements) {
     const workerId = candidate.session.info.id;
@@ -43,7 +46,8 @@
       task: taskName(task),
       attempt: task.attempt,
       size: reservedSize(stage),
-      payload: stage.job.record.spec.payload,
+      payload,
+      linkDelayMs,
       checkpoint: gang?.checkpoint ?? task.checkpoint,
       ...(permit === undefined ? {} : { permit }),
     });
--- a/packages/prove/src/domain/domain_cluster.ts
+++ b/packages/prove/src/domain/domain_cluster.ts
@@ -87,6 +87,8 @@
   readonly nodes?: number;
   /** Number of workers; 6 by default. */
   readonly workers?: number;
+  /** Bandwidth of each node's link in Mbit/s; unlimited by default. */
+  readonly linkMbps?: number;
 }
 
 /** Combined nodes, workers and the platform's store, in virtual time. */
@@ -144,6 +146,7 @@
   }
 
   startNode(nodeId: string): void {
+    const { linkMbps } = this.#options;
     this.#nodes.set(
       nodeId,
       new SimulatedNode({
@@ -154,6 +157,7 @@
           availabilityZone: "zone-0",
           peerAddress: `${nodeId}:1`,
           seedPeers: [],
+          ...(linkMbps === undefined ? {} : { linkMbps }),
         },
         operatorKeyHash: "",
         clock: this.clock,
--- a/packages/sessions/src/orders.ts
+++ b/packages/sessions/src/orders.ts
@@ -60,6 +60,11 @@
   readonly payload: string;
   readonly checkpoint?: string;
   readonly permit?: string;
+  /**
+   * Time for which the order may lie on this node's link before it is on its
+   * way, in milliseconds; 0 by default.
+   */
+  readonly linkDelayMs?: number;
 }
 
 /** Returns the token that orders to the worker carry now. */
@@ -100,7 +105,7 @@
     leaseUntilMs,
     ...(checkpoint ? { checkpoint } : {}),
     ...(permit === undefined ? {} : { permit }),
-  });
+  }, ORDER_TIMEOUT_MS + Math.ceil(options.linkDelayMs ?? 0));
   update.emit(count("starts"));
   update.emit(logChange("Start ordered", {
     task,
@@ -225,6 +230,7 @@
   update: Update,
   { info }: Readonly<Session>,
   order: Exclude<WorkerOrder, { kind: OrderKind.Renew }>,
+  timeoutMs: number = ORDER_TIMEOUT_MS,
 ): void {
   const { kind, task, attempt, token } = order;
   update.emit(nodeEffect({
@@ -232,7 +238,7 @@
     workerId: info.id,
     address: info.address,
     order,
-    timeoutMs: ORDER_TIMEOUT_MS,
+    timeoutMs,
     replyTo: replyTo(ORDER_ANSWERED, {
       workerId: info.id,
       epoch: update.read(SESSIONS).epoch,
