Wake nodes without a copy of the records less often

Cause: every node woke 60 times a second for work that only nodes with the records have: leases, placement, claims, expiry. On a hundred nodes that and two pings a second on each of six links are a large part of the processor time. Change: periodic work may say that it is idle and then runs every 100 ms; nodes that dial all their peers ping them once a second.

--- a/packages/dispatch/src/dispatch_plugin.ts
+++ b/packages/dispatch/src/dispatch_plugin.ts
@@ -23,6 +23,8 @@
 import { PERMITS_CHANGED } from "@mustardweir/permits";
 import {
   DESIRED_CHANGED,
+  FOLLOWER_INTERVAL_MS,
+  isFollower,
   JOB_CHANGED,
   type KnownJob,
   recordKey,
@@ -201,6 +203,8 @@
       kernel.registerPeriodic({
         intervalMs: PASS_INTERVAL_MS,
         run: runPlacementPass,
+        isIdle: isFollower,
+        idleIntervalMs: FOLLOWER_INTERVAL_MS,
       }),
       kernel.registerPeriodic({
         intervalMs: RESCAN_INTERVAL_MS,
@@ -215,6 +219,8 @@
       kernel.registerPeriodic({
         intervalMs: OCCURRENCE_SCAN_INTERVAL_MS,
         run: addAllDueOccurrences,
+        isIdle: isFollower,
+        idleIntervalMs: FOLLOWER_INTERVAL_MS,
       }),
       kernel.registerPeriodic({
         intervalMs: REMOVAL_INTERVAL_MS,
--- a/packages/intake/src/intake_plugin.ts
+++ b/packages/intake/src/intake_plugin.ts
@@ -23,6 +23,7 @@
 } from "@mustardweir/protocol";
 import {
   applyJob,
+  FOLLOWER_INTERVAL_MS,
   hasAllRecords,
   REPLICA,
   storeNow,
@@ -131,6 +132,8 @@
       }),
       kernel.registerPeriodic({
         intervalMs: CALL_CHECK_INTERVAL_MS,
+        isIdle: (update) => update.read(INTAKE).calls.size === 0,
+        idleIntervalMs: FOLLOWER_INTERVAL_MS,
         run: (update) => {
           resumeCalls(update);
           stopWhenDrained(update);
--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -21,6 +21,13 @@
   /** Delay before the first run, in milliseconds; 0 by default. */
   readonly firstDelayMs?: number;
   readonly run: (update: Update) => void;
+  /**
+   * Returns whether there is nothing to do soon: the work is then next due after
+   * `idleIntervalMs`. Asked after each run; never idle by default.
+   */
+  readonly isIdle?: (update: Update) => boolean;
+  /** Interval while idle, in milliseconds; `intervalMs` by default. */
+  readonly idleIntervalMs?: number;
 }
 
 /** The plug-ins and the random seed of a kernel. */
@@ -184,8 +191,13 @@
     }
     return this.update(now, (update) => {
       for (const entry of due) {
-        entry.due = nextMultiple(now, entry.options.intervalMs);
-        entry.options.run(update);
+        const { intervalMs, idleIntervalMs = intervalMs, isIdle, run } =
+          entry.options;
+        run(update);
+        entry.due = nextMultiple(
+          now,
+          isIdle?.(update) === true ? idleIntervalMs : intervalMs,
+        );
       }
     });
   }
--- a/packages/kernel/src/kernel_test.ts
+++ b/packages/kernel/src/kernel_test.ts
@@ -104,6 +104,20 @@
     total: 2,
     effects: ["added-1", "added-1"],
   },
+  {
+    name: "runs periodic work at the longer interval while it is idle",
+    act: (kernel) => {
+      kernel.registerPeriodic({
+        intervalMs: 10,
+        isIdle: (update) => update.read(TOTAL).value >= 2,
+        idleIntervalMs: 40,
+        run: (update) => update.dispatch(ADD, 1),
+      });
+      return [0, 10, 20, 30, 40, 50].flatMap((now) => kernel.advance(now));
+    },
+    total: 3,
+    effects: ["added-1", "added-1", "added-1"],
+  },
 ];
 
 const INVARIANT_CASES = [
--- a/packages/permits/src/permits_plugin.ts
+++ b/packages/permits/src/permits_plugin.ts
@@ -14,7 +14,11 @@
   PEER_MESSAGE_RECEIVED,
   PeerMessageKind,
 } from "@mustardweir/protocol";
-import { NODES_CHANGED } from "@mustardweir/replica";
+import {
+  FOLLOWER_INTERVAL_MS,
+  isFollower,
+  NODES_CHANGED,
+} from "@mustardweir/replica";
 import { TENURE_GAINED, TENURE_LOST } from "@mustardweir/tenure";
 import { PERMITS, type Permits } from "./permits_state.ts";
 import {
@@ -79,6 +83,8 @@
       kernel.registerPeriodic({
         intervalMs: EXPIRY_CHECK_INTERVAL_MS,
         run: expireQueries,
+        isIdle: isFollower,
+        idleIntervalMs: FOLLOWER_INTERVAL_MS,
       }),
       kernel.registerPeriodic({
         intervalMs: GAUGE_INTERVAL_MS,
--- a/packages/prove/src/domain/domain_backlog_test.ts
+++ b/packages/prove/src/domain/domain_backlog_test.ts
@@ -5,7 +5,7 @@
   NIGHTLY_PREFIX,
   stageSpec,
 } from "./domain_cluster.ts";
-import { jobIdOf, WARM_UP_MS } from "./domain_scenarios.ts";
+import { jobIdOf, MANY_NODES, WARM_UP_MS } from "./domain_scenarios.ts";
 
 /** Run time of the tasks that fill all workers during the measurement, in ms. */
 const LONG_RUN_MS = 120_000;
@@ -91,3 +91,23 @@
     }).timeout(120_000);
   }
 });
+
+/** Most wake-ups of a node that has nothing to decide, per second. */
+const MAX_WAKE_UPS_PER_S = 15;
+
+describe("wake-ups of idle nodes", () => {
+  it("are few on nodes without a copy of the records", () => {
+    const cluster = new DomainCluster({ seed: 1, nodes: MANY_NODES });
+    const { clock, nodeIds } = cluster;
+    clock.runUntil(WARM_UP_MS);
+    const followers = nodeIds.filter((id) => !cluster.standbys.includes(id));
+    expect(followers).to.have.length.above(0);
+    const before = followers.map((id) => cluster.countWakeUps(id));
+    clock.runUntil(clock.now + MEASURED_MS);
+    followers.forEach((id, index) => {
+      const wakeUps = cluster.countWakeUps(id) - before[index]!;
+      expect(wakeUps * 1_000 / MEASURED_MS)
+        .to.be.at.most(MAX_WAKE_UPS_PER_S);
+    });
+  });
+});
--- a/packages/prove/src/domain/domain_cluster.ts
+++ b/packages/prove/src/domain/domain_cluster.ts
@@ -145,6 +145,11 @@
     return this.#read(nodeId, REPLICA).jobs.size;
   }
 
+  /** Number of times that a timer woke a node since its start. */
+  countWakeUps(nodeId: string): number {
+    return this.#nodes.get(nodeId)!.wakeUps;
+  }
+
   startNode(nodeId: string): void {
     const { linkMbps } = this.#options;
     this.#nodes.set(
--- a/packages/prove/src/simulation/node.ts
+++ b/packages/prove/src/simulation/node.ts
@@ -37,6 +37,8 @@
 /** One process of the system: a real kernel with its own local clock. */
 export class SimulatedNode {
   readonly identity: NodeIdentity;
+  /** Number of times that a timer woke the process. */
+  wakeUps = 0;
   readonly kernel: Kernel;
   readonly localClock: LocalClock;
   readonly #options: SimulatedNodeOptions;
@@ -145,6 +147,7 @@
     clock.after(delayMs, () => {
       if (this.#wakeAt === at) {
         this.#wakeAt = Infinity;
+        this.wakeUps++;
         this.#accept(() => {});
       }
     });
--- a/packages/replica/src/record_keys.ts
+++ b/packages/replica/src/record_keys.ts
@@ -7,7 +7,7 @@
 } from "@mustardweir/model";
 import { type RecordKey, Source } from "@mustardweir/protocol";
 import { err, ok, type Result } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod";
 
 /** Part of the store with all records that the domain's owner writes. */
 export const DOMAIN_PART = "domain";
--- a/packages/replica/src/replica.ts
+++ b/packages/replica/src/replica.ts
@@ -116,6 +116,18 @@
 /** Requests the figures of the domain for the owner's next summary. */
 export const SUMMARY_WANTED = createCommand<SummaryDraft>("summary-wanted");
 
+/**
+ * Interval at which a node without a copy of the records runs the periodic work
+ * of those that have one, in milliseconds: it has nothing to decide, and each
+ * wake-up costs processor time.
+ */
+export const FOLLOWER_INTERVAL_MS = 100;
+
+/** Returns whether this node keeps no copy of the records. */
+export function isFollower(update: Update): boolean {
+  return !update.read(REPLICA).isStandby;
+}
+
 /** Dispatched when a node was added, removed or has restarted. */
 export const NODES_CHANGED = createCommand<Record<string, never>>(
   "nodes-changed",
--- a/packages/replica/src/replica_plugin.ts
+++ b/packages/replica/src/replica_plugin.ts
@@ -27,6 +27,8 @@
 import { applyChange, applyProgress } from "./apply.ts";
 import { SOURCE_PARTS } from "./record_keys.ts";
 import {
+  FOLLOWER_INTERVAL_MS,
+  isFollower,
   RECORDS_WANTED,
   REPLICA,
   type SourceView,
@@ -167,6 +169,10 @@
       kernel.registerPeriodic({
         intervalMs: TICK_MS,
         run: (update) => this.#tick(update),
+        isIdle: (update) =>
+          isFollower(update) &&
+          update.read(REPLICA).sources[Source.Fleet].isListed,
+        idleIntervalMs: FOLLOWER_INTERVAL_MS,
       }),
       kernel.registerPeriodic({
         intervalMs: GAUGE_INTERVAL_MS,
--- a/packages/sessions/src/sessions_plugin.ts
+++ b/packages/sessions/src/sessions_plugin.ts
@@ -11,6 +11,8 @@
 import { NO_RESOURCES, type WorkerInfo, WorkerState } from "@mustardweir/model";
 import { logChange } from "@mustardweir/protocol";
 import {
+  FOLLOWER_INTERVAL_MS,
+  isFollower,
   recordKey,
   RecordKind,
   REPLICA,
@@ -106,6 +108,8 @@
       kernel.registerPeriodic({
         intervalMs: CHECK_INTERVAL_MS,
         run: checkSessions,
+        isIdle: isFollower,
+        idleIntervalMs: FOLLOWER_INTERVAL_MS,
       }),
     );
   }
--- a/packages/store-route/src/route_plugin.ts
+++ b/packages/store-route/src/route_plugin.ts
@@ -28,6 +28,9 @@
 /** Interval at which relayed calls are checked for expiry, in milliseconds. */
 const TICK_MS = 40;
 
+/** The same while no call is relayed. */
+const IDLE_TICK_MS = 100;
+
 /** Sets the peers that may be requested to call the store. */
 export const RELAYS_KNOWN = createCommand<
   { readonly peers: readonly string[] }
@@ -82,7 +85,12 @@
         },
         Normal,
       ),
-      kernel.registerPeriodic({ intervalMs: TICK_MS, run: expireRelayedCalls }),
+      kernel.registerPeriodic({
+        intervalMs: TICK_MS,
+        run: expireRelayedCalls,
+        isIdle: (update) => update.read(STORE_ROUTE).relayed.size === 0,
+        idleIntervalMs: IDLE_TICK_MS,
+      }),
       kernel.registerPeriodic({
         intervalMs: GAUGE_INTERVAL_MS,
         run: (update) => {
--- a/packages/tenure/src/tenure_plugin.ts
+++ b/packages/tenure/src/tenure_plugin.ts
@@ -8,7 +8,12 @@
   type Undo,
 } from "@mustardweir/kernel";
 import { gauge, STOP_REQUESTED } from "@mustardweir/protocol";
-import { NODES_CHANGED, TENURE_SEEN } from "@mustardweir/replica";
+import {
+  FOLLOWER_INTERVAL_MS,
+  isFollower,
+  NODES_CHANGED,
+  TENURE_SEEN,
+} from "@mustardweir/replica";
 import {
   applyTenureRecord,
   CLAIM_ANSWERED,
@@ -99,10 +104,15 @@
       ),
       kernel.registerPeriodic({
         intervalMs: TICK_MS,
+        isIdle: isFollower,
+        idleIntervalMs: FOLLOWER_INTERVAL_MS,
         run: (update) => {
           const tenure = update.write(TENURE);
           tenure.startedMs = Math.min(tenure.startedMs, update.now);
-          measureLag(update, TICK_MS);
+          measureLag(
+            update,
+            isFollower(update) ? FOLLOWER_INTERVAL_MS : TICK_MS,
+          );
           releaseIfSlow(update);
           claimIfDue(update);
           finishOpening(update);
--- a/packages/wire/src/link_performer.ts
+++ b/packages/wire/src/link_performer.ts
@@ -24,6 +24,12 @@
 import type { OutgoingMessage } from "./outbox.ts";
 import type { Peer } from "./peer.ts";
 
+/**
+ * Factor on the interval of pings of a node that dials all its peers: none of
+ * them dials it, so it has many links on which nothing is urgent.
+ */
+const DIALER_PING_FACTOR = 2;
+
 /** Messages queued for longer are dropped, in milliseconds. */
 const MAX_QUEUE_AGE_MS = 2_000;
 
@@ -131,9 +137,14 @@
       });
       this.#port = await this.#server.listen(this.#listen);
     }
+    this.#startTicker();
+  }
+
+  #startTicker(): void {
+    clearInterval(this.#ticker);
     this.#ticker = setInterval(
       () => this.#table.tick(),
-      this.#pingIntervalMs,
+      this.#pingIntervalMs * (this.#alwaysDials ? DIALER_PING_FACTOR : 1),
     );
   }
 
@@ -192,7 +203,10 @@
   }
 
   #connect({ peers, alwaysDials = false }: ConnectPeersEffect): void {
-    this.#alwaysDials = alwaysDials;
+    if (this.#alwaysDials !== alwaysDials) {
+      this.#alwaysDials = alwaysDials;
+      this.#startTicker();
+    }
     const listed = new Map(peers.map((peer) => [peer.nodeId, peer]));
     listed.delete(this.#identity.nodeId);
     for (const peer of this.#table.peers) {
@@ -262,8 +276,9 @@
   }
 
   /**
-   * Entries and nodes that are told to always dial. Of two schedulers the one with the lower id dials, and
-   * the other if it has had no link for {@link DIAL_FALLBACK_DELAY_MS}.
+   * Entries dial, and nodes that were told to always dial. Of two schedulers the
+   * one with the lower id dials, and the other if it has had no link for
+   * {@link DIAL_FALLBACK_DELAY_MS}.
    */
   override shouldDial(): boolean {
     const { nodeId, role } = this.#identity;
