--- a/packages/admission/src/audit.ts
+++ b/packages/admission/src/audit.ts
@@ -1,6 +1,6 @@
 import { SectionPatchKind } from "@mustardweir/configuration";
 import type { ConfigurationSection } from "@mustardweir/model";
-import { z } from "zod";
+import * as z from "zod";
 
 const namedPatch = z.discriminatedUnion("patch", [
   z.object({
--- a/packages/cli/src/entry_client.ts
+++ b/packages/cli/src/entry_client.ts
@@ -1,6 +1,6 @@
 import { err, ok, type Result } from "neverthrow";
 import { Client, type Dispatcher } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import { type CliError, ExitCode, fail } from "./cli_error.ts";
 
 /** Time limit for connecting, in milliseconds. */
--- a/packages/configuration/src/document.ts
+++ b/packages/configuration/src/document.ts
@@ -1,7 +1,7 @@
 import { createHash } from "node:crypto";
 import { ConfigurationSection } from "@mustardweir/model";
 import { err, ok, type Result } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod";
 import { retiredInstanceSchema } from "./retired.ts";
 
 /** Key of the table row that holds the version in force. */
--- a/packages/configuration/src/retired.ts
+++ b/packages/configuration/src/retired.ts
@@ -1,5 +1,5 @@
 import { type Inventory, sliceFleet } from "@mustardweir/model";
-import { z } from "zod";
+import * as z from "zod";
 
 /** Time for which a removed instance is recorded, in milliseconds. */
 const KEPT_MS = 10 * 60 * 1_000;
--- a/packages/configuration/src/section_edit.ts
+++ b/packages/configuration/src/section_edit.ts
@@ -6,7 +6,7 @@
   ZoneState,
 } from "@mustardweir/model";
 import { err, ok, type Result } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod";
 import { describeIssues, type DocumentError } from "./document.ts";
 
 /** The kinds of change to a part of a section. */
--- a/packages/entry/src/openapi.ts
+++ b/packages/entry/src/openapi.ts
@@ -1,5 +1,5 @@
 import { CALL_ROLES } from "@mustardweir/admission";
-import { z } from "zod";
+import * as z from "zod";
 import { errorReplySchema } from "./reply_schemas.ts";
 import { type Route, ROUTES } from "./routes.ts";
 
--- a/packages/entry/src/reply_schemas.ts
+++ b/packages/entry/src/reply_schemas.ts
@@ -12,7 +12,7 @@
   ZoneState,
 } from "@mustardweir/model";
 import { BurnAlert, BurnWindow } from "@mustardweir/protocol";
-import { z } from "zod";
+import * as z from "zod";
 
 /** Fields of every response: its time and the configuration's version. */
 export const stampSchema = z.object({
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -4,7 +4,7 @@
   NODE_SETTINGS,
   textSetting,
 } from "@mustardweir/runtime";
-import { z } from "zod";
+import * as z from "zod";
 
 /** The settings of the binary `mustardweir-entry`. */
 export const ENTRY_SETTINGS = {
--- a/packages/log-story/src/log_lines.ts
+++ b/packages/log-story/src/log_lines.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const schema = z.looseObject({
   time: z.iso.datetime(),
--- a/packages/membership/src/follower_plugin.ts
+++ b/packages/membership/src/follower_plugin.ts
@@ -25,7 +25,7 @@
   type ScanResult,
   StoreStatus,
 } from "@mustardweir/protocol";
-import { z } from "zod";
+import * as z from "zod";
 import {
   OWNERSHIP,
   OWNERSHIP_PREFIX,
--- a/packages/model/src/configuration.ts
+++ b/packages/model/src/configuration.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const MAX_NAME_CHARS = 64;
 const name = z.string().min(1).max(MAX_NAME_CHARS).regex(
--- a/packages/model/src/job.ts
+++ b/packages/model/src/job.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import type { Resources } from "./resources.ts";
 
 /** The kinds of work. */
--- a/packages/model/src/record_schemas.ts
+++ b/packages/model/src/record_schemas.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import {
   type JobProgress,
   type JobRecord,
--- a/packages/platform-client/src/responses.ts
+++ b/packages/platform-client/src/responses.ts
@@ -1,7 +1,7 @@
 /** Decodes the platform's HTTP responses into results of the protocol. */
 import { StoreStatus } from "@mustardweir/protocol";
 import { err, ok, Result } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod";
 import {
   type CallError,
   CallErrorKind,
--- a/packages/platform-stub/src/faults.ts
+++ b/packages/platform-stub/src/faults.ts
@@ -1,7 +1,7 @@
 /** Faults that can be injected into the platform, alone or combined. */
 import { setTimeout as delay } from "node:timers/promises";
 import type { Random } from "@mustardweir/kernel";
-import { z } from "zod";
+import * as z from "zod";
 import {
   jsonResponse,
   type PlatformRequest,
--- a/packages/platform-stub/src/platform.ts
+++ b/packages/platform-stub/src/platform.ts
@@ -4,7 +4,7 @@
 import { Random } from "@mustardweir/kernel";
 import { type Context, Hono } from "hono";
 import { err, ok, Result } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod";
 import {
   jsonResponse,
   type PlatformRequest,
--- a/packages/platform-stub/src/services/instances.ts
+++ b/packages/platform-stub/src/services/instances.ts
@@ -1,6 +1,6 @@
 /** Routes of the lagging list of instances. */
 import { ok } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod";
 import { jsonResponse } from "../call.ts";
 import { LaggingList } from "../lagging_list.ts";
 import { parseJson, type Platform } from "../platform.ts";
--- a/packages/platform-stub/src/services/table.ts
+++ b/packages/platform-stub/src/services/table.ts
@@ -1,5 +1,5 @@
 /** Routes of the transactional table. */
-import { z } from "zod";
+import * as z from "zod";
 import { jsonResponse, type PlatformResponse } from "../call.ts";
 import { parse, parseJson, type Platform } from "../platform.ts";
 import { PlatformService, registerService } from "../service.ts";
--- a/packages/runtime/src/setting_schemas.ts
+++ b/packages/runtime/src/setting_schemas.ts
@@ -1,5 +1,5 @@
 import type { PeerAddress } from "@mustardweir/protocol";
-import { z } from "zod";
+import * as z from "zod";
 import { LogFormat, LogLevel } from "./logger.ts";
 
 const MAX_PORT = 65_535;
--- a/packages/runtime/src/settings.ts
+++ b/packages/runtime/src/settings.ts
@@ -16,7 +16,7 @@
   peersSetting,
   textSetting,
 } from "./setting_schemas.ts";
-import { z } from "zod";
+import * as z from "zod";
 
 /** Exit code of a process with invalid settings. */
 export const EXIT_BAD_SETTINGS = 2;
--- a/packages/runtime/src/settings_test.ts
+++ b/packages/runtime/src/settings_test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { z } from "zod";
+import * as z from "zod";
 import {
   COMMON_SETTINGS,
   defineSetting,
--- a/packages/target-client/src/message_schemas.ts
+++ b/packages/target-client/src/message_schemas.ts
@@ -7,7 +7,7 @@
   type SyncResult,
   SyncResultKind,
 } from "@mustardweir/protocol";
-import { z } from "zod";
+import * as z from "zod";
 
 const amount = z.number().nonnegative();
 const counter = z.int().nonnegative();
--- a/packages/wire/src/domain_schemas.ts
+++ b/packages/wire/src/domain_schemas.ts
@@ -8,7 +8,7 @@
   type SourceChange,
   SourceResultKind,
 } from "@mustardweir/protocol";
-import { z } from "zod";
+import * as z from "zod";
 
 /** Schema of messages of the kind `JobAdmitted`. */
 export const jobAdmitted = z.looseObject({
--- a/packages/wire/src/message_schemas.ts
+++ b/packages/wire/src/message_schemas.ts
@@ -20,7 +20,7 @@
   StopMode,
   TaskPhase,
 } from "@mustardweir/protocol";
-import { z } from "zod";
+import * as z from "zod";
 import {
   jobAdmitted,
   jobsProgressed,
--- a/packages/worker/src/settings.ts
+++ b/packages/worker/src/settings.ts
@@ -5,7 +5,7 @@
 import { Command, CommanderError, Option } from "commander";
 import { err, ok, type Result } from "neverthrow";
 import { parse } from "yaml";
-import { z } from "zod";
+import * as z from "zod";
 
 const MAX_PORT = 65_535;
 const ENV_PREFIX = "MUSTARDWEIR_WORKER_";
--- a/packages/worker/src/task_model.ts
+++ b/packages/worker/src/task_model.ts
@@ -2,7 +2,7 @@
 import { Random } from "@mustardweir/kernel";
 import { JobKind } from "@mustardweir/model";
 import type { TaskSpec, TaskUsage } from "@mustardweir/protocol";
-import { z } from "zod";
+import * as z from "zod";
 
 const DEFAULT_RUN_MS = 1_000;
 
--- a/packages/worker/src/worker_server.ts
+++ b/packages/worker/src/worker_server.ts
@@ -7,7 +7,7 @@
 import { describeIssue, syncCallSchema } from "@mustardweir/target-client";
 import { type Context, Hono } from "hono";
 import { err, ok, type Result } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod";
 import type { HostedWorker } from "./hosted_worker.ts";
 
 const MAX_CONNECTIONS_PER_WORKER = 64;
