--- a/packages/dispatch/src/placement_pass.ts
+++ b/packages/dispatch/src/placement_pass.ts
@@ -325,7 +325,7 @@
     const rule: PlacementRule = isGang ? GANG : BEST_FIT;
     const most = Math.min(
       TASK_BATCH_SIZE,
-      this.#affordableStarts(record.spec.payload.length),
+      this.#affordableStarts(Buffer.byteLength(record.spec.payload)),
     );
     const placements = rule.choose(
       stage,
--- a/packages/dispatch/src/starts.ts
+++ b/packages/dispatch/src/starts.ts
@@ -25,7 +25,11 @@
 ): void {
   const state = update.write(DISPATCH_STATE);
   const { payload } = stage.job.record.spec;
-  state.link.spend(placements.length, payload.length, update.now);
+  state.link.spend(
+    placements.length,
+    Buffer.byteLength(payload),
+    update.now,
+  );
   const linkDelayMs = state.link.backlogMs(update.now);
   const gang = stage.spec.gang ? gangStart(stage, state.epoch) : undefined;
   for (const { task, candidate } of placements) {
--- a/packages/replica/src/replica_plugin.ts
+++ b/packages/replica/src/replica_plugin.ts
@@ -351,7 +351,7 @@
   }
 }
 
-/** `listedMs` is the time since the source was first listed. */
+/** Returns the pause after a reply, `listedMs` after the source was listed. */
 function pauseOf(source: Source, listedMs: number): number {
   const { pauseMs } = FOLLOW_TIMING[source];
   return listedMs < FIRST_CALLS_MS
--- a/packages/wire/src/link_performer.ts
+++ b/packages/wire/src/link_performer.ts
@@ -25,8 +25,8 @@
 import type { Peer } from "./peer.ts";
 
 /**
- * Factor on the interval of pings of a node that dials all its peers: none of
- * them dials it, so it has many links on which nothing is urgent.
+ * Factor on the interval of pings of a node that dials all its peers. There are
+ * many such nodes, and each link costs both ends two frames for each ping.
  */
 const DIALER_PING_FACTOR = 2;
 
