--- a/packages/log-story/src/job_summary.ts
+++ b/packages/log-story/src/job_summary.ts
@@ -104,6 +104,12 @@
   if (refused !== undefined) {
     return `Refused: ${refused.fields.reason}`;
   }
+  const turnedAway = findLast(own, "Job turned away");
+  if (turnedAway !== undefined) {
+    const { reason, waitMs, figuresAgeMs } = turnedAway.fields;
+    return `Turned away: ${reason}; ` +
+      `${waitMs} ms by figures of ${figuresAgeMs} ms before`;
+  }
   const givenUp = findLast(own, "Call given up");
   return givenUp === undefined
     ? "No acceptance is logged; the node may have ended while it was written"
--- a/packages/log-story/src/log_story_test.ts
+++ b/packages/log-story/src/log_story_test.ts
@@ -90,6 +90,20 @@
     fate: Fate.Refused,
     cause: "Refused: too large",
   },
+  {
+    name: "a submission that was turned away",
+    log: [
+      line(0, "Job turned away", {
+        job: JOB,
+        reason: "The job would wait until it is of no use",
+        waitMs: 9_000,
+        figuresAgeMs: 400,
+      }),
+    ],
+    fate: Fate.Refused,
+    cause: "Turned away: The job would wait until it is of no use; " +
+      "9000 ms by figures of 400 ms before",
+  },
   {
     name: "a submission with unknown outcome, as the store did not reply",
     log: [
