Keep periodic work that throws from being due again at once

Cause: the idle interval had moved the next due time behind the run; work that throws would have been due in each turn of the loop. Found on reading the diff.

--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -193,11 +193,12 @@
       for (const entry of due) {
         const { intervalMs, idleIntervalMs = intervalMs, isIdle, run } =
           entry.options;
+        // Set first, so that work that throws isn't due again at once.
+        entry.due = nextMultiple(now, intervalMs);
         run(update);
-        entry.due = nextMultiple(
-          now,
-          isIdle?.(update) === true ? idleIntervalMs : intervalMs,
-        );
+        if (isIdle?.(update) === true) {
+          entry.due = nextMultiple(now, idleIntervalMs);
+        }
       }
     });
   }
--- a/packages/replica/src/record_keys.ts
+++ b/packages/replica/src/record_keys.ts
@@ -267,8 +267,8 @@
 const STATES = new Set<unknown>(Object.values(StagedJobState));
 
 /**
- * Does what the schema does for a valid record, without its cost: a node with a
- * copy of the records reads some hundred of these a second.
+ * Accepts the records that the schema accepts, at less cost: a node with a copy
+ * of the records reads some hundred of these a second.
  */
 function isProgress(value: unknown): value is JobProgress {
   return isObject(value) && STATES.has(value.state) &&
