Count records of a commit, not changes, so that a slow store keeps up

Cause: a commit took 90 changes of the queue and then wrote only the newest of each record. Ruled out: several commits in flight; each is conditional on the one before. Change: a commit takes changes until 90 different records are in it. Measured: of three new cases the one with 340 ms a call fails on the code before (36 ends not recorded within 3 s), none now.

--- /dev/null
+++ b/packages/prove/src/domain/domain_slow_store_test.ts
@@ -0,0 +1,84 @@
+import { StagedJobState } from "@mustardweir/model";
+import { parseKey, readProgress, RecordKind } from "@mustardweir/replica";
+import { expect } from "chai";
+import {
+  createTaskPayload,
+  DomainCluster,
+  stageSpec,
+} from "./domain_cluster.ts";
+import { findViolations } from "./domain_oracle.ts";
+import { jobIdOf, WARM_UP_MS } from "./domain_scenarios.ts";
+
+const WORKERS = 60;
+const RUN_MS = 250;
+const JOBS_PER_S = 60;
+const TASKS_PER_JOB = 8;
+/** Span of submissions while the store is slow, in milliseconds. */
+const SLOW_MS = 6_000;
+/** Time until the end of a job has to show, in milliseconds. */
+const VISIBLE_MS = 3_000;
+
+interface SlowStoreCase {
+  readonly name: string;
+  /** Duration of a call to the store, in milliseconds. */
+  readonly callMs: number;
+}
+
+const CASES: readonly SlowStoreCase[] = [
+  { name: "as fast as usual", callMs: 4 },
+  { name: "25 times slower", callMs: 100 },
+  { name: "85 times slower", callMs: 340 },
+];
+
+/** Returns jobs whose last task ended some time ago without a record of it. */
+function listUnrecordedEnds(cluster: DomainCluster): string[] {
+  const { clients, store, runs, clock } = cluster;
+  const completed = new Set(
+    [...store.records.values()].filter(({ key, value = "" }) =>
+      parseKey(key)?.kind === RecordKind.Progress &&
+      readProgress(value).map(({ state }) => state).unwrapOr(undefined) ===
+        StagedJobState.Completed
+    ).map(({ key }) => parseKey(key)!.name),
+  );
+  const doneTasks = new Map<string, number>();
+  for (const { task, endMs = Infinity } of runs) {
+    if (endMs < clock.now - VISIBLE_MS) {
+      const jobId = task.split(".")[0]!;
+      doneTasks.set(jobId, (doneTasks.get(jobId) ?? 0) + 1);
+    }
+  }
+  return [...clients.keys()].filter((jobId) =>
+    doneTasks.get(jobId) === TASKS_PER_JOB && !completed.has(jobId)
+  );
+}
+
+describe("ends of jobs while the store", () => {
+  for (const { name, callMs } of CASES) {
+    it(`is ${name} are recorded in time`, () => {
+      const cluster = new DomainCluster({
+        seed: 1,
+        workers: WORKERS,
+        needsPermits: false,
+      });
+      const { clock, nodeIds, store } = cluster;
+      clock.runUntil(WARM_UP_MS);
+      store.faults.callMs = callMs;
+      const jobs = JOBS_PER_S * SLOW_MS / 1_000;
+      for (let index = 0; index < jobs; index++) {
+        clock.after(
+          index * 1_000 / JOBS_PER_S,
+          () =>
+            cluster.submit(jobIdOf(index), {
+              payload: createTaskPayload({ runMs: RUN_MS, failures: 0 }),
+              stages: [stageSpec({ tasks: TASKS_PER_JOB, estimateMs: RUN_MS })],
+            }, nodeIds[index % nodeIds.length]!),
+        );
+      }
+      clock.runUntil(clock.now + SLOW_MS);
+      expect(listUnrecordedEnds(cluster)).to.deep.equal([]);
+      clock.runUntil(clock.now + SLOW_MS);
+      expect(listUnrecordedEnds(cluster)).to.deep.equal([]);
+      expect(findViolations(cluster)).to.deep.equal([]);
+    });
+  }
+});
--- a/packages/tenure/src/commits.ts
+++ b/packages/tenure/src/commits.ts
@@ -34,8 +34,8 @@
 
 /** An owner without changes commits this often as a heartbeat, in ms. */
 export const IDLE_COMMIT_INTERVAL_MS = 300;
-/** Most changes in a commit, below the store's limit of 100 entries. */
-const MAX_CHANGES_PER_COMMIT = 90;
+/** Most records in a commit, below the store's limit of 100 entries. */
+const MAX_RECORDS_PER_COMMIT = 90;
 /**
  * Most bytes of values in a commit; encoded in base64 they stay below the
  * store's limit of 1 MB for a transaction.
@@ -218,13 +218,21 @@
   }
 }
 
-/** Returns the first changes of the queue that fit in one commit. */
+/**
+ * Returns the first changes of the queue that fit in one commit. Of several
+ * changes of one record only the newest is written, so only that one counts.
+ */
 function selectChanges(queue: readonly QueuedChange[]): QueuedChange[] {
+  const bytesByKey = new Map<string, number>();
   let bytes = 0;
-  const end = queue.findIndex(({ value }, index) => {
-    bytes += value === undefined ? 0 : Buffer.byteLength(value);
-    return index >= MAX_CHANGES_PER_COMMIT ||
-      (index > 0 && bytes > MAX_BYTES_PER_COMMIT);
+  const end = queue.findIndex(({ key, value = "" }, index) => {
+    const isNewKey = !bytesByKey.has(key);
+    const valueBytes = Buffer.byteLength(value);
+    bytes += valueBytes - (bytesByKey.get(key) ?? 0);
+    bytesByKey.set(key, valueBytes);
+    return index > 0 &&
+      (bytes > MAX_BYTES_PER_COMMIT ||
+        (isNewKey && bytesByKey.size > MAX_RECORDS_PER_COMMIT));
   });
   return queue.slice(0, end < 0 ? queue.length : end);
 }
