List the units of a paused owner after its pause, not before

A running owner releases a unit that belongs to another scheduler 10 s after that one is back; such a unit is lost before the pause and never again. Change: the units are listed while the owner is paused, when it can release none, so all that it holds must be given up after it wakes: as strict as before.

--- a/packages/failure-tests/src/owners_test.ts
+++ b/packages/failure-tests/src/owners_test.ts
@@ -53,9 +53,10 @@
     seed: 13,
     injectFailures: async (trial) => {
       const { owner } = await trial.findOwner(`home/${Team.Models}`);
-      const before = await listUnits(trial, owner);
       await waitForGangs(trial);
       trial.cluster.child(owner).signal("SIGSTOP");
+      // A running owner may release a unit; a paused one can't.
+      const before = await listUnits(trial, owner);
       trial.report("takeover after", await trial.waitForTakeover(owner));
       await trial.waitForEndedJobs(50);
       const since = trial.logs.length;
