Read the owner's summary instead of the records of all nodes

Cause: each node followed the records of all nodes, which each renews every 2 s: with 97 nodes some 48 records or 20 KB a second and node, and it sorted all nodes every 100 ms to see whether it is among the strongest. A standby worked out its rank as a claimant every 20 ms. Weighed: a table of its own for the summary; nodes of an earlier version would no longer find it. Change: the owner's summary names the nodes with a copy of the records and those that are to keep one. A node without a copy reads only that, once a second; it follows the nodes' records while the summary is older than 4 s. No node becomes a standby while four as strong keep a copy. Records of nodes carry their time, so that a node that left doesn't count as live when its record is read late.

--- a/packages/intake/src/summary.ts
+++ b/packages/intake/src/summary.ts
@@ -34,7 +34,12 @@
   if (!isOwner(update)) {
     return;
   }
-  const draft: SummaryDraft = { openJobs: 0, waits: {} };
+  const draft: SummaryDraft = {
+    openJobs: 0,
+    waits: {},
+    standbys: [],
+    appointed: [],
+  };
   update.dispatch(SUMMARY_WANTED, draft);
   const summary: DomainSummary = {
     ...draft,
--- a/packages/prove/src/domain/domain_backlog_test.ts
+++ b/packages/prove/src/domain/domain_backlog_test.ts
@@ -113,6 +113,9 @@
 
 /** Time after which a node's first calls are over, in milliseconds. */
 const SETTLED_MS = 8_000;
+const FLEETS: readonly number[] = [MANY_NODES, 3 * MANY_NODES, 10 * MANY_NODES];
+/** Largest difference between fleets of any size, relative to the smallest. */
+const MAX_GROWTH = 1.2;
 
 describe("a node without a copy of the records", () => {
   for (const { name, count, maxPerS } of IDLE_CASES) {
@@ -130,4 +133,27 @@
       });
     });
   }
+
+  for (const nodes of FLEETS) {
+    it(`reads as much from the store among ${nodes} nodes`, () => {
+      const few = measureReads(MANY_NODES);
+      expect(measureReads(nodes)).to.be.at.most(MAX_GROWTH * few);
+    }).timeout(60_000);
+  }
 });
+
+/** Returns the most changes that a node without a copy reads in a second. */
+function measureReads(nodes: number): number {
+  const cluster = new DomainCluster({ seed: 1, nodes });
+  const { clock, nodeIds } = cluster;
+  clock.runUntil(SETTLED_MS);
+  const followers = nodeIds.filter((id) => !cluster.standbys.includes(id));
+  expect(followers.length).to.equal(nodes - cluster.standbys.length);
+  const before = followers.map((id) => cluster.countReadChanges(id));
+  clock.runUntil(clock.now + MEASURED_MS);
+  return Math.max(
+    ...followers.map((id, index) =>
+      (cluster.countReadChanges(id) - before[index]!) * 1_000 / MEASURED_MS
+    ),
+  );
+}
--- a/packages/prove/src/domain/domain_cluster.ts
+++ b/packages/prove/src/domain/domain_cluster.ts
@@ -19,6 +19,8 @@
   PEER_MESSAGE_RECEIVED,
   PermitResultKind,
   type ReplyTo,
+  type SourceResult,
+  SourceResultKind,
   STOP_REQUESTED,
 } from "@mustardweir/protocol";
 import { REPLICA } from "@mustardweir/replica";
@@ -107,6 +109,8 @@
   readonly #downLinks = new Set<string>();
   /** Number of calls of each node that follow a source. */
   readonly #followCalls = new Map<string, number>();
+  /** Number of changes that each node has read from the store. */
+  readonly #readChanges = new Map<string, number>();
   #lastCall = 0;
   #startCount = 0;
 
@@ -152,6 +156,11 @@
     return this.#followCalls.get(nodeId) ?? 0;
   }
 
+  /** Number of changes that a node has read from the store. */
+  countReadChanges(nodeId: string): number {
+    return this.#readChanges.get(nodeId) ?? 0;
+  }
+
   /** Number of times that a timer woke a node since its start. */
   countWakeUps(nodeId: string): number {
     return this.#nodes.get(nodeId)!.wakeUps;
@@ -312,11 +321,19 @@
         this.store.commit(effect, from, reply(node, effect.replyTo));
         break;
       case EffectKind.ReadSource:
-        this.store.read(effect, from, reply(node, effect.replyTo));
+        this.store.read(
+          effect,
+          from,
+          this.#countingReply(node, effect.replyTo),
+        );
         break;
       case EffectKind.FollowSource:
         this.#followCalls.set(from, (this.#followCalls.get(from) ?? 0) + 1);
-        this.store.follow(effect, from, reply(node, effect.replyTo));
+        this.store.follow(
+          effect,
+          from,
+          this.#countingReply(node, effect.replyTo),
+        );
         break;
       case EffectKind.OrderWorker:
         this.workers.get(effect.workerId)?.order(effect.order, from, {
@@ -363,6 +380,23 @@
         break;
     }
   }
+
+  #countingReply(
+    node: SimulatedNode,
+    to: ReplyTo<SourceResult>,
+  ): (result: SourceResult) => void {
+    const answer = reply(node, to);
+    return (result) => {
+      const changes = result.kind === SourceResultKind.Read
+        ? result.changes.length
+        : 0;
+      this.#readChanges.set(
+        node.nodeId,
+        this.countReadChanges(node.nodeId) + changes,
+      );
+      answer(result);
+    };
+  }
 }
 
 function reply<Result>(
--- a/packages/replica/src/apply.ts
+++ b/packages/replica/src/apply.ts
@@ -26,13 +26,18 @@
 import {
   DESIRED_CHANGED,
   JOB_CHANGED,
+  type KnownNode,
   NODES_CHANGED,
   REPLICA,
   type Replica,
+  storeNow,
   TENURE_SEEN,
   WORKER_CHANGED,
 } from "./replica.ts";
 
+/** Longest time for which nodes that stop together stay down, in ms. */
+const MAX_RESTART_MS = 30_000;
+
 /** Applies one change of a source to the replica and dispatches its events. */
 export function applyChange(update: Update, change: SourceChange): void {
   const replica = update.write(REPLICA);
@@ -228,24 +233,31 @@
   [RecordKind.Session]: (_update, { replica, name, value }) =>
     readFields<SessionRecord>(value, SESSION_FIELDS)
       .map((session) => replica.sessions.set(name, session)),
-  [RecordKind.Node]: (update, { replica, name, value }) =>
+  [RecordKind.Node]: (update, { name, value }) =>
     readFields<Pick<NodeRecord, keyof typeof NODE_FIELDS>>(
       value,
       NODE_FIELDS,
-    ).map((node) => {
-      const known = replica.nodes.get(name);
-      replica.nodes.set(name, { ...node, nodeId: name, seenMs: update.now });
-      if (
-        known?.address !== node.address ||
-        known.incarnation !== node.incarnation
-      ) {
-        update.dispatch(NODES_CHANGED, {});
-      }
-    }),
-  [RecordKind.Summary]: (_update, { replica, value }) =>
+    ).map((node: NodeRecord) =>
+      applyNode(update, {
+        ...node,
+        nodeId: name,
+        seenMs: seenAt(update, name, node.renewedMs),
+      })
+    ),
+  [RecordKind.Summary]: (update, { replica, value }) =>
     readSummary(value).map((summary) => {
-      if (summary.epoch >= (replica.summary?.epoch ?? 0)) {
-        replica.summary = summary;
+      if (summary.epoch < (replica.summary?.epoch ?? 0)) {
+        return;
+      }
+      replica.summary = summary;
+      for (const standby of replica.isStandby ? [] : summary.standbys ?? []) {
+        applyNode(update, {
+          unixOffsetMs: replica.unixOffsetMs,
+          ...replica.nodes.get(standby.nodeId),
+          ...standby,
+          isStandby: true,
+          seenMs: seenAt(update, standby.nodeId, summary.atMs),
+        });
       }
     }),
   [RecordKind.Tenure]: (update, { replica, record, value }) =>
@@ -263,6 +275,37 @@
     }),
 };
 
+function applyNode(update: Update, node: KnownNode): void {
+  const { nodes } = update.write(REPLICA);
+  const known = nodes.get(node.nodeId);
+  nodes.set(node.nodeId, node);
+  if (
+    known?.address !== node.address || known.incarnation !== node.incarnation
+  ) {
+    update.dispatch(NODES_CHANGED, {});
+  }
+}
+
+/**
+ * Returns when a node was last seen, on this node's clock: a node that left
+ * must not count as live because its record has only now been read. The first
+ * time that a record is read, it also counts if it is not much older, since
+ * nodes that stopped together start again together.
+ */
+function seenAt(
+  update: Update,
+  nodeId: string,
+  renewedMs: number | undefined,
+): number {
+  const { nodes, storeClockOffsetMs } = update.read(REPLICA);
+  if (renewedMs === undefined || storeClockOffsetMs === undefined) {
+    return update.now;
+  }
+  const ageMs = Math.max(0, storeNow(update) - renewedMs);
+  const isRestart = !nodes.has(nodeId) && ageMs <= MAX_RESTART_MS;
+  return isRestart ? update.now : update.now - ageMs;
+}
+
 function removeRecord(
   update: Update,
   replica: Replica,
--- a/packages/replica/src/record_keys.ts
+++ b/packages/replica/src/record_keys.ts
@@ -99,6 +99,8 @@
   readonly lagMs?: number;
   /** Whether the node keeps a copy of all records; absent like the strength. */
   readonly isStandby?: boolean;
+  /** Store clock at the renewal, in milliseconds; absent like the strength. */
+  readonly renewedMs?: number;
 }
 
 /** Types of the fields of a {@link NodeRecord} that all versions write. */
@@ -109,6 +111,14 @@
   unixOffsetMs: "number",
 } as const;
 
+/** A node that keeps a copy of all records, as the owner publishes it. */
+export interface PublishedStandby {
+  readonly nodeId: string;
+  readonly address: string;
+  readonly incarnation: string;
+  readonly zone: string;
+}
+
 /**
  * What the domain's owner publishes for nodes that keep no copy of the records.
  */
@@ -129,6 +139,13 @@
    * that wait, in milliseconds. Jobs past their use or rate don't count.
    */
   readonly waits: Readonly<Record<string, Readonly<Record<string, number>>>>;
+  /**
+   * Live nodes with a copy of all records; absent if an earlier version wrote
+   * the summary.
+   */
+  readonly standbys?: readonly PublishedStandby[];
+  /** Nodes that are to keep a copy from now on; absent like the standbys. */
+  readonly appointed?: readonly string[];
 }
 
 /**
@@ -298,6 +315,15 @@
   atMs: z.number().default(0),
   openJobs: count.default(0),
   waits: z.record(z.string(), z.record(z.string(), count)).default({}),
+  standbys: z.array(
+    z.object({
+      nodeId: z.string(),
+      address: z.string(),
+      incarnation: z.string(),
+      zone: z.string(),
+    }),
+  ).exactOptional(),
+  appointed: z.array(z.string()).exactOptional(),
 });
 
 /** Parses the summary of the domain. */
--- a/packages/replica/src/replica.ts
+++ b/packages/replica/src/replica.ts
@@ -14,6 +14,7 @@
 import type {
   DomainSummary,
   NodeRecord,
+  PublishedStandby,
   SessionRecord,
   TenureRecord,
 } from "./record_keys.ts";
@@ -38,7 +39,7 @@
 /** The record of a node, which may be this one. */
 export interface KnownNode extends NodeRecord {
   readonly nodeId: string;
-  /** When this node read the last renewal, by its own clock, in ms. */
+  /** Time of the last renewal on this node's clock, in milliseconds. */
   readonly seenMs: number;
 }
 
@@ -111,6 +112,8 @@
 export interface SummaryDraft {
   openJobs: number;
   waits: Record<string, Record<string, number>>;
+  standbys: readonly PublishedStandby[];
+  appointed: readonly string[];
 }
 
 /** Requests the figures of the domain for the owner's next summary. */
@@ -128,6 +131,25 @@
   return !update.read(REPLICA).isStandby;
 }
 
+/**
+ * Age up to which the owner's summary stands for the records of all nodes, in
+ * milliseconds: the time between two summaries, the time until one is read, and
+ * that of a takeover.
+ */
+const MAX_SUMMARY_AGE_MS = 4_000;
+
+/**
+ * Returns the owner's summary if it names the nodes with a copy of the records
+ * and is recent. A node without a copy then needs no records of other nodes.
+ */
+export function recentSummary(update: Update): DomainSummary | undefined {
+  const { summary, storeClockOffsetMs } = update.read(REPLICA);
+  const isRecent = summary?.standbys !== undefined &&
+    storeClockOffsetMs !== undefined &&
+    storeNow(update) - summary.atMs <= MAX_SUMMARY_AGE_MS;
+  return isRecent ? summary : undefined;
+}
+
 /** Dispatched when a node was added, removed or has restarted. */
 export const NODES_CHANGED = createCommand<Record<string, never>>(
   "nodes-changed",
--- a/packages/replica/src/replica_plugin.ts
+++ b/packages/replica/src/replica_plugin.ts
@@ -25,10 +25,11 @@
 } from "@mustardweir/protocol";
 import { callStore } from "@mustardweir/store-route";
 import { applyChange, applyProgress } from "./apply.ts";
-import { SOURCE_PARTS } from "./record_keys.ts";
+import { SOURCE_PARTS, SUMMARY_KEY } from "./record_keys.ts";
 import {
   FOLLOWER_INTERVAL_MS,
   isFollower,
+  recentSummary,
   RECORDS_WANTED,
   REPLICA,
   type SourceView,
@@ -85,6 +86,8 @@
   Idle = "idle",
   Listing = "listing",
   Following = "following",
+  /** Reads only the owner's summary. */
+  ReadingSummary = "reading-summary",
 }
 
 interface Progress {
@@ -104,7 +107,7 @@
 
 interface FollowContext {
   readonly source: Source;
-  readonly phase: Phase.Following;
+  readonly phase: Phase.Following | Phase.ReadingSummary;
 }
 
 interface ListContext {
@@ -204,7 +207,11 @@
   #call(update: Update, source: Source, progress: Progress): void {
     const view = update.read(REPLICA).sources[source];
     if (view.isListed) {
-      this.#follow(update, source, progress);
+      if (needsSummaryOnly(update, source)) {
+        this.#readSummary(update, progress);
+      } else {
+        this.#follow(update, source, progress);
+      }
       return;
     }
     progress.listed = [];
@@ -231,6 +238,21 @@
     });
   }
 
+  #readSummary(update: Update, progress: Progress): void {
+    progress.phase = Phase.ReadingSummary;
+    callStore(update, {
+      kind: EffectKind.ReadSource,
+      source: Source.Fleet,
+      part: SUMMARY_KEY.part,
+      only: SUMMARY_KEY.key,
+      timeoutMs: REPLY_ALLOWANCE_MS,
+      replyTo: replyTo(SOURCE_ANSWERED, {
+        source: Source.Fleet,
+        phase: Phase.ReadingSummary,
+      }),
+    });
+  }
+
   #list(
     update: Update,
     { source, progress, part, after }: {
@@ -296,10 +318,12 @@
     }
     view.answeredMs = update.now;
     updateClocks(update, result);
-    if (asked.phase === Phase.Following) {
+    if (asked.phase !== Phase.Listing) {
       progress.nextMs = update.now +
         pauseOf(source, update.now - progress.startedMs);
-      view.version = Math.max(view.version, result.version);
+      if (asked.phase === Phase.Following) {
+        view.version = Math.max(view.version, result.version);
+      }
       for (const change of result.changes) {
         applyChange(update, change);
       }
@@ -347,10 +371,19 @@
       applyChange(update, change);
     }
     progress.listed = [];
-    this.#follow(update, source, progress);
+    this.#call(update, source, progress);
   }
 }
 
+/**
+ * Returns whether the owner's summary replaces the records of the other nodes,
+ * so that what this node reads doesn't grow with their number.
+ */
+function needsSummaryOnly(update: Update, source: Source): boolean {
+  return source === Source.Fleet && isFollower(update) &&
+    recentSummary(update) !== undefined;
+}
+
 /** Returns the pause after a reply, `listedMs` after the source was listed. */
 function pauseOf(source: Source, listedMs: number): number {
   const { pauseMs } = FOLLOW_TIMING[source];
--- a/packages/tenure/src/claims.ts
+++ b/packages/tenure/src/claims.ts
@@ -135,10 +135,13 @@
     return claimRank(update, "") * FIRST_OWNER_RANK_DELAY_MS;
   }
   // The record names an earlier process of this node, which no longer runs.
-  return known.record.nodeId === nodeId
-    ? -Infinity
-    : known.seenMs + OWNER_TIMEOUT_MS +
-      claimRank(update, known.record.nodeId) * RANK_DELAY_MS;
+  if (known.record.nodeId === nodeId) {
+    return -Infinity;
+  }
+  const timedOutMs = known.seenMs + OWNER_TIMEOUT_MS;
+  return update.now < timedOutMs
+    ? timedOutMs
+    : timedOutMs + claimRank(update, known.record.nodeId) * RANK_DELAY_MS;
 }
 
 /** Returns this node's position, from 0, in the order of the candidates. */
--- a/packages/tenure/src/nodes.ts
+++ b/packages/tenure/src/nodes.ts
@@ -13,6 +13,7 @@
   recordKey,
   RecordKind,
   REPLICA,
+  storeNow,
 } from "@mustardweir/replica";
 import { callStore, RELAYS_KNOWN } from "@mustardweir/store-route";
 import { strengthOf } from "./strength.ts";
@@ -41,6 +42,9 @@
     strength: strengthOf(identity),
     lagMs: Math.round(update.read(TENURE).lagMs),
     isStandby: update.read(REPLICA).isStandby,
+    ...(update.read(REPLICA).storeClockOffsetMs === undefined
+      ? {}
+      : { renewedMs: storeNow(update) }),
   };
   callStore(update, {
     kind: EffectKind.CommitRecords,
--- a/packages/tenure/src/standby.ts
+++ b/packages/tenure/src/standby.ts
@@ -1,8 +1,19 @@
 import type { Update } from "@mustardweir/kernel";
 import { logChange, NODE_IDENTITY, Source } from "@mustardweir/protocol";
-import { type KnownNode, REPLICA, STANDBY_STARTED } from "@mustardweir/replica";
-import { connectNodes, liveNodes, registerNode } from "./nodes.ts";
-import { orderCandidates, strengthOf } from "./strength.ts";
+import {
+  type KnownNode,
+  recentSummary,
+  REPLICA,
+  STANDBY_STARTED,
+  type SummaryDraft,
+} from "@mustardweir/replica";
+import {
+  connectNodes,
+  liveNodes,
+  liveStandbys,
+  registerNode,
+} from "./nodes.ts";
+import { countAsStrong, orderCandidates, strengthOf } from "./strength.ts";
 import { TENURE } from "./tenure_state.ts";
 
 /**
@@ -17,34 +28,73 @@
 const FIRST_START_WAIT_MS = 1_000;
 
 /**
- * Makes this node a standby if it is one of the strongest that are live. It
+ * Makes this node a standby if the owner appoints it or, while there is no
+ * recent summary of an owner, if it is one of the strongest that are live. It
  * stays one until its process ends: copying all records again would cost more
  * than following their changes.
  */
 export function becomeStandbyIfDue(update: Update): void {
-  const { isStandby, sources, summary } = update.read(REPLICA);
-  const { isListed } = sources[Source.Fleet];
-  const { nodeId } = update.service(NODE_IDENTITY);
-  const isDue = summary !== undefined || hasWaited(update, nodeId);
-  if (isStandby || !isListed || !isDue) {
-    return;
-  }
-  const others = liveNodes(update).filter((node) => node.nodeId !== nodeId);
-  const rank = orderCandidates([...others, ownNode(update)])
-    .findIndex((node) => node.nodeId === nodeId);
-  if (rank >= STANDBYS) {
+  const { isStandby, sources } = update.read(REPLICA);
+  if (isStandby || !sources[Source.Fleet].isListed || !isAppointed(update)) {
     return;
   }
   update.write(REPLICA).isStandby = true;
   update.emit(logChange("Keeping a copy of all records", {
-    rank,
-    nodes: others.length + 1,
+    nodes: liveNodes(update).length,
   }));
   registerNode(update);
   connectNodes(update);
   update.dispatch(STANDBY_STARTED, {});
 }
 
+/** Adds the nodes that keep or are to keep a copy to the owner's summary. */
+export function addStandbys(update: Update, draft: SummaryDraft): void {
+  const { nodeId } = update.service(NODE_IDENTITY);
+  const standbys = liveStandbys(update).filter((node) =>
+    node.nodeId !== nodeId
+  );
+  draft.standbys = [ownNode(update), ...standbys].map(
+    ({ nodeId, address, incarnation, zone }) => ({
+      nodeId,
+      address,
+      incarnation,
+      zone,
+    }),
+  );
+  draft.appointed = listAppointable(liveNodes(update))
+    .map((node) => node.nodeId);
+}
+
+/**
+ * Returns the nodes that are to keep a copy of the records besides those that
+ * do: the strongest, while fewer than {@link STANDBYS} as strong keep one.
+ */
+export function listAppointable(nodes: readonly KnownNode[]): KnownNode[] {
+  const standbys = nodes.filter(({ isStandby }) => isStandby !== false);
+  return orderCandidates(nodes).slice(0, STANDBYS).filter((node) =>
+    node.isStandby === false &&
+    countAsStrong(standbys, node) < STANDBYS
+  );
+}
+
+function isAppointed(update: Update): boolean {
+  const { nodeId } = update.service(NODE_IDENTITY);
+  const summary = recentSummary(update);
+  if (summary !== undefined) {
+    // An earlier process of this node kept a copy.
+    const keptCopy = summary.standbys?.some((node) => node.nodeId === nodeId);
+    return keptCopy === true || summary.appointed?.includes(nodeId) === true;
+  }
+  if (
+    update.read(REPLICA).summary === undefined && !hasWaited(update, nodeId)
+  ) {
+    return false;
+  }
+  const others = liveNodes(update).filter((node) => node.nodeId !== nodeId);
+  return listAppointable([...others, ownNode(update)])
+    .some((node) => node.nodeId === nodeId);
+}
+
 /** Returns whether the node's own record was read some time ago. */
 function hasWaited(update: Update, nodeId: string): boolean {
   const { incarnation } = update.service(NODE_IDENTITY);
@@ -62,6 +112,7 @@
     zone: identity.availabilityZone,
     unixOffsetMs: 0,
     strength: strengthOf(identity),
+    isStandby: update.read(REPLICA).isStandby,
     seenMs: update.now,
   };
 }
--- a/packages/tenure/src/strength.ts
+++ b/packages/tenure/src/strength.ts
@@ -46,6 +46,14 @@
   return nodes.filter((node) => strength(node) === most);
 }
 
+/** Returns how many of the nodes are at least as strong as the given one. */
+export function countAsStrong(
+  nodes: readonly KnownNode[],
+  than: KnownNode,
+): number {
+  return nodes.filter((node) => strength(node) >= strength(than)).length;
+}
+
 function strength(node: KnownNode): number {
   return node.strength ?? DEFAULT_STRENGTH;
 }
--- a/packages/tenure/src/tenure_plugin.ts
+++ b/packages/tenure/src/tenure_plugin.ts
@@ -12,6 +12,7 @@
   FOLLOWER_INTERVAL_MS,
   isFollower,
   NODES_CHANGED,
+  SUMMARY_WANTED,
   TENURE_SEEN,
 } from "@mustardweir/replica";
 import {
@@ -29,7 +30,7 @@
 } from "./commits.ts";
 import { connectNodes, registerNode, REGISTRATION_ANSWERED } from "./nodes.ts";
 import { measureLag, releaseIfSlow } from "./lag.ts";
-import { becomeStandbyIfDue } from "./standby.ts";
+import { addStandbys, becomeStandbyIfDue } from "./standby.ts";
 import { isOwner, TENURE, TenurePhase } from "./tenure_state.ts";
 
 /** Interval at which due claims, commits and retries are sent, in ms. */
@@ -87,6 +88,11 @@
         (reply, update) => handleCommitResult(update, reply),
         Normal,
       ),
+      kernel.registerCommand(
+        SUMMARY_WANTED,
+        (draft, update) => addStandbys(update, draft),
+        Normal,
+      ),
       kernel.registerCommand(REGISTRATION_ANSWERED, () => {}, Low),
       kernel.registerCommand(
         NODES_CHANGED,
