Read a job's progress first when a caller asks for its state

Cause: a node without a copy of the records read the job, its progress and its cancellation one after the other for each query; callers ask most often for jobs that have ended. Change: the progress is read first; a job that has ended is answered from it alone, the job itself is read only if there is no progress. Measured: reads for a job that is done 2 before, 1 now; that runs 3 and 2. Of five new cases three fail on the code before.

--- a/packages/intake/src/intake_plugin.ts
+++ b/packages/intake/src/intake_plugin.ts
@@ -8,7 +8,7 @@
   type Undo,
   type Update,
 } from "@mustardweir/kernel";
-import { type JobQueue, StagedJobState } from "@mustardweir/model";
+import type { JobQueue } from "@mustardweir/model";
 import {
   EffectKind,
   FRONT_CALL_RECEIVED,
@@ -46,6 +46,7 @@
   handleReadResult,
   handleWriteResult,
   lookUpJob,
+  lookUpState,
   resumeCalls,
   RETRY_AFTER_MS,
   turnAway,
@@ -302,7 +303,7 @@
     queue,
     record: undefined,
   });
-  lookUpJob(update, call, CallStep.Looking);
+  lookUpState(update, call);
 }
 
 type CallOptions = Pick<
@@ -318,7 +319,7 @@
     recordVersion: 0,
     isUncertain: false,
     overload: undefined,
-    state: StagedJobState.Pending,
+    state: undefined,
     resumeMs: 0,
   };
   update.write(INTAKE).calls.set(options.callId, call);
--- a/packages/intake/src/intake_state.ts
+++ b/packages/intake/src/intake_state.ts
@@ -55,8 +55,8 @@
   isUncertain: boolean;
   /** Why the job is being turned away; only with a submission. */
   overload: Overload | undefined;
-  /** State of the job in its progress record, once that was read. */
-  state: StagedJobState;
+  /** State in the job's progress record; undefined until that was read. */
+  state: StagedJobState | undefined;
   resumeMs: number;
 }
 
--- a/packages/intake/src/submissions.ts
+++ b/packages/intake/src/submissions.ts
@@ -141,6 +141,21 @@
   readRecord(update, call, { kind: RecordKind.Job, step });
 }
 
+/**
+ * Reads the job's state. A node without a copy of the records reads the progress
+ * first: most callers ask for jobs that have ended, whose progress says all.
+ */
+export function lookUpState(update: Update, call: PendingCall): void {
+  if (hasAllRecords(update.read(REPLICA))) {
+    lookUpJob(update, call, CallStep.Looking);
+  } else {
+    readRecord(update, call, {
+      kind: RecordKind.Progress,
+      step: CallStep.ReadingProgress,
+    });
+  }
+}
+
 function readRecord(
   update: Update,
   call: PendingCall,
@@ -214,7 +229,7 @@
       answerCall(update, call.callId, {
         kind: FrontAnswerKind.State,
         state: record?.value === undefined
-          ? call.state
+          ? call.state ?? StagedJobState.Pending
           : StagedJobState.Cancelled,
       });
       break;
@@ -224,8 +239,9 @@
 }
 
 /**
- * Answers with the state in the job's progress record, or checks first whether
- * the job was cancelled, which its progress may not show yet.
+ * Answers with the state in the job's progress record if the job has ended.
+ * Otherwise checks whether the job was cancelled, which its progress may not
+ * show yet, or, without progress, whether there is such a job.
  */
 function handleProgressRead(
   update: Update,
@@ -253,14 +269,20 @@
       kind: FrontAnswerKind.State,
       state: call.state,
     });
+  } else if (progress.value === undefined) {
+    lookUpJob(update, call, CallStep.Looking);
   } else {
-    readRecord(update, call, {
-      kind: RecordKind.Cancel,
-      step: CallStep.ReadingCancel,
-    });
+    readCancellation(update, call);
   }
 }
 
+function readCancellation(update: Update, call: PendingCall): void {
+  readRecord(update, call, {
+    kind: RecordKind.Cancel,
+    step: CallStep.ReadingCancel,
+  });
+}
+
 /** Resumes calls whose pause is over and gives up calls past their deadline. */
 export function resumeCalls(update: Update): void {
   for (const call of [...update.write(INTAKE).calls.values()]) {
@@ -343,6 +365,8 @@
     update.read(REPLICA).jobs.has(call.jobId)
   ) {
     writeCancel(update, call);
+  } else if (call.purpose === CallPurpose.Status) {
+    lookUpState(update, call);
   } else {
     lookUpJob(update, call, CallStep.Looking);
   }
@@ -479,11 +503,10 @@
       if (hasAllRecords(update.read(REPLICA))) {
         applyJob(update, call.jobId, record);
         answerState(update, call.callId, call.jobId);
+      } else if (call.state === undefined) {
+        lookUpState(update, call);
       } else {
-        readRecord(update, call, {
-          kind: RecordKind.Progress,
-          step: CallStep.ReadingProgress,
-        });
+        readCancellation(update, call);
       }
       break;
     case CallPurpose.Cancel:
--- a/packages/prove/src/domain/domain_cluster.ts
+++ b/packages/prove/src/domain/domain_cluster.ts
@@ -19,6 +19,7 @@
   PEER_MESSAGE_RECEIVED,
   PermitResultKind,
   type ReplyTo,
+  Source,
   type SourceResult,
   SourceResultKind,
   STOP_REQUESTED,
@@ -109,6 +110,8 @@
   readonly #downLinks = new Set<string>();
   /** Number of calls of each node that follow a source. */
   readonly #followCalls = new Map<string, number>();
+  /** Number of jobs' records that each node has read one by one. */
+  readonly #recordReads = new Map<string, number>();
   /** Number of changes that each node has read from the store. */
   readonly #readChanges = new Map<string, number>();
   #lastCall = 0;
@@ -156,6 +159,11 @@
     return this.#followCalls.get(nodeId) ?? 0;
   }
 
+  /** Number of jobs' records that a node has read one by one. */
+  countRecordReads(nodeId: string): number {
+    return this.#recordReads.get(nodeId) ?? 0;
+  }
+
   /** Number of changes that a node has read from the store. */
   countReadChanges(nodeId: string): number {
     return this.#readChanges.get(nodeId) ?? 0;
@@ -321,6 +329,9 @@
         this.store.commit(effect, from, reply(node, effect.replyTo));
         break;
       case EffectKind.ReadSource:
+        if (effect.only !== undefined && effect.source === Source.Records) {
+          this.#recordReads.set(from, this.countRecordReads(from) + 1);
+        }
         this.store.read(
           effect,
           from,
