Wait for slow nodes before the first choice of standbys

Cause: a node that starts for the first time judged after 1 s whether it is one of the four strongest, by the records that it could see. Change: the wait is 2.5 s; it counts only when no owner has ever published.

--- a/packages/prove/src/domain/domain_cluster.ts
+++ b/packages/prove/src/domain/domain_cluster.ts
@@ -92,6 +92,16 @@
   readonly workers?: number;
   /** Bandwidth of each node's link in Mbit/s; unlimited by default. */
   readonly linkMbps?: number;
+  /** Returns what differs between the nodes, by their index. */
+  readonly profileOf?: (index: number) => NodeProfile;
+}
+
+/** What a simulated node has and when it first starts. */
+export interface NodeProfile {
+  /** Processor cores; unlimited by default. */
+  readonly cores?: number;
+  /** Delay of its first start, in milliseconds; 0 by default. */
+  readonly startDelayMs?: number;
 }
 
 /** Combined nodes, workers and the platform's store, in virtual time. */
@@ -127,7 +137,12 @@
       this.#addWorker(`w${index}`, `zone-${index % 2}`);
     }
     for (let index = 0; index < nodes; index++) {
-      this.startNode(`n${index}`);
+      const { startDelayMs = 0 } = options.profileOf?.(index) ?? {};
+      if (startDelayMs === 0) {
+        this.startNode(`n${index}`);
+      } else {
+        this.clock.after(startDelayMs, () => this.startNode(`n${index}`));
+      }
     }
   }
 
@@ -146,7 +161,10 @@
 
   /** The running nodes that keep a copy of all records. */
   get standbys(): readonly string[] {
-    return this.nodeIds.filter((id) => this.#read(id, REPLICA).isStandby);
+    return this.nodeIds.filter((id) =>
+      this.#nodes.get(id)!.state === ProcessState.Running &&
+      this.#read(id, REPLICA).isStandby
+    );
   }
 
   /** Number of jobs in the copy of the records that a node keeps. */
@@ -175,7 +193,8 @@
   }
 
   startNode(nodeId: string): void {
-    const { linkMbps } = this.#options;
+    const { linkMbps, profileOf } = this.#options;
+    const { cores } = profileOf?.(Number(nodeId.slice(1))) ?? {};
     this.#nodes.set(
       nodeId,
       new SimulatedNode({
@@ -187,6 +206,7 @@
           peerAddress: `${nodeId}:1`,
           seedPeers: [],
           ...(linkMbps === undefined ? {} : { linkMbps }),
+          ...(cores === undefined ? {} : { cores }),
         },
         operatorKeyHash: "",
         clock: this.clock,
--- a/packages/tenure/src/standby.ts
+++ b/packages/tenure/src/standby.ts
@@ -23,9 +23,10 @@
 const STANDBYS = 4;
 /**
  * Time that a node waits for the others' first records when the whole system
- * starts for the first time, in milliseconds.
+ * starts for the first time, in milliseconds: slow nodes take a second or two to
+ * start, and a node that doesn't see them would keep a copy for good.
  */
-const FIRST_START_WAIT_MS = 1_000;
+const FIRST_START_WAIT_MS = 2_500;
 
 /**
  * Makes this node a standby if the owner appoints it or, while there is no
