Keep the placement policy busy with short queries

With few queries one and the same node got nearly all. Ruled out: the policy itself, which serves each node in turn and queues 32. Change: up to three short queries in flight through a node, the least busy node first, beginning at a random one and with the owner last; the load of short queries is what they really take.

--- a/packages/permits/src/queries.ts
+++ b/packages/permits/src/queries.ts
@@ -36,6 +36,11 @@
  */
 const SHORT_QUERY_HEADROOM = 1.3;
 const SHORT_SPARE_NODES = 0.3;
+/**
+ * Most short queries in flight through one node. The policy serves each node's
+ * queries in turn, and takes up to 32 of them.
+ */
+const MAX_SHORT_QUERIES_PER_NODE = 3;
 /** Time that a query may take beyond its expected duration, in milliseconds. */
 const SLACK_MS = 250;
 /** Factor on the expected duration of a query, for its timeout. */
@@ -132,29 +137,48 @@
   });
 }
 
-/** Sends waiting queries through nodes that have none in flight. */
+/**
+ * Sends waiting queries. A long one goes to a node without any in flight; short
+ * ones share a node, so that the policy has the next one at hand when it has
+ * decided on the one before.
+ */
 export function sendWaitingQueries(update: Update): void {
   const permits = update.write(PERMITS);
   if (permits.waiting.length === 0) {
     return;
   }
-  const nodes = findAvailableNodes(update);
-  let longQueriesLeft = maxLongQueries(update, nodes.total) -
+  const nodes = findUsableNodes(update);
+  let longQueriesLeft = maxLongQueries(update, nodes.length) -
     [...permits.calls.values()].filter((call) => call.isLong).length;
-  for (let index = 0; index < permits.waiting.length;) {
-    const query = permits.waiting[index]!;
+  const left: PermitQuery[] = [];
+  for (const query of permits.waiting.splice(0)) {
     const isLong = expectedMs(query) > LONG_QUERY_MS;
-    if (nodes.free.length === 0) {
-      return;
-    }
-    if (isLong && longQueriesLeft <= 0) {
-      index++;
+    const node = isLong && longQueriesLeft <= 0
+      ? undefined
+      : findLeastBusy(nodes, isLong ? 1 : MAX_SHORT_QUERIES_PER_NODE);
+    if (node === undefined) {
+      left.push(query);
       continue;
     }
     longQueriesLeft -= isLong ? 1 : 0;
-    permits.waiting.splice(index, 1);
-    sendQuery(update, query, { nodeId: nodes.free.pop()!, isLong });
+    node.inFlight += isLong ? MAX_SHORT_QUERIES_PER_NODE : 1;
+    sendQuery(update, query, { nodeId: node.nodeId, isLong });
+  }
+  permits.waiting.push(...left);
+}
+
+/** Returns a node with the fewest queries in flight, and fewer than `limit`. */
+function findLeastBusy(
+  nodes: readonly UsableNode[],
+  limit: number,
+): UsableNode | undefined {
+  let least: UsableNode | undefined;
+  for (const node of nodes) {
+    if (node.inFlight < (least?.inFlight ?? limit)) {
+      least = node;
+    }
   }
+  return least;
 }
 
 /** Adds a query to those that wait, by rank and then by age. */
@@ -213,6 +237,12 @@
     return;
   }
   permits.calls.delete(requestId);
+  if (!call.isLong) {
+    // What a query really takes counts, the way through the node included.
+    const excessMs = update.now - call.sentMs - expectedMs(call);
+    permits.shortQueryMs = Math.max(0, shortLoadMs(update) + excessMs);
+    permits.shortQueryUpdatedMs = update.now;
+  }
   update.emit(observe("permit-wait-ms", update.now - call.queuedMs));
   const known = permits.stages.get(call.stage);
   if (known !== undefined) {
@@ -282,7 +312,12 @@
 ): void {
   const permits = update.write(PERMITS);
   const requestId = ++permits.lastRequestId;
-  const timeoutMs = Math.ceil(expectedMs(query) * SLACK_FACTOR + SLACK_MS);
+  const queuedMs = isLong
+    ? 0
+    : (MAX_SHORT_QUERIES_PER_NODE - 1) * expectedMs(query);
+  const timeoutMs = Math.ceil(
+    expectedMs(query) * SLACK_FACTOR + SLACK_MS + queuedMs,
+  );
   permits.calls.set(requestId, {
     ...query,
     requestId,
@@ -348,26 +383,37 @@
     Math.exp((shortQueryUpdatedMs - update.now) / LOAD_WINDOW_MS);
 }
 
+interface UsableNode {
+  readonly nodeId: string;
+  /** Number of queries in flight; a long one counts as the most short ones. */
+  inFlight: number;
+}
+
 /**
- * Returns the nodes without a query in flight. Nodes in back-off are left out;
- * if all are, only this node is used.
+ * Returns the nodes through which queries can be sent, beginning at a random one
+ * so that all get their share; this node, which has most else to do, comes last.
+ * Nodes in back-off are left out; if all are, only this node is used.
  */
-function findAvailableNodes(update: Update): { free: string[]; total: number } {
+function findUsableNodes(update: Update): UsableNode[] {
   const { calls, backoffUntilMs } = update.read(PERMITS);
   const { nodeId } = update.service(NODE_IDENTITY);
-  const ids = new Set([
-    nodeId,
-    ...liveNodes(update).map((node) => node.nodeId),
-  ]);
-  const usable = [...ids].filter((id) =>
-    (backoffUntilMs.get(id) ?? 0) <= update.now
-  );
-  const nodes = usable.length > 0 ? usable : [nodeId];
-  const busy = new Set([...calls.values()].map((call) => call.nodeId));
-  return {
-    free: nodes.filter((id) => !busy.has(id)),
-    total: nodes.length,
-  };
+  const others = liveNodes(update).map((node) => node.nodeId)
+    .filter((id) => id !== nodeId);
+  const first = update.random.below(Math.max(others.length, 1));
+  const ids = [...others.slice(first), ...others.slice(0, first), nodeId]
+    .filter((id) => (backoffUntilMs.get(id) ?? 0) <= update.now);
+  const inFlight = new Map<string, number>();
+  for (const call of calls.values()) {
+    inFlight.set(
+      call.nodeId,
+      (inFlight.get(call.nodeId) ?? 0) +
+        (call.isLong ? MAX_SHORT_QUERIES_PER_NODE : 1),
+    );
+  }
+  return (ids.length > 0 ? ids : [nodeId]).map((id) => ({
+    nodeId: id,
+    inFlight: inFlight.get(id) ?? 0,
+  }));
 }
 
 function incarnationOf(update: Update, nodeId: string): string {
--- a/packages/prove/src/domain/domain_cluster.ts
+++ b/packages/prove/src/domain/domain_cluster.ts
@@ -45,7 +45,7 @@
   memoryMb: 8_000,
 };
 const RESTART_DELAY_MS = 300;
-const PERMIT_DELAY_MS = 20;
+const DEFAULT_POLICY: PolicyTiming = { decideMs: 20, networkMs: 0 };
 const PERMIT_VALID_MS = 2_000;
 
 /** API key of the clients, and host and path of the main queue. */
@@ -92,10 +92,20 @@
   readonly workers?: number;
   /** Bandwidth of each node's link in Mbit/s; unlimited by default. */
   readonly linkMbps?: number;
+  /** Durations of permit queries; 20 ms and no time under way by default. */
+  readonly policy?: PolicyTiming;
   /** Returns what differs between the nodes, by their index. */
   readonly profileOf?: (index: number) => NodeProfile;
 }
 
+/** Durations of permit queries, in milliseconds. */
+export interface PolicyTiming {
+  /** Time that the policy needs for a query; it serves each node in turn. */
+  readonly decideMs: number;
+  /** Time that the query and its reply are under way, together. */
+  readonly networkMs: number;
+}
+
 /** What a simulated node has and when it first starts. */
 export interface NodeProfile {
   /** Processor cores; unlimited by default. */
@@ -118,6 +128,8 @@
   readonly #calls = new Map<string, (answer: FrontAnswer) => void>();
   /** Directed pairs of nodes whose messages are lost, as `from-to`. */
   readonly #downLinks = new Set<string>();
+  /** When the policy has served the queries of each node, in milliseconds. */
+  readonly #policyFreeMs = new Map<string, number>();
   /** Number of calls of each node that follow a source. */
   readonly #followCalls = new Map<string, number>();
   /** Number of commits that each node has sent. */
@@ -380,9 +392,13 @@
           answer: reply(node, effect.replyTo),
         });
         break;
-      case EffectKind.AskPermits:
+      case EffectKind.AskPermits: {
+        const { decideMs, networkMs } = this.#options.policy ?? DEFAULT_POLICY;
+        const decidedMs = decideMs +
+          Math.max(this.clock.now, this.#policyFreeMs.get(from) ?? 0);
+        this.#policyFreeMs.set(from, decidedMs);
         this.clock.after(
-          PERMIT_DELAY_MS,
+          decidedMs - this.clock.now + networkMs,
           () =>
             reply(node, effect.replyTo)({
               kind: PermitResultKind.Judged,
@@ -394,6 +410,7 @@
             }),
         );
         break;
+      }
       case EffectKind.SendPeer: {
         const peer = this.#nodes.get(effect.to);
         if (!this.#downLinks.has(`${from}-${effect.to}`)) {
@@ -446,7 +463,11 @@
 }
 
 function desiredState(
-  { needsPermits = true, ceiling = NO_RESOURCES }: DomainClusterOptions,
+  {
+    needsPermits = true,
+    ceiling = NO_RESOURCES,
+    policy = DEFAULT_POLICY,
+  }: DomainClusterOptions,
 ): DesiredState {
   const queue = {
     host: CALLER.host,
@@ -458,7 +479,7 @@
     ...(needsPermits
       ? {
         permits: {
-          decideMs: PERMIT_DELAY_MS,
+          decideMs: policy.decideMs,
           perWorkerMs: 0,
           validMs: PERMIT_VALID_MS,
         },
--- /dev/null
+++ b/packages/prove/src/domain/domain_permits_test.ts
@@ -0,0 +1,70 @@
+import { expect } from "chai";
+import {
+  createTaskPayload,
+  DomainCluster,
+  type PolicyTiming,
+  stageSpec,
+} from "./domain_cluster.ts";
+import { findViolations } from "./domain_oracle.ts";
+import { jobIdOf, WARM_UP_MS } from "./domain_scenarios.ts";
+
+const NODES = 6;
+const WORKERS = 60;
+const RUN_MS = 300;
+const BURST_MS = 3_000;
+const SETTLE_MS = 3_000;
+/** Longest wait of a job that still meets its objective, in milliseconds. */
+const MAX_WAIT_MS = 1.5 * RUN_MS + 250 - RUN_MS;
+
+interface BurstCase {
+  readonly name: string;
+  readonly policy: PolicyTiming;
+  readonly jobsPerS: number;
+}
+
+const CASES: readonly BurstCase[] = [
+  {
+    name: "a policy that is near",
+    policy: { decideMs: 10, networkMs: 2 },
+    jobsPerS: 140,
+  },
+  {
+    name: "a policy that is slow to reach",
+    policy: { decideMs: 10, networkMs: 40 },
+    jobsPerS: 140,
+  },
+];
+
+describe("a burst of short permit queries", () => {
+  for (const { name, policy, jobsPerS } of CASES) {
+    it(`to ${name} delays no start beyond the objective`, () => {
+      const cluster = new DomainCluster({
+        seed: 1,
+        nodes: NODES,
+        workers: WORKERS,
+        policy,
+      });
+      const { clock, nodeIds, runs } = cluster;
+      // The first starts wait until the workers' sessions are recorded.
+      clock.runUntil(2 * WARM_UP_MS);
+      const acceptedMs = new Map<string, number>();
+      for (let index = 0; index < jobsPerS * BURST_MS / 1_000; index++) {
+        clock.after(index * 1_000 / jobsPerS, () => {
+          acceptedMs.set(jobIdOf(index), clock.now);
+          cluster.submit(jobIdOf(index), {
+            payload: createTaskPayload({ runMs: RUN_MS, failures: 0 }),
+            stages: [stageSpec({ tasks: 2, estimateMs: RUN_MS })],
+          }, nodeIds[index % nodeIds.length]!);
+        });
+      }
+      clock.runUntil(clock.now + BURST_MS + 2 * RUN_MS);
+      const waits = runs.map(({ task, startMs }) =>
+        startMs - acceptedMs.get(task.split(".")[0]!)!
+      );
+      expect(waits.length).to.be.at.least(2 * acceptedMs.size);
+      expect(Math.max(...waits)).to.be.below(MAX_WAIT_MS);
+      clock.runUntil(clock.now + SETTLE_MS);
+      expect(findViolations(cluster)).to.deep.equal([]);
+    });
+  }
+});
