Send permit queries again soon through a node that missed one

Cause: after a takeover the owner sends its first queries before the links to the other nodes are up. Change: 300 ms after the first failure, doubled with each one in a row, up to the 3 s of before.

--- a/packages/permits/src/permits_plugin.ts
+++ b/packages/permits/src/permits_plugin.ts
@@ -104,6 +104,7 @@
     waiting: [],
     calls: new Map(),
     backoffUntilMs: new Map(),
+    failures: new Map(),
     lastRequestId: 0,
     shortQueryMs: 0,
     shortQueryUpdatedMs: 0,
--- a/packages/permits/src/permits_state.ts
+++ b/packages/permits/src/permits_state.ts
@@ -54,6 +54,8 @@
    * queries, in milliseconds.
    */
   readonly backoffUntilMs: Map<string, number>;
+  /** Number of back-offs in a row by node. */
+  readonly failures: Map<string, number>;
   lastRequestId: number;
   /**
    * Exponentially decaying sum of the expected durations of short queries, in
--- a/packages/permits/src/queries.ts
+++ b/packages/permits/src/queries.ts
@@ -45,8 +45,13 @@
 const SLACK_MS = 250;
 /** Factor on the expected duration of a query, for its timeout. */
 const SLACK_FACTOR = 1.5;
-/** Time for which a node whose query failed gets no others, in milliseconds. */
-const NODE_BACKOFF_MS = 3_000;
+/**
+ * Time for which a node whose query failed gets no others, in milliseconds. It
+ * doubles with each failure in a row: after a takeover the first queries may
+ * only have been sent before the links were up.
+ */
+const MIN_BACKOFF_MS = 300;
+const MAX_BACKOFF_MS = 3_000;
 /**
  * Time before its expiry from which a permit is no longer used, in
  * milliseconds.
@@ -237,6 +242,7 @@
     return;
   }
   permits.calls.delete(requestId);
+  permits.failures.delete(call.nodeId);
   if (!call.isLong) {
     // What a query really takes counts, the way through the node included.
     const excessMs = update.now - call.sentMs - expectedMs(call);
@@ -354,7 +360,7 @@
 ): void {
   const permits = update.write(PERMITS);
   permits.calls.delete(call.requestId);
-  permits.backoffUntilMs.set(call.nodeId, update.now + NODE_BACKOFF_MS);
+  backOff(update, call.nodeId);
   update.emit(count("permit-failures"));
   update.emit(logChange("Permits not granted", {
     stage: call.stage,
@@ -366,6 +372,20 @@
   }
 }
 
+/** Sends no queries through a node for a while, unless it is in back-off. */
+function backOff(update: Update, nodeId: string): void {
+  const { failures, backoffUntilMs } = update.write(PERMITS);
+  if ((backoffUntilMs.get(nodeId) ?? 0) > update.now) {
+    return;
+  }
+  const inRow = failures.get(nodeId) ?? 0;
+  failures.set(nodeId, inRow + 1);
+  backoffUntilMs.set(
+    nodeId,
+    update.now + Math.min(MIN_BACKOFF_MS * 2 ** inRow, MAX_BACKOFF_MS),
+  );
+}
+
 /** Returns the maximum number of nodes that may run long queries at a time. */
 function maxLongQueries(update: Update, nodes: number): number {
   const busyNodes = shortLoadMs(update) / LOAD_WINDOW_MS;
