Refuse calls here while the store is away for all nodes

Cause: while the store was away each call was tried directly and then through each peer, which tried again; callers and followers repeated that every 120 to 150 ms. Weighed: longer pauses for each caller; the number of calls would still follow that of the callers. Change: after six calls in a row that failed directly and through peers a node sends one call in 200 ms and refuses the others at once, as not sent; any answer ends that. A gauge, a counter and two log lines show it.

--- a/packages/prove/src/domain/domain_outage_test.ts
+++ b/packages/prove/src/domain/domain_outage_test.ts
@@ -62,3 +62,54 @@
     });
   }
 });
+
+interface StormCase extends OutageCase {
+  /** Most calls of a node in a second while the store is away. */
+  readonly maxCallsPerS: number;
+}
+
+/** Five tries a second and the renewals that each node makes for its peers. */
+const STORMS: readonly StormCase[] = CASES.map((outage) => ({
+  ...outage,
+  maxCallsPerS: 12,
+}));
+const STORM_NODES = 6;
+const STORM_JOBS_PER_S = 60;
+/** Time until the first job is accepted after the store's return, in ms. */
+const RETURN_MS = 500;
+
+describe("calls to the store while it is away", () => {
+  for (const { name, begin, end, maxCallsPerS } of STORMS) {
+    it(`don't follow the number of callers when it ${name}`, () => {
+      const cluster = new DomainCluster({ seed: 1, nodes: STORM_NODES });
+      const { clock, store, nodeIds, clients } = cluster;
+      clock.runUntil(WARM_UP_MS);
+      begin(store, nodeIds);
+      const seconds = (OUTAGE_MS + 2 * RETURN_MS) / 1_000;
+      for (let index = 0; index < STORM_JOBS_PER_S * seconds; index++) {
+        clock.after(
+          index * 1_000 / STORM_JOBS_PER_S,
+          () =>
+            cluster.submit(jobIdOf(index), {
+              payload: createTaskPayload({ runMs: 300, failures: 0 }),
+              stages: [stageSpec({ tasks: 1 })],
+            }, nodeIds[index % nodeIds.length]!),
+        );
+      }
+      clock.runUntil(clock.now + DETECTION_MS);
+      const before = store.calls;
+      const measuredMs = OUTAGE_MS - DETECTION_MS;
+      clock.runUntil(clock.now + measuredMs);
+      expect((store.calls - before) * 1_000 / measuredMs / STORM_NODES)
+        .to.be.at.most(maxCallsPerS);
+      end(store);
+      clock.runUntil(clock.now + RETURN_MS);
+      const accepted = [...clients.values()].filter(({ answers }) =>
+        answers[0]?.kind === FrontAnswerKind.Accepted
+      );
+      expect(accepted).not.to.have.length(0);
+      clock.runUntil(clock.now + SETTLE_MS);
+      expect(findViolations(cluster)).to.deep.equal([]);
+    });
+  }
+});
--- a/packages/prove/src/domain/domain_store.ts
+++ b/packages/prove/src/domain/domain_store.ts
@@ -52,6 +52,8 @@
     lateMs: 0,
     callMs: 4,
   };
+  /** Number of calls so far, those that are refused or lost included. */
+  calls = 0;
   readonly #clock: VirtualClock;
   readonly #random: Random;
   readonly #records = new Map<string, StoredRecord>();
@@ -122,6 +124,7 @@
     answer: (result: RecordCommitResult) => void,
   ): void {
     const { faults } = this;
+    this.calls++;
     if (faults.silent.has(node)) {
       this.#clock.after(timeoutMs, () => answer(UNKNOWN));
       return;
@@ -168,6 +171,7 @@
     node: string,
     answer: (result: SourceResult) => void,
   ): void {
+    this.calls++;
     this.#respond(node, timeoutMs, answer, () => {
       if (source !== Source.Records && source !== Source.Fleet) {
         return this.#result(this.#listOthers(source));
@@ -195,6 +199,7 @@
     node: string,
     answer: (result: SourceResult) => void,
   ): void {
+    this.calls++;
     if (afterVersion < this.#compactedVersion) {
       this.#respond(
         node,
--- a/packages/store-route/src/calls.ts
+++ b/packages/store-route/src/calls.ts
@@ -25,6 +25,13 @@
 const MAX_DIRECT_FAILURES = 2;
 /** Interval between direct calls while calls go through peers, in ms. */
 const PROBE_INTERVAL_MS = 700;
+/**
+ * Consecutive calls that failed directly and through peers after which the store
+ * counts as away; so many that a store which lacks some of its parts doesn't.
+ */
+const MIN_LOST_CALLS = 6;
+/** Interval between calls while the store is away, in milliseconds. */
+const AWAY_PROBE_INTERVAL_MS = 200;
 /** Time without requests to a peer whose relayed call failed, in ms. */
 const PEER_BACKOFF_MS = 1_000;
 /** Time allowed for a relayed call beyond its own timeout, in milliseconds. */
@@ -64,7 +71,9 @@
 
 /**
  * Calls the store directly, or through a peer while direct calls fail. The
- * result is dispatched to the effect's `replyTo`.
+ * result is dispatched to the effect's `replyTo`. While the store is away for
+ * all nodes, most calls are refused at once, without being sent: each would cost
+ * all nodes a try.
  *
  * @example
  * ```ts
@@ -82,6 +91,18 @@
   const { replyTo: reply, ...call } = effect;
   const own = { call, replyTo: reply as ReplyTo<never>, isFinalTry: false };
   const route = update.write(STORE_ROUTE);
+  if (update.now < route.awayUntilMs) {
+    update.emit(count("store-calls-held-back"));
+    deliverResult(
+      update,
+      own.replyTo,
+      refusedResult(call, "the store is away"),
+    );
+    return;
+  }
+  if (route.lostCalls >= MIN_LOST_CALLS) {
+    route.awayUntilMs = update.now + AWAY_PROBE_INTERVAL_MS;
+  }
   if (!route.isRelayed) {
     callDirectly(update, own);
   } else if (update.now >= route.nextProbeMs) {
@@ -107,6 +128,7 @@
     }
     route.failures = 0;
     route.isRelayed = false;
+    noteAnswer(update);
     deliverResult(update, context.replyTo, result);
     return;
   }
@@ -120,10 +142,31 @@
   }
   const canRepeat = result.kind !== RecordCommitKind.Unknown;
   if (context.isFinalTry || !canRepeat || !relayCall(update, context)) {
+    noteLostCall(update);
     deliverResult(update, context.replyTo, result);
   }
 }
 
+function noteAnswer(update: Update): void {
+  const route = update.write(STORE_ROUTE);
+  if (route.lostCalls >= MIN_LOST_CALLS) {
+    update.emit(logChange("Store answers again"));
+  }
+  route.lostCalls = 0;
+  route.awayUntilMs = 0;
+}
+
+function noteLostCall(update: Update): void {
+  const route = update.write(STORE_ROUTE);
+  route.lostCalls++;
+  if (route.lostCalls === MIN_LOST_CALLS) {
+    route.awayUntilMs = update.now + AWAY_PROBE_INTERVAL_MS;
+    update.emit(logChange("Store is away for all nodes", {
+      lostCalls: route.lostCalls,
+    }));
+  }
+}
+
 /** Calls the store for a peer; refuses if this node itself uses peers. */
 export function relayForPeer(
   update: Update,
@@ -173,12 +216,14 @@
   route.relayed.delete(requestId);
   const { call, peer, replyTo: reply } = relayed;
   if (!isFailure(result)) {
+    noteAnswer(update);
     deliverResult(update, reply, result);
     return;
   }
   route.backoffUntilMs.set(peer, update.now + PEER_BACKOFF_MS);
   const own = { call, replyTo: reply, isFinalTry: true };
   if (result.kind === RecordCommitKind.Unknown || !relayCall(update, own)) {
+    noteLostCall(update);
     deliverResult(update, reply, result);
   }
 }
@@ -190,6 +235,7 @@
     if (update.now >= relayed.expiresMs) {
       route.relayed.delete(requestId);
       route.backoffUntilMs.set(relayed.peer, update.now + PEER_BACKOFF_MS);
+      noteLostCall(update);
       deliverResult(update, relayed.replyTo, timedOutResult(relayed.call));
     }
   }
--- a/packages/store-route/src/route_plugin.ts
+++ b/packages/store-route/src/route_plugin.ts
@@ -55,6 +55,8 @@
         backoffUntilMs: new Map(),
         relayed: new Map(),
         lastRequestId: 0,
+        lostCalls: 0,
+        awayUntilMs: 0,
         peers: [],
       }),
       kernel.registerCommand(
@@ -94,8 +96,9 @@
       kernel.registerPeriodic({
         intervalMs: GAUGE_INTERVAL_MS,
         run: (update) => {
-          const { isRelayed } = update.read(STORE_ROUTE);
+          const { isRelayed, awayUntilMs } = update.read(STORE_ROUTE);
           update.emit(gauge("store-relayed", isRelayed ? 1 : 0));
+          update.emit(gauge("store-away", awayUntilMs > update.now ? 1 : 0));
         },
       }),
     );
--- a/packages/store-route/src/route_state.ts
+++ b/packages/store-route/src/route_state.ts
@@ -22,6 +22,13 @@
   /** By request id: calls of this node that peers make. */
   readonly relayed: Map<number, RelayedCall>;
   lastRequestId: number;
+  /** Consecutive calls that failed directly and through peers. */
+  lostCalls: number;
+  /**
+   * Until then calls are refused here, in milliseconds: the store is away for
+   * all nodes.
+   */
+  awayUntilMs: number;
   /** Ids of the nodes that this node may request calls from. */
   peers: readonly string[];
 }
