Grant no lease on a permission that ran out while the machine was suspended

Cause: the steady clock stands still while a machine is suspended, so an owner that woke took its tenure for as young as before and granted leases and gave tasks up until its next commit failed; a successor may have started them. Change: at each turn of the loop, before any event, the time of day is compared with the steady clock. An owner takes its last confirmation for older by the difference, and commits at once. A time of day that jumps ahead costs it one commit.

--- a/packages/protocol/src/events.ts
+++ b/packages/protocol/src/events.ts
@@ -20,6 +20,14 @@
   "caller-left",
 );
 
+/**
+ * Runs, before any other event, when the machine was suspended for a while that
+ * the steady clock doesn't count, or when the time of day jumped ahead.
+ */
+export const PROCESS_SUSPENDED = createCommand<{ readonly forMs: number }>(
+  "process-suspended",
+);
+
 /** Runs when the process is to stop; a `Stopped` effect ends the stop. */
 export const STOP_REQUESTED = createCommand<Record<never, never>>(
   "stop-requested",
--- a/packages/runtime/src/event_loop.ts
+++ b/packages/runtime/src/event_loop.ts
@@ -1,6 +1,11 @@
 import { type Command, invariant, type Kernel } from "@mustardweir/kernel";
-import type { EffectKind, NodeEffect } from "@mustardweir/protocol";
+import {
+  type EffectKind,
+  type NodeEffect,
+  PROCESS_SUSPENDED,
+} from "@mustardweir/protocol";
 import type { EventSink, Performer } from "./performer.ts";
+import { SuspensionMeter } from "./suspension.ts";
 
 /** Maximum number of events handled before other callbacks may run. */
 const EVENTS_PER_TURN = 256;
@@ -12,6 +17,11 @@
 export abstract class Clock {
   /** Returns the monotonic time in milliseconds. */
   abstract now(): number;
+
+  /** Returns the time of day in Unix milliseconds. */
+  timeOfDay(): number {
+    return Date.now();
+  }
 }
 
 /** The monotonic clock of the process. */
@@ -48,6 +58,7 @@
   readonly #performersByKind = new Map<EffectKind, Performer>();
   readonly #clock: Clock;
   readonly #queue: QueuedEvent[] = [];
+  readonly #suspensions = new SuspensionMeter();
   #nextTurn: NodeJS.Immediate | undefined;
   #timer: NodeJS.Timeout | undefined;
   #isRunning = false;
@@ -104,11 +115,15 @@
 
   #runTurn(): void {
     this.#nextTurn = undefined;
+    const startMs = this.#clock.now();
+    this.#tellSuspension(startMs);
     const events = this.#queue.splice(0, EVENTS_PER_TURN);
     for (const event of events) {
       event(this.#clock.now());
     }
-    this.#perform(this.#kernel.advance(this.#clock.now()));
+    this.#perform(
+      this.#kernel.advance(events.length > 0 ? this.#clock.now() : startMs),
+    );
     if (this.#queue.length > 0) {
       this.#schedule();
     } else {
@@ -116,6 +131,17 @@
     }
   }
 
+  /** Permissions that ran out meanwhile must not be used by the next events. */
+  #tellSuspension(now: number): void {
+    const forMs = this.#suspensions.measure({
+      steadyMs: now,
+      unixMs: this.#clock.timeOfDay(),
+    });
+    if (forMs > 0) {
+      this.#perform(this.#kernel.run(PROCESS_SUSPENDED, { forMs }, now));
+    }
+  }
+
   #sleep(): void {
     clearTimeout(this.#timer);
     const now = this.#clock.now();
--- a/packages/runtime/src/mod.ts
+++ b/packages/runtime/src/mod.ts
@@ -23,4 +23,5 @@
 export * from "./setting.ts";
 export * from "./setting_schemas.ts";
 export * from "./settings.ts";
+export * from "./suspension.ts";
 export * from "./tls_files.ts";
--- a/packages/tenure/src/tenure_plugin.ts
+++ b/packages/tenure/src/tenure_plugin.ts
@@ -7,7 +7,12 @@
   Role,
   type Undo,
 } from "@mustardweir/kernel";
-import { gauge, STOP_REQUESTED } from "@mustardweir/protocol";
+import {
+  gauge,
+  logChange,
+  PROCESS_SUSPENDED,
+  STOP_REQUESTED,
+} from "@mustardweir/protocol";
 import {
   FOLLOWER_INTERVAL_MS,
   isFollower,
@@ -50,7 +55,7 @@
   override readonly name = "tenure";
 
   override register(kernel: Kernel): Undo {
-    const { Low, Normal } = CommandPriority;
+    const { High, Low, Normal } = CommandPriority;
     return mergeUndo(
       kernel.registerState(TENURE, {
         phase: TenurePhase.Follower,
@@ -99,6 +104,17 @@
         (_, update) => connectNodes(update),
         Normal,
       ),
+      kernel.registerCommand(
+        PROCESS_SUSPENDED,
+        ({ forMs }, update) => {
+          // The last confirmation is older than the steady clock tells.
+          update.write(TENURE).confirmedMs -= forMs;
+          update.emit(logChange("Clock jumped or machine was suspended", {
+            forMs: Math.round(forMs),
+          }));
+        },
+        High,
+      ),
       kernel.registerCommand(
         STOP_REQUESTED,
         (_, update) => {
@@ -106,7 +122,7 @@
           tenure.isStopping = true;
           tenure.isReleasing = true;
         },
-        CommandPriority.High,
+        High,
       ),
       kernel.registerPeriodic({
         intervalMs: TICK_MS,
