Survive an event whose handling fails

Weighed: to go on without the effects of the failed event; its state may have changed, so that an order would count as sent that never was. Change: the kernel reports the error, keeps the effects requested until then and goes on; other periodic work of that turn runs. A process ends only after more than 20 such errors in 10 s. A counter and a log line show them.

--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -35,6 +35,12 @@
   readonly plugins?: readonly Plugin[];
   /** Seed of the kernel's random number generator; 1 by default. */
   readonly seed?: number;
+  /**
+   * Called with what a handler or periodic work throws; the effects requested
+   * until then are kept, since the state may have changed with them. Without it
+   * the error is thrown to the caller.
+   */
+  readonly onError?: (error: unknown) => void;
 }
 
 interface HandlerEntry {
@@ -65,11 +71,13 @@
   readonly #listeners = new Set<CommitListener>();
   readonly #periodic = new Set<PeriodicEntry>();
   readonly #random: Random;
+  readonly #onError: ((error: unknown) => void) | undefined;
   readonly #undoPlugins: Undo;
   #active: ActiveUpdate | undefined;
 
   constructor(options: KernelOptions = {}) {
     this.#random = new Random(options.seed ?? 1);
+    this.#onError = options.onError;
     const plugins = options.plugins ?? [];
     this.#undoPlugins = mergeUndo(
       ...plugins.map((plugin) => plugin.register(this)),
@@ -172,7 +180,7 @@
     const active = new ActiveUpdate(this, now, this.#random);
     this.#active = active;
     try {
-      change(active);
+      this.#guard(() => change(active));
     } finally {
       this.#active = undefined;
       active.close();
@@ -195,7 +203,7 @@
           entry.options;
         // Set first, so that work that throws isn't due again at once.
         entry.due = nextMultiple(now, intervalMs);
-        run(update);
+        this.#guard(() => run(update));
         if (isIdle?.(update) === true) {
           entry.due = nextMultiple(now, idleIntervalMs);
         }
@@ -228,6 +236,19 @@
     return false;
   }
 
+  #guard(run: () => void): void {
+    const onError = this.#onError;
+    if (onError === undefined) {
+      run();
+      return;
+    }
+    try {
+      run();
+    } catch (error) {
+      onError(error);
+    }
+  }
+
   #isDue(entry: PeriodicEntry, now: number): boolean {
     return this.#dueTime(entry, now) <= now;
   }
--- a/packages/kernel/src/kernel_test.ts
+++ b/packages/kernel/src/kernel_test.ts
@@ -163,4 +163,32 @@
       expect(() => act(kernel)).to.throw(message);
     });
   }
+
+  it("keeps what an event did before it failed, and runs the next", () => {
+    const errors: unknown[] = [];
+    const kernel = new KernelClass({
+      plugins: [new TotalPlugin()],
+      onError: (error) => errors.push(error),
+    });
+    const undo = kernel.registerCommand(ADD, () => {
+      throw new Error("Broken");
+    }, CommandPriority.Low);
+    let periods = 0;
+    kernel.registerPeriodic({
+      intervalMs: 10,
+      run: () => {
+        throw new Error("Broken period");
+      },
+    });
+    kernel.registerPeriodic({ intervalMs: 10, run: () => void periods++ });
+    expect(kernel.run(ADD, 1, 0).map(({ kind }) => kind))
+      .to.deep.equal(["added-1"]);
+    undo();
+    expect(kernel.run(ADD, 2, 0)).to.have.length(1);
+    kernel.advance(0);
+    kernel.advance(10);
+    expect(kernel.read(TOTAL).value).to.equal(3);
+    expect(periods).to.equal(2);
+    expect(errors).to.have.length(3);
+  });
 });
--- a/packages/runtime/src/run_node.ts
+++ b/packages/runtime/src/run_node.ts
@@ -21,6 +21,13 @@
 import type { Readiness } from "./readiness.ts";
 
 const DEFAULT_STOP_TIMEOUT_MS = 10_000;
+/**
+ * Most errors of events in {@link ERROR_WINDOW_MS} that a process survives: one
+ * event may be at fault, with many the process itself is.
+ */
+const MAX_ERRORS = 20;
+/** Span in which errors of events are counted, in milliseconds. */
+const ERROR_WINDOW_MS = 10_000;
 
 /** Exit codes of a node's process. */
 export enum ExitCode {
@@ -76,8 +83,11 @@
   options: RunNodeOptions,
 ): Promise<RunningNode | undefined> {
   const { identity, logger, metrics = new Metrics() } = options;
-  const kernel = createKernel(options);
   const lifeCycle = new LifeCycle(options);
+  const kernel = createKernel(options, (error) => {
+    metrics.count("event-errors");
+    lifeCycle.handleEventError(error);
+  });
   const loop = new EventLoop({
     kernel,
     performers: [
@@ -98,8 +108,12 @@
   return { kernel, loop, metrics };
 }
 
-function createKernel({ identity, plugins, seed }: RunNodeOptions): Kernel {
+function createKernel(
+  { identity, plugins, seed }: RunNodeOptions,
+  onError: (error: unknown) => void,
+): Kernel {
   const kernel = new Kernel({
+    onError,
     plugins: plugins ?? createPlugins(identity.role),
     seed: seed ?? hashText(identity.incarnation),
   });
@@ -115,6 +129,7 @@
   #undo: Undo = () => {};
   #isStopping = false;
   #hasExited = false;
+  #errorsMs: number[] = [];
   #deadlineTimer: NodeJS.Timeout | undefined;
   #drainTimer: NodeJS.Timeout | undefined;
 
@@ -138,6 +153,22 @@
     this.#exit(ExitCode.Stopped);
   }
 
+  /** Goes on after an error of one event, and fails if there are too many. */
+  handleEventError(error: unknown): void {
+    const now = performance.now();
+    this.#errorsMs = this.#errorsMs.filter((atMs) =>
+      now - atMs < ERROR_WINDOW_MS
+    );
+    this.#errorsMs.push(now);
+    if (this.#errorsMs.length > MAX_ERRORS) {
+      this.fail(error);
+    } else {
+      this.#options.logger.error("Event failed", {
+        error: describeError(error),
+      });
+    }
+  }
+
   fail(error: unknown): void {
     this.#options.logger.error(describeError(error));
     this.#exit(ExitCode.Failed);
--- a/packages/runtime/src/run_node_test.ts
+++ b/packages/runtime/src/run_node_test.ts
@@ -1,11 +1,13 @@
 import {
   CommandPriority,
+  createCommand,
   type Kernel,
   Plugin,
   Role,
   type Undo,
 } from "@mustardweir/kernel";
 import {
+  count,
   EffectKind,
   logChange,
   NODE_IDENTITY,
@@ -169,3 +171,58 @@
     expect(lines[0]).to.match(/scheduler is ready port=7500\n$/);
   });
 });
+
+interface ErrorCase {
+  readonly name: string;
+  readonly events: number;
+  readonly exits: readonly number[];
+}
+
+const ERROR_CASES: readonly ErrorCase[] = [
+  { name: "survives one event that fails", events: 1, exits: [] },
+  { name: "survives twenty events that fail", events: 20, exits: [] },
+  { name: "exits when more events fail", events: 21, exits: [1] },
+];
+
+const POISON = createCommand<string>("poison");
+
+/** Fails on each event and counts in how many it got that far. */
+class PoisonedPlugin extends Plugin {
+  override readonly name = "poisoned";
+
+  override register(kernel: Kernel): Undo {
+    return kernel.registerCommand(
+      POISON,
+      (text, update) => {
+        update.emit(count("poison"));
+        JSON.parse(text);
+      },
+      CommandPriority.Normal,
+    );
+  }
+}
+
+describe("a node", () => {
+  for (const { name, events, exits } of ERROR_CASES) {
+    it(`${name}`, async () => {
+      const host = new FakeHost();
+      const lines: string[] = [];
+      const node = await runNode({
+        identity: IDENTITY,
+        plugins: [new PoisonedPlugin()],
+        performers: [],
+        logger: createLogger({ node: "n1", write: (text) => lines.push(text) }),
+        host,
+      });
+      for (let index = 0; index < events; index++) {
+        node!.loop.post(POISON, "{");
+      }
+      await new Promise((resolve) => setTimeout(resolve, 20));
+      await node!.loop.stop();
+      expect(host.exits).to.deep.equal(exits);
+      expect(node!.metrics.counter("event-errors")).to.equal(events);
+      expect(node!.metrics.counter("poison")).to.equal(events);
+      expect(lines[1]).to.include("Event failed");
+    });
+  }
+});
