--- a/packages/prove/src/domain/domain_backlog_test.ts
+++ b/packages/prove/src/domain/domain_backlog_test.ts
@@ -2,10 +2,11 @@
 import {
   createTaskPayload,
   DomainCluster,
+  jobIdOf,
   NIGHTLY_PREFIX,
   stageSpec,
 } from "./domain_cluster.ts";
-import { jobIdOf, MANY_NODES, WARM_UP_MS } from "./domain_scenarios.ts";
+import { MANY_NODES, WARM_UP_MS } from "./domain_scenarios.ts";
 
 /** Run time of the tasks that fill all workers during the measurement, in ms. */
 const LONG_RUN_MS = 120_000;
@@ -121,9 +122,9 @@
   for (const { name, count, maxPerS } of IDLE_CASES) {
     it(`${name} while it has nothing to do`, () => {
       const cluster = new DomainCluster({ seed: 1, nodes: MANY_NODES });
-      const { clock, nodeIds } = cluster;
+      const { clock } = cluster;
       clock.runUntil(SETTLED_MS);
-      const followers = nodeIds.filter((id) => !cluster.standbys.includes(id));
+      const { followers } = cluster;
       expect(followers).to.have.length.above(0);
       const before = followers.map((id) => count(cluster, id));
       clock.runUntil(clock.now + MEASURED_MS);
@@ -145,9 +146,9 @@
 /** Returns the most changes that a node without a copy reads in a second. */
 function measureReads(nodes: number): number {
   const cluster = new DomainCluster({ seed: 1, nodes });
-  const { clock, nodeIds } = cluster;
+  const { clock } = cluster;
   clock.runUntil(SETTLED_MS);
-  const followers = nodeIds.filter((id) => !cluster.standbys.includes(id));
+  const { followers } = cluster;
   expect(followers.length).to.equal(nodes - cluster.standbys.length);
   const before = followers.map((id) => cluster.countReadChanges(id));
   clock.runUntil(clock.now + MEASURED_MS);
--- a/packages/prove/src/domain/domain_cluster.ts
+++ b/packages/prove/src/domain/domain_cluster.ts
@@ -78,6 +78,22 @@
   return JSON.stringify({ runMs, failures });
 }
 
+/** Jobs that are submitted at a constant rate. */
+export interface SteadyLoad {
+  readonly jobsPerS: number;
+  readonly forMs: number;
+  readonly spec: StagedJobSpec;
+  /** Nodes that get the jobs; all by default. */
+  readonly nodes?: readonly string[];
+  /** Called before each submission. */
+  readonly onSubmit?: (jobId: string) => void;
+}
+
+/** Returns the id of the job with a number. */
+export function jobIdOf(index: number): string {
+  return index.toString(16).padStart(16, "0");
+}
+
 /** Options of a simulated cluster of combined nodes. */
 export interface DomainClusterOptions {
   readonly seed: number;
@@ -181,6 +197,12 @@
     );
   }
 
+  /** The nodes that keep no copy of the records, or don't run. */
+  get followers(): readonly string[] {
+    const { standbys } = this;
+    return this.nodeIds.filter((id) => !standbys.includes(id));
+  }
+
   /** Number of jobs in the copy of the records that a node keeps. */
   countCopiedJobs(nodeId: string): number {
     return this.#read(nodeId, REPLICA).jobs.size;
@@ -282,6 +304,20 @@
     );
   }
 
+  /** Submits jobs at a constant rate from now on, through the nodes in turn. */
+  submitSteadily(
+    { jobsPerS, forMs, spec, nodes = this.nodeIds, onSubmit }: SteadyLoad,
+  ): void {
+    const jobs = Math.floor(jobsPerS * forMs / 1_000);
+    for (let index = 0; index < jobs; index++) {
+      this.clock.after(index * 1_000 / jobsPerS, () => {
+        const jobId = jobIdOf(index);
+        onSubmit?.(jobId);
+        this.submit(jobId, spec, nodes[index % nodes.length]!);
+      });
+    }
+  }
+
   cancel(jobId: string, nodeId: string): void {
     this.call(nodeId, FrontCallKind.Cancel, jobId, () => {
       this.clients.get(jobId)!.cancelledMs ??= this.clock.now;
--- a/packages/prove/src/domain/domain_link_test.ts
+++ b/packages/prove/src/domain/domain_link_test.ts
@@ -1,7 +1,7 @@
 import { NO_RESOURCES } from "@mustardweir/model";
 import { expect } from "chai";
-import { DomainCluster, stageSpec } from "./domain_cluster.ts";
-import { jobIdOf, WARM_UP_MS } from "./domain_scenarios.ts";
+import { DomainCluster, jobIdOf, stageSpec } from "./domain_cluster.ts";
+import { WARM_UP_MS } from "./domain_scenarios.ts";
 
 const JOBS = 6;
 const TASKS_PER_JOB = 20;
--- a/packages/prove/src/domain/domain_outage_test.ts
+++ b/packages/prove/src/domain/domain_outage_test.ts
@@ -3,10 +3,11 @@
 import {
   createTaskPayload,
   DomainCluster,
+  jobIdOf,
   stageSpec,
 } from "./domain_cluster.ts";
 import { findViolations } from "./domain_oracle.ts";
-import { jobIdOf, WARM_UP_MS } from "./domain_scenarios.ts";
+import { WARM_UP_MS } from "./domain_scenarios.ts";
 import type { DomainStore } from "./domain_store.ts";
 
 const OUTAGE_MS = 5_000;
@@ -85,17 +86,14 @@
       const { clock, store, nodeIds, clients } = cluster;
       clock.runUntil(WARM_UP_MS);
       begin(store, nodeIds);
-      const seconds = (OUTAGE_MS + 2 * RETURN_MS) / 1_000;
-      for (let index = 0; index < STORM_JOBS_PER_S * seconds; index++) {
-        clock.after(
-          index * 1_000 / STORM_JOBS_PER_S,
-          () =>
-            cluster.submit(jobIdOf(index), {
-              payload: createTaskPayload({ runMs: 300, failures: 0 }),
-              stages: [stageSpec({ tasks: 1 })],
-            }, nodeIds[index % nodeIds.length]!),
-        );
-      }
+      cluster.submitSteadily({
+        jobsPerS: STORM_JOBS_PER_S,
+        forMs: OUTAGE_MS + 2 * RETURN_MS,
+        spec: {
+          payload: createTaskPayload({ runMs: 300, failures: 0 }),
+          stages: [stageSpec({ tasks: 1 })],
+        },
+      });
       clock.runUntil(clock.now + DETECTION_MS);
       const before = store.calls;
       const measuredMs = OUTAGE_MS - DETECTION_MS;
--- a/packages/prove/src/domain/domain_overload_test.ts
+++ b/packages/prove/src/domain/domain_overload_test.ts
@@ -5,9 +5,10 @@
   createTaskPayload,
   DomainCluster,
   type DomainClusterOptions,
+  jobIdOf,
   stageSpec,
 } from "./domain_cluster.ts";
-import { jobIdOf, MANY_NODES, WARM_UP_MS } from "./domain_scenarios.ts";
+import { MANY_NODES, WARM_UP_MS } from "./domain_scenarios.ts";
 
 /** Run time of each of a job's three tasks, in milliseconds. */
 const RUN_MS = 500;
--- a/packages/prove/src/domain/domain_permits_test.ts
+++ b/packages/prove/src/domain/domain_permits_test.ts
@@ -6,7 +6,7 @@
   stageSpec,
 } from "./domain_cluster.ts";
 import { findViolations } from "./domain_oracle.ts";
-import { jobIdOf, WARM_UP_MS } from "./domain_scenarios.ts";
+import { WARM_UP_MS } from "./domain_scenarios.ts";
 
 const NODES = 6;
 const WORKERS = 60;
@@ -70,21 +70,21 @@
         workers: WORKERS,
         policy,
       });
-      const { clock, nodeIds, runs } = cluster;
+      const { clock, runs } = cluster;
       // The first starts wait until the workers' sessions are recorded.
       clock.runUntil(2 * WARM_UP_MS);
       setLinksDown(cluster, true);
       clock.after(linksDownMs, () => setLinksDown(cluster, false));
       const acceptedMs = new Map<string, number>();
-      for (let index = 0; index < jobsPerS * BURST_MS / 1_000; index++) {
-        clock.after(index * 1_000 / jobsPerS, () => {
-          acceptedMs.set(jobIdOf(index), clock.now);
-          cluster.submit(jobIdOf(index), {
-            payload: createTaskPayload({ runMs: RUN_MS, failures: 0 }),
-            stages: [stageSpec({ tasks: 2, estimateMs: RUN_MS })],
-          }, nodeIds[index % nodeIds.length]!);
-        });
-      }
+      cluster.submitSteadily({
+        jobsPerS,
+        forMs: BURST_MS,
+        spec: {
+          payload: createTaskPayload({ runMs: RUN_MS, failures: 0 }),
+          stages: [stageSpec({ tasks: 2, estimateMs: RUN_MS })],
+        },
+        onSubmit: (jobId) => acceptedMs.set(jobId, clock.now),
+      });
       clock.runUntil(clock.now + BURST_MS + 2 * RUN_MS);
       const waits = runs.map(({ task, startMs }) =>
         startMs - acceptedMs.get(task.split(".")[0]!)!
--- a/packages/prove/src/domain/domain_preemption_test.ts
+++ b/packages/prove/src/domain/domain_preemption_test.ts
@@ -2,11 +2,12 @@
 import {
   createTaskPayload,
   DomainCluster,
+  jobIdOf,
   NIGHTLY_PREFIX,
   stageSpec,
 } from "./domain_cluster.ts";
 import { findViolations } from "./domain_oracle.ts";
-import { jobIdOf, WARM_UP_MS } from "./domain_scenarios.ts";
+import { WARM_UP_MS } from "./domain_scenarios.ts";
 
 /** More jobs than all workers have room for. */
 const NIGHTLY_JOBS = 12;
--- a/packages/prove/src/domain/domain_recovery_test.ts
+++ b/packages/prove/src/domain/domain_recovery_test.ts
@@ -3,10 +3,11 @@
 import {
   createTaskPayload,
   DomainCluster,
+  jobIdOf,
   stageSpec,
 } from "./domain_cluster.ts";
 import { findViolations } from "./domain_oracle.ts";
-import { jobIdOf, runDomainScenario, WARM_UP_MS } from "./domain_scenarios.ts";
+import { runDomainScenario, WARM_UP_MS } from "./domain_scenarios.ts";
 
 const SEEDS = [1, 2, 3];
 /** Run time of tasks, so long that some jobs wait until after the fault. */
--- a/packages/prove/src/domain/domain_scenarios.ts
+++ b/packages/prove/src/domain/domain_scenarios.ts
@@ -3,6 +3,7 @@
 import {
   createTaskPayload,
   DomainCluster,
+  jobIdOf,
   stageSpec,
 } from "./domain_cluster.ts";
 import type { DomainWorker } from "./domain_worker.ts";
@@ -383,11 +384,6 @@
   cluster.clock.after(forMs, () => unreachableFrom.clear());
 }
 
-/** Returns the id of the job with this index. */
-export function jobIdOf(index: number): string {
-  return index.toString(16).padStart(16, "0");
-}
-
 /** Runs a scenario to its end; returns the cluster for the oracles. */
 export function runDomainScenario(
   scenario: DomainScenario,
--- a/packages/prove/src/domain/domain_scenarios_test.ts
+++ b/packages/prove/src/domain/domain_scenarios_test.ts
@@ -5,11 +5,11 @@
 import {
   createTaskPayload,
   DomainCluster,
+  jobIdOf,
   stageSpec,
 } from "./domain_cluster.ts";
 import {
   DOMAIN_SCENARIOS,
-  jobIdOf,
   JOBS,
   MANY_NODES,
   runDomainScenario,
--- a/packages/prove/src/domain/domain_slow_store_test.ts
+++ b/packages/prove/src/domain/domain_slow_store_test.ts
@@ -8,7 +8,7 @@
   stageSpec,
 } from "./domain_cluster.ts";
 import { findViolations } from "./domain_oracle.ts";
-import { jobIdOf, WARM_UP_MS } from "./domain_scenarios.ts";
+import { WARM_UP_MS } from "./domain_scenarios.ts";
 
 const WORKERS = 60;
 const RUN_MS = 250;
@@ -75,19 +75,16 @@
   const { clock, nodeIds, store } = cluster;
   clock.runUntil(WARM_UP_MS);
   store.faults.callMs = callMs;
-  // Jobs come through one node that doesn't own the domain.
-  const entry = nodeIds.find((id) => id !== cluster.owner)!;
-  const jobs = JOBS_PER_S * SLOW_MS / 1_000;
-  for (let index = 0; index < jobs; index++) {
-    clock.after(
-      index * 1_000 / JOBS_PER_S,
-      () =>
-        cluster.submit(jobIdOf(index), {
-          payload: createTaskPayload({ runMs: RUN_MS, failures: 0 }),
-          stages: [stageSpec({ tasks: TASKS_PER_JOB, estimateMs: RUN_MS })],
-        }, entry),
-    );
-  }
+  cluster.submitSteadily({
+    jobsPerS: JOBS_PER_S,
+    forMs: SLOW_MS,
+    spec: {
+      payload: createTaskPayload({ runMs: RUN_MS, failures: 0 }),
+      stages: [stageSpec({ tasks: TASKS_PER_JOB, estimateMs: RUN_MS })],
+    },
+    // The owner's commits are counted, without those of accepted jobs.
+    nodes: nodeIds.filter((id) => id !== cluster.owner),
+  });
   return cluster;
 }
 
--- a/packages/prove/src/domain/domain_status_test.ts
+++ b/packages/prove/src/domain/domain_status_test.ts
@@ -8,9 +8,10 @@
 import {
   createTaskPayload,
   DomainCluster,
+  jobIdOf,
   stageSpec,
 } from "./domain_cluster.ts";
-import { jobIdOf, MANY_NODES, WARM_UP_MS } from "./domain_scenarios.ts";
+import { MANY_NODES, WARM_UP_MS } from "./domain_scenarios.ts";
 
 const JOB = jobIdOf(1);
 const RUN_MS = 500;
@@ -78,14 +79,14 @@
   ) {
     it(`${name} after at most ${maxReads} reads`, () => {
       const cluster = new DomainCluster({ seed: 1, nodes: MANY_NODES });
-      const { clock, nodeIds, standbys } = cluster;
+      const { clock, nodeIds } = cluster;
       clock.runUntil(WARM_UP_MS);
-      const node = nodeIds.find((id) => !cluster.standbys.includes(id))!;
+      const [node = "", entry = ""] = cluster.followers;
       if (runMs !== undefined) {
         cluster.submit(JOB, {
           payload: createTaskPayload({ runMs, failures: 0 }),
           stages: [stageSpec({ estimateMs: runMs })],
-        }, nodeIds.find((id) => id !== node && !standbys.includes(id))!);
+        }, entry);
       }
       if (isCancelled) {
         clock.after(1_000, () => cluster.cancel(JOB, nodeIds[0]!));
--- a/packages/prove/src/domain/domain_upgrade_test.ts
+++ b/packages/prove/src/domain/domain_upgrade_test.ts
@@ -17,9 +17,10 @@
 import {
   createTaskPayload,
   DomainCluster,
+  jobIdOf,
   stageSpec,
 } from "./domain_cluster.ts";
-import { jobIdOf, MANY_NODES, WARM_UP_MS } from "./domain_scenarios.ts";
+import { MANY_NODES, WARM_UP_MS } from "./domain_scenarios.ts";
 
 const IGNORED = createCommand<never>("ignored");
 const TASKS = 3;
@@ -45,8 +46,8 @@
 
 /** Submits the job, then moves its record as if it had been accepted elsewhere. */
 function acceptIn(cluster: DomainCluster, parts: readonly string[]): void {
-  const { clock, store, nodeIds } = cluster;
-  const node = nodeIds.find((id) => !cluster.standbys.includes(id))!;
+  const { clock, store } = cluster;
+  const node = cluster.followers[0]!;
   cluster.submit(JOB, {
     payload: createTaskPayload({ runMs: 500, failures: 0 }),
     stages: [stageSpec({ tasks: TASKS })],
@@ -79,13 +80,13 @@
   for (const { name, parts } of CASES) {
     it(`${name} is known to all nodes, runs once and is removed`, () => {
       const cluster = new DomainCluster({ seed: 1, nodes: MANY_NODES });
-      const { clock, nodeIds, store, runs } = cluster;
+      const { clock, store, runs } = cluster;
       clock.runUntil(2 * WARM_UP_MS);
       acceptIn(cluster, parts);
       clock.runUntil(clock.now + 6);
       const answers: FrontAnswer[] = [];
-      const others = nodeIds.filter((id) => !cluster.standbys.includes(id));
-      for (const node of others) {
+      const { followers } = cluster;
+      for (const node of followers) {
         cluster.call(
           node,
           FrontCallKind.Status,
@@ -94,7 +95,7 @@
         );
       }
       clock.runUntil(clock.now + REMOVED_MS);
-      expect(answers).to.have.length(others.length);
+      expect(answers).to.have.length(followers.length);
       for (const answer of answers) {
         expect(answer.kind).to.equal(FrontAnswerKind.State);
       }
