Bound the search for a node for waiting queries; skip a node's earlier record

Found on reading the diff. The search compared every waiting query with every node after each reply, also when no node could take one. A node that was upgraded has a record in the part of the earlier version as well; a listing that returned it last would have named its earlier process. Change: a reply costs the nodes once for each query that is sent; the record with the lower store version is skipped.

--- a/packages/permits/src/queries.ts
+++ b/packages/permits/src/queries.ts
@@ -155,35 +155,30 @@
   const nodes = findUsableNodes(update);
   let longQueriesLeft = maxLongQueries(update, nodes.length) -
     [...permits.calls.values()].filter((call) => call.isLong).length;
+  let node = findLeastBusy(nodes);
   const left: PermitQuery[] = [];
   for (const query of permits.waiting.splice(0)) {
     const isLong = expectedMs(query) > LONG_QUERY_MS;
-    const node = isLong && longQueriesLeft <= 0
-      ? undefined
-      : findLeastBusy(nodes, isLong ? 1 : MAX_SHORT_QUERIES_PER_NODE);
-    if (node === undefined) {
+    const canSend = isLong
+      ? longQueriesLeft > 0 && node.inFlight === 0
+      : node.inFlight < MAX_SHORT_QUERIES_PER_NODE;
+    if (!canSend) {
       left.push(query);
       continue;
     }
     longQueriesLeft -= isLong ? 1 : 0;
     node.inFlight += isLong ? MAX_SHORT_QUERIES_PER_NODE : 1;
     sendQuery(update, query, { nodeId: node.nodeId, isLong });
+    node = findLeastBusy(nodes);
   }
   permits.waiting.push(...left);
 }
 
-/** Returns a node with the fewest queries in flight, and fewer than `limit`. */
-function findLeastBusy(
-  nodes: readonly UsableNode[],
-  limit: number,
-): UsableNode | undefined {
-  let least: UsableNode | undefined;
-  for (const node of nodes) {
-    if (node.inFlight < (least?.inFlight ?? limit)) {
-      least = node;
-    }
-  }
-  return least;
+/** Returns the first of the nodes with the fewest queries in flight. */
+function findLeastBusy(nodes: readonly UsableNode[]): UsableNode {
+  return nodes.reduce((least, node) =>
+    node.inFlight < least.inFlight ? node : least
+  );
 }
 
 /** Adds a query to those that wait, by rank and then by age. */
--- a/packages/replica/src/apply.ts
+++ b/packages/replica/src/apply.ts
@@ -258,17 +258,22 @@
   [RecordKind.Session]: (_update, { replica, name, value }) =>
     readFields<SessionRecord>(value, SESSION_FIELDS)
       .map((session) => replica.sessions.set(name, session)),
-  [RecordKind.Node]: (update, { name, value }) =>
+  [RecordKind.Node]: (update, { replica, name, record, value }) =>
     readFields<Pick<NodeRecord, keyof typeof NODE_FIELDS>>(
       value,
       NODE_FIELDS,
-    ).map((node: NodeRecord) =>
-      applyNode(update, {
-        ...node,
-        nodeId: name,
-        seenMs: seenAt(update, name, node.renewedMs),
-      })
-    ),
+    ).map((node: NodeRecord) => {
+      const { version } = record;
+      // A node that was upgraded left a record in another part.
+      if (version >= (replica.nodes.get(name)?.version ?? 0)) {
+        applyNode(update, {
+          ...node,
+          nodeId: name,
+          seenMs: seenAt(update, name, node.renewedMs),
+          version,
+        });
+      }
+    }),
   [RecordKind.Summary]: (update, { replica, value }) =>
     readSummary(value).map((summary) => {
       if (summary.epoch < (replica.summary?.epoch ?? 0)) {
--- a/packages/replica/src/apply_test.ts
+++ b/packages/replica/src/apply_test.ts
@@ -93,6 +93,28 @@
   rack: "r1",
 };
 
+it("a record of an upgraded node in its earlier part is not used", () => {
+  const kernel = new Kernel({ plugins: [new ReplicaPlugin()] });
+  const records = [
+    { part: "nodes-3", version: 9, incarnation: "new" },
+    { part: "nodes", version: 4, incarnation: "old" },
+  ];
+  for (const { part, version, incarnation } of records) {
+    const value = JSON.stringify({
+      address: "n1:1",
+      incarnation,
+      zone: "z",
+      unixOffsetMs: 0,
+    });
+    kernel.update(NOW_MS, (update) =>
+      applyChange(update, {
+        kind: ChangeKind.Record,
+        record: { part, key: `node/${NODE}`, version, value },
+      }));
+  }
+  expect(kernel.read(REPLICA).nodes.get(NODE)?.incarnation).to.equal("new");
+});
+
 interface RegistrationCase {
   readonly name: string;
   /** What the worker registers after {@link WORKER}. */
--- a/packages/replica/src/replica.ts
+++ b/packages/replica/src/replica.ts
@@ -46,6 +46,8 @@
   readonly nodeId: string;
   /** Time of the last renewal on this node's clock, in milliseconds. */
   readonly seenMs: number;
+  /** Store version of the record; absent if it was not read itself. */
+  readonly version?: number;
 }
 
 /** A worker whose registration was removed; it may still run tasks. */
