Start nothing once a successor may own the domain

Cause: an owner that can't confirm its tenure went on starting tasks for 4 s, while a successor may claim the domain after 1.2 s. The successor waits for workers only with tasks of jobs that it inherits; a job that was accepted after the claim it starts at once, though the old owner may have started it on a worker that has not heard of the successor yet. Weighed: that a successor waits with new jobs as well; they would wait after each loss of a node, where the old owner is dead. Change: placement stops when the last confirmation is 1.2 s old, as giving up leases does; renewals go on for 4 s. In an outage of the store tasks start for 1.2 s instead of 4 s.

--- a/packages/dispatch/src/placement_pass.ts
+++ b/packages/dispatch/src/placement_pass.ts
@@ -6,7 +6,8 @@
 } from "@mustardweir/model";
 import { stagePermits } from "@mustardweir/permits";
 import { REPLICA } from "@mustardweir/replica";
-import { mayGrantLeases, SESSIONS } from "@mustardweir/sessions";
+import { SESSIONS } from "@mustardweir/sessions";
+import { isSoleOwner } from "@mustardweir/tenure";
 import {
   DISPATCH_STATE,
   isOpen,
@@ -109,7 +110,9 @@
  */
 export function runPlacementPass(update: Update): void {
   const state = update.write(DISPATCH_STATE);
-  if (!state.isActive || !state.isDirty || !mayGrantLeases(update)) {
+  // A successor starts jobs that were accepted meanwhile without waiting for
+  // workers that this node may have started them on.
+  if (!state.isActive || !state.isDirty || !isSoleOwner(update)) {
     return;
   }
   state.isDirty = false;
--- a/packages/prove/src/domain/domain_store.ts
+++ b/packages/prove/src/domain/domain_store.ts
@@ -14,7 +14,7 @@
   SourceResultKind,
   type StoredRecord,
 } from "@mustardweir/protocol";
-import { sourceOfKey } from "@mustardweir/replica";
+import { DOMAIN_PART, sourceOfKey } from "@mustardweir/replica";
 import type { VirtualClock } from "../simulation/virtual_clock.ts";
 
 const PAGE_RECORDS = 40;
@@ -29,6 +29,8 @@
   readonly refused: Set<string>;
   /** Nodes whose calls are lost. */
   readonly silent: Set<string>;
+  /** Nodes that neither commit to the part of the domain nor read records. */
+  readonly cutFromDomain: Set<string>;
   /** Fraction of the commits that take effect but get no reply. */
   lostShare: number;
   /** Extra delay of commits without a reply, in milliseconds. */
@@ -50,6 +52,7 @@
   readonly faults: DomainStoreFaults = {
     refused: new Set(),
     silent: new Set(),
+    cutFromDomain: new Set(),
     lostShare: 0,
     lateMs: 0,
     callMs: 4,
@@ -128,7 +131,9 @@
   ): void {
     const { faults } = this;
     this.calls++;
-    if (faults.silent.has(node)) {
+    const isLostCommit = faults.cutFromDomain.has(node) &&
+      transaction.puts.some(({ part }) => part === DOMAIN_PART);
+    if (faults.silent.has(node) || isLostCommit) {
       this.#clock.after(timeoutMs, () => answer(UNKNOWN));
       return;
     }
@@ -203,6 +208,13 @@
     answer: (result: SourceResult) => void,
   ): void {
     this.calls++;
+    if (source === Source.Records && this.faults.cutFromDomain.has(node)) {
+      this.#clock.after(
+        timeoutMs,
+        () => answer({ kind: SourceResultKind.Unavailable, reason: "fault" }),
+      );
+      return;
+    }
     if (afterVersion < this.#compactedVersion) {
       this.#respond(
         node,
--- a/packages/sessions/src/leases.ts
+++ b/packages/sessions/src/leases.ts
@@ -23,7 +23,7 @@
   EXPIRY_MARGIN_MS;
 
 /**
- * Returns whether this node may grant leases, by renewals or by starts. A
+ * Returns whether this node may renew leases. A
  * successor that can't reach a worker waits for the leases that were granted up
  * to {@link MAX_UNCONFIRMED_MS} after the last confirmation, and no longer.
  */
--- a/packages/sessions/src/mod.ts
+++ b/packages/sessions/src/mod.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-export { LEASE_MS, mayGrantLeases } from "./leases.ts";
+export { LEASE_MS } from "./leases.ts";
 export {
   OWNER_FENCED,
   startAttempt,
