Judge who is to keep a copy only by records that were read lately

Change: without a recent summary a node judges only once its own record, and with it those of the others, has been read again. Measured: 220 tests of the domain and the tenure pass; the new case of standbys that can't publish passes on the code before as well, so it doesn't show the fault.

--- a/packages/prove/src/domain/domain_standby_test.ts
+++ b/packages/prove/src/domain/domain_standby_test.ts
@@ -54,6 +54,19 @@
     maxCopies: COPIES,
     onlyStrong: true,
   },
+  {
+    name: "no standby can publish a summary for a while",
+    profileOf: (index) => ({
+      cores: strong(index) ? STRONG_CORES : WEAK_CORES,
+    }),
+    injectFault: ({ store: { faults }, clock }) => {
+      STRONG_IDS.forEach((id) => faults.cutFromDomain.add(id));
+      clock.after(SETTLED_MS - 1_000, () => faults.cutFromDomain.clear());
+    },
+    afterMs: SETTLED_MS,
+    maxCopies: COPIES,
+    onlyStrong: true,
+  },
   {
     name: "all standbys stay down",
     profileOf: (index) => ({
--- a/packages/tenure/src/standby.ts
+++ b/packages/tenure/src/standby.ts
@@ -9,6 +9,7 @@
 } from "@mustardweir/replica";
 import {
   connectNodes,
+  isLive,
   liveNodes,
   liveStandbys,
   registerNode,
@@ -86,9 +87,8 @@
     const keptCopy = summary.standbys?.some((node) => node.nodeId === nodeId);
     return keptCopy === true || summary.appointed?.includes(nodeId) === true;
   }
-  if (
-    update.read(REPLICA).summary === undefined && !hasWaited(update, nodeId)
-  ) {
+  const isFirstStart = update.read(REPLICA).summary === undefined;
+  if (!followsNodes(update, nodeId) || (isFirstStart && !hasWaited(update))) {
     return false;
   }
   const others = liveNodes(update).filter((node) => node.nodeId !== nodeId);
@@ -96,12 +96,19 @@
     .some((node) => node.nodeId === nodeId);
 }
 
-/** Returns whether the node's own record was read some time ago. */
-function hasWaited(update: Update, nodeId: string): boolean {
+/**
+ * Returns whether this node has read its own record lately, and so the records
+ * of the others: those that it kept while it read summaries only are too old to
+ * tell who is live.
+ */
+function followsNodes(update: Update, nodeId: string): boolean {
   const { incarnation } = update.service(NODE_IDENTITY);
   const own = update.read(REPLICA).nodes.get(nodeId);
-  return own?.incarnation === incarnation &&
-    update.now - update.read(TENURE).startedMs >= FIRST_START_WAIT_MS;
+  return own?.incarnation === incarnation && isLive(update, own);
+}
+
+function hasWaited(update: Update): boolean {
+  return update.now - update.read(TENURE).startedMs >= FIRST_START_WAIT_MS;
 }
 
 function ownNode(update: Update): KnownNode {
