--- a/packages/runtime/src/http_limits.ts
+++ b/packages/runtime/src/http_limits.ts
@@ -26,6 +26,8 @@
   readonly requestTimeoutMs?: number;
   /** Maximum number of connections; 10000 by default. */
   readonly maxConnections?: number;
+  /** Time after which idle connections are closed; 65 s by default. */
+  readonly idleTimeoutMs?: number;
 }
 
 /**
@@ -41,12 +43,13 @@
   const {
     headersTimeoutMs = HEADERS_TIMEOUT_MS,
     requestTimeoutMs = REQUEST_TIMEOUT_MS,
+    idleTimeoutMs = KEEP_ALIVE_MS,
   } = limits;
   return {
     maxHeaderSize: MAX_HEADER_BYTES,
     headersTimeout: headersTimeoutMs,
     requestTimeout: requestTimeoutMs,
-    keepAliveTimeout: KEEP_ALIVE_MS,
+    keepAliveTimeout: idleTimeoutMs,
     connectionsCheckingInterval: Math.min(headersTimeoutMs, 1_000),
   };
 }
