Close an idle connection only after reading what has arrived on it

What callers saw: a call on a connection that had been idle got no answer, the connection was reset.

Cause: the runtime's keep-alive timeout (15 s for the front of the combined node, and 1 s that Node adds) destroys the socket in a timer, and timers run before arrived data is read. A process that was suspended, or whose loop was busy, drops each request that came meanwhile; and a timeout this short ends while callers still use their connections.

Change: the shared limits of HTTP servers close idle connections themselves, after the turn of the loop that reads what has arrived, and never under a call that is being answered. The entries and the admin listener get the same change.

--- a/packages/runtime/src/http_limits.ts
+++ b/packages/runtime/src/http_limits.ts
@@ -1,4 +1,5 @@
-import type { Server } from "node:http";
+import type { Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 
 /** Maximum size of the headers of a request, in bytes. */
 export const MAX_HEADER_BYTES = 16 * 1024;
@@ -16,7 +17,7 @@
  * Time for which idle connections stay open, in milliseconds; longer than load
  * balancers usually keep them.
  */
-const KEEP_ALIVE_MS = 65_000;
+const IDLE_TIMEOUT_MS = 65_000;
 
 /** Limits that protect an HTTP server from slow and too many clients. */
 export interface HttpLimits {
@@ -43,19 +44,20 @@
   const {
     headersTimeoutMs = HEADERS_TIMEOUT_MS,
     requestTimeoutMs = REQUEST_TIMEOUT_MS,
-    idleTimeoutMs = KEEP_ALIVE_MS,
   } = limits;
   return {
     maxHeaderSize: MAX_HEADER_BYTES,
     headersTimeout: headersTimeoutMs,
     requestTimeout: requestTimeoutMs,
-    keepAliveTimeout: idleTimeoutMs,
+    // Replaced by the idle timeout of {@link limitServer}.
+    keepAliveTimeout: 0,
     connectionsCheckingInterval: Math.min(headersTimeoutMs, 1_000),
   };
 }
 
 /**
- * Sets the limits that are properties of a server, not options.
+ * Sets the limits that are properties of a server, not options, and closes
+ * connections that stay idle.
  *
  * @example
  * ```ts
@@ -65,4 +67,31 @@
 export function limitServer(server: Server, limits: HttpLimits = {}): void {
   server.maxHeadersCount = MAX_HEADERS;
   server.maxConnections = limits.maxConnections ?? MAX_CONNECTIONS;
+  closeWhenIdle(server, limits.idleTimeoutMs ?? IDLE_TIMEOUT_MS);
+}
+
+/**
+ * Closes connections without a request for `idleMs`. The keep-alive timeout of
+ * the runtime also drops a request that arrived during a pause of the process,
+ * because timers run before the data is read.
+ */
+function closeWhenIdle(server: Server, idleMs: number): void {
+  const openResponses = new WeakMap<Socket, number>();
+  const addResponses = (socket: Socket, added: number) =>
+    openResponses.set(socket, (openResponses.get(socket) ?? 0) + added);
+  server.on("request", ({ socket }, res: ServerResponse) => {
+    addResponses(socket, 1);
+    res.once("close", () => addResponses(socket, -1));
+  });
+  server.timeout = idleMs;
+  server.on("timeout", (socket: Socket) => {
+    const { bytesRead } = socket;
+    // Data that has arrived is read before this runs.
+    setImmediate(() => {
+      const isIdle = (openResponses.get(socket) ?? 0) === 0;
+      if (isIdle && socket.bytesRead === bytesRead) {
+        socket.destroy();
+      }
+    });
+  });
 }
