Log queries that are answered late or without a state

The logs couldn't tell whether a job wasn't known to the node that was asked, its state couldn't be read in time, or the answer came late: a query left a line only if it was given up, without the record that it waited for. Change: a line for each query that takes a second or more or ends without a state, with the job, the answer, the time, the record read last, the number of reads, the way to the store and the age of the store's last reply. At most ten lines in 10 s, with the number of those left out, since any caller may ask for unknown jobs. The other texts stay.

--- a/packages/intake/src/intake_plugin.ts
+++ b/packages/intake/src/intake_plugin.ts
@@ -91,6 +91,7 @@
         waitingCounts: {},
         countedMs: -Infinity,
         stopRequestedMs: Infinity,
+        report: { sinceMs: -Infinity, lines: 0, omitted: 0 },
       }),
       kernel.registerCommand(
         FRONT_CALL_RECEIVED,
@@ -322,6 +323,8 @@
     isUncertain: false,
     overload: undefined,
     state: undefined,
+    lastRead: undefined,
+    reads: 0,
     resumeMs: 0,
   };
   update.write(INTAKE).calls.set(options.callId, call);
--- a/packages/intake/src/intake_state.ts
+++ b/packages/intake/src/intake_state.ts
@@ -5,6 +5,7 @@
   Resources,
   StagedJobState,
 } from "@mustardweir/model";
+import type { RecordKind } from "@mustardweir/replica";
 import type { Overload } from "./admission_policy.ts";
 
 /** Step of a call: what it waits for. */
@@ -59,9 +60,23 @@
   overload: Overload | undefined;
   /** State in the job's progress record; undefined until that was read. */
   state: StagedJobState | undefined;
+  /** Kind of the record that was read last; undefined before the first read. */
+  lastRead: RecordKind | undefined;
+  /** Number of records read so far. */
+  reads: number;
   resumeMs: number;
 }
 
+/** Bounds the log lines about queries. */
+export interface QueryReport {
+  /** Start of the current window, in milliseconds. */
+  sinceMs: number;
+  /** Lines in the current window. */
+  lines: number;
+  /** Queries left out since the last line. */
+  omitted: number;
+}
+
 /** State of the intake plug-in. */
 export interface Intake {
   readonly calls: Map<string, PendingCall>;
@@ -75,6 +90,7 @@
    * before.
    */
   stopRequestedMs: number;
+  readonly report: QueryReport;
 }
 
 /** State of the intake plug-in. */
--- a/packages/intake/src/submissions.ts
+++ b/packages/intake/src/submissions.ts
@@ -45,6 +45,7 @@
   INTAKE,
   type PendingCall,
 } from "./intake_state.ts";
+import { reportQuery } from "./query_report.ts";
 
 /**
  * Time within which every call is answered, below the callers' timeout of 3 s,
@@ -163,6 +164,8 @@
   { kind, step }: { readonly kind: RecordKind; readonly step: CallStep },
 ): void {
   call.step = step;
+  call.lastRead = kind;
+  call.reads++;
   const { part, key } = recordKey(kind, call.jobId);
   callStore(update, {
     kind: EffectKind.ReadSource,
@@ -339,7 +342,12 @@
   callId: string,
   answered: FrontAnswer,
 ): void {
-  update.write(INTAKE).calls.delete(callId);
+  const { calls } = update.write(INTAKE);
+  const call = calls.get(callId);
+  if (call !== undefined) {
+    reportQuery(update, call, answered);
+  }
+  calls.delete(callId);
   update.emit(count(`front-${answered.kind}`));
   update.emit(nodeEffect({
     kind: EffectKind.AnswerFront,
--- a/packages/prove/src/domain/domain_cluster.ts
+++ b/packages/prove/src/domain/domain_cluster.ts
@@ -15,6 +15,7 @@
   FRONT_CALL_RECEIVED,
   type FrontAnswer,
   FrontCallKind,
+  type LogChangeEffect,
   type NodeEffect,
   PEER_MESSAGE_RECEIVED,
   PermitResultKind,
@@ -112,6 +113,8 @@
   readonly policy?: PolicyTiming;
   /** Returns what differs between the nodes, by their index. */
   readonly profileOf?: (index: number) => NodeProfile;
+  /** Called with each line that a node logs. */
+  readonly onLog?: (line: LogChangeEffect, nodeId: string) => void;
 }
 
 /** Durations of permit queries, in milliseconds. */
@@ -458,6 +461,9 @@
         }
         break;
       }
+      case EffectKind.LogChange:
+        this.#options.onLog?.(effect, from);
+        break;
       case EffectKind.AnswerFront:
         if (node.state === ProcessState.Running) {
           this.#calls.get(effect.callId)?.(effect.answer);
