Test that every node tells the state of every job in time

Power: cases fail if a query for a job that the copy lacks gets no answer, a failed read isn't repeated through a peer, a paused query isn't resumed, the expiry of a relayed call isn't noticed, or a job without progress counts as not known.

--- a/packages/prove/src/domain/domain_cluster.ts
+++ b/packages/prove/src/domain/domain_cluster.ts
@@ -206,6 +206,14 @@
     return this.nodeIds.filter((id) => !standbys.includes(id));
   }
 
+  /** The incarnation of a node's process; undefined unless it runs. */
+  processOf(nodeId: string): string | undefined {
+    const node = this.#nodes.get(nodeId);
+    return node?.state === ProcessState.Running
+      ? node.identity.incarnation
+      : undefined;
+  }
+
   /** Number of jobs in the copy of the records that a node keeps. */
   countCopiedJobs(nodeId: string): number {
     return this.#read(nodeId, REPLICA).jobs.size;
--- a/packages/prove/src/domain/domain_store.ts
+++ b/packages/prove/src/domain/domain_store.ts
@@ -39,6 +39,8 @@
   callMs: number;
   /** Fraction of the reads and follows that fail. */
   failedReadShare: number;
+  /** Fraction of the reads and follows that get no reply. */
+  lostReadShare: number;
 }
 
 interface HistoryEntry {
@@ -57,6 +59,7 @@
     lateMs: 0,
     callMs: 4,
     failedReadShare: 0,
+    lostReadShare: 0,
   };
   /** Number of calls so far, those that are refused or lost included. */
   calls = 0;
@@ -257,8 +260,10 @@
     answer: (result: SourceResult) => void,
     read: () => SourceResult,
   ): void {
-    const { refused, silent, callMs, failedReadShare } = this.faults;
-    const isTimedOut = silent.has(node) || callMs > timeoutMs;
+    const { refused, silent, callMs, failedReadShare, lostReadShare } =
+      this.faults;
+    const isTimedOut = silent.has(node) || callMs > timeoutMs ||
+      (lostReadShare > 0 && this.#random.fraction() < lostReadShare);
     const isFailed = refused.has(node) ||
       (failedReadShare > 0 && this.#random.fraction() < failedReadShare);
     if (isTimedOut || isFailed) {
