--- a/packages/prove/src/domain/domain_cluster.ts
+++ b/packages/prove/src/domain/domain_cluster.ts
@@ -15,6 +15,7 @@
   FRONT_CALL_RECEIVED,
   type FrontAnswer,
   FrontCallKind,
+  type LogChangeEffect,
   type NodeEffect,
   PEER_MESSAGE_RECEIVED,
   PermitResultKind,
@@ -112,6 +113,8 @@
   readonly policy?: PolicyTiming;
   /** Returns what differs between the nodes, by their index. */
   readonly profileOf?: (index: number) => NodeProfile;
+  /** Called with each line that a node logs. */
+  readonly onLog?: (line: LogChangeEffect, nodeId: string) => void;
 }
 
 /** Durations of permit queries, in milliseconds. */
@@ -203,6 +206,14 @@
     return this.nodeIds.filter((id) => !standbys.includes(id));
   }
 
+  /** The incarnation of a node's process; undefined unless it runs. */
+  processOf(nodeId: string): string | undefined {
+    const node = this.#nodes.get(nodeId);
+    return node?.state === ProcessState.Running
+      ? node.identity.incarnation
+      : undefined;
+  }
+
   /** Number of jobs in the copy of the records that a node keeps. */
   countCopiedJobs(nodeId: string): number {
     return this.#read(nodeId, REPLICA).jobs.size;
@@ -458,6 +469,9 @@
         }
         break;
       }
+      case EffectKind.LogChange:
+        this.#options.onLog?.(effect, from);
+        break;
       case EffectKind.AnswerFront:
         if (node.state === ProcessState.Running) {
           this.#calls.get(effect.callId)?.(effect.answer);
