End a placement pass whatever the teams' shares are

A worker that registers 1e308 of a resource, twice, makes the owner's process hang: it answers no call and renews no lease until it is killed, and its successor hangs in the same way.

The sum of the capacities overflows to Infinity, and the use of a team whose tasks ask for as much too; the share is Infinity / Infinity = NaN. No comparison holds for NaN, so PlacementPass.#teamWithLowestUsage returned "", a team without an entry, and #placeRank, which ends once each team was skipped, skipped none. A share of Infinity did the same.

Now the first team is chosen if no share compares, so that each round of the loop examines a stage of a team that is left, or skips that team.

--- a/packages/dispatch/src/placement_pass.ts
+++ b/packages/dispatch/src/placement_pass.ts
@@ -197,16 +197,17 @@
   }
 
   #teamWithLowestUsage(teams: Iterable<string>): string {
-    let lowest = "";
+    let lowest: string | undefined;
     let lowestShare = Infinity;
     for (const team of teams) {
       const share = this.#shareOf(team);
-      if (share < lowestShare) {
+      // NaN is less than no share; the pass ends only if a team is chosen.
+      if (lowest === undefined || share < lowestShare) {
         lowest = team;
-        lowestShare = share;
+        lowestShare = Number.isFinite(share) ? share : Infinity;
       }
     }
-    return lowest;
+    return lowest ?? "";
   }
 
   #shareOf(team: string): number {
