Go on if a node is listed at an address that is no URL

One odd record among those of the nodes (or one odd standby in the owner's summary), with a port out of range or an address that is no host:port, ended the process of every node that dials: "TypeError: Invalid URL", exit, start, the list again, exit. The nodes are LOST one after the other until somebody removes the record.

Dialer.#runLink builds an Http2SessionManager, which throws for a base URL that can't be parsed. The promise of Dialer.run was rejected, nobody waits for it, and an unhandled rejection ends the process (run_node.ts).

The dialer now skips a try at such an address and goes on with its back-off; the other peers are linked as before.

--- a/packages/wire/src/dialer.ts
+++ b/packages/wire/src/dialer.ts
@@ -69,6 +69,10 @@
   async #runLink(): Promise<void> {
     const { scheme, options } = this.#connectionOptions();
     const baseUrl = `${scheme}://${this.peer.address}`;
+    // The address, which comes from a list, may be malformed.
+    if (!URL.canParse(baseUrl)) {
+      return;
+    }
     const sessionManager = new Http2SessionManager(baseUrl, {}, options);
     const transport = createConnectTransport({
       httpVersion: "2",
--- a/packages/wire/src/link_performer_test.ts
+++ b/packages/wire/src/link_performer_test.ts
@@ -1,5 +1,5 @@
 import { Role } from "@mustardweir/kernel";
-import { ALL_PEERS } from "@mustardweir/protocol";
+import { ALL_PEERS, EffectKind } from "@mustardweir/protocol";
 import { expect } from "chai";
 import {
   createRange,
@@ -42,6 +42,19 @@
   }
 }
 
+/** Addresses that another writer may have put into the list of the nodes. */
+const ODD_ADDRESSES = [
+  "127.0.0.1:0",
+  "127.0.0.1:65536",
+  "127.0.0.1:99999",
+  "a/b:80",
+  "h\u0000:80",
+  "h%:80",
+  "no port",
+  "",
+];
+const ODD_DIALS_MS = 150;
+
 interface LinkCase {
   readonly name: string;
   readonly run: (harness: TestHarness) => Promise<void>;
@@ -227,3 +240,27 @@
     });
   }
 });
+
+describe("LinkPerformer links the other peers and rejects nothing", () => {
+  for (const address of ODD_ADDRESSES) {
+    it(`if one is listed at ${JSON.stringify(address)}`, async () => {
+      const rejections: unknown[] = [];
+      const onRejection = (reason: unknown) => rejections.push(reason);
+      process.on("unhandledRejection", onRejection);
+      const harness = new TestHarness();
+      const [a, b] = await harness.schedulers();
+      const peers = [
+        { nodeId: "odd", address },
+        { nodeId: "b", address: `127.0.0.1:${b.links.port}` },
+      ];
+      a.links.perform({ kind: EffectKind.ConnectPeers, peers }, a);
+      await waitUntil("linked", () => a.links.livePeers.includes("b"));
+      // The odd one is dialled more than once in this time.
+      await new Promise((resolve) => setTimeout(resolve, ODD_DIALS_MS));
+      process.off("unhandledRejection", onRejection);
+      expect(rejections).to.deep.equal([]);
+      expect(a.links.livePeers).to.deep.equal(["b"]);
+      await harness.close();
+    });
+  }
+});
