Use no worker whose entry can't be read any more

A worker whose row is overwritten by another writer stayed in use on the nodes that follow changes, with its last readable entry, and left use on those that listed the workers anew: after a takeover the owner had another set of workers than its predecessor.

removeUnlisted drops such a worker at a listing; applyChange for ChangeKind.Unreadable only counted and logged.

Evidence: the new case "is not used if its entry can't be read any more" of apply_test.ts failed before with "expected true to equal false".

applyChanges, which knows the source, now lets the worker depart. It gets nothing new; as for one whose row was removed, what runs there keeps its lease as long as it answers. The removal of a worker that isn't known tells nobody, so that a rewrite of the odd row every 1.5 s wakes no plug-in.

--- a/packages/replica/src/apply.ts
+++ b/packages/replica/src/apply.ts
@@ -5,6 +5,7 @@
   count,
   type DurableProgress,
   logChange,
+  Source,
   type SourceChange,
   type StoredRecord,
 } from "@mustardweir/protocol";
@@ -40,6 +41,23 @@
 /** Longest time for which nodes that stop together stay down, in ms. */
 const MAX_RESTART_MS = 30_000;
 
+/**
+ * Applies changes of a source in their order. An entry that can't be read names
+ * no worker to use, even if it did before.
+ */
+export function applyChanges(
+  update: Update,
+  source: Source,
+  changes: readonly SourceChange[],
+): void {
+  for (const change of changes) {
+    applyChange(update, change);
+    if (source === Source.Workers && change.kind === ChangeKind.Unreadable) {
+      applyWorker(update, change.key, undefined);
+    }
+  }
+}
+
 /** Applies one change of a source to the replica and dispatches its events. */
 export function applyChange(update: Update, change: SourceChange): void {
   const replica = update.write(REPLICA);
@@ -170,11 +188,12 @@
   const replica = update.write(REPLICA);
   const known = replica.workers.get(id);
   if (worker === undefined) {
-    if (known !== undefined) {
-      replica.workers.delete(id);
-      replica.departed.set(id, { info: known, departedMs: update.now });
-      update.emit(logChange("Worker left", { worker: id }));
+    if (known === undefined) {
+      return;
     }
+    replica.workers.delete(id);
+    replica.departed.set(id, { info: known, departedMs: update.now });
+    update.emit(logChange("Worker left", { worker: id }));
   } else if (known !== undefined && isSameWorker(known, worker)) {
     // Workers renew their registration every second or two.
     return;
--- a/packages/replica/src/apply_test.ts
+++ b/packages/replica/src/apply_test.ts
@@ -1,8 +1,8 @@
 import { CommandPriority, Kernel } from "@mustardweir/kernel";
 import { NO_RESOURCES, type WorkerInfo, WorkerState } from "@mustardweir/model";
-import { ChangeKind } from "@mustardweir/protocol";
+import { ChangeKind, Source, type SourceChange } from "@mustardweir/protocol";
 import { expect } from "chai";
-import { applyChange } from "./apply.ts";
+import { applyChange, applyChanges } from "./apply.ts";
 import { recordKey, RecordKind } from "./record_keys.ts";
 import { REPLICA, WORKER_CHANGED } from "./replica.ts";
 import { ReplicaPlugin } from "./replica_plugin.ts";
@@ -172,3 +172,64 @@
     });
   }
 });
+
+const READABLE: SourceChange = {
+  kind: ChangeKind.Worker,
+  id: WORKER.id,
+  worker: WORKER,
+};
+
+function unreadable(key: string, reason = "odd"): SourceChange {
+  return { kind: ChangeKind.Unreadable, key, reason };
+}
+
+interface UnreadableCase {
+  readonly name: string;
+  readonly source: Source;
+  readonly changes: readonly SourceChange[];
+  /** Whether the worker is in use after the changes. */
+  readonly isUsed: boolean;
+}
+
+const UNREADABLE_CASES: readonly UnreadableCase[] = [
+  {
+    name: "is not used if its entry can't be read any more",
+    source: Source.Workers,
+    changes: [READABLE, unreadable(WORKER.id)],
+    isUsed: false,
+  },
+  {
+    name: "is used again once its entry can be read",
+    source: Source.Workers,
+    changes: [READABLE, unreadable(WORKER.id), READABLE],
+    isUsed: true,
+  },
+  {
+    name: "is used if the entry of another worker can't be read",
+    source: Source.Workers,
+    changes: [READABLE, unreadable("w2")],
+    isUsed: true,
+  },
+  {
+    name: "is used if the operator's row of that name can't be read",
+    source: Source.Operator,
+    changes: [READABLE, unreadable(WORKER.id)],
+    isUsed: true,
+  },
+];
+
+describe("a worker", () => {
+  for (const { name, source, changes, isUsed } of UNREADABLE_CASES) {
+    it(name, () => {
+      const kernel = new Kernel({ plugins: [new ReplicaPlugin()] });
+      kernel.update(
+        NOW_MS,
+        (update) => applyChanges(update, source, changes),
+      );
+      const { workers, departed } = kernel.read(REPLICA);
+      expect(workers.has(WORKER.id)).to.equal(isUsed);
+      // Its tasks are still looked after.
+      expect(departed.has(WORKER.id)).to.equal(!isUsed);
+    });
+  }
+});
--- a/packages/replica/src/replica_plugin.ts
+++ b/packages/replica/src/replica_plugin.ts
@@ -24,7 +24,7 @@
   SourceResultKind,
 } from "@mustardweir/protocol";
 import { callStore } from "@mustardweir/store-route";
-import { applyChange, applyProgress } from "./apply.ts";
+import { applyChanges, applyProgress } from "./apply.ts";
 import { SOURCE_PARTS, SUMMARY_KEY } from "./record_keys.ts";
 import {
   FOLLOWER_INTERVAL_MS,
@@ -344,9 +344,7 @@
       if (asked.phase === Phase.Following) {
         view.version = Math.max(view.version, result.version);
       }
-      for (const change of result.changes) {
-        applyChange(update, change);
-      }
+      applyChanges(update, source, result.changes);
       if (progress.nextMs <= update.now) {
         this.#follow(update, source, progress);
       }
@@ -387,9 +385,7 @@
       tookMs: Math.round(update.now - progress.startedMs),
     }));
     removeUnlisted(update, source, progress.listed);
-    for (const change of progress.listed) {
-      applyChange(update, change);
-    }
+    applyChanges(update, source, progress.listed);
     progress.listed = [];
     this.#call(update, source, progress);
   }
