Log an entry that can't be read once, in a short line

Another writer renews its odd row every 1.5 s, and every node that follows the list wrote a line for each renewal: 40 lines a minute, node and row. For a record of the system the line held all issues of the value: 819,259 characters for a progress record with 4,000 odd marks.

reportUnreadable logged each read, and record_keys.ts passed on the whole message of the schema's error, which also contains keys of the value.

UnreadableLog admits an entry once in ten minutes and ten lines in ten seconds in all, so that it holds at most 600 keys. The counter "unreadable-entries" still counts each read. The reason names the first field in question and is cut at 200 characters.

--- a/packages/replica/src/apply.ts
+++ b/packages/replica/src/apply.ts
@@ -40,6 +40,11 @@
 
 /** Longest time for which nodes that stop together stay down, in ms. */
 const MAX_RESTART_MS = 30_000;
+/**
+ * Maximum length of the reason in a log line, in characters; it may name keys of
+ * the value.
+ */
+const MAX_REASON_LENGTH = 200;
 
 /**
  * Applies changes of a source in their order. An entry that can't be read names
@@ -388,5 +393,10 @@
 
 function reportUnreadable(update: Update, key: string, reason: string): void {
   update.emit(count("unreadable-entries"));
-  update.emit(logChange("Entry can't be read", { key, reason }));
+  if (update.write(REPLICA).unreadable.admit(key, update.now)) {
+    update.emit(logChange("Entry can't be read", {
+      key,
+      reason: reason.slice(0, MAX_REASON_LENGTH),
+    }));
+  }
 }
--- a/packages/replica/src/apply_test.ts
+++ b/packages/replica/src/apply_test.ts
@@ -1,6 +1,12 @@
 import { CommandPriority, Kernel } from "@mustardweir/kernel";
 import { NO_RESOURCES, type WorkerInfo, WorkerState } from "@mustardweir/model";
-import { ChangeKind, Source, type SourceChange } from "@mustardweir/protocol";
+import {
+  ChangeKind,
+  EffectKind,
+  type NodeEffect,
+  Source,
+  type SourceChange,
+} from "@mustardweir/protocol";
 import { expect } from "chai";
 import { applyChange, applyChanges } from "./apply.ts";
 import { recordKey, RecordKind } from "./record_keys.ts";
@@ -233,3 +239,109 @@
     });
   }
 });
+
+interface LogCase {
+  readonly name: string;
+  /** Changes that are read in each round. */
+  readonly changes: readonly SourceChange[];
+  readonly rounds: number;
+  readonly intervalMs: number;
+  readonly lines: number;
+}
+
+const LOG_CASES: readonly LogCase[] = [
+  {
+    name: "an entry that its writer renews for minutes is logged once",
+    changes: [unreadable("w1")],
+    rounds: 200,
+    intervalMs: 1_500,
+    lines: 1,
+  },
+  {
+    name: "an entry that stays for an hour is logged every ten minutes",
+    changes: [unreadable("w1")],
+    rounds: 60,
+    intervalMs: 60_000,
+    lines: 6,
+  },
+  {
+    name: "a record that its writer renews for minutes is logged once",
+    changes: [{
+      kind: ChangeKind.Record,
+      record: { part: "p", key: "session/w1", version: 1, value: "{" },
+    }],
+    rounds: 200,
+    intervalMs: 1_500,
+    lines: 1,
+  },
+  {
+    name: "many entries at once are logged at a bounded rate",
+    changes: Array.from({ length: 500 }, (_, index) => unreadable(`w${index}`)),
+    rounds: 20,
+    intervalMs: 1_500,
+    lines: 30,
+  },
+];
+
+/** Maximum length of the reason in a log line, in characters. */
+const MAX_REASON_LENGTH = 200;
+
+function loggedIn(effects: readonly unknown[]) {
+  return (effects as readonly NodeEffect[]).filter((effect) =>
+    effect.kind === EffectKind.LogChange
+  );
+}
+
+describe("entries that can't be read:", () => {
+  for (const { name, changes, rounds, intervalMs, lines } of LOG_CASES) {
+    it(name, () => {
+      const kernel = new Kernel({ plugins: [new ReplicaPlugin()] });
+      let logged = 0;
+      let counted = 0;
+      for (let round = 0; round < rounds; round++) {
+        const effects = kernel.update(
+          round * intervalMs,
+          (update) => applyChanges(update, Source.Workers, changes),
+        );
+        logged += loggedIn(effects).length;
+        counted += effects.length - loggedIn(effects).length;
+      }
+      expect(logged).to.equal(lines);
+      expect(counted).to.equal(rounds * changes.length);
+    });
+  }
+
+  const odd = Object.fromEntries(
+    Array.from({ length: 2_000 }, (_, index) => [`k${index}`, index]),
+  );
+  const oddKey = { ["k".repeat(50_000)]: "x" };
+  const longValues = [
+    {
+      key: "progress/j1",
+      value: { state: "odd", marks: odd, checkpoints: {} },
+    },
+    {
+      key: "summary/owner",
+      value: { nodeId: "n", epoch: 1, waiting: oddKey, largestWorkers: {} },
+    },
+    { key: "job/j1", value: { spec: { stages: Object.values(odd) } } },
+  ];
+  for (const { key, value } of longValues) {
+    it(`the log line on ${key} is short, whatever its value`, () => {
+      const kernel = new Kernel({ plugins: [new ReplicaPlugin()] });
+      const record = {
+        part: "p",
+        key,
+        version: 1,
+        value: JSON.stringify(value),
+      };
+      const effects = kernel.update(
+        NOW_MS,
+        (update) => applyChange(update, { kind: ChangeKind.Record, record }),
+      );
+      const [line] = loggedIn(effects);
+      expect(line).to.have.nested.property("fields.reason")
+        .with.length.within(1, MAX_REASON_LENGTH);
+    });
+  }
+});
--- a/packages/replica/src/record_keys.ts
+++ b/packages/replica/src/record_keys.ts
@@ -285,9 +285,7 @@
       return ok({ refused: true as const, atMs });
     }
     const parsed = jobRecordSchema.safeParse(value);
-    return parsed.success
-      ? ok(parsed.data)
-      : err({ reason: parsed.error.message });
+    return parsed.success ? ok(parsed.data) : err(firstIssueOf(parsed.error));
   });
 }
 
@@ -298,9 +296,7 @@
       return ok(value);
     }
     const parsed = jobProgressSchema.safeParse(value);
-    return parsed.success
-      ? ok(parsed.data)
-      : err({ reason: parsed.error.message });
+    return parsed.success ? ok(parsed.data) : err(firstIssueOf(parsed.error));
   });
 }
 
@@ -353,9 +349,7 @@
 export function readSummary(text: string): Result<DomainSummary, RecordError> {
   return readJson(text).andThen((value) => {
     const parsed = summarySchema.safeParse(value);
-    return parsed.success
-      ? ok(parsed.data)
-      : err({ reason: parsed.error.message });
+    return parsed.success ? ok(parsed.data) : err(firstIssueOf(parsed.error));
   });
 }
 
@@ -374,6 +368,11 @@
   });
 }
 
+function firstIssueOf({ issues: [issue] }: z.ZodError): RecordError {
+  const field = issue?.path.map(String).join(".") || "(value)";
+  return { reason: `field ${field}: ${issue?.message}` };
+}
+
 function readJson(text: string): Result<unknown, RecordError> {
   try {
     return ok(JSON.parse(text));
--- a/packages/replica/src/replica.ts
+++ b/packages/replica/src/replica.ts
@@ -18,6 +18,7 @@
   SessionRecord,
   TenureRecord,
 } from "./record_keys.ts";
+import type { UnreadableLog } from "./unreadable_log.ts";
 
 /** A job in this node's copy of the records. */
 export interface KnownJob {
@@ -79,6 +80,7 @@
   readonly orphans: Map<string, JobProgress>;
   readonly cancels: Set<string>;
   readonly sessions: Map<string, SessionRecord>;
+  readonly unreadable: UnreadableLog;
   readonly nodes: Map<string, KnownNode>;
   tenure: KnownTenure | undefined;
   /** What the owner last published; undefined before the first owner. */
--- a/packages/replica/src/views.ts
+++ b/packages/replica/src/views.ts
@@ -7,6 +7,7 @@
 } from "@mustardweir/protocol";
 import { applyChange } from "./apply.ts";
 import { REPLICA, type Replica, type SourceView } from "./replica.ts";
+import { UnreadableLog } from "./unreadable_log.ts";
 
 /** Departed workers are kept longer than any lease lasts, in milliseconds. */
 const DEPARTED_TTL_MS = 30_000;
@@ -98,6 +99,7 @@
     orphans: new Map(),
     cancels: new Set(),
     sessions: new Map(),
+    unreadable: new UnreadableLog(),
     nodes: new Map(),
     tenure: undefined,
     summary: undefined,
