Keep the other runs and ends of a listing with an odd one

One element that can't be read among the `running` or `ended` of a worker made its whole listing count as no answer. The worker was silent for the owner as long as the element stayed, its lease lapsed and all work there was given up.

What is left out must not be concluded from: - A run that can't be read may be any attempt that is not listed. To start one of these elsewhere would run it twice, so a listing without such a run is partial: it ends no attempt as "not listed" and doesn't reconcile the worker, which gets no new work until it has been. - An end that can't be read is over nevertheless.

--- a/packages/protocol/src/worker_orders.ts
+++ b/packages/protocol/src/worker_orders.ts
@@ -97,6 +97,11 @@
   /** Start time of the worker's incarnation; 0 when it isn't reported. */
   readonly incarnation: number;
   readonly running: readonly RunningAttempt[];
+  /**
+   * Whether runs were left out because they can't be read: an attempt that isn't
+   * listed may still run. False by default.
+   */
+  readonly isPartial?: boolean;
   readonly ended: readonly EndedAttempt[];
 }
 
--- /dev/null
+++ b/packages/prove/src/domain/domain_odd_listings_test.ts
@@ -0,0 +1,76 @@
+import { type WorkerListing } from "@mustardweir/protocol";
+import { expect } from "chai";
+import {
+  createTaskPayload,
+  DomainCluster,
+  jobIdOf,
+  stageSpec,
+} from "./domain_cluster.ts";
+import { WARM_UP_MS } from "./domain_scenarios.ts";
+
+const TASKS = 6;
+const RUN_MS = 4_000;
+/** Time for which the listings are odd, in milliseconds. */
+const ODD_MS = 2_000;
+
+interface ListingCase {
+  readonly name: string;
+  /** Returns what can be read of a listing. */
+  readonly read: (listing: WorkerListing) => WorkerListing;
+}
+
+const CASES: readonly ListingCase[] = [
+  {
+    name: "of which all can be read",
+    read: (listing) => listing,
+  },
+  {
+    name: "of which one run can't be read",
+    read: (listing) => ({
+      ...listing,
+      running: listing.running.slice(1),
+      isPartial: true,
+    }),
+  },
+  {
+    name: "of which no run can be read",
+    read: (listing) => ({ ...listing, running: [], isPartial: true }),
+  },
+];
+
+describe("tasks of workers with listings", () => {
+  for (const { name, read } of CASES) {
+    it(`${name} are started once`, () => {
+      const cluster = new DomainCluster({ seed: 1, needsPermits: false });
+      const { clock, nodeIds, runs } = cluster;
+      let isOdd = false;
+      for (const worker of cluster.workers.values()) {
+        const order = worker.order.bind(worker);
+        worker.order = (sent, from, { timeoutMs, answer }) =>
+          order(sent, from, {
+            timeoutMs,
+            answer: (result) =>
+              answer(
+                isOdd && result.listing !== undefined
+                  ? { ...result, listing: read(result.listing) }
+                  : result,
+              ),
+          });
+      }
+      clock.runUntil(WARM_UP_MS);
+      const payload = createTaskPayload({ runMs: RUN_MS, failures: 0 });
+      cluster.submit(
+        jobIdOf(0),
+        { payload, stages: [stageSpec({ tasks: TASKS })] },
+        nodeIds[0]!,
+      );
+      clock.runUntil(clock.now + RUN_MS / 4);
+      expect(runs).to.have.length(TASKS);
+      isOdd = true;
+      clock.runUntil(clock.now + ODD_MS);
+      isOdd = false;
+      clock.runUntil(clock.now + RUN_MS);
+      expect(runs).to.have.length(TASKS);
+    });
+  }
+});
--- a/packages/sessions/src/listings.ts
+++ b/packages/sessions/src/listings.ts
@@ -65,7 +65,9 @@
   handleEnds(update, session, listing.ended);
   handleRunning(update, session, { context, listing });
   retryStops(update, session);
-  markReconciled(update, session);
+  if (listing.isPartial !== true) {
+    markReconciled(update, session);
+  }
   update.dispatch(LISTING_HANDLED, { workerId: session.info.id });
 }
 
@@ -187,6 +189,10 @@
     }
     update.dispatch(ATTEMPT_LISTED, { workerId, listed });
   }
+  if (listing.isPartial === true) {
+    // Starting one of the others elsewhere could run it twice.
+    return;
+  }
   for (const [key, attempt] of [...session.attempts]) {
     const isOlderThanRenewal = attempt.sinceMs < context.sentMs;
     if (listedKeys.has(key) || !isOlderThanRenewal) {
