Keep the list of instances beside an entry that can't be read

For the scheduler and the entries of the other platform, one odd entry in the list of instances made the whole list unusable: a started process found no peer, and a running one kept the list from before, without the processes that came or were leaving since.

The schema of the response asked for each entry in one array. Entries are now checked one by one; a response that is no list stays a failure.

--- a/packages/platform-client/src/responses.ts
+++ b/packages/platform-client/src/responses.ts
@@ -25,15 +25,22 @@
 /** Body of the response to a transaction whose checks failed. */
 export const CONFLICT = z.object({ conflicts: z.array(z.string()) });
 
-/** Body of the response with the list of processes. */
+const INSTANCE = z.object({
+  nodeId: z.string(),
+  role: z.string(),
+  address: z.string(),
+  availabilityZone: z.string(),
+  leaving: z.boolean(),
+});
+
+/**
+ * Body of the response with the list of processes. Entries that can't be read
+ * are left out; they may come from another writer.
+ */
 export const INSTANCES = z.object({
-  instances: z.array(z.object({
-    nodeId: z.string(),
-    role: z.string(),
-    address: z.string(),
-    availabilityZone: z.string(),
-    leaving: z.boolean(),
-  })),
+  instances: z.array(z.unknown()).transform((entries) =>
+    entries.flatMap((entry) => INSTANCE.safeParse(entry).data ?? [])
+  ),
 });
 
 /** Result of a failed call; the status says if it may have taken effect. */
