Count a worker's ends only from a number that can be one

One odd session record with 1e308 recorded ends made a new owner take all ends of that worker as handled: it acknowledged them with the next renewal, and the worker forgot ends that nobody had recorded.

readFields asked only for the type of a field. A number beyond the safe integers now makes a record of the nodes, the sessions or the tenure unreadable, like one of another type; the worker's ends are then counted from 0, and those that were recorded before are handled a second time, when their tasks are over already.

--- a/packages/replica/src/apply_test.ts
+++ b/packages/replica/src/apply_test.ts
@@ -345,3 +345,45 @@
     });
   }
 });
+
+const SESSION = {
+  address: "w1:1",
+  pool: "ovens",
+  incarnation: 7,
+  recorded: 4,
+  isIdle: false,
+};
+
+const SESSION_CASES = [
+  { name: "a good record", value: SESSION, isUsed: true },
+  ...[1e308, 2 ** 53, -1e308].flatMap((amount) => [
+    {
+      name: `${amount} recorded ends`,
+      value: { ...SESSION, recorded: amount },
+      isUsed: false,
+    },
+    {
+      name: `the incarnation ${amount}`,
+      value: { ...SESSION, incarnation: amount },
+      isUsed: false,
+    },
+  ]),
+];
+
+describe("the ends of a worker are counted from", () => {
+  for (const { name, value, isUsed } of SESSION_CASES) {
+    it(`${name}${isUsed ? "" : ": not"}`, () => {
+      const kernel = new Kernel({ plugins: [new ReplicaPlugin()] });
+      kernel.update(NOW_MS, (update) =>
+        applyChange(update, {
+          kind: ChangeKind.Record,
+          record: {
+            ...recordKey(RecordKind.Session, WORKER.id),
+            version: 1,
+            value: JSON.stringify(value),
+          },
+        }));
+      expect(kernel.read(REPLICA).sessions.has(WORKER.id)).to.equal(isUsed);
+    });
+  }
+});
--- a/packages/replica/src/record_keys.ts
+++ b/packages/replica/src/record_keys.ts
@@ -353,14 +353,18 @@
   });
 }
 
-/** Parses a flat record; fails if a field of `types` has another type. */
+/**
+ * Parses a flat record; fails if a field of `types` has another type or is a
+ * number beyond the safe integers.
+ */
 export function readFields<Fields>(
   text: string,
   types: { readonly [Name in keyof Fields]: "string" | "number" | "boolean" },
 ): Result<Fields, RecordError> {
   return readJson(text).andThen((value) => {
     const mismatch = Object.entries(types).find(([name, type]) =>
-      !isObject(value) || typeof value[name] !== type
+      !isObject(value) || typeof value[name] !== type ||
+      (type === "number" && !isSafe(value[name]))
     );
     return mismatch === undefined ? ok(value as Fields) : err({
       reason: `field ${mismatch[0]} is missing or has the wrong type`,
@@ -381,6 +385,10 @@
   }
 }
 
+function isSafe(value: unknown): boolean {
+  return Math.abs(Number(value)) <= Number.MAX_SAFE_INTEGER;
+}
+
 function isObject(value: unknown): value is Record<string, unknown> {
   return typeof value === "object" && value !== null;
 }
