--- a/packages/replica/src/apply.ts
+++ b/packages/replica/src/apply.ts
@@ -5,6 +5,7 @@
   count,
   type DurableProgress,
   logChange,
+  Source,
   type SourceChange,
   type StoredRecord,
 } from "@mustardweir/protocol";
@@ -39,6 +40,28 @@
 
 /** Longest time for which nodes that stop together stay down, in ms. */
 const MAX_RESTART_MS = 30_000;
+/**
+ * Maximum length of the reason in a log line, in characters; it may name keys of
+ * the value.
+ */
+const MAX_REASON_LENGTH = 200;
+
+/**
+ * Applies changes of a source in their order. An entry that can't be read names
+ * no worker to use, even if it did before.
+ */
+export function applyChanges(
+  update: Update,
+  source: Source,
+  changes: readonly SourceChange[],
+): void {
+  for (const change of changes) {
+    applyChange(update, change);
+    if (source === Source.Workers && change.kind === ChangeKind.Unreadable) {
+      applyWorker(update, change.key, undefined);
+    }
+  }
+}
 
 /** Applies one change of a source to the replica and dispatches its events. */
 export function applyChange(update: Update, change: SourceChange): void {
@@ -170,11 +193,12 @@
   const replica = update.write(REPLICA);
   const known = replica.workers.get(id);
   if (worker === undefined) {
-    if (known !== undefined) {
-      replica.workers.delete(id);
-      replica.departed.set(id, { info: known, departedMs: update.now });
-      update.emit(logChange("Worker left", { worker: id }));
+    if (known === undefined) {
+      return;
     }
+    replica.workers.delete(id);
+    replica.departed.set(id, { info: known, departedMs: update.now });
+    update.emit(logChange("Worker left", { worker: id }));
   } else if (known !== undefined && isSameWorker(known, worker)) {
     // Workers renew their registration every second or two.
     return;
@@ -369,5 +393,10 @@
 
 function reportUnreadable(update: Update, key: string, reason: string): void {
   update.emit(count("unreadable-entries"));
-  update.emit(logChange("Entry can't be read", { key, reason }));
+  if (update.write(REPLICA).unreadable.admit(key, update.now)) {
+    update.emit(logChange("Entry can't be read", {
+      key,
+      reason: reason.slice(0, MAX_REASON_LENGTH),
+    }));
+  }
 }
--- a/packages/replica/src/record_keys.ts
+++ b/packages/replica/src/record_keys.ts
@@ -285,9 +285,7 @@
       return ok({ refused: true as const, atMs });
     }
     const parsed = jobRecordSchema.safeParse(value);
-    return parsed.success
-      ? ok(parsed.data)
-      : err({ reason: parsed.error.message });
+    return parsed.success ? ok(parsed.data) : err(firstIssueOf(parsed.error));
   });
 }
 
@@ -298,9 +296,7 @@
       return ok(value);
     }
     const parsed = jobProgressSchema.safeParse(value);
-    return parsed.success
-      ? ok(parsed.data)
-      : err({ reason: parsed.error.message });
+    return parsed.success ? ok(parsed.data) : err(firstIssueOf(parsed.error));
   });
 }
 
@@ -353,20 +349,22 @@
 export function readSummary(text: string): Result<DomainSummary, RecordError> {
   return readJson(text).andThen((value) => {
     const parsed = summarySchema.safeParse(value);
-    return parsed.success
-      ? ok(parsed.data)
-      : err({ reason: parsed.error.message });
+    return parsed.success ? ok(parsed.data) : err(firstIssueOf(parsed.error));
   });
 }
 
-/** Parses a flat record; fails if a field of `types` has another type. */
+/**
+ * Parses a flat record; fails if a field of `types` has another type or is a
+ * number beyond the safe integers.
+ */
 export function readFields<Fields>(
   text: string,
   types: { readonly [Name in keyof Fields]: "string" | "number" | "boolean" },
 ): Result<Fields, RecordError> {
   return readJson(text).andThen((value) => {
     const mismatch = Object.entries(types).find(([name, type]) =>
-      !isObject(value) || typeof value[name] !== type
+      !isObject(value) || typeof value[name] !== type ||
+      (type === "number" && !isSafe(value[name]))
     );
     return mismatch === undefined ? ok(value as Fields) : err({
       reason: `field ${mismatch[0]} is missing or has the wrong type`,
@@ -374,6 +372,11 @@
   });
 }
 
+function firstIssueOf({ issues: [issue] }: z.ZodError): RecordError {
+  const field = issue?.path.map(String).join(".") || "(value)";
+  return { reason: `field ${field}: ${issue?.message}` };
+}
+
 function readJson(text: string): Result<unknown, RecordError> {
   try {
     return ok(JSON.parse(text));
@@ -382,6 +385,10 @@
   }
 }
 
+function isSafe(value: unknown): boolean {
+  return Math.abs(Number(value)) <= Number.MAX_SAFE_INTEGER;
+}
+
 function isObject(value: unknown): value is Record<string, unknown> {
   return typeof value === "object" && value !== null;
 }
