Show that new jobs wait for a lost worker that was out of use

Cause: three workers were draining from 6.7 s and were taken away with tasks at 10.6 s; the owner was killed at 12 s, before their leases were over. A successor takes every job that it finds for one whose tasks may run on such a worker, until all leases of its predecessors must have ended. A second takeover starts that wait anew.

--- a/packages/prove/src/domain/domain_recovery_test.ts
+++ b/packages/prove/src/domain/domain_recovery_test.ts
@@ -7,7 +7,7 @@
   stageSpec,
 } from "./domain_cluster.ts";
 import { findViolations } from "./domain_oracle.ts";
-import { runDomainScenario, WARM_UP_MS } from "./domain_scenarios.ts";
+import { JOBS, runDomainScenario, WARM_UP_MS } from "./domain_scenarios.ts";
 
 const SEEDS = [1, 2, 3];
 /** Run time of tasks, so long that some jobs wait until after the fault. */
@@ -61,6 +61,32 @@
   },
 ];
 
+interface LossCase {
+  readonly name: string;
+  /** Loses a draining worker that still runs a task. */
+  readonly loseWorker: (cluster: DomainCluster, workerId: string) => void;
+}
+
+const LOSSES: readonly LossCase[] = [
+  {
+    name: "left",
+    loseWorker: ({ workers, store }, workerId) => {
+      workers.get(workerId)!.crash();
+      store.setWorker(workerId, undefined);
+    },
+  },
+  {
+    name: "became silent",
+    loseWorker: ({ workers, nodeIds }, workerId) => {
+      const { unreachableFrom } = workers.get(workerId)!.faults;
+      nodeIds.forEach((node) => unreachableFrom.add(node));
+    },
+  },
+];
+
+/** Run time of the task that the lost worker runs, in milliseconds. */
+const LOST_RUN_MS = 20_000;
+
 function killAllAfter(cluster: DomainCluster, delayMs: number): number {
   const { clock, nodeIds } = cluster;
   clock.after(delayMs, () => nodeIds.forEach((id) => cluster.kill(id)));
@@ -89,6 +115,48 @@
     }
   }
 
+  for (const { name, loseWorker } of LOSSES) {
+    for (const seed of SEEDS) {
+      it(`starts new jobs in time though a draining worker ${name} with a task, seed ${seed}`, () => {
+        const cluster = new DomainCluster({ seed });
+        const { clock, runs, workers, store } = cluster;
+        clock.runUntil(WARM_UP_MS);
+        cluster.submit(jobIdOf(JOBS), {
+          payload: createTaskPayload({ runMs: LOST_RUN_MS, failures: 0 }),
+          stages: [stageSpec({ tasks: 1, estimateMs: LOST_RUN_MS })],
+        }, cluster.nodeIds[0]!);
+        clock.runUntil(clock.now + 1_000);
+        const { workerId } = runs[0]!;
+        store.setWorker(workerId, {
+          ...workers.get(workerId)!.info,
+          state: WorkerState.Draining,
+        });
+        clock.runUntil(clock.now + 2_000);
+        loseWorker(cluster, workerId);
+        const owner = cluster.owner!;
+        cluster.kill(owner);
+        const faultMs = clock.now;
+        cluster.submitSteadily({
+          jobsPerS: 20,
+          forMs: 1_000,
+          spec: {
+            payload: createTaskPayload({ runMs: 200, failures: 0 }),
+            stages: [stageSpec({ tasks: 1, estimateMs: 200 })],
+          },
+          nodes: cluster.nodeIds.filter((id) => id !== owner),
+        });
+        clock.runUntil(faultMs + LOST_RUN_MS + 2 * RECOVERY_LIMIT_MS);
+        expect(findViolations(cluster)).to.deep.equal([]);
+        const started = runs.filter(({ task }) =>
+          !task.startsWith(jobIdOf(JOBS))
+        );
+        expect(started).to.have.length(20);
+        expect(Math.max(...started.map(({ startMs }) => startMs)) - faultMs)
+          .to.be.below(RECOVERY_LIMIT_MS / 2);
+      });
+    }
+  }
+
   it("starts the tasks of a replaced worker again at once", () => {
     const cluster = new DomainCluster({ seed: 1 });
     const { clock, runs, workers, nodeIds } = cluster;
