Let new jobs start though a closed worker was lost with tasks

What callers saw: urgent jobs that were accepted while the domain had no owner started 8.4 s after the next takeover, beside idle workers.

Cause: a successor can't know whether a task of an inherited job runs on a worker that no longer answers, so all inherited jobs of the pool waited for its leases, also those that were accepted long after the last start there.

Change: an owner that starts nothing more on a worker, since it is out of use or silent, records the worker as closed if tasks may still run there. A job whose record has a higher store version than that mark was never started there, so a successor lets only older jobs wait. No clock is compared. Before anything is started on the worker again, the removal of the mark must be durable; a listing of all records drops marks that it doesn't contain. Nodes of earlier versions start tasks on closed workers: the tenure record therefore says since which epoch all owners keep workers closed, and older marks count for nothing.

All tests of the domain, of replica, tenure, dispatch and intake pass.

Left: a job that was accepted before the worker was closed still waits, and the wait begins anew with each takeover.

--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -57,7 +57,7 @@
   session: Readonly<Session>,
 ): boolean {
   return session.isRegistered && session.isReconciled && session.isRecorded &&
-    session.missed === 0 && session.clock !== undefined &&
+    !session.isClosed && session.missed === 0 && session.clock !== undefined &&
     session.info.state === WorkerState.Ready &&
     !update.read(REPLICA).drainedZones.has(session.info.zone) &&
     !update.read(WORKER_HEALTH).isRefusing(session.info.id, update.now) &&
--- a/packages/dispatch/src/placement_pass.ts
+++ b/packages/dispatch/src/placement_pass.ts
@@ -130,7 +130,7 @@
   readonly #teams: ReadonlyMap<string, FleetTeam>;
   readonly #shares = new Map<string, number>();
   readonly #examined = new Set<StageRun>();
-  #unreconciledPools: ReadonlySet<string> | undefined;
+  #unreconciledPools: ReadonlyMap<string, number> | undefined;
   #blocked = 0;
   #placed = 0;
 
@@ -272,13 +272,18 @@
   }
 
   /**
-   * Returns whether the previous owner may have left tasks in the stage's pool
-   * that are not reported yet.
+   * Returns whether the previous owner may have left tasks of the stage that are
+   * not reported yet.
    */
   #isUnreconciled({ job }: StageRun): boolean {
-    this.#unreconciledPools ??= listUnreconciledPools(this.#update);
-    return this.#unreconciledPools.has(job.record.queue.pool) ||
-      this.#unreconciledPools.has("");
+    const pools = this.#unreconciledPools ??= listUnreconciledPools(
+      this.#update,
+    );
+    const version = this.#update.read(REPLICA).jobs.get(job.jobId)?.version ??
+      0;
+    return [job.record.queue.pool, ""].some((pool) =>
+      version <= (pools.get(pool) ?? -Infinity)
+    );
   }
 
   /** Sets aside a stage none of whose tasks can start at this time. */
@@ -389,13 +394,14 @@
 
 /**
  * Returns pools in which the previous owner may have left tasks that are not
- * reported yet.
+ * reported yet, with the store version up to which jobs are concerned.
  */
-function listUnreconciledPools(update: Update): ReadonlySet<string> {
-  const pools = new Set<string>();
+function listUnreconciledPools(update: Update): ReadonlyMap<string, number> {
+  const pools = new Map<string, number>();
   for (const session of update.read(SESSIONS).byWorker.values()) {
-    if (session.isInherited) {
-      pools.add(session.info.pool);
+    const { isInherited, inheritedUpTo, info: { pool } } = session;
+    if (isInherited) {
+      pools.set(pool, Math.max(pools.get(pool) ?? -Infinity, inheritedUpTo));
     }
   }
   return pools;
--- a/packages/prove/src/domain/domain_upgrade_test.ts
+++ b/packages/prove/src/domain/domain_upgrade_test.ts
@@ -6,12 +6,15 @@
   replyTo,
 } from "@mustardweir/protocol";
 import { createCommand } from "@mustardweir/kernel";
+import { WorkerState } from "@mustardweir/model";
 import {
   earlierJobPart,
   jobPart,
   parseKey,
   recordKey,
   RecordKind,
+  TENURE_KEY,
+  type TenureRecord,
 } from "@mustardweir/replica";
 import { expect } from "chai";
 import {
@@ -106,3 +109,71 @@
     }).timeout(60_000);
   }
 });
+
+/** Run time of a task that outlasts the owners, in milliseconds. */
+const LONG_RUN_MS = 20_000;
+/** Length of a lease, in milliseconds. */
+const LEASE_MS = 4_000;
+
+interface OwnerCase {
+  readonly name: string;
+  /** Whether the owner in between states that it keeps workers closed. */
+  readonly closesSince: Pick<TenureRecord, "closesSince">;
+  readonly waits: boolean;
+}
+
+const OWNERS: readonly OwnerCase[] = [
+  { name: "this version", closesSince: { closesSince: 1 }, waits: false },
+  { name: "an earlier version", closesSince: {}, waits: true },
+];
+
+describe("a job accepted while a node owns the domain that has", () => {
+  for (const { name, closesSince, waits } of OWNERS) {
+    const verb = waits ? "waits" : "does not wait";
+    it(`${name} ${verb} for workers that were closed before`, () => {
+      const cluster = new DomainCluster({ seed: 1 });
+      const { clock, store, runs, workers, nodeIds } = cluster;
+      clock.runUntil(WARM_UP_MS);
+      cluster.submit(jobIdOf(0), {
+        payload: createTaskPayload({ runMs: LONG_RUN_MS, failures: 0 }),
+        stages: [stageSpec({ tasks: 1, estimateMs: LONG_RUN_MS })],
+      }, nodeIds[0]!);
+      clock.runUntil(clock.now + 1_000);
+      const { workerId } = runs[0]!;
+      const { info, faults } = workers.get(workerId)!;
+      store.setWorker(workerId, { ...info, state: WorkerState.Draining });
+      clock.runUntil(clock.now + 1_000);
+      nodeIds.forEach((node) => faults.unreachableFrom.add(node));
+      const tenure: TenureRecord = {
+        nodeId: "other",
+        incarnation: "other",
+        epoch: 2,
+        sequence: 1,
+        ...closesSince,
+      };
+      store.commit(
+        {
+          kind: EffectKind.CommitRecords,
+          transaction: {
+            expected: [],
+            puts: [{ ...TENURE_KEY, value: JSON.stringify(tenure) }],
+            removes: [],
+          },
+          timeoutMs: 1_000,
+          replyTo: replyTo(IGNORED, null),
+        },
+        "other",
+        () => {},
+      );
+      clock.runUntil(clock.now + 500);
+      const acceptedMs = clock.now;
+      cluster.submit(jobIdOf(1), {
+        payload: createTaskPayload({ runMs: 500, failures: 0 }),
+        stages: [stageSpec({ tasks: 1 })],
+      }, nodeIds[0]!);
+      clock.runUntil(clock.now + LONG_RUN_MS);
+      const run = runs.find(({ task }) => task.startsWith(jobIdOf(1)))!;
+      expect(run.startMs - acceptedMs > LEASE_MS).to.equal(waits);
+    });
+  }
+});
--- a/packages/replica/src/apply.ts
+++ b/packages/replica/src/apply.ts
@@ -9,6 +9,8 @@
   type StoredRecord,
 } from "@mustardweir/protocol";
 import {
+  CLOSED_FIELDS,
+  type ClosedRecord,
   jobPart,
   NODE_FIELDS,
   type NodeRecord,
@@ -88,6 +90,7 @@
     jobId,
     record,
     parts: new Set([part]),
+    version: undefined,
     progress: replica.orphans.get(jobId),
     isCancelled: replica.cancels.has(jobId),
   });
@@ -237,15 +240,16 @@
 const READERS: { readonly [Kind in RecordKind]: RecordReader } = {
   [RecordKind.Job]: (update, { replica, name, record, value }) => {
     // A job that was accepted never changes.
-    const known = replica.jobs.get(name);
-    known?.parts.add(record.part);
-    return known === undefined
-      ? readJob(value).map((job) => {
-        if (!("refused" in job)) {
-          applyJob(update, name, job, record.part);
-        }
-      })
-      : undefined;
+    if (replica.jobs.has(name)) {
+      noteJobRecord(replica, name, record);
+      return undefined;
+    }
+    return readJob(value).map((job) => {
+      if (!("refused" in job)) {
+        applyJob(update, name, job, record.part);
+        noteJobRecord(replica, name, record);
+      }
+    });
   },
   [RecordKind.Progress]: (update, { name, value }) =>
     readProgress(value).map((progress) =>
@@ -258,6 +262,11 @@
   [RecordKind.Session]: (_update, { replica, name, value }) =>
     readFields<SessionRecord>(value, SESSION_FIELDS)
       .map((session) => replica.sessions.set(name, session)),
+  [RecordKind.Closed]: (_update, { replica, name, record, value }) =>
+    readFields<ClosedRecord>(value, CLOSED_FIELDS)
+      .map(({ epoch }) =>
+        replica.closed.set(name, { epoch, version: record.version })
+      ),
   [RecordKind.Node]: (update, { replica, name, record, value }) =>
     readFields<Pick<NodeRecord, keyof typeof NODE_FIELDS>>(
       value,
@@ -305,6 +314,18 @@
     }),
 };
 
+function noteJobRecord(
+  { jobs }: Replica,
+  jobId: string,
+  { part, version }: StoredRecord,
+): void {
+  const known = jobs.get(jobId);
+  if (known !== undefined) {
+    known.parts.add(part);
+    known.version = Math.min(known.version ?? Infinity, version);
+  }
+}
+
 function applyNode(update: Update, node: KnownNode): void {
   const { nodes } = update.write(REPLICA);
   const known = nodes.get(node.nodeId);
@@ -358,6 +379,9 @@
     case RecordKind.Session:
       replica.sessions.delete(name);
       break;
+    case RecordKind.Closed:
+      replica.closed.delete(name);
+      break;
     case RecordKind.Node:
       replica.nodes.delete(name);
       update.dispatch(NODES_CHANGED, {});
--- a/packages/replica/src/record_keys.ts
+++ b/packages/replica/src/record_keys.ts
@@ -44,6 +44,7 @@
   Tenure = "tenure",
   Progress = "progress",
   Session = "session",
+  Closed = "closed",
   Job = "job",
   Cancel = "cancel",
   Node = "node",
@@ -64,6 +65,11 @@
    * Number of hand-overs in a row because the owner was slow; absent for 0.
    */
   readonly slowHandovers?: number;
+  /**
+   * First of the epochs in a row, up to this one, whose owners start nothing on
+   * workers with a {@link ClosedRecord}; absent if an earlier version wrote it.
+   */
+  readonly closesSince?: number;
 }
 
 /** Types of the fields of a {@link TenureRecord}. */
@@ -94,6 +100,18 @@
   isIdle: "boolean",
 } as const;
 
+/**
+ * Marks a worker as closed: the owner has started nothing there since before
+ * this record, and removes it before it starts anything there again.
+ */
+export interface ClosedRecord {
+  /** Epoch of the owner that wrote it. */
+  readonly epoch: number;
+}
+
+/** Types of the fields of a {@link ClosedRecord}. */
+export const CLOSED_FIELDS = { epoch: "number" } as const;
+
 /** The address and the identity of a running node. */
 export interface NodeRecord {
   readonly address: string;
@@ -112,6 +130,11 @@
   readonly isStandby?: boolean;
   /** Store clock at the renewal, in milliseconds; absent like the strength. */
   readonly renewedMs?: number;
+  /**
+   * Whether the node, as the owner, starts nothing on closed workers; absent if
+   * an earlier version wrote it.
+   */
+  readonly keepsClosed?: boolean;
 }
 
 /** Types of the fields of a {@link NodeRecord} that all versions write. */
--- a/packages/replica/src/replica.ts
+++ b/packages/replica/src/replica.ts
@@ -12,6 +12,7 @@
 import { StagedJobState } from "@mustardweir/model";
 import { Source } from "@mustardweir/protocol";
 import type {
+  ClosedRecord,
   DomainSummary,
   NodeRecord,
   PublishedStandby,
@@ -28,6 +29,10 @@
    * that use different parts have both accepted the job.
    */
   readonly parts: Set<string>;
+  /**
+   * Lowest store version of the records; undefined until one was read itself.
+   */
+  version: number | undefined;
   /** Undefined until any part of the job has run. */
   progress: JobProgress | undefined;
   isCancelled: boolean;
@@ -50,6 +55,12 @@
   readonly version?: number;
 }
 
+/** A worker on which owners start nothing. */
+export interface ClosedWorker extends ClosedRecord {
+  /** Store version of the record. */
+  readonly version: number;
+}
+
 /** A worker whose registration was removed; it may still run tasks. */
 export interface DepartedWorker {
   readonly info: WorkerInfo;
@@ -79,6 +90,7 @@
   readonly orphans: Map<string, JobProgress>;
   readonly cancels: Set<string>;
   readonly sessions: Map<string, SessionRecord>;
+  readonly closed: Map<string, ClosedWorker>;
   readonly nodes: Map<string, KnownNode>;
   tenure: KnownTenure | undefined;
   /** What the owner last published; undefined before the first owner. */
--- a/packages/replica/src/views.ts
+++ b/packages/replica/src/views.ts
@@ -6,6 +6,7 @@
   type SourceChange,
 } from "@mustardweir/protocol";
 import { applyChange } from "./apply.ts";
+import { parseKey, RecordKind } from "./record_keys.ts";
 import { REPLICA, type Replica, type SourceView } from "./replica.ts";
 
 /** Departed workers are kept longer than any lease lasts, in milliseconds. */
@@ -36,14 +37,24 @@
   replica.unixOffsetMs = unixMs - clockMs;
 }
 
-/** Removes workers and zone drains that a complete listing doesn't contain. */
+/**
+ * Removes workers, zone drains and marks of closed workers that a complete
+ * listing doesn't contain.
+ */
 export function removeUnlisted(
   update: Update,
   source: Source,
   listed: readonly SourceChange[],
 ): void {
   const replica = update.read(REPLICA);
-  if (source === Source.Workers) {
+  if (source === Source.Records) {
+    const closed = new Set(listed.map(closedWorkerOf));
+    for (const id of [...replica.closed.keys()]) {
+      if (!closed.has(id)) {
+        update.write(REPLICA).closed.delete(id);
+      }
+    }
+  } else if (source === Source.Workers) {
     const ids = new Set(
       listed.map((c) => c.kind === ChangeKind.Worker ? c.id : ""),
     );
@@ -66,6 +77,13 @@
   }
 }
 
+function closedWorkerOf(change: SourceChange): string | undefined {
+  const key = change.kind === ChangeKind.Record
+    ? parseKey(change.record.key)
+    : undefined;
+  return key?.kind === RecordKind.Closed ? key.name : undefined;
+}
+
 /** Removes departed workers after {@link DEPARTED_TTL_MS}. */
 export function expireDeparted(update: Update): void {
   const { departed } = update.read(REPLICA);
@@ -98,6 +116,7 @@
     orphans: new Map(),
     cancels: new Set(),
     sessions: new Map(),
+    closed: new Map(),
     nodes: new Map(),
     tenure: undefined,
     summary: undefined,
--- a/packages/sessions/src/session_state.ts
+++ b/packages/sessions/src/session_state.ts
@@ -94,6 +94,15 @@
    * started only then.
    */
   isRecorded: boolean;
+  /** Whether nothing is started on the worker, by a record. */
+  isClosed: boolean;
+  /** Ticket of the queued removal of that record; 0 if it is to stay. */
+  reopenTicket: number;
+  /**
+   * Store version after which accepted jobs can't have been started on the
+   * worker by a predecessor; infinite if it wasn't closed.
+   */
+  readonly inheritedUpTo: number;
   /** Id of the renewal in flight; 0 for none. */
   renewal: number;
   renewalToken: number;
--- a/packages/sessions/src/sessions_plugin.ts
+++ b/packages/sessions/src/sessions_plugin.ts
@@ -11,6 +11,7 @@
 import { NO_RESOURCES, type WorkerInfo, WorkerState } from "@mustardweir/model";
 import { logChange } from "@mustardweir/protocol";
 import {
+  type ClosedRecord,
   FOLLOWER_INTERVAL_MS,
   isFollower,
   recordKey,
@@ -25,6 +26,7 @@
   isSoleOwner,
   loseTenure,
   queueChange,
+  TENURE,
   TENURE_GAINED,
   TENURE_LOST,
 } from "@mustardweir/tenure";
@@ -177,7 +179,9 @@
   info: WorkerInfo,
   isRegistered: boolean,
 ): void {
-  const record = update.read(REPLICA).sessions.get(info.id);
+  const replica = update.read(REPLICA);
+  const record = replica.sessions.get(info.id);
+  const closed = replica.closed.get(info.id);
   const recorded = record?.recorded ?? 0;
   const mayHaveAttempts = record?.isIdle === false;
   markChanged(update, info.id);
@@ -198,6 +202,12 @@
     pendingRecords: [],
     ticket: 0,
     isRecorded: mayHaveAttempts,
+    isClosed: closed !== undefined,
+    reopenTicket: 0,
+    inheritedUpTo: closed !== undefined &&
+        closed.epoch >= update.read(TENURE).closesSince
+      ? closed.version
+      : Infinity,
     renewal: 0,
     renewalToken: 0,
     nextRenewalMs: update.now,
@@ -237,7 +247,12 @@
 
 function markRecorded(update: Update, upToTicket: number): void {
   for (const session of update.write(SESSIONS).byWorker.values()) {
-    const { pendingRecords } = session;
+    const { pendingRecords, reopenTicket } = session;
+    if (reopenTicket !== 0 && reopenTicket <= upToTicket) {
+      session.reopenTicket = 0;
+      session.isClosed = false;
+      markChanged(update, session.info.id);
+    }
     while (
       pendingRecords[0] !== undefined && pendingRecords[0].ticket <= upToTicket
     ) {
@@ -265,14 +280,22 @@
     }
     renewIfDue(update, session, mayExtend);
     if (session.isRecorded) {
-      recordIfIdle(update, session);
+      recordOutOfUse(update, session);
     } else if (session.ticket === 0 && acceptsTasks(session)) {
       recordIfKnown(update, session);
     }
+    if (canReopen(session)) {
+      session.reopenTicket = queueChange(
+        update,
+        recordKey(RecordKind.Closed, id),
+        undefined,
+      );
+    }
     if (canRemove(session, update.now)) {
       update.write(SESSIONS).byWorker.delete(id);
       markChanged(update, id);
       queueChange(update, recordKey(RecordKind.Session, id), undefined);
+      queueChange(update, recordKey(RecordKind.Closed, id), undefined);
       update.emit(logChange("Worker forgotten", { worker: id }));
     }
   }
@@ -290,17 +313,40 @@
 }
 
 /**
- * Records an empty worker that is silent or out of use as idle, so that a
- * successor need not wait for it.
+ * Records that a worker that is silent or out of use is idle, so that a
+ * successor need not wait for it, or that it is closed if tasks may run there,
+ * so that only jobs wait that were accepted before.
  */
-function recordIfIdle(update: Update, session: Session): void {
+function recordOutOfUse(update: Update, session: Session): void {
+  if (session.missed < MIN_MISSES_FOR_IDLE && isInUse(session)) {
+    return;
+  }
   const isEmpty = session.isReconciled && session.attempts.size === 0 &&
     session.recorded >= session.handled;
-  if (isEmpty && (session.missed >= MIN_MISSES_FOR_IDLE || !isInUse(session))) {
+  if (isEmpty) {
     recordIdle(update, session);
+  } else if (!session.isClosed || session.reopenTicket !== 0) {
+    closeSession(update, session);
   }
 }
 
+function closeSession(update: Update, session: Session): void {
+  session.isClosed = true;
+  session.reopenTicket = 0;
+  markChanged(update, session.info.id);
+  const record: ClosedRecord = { epoch: update.read(SESSIONS).epoch };
+  queueChange(
+    update,
+    recordKey(RecordKind.Closed, session.info.id),
+    JSON.stringify(record),
+  );
+}
+
+function canReopen(session: Readonly<Session>): boolean {
+  return session.isClosed && session.reopenTicket === 0 &&
+    session.isReconciled && acceptsTasks(session);
+}
+
 function acceptsTasks(session: Readonly<Session>): boolean {
   return session.missed === 0 && isInUse(session);
 }
--- a/packages/tenure/src/claims.ts
+++ b/packages/tenure/src/claims.ts
@@ -121,6 +121,7 @@
   tenure.confirmedMs = update.now;
   tenure.gainedMs = update.now;
   tenure.slowHandovers = record.slowHandovers ?? 0;
+  tenure.closesSince = record.closesSince ?? record.epoch;
   tenure.retryMs = 0;
   update.dispatch(RECORDS_WANTED, {});
 }
@@ -155,11 +156,13 @@
 
 function sendClaim(update: Update, known: KnownTenure | undefined): void {
   const { nodeId, incarnation } = update.service(NODE_IDENTITY);
+  const epoch = (known?.record.epoch ?? 0) + 1;
   const record: TenureRecord = {
     nodeId,
     incarnation,
-    epoch: (known?.record.epoch ?? 0) + 1,
+    epoch,
     sequence: 1,
+    closesSince: known?.record.closesSince ?? epoch,
   };
   const tenure = update.write(TENURE);
   tenure.phase = TenurePhase.Claiming;
--- a/packages/tenure/src/commits.ts
+++ b/packages/tenure/src/commits.ts
@@ -249,10 +249,10 @@
     readonly successor: TenureRecord | undefined;
   },
 ): RecordTransaction {
-  const { epoch, version } = update.read(TENURE);
+  const { epoch, version, closesSince } = update.read(TENURE);
   const { nodeId, incarnation } = update.service(NODE_IDENTITY);
   const tenure: TenureRecord = successor ??
-    { nodeId, incarnation, epoch, sequence };
+    { nodeId, incarnation, epoch, sequence, closesSince };
   // Of several changes of one record only the newest is written.
   const newest = new Map(changes.map((change) => [change.key, change]));
   const kept = [...newest.values()];
@@ -275,7 +275,7 @@
  * spare if this node is slow, and otherwise a random one of the strongest.
  */
 function findSuccessor(update: Update): TenureRecord | undefined {
-  const { epoch, isStopping, slowHandovers } = update.read(TENURE);
+  const { epoch, isStopping, slowHandovers, closesSince } = update.read(TENURE);
   const isSlow = !isStopping && slowHandovers > 0;
   const next = isSlow ? findFasterNode(update) : findStrongPeer(update);
   return next && {
@@ -284,6 +284,7 @@
     epoch: epoch + 1,
     sequence: 1,
     ...(isSlow ? { slowHandovers } : {}),
+    ...(next.keepsClosed === true ? { closesSince } : {}),
   };
 }
 
--- a/packages/tenure/src/nodes.ts
+++ b/packages/tenure/src/nodes.ts
@@ -42,6 +42,7 @@
     strength: strengthOf(identity),
     lagMs: Math.round(update.read(TENURE).lagMs),
     isStandby: update.read(REPLICA).isStandby,
+    keepsClosed: true,
     ...(update.read(REPLICA).storeClockOffsetMs === undefined
       ? {}
       : { renewedMs: storeNow(update) }),
--- a/packages/tenure/src/tenure_plugin.ts
+++ b/packages/tenure/src/tenure_plugin.ts
@@ -75,6 +75,7 @@
         lagMs: 0,
         stalledMs: 0,
         slowHandovers: 0,
+        closesSince: 0,
         startedMs: Infinity,
         lastTickMs: 0,
       }),
--- a/packages/tenure/src/tenure_state.ts
+++ b/packages/tenure/src/tenure_state.ts
@@ -68,6 +68,8 @@
   stalledMs: number;
   /** Number of hand-overs in a row because the owner was slow. */
   slowHandovers: number;
+  /** See the field of the tenure record. */
+  closesSince: number;
   /** Time of the first tick of this process, in milliseconds. */
   startedMs: number;
   lastTickMs: number;
