Report a history that is dropped during a call as lost, in the simulation

Two standbys had a copy of the records without the progress that an owner had recorded, and one of them ran the tasks again.

Cause: the simulated store looked at the dropped history only when a node called to follow it. If the history was dropped before the reply, the reply named the current version without the changes before it, which no store does that answers a call at one version.

Evidence: two cases of domain_store_test.ts fail without the change ("expected [ 'read' ] to deeply equal [ 'history-lost' ]"). No fault of the system.

--- a/packages/prove/src/domain/domain_store.ts
+++ b/packages/prove/src/domain/domain_store.ts
@@ -215,15 +215,6 @@
       );
       return;
     }
-    if (afterVersion < this.#compactedVersion) {
-      this.#respond(
-        node,
-        timeoutMs,
-        answer,
-        () => ({ kind: SourceResultKind.HistoryLost }),
-      );
-      return;
-    }
     const newer = () =>
       this.#history.filter((entry) =>
         entry.source === source && entry.version > afterVersion
@@ -237,12 +228,16 @@
           node,
           timeoutMs,
           answer,
-          () => this.#result(newer().map(({ change }) => change)),
+          // The history may have been dropped since the call.
+          () =>
+            afterVersion < this.#compactedVersion
+              ? { kind: SourceResultKind.HistoryLost }
+              : this.#result(newer().map(({ change }) => change)),
         );
       }
     };
     const notify = () => {
-      if (newer().length > 0) {
+      if (afterVersion < this.#compactedVersion || newer().length > 0) {
         finish();
       }
     };
