--- a/packages/replica/src/apply.ts
+++ b/packages/replica/src/apply.ts
@@ -10,6 +10,8 @@
   type StoredRecord,
 } from "@mustardweir/protocol";
 import {
+  CLOSED_FIELDS,
+  type ClosedRecord,
   jobPart,
   NODE_FIELDS,
   type NodeRecord,
@@ -111,6 +113,7 @@
     jobId,
     record,
     parts: new Set([part]),
+    version: undefined,
     progress: replica.orphans.get(jobId),
     isCancelled: replica.cancels.has(jobId),
   });
@@ -261,15 +264,16 @@
 const READERS: { readonly [Kind in RecordKind]: RecordReader } = {
   [RecordKind.Job]: (update, { replica, name, record, value }) => {
     // A job that was accepted never changes.
-    const known = replica.jobs.get(name);
-    known?.parts.add(record.part);
-    return known === undefined
-      ? readJob(value).map((job) => {
-        if (!("refused" in job)) {
-          applyJob(update, name, job, record.part);
-        }
-      })
-      : undefined;
+    if (replica.jobs.has(name)) {
+      noteJobRecord(replica, name, record);
+      return undefined;
+    }
+    return readJob(value).map((job) => {
+      if (!("refused" in job)) {
+        applyJob(update, name, job, record.part);
+        noteJobRecord(replica, name, record);
+      }
+    });
   },
   [RecordKind.Progress]: (update, { name, value }) =>
     readProgress(value).map((progress) =>
@@ -282,6 +286,11 @@
   [RecordKind.Session]: (_update, { replica, name, value }) =>
     readFields<SessionRecord>(value, SESSION_FIELDS)
       .map((session) => replica.sessions.set(name, session)),
+  [RecordKind.Closed]: (_update, { replica, name, record, value }) =>
+    readFields<ClosedRecord>(value, CLOSED_FIELDS)
+      .map(({ epoch }) =>
+        replica.closed.set(name, { epoch, version: record.version })
+      ),
   [RecordKind.Node]: (update, { replica, name, record, value }) =>
     readFields<Pick<NodeRecord, keyof typeof NODE_FIELDS>>(
       value,
@@ -329,6 +338,18 @@
     }),
 };
 
+function noteJobRecord(
+  { jobs }: Replica,
+  jobId: string,
+  { part, version }: StoredRecord,
+): void {
+  const known = jobs.get(jobId);
+  if (known !== undefined) {
+    known.parts.add(part);
+    known.version = Math.min(known.version ?? Infinity, version);
+  }
+}
+
 function applyNode(update: Update, node: KnownNode): void {
   const { nodes } = update.write(REPLICA);
   const known = nodes.get(node.nodeId);
@@ -382,6 +403,9 @@
     case RecordKind.Session:
       replica.sessions.delete(name);
       break;
+    case RecordKind.Closed:
+      replica.closed.delete(name);
+      break;
     case RecordKind.Node:
       replica.nodes.delete(name);
       update.dispatch(NODES_CHANGED, {});
