Show with failing tests that a task crashes worker after worker

The simulation gets tasks that crash their worker 10 ms after their start; the worker is back after 3.3 s, as a new incarnation of its id or under another id at its address. The oracle gets two rules: a task that has crashed three workers starts at most twice more, and no job fails of which no task is to blame.

--- a/packages/prove/src/domain/domain_cluster.ts
+++ b/packages/prove/src/domain/domain_cluster.ts
@@ -45,6 +45,10 @@
   memoryMb: 8_000,
 };
 const RESTART_DELAY_MS = 300;
+/** Time after which a worker that a task has crashed is back, in ms. */
+const WORKER_RETURN_MS = 3_300;
+/** Time after which its registration ends if its id isn't used again, in ms. */
+const REGISTRATION_MS = 7_300;
 const DEFAULT_POLICY: PolicyTiming = { decideMs: 20, networkMs: 0 };
 const PERMIT_VALID_MS = 2_000;
 
@@ -74,8 +78,16 @@
 }
 
 /** Returns a payload that defines how simulated workers run its tasks. */
-export function createTaskPayload({ runMs, failures }: TaskBehaviour): string {
-  return JSON.stringify({ runMs, failures });
+export function createTaskPayload(behaviour: TaskBehaviour): string {
+  return JSON.stringify(behaviour);
+}
+
+/** How a worker that a task has crashed comes back. */
+export enum WorkerReturn {
+  /** Under its id, as a new incarnation. */
+  SameId = "same-id",
+  /** Under another id, at the same address. */
+  OtherId = "other-id",
 }
 
 /** Jobs that are submitted at a constant rate. */
@@ -110,6 +122,8 @@
   readonly linkMbps?: number;
   /** Durations of permit queries; 20 ms and no time under way by default. */
   readonly policy?: PolicyTiming;
+  /** How crashed workers come back; under their id by default. */
+  readonly workerReturn?: WorkerReturn;
   /** Returns what differs between the nodes, by their index. */
   readonly profileOf?: (index: number) => NodeProfile;
 }
@@ -351,12 +365,32 @@
     return this.#nodes.get(nodeId)!.kernel.read(key);
   }
 
-  #addWorker(id: string, zone: string): void {
+  /** Brings a worker back that a task has crashed. */
+  #returnWorker(worker: DomainWorker): void {
+    const { id, zone, address } = worker.info;
+    if (this.#options.workerReturn === WorkerReturn.OtherId) {
+      this.clock.after(WORKER_RETURN_MS, () => {
+        worker.faults.isReplaced = true;
+        this.#addWorker(`${id}r`, zone, address);
+      });
+      this.clock.after(
+        REGISTRATION_MS,
+        () => this.store.setWorker(id, undefined),
+      );
+      return;
+    }
+    this.clock.after(WORKER_RETURN_MS, () => {
+      worker.restart();
+      this.store.setWorker(id, worker.info);
+    });
+  }
+
+  #addWorker(id: string, zone: string, address: string = `${id}:1`): void {
     const info: WorkerInfo = {
       id,
       incarnation: 1,
       pool: "ovens",
-      address: `${id}:1`,
+      address,
       zone,
       state: WorkerState.Ready,
       capacity: CAPACITY,
@@ -372,7 +406,11 @@
         runs: this.runs,
         fencedOrders: this.fencedOrders,
         behaviourOf: (task) => this.#behaviour(task),
-        onFailed: (record) => this.#handleFailure(record),
+        onFailed: (record) => this.#breakGangOf(record),
+        onCrashed: (worker, record) => {
+          this.#breakGangOf(record);
+          this.#returnWorker(worker);
+        },
       }),
     );
     this.store.setWorker(id, info);
@@ -388,7 +426,7 @@
       : behaviour;
   }
 
-  #handleFailure({ task, attempt }: RunRecord): void {
+  #breakGangOf({ task, attempt }: RunRecord): void {
     const [jobId, occurrence, stage] = task.split(".");
     if (this.clients.get(jobId!)?.spec.stages[Number(stage)]?.gang === true) {
       for (const worker of this.workers.values()) {
--- a/packages/prove/src/domain/domain_oracle.ts
+++ b/packages/prove/src/domain/domain_oracle.ts
@@ -6,6 +6,16 @@
 /** Time after a cancellation in which tasks may still start, in ms. */
 const CANCEL_MS = 3_000;
 
+/** Failures after which a job of the simulated queues fails. */
+const MAX_FAILURES = 3;
+
+/**
+ * After this many workers have crashed under a task it may start
+ * {@link MAX_STARTS_AFTER_CRASHES} times more.
+ */
+const MAX_CRASHES = 3;
+const MAX_STARTS_AFTER_CRASHES = 2;
+
 /**
  * A fenced node may send orders for this long, in milliseconds, and
  * {@link MAX_ORDERS_AFTER_FENCING} more after that.
@@ -20,6 +30,8 @@
     ...findOverloads(cluster),
     ...findStageOrderViolations(cluster),
     ...findExcessAttempts(cluster),
+    ...findExcessCrashes(cluster),
+    ...findUntrueFailures(cluster),
     ...findUntrueAnswers(cluster),
     ...findUnfinishedJobs(cluster),
     ...findOrdersAfterFencing(cluster),
@@ -95,7 +107,43 @@
   return runs.flatMap((run) => {
     const earlier = (failed.get(run.task) ?? [])
       .filter(({ endMs }) => endMs! <= run.startMs);
-    return earlier.length >= 3 ? [`${run.task} starts after 3 failures`] : [];
+    return earlier.length >= MAX_FAILURES
+      ? [`${run.task} starts after ${MAX_FAILURES} failures`]
+      : [];
+  });
+}
+
+/** Finds tasks that start too often after they have crashed workers. */
+function findExcessCrashes({ runs }: DomainCluster): string[] {
+  const byTask = groupBy(runs, ({ task }) => task);
+  return [...byTask].flatMap(([task, ofTask]) => {
+    const crashed = ofTask.filter(({ hasCrashedWorker }) => hasCrashedWorker);
+    const third = crashed[MAX_CRASHES - 1];
+    if (third === undefined) {
+      return [];
+    }
+    const later = ofTask.filter(({ startMs }) => startMs > third.endMs!);
+    return later.length > MAX_STARTS_AFTER_CRASHES
+      ? [
+        `${task} starts ${later.length} times after it crashed ${MAX_CRASHES}` +
+        " workers",
+      ]
+      : [];
+  });
+}
+
+/** Finds failed jobs of which no task failed too often or crashed workers. */
+function findUntrueFailures(cluster: DomainCluster): string[] {
+  return [...cluster.clients.values()].flatMap(({ jobId }) => {
+    const ofJob = cluster.runs.filter(({ task }) =>
+      task.startsWith(`${jobId}.`)
+    );
+    const isTrue = ofJob.some(({ hasCrashedWorker }) => hasCrashedWorker) ||
+      ofJob.filter(({ end }) => end === AttemptEnd.Failed).length >=
+        MAX_FAILURES;
+    return jobState(cluster, jobId) === StagedJobState.Failed && !isTrue
+      ? [`${jobId} is failed though none of its tasks is to blame`]
+      : [];
   });
 }
 
@@ -128,10 +176,7 @@
     const isAccepted = answers.some(({ kind }) =>
       kind === FrontAnswerKind.Accepted
     );
-    const record = cluster.store.records.get(`domain\nprogress/${jobId}`);
-    const state = record?.value === undefined
-      ? undefined
-      : jobProgressSchema.parse(JSON.parse(record.value)).state;
+    const state = jobState(cluster, jobId);
     if (state === StagedJobState.Completed) {
       const done = new Set(
         cluster.runs.filter(({ task, end }) =>
@@ -152,6 +197,17 @@
   });
 }
 
+/** Returns the recorded state of a job; undefined if none is recorded. */
+export function jobState(
+  { store }: DomainCluster,
+  jobId: string,
+): StagedJobState | undefined {
+  const record = store.records.get(`domain\nprogress/${jobId}`);
+  return record?.value === undefined
+    ? undefined
+    : jobProgressSchema.parse(JSON.parse(record.value)).state;
+}
+
 /** Finds nodes that keep sending orders after workers fenced them. */
 function findOrdersAfterFencing({ fencedOrders }: DomainCluster): string[] {
   const byNode = groupBy(
--- a/packages/prove/src/domain/domain_worker.ts
+++ b/packages/prove/src/domain/domain_worker.ts
@@ -12,6 +12,8 @@
 
 const MAX_LEASE_MS = 10_000;
 const STOP_DELAY_MS = 100;
+/** Time after its start at which a deadly task crashes its worker, in ms. */
+const DEADLY_MS = 10;
 const LEASE_CHECK_INTERVAL_MS = 20;
 /** Range of the delay of orders that are executed late, in milliseconds. */
 const MIN_LATE_DELAY_MS = 2_000;
@@ -34,6 +36,8 @@
    * does not count.
    */
   isVoid: boolean;
+  /** Whether the task crashed its worker. */
+  hasCrashedWorker: boolean;
   /** Time at which the owner acknowledged the end. */
   acknowledgedMs: number | undefined;
 }
@@ -43,6 +47,8 @@
   readonly runMs: number;
   /** Number of failures before the task completes. */
   readonly failures: number;
+  /** Tasks that crash their worker, as `stage.index`; none by default. */
+  readonly deadlyTasks?: readonly string[];
 }
 
 /** The current faults of a worker. */
@@ -79,6 +85,8 @@
   /** Called after an attempt has failed. */
   readonly onFailed: (record: RunRecord) => void;
   readonly behaviourOf: (task: string) => TaskBehaviour;
+  /** Called when a task has crashed the worker. */
+  readonly onCrashed: (worker: DomainWorker, record: RunRecord) => void;
 }
 
 /** A worker of the simulated platform. */
@@ -250,17 +258,27 @@
       endMs: undefined,
       end: undefined,
       isVoid: false,
+      hasCrashedWorker: false,
       acknowledgedMs: undefined,
     };
     runs.push(record);
     this.#running.set(key, { record, isStopping: false });
-    const { runMs, failures } = behaviourOf(order.task);
+    const { runMs, failures, deadlyTasks } = behaviourOf(order.task);
     const failed =
       runs.filter(({ task, end }) =>
         task === order.task && end === AttemptEnd.Failed
       ).length;
     const fails = this.faults.failsAll || failed < failures;
     const processNumber = this.#processNumber;
+    if (deadlyTasks?.includes(order.task.split(".").slice(2).join("."))) {
+      clock.after(DEADLY_MS, () => {
+        if (processNumber === this.#processNumber && this.#running.has(key)) {
+          record.hasCrashedWorker = true;
+          this.crash();
+          this.#options.onCrashed(this, record);
+        }
+      });
+    }
     clock.after(runMs, () => {
       if (processNumber === this.#processNumber) {
         this.#end(key, fails ? AttemptEnd.Failed : AttemptEnd.Done);
