Give up a task that crashes the workers that start it

Cause: an attempt that was lost with its worker was started again like one that was cut off; nothing told a crash from a silence or counted crashes. Change: - A session knows when its worker was last heard from. Once the worker has come back as a new incarnation, or another one has taken its address, the attempts that were in their first 500 ms then are reported with the crash, late too if their leases had ended. A silence alone counts against none. Renewals return once new attempts have outlived that time. - Crashes are counted per task and recorded with the job's progress, in an optional field that earlier versions pass over, so a successor knows them. - A task that has crashed a worker starts alone: where all attempts have outlived their first moments, and nothing else starts beside it in its own. A worker with room is held for it until then. At most a quarter of the pool's answering workers, but at least one, are held or on probation; those that such a task has taken down count until they are back. A gang is isolated as a whole. - A task is given up when two workers have crashed under it and it was alone in its first moments at the last, or when four have, whatever was beside it. Its job ends as failed, once. Why it works: from the second start on, a crash says which task it was, and tasks that aren't to blame outlive their probation. Limit: a crash that the owner doesn't learn of before it dies isn't counted.

--- a/packages/dispatch/src/attempts.ts
+++ b/packages/dispatch/src/attempts.ts
@@ -9,6 +9,7 @@
 } from "@mustardweir/protocol";
 import { dropPermits, invalidatePermit } from "@mustardweir/permits";
 import {
+  type LossCause,
   type PlacedAttempt,
   recordFoundAttempt,
   stopAttempt,
@@ -91,7 +92,7 @@
 /** Handles an attempt that was lost without a reported end. */
 export function handleAttemptVanished(
   update: Update,
-  placed: PlacedAttempt & { readonly reason: string },
+  placed: PlacedAttempt & { readonly reason: LossCause },
 ): void {
   const task = findPlacedTask(update, placed);
   if (task === undefined) {
@@ -229,7 +230,10 @@
 }
 
 /** Removes a job that has ended once none of its tasks is placed. */
-function removeIfFinished(update: Update, { stage: { job } }: TaskRun): void {
+export function removeIfFinished(
+  update: Update,
+  { stage: { job } }: TaskRun,
+): void {
   const isBusy = [...job.stages.values()].some((stage) =>
     stage.tasks.some((task) => task.phase === TaskPhase.Placed)
   );
--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -8,9 +8,11 @@
   WorkerState,
 } from "@mustardweir/model";
 import { REPLICA } from "@mustardweir/replica";
-import type { Session } from "@mustardweir/sessions";
+import { isFresh, type Session } from "@mustardweir/sessions";
 import {
+  DISPATCH_STATE,
   findTask,
+  isOpen,
   reservedSize,
   type StageRun,
   TaskPhase,
@@ -49,6 +51,46 @@
   readonly slowness: number;
   /** Number of tasks of each stage that are being placed here. */
   readonly reserved: Map<StageRun, number>;
+  /** Whether no attempt there is in its first moments. */
+  isQuiet: boolean;
+  /** The only unit that may start there now; undefined for any. */
+  probationOf: IsolationUnit | undefined;
+}
+
+/** What starts alone once it has crashed a worker: a task, or its gang. */
+export type IsolationUnit = TaskRun | StageRun;
+
+/** Returns the task itself, or its stage if that is a gang. */
+export function isolationUnit(task: TaskRun): IsolationUnit {
+  return task.stage.spec.gang ? task.stage : task;
+}
+
+/** Returns whether the task or a member of its gang has crashed workers. */
+export function isSuspect(task: TaskRun): boolean {
+  const { stage } = task;
+  return task.crashes > 0 ||
+    (stage.spec.gang && stage.tasks.some(({ crashes }) => crashes > 0));
+}
+
+/**
+ * Returns whether the task may start there as far as suspects are concerned: a
+ * suspect must be alone on a worker in its first moments.
+ */
+export function admits(
+  candidate: Candidate,
+  { task, isIsolated }: {
+    readonly task: TaskRun;
+    /** Whether the task is a suspect that must start alone. */
+    readonly isIsolated: boolean;
+  },
+): boolean {
+  const { probationOf, isQuiet } = candidate;
+  if (probationOf !== undefined && probationOf !== isolationUnit(task)) {
+    return false;
+  }
+  // Members of a gang that are placed together share the worker.
+  return isQuiet || !isIsolated ||
+    (task.stage.spec.gang && candidate.reserved.has(task.stage));
 }
 
 /** Returns whether tasks may be given to the worker at all. */
@@ -81,10 +123,18 @@
   let used = NO_RESOURCES;
   let hasLatencyTask = false;
   let hasBestEffortTask = false;
+  let isQuiet = true;
+  let probationOf: IsolationUnit | undefined = findHolder(update, session);
   const tasks: TaskRun[] = [];
-  for (const { task, size } of session.attempts.values()) {
-    used = addResources(used, size);
-    const placed = findTask(update, task);
+  for (const attempt of session.attempts.values()) {
+    used = addResources(used, attempt.size);
+    const placed = findTask(update, attempt.task);
+    if (isFresh(session, attempt)) {
+      isQuiet = false;
+      if (placed !== undefined && isSuspect(placed)) {
+        probationOf = isolationUnit(placed);
+      }
+    }
     if (placed === undefined) {
       continue;
     }
@@ -106,9 +156,23 @@
     hasBestEffortTask,
     slowness: update.read(WORKER_HEALTH).slowness(session.info.id),
     reserved: new Map(),
+    isQuiet,
+    probationOf,
   };
 }
 
+/** Returns the task for which the worker is held. */
+function findHolder(
+  update: Update,
+  { info }: Readonly<Session>,
+): TaskRun | undefined {
+  const hold = update.read(DISPATCH_STATE).holds.get(info.id);
+  return hold !== undefined && hold.untilMs > update.now &&
+      hold.task.phase === TaskPhase.Waiting && isOpen(hold.task.stage.job)
+    ? hold.task
+    : undefined;
+}
+
 /** Returns whether the task runs but has made no progress for too long. */
 function isStalled(task: TaskRun, now: number): boolean {
   const { spec } = task.stage;
@@ -161,8 +225,13 @@
     countTasksOn(stage, candidate) < spec.maxPerWorker;
 }
 
-/** Reserves resources on the candidate for one task of the stage. */
-export function reserve(candidate: Candidate, stage: StageRun): void {
+/** Reserves resources on the candidate for the task. */
+export function reserve(candidate: Candidate, task: TaskRun): void {
+  const { stage } = task;
+  candidate.isQuiet = false;
+  if (isSuspect(task)) {
+    candidate.probationOf = isolationUnit(task);
+  }
   const size = reservedSize(stage);
   candidate.free = subtractResources(candidate.free, size);
   candidate.expected = subtractResources(candidate.expected, size);
--- a/packages/dispatch/src/dispatch_plugin.ts
+++ b/packages/dispatch/src/dispatch_plugin.ts
@@ -42,6 +42,7 @@
   ATTEMPT_RUNNING,
   ATTEMPT_VANISHED,
   LISTING_HANDLED,
+  WORKER_CRASHED,
   WORKER_RECONCILED,
 } from "@mustardweir/sessions";
 import {
@@ -68,9 +69,11 @@
   type JobRun,
   occurrenceCount,
   TaskPhase,
+  type TaskRun,
 } from "./dispatch_state.ts";
 import { addBacklog } from "./backlog.ts";
 import { CandidateIndex, CANDIDATES } from "./candidate_index.ts";
+import { handleWorkerCrashed } from "./crashes.ts";
 import { WORKER_HEALTH, WorkerHealth } from "./health.ts";
 import { LinkBudget } from "./link_budget.ts";
 import { announceEnds, endJob } from "./progress.ts";
@@ -138,6 +141,8 @@
         jobs: new Map(),
         scheduled: new Set<JobRun>(),
         waiting: new WaitingStages(),
+        suspects: new Set<TaskRun>(),
+        holds: new Map(),
         ended: new Set<string>(),
         rates: new RateMeter(),
         link: new LinkBudget(undefined),
@@ -263,6 +268,11 @@
       (vanished, update) => handleAttemptVanished(update, vanished),
       Normal,
     ),
+    kernel.registerCommand(
+      WORKER_CRASHED,
+      (crashed, update) => handleWorkerCrashed(update, crashed),
+      Normal,
+    ),
     kernel.registerCommand(
       ATTEMPT_FOUND,
       ({ workerId, found }, update) =>
@@ -305,6 +315,8 @@
   state.jobs.clear();
   state.scheduled.clear();
   state.waiting.clear();
+  state.suspects.clear();
+  state.holds.clear();
   state.ended.clear();
   state.pendingEnds = [];
   state.used.clear();
@@ -341,6 +353,13 @@
   }
   addDueOccurrences(update, job);
   addWaitingJob(update, job);
+  for (const { tasks } of job.stages.values()) {
+    for (const task of tasks) {
+      if (task.crashes > 0) {
+        update.write(DISPATCH_STATE).suspects.add(task);
+      }
+    }
+  }
 }
 
 function handleJobChange(update: Update, jobId: string): void {
--- a/packages/dispatch/src/dispatch_state.ts
+++ b/packages/dispatch/src/dispatch_state.ts
@@ -45,6 +45,15 @@
   /** Whether the worker has confirmed the start. */
   isRunning: boolean;
   failures: number;
+  /** Number of workers that crashed in the first moments of its attempts. */
+  crashes: number;
+  /**
+   * Time since which it waits for a worker to be alone on, in milliseconds;
+   * undefined if it doesn't.
+   */
+  isolatedSinceMs: number | undefined;
+  /** Whether it has waited too long for that and may start anywhere. */
+  isIsolationWaived: boolean;
   checkpoint: string;
   /** Progress that the worker last reported, 0 to 100. */
   percent: number;
@@ -105,6 +114,13 @@
   readonly ticket: number;
 }
 
+/** Keeps a worker free of other starts for a task. */
+export interface WorkerHold {
+  readonly task: TaskRun;
+  /** Time at which the hold ends, in milliseconds. */
+  readonly untilMs: number;
+}
+
 /**
  * State of the dispatch plug-in: the jobs of the domain that have not ended.
  */
@@ -115,6 +131,10 @@
   /** Jobs with a schedule, of which occurrences become due. */
   readonly scheduled: Set<JobRun>;
   readonly waiting: WaitingStages;
+  /** Tasks that have crashed workers, until they are done. */
+  readonly suspects: Set<TaskRun>;
+  /** Workers that are held for a suspect, by their id. */
+  readonly holds: Map<string, WorkerHold>;
   /** Jobs that ended in this tenure; their records may not show it yet. */
   readonly ended: Set<string>;
   readonly rates: RateMeter;
@@ -207,6 +227,9 @@
         isStopping: false,
         isRunning: false,
         failures: isDone ? 0 : Number(mark),
+        crashes: isDone ? 0 : progress?.crashes?.[taskKey(key, index)] ?? 0,
+        isolatedSinceMs: undefined,
+        isIsolationWaived: false,
         checkpoint: progress?.checkpoints[taskKey(key, index)] ?? "",
         percent: 0,
         progressedMs: 0,
@@ -236,6 +259,10 @@
       if (task.checkpoint !== "" && task.phase !== TaskPhase.Done) {
         progress.checkpoints[taskKey(stage.key, task.index)] = task.checkpoint;
       }
+      if (task.crashes > 0 && task.phase !== TaskPhase.Done) {
+        progress.crashes ??= {};
+        progress.crashes[taskKey(stage.key, task.index)] = task.crashes;
+      }
     }
   }
   return progress;
--- a/packages/dispatch/src/placement_pass.ts
+++ b/packages/dispatch/src/placement_pass.ts
@@ -19,8 +19,9 @@
   type TaskRun,
 } from "./dispatch_state.ts";
 import { CANDIDATES } from "./candidate_index.ts";
-import { type Candidate, clearReservations } from "./candidates.ts";
+import { type Candidate, clearReservations, isSuspect } from "./candidates.ts";
 import { withinCeiling } from "./ceilings.ts";
+import { holdWorkers, withinProbation } from "./isolation.ts";
 import {
   BestFitRule,
   GangRule,
@@ -313,7 +314,7 @@
     const isGang = stage.spec.gang;
     const wanted = withinCeiling(update, {
       stage,
-      waiting: startable,
+      waiting: withinProbation(update, pool, startable),
       team: this.#teams.get(record.team),
     });
     if (wanted.length === 0 || (isGang && wanted.length < startable.length)) {
@@ -339,6 +340,15 @@
       startTasks(update, stage, placements);
       clearReservations(placements.map(({ candidate }) => candidate), stage);
     }
+    if (!isGang) {
+      holdWorkers(
+        update,
+        wanted.filter((task) =>
+          task.phase === TaskPhase.Waiting && isSuspect(task)
+        ),
+        allowed,
+      );
+    }
     const missing = wanted.length - placements.length;
     if (missing > 0) {
       queryMorePermits(update, context);
--- a/packages/dispatch/src/placement_rules.ts
+++ b/packages/dispatch/src/placement_rules.ts
@@ -1,8 +1,10 @@
 import { reservedSize, type StageRun, type TaskRun } from "./dispatch_state.ts";
 import {
+  admits,
   type Candidate,
   clearReservations,
   fitsNow,
+  isSuspect,
   reserve,
 } from "./candidates.ts";
 
@@ -25,6 +27,9 @@
 /** Added to the score of a worker outside the rack of the task's data. */
 const OTHER_RACK_PENALTY = 10;
 
+/** Added for each attempt beside which a task that crashes workers starts. */
+const BLAST_PENALTY = 1_000;
+
 /** Chooses workers for the tasks of a stage. */
 export abstract class PlacementRule {
   /**
@@ -49,9 +54,13 @@
     for (const task of tasks) {
       const candidate = findBestCandidate(stage, task, candidates);
       if (candidate === undefined) {
+        // Another task may find room where a suspect must not start.
+        if (isSuspect(task)) {
+          continue;
+        }
         break;
       }
-      reserve(candidate, stage);
+      reserve(candidate, task);
       placements.push({ task, candidate });
     }
     return placements;
@@ -87,12 +96,21 @@
   candidates: readonly Candidate[],
 ): Placement[] {
   const before = new Map(candidates.map((candidate) => {
-    const { free, expected, hasLatencyTask, hasBestEffortTask } = candidate;
+    const {
+      free,
+      expected,
+      hasLatencyTask,
+      hasBestEffortTask,
+      isQuiet,
+      probationOf,
+    } = candidate;
     return [candidate, {
       free,
       expected,
       hasLatencyTask,
       hasBestEffortTask,
+      isQuiet,
+      probationOf,
     }];
   }));
   const placements = new BestFitRule().choose(stage, tasks, candidates);
@@ -114,11 +132,17 @@
 ): Candidate | undefined {
   let best: Candidate | undefined;
   let bestScore = Infinity;
+  const suspect = isSuspect(task);
+  const isIsolated = suspect && !task.isIsolationWaived;
+  const blastPenalty = suspect ? BLAST_PENALTY : 0;
   for (const candidate of candidates) {
-    if (!fitsNow(candidate, stage)) {
+    if (
+      !fitsNow(candidate, stage) || !admits(candidate, { task, isIsolated })
+    ) {
       continue;
     }
-    const score = scoreOf(stage, task, candidate);
+    const score = scoreOf(stage, task, candidate) +
+      blastPenalty * candidate.session.attempts.size;
     if (score < bestScore) {
       best = candidate;
       bestScore = score;
--- a/packages/dispatch/src/starts.ts
+++ b/packages/dispatch/src/starts.ts
@@ -41,6 +41,7 @@
     task.placedMs = update.now;
     task.isStopping = false;
     task.isRunning = false;
+    task.isolatedSinceMs = undefined;
     task.percent = 0;
     addTeamUsage(state, task);
     update.write(WORKER_HEALTH).started(workerId, update.now);
--- a/packages/model/src/record_schemas.ts
+++ b/packages/model/src/record_schemas.ts
@@ -70,5 +70,6 @@
   state: z.enum(StagedJobState),
   marks: z.record(z.string(), z.string()),
   checkpoints: z.record(z.string(), z.string()),
+  crashes: z.record(z.string(), z.number().nonnegative()).optional(),
   endedMs: z.number().optional(),
 });
--- a/packages/model/src/staged_job.ts
+++ b/packages/model/src/staged_job.ts
@@ -106,6 +106,11 @@
   marks: Record<string, string>;
   /** Newest checkpoint of tasks that are not done, by {@link taskKey}. */
   checkpoints: Record<string, string>;
+  /**
+   * Number of workers that crashed just after they had started a task, by
+   * {@link taskKey}; absent if none did.
+   */
+  crashes?: Record<string, number>;
   /** Store clock when the job reached a final state, in milliseconds. */
   endedMs?: number;
 }
--- a/packages/prove/src/domain/domain_crash_loop_test.ts
+++ b/packages/prove/src/domain/domain_crash_loop_test.ts
@@ -196,6 +196,38 @@
   });
 });
 
+describe("the count of a task's crashes", () => {
+  for (const seed of SEEDS) {
+    it(`outlives the owner that recorded it, seed ${seed}`, () => {
+      const { cluster, deadly } = runCrashCase({
+        ...CASES[0]!,
+        injectFault: killOwnerOnceCounted,
+      }, { seed, workerReturn: WorkerReturn.OtherId });
+      expect(findViolations(cluster)).to.deep.equal([]);
+      expect(jobState(cluster, deadly[0]!)).to.equal(StagedJobState.Failed);
+      const crashed = cluster.runs.filter(({ hasCrashedWorker }) =>
+        hasCrashedWorker
+      );
+      // One crash is counted by the first owner, one dies with it unnoticed.
+      expect(crashed).to.have.length.at.most(3);
+    }).timeout(60_000);
+  }
+});
+
+/** Kills the owner just after the second start of a deadly task. */
+function killOwnerOnceCounted(cluster: DomainCluster): void {
+  const { clock, runs } = cluster;
+  const check = () => {
+    const crashes = runs.filter(({ hasCrashedWorker }) => hasCrashedWorker);
+    if (crashes.length === 2) {
+      cluster.kill(cluster.owner!);
+    } else {
+      clock.after(50, check);
+    }
+  };
+  check();
+}
+
 interface InnocentCase {
   readonly name: string;
   /** Called once while tasks run, with the worker to disturb. */
--- a/packages/replica/src/record_keys.ts
+++ b/packages/replica/src/record_keys.ts
@@ -313,6 +313,7 @@
 function isProgress(value: unknown): value is JobProgress {
   return isObject(value) && STATES.has(value.state) &&
     isTextMap(value.marks) && isTextMap(value.checkpoints) &&
+    (value.crashes === undefined || isCountMap(value.crashes)) &&
     (value.endedMs === undefined || typeof value.endedMs === "number");
 }
 
@@ -321,6 +322,13 @@
     Object.values(value).every((text) => typeof text === "string");
 }
 
+function isCountMap(value: unknown): boolean {
+  return isObject(value) && !Array.isArray(value) &&
+    Object.values(value).every((number) =>
+      typeof number === "number" && number >= 0 && number < Infinity
+    );
+}
+
 const count = z.number().nonnegative();
 const summarySchema = z.looseObject({
   nodeId: z.string(),
--- a/packages/replica/src/record_keys_test.ts
+++ b/packages/replica/src/record_keys_test.ts
@@ -15,6 +15,26 @@
     value: { ...VALID, x: 1 },
     isRead: true,
   },
+  {
+    name: "crashes",
+    value: { ...VALID, crashes: { "0.0.1": 2 } },
+    isRead: true,
+  },
+  {
+    name: "crashes that are text",
+    value: { ...VALID, crashes: { "0.0.1": "2" } },
+    isRead: false,
+  },
+  {
+    name: "a list of crashes",
+    value: { ...VALID, crashes: [2] },
+    isRead: false,
+  },
+  {
+    name: "a negative number of crashes",
+    value: { ...VALID, crashes: { "0.0.1": -1 } },
+    isRead: false,
+  },
   { name: "no object", value: 5, isRead: false },
   { name: "an unknown state", value: { ...VALID, state: "x" }, isRead: false },
   { name: "no marks", value: { ...VALID, marks: undefined }, isRead: false },
--- a/packages/sessions/src/listings.ts
+++ b/packages/sessions/src/listings.ts
@@ -1,6 +1,7 @@
 import type { Update } from "@mustardweir/kernel";
 import { NO_RESOURCES } from "@mustardweir/model";
 import {
+  type AttemptName,
   type EndedAttempt,
   logChange,
   OrderOutcome,
@@ -23,9 +24,13 @@
   attemptKey,
   AttemptPhase,
   findSession,
+  isFresh,
   LISTING_HANDLED,
+  LossCause,
   markChanged,
   type Session,
+  type SessionAttempt,
+  WORKER_CRASHED,
   WORKER_RECONCILED,
 } from "./session_state.ts";
 
@@ -61,6 +66,8 @@
   if (session.incarnation === 0) {
     session.incarnation = listing.incarnation;
   }
+  session.heardMs = update.now;
+  session.suspected = [];
   markChanged(update, session.info.id);
   handleEnds(update, session, listing.ended);
   handleRunning(update, session, { context, listing });
@@ -83,8 +90,9 @@
     incarnation,
     attempts: session.attempts.size,
   }));
-  reportAllVanished(update, session, "worker restarted");
+  reportCrashed(update, session, LossCause.Restarted);
   session.incarnation = incarnation;
+  session.heardMs = update.now;
   session.handled = 0;
   session.recorded = 0;
   session.pendingRecords.length = 0;
@@ -207,7 +215,10 @@
         attempt.token < context.token)
     ) {
       session.attempts.delete(key);
-      update.dispatch(ATTEMPT_VANISHED, { ...name, reason: "not listed" });
+      update.dispatch(ATTEMPT_VANISHED, {
+        ...name,
+        reason: LossCause.NotListed,
+      });
     }
   }
 }
@@ -228,14 +239,54 @@
   }
 }
 
+/**
+ * Gives up all attempts on a worker that has crashed. Attempts whose leases
+ * ended before that was known count as well.
+ */
+export function reportCrashed(
+  update: Update,
+  session: Session,
+  reason: LossCause.Restarted | LossCause.Replaced,
+): void {
+  const fresh = [...session.suspected, ...listFresh(session)];
+  const lost = takeAttempts(session);
+  session.suspected = [];
+  if (fresh.length > 0) {
+    update.dispatch(WORKER_CRASHED, { workerId: session.info.id, fresh });
+  }
+  reportVanished(update, session, { lost, reason });
+}
+
+/** Returns the attempts that the worker may have started just before. */
+export function listFresh(session: Readonly<Session>): AttemptName[] {
+  return [...session.attempts.values()]
+    .filter((attempt) => isFresh(session, attempt))
+    .map(({ task, attempt }) => ({ task, attempt }));
+}
+
 /** Gives up all attempts on the worker and reports them as lost. */
 export function reportAllVanished(
   update: Update,
   session: Session,
-  reason: string,
+  reason: LossCause,
+): void {
+  reportVanished(update, session, { lost: takeAttempts(session), reason });
+}
+
+function takeAttempts({ attempts }: Session): SessionAttempt[] {
+  const taken = [...attempts.values()];
+  attempts.clear();
+  return taken;
+}
+
+function reportVanished(
+  update: Update,
+  session: Readonly<Session>,
+  { lost, reason }: {
+    readonly lost: readonly SessionAttempt[];
+    readonly reason: LossCause;
+  },
 ): void {
-  const lost = [...session.attempts.values()];
-  session.attempts.clear();
   markChanged(update, session.info.id);
   for (const { task, attempt } of lost) {
     update.dispatch(ATTEMPT_VANISHED, {
@@ -279,6 +330,7 @@
       token: currentToken(update, session),
       phase: AttemptPhase.Running,
       sinceMs: update.now,
+      startedMs: -Infinity,
       isForeign: size === undefined,
     });
   }
--- a/packages/sessions/src/orders.ts
+++ b/packages/sessions/src/orders.ts
@@ -20,6 +20,7 @@
   attemptKey,
   AttemptPhase,
   findSession,
+  FIRST_MOMENTS_MS,
   markChanged,
   type PlacedAttempt,
   type Session,
@@ -86,6 +87,10 @@
     options;
   const token = currentToken(update, session);
   session.leaseUntilMs = Math.max(session.leaseUntilMs, leaseUntilMs);
+  session.nextRenewalMs = Math.min(
+    session.nextRenewalMs,
+    update.now + FIRST_MOMENTS_MS,
+  );
   markChanged(update, workerId);
   session.attempts.set(attemptKey(options), {
     task,
@@ -94,6 +99,7 @@
     token,
     phase: AttemptPhase.Starting,
     sinceMs: update.now,
+    startedMs: update.now,
     isForeign: false,
   });
   sendOrder(update, session, {
@@ -186,6 +192,7 @@
   if (outcome === OrderOutcome.Obeyed) {
     attempt.phase = AttemptPhase.Running;
     attempt.sinceMs = update.now;
+    session.heardMs = update.now;
     update.dispatch(ATTEMPT_RUNNING, { workerId, ...attemptNameOf(context) });
     return;
   }
--- a/packages/sessions/src/renewals.ts
+++ b/packages/sessions/src/renewals.ts
@@ -13,13 +13,18 @@
 import { areLeasesExpired, leaseEnd } from "./leases.ts";
 import {
   handleListing,
+  listFresh,
   markReconciled,
   reportAllVanished,
+  reportCrashed,
 } from "./listings.ts";
 import { currentToken, invalidateUnanswered, OWNER_FENCED } from "./orders.ts";
 import {
   AttemptPhase,
   findSession,
+  FIRST_MOMENTS_MS,
+  isFresh,
+  LossCause,
   markChanged,
   type Session,
   SESSIONS,
@@ -84,7 +89,7 @@
   const isImmediate = waitsForRecord || leaseUntilMs === undefined ||
     session.missed > 0 || session.attempts.size === 0 ||
     hasUnknownAttempt(session);
-  const waitMs = isImmediate ? 0 : MAX_RENEWAL_WAIT_MS;
+  const waitMs = isImmediate ? 0 : renewalWaitMs(session, update.now);
   if (leaseUntilMs !== undefined) {
     session.leaseUntilMs = Math.max(session.leaseUntilMs, leaseUntilMs);
   }
@@ -173,7 +178,8 @@
       silentMs: Math.round(update.now - session.answeredMs),
     }));
   }
-  reportAllVanished(update, session, "lease over");
+  session.suspected = [...session.suspected, ...listFresh(session)];
+  reportAllVanished(update, session, LossCause.LeaseExpired);
   markReconciled(update, session);
 }
 
@@ -196,7 +202,7 @@
       attempts: session.attempts.size,
     }));
   }
-  reportAllVanished(update, session, "another worker at its address");
+  reportCrashed(update, session, LossCause.Replaced);
   markReconciled(update, session);
 }
 
@@ -220,6 +226,21 @@
     Math.min(100 * session.missed, IDLE_RENEWAL_MS);
 }
 
+/**
+ * Returns the time for which the worker may hold the renewal, in milliseconds:
+ * it replies as soon as its latest attempts have outlived their first moments.
+ */
+function renewalWaitMs(session: Readonly<Session>, now: number): number {
+  let waitMs = MAX_RENEWAL_WAIT_MS;
+  for (const attempt of session.attempts.values()) {
+    if (isFresh(session, attempt)) {
+      const leftMs = Math.ceil(attempt.startedMs + FIRST_MOMENTS_MS - now);
+      waitMs = Math.min(waitMs, Math.max(leftMs, 0));
+    }
+  }
+  return waitMs;
+}
+
 function hasUnknownAttempt(session: Readonly<Session>): boolean {
   for (const { phase } of session.attempts.values()) {
     if (phase === AttemptPhase.Unknown) {
--- a/packages/sessions/src/session_state.ts
+++ b/packages/sessions/src/session_state.ts
@@ -35,6 +35,11 @@
    * milliseconds.
    */
   sinceMs: number;
+  /**
+   * Time at which its start was ordered, in milliseconds; -Infinity if this
+   * owner did not start it.
+   */
+  readonly startedMs: number;
   /**
    * Whether the attempt was found on the worker but belongs to no known task.
    */
@@ -101,6 +106,15 @@
   /** Number of renewals in a row that got no usable reply. */
   missed: number;
   answeredMs: number;
+  /**
+   * Time of the last reply to a renewal or an order, in milliseconds.
+   */
+  heardMs: number;
+  /**
+   * Attempts in their first moments when the worker fell silent, whose leases
+   * have ended since. Whether the worker has crashed isn't known yet.
+   */
+  suspected: readonly AttemptName[];
   /**
    * Address at which this incarnation of the worker has replied; empty if none.
    */
@@ -147,13 +161,29 @@
     readonly isNew: boolean;
   }
 >("attempt-ended");
-/**
- * Dispatched when an attempt is lost without a reported end: for example, its
- * worker restarted or its lease expired.
- */
+/** Why an attempt was lost. */
+export enum LossCause {
+  /** Its worker has started again. */
+  Restarted = "worker restarted",
+  /** Its worker has ended, and another one has taken its address. */
+  Replaced = "another worker at its address",
+  LeaseExpired = "lease over",
+  NotListed = "not listed",
+}
+
+/** Dispatched when an attempt is lost without a reported end. */
 export const ATTEMPT_VANISHED = createCommand<
-  PlacedAttempt & { readonly reason: string }
+  PlacedAttempt & { readonly reason: LossCause }
 >("attempt-vanished");
+/**
+ * Dispatched when a worker is known to have crashed, before its attempts are
+ * reported as lost.
+ */
+export const WORKER_CRASHED = createCommand<{
+  readonly workerId: string;
+  /** Attempts that were in their first moments when it fell silent. */
+  readonly fresh: readonly AttemptName[];
+}>("worker-crashed");
 /**
  * Dispatched when a worker lists an attempt that this owner has not started.
  */
@@ -173,6 +203,23 @@
   "listing-handled",
 );
 
+/**
+ * Time after a start in which a crash of the worker is put down to it, in
+ * milliseconds.
+ */
+export const FIRST_MOMENTS_MS = 500;
+
+/**
+ * Returns whether the worker has not been heard from since the first moments
+ * of the attempt.
+ */
+export function isFresh(
+  { heardMs }: Readonly<Session>,
+  { startedMs }: Readonly<SessionAttempt>,
+): boolean {
+  return startedMs > heardMs - FIRST_MOMENTS_MS;
+}
+
 /** Returns the key of an attempt within its session. */
 export function attemptKey({ task, attempt }: AttemptName): string {
   return `${task}#${attempt}`;
--- a/packages/sessions/src/sessions_plugin.ts
+++ b/packages/sessions/src/sessions_plugin.ts
@@ -203,6 +203,8 @@
     nextRenewalMs: update.now,
     missed: 0,
     answeredMs: update.now,
+    heardMs: update.now,
+    suspected: [],
     answeredAddress: mayHaveAttempts ? record.address : "",
     attempts: new Map(),
   });
