Test that capacities that shrink are kept to; show where they aren't

A successor whose copy of the workers isn't renewed starts nothing. What doesn't: an owner goes on starting tasks by figures that it can't renew.

--- a/packages/prove/src/domain/domain_cluster.ts
+++ b/packages/prove/src/domain/domain_cluster.ts
@@ -272,6 +272,13 @@
     );
   }
 
+  /** Changes the capacity of a worker, which it registers at once. */
+  setCapacity(workerId: string, cpuMillis: number): void {
+    const worker = this.workers.get(workerId)!;
+    worker.setCapacity(cpuMillis);
+    this.store.setWorker(workerId, worker.info);
+  }
+
   /** Kills a node and restarts it after `restartMs`. */
   kill(nodeId: string, restartMs: number = RESTART_DELAY_MS): void {
     this.#nodes.get(nodeId)?.kill();
--- a/packages/prove/src/domain/domain_store.ts
+++ b/packages/prove/src/domain/domain_store.ts
@@ -31,6 +31,8 @@
   readonly silent: Set<string>;
   /** Nodes that neither commit to the part of the domain nor read records. */
   readonly cutFromDomain: Set<string>;
+  /** Nodes that get no reply about the registrations of workers. */
+  readonly cutFromWorkers: Set<string>;
   /** Fraction of the commits that take effect but get no reply. */
   lostShare: number;
   /** Extra delay of commits without a reply, in milliseconds. */
@@ -53,6 +55,7 @@
     refused: new Set(),
     silent: new Set(),
     cutFromDomain: new Set(),
+    cutFromWorkers: new Set(),
     lostShare: 0,
     lateMs: 0,
     callMs: 4,
@@ -180,6 +183,10 @@
     answer: (result: SourceResult) => void,
   ): void {
     this.calls++;
+    if (source === Source.Workers && this.faults.cutFromWorkers.has(node)) {
+      this.#timeOut(timeoutMs, answer);
+      return;
+    }
     this.#respond(node, timeoutMs, answer, () => {
       if (source !== Source.Records && source !== Source.Fleet) {
         return this.#result(this.#listOthers(source));
@@ -208,11 +215,12 @@
     answer: (result: SourceResult) => void,
   ): void {
     this.calls++;
-    if (source === Source.Records && this.faults.cutFromDomain.has(node)) {
-      this.#clock.after(
-        timeoutMs,
-        () => answer({ kind: SourceResultKind.Unavailable, reason: "fault" }),
-      );
+    const { cutFromDomain, cutFromWorkers } = this.faults;
+    if (
+      (source === Source.Records && cutFromDomain.has(node)) ||
+      (source === Source.Workers && cutFromWorkers.has(node))
+    ) {
+      this.#timeOut(timeoutMs, answer);
       return;
     }
     if (afterVersion < this.#compactedVersion) {
@@ -233,6 +241,12 @@
       if (!isOver) {
         isOver = true;
         this.#watchers.delete(notify);
+        if (
+          source === Source.Workers && this.faults.cutFromWorkers.has(node)
+        ) {
+          this.#timeOut(timeoutMs - waitMs, answer);
+          return;
+        }
         this.#respond(
           node,
           timeoutMs,
@@ -251,6 +265,13 @@
     notify();
   }
 
+  #timeOut(timeoutMs: number, answer: (result: SourceResult) => void): void {
+    this.#clock.after(
+      timeoutMs,
+      () => answer({ kind: SourceResultKind.Unavailable, reason: "fault" }),
+    );
+  }
+
   #respond(
     node: string,
     timeoutMs: number,
--- a/packages/prove/src/domain/domain_worker.ts
+++ b/packages/prove/src/domain/domain_worker.ts
@@ -99,6 +99,11 @@
   };
   info: WorkerInfo;
   isUp = true;
+  /** Its capacities so far, with the time from which each holds. */
+  readonly capacities: {
+    readonly sinceMs: number;
+    readonly cpuMillis: number;
+  }[];
   readonly #options: DomainWorkerOptions;
   #processNumber = 0;
   #processStartMs = 0;
@@ -112,6 +117,10 @@
   constructor(options: DomainWorkerOptions) {
     this.#options = options;
     this.info = options.info;
+    this.capacities = [{
+      sinceMs: options.clock.now,
+      cpuMillis: options.info.capacity.cpuMillis,
+    }];
     this.#watchLease();
   }
 
@@ -139,6 +148,13 @@
     }
   }
 
+  /** Changes the capacity; what runs goes on. */
+  setCapacity(cpuMillis: number): void {
+    const { capacity } = this.info;
+    this.info = { ...this.info, capacity: { ...capacity, cpuMillis } };
+    this.capacities.push({ sinceMs: this.#options.clock.now, cpuMillis });
+  }
+
   restart(): void {
     this.isUp = true;
     this.#processStartMs = this.#options.clock.now;
