Start nothing by figures of the workers that are older than 3 s

Cause: only the age of the confirmed tenure was checked before a start, not that of the copy of the workers. Evidence: four cases of domain_capacity_test.ts failed before, with 'expected [ ...(69) ] to deeply equal []' and lines like 'w0 has 4000 of 1000 at 9031'. Why it works: what the owner reserves then is never older than the time after which a smaller capacity counts. Result: all 24 cases of domain_capacity_test.ts pass, and the 165 of the scenario, slow store, outage, recovery, handover and overload tests. Limit: without replies about the workers nothing starts; what runs goes on.

--- a/packages/dispatch/src/placement_pass.ts
+++ b/packages/dispatch/src/placement_pass.ts
@@ -5,6 +5,7 @@
   NO_RESOURCES,
 } from "@mustardweir/model";
 import { stagePermits } from "@mustardweir/permits";
+import { Source } from "@mustardweir/protocol";
 import { REPLICA } from "@mustardweir/replica";
 import { SESSIONS } from "@mustardweir/sessions";
 import { isSoleOwner } from "@mustardweir/tenure";
@@ -74,6 +75,12 @@
  */
 const RECHECK_MS = 40;
 
+/**
+ * Age of the copy of the workers at which nothing is started by it, in
+ * milliseconds: their capacities may have shrunk meanwhile.
+ */
+const MAX_WORKERS_AGE_MS = 3_000;
+
 const BEST_FIT = new BestFitRule();
 const GANG = new GangRule();
 
@@ -113,7 +120,10 @@
   const state = update.write(DISPATCH_STATE);
   // A successor starts jobs that were accepted meanwhile without waiting for
   // workers that this node may have started them on.
-  if (!state.isActive || !state.isDirty || !isSoleOwner(update)) {
+  if (
+    !state.isActive || !state.isDirty || !isSoleOwner(update) ||
+    !areWorkersCurrent(update)
+  ) {
     return;
   }
   state.isDirty = false;
@@ -125,6 +135,12 @@
   new PlacementPass(update).run();
 }
 
+/** Returns whether the store replied about the workers recently. */
+function areWorkersCurrent(update: Update): boolean {
+  const { answeredMs } = update.read(REPLICA).sources[Source.Workers];
+  return update.now - answeredMs <= MAX_WORKERS_AGE_MS;
+}
+
 /** One pass over the stages that wait. */
 class PlacementPass {
   readonly #update: Update;
