Test crash loops whose workers are back only after the lease

The owner then gives the attempts up before it knows of the crash, and counts them once the worker is back. Without that count all six cases fail, with 'starts 8 times after it crashed 3 workers'.

--- a/packages/prove/src/domain/domain_cluster.ts
+++ b/packages/prove/src/domain/domain_cluster.ts
@@ -124,6 +124,8 @@
   readonly policy?: PolicyTiming;
   /** How crashed workers come back; under their id by default. */
   readonly workerReturn?: WorkerReturn;
+  /** Time after which they are back in milliseconds; 3,300 by default. */
+  readonly workerReturnMs?: number;
   /** Returns what differs between the nodes, by their index. */
   readonly profileOf?: (index: number) => NodeProfile;
 }
@@ -375,8 +377,9 @@
   /** Brings a worker back that a task has crashed. */
   #returnWorker(worker: DomainWorker): void {
     const { id, zone, address } = worker.info;
+    const { workerReturnMs = WORKER_RETURN_MS } = this.#options;
     if (this.#options.workerReturn === WorkerReturn.OtherId) {
-      this.clock.after(WORKER_RETURN_MS, () => {
+      this.clock.after(workerReturnMs, () => {
         worker.faults.isReplaced = true;
         this.#addWorker(`${id}r`, zone, address);
       });
@@ -386,7 +389,7 @@
       );
       return;
     }
-    this.clock.after(WORKER_RETURN_MS, () => {
+    this.clock.after(workerReturnMs, () => {
       worker.restart();
       this.store.setWorker(id, worker.info);
     });
--- a/packages/prove/src/domain/domain_crash_loop_test.ts
+++ b/packages/prove/src/domain/domain_crash_loop_test.ts
@@ -38,6 +38,8 @@
   readonly injectFault?: (cluster: DomainCluster) => void;
   /** Number of workers; 6 by default. */
   readonly workers?: number;
+  /** Time after which they are back in milliseconds; 3,300 by default. */
+  readonly workerReturnMs?: number;
 }
 
 const CASES: readonly CrashCase[] = [
@@ -48,6 +50,11 @@
     deadlyJobs: 12,
     workers: 16,
   },
+  {
+    name: "one task whose workers are back after its lease has ended",
+    deadlyTasks: ["0.1"],
+    workerReturnMs: 6_000,
+  },
   {
     name: "all tasks of a job",
     deadlyTasks: ["0.0", "0.1", "0.2"],
@@ -90,6 +97,7 @@
     deadlyJobs = 1,
     runMs = RUN_MS,
     workers = DEFAULT_WORKERS,
+    workerReturnMs = DOWN_MS,
     injectFault,
   }: CrashCase,
   { seed, workerReturn }: Pick<DomainClusterOptions, "seed" | "workerReturn">,
@@ -98,6 +106,7 @@
     seed,
     workers,
     workerReturn: workerReturn!,
+    workerReturnMs,
   });
   const { clock, nodeIds } = cluster;
   clock.runUntil(WARM_UP_MS);
