--- a/packages/prove/src/domain/domain_crash_loop_test.ts
+++ b/packages/prove/src/domain/domain_crash_loop_test.ts
@@ -265,6 +265,24 @@
   });
 }
 
+/** Cuts off each worker for 8 s that starts one of the tasks, four times. */
+function cutOffEach(cluster: DomainCluster): void {
+  const { clock, runs } = cluster;
+  const { task } = runs[0]!;
+  let seen = 0;
+  const check = () => {
+    const ofTask = runs.filter((run) => run.task === task);
+    if (ofTask.length > seen) {
+      seen = ofTask.length;
+      cutOff(8_000)(cluster, ofTask[seen - 1]!.workerId);
+    }
+    if (seen < 4) {
+      clock.after(YOUNG_MS, check);
+    }
+  };
+  check();
+}
+
 const INNOCENT_CASES: readonly InnocentCase[] = [
   {
     name: "is cut off for 2 s",
@@ -276,6 +294,11 @@
     afterMs: YOUNG_MS,
     injectFault: cutOff(12_000),
   },
+  {
+    name: "and each later one is cut off for 8 s",
+    afterMs: YOUNG_MS,
+    injectFault: cutOffEach,
+  },
   {
     name: "loses power under old tasks",
     afterMs: OLD_MS,
