--- a/packages/prove/src/domain/domain_cluster.ts
+++ b/packages/prove/src/domain/domain_cluster.ts
@@ -125,6 +125,8 @@
   readonly policy?: PolicyTiming;
   /** How crashed workers come back; under their id by default. */
   readonly workerReturn?: WorkerReturn;
+  /** Time after which they are back in milliseconds; 3,300 by default. */
+  readonly workerReturnMs?: number;
   /** Returns what differs between the nodes, by their index. */
   readonly profileOf?: (index: number) => NodeProfile;
   /** Called with each line that a node logs. */
@@ -283,6 +285,13 @@
     );
   }
 
+  /** Changes the capacity of a worker, which it registers at once. */
+  setCapacity(workerId: string, cpuMillis: number): void {
+    const worker = this.workers.get(workerId)!;
+    worker.setCapacity(cpuMillis);
+    this.store.setWorker(workerId, worker.info);
+  }
+
   /** Kills a node and restarts it after `restartMs`. */
   kill(nodeId: string, restartMs: number = RESTART_DELAY_MS): void {
     this.#nodes.get(nodeId)?.kill();
@@ -379,8 +388,9 @@
   /** Brings a worker back that a task has crashed. */
   #returnWorker(worker: DomainWorker): void {
     const { id, zone, address } = worker.info;
+    const { workerReturnMs = WORKER_RETURN_MS } = this.#options;
     if (this.#options.workerReturn === WorkerReturn.OtherId) {
-      this.clock.after(WORKER_RETURN_MS, () => {
+      this.clock.after(workerReturnMs, () => {
         worker.faults.isReplaced = true;
         this.#addWorker(`${id}r`, zone, address);
       });
@@ -390,7 +400,7 @@
       );
       return;
     }
-    this.clock.after(WORKER_RETURN_MS, () => {
+    this.clock.after(workerReturnMs, () => {
       worker.restart();
       this.store.setWorker(id, worker.info);
     });
--- a/packages/prove/src/domain/domain_crash_loop_test.ts
+++ b/packages/prove/src/domain/domain_crash_loop_test.ts
@@ -38,6 +38,8 @@
   readonly injectFault?: (cluster: DomainCluster) => void;
   /** Number of workers; 6 by default. */
   readonly workers?: number;
+  /** Time after which they are back in milliseconds; 3,300 by default. */
+  readonly workerReturnMs?: number;
 }
 
 const CASES: readonly CrashCase[] = [
@@ -48,6 +50,11 @@
     deadlyJobs: 12,
     workers: 16,
   },
+  {
+    name: "one task whose workers are back after its lease has ended",
+    deadlyTasks: ["0.1"],
+    workerReturnMs: 6_000,
+  },
   {
     name: "all tasks of a job",
     deadlyTasks: ["0.0", "0.1", "0.2"],
@@ -90,6 +97,7 @@
     deadlyJobs = 1,
     runMs = RUN_MS,
     workers = DEFAULT_WORKERS,
+    workerReturnMs = DOWN_MS,
     injectFault,
   }: CrashCase,
   { seed, workerReturn }: Pick<DomainClusterOptions, "seed" | "workerReturn">,
@@ -98,6 +106,7 @@
     seed,
     workers,
     workerReturn: workerReturn!,
+    workerReturnMs,
   });
   const { clock, nodeIds } = cluster;
   clock.runUntil(WARM_UP_MS);
@@ -256,6 +265,24 @@
   });
 }
 
+/** Cuts off each worker for 8 s that starts one of the tasks, four times. */
+function cutOffEach(cluster: DomainCluster): void {
+  const { clock, runs } = cluster;
+  const { task } = runs[0]!;
+  let seen = 0;
+  const check = () => {
+    const ofTask = runs.filter((run) => run.task === task);
+    if (ofTask.length > seen) {
+      seen = ofTask.length;
+      cutOff(8_000)(cluster, ofTask[seen - 1]!.workerId);
+    }
+    if (seen < 4) {
+      clock.after(YOUNG_MS, check);
+    }
+  };
+  check();
+}
+
 const INNOCENT_CASES: readonly InnocentCase[] = [
   {
     name: "is cut off for 2 s",
@@ -267,6 +294,11 @@
     afterMs: YOUNG_MS,
     injectFault: cutOff(12_000),
   },
+  {
+    name: "and each later one is cut off for 8 s",
+    afterMs: YOUNG_MS,
+    injectFault: cutOffEach,
+  },
   {
     name: "loses power under old tasks",
     afterMs: OLD_MS,
