Show that an odd run that stays keeps inherited tasks from starting

What callers would see: after a hand-over or a restart of all nodes, jobs that were accepted never end as long as one worker lists a run that can't be read. Its session stays inherited, and its whole pool counts as unreconciled for the tasks that the predecessor may have placed.

--- a/packages/prove/src/domain/domain_odd_listings_test.ts
+++ b/packages/prove/src/domain/domain_odd_listings_test.ts
@@ -1,4 +1,4 @@
-import { type WorkerListing } from "@mustardweir/protocol";
+import { AttemptEnd, type WorkerListing } from "@mustardweir/protocol";
 import { expect } from "chai";
 import {
   createTaskPayload,
@@ -7,8 +7,11 @@
   stageSpec,
 } from "./domain_cluster.ts";
 import { WARM_UP_MS } from "./domain_scenarios.ts";
+import type { DomainWorker } from "./domain_worker.ts";
 
 const TASKS = 6;
+/** Number of jobs of which some wait for room. */
+const JOBS = 12;
 const RUN_MS = 4_000;
 /** Time for which the listings are odd, in milliseconds. */
 const ODD_MS = 2_000;
@@ -19,6 +22,9 @@
   readonly read: (listing: WorkerListing) => WorkerListing;
 }
 
+/** Time in which all tasks end after the nodes were killed, in milliseconds. */
+const RECOVERY_MS = 60_000;
+
 const CASES: readonly ListingCase[] = [
   {
     name: "of which all can be read",
@@ -38,6 +44,23 @@
   },
 ];
 
+function changeListings(
+  worker: DomainWorker,
+  read: (listing: WorkerListing) => WorkerListing,
+): void {
+  const order = worker.order.bind(worker);
+  worker.order = (sent, from, { timeoutMs, answer }) =>
+    order(sent, from, {
+      timeoutMs,
+      answer: (result) =>
+        answer(
+          result.listing === undefined
+            ? result
+            : { ...result, listing: read(result.listing) },
+        ),
+    });
+}
+
 describe("tasks of workers with listings", () => {
   for (const { name, read } of CASES) {
     it(`${name} are started once`, () => {
@@ -45,17 +68,7 @@
       const { clock, nodeIds, runs } = cluster;
       let isOdd = false;
       for (const worker of cluster.workers.values()) {
-        const order = worker.order.bind(worker);
-        worker.order = (sent, from, { timeoutMs, answer }) =>
-          order(sent, from, {
-            timeoutMs,
-            answer: (result) =>
-              answer(
-                isOdd && result.listing !== undefined
-                  ? { ...result, listing: read(result.listing) }
-                  : result,
-              ),
-          });
+        changeListings(worker, (listing) => isOdd ? read(listing) : listing);
       }
       clock.runUntil(WARM_UP_MS);
       const payload = createTaskPayload({ runMs: RUN_MS, failures: 0 });
@@ -73,4 +86,28 @@
       expect(runs).to.have.length(TASKS);
     });
   }
+
+  it("of which one never can be read whole are started after all nodes are killed", () => {
+    const cluster = new DomainCluster({ seed: 1, needsPermits: false });
+    const { clock, nodeIds, runs } = cluster;
+    clock.runUntil(WARM_UP_MS);
+    changeListings(
+      cluster.workers.get("w0")!,
+      (listing) => ({ ...listing, isPartial: true }),
+    );
+    const payload = createTaskPayload({ runMs: RUN_MS, failures: 0 });
+    const [node = ""] = nodeIds;
+    for (let job = 0; job < JOBS; job++) {
+      cluster.submit(
+        jobIdOf(job),
+        { payload, stages: [stageSpec({ tasks: TASKS })] },
+        node,
+      );
+    }
+    clock.runUntil(clock.now + RUN_MS / 4);
+    nodeIds.forEach((id) => cluster.kill(id));
+    clock.runUntil(clock.now + RECOVERY_MS);
+    const done = runs.filter(({ end }) => end === AttemptEnd.Done);
+    expect(new Set(done.map(({ task }) => task))).to.have.length(JOBS * TASKS);
+  });
 });
