Let the lease of a worker whose listings stay odd expire after a hand-over

What callers would see: accepted jobs never end after a change of owner, while one worker lists a run that can't be read.

Cause: a partial listing doesn't reconcile the worker, the owner goes on renewing its lease, and inherited tasks of the pool wait for it for ever.

Change: if the listings are still partial when the predecessor's leases would have ended, the owner stops renewing that worker's lease and, when it is over, gives its attempts up, as for a silent worker. The worker gets no new work until a listing can be read whole.

--- a/packages/prove/src/domain/domain_odd_listings_test.ts
+++ b/packages/prove/src/domain/domain_odd_listings_test.ts
@@ -6,6 +6,7 @@
   jobIdOf,
   stageSpec,
 } from "./domain_cluster.ts";
+import { findViolations } from "./domain_oracle.ts";
 import { WARM_UP_MS } from "./domain_scenarios.ts";
 import type { DomainWorker } from "./domain_worker.ts";
 
@@ -93,7 +94,11 @@
     clock.runUntil(WARM_UP_MS);
     changeListings(
       cluster.workers.get("w0")!,
-      (listing) => ({ ...listing, isPartial: true }),
+      (listing) => ({
+        ...listing,
+        running: listing.running.slice(1),
+        isPartial: true,
+      }),
     );
     const payload = createTaskPayload({ runMs: RUN_MS, failures: 0 });
     const [node = ""] = nodeIds;
@@ -107,6 +112,7 @@
     clock.runUntil(clock.now + RUN_MS / 4);
     nodeIds.forEach((id) => cluster.kill(id));
     clock.runUntil(clock.now + RECOVERY_MS);
+    expect(findViolations(cluster)).to.deep.equal([]);
     const done = runs.filter(({ end }) => end === AttemptEnd.Done);
     expect(new Set(done.map(({ task }) => task))).to.have.length(JOBS * TASKS);
   });
--- a/packages/sessions/src/leases.ts
+++ b/packages/sessions/src/leases.ts
@@ -45,6 +45,18 @@
     Math.floor(clock.workerMs + (now - clock.atMs) + LEASE_MS);
 }
 
+/**
+ * Returns whether a predecessor's attempts on the worker stay unknown, because
+ * its listings can't be read whole. Tasks of its pool wait for them, so its
+ * lease has to expire.
+ */
+export function isUnreadable(
+  { isInherited, isPartial, inheritedLeaseEndMs }: Readonly<Session>,
+  now: number,
+): boolean {
+  return isInherited && isPartial && now >= inheritedLeaseEndMs;
+}
+
 /**
  * Returns whether all leases that the worker may hold have certainly expired.
  */
--- a/packages/sessions/src/listings.ts
+++ b/packages/sessions/src/listings.ts
@@ -65,7 +65,8 @@
   handleEnds(update, session, listing.ended);
   handleRunning(update, session, { context, listing });
   retryStops(update, session);
-  if (listing.isPartial !== true) {
+  session.isPartial = listing.isPartial === true;
+  if (!session.isPartial) {
     markReconciled(update, session);
   }
   update.dispatch(LISTING_HANDLED, { workerId: session.info.id });
--- a/packages/sessions/src/renewals.ts
+++ b/packages/sessions/src/renewals.ts
@@ -10,7 +10,7 @@
   type OrderResult,
   replyTo,
 } from "@mustardweir/protocol";
-import { areLeasesExpired, leaseEnd } from "./leases.ts";
+import { areLeasesExpired, isUnreadable, leaseEnd } from "./leases.ts";
 import {
   handleListing,
   markReconciled,
@@ -23,6 +23,7 @@
   markChanged,
   type Session,
   SESSIONS,
+  WORKER_RECONCILED,
 } from "./session_state.ts";
 
 /**
@@ -78,9 +79,9 @@
   }
   // A renewal without a reply may still take effect, so a silent worker is only
   // asked for its listing: renewing its lease would keep it from expiring.
-  const leaseUntilMs = mayExtend && session.missed === 0
-    ? leaseEnd(session, update.now)
-    : undefined;
+  const mayRenew = mayExtend && session.missed === 0 &&
+    !isUnreadable(session, update.now);
+  const leaseUntilMs = mayRenew ? leaseEnd(session, update.now) : undefined;
   const isImmediate = waitsForRecord || leaseUntilMs === undefined ||
     session.missed > 0 || session.attempts.size === 0 ||
     hasUnknownAttempt(session);
@@ -160,10 +161,14 @@
   handleListing(update, session, { context, listing });
 }
 
-/** Gives up the attempts on a silent worker whose leases have expired. */
+/**
+ * Gives up the attempts on a worker whose leases have expired, because it is
+ * silent or its listings can't be read whole.
+ */
 export function giveUpExpiredAttempts(update: Update, session: Session): void {
   const isSilent = session.missed > 0 || session.clock === undefined;
-  if (!isSilent || !areLeasesExpired(session, update.now)) {
+  const hasNoLease = isSilent || isUnreadable(session, update.now);
+  if (!hasNoLease || !areLeasesExpired(session, update.now)) {
     return;
   }
   if (session.attempts.size > 0 || !session.isReconciled) {
@@ -174,7 +179,14 @@
     }));
   }
   reportAllVanished(update, session, "lease over");
-  markReconciled(update, session);
+  if (isSilent) {
+    markReconciled(update, session);
+  } else {
+    // Its capacity isn't known to be free before a listing can be read whole.
+    session.isInherited = false;
+    markChanged(update, session.info.id);
+    update.dispatch(WORKER_RECONCILED, { workerId: session.info.id });
+  }
 }
 
 /**
--- a/packages/sessions/src/session_state.ts
+++ b/packages/sessions/src/session_state.ts
@@ -55,6 +55,8 @@
    * known yet.
    */
   isInherited: boolean;
+  /** Whether runs of the latest listing can't be read. */
+  isPartial: boolean;
   /** Whether the worker is still registered. */
   isRegistered: boolean;
   /** Incarnation that the worker reported; 0 until then. */
--- a/packages/sessions/src/sessions_plugin.ts
+++ b/packages/sessions/src/sessions_plugin.ts
@@ -185,6 +185,7 @@
     info,
     isRegistered,
     isInherited: mayHaveAttempts,
+    isPartial: false,
     incarnation: record?.incarnation ?? 0,
     round: 1,
     isReconciled: false,
