Show that an odd run that stays hides that a start was never received

What callers would see: a job that was accepted stays running for ever. If a start and its reply are lost, the next listing tells whether the attempt runs; a partial listing doesn't, and no other one comes.

--- a/packages/prove/src/domain/domain_odd_listings_test.ts
+++ b/packages/prove/src/domain/domain_odd_listings_test.ts
@@ -1,4 +1,9 @@
-import { AttemptEnd, type WorkerListing } from "@mustardweir/protocol";
+import {
+  AttemptEnd,
+  OrderKind,
+  OrderOutcome,
+  type WorkerListing,
+} from "@mustardweir/protocol";
 import { expect } from "chai";
 import {
   createTaskPayload,
@@ -116,4 +121,39 @@
     const done = runs.filter(({ end }) => end === AttemptEnd.Done);
     expect(new Set(done.map(({ task }) => task))).to.have.length(JOBS * TASKS);
   });
+
+  it("of which one never can be read whole are started though the reply to a start is lost", () => {
+    const cluster = new DomainCluster({
+      seed: 1,
+      needsPermits: false,
+      workers: 1,
+    });
+    const { clock, nodeIds, runs } = cluster;
+    clock.runUntil(WARM_UP_MS);
+    const worker = cluster.workers.get("w0")!;
+    changeListings(worker, (listing) => ({ ...listing, isPartial: true }));
+    const order = worker.order.bind(worker);
+    let isLost = true;
+    worker.order = (sent, from, { timeoutMs, answer }) => {
+      if (isLost && sent.kind === OrderKind.Start) {
+        isLost = false;
+        clock.after(
+          timeoutMs,
+          () => answer({ outcome: OrderOutcome.NoAnswer }),
+        );
+      } else {
+        order(sent, from, { timeoutMs, answer });
+      }
+    };
+    const payload = createTaskPayload({ runMs: RUN_MS, failures: 0 });
+    cluster.submit(
+      jobIdOf(0),
+      { payload, stages: [stageSpec({ tasks: 1 })] },
+      nodeIds[0]!,
+    );
+    clock.runUntil(clock.now + RECOVERY_MS);
+    expect(isLost).to.equal(false);
+    expect(findViolations(cluster)).to.deep.equal([]);
+    expect(runs.map(({ end }) => end)).to.deep.equal([AttemptEnd.Done]);
+  });
 });
