Show that periodic work runs before events that arrived during a pause

After a pause the loop handles 256 events and then its periodic work, with the time after the pause: deadlines end although what would have met them is queued.

--- a/packages/runtime/src/event_loop_test.ts
+++ b/packages/runtime/src/event_loop_test.ts
@@ -15,6 +15,8 @@
 
 const WAIT_LIMIT_MS = 10_000;
 const NUMBERS = Array.from({ length: 1_000 }, (_, index) => String(index));
+/** Interval of periodic work, in milliseconds. */
+const PERIOD_MS = 50;
 const NAMED = createCommand<string>("named");
 
 /** Records counters in order; posts a reply to those named `ask-…`. */
@@ -118,6 +120,25 @@
     });
   }
 
+  it("handles all events that arrived during a pause before its periodic work", async () => {
+    const performer = new RecordingPerformer();
+    const kernel = createKernel(PERIOD_MS);
+    const loop = new EventLoop({ kernel, performers: [performer] });
+    await loop.start();
+    await waitUntil(() => performer.performed.length > 0);
+    performer.performed.length = 0;
+    Atomics.wait(
+      new Int32Array(new SharedArrayBuffer(4)),
+      0,
+      0,
+      2 * PERIOD_MS,
+    );
+    NUMBERS.forEach((name) => loop.post(NAMED, name));
+    await waitUntil(() => performer.performed.length > NUMBERS.length);
+    await loop.stop();
+    expect(performer.performed.slice(0, NUMBERS.length)).to.deep.equal(NUMBERS);
+  });
+
   it("wakes up no more often than its periodic work requires", async () => {
     const clock = new CountingClock();
     const performer = new RecordingPerformer();
