Show that a first request that arrives during a pause is dropped as late

The runtime counts the time for the headers of a connection's first request from the accepted connection, and ends it in a timer, before arrived data is read: a request that lies in the socket gets status 408.

--- a/packages/runtime/src/http_limits_test.ts
+++ b/packages/runtime/src/http_limits_test.ts
@@ -5,9 +5,10 @@
   setTimeout as delay,
 } from "node:timers/promises";
 import { expect } from "chai";
-import { limitOptions, limitServer } from "./http_limits.ts";
+import { type HttpLimits, limitOptions, limitServer } from "./http_limits.ts";
 
 const IDLE_MS = 100;
+const HEADERS_MS = 300;
 /** Longer than the idle timeout and Node's allowance beyond it, in ms. */
 const PAUSE_MS = 1_500;
 const REQUEST = "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n";
@@ -59,6 +60,7 @@
   readonly name: string;
   /** Time that the server takes for a response, in milliseconds. */
   readonly responseMs: number;
+  readonly limits?: HttpLimits;
   readonly act: (client: RawClient) => Promise<void>;
   readonly responses: number;
 }
@@ -88,6 +90,21 @@
     },
     responses: 1,
   },
+  {
+    name:
+      "answers the first request if it arrived during a pause past the time for headers",
+    responseMs: 0,
+    limits: { headersTimeoutMs: HEADERS_MS },
+    act: async (client) => {
+      await delay(HEADERS_MS / 2);
+      // Timers run first in the turn of the loop after this one.
+      await nextTurn();
+      client.send();
+      pause(PAUSE_MS);
+      await client.receive(1);
+    },
+    responses: 1,
+  },
   {
     name: "closes a connection that stays idle",
     responseMs: 0,
@@ -107,9 +124,16 @@
 }
 
 describe("a server that closes idle connections", () => {
-  for (const { name, responseMs, act, responses } of CASES) {
+  for (
+    const {
+      name,
+      responseMs,
+      limits = { idleTimeoutMs: IDLE_MS },
+      act,
+      responses,
+    } of CASES
+  ) {
     it(name, async () => {
-      const limits = { idleTimeoutMs: IDLE_MS };
       const server = createServer(
         limitOptions(limits),
         (_req, res) => setTimeout(() => res.end(), responseMs),
