Show that servers no longer tell clients when idle connections are closed

Without the runtime's keep-alive timeout, responses have no Keep-Alive header. A client that closes its connections shortly before the server does can't know when.

--- a/packages/runtime/src/http_limits_test.ts
+++ b/packages/runtime/src/http_limits_test.ts
@@ -16,6 +16,7 @@
 /** A client with one connection, on which it counts the responses. */
 class RawClient {
   responses = 0;
+  received = "";
   isClosed = false;
   readonly #socket: Socket;
   #onChange = () => {};
@@ -23,6 +24,7 @@
   constructor(port: number) {
     this.#socket = connect(port, "127.0.0.1");
     this.#socket.on("data", (data) => {
+      this.received += data.toString();
       this.responses += data.toString().split("HTTP/1.1 200").length - 1;
       this.#onChange();
     });
@@ -149,4 +151,20 @@
       }
     });
   }
+
+  it("tells clients how long they may keep a connection", async () => {
+    const server = createServer(limitOptions(), (_req, res) => res.end());
+    limitServer(server);
+    const client = new RawClient(await listen(server));
+    try {
+      client.send();
+      await client.receive(1);
+      expect(client.received.toLowerCase()).to.include(
+        "keep-alive: timeout=65",
+      );
+    } finally {
+      server.closeAllConnections();
+      server.close();
+    }
+  });
 });
