Tell clients when idle connections are closed

What callers would see: a client that keeps connections open closes them shortly before the server does if it is told when; without that it sends a request at the moment at which the server closes, and gets no answer.

Cause: the keep-alive timeout of the runtime, which also sets the Keep-Alive header, was switched off.

Change: it is set to the idle timeout again. The runtime leaves the connection alone when the server has a listener for timeouts; that listener still decides.

Evidence: the test failed before and passes now, and so do the cases of requests that arrive during a pause.

--- a/packages/runtime/src/http_limits.ts
+++ b/packages/runtime/src/http_limits.ts
@@ -44,13 +44,14 @@
   const {
     headersTimeoutMs = HEADERS_TIMEOUT_MS,
     requestTimeoutMs = REQUEST_TIMEOUT_MS,
+    idleTimeoutMs = IDLE_TIMEOUT_MS,
   } = limits;
   return {
     maxHeaderSize: MAX_HEADER_BYTES,
     headersTimeout: headersTimeoutMs,
     requestTimeout: requestTimeoutMs,
-    // Replaced by the idle timeout of {@link limitServer}.
-    keepAliveTimeout: 0,
+    // Told to clients; {@link limitServer} decides what is closed.
+    keepAliveTimeout: idleTimeoutMs,
     connectionsCheckingInterval: Math.min(headersTimeoutMs, 1_000),
   };
 }
