Show that a worker's answer that arrives during a pause counts as none

The timeout of a sync call ends it in a timer, before arrived data is read: after a pause of the scheduler past the timeout all workers with a call in flight count as silent.

--- a/packages/target-client/src/http_target_client_test.ts
+++ b/packages/target-client/src/http_target_client_test.ts
@@ -29,6 +29,11 @@
 };
 const FENCED = '{"kind":"fenced","epoch":7}';
 
+/** Blocks the event loop, as a suspended process does. */
+function pause(ms: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms);
+}
+
 interface ClientCase {
   readonly name: string;
   readonly answer: (res: ServerResponse) => void;
@@ -54,6 +59,12 @@
     timeoutMs: TIMEOUT_MS,
     expected: /^No answer within 100 ms$/,
   },
+  {
+    name: "a response that arrived during a pause past the timeout",
+    answer: (res) => res.end(FENCED, () => pause(3 * TIMEOUT_MS)),
+    timeoutMs: TIMEOUT_MS,
+    expected: { kind: SyncResultKind.Fenced, epoch: 7 },
+  },
   {
     name: "a closed connection",
     answer: (res) => res.destroy(),
