Handle all events that arrived during a pause before periodic work

What users would see: after a pause of a busy node, what was only waiting in the queue counts as missing, and its deadline ends: a reply, a listing or a confirmation behind the first 256 events.

Cause: each turn of the loop handles at most 256 events and then the periodic work, with the time after the pause.

Change: periodic work waits for the events that were queued when the turn began. Those that arrive later don't delay it, so it can't starve.

--- a/packages/runtime/src/event_loop.ts
+++ b/packages/runtime/src/event_loop.ts
@@ -61,6 +61,8 @@
   readonly #suspensions = new SuspensionMeter();
   #nextTurn: NodeJS.Immediate | undefined;
   #timer: NodeJS.Timeout | undefined;
+  /** Number of events that come before the next periodic work. */
+  #backlog = 0;
   #isRunning = false;
 
   constructor(options: EventLoopOptions) {
@@ -117,13 +119,18 @@
     this.#nextTurn = undefined;
     const startMs = this.#clock.now();
     this.#tellSuspension(startMs);
+    // Events that arrived during a pause may meet deadlines that it passed.
+    this.#backlog ||= this.#queue.length;
     const events = this.#queue.splice(0, EVENTS_PER_TURN);
     for (const event of events) {
       event(this.#clock.now());
     }
-    this.#perform(
-      this.#kernel.advance(events.length > 0 ? this.#clock.now() : startMs),
-    );
+    this.#backlog = Math.max(0, this.#backlog - events.length);
+    if (this.#backlog === 0) {
+      this.#perform(
+        this.#kernel.advance(events.length > 0 ? this.#clock.now() : startMs),
+      );
+    }
     if (this.#queue.length > 0) {
       this.#schedule();
     } else {
