Wait for the lease of a worker whose session record can't be read

What users would see: after a restart of all nodes, tasks of a worker that was only silent ran twice, if another writer had left an odd session record.

Cause: a record that can't be read was as good as none, and none means that the worker never got a task.

Change: the nodes remember which workers have a session record that can't be read; a new owner takes them for workers that may have attempts.

A worker that is no longer registered and whose record was never readable still isn't waited for: its pool isn't known.

--- a/packages/replica/src/apply.ts
+++ b/packages/replica/src/apply.ts
@@ -281,7 +281,14 @@
   },
   [RecordKind.Session]: (_update, { replica, name, value }) =>
     readFields<SessionRecord>(value, SESSION_FIELDS)
-      .map((session) => replica.sessions.set(name, session)),
+      .map((session) => {
+        replica.sessions.set(name, session);
+        replica.unreadableSessions.delete(name);
+      })
+      .mapErr((error) => {
+        replica.unreadableSessions.add(name);
+        return error;
+      }),
   [RecordKind.Node]: (update, { replica, name, record, value }) =>
     readFields<Pick<NodeRecord, keyof typeof NODE_FIELDS>>(
       value,
@@ -381,6 +388,7 @@
       break;
     case RecordKind.Session:
       replica.sessions.delete(name);
+      replica.unreadableSessions.delete(name);
       break;
     case RecordKind.Node:
       replica.nodes.delete(name);
--- a/packages/replica/src/replica.ts
+++ b/packages/replica/src/replica.ts
@@ -80,6 +80,8 @@
   readonly orphans: Map<string, JobProgress>;
   readonly cancels: Set<string>;
   readonly sessions: Map<string, SessionRecord>;
+  /** Workers whose latest session record can't be read. */
+  readonly unreadableSessions: Set<string>;
   readonly unreadable: UnreadableLog;
   readonly nodes: Map<string, KnownNode>;
   tenure: KnownTenure | undefined;
--- a/packages/replica/src/views.ts
+++ b/packages/replica/src/views.ts
@@ -99,6 +99,7 @@
     orphans: new Map(),
     cancels: new Set(),
     sessions: new Map(),
+    unreadableSessions: new Set(),
     unreadable: new UnreadableLog(),
     nodes: new Map(),
     tenure: undefined,
--- a/packages/sessions/src/sessions_plugin.ts
+++ b/packages/sessions/src/sessions_plugin.ts
@@ -177,9 +177,11 @@
   info: WorkerInfo,
   isRegistered: boolean,
 ): void {
-  const record = update.read(REPLICA).sessions.get(info.id);
+  const { sessions, unreadableSessions } = update.read(REPLICA);
+  const record = sessions.get(info.id);
   const recorded = record?.recorded ?? 0;
-  const mayHaveAttempts = record?.isIdle === false;
+  const mayHaveAttempts = record?.isIdle === false ||
+    unreadableSessions.has(info.id);
   markChanged(update, info.id);
   update.write(SESSIONS).byWorker.set(info.id, {
     info,
@@ -204,7 +206,7 @@
     nextRenewalMs: update.now,
     missed: 0,
     answeredMs: update.now,
-    answeredAddress: mayHaveAttempts ? record.address : "",
+    answeredAddress: mayHaveAttempts ? record?.address ?? "" : "",
     attempts: new Map(),
   });
 }
