--- a/packages/replica/src/apply.ts
+++ b/packages/replica/src/apply.ts
@@ -285,7 +285,14 @@
   },
   [RecordKind.Session]: (_update, { replica, name, value }) =>
     readFields<SessionRecord>(value, SESSION_FIELDS)
-      .map((session) => replica.sessions.set(name, session)),
+      .map((session) => {
+        replica.sessions.set(name, session);
+        replica.unreadableSessions.delete(name);
+      })
+      .mapErr((error) => {
+        replica.unreadableSessions.add(name);
+        return error;
+      }),
   [RecordKind.Closed]: (_update, { replica, name, record, value }) =>
     readFields<ClosedRecord>(value, CLOSED_FIELDS)
       .map(({ epoch }) =>
@@ -402,6 +409,7 @@
       break;
     case RecordKind.Session:
       replica.sessions.delete(name);
+      replica.unreadableSessions.delete(name);
       break;
     case RecordKind.Closed:
       replica.closed.delete(name);
--- a/packages/replica/src/replica.ts
+++ b/packages/replica/src/replica.ts
@@ -91,6 +91,8 @@
   readonly orphans: Map<string, JobProgress>;
   readonly cancels: Set<string>;
   readonly sessions: Map<string, SessionRecord>;
+  /** Workers whose latest session record can't be read. */
+  readonly unreadableSessions: Set<string>;
   readonly unreadable: UnreadableLog;
   readonly closed: Map<string, ClosedWorker>;
   readonly nodes: Map<string, KnownNode>;
--- a/packages/replica/src/views.ts
+++ b/packages/replica/src/views.ts
@@ -117,6 +117,7 @@
     orphans: new Map(),
     cancels: new Set(),
     sessions: new Map(),
+    unreadableSessions: new Set(),
     unreadable: new UnreadableLog(),
     closed: new Map(),
     nodes: new Map(),
--- a/packages/runtime/src/http_limits_test.ts
+++ b/packages/runtime/src/http_limits_test.ts
@@ -5,9 +5,10 @@
   setTimeout as delay,
 } from "node:timers/promises";
 import { expect } from "chai";
-import { limitOptions, limitServer } from "./http_limits.ts";
+import { type HttpLimits, limitOptions, limitServer } from "./http_limits.ts";
 
 const IDLE_MS = 100;
+const HEADERS_MS = 300;
 /** Longer than the idle timeout and Node's allowance beyond it, in ms. */
 const PAUSE_MS = 1_500;
 const REQUEST = "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n";
@@ -15,6 +16,7 @@
 /** A client with one connection, on which it counts the responses. */
 class RawClient {
   responses = 0;
+  received = "";
   isClosed = false;
   readonly #socket: Socket;
   #onChange = () => {};
@@ -22,6 +24,7 @@
   constructor(port: number) {
     this.#socket = connect(port, "127.0.0.1");
     this.#socket.on("data", (data) => {
+      this.received += data.toString();
       this.responses += data.toString().split("HTTP/1.1 200").length - 1;
       this.#onChange();
     });
@@ -59,6 +62,7 @@
   readonly name: string;
   /** Time that the server takes for a response, in milliseconds. */
   readonly responseMs: number;
+  readonly limits?: HttpLimits;
   readonly act: (client: RawClient) => Promise<void>;
   readonly responses: number;
 }
@@ -88,6 +92,21 @@
     },
     responses: 1,
   },
+  {
+    name:
+      "answers the first request if it arrived during a pause past the time for headers",
+    responseMs: 0,
+    limits: { headersTimeoutMs: HEADERS_MS },
+    act: async (client) => {
+      await delay(HEADERS_MS / 2);
+      // Timers run first in the turn of the loop after this one.
+      await nextTurn();
+      client.send();
+      pause(PAUSE_MS);
+      await client.receive(1);
+    },
+    responses: 1,
+  },
   {
     name: "closes a connection that stays idle",
     responseMs: 0,
@@ -107,9 +126,16 @@
 }
 
 describe("a server that closes idle connections", () => {
-  for (const { name, responseMs, act, responses } of CASES) {
+  for (
+    const {
+      name,
+      responseMs,
+      limits = { idleTimeoutMs: IDLE_MS },
+      act,
+      responses,
+    } of CASES
+  ) {
     it(name, async () => {
-      const limits = { idleTimeoutMs: IDLE_MS };
       const server = createServer(
         limitOptions(limits),
         (_req, res) => setTimeout(() => res.end(), responseMs),
@@ -125,4 +151,20 @@
       }
     });
   }
+
+  it("tells clients how long they may keep a connection", async () => {
+    const server = createServer(limitOptions(), (_req, res) => res.end());
+    limitServer(server);
+    const client = new RawClient(await listen(server));
+    try {
+      client.send();
+      await client.receive(1);
+      expect(client.received.toLowerCase()).to.include(
+        "keep-alive: timeout=65",
+      );
+    } finally {
+      server.closeAllConnections();
+      server.close();
+    }
+  });
 });
--- a/packages/sessions/src/sessions_plugin.ts
+++ b/packages/sessions/src/sessions_plugin.ts
@@ -179,16 +179,18 @@
   info: WorkerInfo,
   isRegistered: boolean,
 ): void {
-  const replica = update.read(REPLICA);
-  const record = replica.sessions.get(info.id);
-  const closed = replica.closed.get(info.id);
+  const { sessions, unreadableSessions, closed: marks } = update.read(REPLICA);
+  const record = sessions.get(info.id);
+  const closed = marks.get(info.id);
   const recorded = record?.recorded ?? 0;
-  const mayHaveAttempts = record?.isIdle === false;
+  const mayHaveAttempts = record?.isIdle === false ||
+    unreadableSessions.has(info.id);
   markChanged(update, info.id);
   update.write(SESSIONS).byWorker.set(info.id, {
     info,
     isRegistered,
     isInherited: mayHaveAttempts,
+    isPartial: false,
     incarnation: record?.incarnation ?? 0,
     round: 1,
     isReconciled: false,
@@ -215,7 +217,7 @@
     answeredMs: update.now,
     heardMs: update.now,
     suspected: [],
-    answeredAddress: mayHaveAttempts ? record.address : "",
+    answeredAddress: mayHaveAttempts ? record?.address ?? "" : "",
     attempts: new Map(),
   });
 }
