Show that a crash loop doesn't end if each owner ends before it learns of the crash

A successor doesn't know which tasks an owner had started on a worker that is back as a new incarnation, so a crash that the owner hadn't learned of when it ended counts against none.

--- a/packages/prove/src/domain/domain_crash_loop_test.ts
+++ b/packages/prove/src/domain/domain_crash_loop_test.ts
@@ -71,6 +71,11 @@
       }
     },
   },
+  {
+    name: "one task while the owner is killed after each crash",
+    deadlyTasks: ["0.1"],
+    injectFault: killOwnerAfterEachCrash,
+  },
   {
     name: "a member of a gang",
     stages: [stageSpec({ gang: true, tasks: 4 })],
@@ -89,6 +94,25 @@
   },
 ];
 
+/** Interval at which the runs are checked for crashes, in milliseconds. */
+const CRASH_CHECK_MS = 100;
+/** Time from a crash to the end of the owner, before the worker is back. */
+const OWNER_LEFT_MS = 2_000;
+
+function killOwnerAfterEachCrash(cluster: DomainCluster): void {
+  const { clock, runs } = cluster;
+  let known = 0;
+  const check = () => {
+    const crashes = runs.filter(({ hasCrashedWorker }) => hasCrashedWorker);
+    if (crashes.length > known) {
+      known = crashes.length;
+      clock.after(OWNER_LEFT_MS, () => cluster.kill(cluster.owner ?? "n0"));
+    }
+    clock.after(CRASH_CHECK_MS, check);
+  };
+  check();
+}
+
 /** Submits ordinary jobs and, in between, jobs with deadly tasks. */
 function runCrashCase(
   {
