Count a crash only against tasks whose start the worker confirmed

Cause: a start without a reply counted as if it had taken effect. Its worker had been cut off and was reborn before the start was sent, so the crash counted against a task that it never ran; after a second such worker the task was given up ('Task given up', crashes 2, on a worker that had just come back).

Change: only attempts that the worker has confirmed as running count. A deadly task that crashes its worker before the confirmation is counted at its next start.

--- a/packages/prove/src/domain/domain_crash_loop_test.ts
+++ b/packages/prove/src/domain/domain_crash_loop_test.ts
@@ -1,6 +1,7 @@
 import { StagedJobState } from "@mustardweir/model";
 import { FrontAnswerKind, FrontCallKind } from "@mustardweir/protocol";
 import { expect } from "chai";
+import type { DomainWorker } from "./domain_worker.ts";
 import {
   createTaskPayload,
   DomainCluster,
@@ -261,6 +262,44 @@
   check();
 }
 
+/** Number of workers that end after a start that they never got. */
+const LOST_STARTS = 3;
+/** Longest time for which a start is waited for, in milliseconds. */
+const START_LIMIT_MS = 5_000;
+
+it("a crash counts against no task whose start the worker didn't get", () => {
+  const cluster = new DomainCluster({
+    seed: 1,
+    workers: 1,
+    needsPermits: false,
+  });
+  const { clock, nodeIds, workers, store } = cluster;
+  clock.runUntil(WARM_UP_MS);
+  const [[workerId, worker]] = [...workers] as [[string, DomainWorker]];
+  const { faults } = worker;
+  faults.losesStarts = true;
+  const jobId = jobIdOf(0);
+  cluster.submit(jobId, {
+    payload: createTaskPayload({ runMs: RUN_MS, failures: 0 }),
+    stages: [stageSpec({ tasks: 1 })],
+  }, nodeIds[0]!);
+  for (let count = 1; count <= LOST_STARTS; count++) {
+    const giveUpMs = clock.now + START_LIMIT_MS;
+    while (worker.lostStarts < count && clock.now < giveUpMs) {
+      clock.runUntil(clock.now + 5);
+    }
+    nodeIds.forEach((node) => faults.unreachableFrom.add(node));
+    clock.runUntil(clock.now + 600);
+    worker.crash();
+    worker.restart();
+    store.setWorker(workerId, worker.info);
+    faults.unreachableFrom.clear();
+    faults.losesStarts = count < LOST_STARTS;
+  }
+  clock.runUntil(clock.now + SETTLE_MS);
+  expect(jobState(cluster, jobId)).to.equal(StagedJobState.Completed);
+});
+
 interface InnocentCase {
   readonly name: string;
   /** Called once while tasks run, with the worker to disturb. */
--- a/packages/prove/src/domain/domain_worker.ts
+++ b/packages/prove/src/domain/domain_worker.ts
@@ -60,6 +60,8 @@
   failsAll: boolean;
   /** Whether another worker replies at the address of this one. */
   isReplaced: boolean;
+  /** Whether starts are lost on their way. */
+  losesStarts: boolean;
 }
 
 interface Running {
@@ -96,9 +98,12 @@
     lateShare: 0,
     failsAll: false,
     isReplaced: false,
+    losesStarts: false,
   };
   info: WorkerInfo;
   isUp = true;
+  /** Number of starts that were lost on their way. */
+  lostStarts = 0;
   /** Its capacities so far, with the time from which each holds. */
   readonly capacities: {
     readonly sinceMs: number;
@@ -185,6 +190,11 @@
       timeOut();
       return;
     }
+    if (this.faults.losesStarts && order.kind === OrderKind.Start) {
+      this.lostStarts++;
+      timeOut();
+      return;
+    }
     if (random.fraction() < this.faults.lateShare) {
       const delayMs = MIN_LATE_DELAY_MS +
         random.below(MAX_LATE_DELAY_MS - MIN_LATE_DELAY_MS);
--- a/packages/sessions/src/listings.ts
+++ b/packages/sessions/src/listings.ts
@@ -264,10 +264,12 @@
   reportVanished(update, session, { lost, reason });
 }
 
-/** Returns the attempts that the worker may have started just before. */
+/** Returns the attempts that the worker has confirmed and just started. */
 export function listFresh(session: Readonly<Session>): AttemptName[] {
   return [...session.attempts.values()]
-    .filter((attempt) => isFresh(session, attempt))
+    .filter((attempt) =>
+      attempt.phase === AttemptPhase.Running && isFresh(session, attempt)
+    )
     .map(({ task, attempt }) => ({ task, attempt }));
 }
 
