--- a/review/standin/lab.mjs
+++ b/review/standin/lab.mjs
@@ -352,7 +352,7 @@
           call.status
         } ${JSON.stringify(call.body ?? {})} at ${this.at(call.answeredMs)}`]),
       ...this.events.filter(({ kind }) => kind !== "log" && kind !== "noted")
-        .map(({ at, ...event }) => [at, JSON.stringify(event)]),
+        .map((event) => [event.at, describe(event)]),
       ...this.events.filter(({ kind }) => kind === "log")
         .filter(({ message }) => !QUIET.has(message))
         .map(({ at, from, message, fields }) => [at,
@@ -375,6 +375,18 @@
   }
 }
 
+function describe({ at: _, ...event }) {
+  const { kind, runner, task, run, how, number } = event;
+  switch (kind) {
+    case "start":
+      return `${runner} starts run ${run} of ${task}`;
+    case "end":
+      return `${runner} lists end ${number}: run ${run} of ${task} ${how}`;
+    default:
+      return JSON.stringify(event);
+  }
+}
+
 /** Log lines that say nothing about a case. */
 const QUIET = new Set(["Bytes by kind", "Start ordered", "Attempt ended"]);
 
