Let the first listing of a restarted worker decide what was lost

A worker that crashed while it was idle was back under its id 0.25 s later and had confirmed a task; the owner started it elsewhere beside it.

Cause: handleWorkerRestart took all attempts for those of the former incarnation and dropped the listing that it came with. The owner's log shows 'Worker restarted' with attempts 1 and 'Attempt lost' 551 ms after the start was confirmed, and 'Stopping an attempt that isn't wanted' for the same run.

Ruled out: starts that are executed late (each had its 200 before), the age of the registration (it only shortens the window).

Change: an attempt has the incarnation that listed it. The first listing of a new incarnation is handled like any other: what it lists goes on; what it leaves out is lost, and counts as crashed, if the former incarnation listed it or it was confirmed before the renewal was sent; the others wait for the next listing. Attempts are removed before any of them is reported, so that the members of a gang aren't ordered to stop on a worker that has lost them.

Same cause on related paths, with cases that failed before but for the permits, which were found by reading: - ends were acknowledged by the former incarnation's number, also by a successor; - a lease that was given by the former clock counted as over after 4 s, and a successor knew nothing of it; - tasks were placed by the former capacity, and with the former permits.

--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -101,11 +101,23 @@
   return session.isRegistered && session.isReconciled && session.isRecorded &&
     !session.isClosed && session.missed === 0 && session.clock !== undefined &&
     session.info.state === WorkerState.Ready &&
+    isRegistrationCurrent(session) &&
     !update.read(REPLICA).drainedZones.has(session.info.zone) &&
     !update.read(WORKER_HEALTH).isRefusing(session.info.id, update.now) &&
     !hasForeignAttempt(session);
 }
 
+/**
+ * Returns whether the registration, with its capacity, is that of the
+ * incarnation that replies.
+ */
+function isRegistrationCurrent(
+  { incarnation, info }: Readonly<Session>,
+): boolean {
+  return incarnation === 0 || info.incarnation === 0 ||
+    incarnation === info.incarnation;
+}
+
 function hasForeignAttempt({ attempts }: Readonly<Session>): boolean {
   for (const { isForeign } of attempts.values()) {
     if (isForeign) {
--- a/packages/dispatch/src/dispatch_plugin.ts
+++ b/packages/dispatch/src/dispatch_plugin.ts
@@ -20,7 +20,7 @@
   type RecordCommitResult,
   replyTo,
 } from "@mustardweir/protocol";
-import { PERMITS_CHANGED } from "@mustardweir/permits";
+import { invalidateWorkerPermits, PERMITS_CHANGED } from "@mustardweir/permits";
 import {
   DESIRED_CHANGED,
   FOLLOWER_INTERVAL_MS,
@@ -44,6 +44,7 @@
   LISTING_HANDLED,
   WORKER_CRASHED,
   WORKER_RECONCILED,
+  WORKER_RESTARTED,
 } from "@mustardweir/sessions";
 import {
   CHANGES_DURABLE,
@@ -198,6 +199,11 @@
         (_, update) => requestPlacementPass(update),
         Normal,
       ),
+      kernel.registerCommand(
+        WORKER_RESTARTED,
+        ({ workerId }, update) => invalidateWorkerPermits(update, workerId),
+        Normal,
+      ),
       kernel.registerCommand(
         DESIRED_CHANGED,
         (_, update) => {
--- a/packages/permits/src/mod.ts
+++ b/packages/permits/src/mod.ts
@@ -10,6 +10,7 @@
   dropPermits,
   findValidPermit,
   invalidatePermit,
+  invalidateWorkerPermits,
   queryPermits,
   stagePermits,
 } from "./queries.ts";
--- a/packages/permits/src/queries.ts
+++ b/packages/permits/src/queries.ts
@@ -142,6 +142,18 @@
   });
 }
 
+/** Invalidates all permits of a worker that is back as a new incarnation. */
+export function invalidateWorkerPermits(
+  update: Update,
+  workerId: string,
+): void {
+  for (const [stage, { good }] of update.write(PERMITS).stages) {
+    if (good.has(workerId)) {
+      invalidatePermit(update, stage, workerId);
+    }
+  }
+}
+
 /**
  * Sends waiting queries. A long one goes to a node without any in flight; short
  * ones share a node, so that the policy has the next one at hand when it has
--- a/packages/protocol/src/node_identity.ts
+++ b/packages/protocol/src/node_identity.ts
@@ -16,6 +16,11 @@
   readonly cores?: number;
   /** Bandwidth of this node's link in Mbit/s; absent where it isn't limited. */
   readonly linkMbps?: number;
+  /**
+   * Longest lease that workers grant, in milliseconds; absent where the settings
+   * don't tell.
+   */
+  readonly maxLeaseMs?: number;
   /** Schedulers listed in the settings. */
   readonly seedPeers: readonly PeerAddress[];
 }
--- a/packages/prove/src/domain/domain_worker.ts
+++ b/packages/prove/src/domain/domain_worker.ts
@@ -62,6 +62,8 @@
   isReplaced: boolean;
   /** Whether starts are lost on their way. */
   losesStarts: boolean;
+  /** Whether starts are executed and their replies are lost. */
+  losesStartReplies: boolean;
 }
 
 interface Running {
@@ -99,6 +101,7 @@
     failsAll: false,
     isReplaced: false,
     losesStarts: false,
+    losesStartReplies: false,
   };
   info: WorkerInfo;
   isUp = true;
@@ -216,7 +219,9 @@
     );
     clock.after(1, () =>
       this.#execute(order, from, (result) => {
-        if (!this.faults.unreachableFrom.has(from)) {
+        const isReplyLost = this.faults.unreachableFrom.has(from) ||
+          (this.faults.losesStartReplies && order.kind === OrderKind.Start);
+        if (!isReplyLost) {
           clock.after(1, () => respondOnce(result));
         }
       }));
--- a/packages/replica/src/record_keys.ts
+++ b/packages/replica/src/record_keys.ts
@@ -89,6 +89,11 @@
   readonly recorded: number;
   /** Whether nothing runs there and nothing starts before a newer record. */
   readonly isIdle: boolean;
+  /**
+   * Store clock until which the worker may hold the longest lease that it
+   * grants, in milliseconds; absent if it has only been given ordinary ones.
+   */
+  readonly longLeaseUntilMs?: number;
 }
 
 /** Types of the fields of a {@link SessionRecord}. */
--- a/packages/sessions/src/leases.ts
+++ b/packages/sessions/src/leases.ts
@@ -1,4 +1,5 @@
 import type { Update } from "@mustardweir/kernel";
+import { NODE_IDENTITY } from "@mustardweir/protocol";
 import { isOwner, TENURE } from "@mustardweir/tenure";
 import type { Session } from "./session_state.ts";
 
@@ -19,8 +20,74 @@
 export const MAX_UNCONFIRMED_MS = 4_000;
 
 /** Longest time for which leases of a predecessor can last, in milliseconds. */
-export const MAX_INHERITED_LEASE_MS = LEASE_MS * (1 + MAX_CLOCK_DRIFT) +
-  EXPIRY_MARGIN_MS;
+export const MAX_INHERITED_LEASE_MS = longestMs(LEASE_MS);
+
+/**
+ * Longest lease that workers grant unless the settings tell another, in
+ * milliseconds.
+ */
+const DEFAULT_MAX_GRANTED_MS = 10_000;
+/** Tolerance for readings of clocks, which are rounded, in milliseconds. */
+const CLOCK_TOLERANCE_MS = 10;
+
+/** A reading of a worker's clock, from the reply to an order. */
+export interface ClockReading {
+  readonly workerMs: number;
+  /** When the order was sent, on this node's clock, in milliseconds. */
+  readonly sentMs: number;
+  /** End of the lease that the order carried, in ms; undefined for none. */
+  readonly leaseUntilMs: number | undefined;
+}
+
+/**
+ * Returns the time after which a lease of the given length is certainly over,
+ * in milliseconds.
+ */
+export function longestMs(leaseMs: number): number {
+  return leaseMs * (1 + MAX_CLOCK_DRIFT) + EXPIRY_MARGIN_MS;
+}
+
+/** Returns the longest lease that workers grant, in milliseconds. */
+export function maxGrantedMs(update: Update): number {
+  return update.service(NODE_IDENTITY).maxLeaseMs ?? DEFAULT_MAX_GRANTED_MS;
+}
+
+/**
+ * Notes a reading of the worker's clock. The clock of a new incarnation starts
+ * anew, so that orders with the end of a lease by the former clock have given it
+ * the longest lease that it grants.
+ */
+export function noteClock(
+  update: Update,
+  session: Session,
+  { workerMs, sentMs, leaseUntilMs = 0 }: ClockReading,
+): void {
+  const longestUntilMs = workerMs + maxGrantedMs(update);
+  if (hasStartedAnew(session, workerMs, sentMs)) {
+    session.leaseUntilMs = longestUntilMs;
+    session.longLeaseEndMs = update.now + longestMs(maxGrantedMs(update));
+  }
+  session.leaseUntilMs = Math.max(
+    session.leaseUntilMs,
+    Math.min(leaseUntilMs, longestUntilMs),
+  );
+  session.clock = { workerMs, atMs: update.now };
+}
+
+/** Returns whether the known clock can't have shown the reading. */
+function hasStartedAnew(
+  { clock }: Readonly<Session>,
+  workerMs: number,
+  sentMs: number,
+): boolean {
+  if (clock === undefined) {
+    return false;
+  }
+  const sinceMs = sentMs - clock.atMs;
+  const leastMs = clock.workerMs +
+    (sinceMs > 0 ? sinceMs * (1 - MAX_CLOCK_DRIFT) : sinceMs);
+  return workerMs < leastMs - CLOCK_TOLERANCE_MS;
+}
 
 /**
  * Returns whether this node may renew leases. A
--- a/packages/sessions/src/listings.ts
+++ b/packages/sessions/src/listings.ts
@@ -11,6 +11,7 @@
   recordKey,
   RecordKind,
   type SessionRecord,
+  storeNow,
 } from "@mustardweir/replica";
 import { queueChange } from "@mustardweir/tenure";
 import { currentToken, invalidateUnanswered, stopAttempt } from "./orders.ts";
@@ -32,6 +33,7 @@
   type SessionAttempt,
   WORKER_CRASHED,
   WORKER_RECONCILED,
+  WORKER_RESTARTED,
 } from "./session_state.ts";
 
 /**
@@ -55,22 +57,18 @@
 export function handleListing(
   update: Update,
   session: Session,
-  { context, listing }: ReceivedListing,
+  received: ReceivedListing,
 ): void {
-  if (
-    session.incarnation !== 0 && listing.incarnation !== session.incarnation
-  ) {
-    handleWorkerRestart(update, session, listing.incarnation);
-    return;
-  }
-  if (session.incarnation === 0) {
-    session.incarnation = listing.incarnation;
+  const { listing } = received;
+  if (isOtherIncarnation(session.incarnation, listing.incarnation)) {
+    handleWorkerRestart(update, session, received);
   }
+  session.incarnation = listing.incarnation || session.incarnation;
   session.heardMs = update.now;
   session.suspected = [];
   markChanged(update, session.info.id);
   handleEnds(update, session, listing.ended);
-  handleRunning(update, session, { context, listing });
+  handleRunning(update, session, received);
   retryStops(update, session);
   session.isPartial = listing.isPartial === true;
   if (!session.isPartial) {
@@ -80,30 +78,86 @@
 }
 
 /**
- * Handles a new incarnation of the worker; no earlier attempt runs there any
- * more.
+ * Handles the first listing of a new incarnation, whose ends are numbered anew.
+ * It may already run attempts that were ordered from the former one, so its
+ * listing decides which of them were lost.
  */
 function handleWorkerRestart(
   update: Update,
   session: Session,
-  incarnation: number,
+  received: ReceivedListing,
 ): void {
+  const { listing } = received;
+  const lost = listUnlisted(session, listing)
+    .filter((attempt) => isLost(attempt, received));
   update.emit(logChange("Worker restarted", {
     worker: session.info.id,
-    incarnation,
+    incarnation: listing.incarnation,
     attempts: session.attempts.size,
+    lost: lost.length,
   }));
-  reportCrashed(update, session, LossCause.Restarted);
-  session.incarnation = incarnation;
-  session.heardMs = update.now;
+  const present = listedKeys(listing);
+  const fresh = [
+    ...session.suspected.filter((name) => !present.has(attemptKey(name))),
+    ...listFresh(session, lost),
+  ];
   session.handled = 0;
   session.recorded = 0;
+  session.acknowledged = 0;
   session.pendingRecords.length = 0;
-  session.leaseUntilMs = 0;
-  session.answeredAddress = session.info.address;
   session.isReconciled = false;
+  // A successor must know of the new incarnation before it gets tasks.
+  session.isRecorded = false;
   recordSession(update, session);
   invalidateUnanswered(update, session);
+  removeAttempts(session, lost);
+  if (fresh.length > 0) {
+    update.dispatch(WORKER_CRASHED, { workerId: session.info.id, fresh });
+  }
+  update.dispatch(WORKER_RESTARTED, { workerId: session.info.id });
+  reportVanished(update, session, { lost, reason: LossCause.Restarted });
+}
+
+/** Returns whether two incarnations differ; one that isn't known is no other. */
+function isOtherIncarnation(a: number, b: number): boolean {
+  return a !== 0 && b !== 0 && a !== b;
+}
+
+/** Returns the session's attempts that neither run nor ended by the listing. */
+function listUnlisted(
+  { attempts }: Readonly<Session>,
+  listing: WorkerListing,
+): SessionAttempt[] {
+  const present = listedKeys(listing);
+  return [...attempts].filter(([key]) => !present.has(key))
+    .map(([, attempt]) => attempt);
+}
+
+/** Returns the keys of the attempts that run on the worker or have ended there. */
+function listedKeys(
+  { running, ended }: WorkerListing,
+): ReadonlySet<string> {
+  return new Set([...running, ...ended].map(attemptKey));
+}
+
+/**
+ * Returns whether an attempt that the listing leaves out has been lost without
+ * an end.
+ */
+function isLost(
+  { phase, incarnation, sinceMs, token }: Readonly<SessionAttempt>,
+  { context, listing }: ReceivedListing,
+): boolean {
+  if (isOtherIncarnation(incarnation, listing.incarnation)) {
+    return true;
+  }
+  // An unreadable run may be this attempt, and a start that was confirmed after
+  // the renewal was sent may be later than the listing.
+  if (listing.isPartial === true || sinceMs >= context.sentMs) {
+    return false;
+  }
+  return phase === AttemptPhase.Running ||
+    (phase === AttemptPhase.Stopping && token < context.token);
 }
 
 function handleEnds(
@@ -155,15 +209,19 @@
 
 function queueRecord(
   update: Update,
-  { info, incarnation, handled }: Session,
+  { info, incarnation, handled, longLeaseEndMs }: Session,
   isIdle: boolean,
 ): number {
+  const longLeaseMs = Math.ceil(longLeaseEndMs - update.now);
   const record: SessionRecord = {
     address: info.address,
     pool: info.pool,
     incarnation,
     recorded: handled,
     isIdle,
+    ...(longLeaseMs > 0
+      ? { longLeaseUntilMs: storeNow(update) + longLeaseMs }
+      : {}),
   };
   return queueChange(
     update,
@@ -175,18 +233,17 @@
 function handleRunning(
   update: Update,
   session: Session,
-  { context, listing }: ReceivedListing,
+  received: ReceivedListing,
 ): void {
+  const { listing } = received;
   const workerId = session.info.id;
-  const listedKeys = new Set<string>();
   for (const listed of listing.running) {
-    const key = attemptKey(listed);
-    listedKeys.add(key);
-    const attempt = session.attempts.get(key);
+    const attempt = session.attempts.get(attemptKey(listed));
     if (attempt === undefined) {
       update.dispatch(ATTEMPT_FOUND, { workerId, found: listed });
       continue;
     }
+    attempt.incarnation = listing.incarnation;
     if (attempt.phase === AttemptPhase.Unknown) {
       attempt.phase = AttemptPhase.Running;
       attempt.sinceMs = update.now;
@@ -198,36 +255,33 @@
     }
     update.dispatch(ATTEMPT_LISTED, { workerId, listed });
   }
-  if (listing.isPartial === true) {
-    // Starting one of the others elsewhere could run it twice.
-    return;
-  }
-  for (const [key, attempt] of [...session.attempts]) {
-    const isOlderThanRenewal = attempt.sinceMs < context.sentMs;
-    if (listedKeys.has(key) || !isOlderThanRenewal) {
-      continue;
-    }
-    const name = { workerId, task: attempt.task, attempt: attempt.attempt };
-    if (
-      attempt.phase === AttemptPhase.Unknown && attempt.token < context.token
-    ) {
-      session.attempts.delete(key);
-      update.dispatch(ATTEMPT_REFUSED, {
-        ...name,
-        outcome: OrderOutcome.NoAnswer,
-      });
-    } else if (
-      attempt.phase === AttemptPhase.Running ||
-      (attempt.phase === AttemptPhase.Stopping &&
-        attempt.token < context.token)
-    ) {
-      session.attempts.delete(key);
-      update.dispatch(ATTEMPT_VANISHED, {
-        ...name,
-        reason: LossCause.NotListed,
-      });
-    }
+  const unlisted = listUnlisted(session, listing);
+  const invalidated = unlisted.filter((attempt) =>
+    isInvalidated(attempt, received)
+  );
+  const lost = unlisted.filter((attempt) => isLost(attempt, received));
+  removeAttempts(session, [...invalidated, ...lost]);
+  for (const { task, attempt } of invalidated) {
+    update.dispatch(ATTEMPT_REFUSED, {
+      workerId,
+      task,
+      attempt,
+      outcome: OrderOutcome.NoAnswer,
+    });
   }
+  reportVanished(update, session, { lost, reason: LossCause.NotListed });
+}
+
+/**
+ * Returns whether an attempt that the listing leaves out has not started and can
+ * no longer start, since the worker has received a higher token.
+ */
+function isInvalidated(
+  { phase, sinceMs, token }: Readonly<SessionAttempt>,
+  { context, listing }: ReceivedListing,
+): boolean {
+  return listing.isPartial !== true && phase === AttemptPhase.Unknown &&
+    sinceMs < context.sentMs && token < context.token;
 }
 
 function retryStops(update: Update, session: Session): void {
@@ -253,7 +307,7 @@
 export function reportCrashed(
   update: Update,
   session: Session,
-  reason: LossCause.Restarted | LossCause.Replaced,
+  reason: LossCause.Replaced,
 ): void {
   const fresh = [...session.suspected, ...listFresh(session)];
   const lost = takeAttempts(session);
@@ -264,9 +318,15 @@
   reportVanished(update, session, { lost, reason });
 }
 
-/** Returns the attempts that the worker has confirmed and just started. */
-export function listFresh(session: Readonly<Session>): AttemptName[] {
-  return [...session.attempts.values()]
+/**
+ * Returns those of the session's attempts, or of the given ones, that the worker
+ * has confirmed and just started.
+ */
+export function listFresh(
+  session: Readonly<Session>,
+  attempts: Iterable<Readonly<SessionAttempt>> = session.attempts.values(),
+): AttemptName[] {
+  return [...attempts]
     .filter((attempt) =>
       attempt.phase === AttemptPhase.Running && isFresh(session, attempt)
     )
@@ -288,6 +348,13 @@
   return taken;
 }
 
+function removeAttempts(
+  { attempts }: Session,
+  removed: readonly SessionAttempt[],
+): void {
+  removed.forEach((attempt) => attempts.delete(attemptKey(attempt)));
+}
+
 function reportVanished(
   update: Update,
   session: Readonly<Session>,
@@ -340,6 +407,7 @@
       phase: AttemptPhase.Running,
       sinceMs: update.now,
       startedMs: -Infinity,
+      incarnation: session.incarnation,
       isForeign: size === undefined,
     });
   }
--- a/packages/sessions/src/orders.ts
+++ b/packages/sessions/src/orders.ts
@@ -13,7 +13,7 @@
   replyTo,
   type WorkerOrder,
 } from "@mustardweir/protocol";
-import { leaseEnd } from "./leases.ts";
+import { leaseEnd, noteClock } from "./leases.ts";
 import {
   ATTEMPT_REFUSED,
   ATTEMPT_RUNNING,
@@ -43,6 +43,8 @@
   readonly epoch: number;
   readonly kind: OrderKind;
   readonly token: number;
+  readonly sentMs: number;
+  readonly leaseUntilMs: number | undefined;
 }
 
 /** Dispatched when a start or stop has been replied to. */
@@ -100,6 +102,7 @@
     phase: AttemptPhase.Starting,
     sinceMs: update.now,
     startedMs: update.now,
+    incarnation: 0,
     isForeign: false,
   });
   sendOrder(update, session, {
@@ -163,6 +166,12 @@
     update.dispatch(OWNER_FENCED, { workerId: context.workerId });
     return;
   }
+  if (
+    result.clockMs !== undefined &&
+    result.outcome !== OrderOutcome.OtherIncarnation
+  ) {
+    noteClock(update, session, { ...context, workerMs: result.clockMs });
+  }
   const attempt = session.attempts.get(attemptKey(context));
   if (attempt === undefined) {
     return;
@@ -253,6 +262,10 @@
       task,
       attempt,
       token,
+      sentMs: update.now,
+      leaseUntilMs: order.kind === OrderKind.Start
+        ? order.leaseUntilMs
+        : undefined,
     }),
   }));
 }
--- a/packages/sessions/src/renewals.ts
+++ b/packages/sessions/src/renewals.ts
@@ -10,7 +10,12 @@
   type OrderResult,
   replyTo,
 } from "@mustardweir/protocol";
-import { areLeasesExpired, isUnreadable, leaseEnd } from "./leases.ts";
+import {
+  areLeasesExpired,
+  isUnreadable,
+  leaseEnd,
+  noteClock,
+} from "./leases.ts";
 import {
   handleListing,
   listFresh,
@@ -54,7 +59,8 @@
   readonly renewal: number;
   readonly token: number;
   readonly sentMs: number;
-  readonly incarnation: number;
+  readonly acknowledged: number;
+  readonly leaseUntilMs: number | undefined;
 }
 
 /** Dispatched when a renewal has been replied to. */
@@ -95,6 +101,7 @@
     session.leaseUntilMs = Math.max(session.leaseUntilMs, leaseUntilMs);
   }
   session.renewal = ++update.write(SESSIONS).lastRenewalId;
+  const acknowledged = mayAcknowledge(session) ? session.recorded : 0;
   const token = currentToken(update, session);
   session.renewalToken = token;
   update.emit(nodeEffect({
@@ -104,7 +111,7 @@
     order: {
       kind: OrderKind.Renew,
       token,
-      acknowledged: session.recorded,
+      acknowledged,
       ...(leaseUntilMs === undefined ? {} : { leaseUntilMs }),
       waitMs,
     },
@@ -115,7 +122,8 @@
       renewal: session.renewal,
       token,
       sentMs: update.now,
-      incarnation: session.incarnation,
+      acknowledged,
+      leaseUntilMs,
     }),
   }));
 }
@@ -157,8 +165,9 @@
   session.missed = 0;
   session.answeredMs = update.now;
   session.answeredAddress = session.info.address;
+  session.acknowledged = Math.max(session.acknowledged, context.acknowledged);
   if (clockMs !== undefined) {
-    session.clock = { workerMs: clockMs, atMs: update.now };
+    noteClock(update, session, { ...context, workerMs: clockMs });
   }
   session.nextRenewalMs = session.attempts.size === 0 && session.isReconciled
     ? update.now + IDLE_RENEWAL_MS
@@ -166,6 +175,17 @@
   handleListing(update, session, { context, listing });
 }
 
+/**
+ * Returns whether the worker may be told to discard ends. A new incarnation
+ * numbers them anew and would discard ends that it has not listed, so they are
+ * acknowledged only once, right after a listing.
+ */
+function mayAcknowledge(
+  { clock, missed, recorded, acknowledged }: Readonly<Session>,
+): boolean {
+  return clock !== undefined && missed === 0 && recorded > acknowledged;
+}
+
 /**
  * Gives up the attempts on a worker whose leases have expired, because it is
  * silent or its listings can't be read whole.
--- a/packages/sessions/src/session_state.ts
+++ b/packages/sessions/src/session_state.ts
@@ -40,6 +40,8 @@
    * owner did not start it.
    */
   readonly startedMs: number;
+  /** Incarnation of the worker that has listed it; 0 until one has. */
+  incarnation: number;
   /**
    * Whether the attempt was found on the worker but belongs to no known task.
    */
@@ -87,10 +89,17 @@
    * reply, in milliseconds.
    */
   readonly inheritedLeaseEndMs: number;
+  /**
+   * Time until which the worker may hold the longest lease that it grants, in
+   * milliseconds; -Infinity if it has only been given ordinary ones.
+   */
+  longLeaseEndMs: number;
   /** Number of the last end handled. */
   handled: number;
   /** Number of the last end recorded. */
   recorded: number;
+  /** Number of the last end that this incarnation was told to discard. */
+  acknowledged: number;
   readonly pendingRecords: PendingRecord[];
   /**
    * Ticket of the first queued record of this session; 0 before it is queued.
@@ -195,6 +204,10 @@
   /** Attempts that were in their first moments when it fell silent. */
   readonly fresh: readonly AttemptName[];
 }>("worker-crashed");
+/** Dispatched when a worker is back as a new incarnation. */
+export const WORKER_RESTARTED = createCommand<{ readonly workerId: string }>(
+  "worker-restarted",
+);
 /**
  * Dispatched when a worker lists an attempt that this owner has not started.
  */
--- a/packages/sessions/src/sessions_plugin.ts
+++ b/packages/sessions/src/sessions_plugin.ts
@@ -18,6 +18,7 @@
   RecordKind,
   REPLICA,
   type SessionRecord,
+  storeNow,
   WORKER_CHANGED,
 } from "@mustardweir/replica";
 import {
@@ -185,6 +186,8 @@
   const recorded = record?.recorded ?? 0;
   const mayHaveAttempts = record?.isIdle === false ||
     unreadableSessions.has(info.id);
+  const longLeaseEndMs = update.now - storeNow(update) +
+    (record?.longLeaseUntilMs ?? -Infinity);
   markChanged(update, info.id);
   update.write(SESSIONS).byWorker.set(info.id, {
     info,
@@ -197,10 +200,15 @@
     clock: undefined,
     leaseUntilMs: 0,
     inheritedLeaseEndMs: mayHaveAttempts
-      ? update.now + MAX_UNCONFIRMED_MS + MAX_INHERITED_LEASE_MS
+      ? Math.max(
+        update.now + MAX_UNCONFIRMED_MS + MAX_INHERITED_LEASE_MS,
+        longLeaseEndMs,
+      )
       : update.now,
+    longLeaseEndMs,
     handled: recorded,
     recorded,
+    acknowledged: 0,
     pendingRecords: [],
     ticket: 0,
     isRecorded: mayHaveAttempts,
