Answer calls until the connections of a stopping node are drained

Calls on connections that were open but unused when their node was asked to stop were read and never answered, 12 of 12; the process ended 5.5 s later with exit code 1.

Cause: the loop stopped as soon as no call was pending. FrontPerformer.close then waited for connections that it went on reading, and their calls stayed in the queue of the stopped loop. Connections that never carried a call, or are in the middle of one, aren't idle for the runtime's server.

Ruled out: the hand-over of the domain (the node was a follower); a test with one connection and no platform shows the same.

Change: EventLoop.stop drains the performers while it still handles events. Pending calls hold the drain back for 4.5 s at most, so that a stop ends by itself with code 0.

A second SIGTERM is ignored during a stop, as it cut all callers.

--- a/packages/intake/src/intake_plugin.ts
+++ b/packages/intake/src/intake_plugin.ts
@@ -69,8 +69,9 @@
  */
 const STOP_DRAIN_MS = 2_200;
 /**
- * Longest time for which a stop waits for the hand-over of the domain, in
- * milliseconds.
+ * Longest time for which a stop waits for the hand-over of the domain and for
+ * the answers to all calls, in milliseconds. The node goes on answering while
+ * its connections are drained after that.
  */
 const MAX_HANDOVER_MS = 4_500;
 /** Interval at which paused and overdue calls are checked, in milliseconds. */
@@ -332,19 +333,18 @@
 }
 
 /**
- * Ends the process once no new calls arrive, all calls are answered and the
- * domain is handed over. The hand-over depends on the store, so the wait for it
- * is limited.
+ * Ends the process once no new connections arrive, all calls are answered and
+ * the domain is handed over. Both depend on the store, so the wait for them is
+ * limited.
  */
 function stopWhenDrained(update: Update): void {
   const intake = update.write(INTAKE);
   const sinceRequestMs = update.now - intake.stopRequestedMs;
-  const hasReleasedDomain =
-    update.read(TENURE).phase === TenurePhase.Follower ||
-    sinceRequestMs >= MAX_HANDOVER_MS;
+  const isDrained = intake.calls.size === 0 &&
+    update.read(TENURE).phase === TenurePhase.Follower;
   if (
-    sinceRequestMs >= STOP_DRAIN_MS && intake.calls.size === 0 &&
-    hasReleasedDomain
+    sinceRequestMs >= STOP_DRAIN_MS &&
+    (isDrained || sinceRequestMs >= MAX_HANDOVER_MS)
   ) {
     intake.stopRequestedMs = Infinity;
     update.emit(nodeEffect({ kind: EffectKind.Stopped }));
--- a/packages/runtime/src/event_loop.ts
+++ b/packages/runtime/src/event_loop.ts
@@ -39,6 +39,12 @@
   readonly clock?: Clock;
 }
 
+/** Options of a stop. */
+export interface StopOptions {
+  /** Time for events that can still arrive, in milliseconds; 0 by default. */
+  readonly drainMs?: number;
+}
+
 type QueuedEvent = (now: number) => void;
 
 /**
@@ -83,8 +89,14 @@
     this.#schedule();
   }
 
-  /** Stops the loop, then closes the performers. */
-  async stop(): Promise<void> {
+  /**
+   * Drains the performers within `drainMs` milliseconds, 0 by default; then
+   * stops the loop and closes them.
+   */
+  async stop({ drainMs = 0 }: StopOptions = {}): Promise<void> {
+    await Promise.all(
+      this.#performers.map((performer) => performer.drain(drainMs)),
+    );
     this.#isRunning = false;
     clearImmediate(this.#nextTurn);
     clearTimeout(this.#timer);
--- a/packages/runtime/src/performer.ts
+++ b/packages/runtime/src/performer.ts
@@ -23,7 +23,16 @@
     return Promise.resolve();
   }
 
-  /** Called once when the process stops, to close listeners and connections. */
+  /**
+   * Called once before the loop stops, while it still handles events: opens no
+   * new connections and resolves when nothing more can arrive on those that are
+   * open, within `timeoutMs` milliseconds.
+   */
+  drain(_timeoutMs: number): Promise<void> {
+    return Promise.resolve();
+  }
+
+  /** Called once after the loop has stopped, to close connections. */
   close(): Promise<void> {
     return Promise.resolve();
   }
--- a/packages/runtime/src/process_host.ts
+++ b/packages/runtime/src/process_host.ts
@@ -1,9 +1,15 @@
 import type { Undo } from "@mustardweir/kernel";
 
+/** Signals that request a planned stop. */
+export enum StopSignal {
+  Terminate = "SIGTERM",
+  Interrupt = "SIGINT",
+}
+
 /** Signals, uncaught errors and exit of the operating system's process. */
 export abstract class ProcessHost {
   /** Calls `listener` on each stop signal. */
-  abstract onStopSignal(listener: () => void): Undo;
+  abstract onStopSignal(listener: (signal: StopSignal) => void): Undo;
 
   /** Calls `listener` with each uncaught error or unhandled rejection. */
   abstract onUncaught(listener: (error: unknown) => void): Undo;
@@ -12,13 +18,15 @@
   abstract exit(code: number): void;
 }
 
-const STOP_SIGNALS = ["SIGTERM", "SIGINT"] as const;
 const UNCAUGHT_EVENTS = ["uncaughtException", "unhandledRejection"] as const;
 
 /** The current process. */
 export class SystemProcessHost extends ProcessHost {
-  override onStopSignal(listener: () => void): Undo {
-    return listen(STOP_SIGNALS, listener);
+  override onStopSignal(listener: (signal: StopSignal) => void): Undo {
+    return listen(
+      Object.values(StopSignal),
+      (signal) => listener(signal as StopSignal),
+    );
   }
 
   override onUncaught(listener: (error: unknown) => void): Undo {
--- a/packages/runtime/src/run_node.ts
+++ b/packages/runtime/src/run_node.ts
@@ -17,10 +17,19 @@
 import { Metrics } from "./metrics.ts";
 import { MetricsPerformer } from "./metrics_performer.ts";
 import { Performer } from "./performer.ts";
-import { type ProcessHost, SystemProcessHost } from "./process_host.ts";
+import {
+  type ProcessHost,
+  StopSignal,
+  SystemProcessHost,
+} from "./process_host.ts";
 import type { Readiness } from "./readiness.ts";
 
 const DEFAULT_STOP_TIMEOUT_MS = 10_000;
+/**
+ * Part of the time for a stop that is kept for closing connections once nothing
+ * more can arrive, in milliseconds.
+ */
+const CLOSE_ALLOWANCE_MS = 300;
 /**
  * Most errors of events in {@link ERROR_WINDOW_MS} that a process survives: one
  * event may be at fault, with many the process itself is.
@@ -128,6 +137,8 @@
   #loop: EventLoop | undefined;
   #undo: Undo = () => {};
   #isStopping = false;
+  /** End of the time for the planned stop, in milliseconds. */
+  #deadlineMs = 0;
   #hasExited = false;
   #errorsMs: number[] = [];
   #deadlineTimer: NodeJS.Timeout | undefined;
@@ -141,7 +152,7 @@
   watch(loop: EventLoop): void {
     this.#loop = loop;
     this.#undo = mergeUndo(
-      this.#host.onStopSignal(() => this.#handleStopSignal()),
+      this.#host.onStopSignal((signal) => this.#handleStopSignal(signal)),
       this.#host.onUncaught((error) => this.fail(error)),
     );
   }
@@ -149,7 +160,8 @@
   /** Stops the loop and exits; called when the planned stop is complete. */
   async finish(): Promise<void> {
     this.#startDeadline();
-    await this.#loop?.stop();
+    const drainMs = this.#deadlineMs - performance.now() - CLOSE_ALLOWANCE_MS;
+    await this.#loop?.stop({ drainMs: Math.max(0, drainMs) });
     this.#exit(ExitCode.Stopped);
   }
 
@@ -174,9 +186,12 @@
     this.#exit(ExitCode.Failed);
   }
 
-  #handleStopSignal(): void {
+  #handleStopSignal(signal: StopSignal): void {
     if (this.#isStopping) {
-      this.#exit(ExitCode.Failed);
+      // A supervisor may repeat its request; a person at a terminal insists.
+      if (signal === StopSignal.Interrupt) {
+        this.#exit(ExitCode.Failed);
+      }
       return;
     }
     this.#isStopping = true;
@@ -192,7 +207,11 @@
 
   #startDeadline(extraMs = 0): void {
     const { stopTimeoutMs = DEFAULT_STOP_TIMEOUT_MS } = this.#options;
-    this.#deadlineTimer ??= setTimeout(() => {
+    if (this.#deadlineTimer !== undefined) {
+      return;
+    }
+    this.#deadlineMs = performance.now() + stopTimeoutMs + extraMs;
+    this.#deadlineTimer = setTimeout(() => {
       this.#options.logger.error("Stop timed out", { stopTimeoutMs });
       this.#exit(ExitCode.Failed);
     }, stopTimeoutMs + extraMs);
