Conclude nothing from a list of ends that may leave out later ones

Tasks whose ends lay beyond the 500 of one list were started again, during an outage of the store or after a change of the owner.

Cause: handleRunning took an attempt that was in neither list for lost, and handleListing counted an inherited worker as reconciled, without regard to a list of ends that was full.

Ruled out: lapsed leases (none in the record); the store (it also happens without a fault if ends come faster than they are recorded).

Change: a listing has hasMoreEnds, set where the worker listed as many ends as it lists at most. Only a complete listing (isComplete) shows what is missing on the worker. Ends are handled in the order of their numbers.

--- a/packages/protocol/src/worker_orders.ts
+++ b/packages/protocol/src/worker_orders.ts
@@ -102,7 +102,29 @@
    * listed may still run. False by default.
    */
   readonly isPartial?: boolean;
+  /** The ends with the lowest numbers, in ascending order. */
   readonly ended: readonly EndedAttempt[];
+  /**
+   * Whether there may be later ends than those listed: an attempt that isn't
+   * listed may have ended. False by default.
+   */
+  readonly hasMoreEnds?: boolean;
+}
+
+/**
+ * Returns whether the listing shows all attempts of the worker, so that one that
+ * is missing neither runs there nor has ended there since the ends that were
+ * acknowledged.
+ *
+ * @example
+ * ```ts
+ * isComplete({ incarnation: 1, running: [], ended: [], hasMoreEnds: true }); // false
+ * ```
+ */
+export function isComplete(
+  { isPartial = false, hasMoreEnds = false }: WorkerListing,
+): boolean {
+  return !isPartial && !hasMoreEnds;
 }
 
 /** The result of {@link OrderWorkerEffect}. */
--- a/packages/prove/src/domain/domain_worker.ts
+++ b/packages/prove/src/domain/domain_worker.ts
@@ -64,6 +64,8 @@
   losesStarts: boolean;
   /** Whether starts are executed and their replies are lost. */
   losesStartReplies: boolean;
+  /** Most ends that the worker lists at a time. */
+  endsPerList: number;
 }
 
 interface Running {
@@ -102,6 +104,7 @@
     isReplaced: false,
     losesStarts: false,
     losesStartReplies: false,
+    endsPerList: 500,
   };
   info: WorkerInfo;
   isUp = true;
@@ -399,7 +402,11 @@
         percent: 50,
         load: 0,
       })),
-      ended: this.#ended.map(({ record: _, ...ended }) => ended),
+      ended: this.#ended.slice(0, this.faults.endsPerList)
+        .map(({ record: _, ...ended }) => ended),
+      ...(this.#ended.length >= this.faults.endsPerList
+        ? { hasMoreEnds: true }
+        : {}),
     };
   }
 
--- a/packages/sessions/src/listings.ts
+++ b/packages/sessions/src/listings.ts
@@ -3,6 +3,7 @@
 import {
   type AttemptName,
   type EndedAttempt,
+  isComplete,
   logChange,
   OrderOutcome,
   type WorkerListing,
@@ -71,7 +72,7 @@
   handleRunning(update, session, received);
   retryStops(update, session);
   session.isPartial = listing.isPartial === true;
-  if (!session.isPartial) {
+  if (isComplete(listing)) {
     markReconciled(update, session);
   }
   update.dispatch(LISTING_HANDLED, { workerId: session.info.id });
@@ -151,9 +152,9 @@
   if (isOtherIncarnation(incarnation, listing.incarnation)) {
     return true;
   }
-  // An unreadable run may be this attempt, and a start that was confirmed after
-  // the renewal was sent may be later than the listing.
-  if (listing.isPartial === true || sinceMs >= context.sentMs) {
+  // A start that was confirmed after the renewal was sent may be later than the
+  // listing.
+  if (!isComplete(listing) || sinceMs >= context.sentMs) {
     return false;
   }
   return phase === AttemptPhase.Running ||
@@ -280,7 +281,7 @@
   { phase, sinceMs, token }: Readonly<SessionAttempt>,
   { context, listing }: ReceivedListing,
 ): boolean {
-  return listing.isPartial !== true && phase === AttemptPhase.Unknown &&
+  return isComplete(listing) && phase === AttemptPhase.Unknown &&
     sinceMs < context.sentMs && token < context.token;
 }
 
