Divide a job's progress into records and isolate a change that can't be written

A job of 5,000 tasks with checkpoints stopped all owners: 20 or 21 changes of the owner in some 40 s, ends of all teams that weren't acknowledged, thousands of repeated starts. With 2,600 tasks no rule broke, but the owner changed 18 times.

Cause: the progress of a job was one record of unlimited size (133 to 148 KB here); the store's 400 counted as a refusal for now; and a transaction with such a record was sent again, unchanged, before all others, until the tenure ended.

Ruled out: the repeated starts alone (they also need the lists of 500 ends).

Change: 128 tasks a record, by their number in the job; the first one also holds the state, so that small jobs have the one record that they had. Only changed parts are written, and the others are removed when the job ends. A record of an earlier version is read, and divided before it is replaced. A submission whose record is rejected is answered with 400 at once.

Why it works: a part says nothing of other tasks and facts about a task only increase, so records that were written at different times are merged in any order.

--- a/packages/dispatch/src/attempts.ts
+++ b/packages/dispatch/src/attempts.ts
@@ -21,6 +21,7 @@
   isJobDone,
   isOpen,
   isStageDone,
+  markProgressed,
   reservedSize,
   type StageRun,
   subtractTeamUsage,
@@ -140,6 +141,7 @@
   }
   task.attempt = Math.max(task.attempt, ended.attempt);
   task.checkpoint = ended.checkpoint || task.checkpoint;
+  markProgressed(task);
   update.emit(count(`ends-${ended.end}`));
   update.emit(logChange("Attempt ended", {
     task: ended.task,
@@ -272,6 +274,7 @@
     }
     member.phase = TaskPhase.Done;
     member.checkpoint = "";
+    markProgressed(member);
     stage.doneCount++;
   }
   const { job } = stage;
@@ -306,6 +309,7 @@
   }
   const counted = stage.spec.gang ? stage.tasks[0]! : task;
   counted.failures++;
+  markProgressed(counted);
   if (counted.failures >= job.record.queue.maxAttempts) {
     endJob(update, job, StagedJobState.Failed);
     removeIfFinished(update, task);
--- a/packages/dispatch/src/crashes.ts
+++ b/packages/dispatch/src/crashes.ts
@@ -6,6 +6,7 @@
   DISPATCH_STATE,
   findTask,
   isOpen,
+  markProgressed,
   taskName,
   TaskPhase,
   type TaskRun,
@@ -42,6 +43,7 @@
   }
   for (const task of tasks) {
     task.crashes++;
+    markProgressed(task);
     update.write(DISPATCH_STATE).suspects.add(task);
   }
   update.emit(count("worker-crashes"));
--- a/packages/dispatch/src/dispatch_plugin.ts
+++ b/packages/dispatch/src/dispatch_plugin.ts
@@ -27,12 +27,14 @@
   isFollower,
   JOB_CHANGED,
   type KnownJob,
+  progressKey,
   recordKey,
   RecordKind,
   REPLICA,
   storeNow,
   SUMMARY_WANTED,
   unixNow,
+  wholeProgress,
 } from "@mustardweir/replica";
 import {
   ATTEMPT_ENDED,
@@ -47,6 +49,7 @@
   WORKER_RESTARTED,
 } from "@mustardweir/sessions";
 import {
+  CHANGE_REJECTED,
   CHANGES_DURABLE,
   queueChange,
   TENURE_GAINED,
@@ -68,6 +71,7 @@
   findStage,
   isOpen,
   type JobRun,
+  markMisplacedParts,
   occurrenceCount,
   TaskPhase,
   type TaskRun,
@@ -77,7 +81,7 @@
 import { handleWorkerCrashed } from "./crashes.ts";
 import { WORKER_HEALTH, WorkerHealth } from "./health.ts";
 import { LinkBudget } from "./link_budget.ts";
-import { announceEnds, endJob } from "./progress.ts";
+import { announceEnds, endJob, handleChangeRejected } from "./progress.ts";
 import {
   requestPlacementPass,
   runPlacementPass,
@@ -172,6 +176,11 @@
         (reply, update) => handleRemovalResult(update, reply),
         Normal,
       ),
+      kernel.registerCommand(
+        CHANGE_REJECTED,
+        ({ key }, update) => handleChangeRejected(update, key),
+        Normal,
+      ),
       kernel.registerCommand(
         CHANGES_DURABLE,
         ({ upToTicket }, update) => announceEnds(update, upToTicket),
@@ -343,9 +352,11 @@
   if (isFinal(progress?.state ?? StagedJobState.Pending)) {
     return;
   }
+  const replica = update.read(REPLICA);
   const job = createJobRun(known.jobId, {
     record,
-    progress,
+    progress: wholeProgress(replica, known.jobId),
+    recordedParts: replica.progressParts.get(known.jobId)?.keys() ?? [],
     isInherited,
     isOverRate,
   });
@@ -358,6 +369,9 @@
     update.write(DISPATCH_STATE).scheduled.add(job);
   }
   addDueOccurrences(update, job);
+  if (progress !== undefined) {
+    markMisplacedParts(job, progress);
+  }
   addWaitingJob(update, job);
   for (const { tasks } of job.stages.values()) {
     for (const task of tasks) {
@@ -398,11 +412,15 @@
     return;
   }
   const now = unixNow(update);
-  while (
+  const isDue = () =>
     job.dueOccurrences < occurrenceCount(job.record) &&
-    schedule.firstDueMs + job.dueOccurrences * schedule.intervalMs <= now
-  ) {
-    addOccurrence(job, update.read(REPLICA).jobs.get(job.jobId)?.progress);
+    schedule.firstDueMs + job.dueOccurrences * schedule.intervalMs <= now;
+  if (!isDue()) {
+    return;
+  }
+  const progress = wholeProgress(update.read(REPLICA), job.jobId);
+  while (isDue()) {
+    addOccurrence(job, progress);
     addWaitingJob(update, job);
     requestPlacementPass(update);
   }
@@ -467,6 +485,10 @@
   const known = update.write(REPLICA).jobs.get(jobId);
   known?.parts.delete(part);
   if (known === undefined || known.parts.size === 0) {
+    const parts = update.read(REPLICA).progressParts.get(jobId) ?? new Map();
+    for (const part of parts.keys()) {
+      queueChange(update, progressKey(jobId, part), undefined);
+    }
     queueChange(update, recordKey(RecordKind.Progress, jobId), undefined);
   }
 }
--- a/packages/dispatch/src/dispatch_state.ts
+++ b/packages/dispatch/src/dispatch_state.ts
@@ -8,12 +8,15 @@
   MAX_MARKED_FAILURES,
   NO_RESOURCES,
   OPEN_MARK,
+  progressPartOf,
   type Resources,
   StagedJobState,
   stageKey,
   type StageSpec,
   subtractResources,
   taskKey,
+  TASKS_PER_PART,
+  tasksPerOccurrence,
 } from "@mustardweir/model";
 import type { DurableProgress } from "@mustardweir/protocol";
 import type { LinkBudget } from "./link_budget.ts";
@@ -86,6 +89,8 @@
   readonly occurrence: number;
   readonly number: number;
   readonly spec: StageSpec;
+  /** Number of its first task among all tasks of all occurrences. */
+  readonly firstTask: number;
   readonly tasks: TaskRun[];
   doneCount: number;
   /**
@@ -101,6 +106,10 @@
   readonly jobId: string;
   readonly record: JobRecord;
   readonly stages: Map<string, StageRun>;
+  /** Parts of the progress that differ from their records. */
+  readonly changedParts: Set<number>;
+  /** Later parts of the progress that have records. */
+  readonly recordedParts: Set<number>;
   /** Number of occurrences that have become due. */
   dueOccurrences: number;
   state: StagedJobState;
@@ -170,9 +179,11 @@
 /** Creates a job's run from its recorded progress. */
 export function createJobRun(
   jobId: string,
-  { record, progress, isInherited, isOverRate }: {
+  { record, progress, recordedParts = [], isInherited, isOverRate }: {
     readonly record: JobRecord;
     readonly progress: Readonly<JobProgress> | undefined;
+    /** Later parts of the progress that have records; none by default. */
+    readonly recordedParts?: Iterable<number>;
     readonly isInherited: boolean;
     readonly isOverRate: boolean;
   },
@@ -181,6 +192,8 @@
     jobId,
     record,
     stages: new Map(),
+    changedParts: new Set(),
+    recordedParts: new Set(recordedParts),
     dueOccurrences: 0,
     state: progress?.state ?? StagedJobState.Pending,
     isInherited,
@@ -198,6 +211,7 @@
   progress?: Readonly<JobProgress>,
 ): void {
   const occurrence = job.dueOccurrences++;
+  let firstTask = occurrence * tasksPerOccurrence(job.record.spec);
   job.record.spec.stages.forEach((spec, number) => {
     const key = stageKey(occurrence, number);
     const stage: StageRun = {
@@ -207,6 +221,7 @@
       occurrence,
       number,
       spec,
+      firstTask,
       tasks: [],
       doneCount: 0,
       ranMs: 0,
@@ -241,21 +256,54 @@
       });
     }
     job.stages.set(key, stage);
+    firstTask += spec.tasks;
   });
 }
 
-/** Returns the progress of the job to be recorded. */
-export function progressOf(job: Readonly<JobRun>): JobProgress {
+/** Returns the part of the job's progress that holds the task. */
+export function partOfTask({ stage, index }: TaskRun): number {
+  return progressPartOf(stage.firstTask + index);
+}
+
+/** Notes that the recorded progress of the task is out of date. */
+export function markProgressed(task: TaskRun): void {
+  task.stage.job.changedParts.add(partOfTask(task));
+}
+
+/**
+ * Notes the later parts of the job's progress that the given record holds, which
+ * an earlier version of this system has written for all tasks.
+ */
+export function markMisplacedParts(
+  job: JobRun,
+  first: Readonly<JobProgress>,
+): void {
+  for (const { key, tasks } of job.stages.values()) {
+    const marks = first.marks[key]?.length ?? 0;
+    tasks.filter((task) =>
+      partOfTask(task) > 0 &&
+      (task.index < marks || taskKey(key, task.index) in first.checkpoints)
+    ).forEach(markProgressed);
+  }
+}
+
+/** Returns a part of the progress of the job to be recorded. */
+export function progressOf(job: Readonly<JobRun>, part: number): JobProgress {
   const progress: JobProgress = {
     state: job.state,
     marks: {},
     checkpoints: {},
   };
-  for (const stage of job.stages.values()) {
-    if (stage.tasks.some((task) => markOf(task) !== OPEN_MARK)) {
-      progress.marks[stage.key] = stage.tasks.map(markOf).join("");
+  for (const { stage, tasks } of tasksInPart(job, part)) {
+    if (tasks.some((task) => markOf(task) !== OPEN_MARK)) {
+      progress.marks[stage.key] = tasks.map(markOf).join("");
+      const [{ index: offset } = { index: 0 }] = tasks;
+      if (offset > 0) {
+        progress.offsets ??= {};
+        progress.offsets[stage.key] = offset;
+      }
     }
-    for (const task of stage.tasks) {
+    for (const task of tasks) {
       if (task.checkpoint !== "" && task.phase !== TaskPhase.Done) {
         progress.checkpoints[taskKey(stage.key, task.index)] = task.checkpoint;
       }
@@ -268,6 +316,34 @@
   return progress;
 }
 
+/** Returns the tasks of a part of the job's progress, by their stages. */
+function tasksInPart(
+  { record: { spec }, stages }: Readonly<JobRun>,
+  part: number,
+): { readonly stage: StageRun; readonly tasks: readonly TaskRun[] }[] {
+  const from = part * TASKS_PER_PART;
+  const to = from + TASKS_PER_PART;
+  const found = [];
+  let occurrence = Math.floor(from / tasksPerOccurrence(spec));
+  while (occurrence >= 0) {
+    for (let number = 0; number < spec.stages.length; number++) {
+      const stage = stages.get(stageKey(occurrence, number));
+      if (stage === undefined || stage.firstTask >= to) {
+        return found;
+      }
+      const tasks = stage.tasks.slice(
+        Math.max(0, from - stage.firstTask),
+        Math.max(0, to - stage.firstTask),
+      );
+      if (tasks.length > 0) {
+        found.push({ stage, tasks });
+      }
+    }
+    occurrence++;
+  }
+  return found;
+}
+
 function markOf({ phase, failures }: TaskRun): string {
   return phase === TaskPhase.Done
     ? DONE_MARK
--- a/packages/dispatch/src/progress.ts
+++ b/packages/dispatch/src/progress.ts
@@ -1,5 +1,5 @@
 import type { Update } from "@mustardweir/kernel";
-import { isFinal, StagedJobState } from "@mustardweir/model";
+import { isFinal, type JobProgress, StagedJobState } from "@mustardweir/model";
 import {
   logChange,
   NODE_IDENTITY,
@@ -9,7 +9,9 @@
 import { dropPermits } from "@mustardweir/permits";
 import {
   applyProgress,
-  recordKey,
+  parseKey,
+  parsePartName,
+  progressKey,
   RecordKind,
   storeNow,
 } from "@mustardweir/replica";
@@ -25,20 +27,89 @@
 } from "./dispatch_state.ts";
 import { removeWaitingJob } from "./waiting.ts";
 
-/** Queues the job's current progress to be recorded. */
+/** Largest value of a record unless the settings tell another, in bytes. */
+const DEFAULT_MAX_RECORD_BYTES = 65_536;
+
+/**
+ * Queues those parts of the job's progress to be recorded that have changed. The
+ * first part, with the job's state, comes last: it replaces the record of an
+ * earlier version, which held them all.
+ */
 export function writeProgress(update: Update, job: JobRun): void {
-  const { jobId } = job;
-  const progress = progressOf(job);
   if (isFinal(job.state)) {
-    progress.endedMs = storeNow(update);
+    writeEnd(update, job);
+    return;
+  }
+  const parts = [...job.changedParts].sort((a, b) => b - a);
+  job.changedParts.clear();
+  for (const part of parts) {
+    if (part > 0) {
+      job.recordedParts.add(part);
+    }
+    queueProgress(update, { job, part, progress: progressOf(job, part) });
+  }
+}
+
+/** Queues the end of the job to be recorded, after which its state says all. */
+function writeEnd(update: Update, job: JobRun): void {
+  const { jobId } = job;
+  const progress = { ...progressOf(job, 0), endedMs: storeNow(update) };
+  const ticket = queueProgress(update, { job, part: 0, progress });
+  for (const part of job.recordedParts) {
+    queueChange(update, progressKey(jobId, part), undefined);
   }
-  const ticket = queueChange(
-    update,
-    recordKey(RecordKind.Progress, jobId),
-    JSON.stringify(progress),
+  job.changedParts.clear();
+  job.recordedParts.clear();
+  update.write(DISPATCH_STATE).pendingEnds.push({ ticket, jobId, progress });
+}
+
+/**
+ * Queues the record of a part. Checkpoints that make it too large are left out:
+ * they save work, but the tasks can do without.
+ */
+function queueProgress(
+  update: Update,
+  { job: { jobId }, part, progress }: {
+    readonly job: JobRun;
+    readonly part: number;
+    readonly progress: JobProgress;
+  },
+): number {
+  const { maxRecordBytes = DEFAULT_MAX_RECORD_BYTES } = update.service(
+    NODE_IDENTITY,
   );
-  if (isFinal(job.state)) {
-    update.write(DISPATCH_STATE).pendingEnds.push({ ticket, jobId, progress });
+  let value = JSON.stringify(progress);
+  const bytes = Buffer.byteLength(value);
+  if (bytes > maxRecordBytes) {
+    value = JSON.stringify({ ...progress, checkpoints: {} });
+    update.emit(logChange("Checkpoints not recorded", {
+      job: jobId,
+      part,
+      bytes,
+      maxBytes: maxRecordBytes,
+    }));
+  }
+  return queueChange(update, progressKey(jobId, part), value);
+}
+
+/**
+ * Ends a job whose progress the store has rejected for good: what its tasks do
+ * can't be recorded any more.
+ */
+export function handleChangeRejected(update: Update, key: string): void {
+  const parsed = parseKey(key);
+  if (
+    parsed?.kind !== RecordKind.Progress &&
+    parsed?.kind !== RecordKind.ProgressPart
+  ) {
+    return;
+  }
+  const jobId = parsed.kind === RecordKind.Progress
+    ? parsed.name
+    : parsePartName(parsed.name).jobId;
+  const job = update.write(DISPATCH_STATE).jobs.get(jobId);
+  if (job !== undefined) {
+    endJob(update, job, StagedJobState.Failed);
   }
 }
 
--- a/packages/dispatch/src/starts.ts
+++ b/packages/dispatch/src/starts.ts
@@ -83,6 +83,7 @@
 function markRunning(update: Update, job: JobRun): void {
   if (job.state === StagedJobState.Pending) {
     job.state = StagedJobState.Running;
+    job.changedParts.add(0);
     writeProgress(update, job);
     update.emit(logChange("Job started", {
       job: job.jobId,
--- a/packages/intake/src/submissions.ts
+++ b/packages/intake/src/submissions.ts
@@ -199,6 +199,9 @@
     case RecordCommitKind.Refused:
       pauseCall(update, call);
       break;
+    case RecordCommitKind.Rejected:
+      handleRejected(update, call);
+      break;
     case RecordCommitKind.Unknown:
       update.emit(count("call-write-unknown"));
       call.isUncertain = true;
@@ -207,6 +210,21 @@
   }
 }
 
+/**
+ * Handles a write that the store will never take. If no other write of the call
+ * can have taken effect, the job never runs.
+ */
+function handleRejected(update: Update, call: PendingCall): void {
+  if (call.purpose === CallPurpose.Submit && !call.isUncertain) {
+    answerCall(update, call.callId, {
+      kind: FrontAnswerKind.BadRequest,
+      reason: "The job is too large to be recorded",
+    });
+  } else {
+    pauseCall(update, call);
+  }
+}
+
 /** Handles the result of a read. */
 export function handleReadResult(
   update: Update,
--- a/packages/model/src/mod.ts
+++ b/packages/model/src/mod.ts
@@ -11,4 +11,5 @@
 export * from "./resources.ts";
 export * from "./desired_state.ts";
 export * from "./staged_job.ts";
+export * from "./progress_parts.ts";
 export * from "./record_schemas.ts";
--- /dev/null
+++ b/packages/model/src/progress_parts.ts
@@ -0,0 +1,76 @@
+import {
+  DONE_MARK,
+  type JobProgress,
+  OPEN_MARK,
+  type StagedJobSpec,
+} from "./staged_job.ts";
+
+/**
+ * Number of tasks whose progress one record holds. With checkpoints of 400 bytes
+ * it stays below the usual limit of a record, 64 KiB.
+ */
+export const TASKS_PER_PART = 128;
+
+/**
+ * Returns the part of a job's progress that holds a task, by the task's number
+ * among all tasks of all occurrences. Each part has a record of its own. As a
+ * part says nothing of other tasks, parts that were written at different times
+ * can be read together.
+ *
+ * @example
+ * ```ts
+ * progressPartOf(130); // 1
+ * ```
+ */
+export function progressPartOf(taskNumber: number): number {
+  return Math.floor(taskNumber / TASKS_PER_PART);
+}
+
+/** Returns the number of tasks in one occurrence of a job. */
+export function tasksPerOccurrence({ stages }: StagedJobSpec): number {
+  return stages.reduce((sum, { tasks }) => sum + tasks, 0);
+}
+
+/**
+ * Returns the progress that two records tell together. A task that one of them
+ * shows as done is done, and failures and crashes only increase, so the order in
+ * which the records were written doesn't matter.
+ *
+ * @example
+ * ```ts
+ * parts.reduce(mergeProgress, first);
+ * ```
+ */
+export function mergeProgress(
+  first: Readonly<JobProgress>,
+  second: Readonly<JobProgress>,
+): JobProgress {
+  const { offsets: _, ...merged } = first;
+  merged.marks = {};
+  for (const { marks, offsets } of [first, second]) {
+    for (const [stage, text] of Object.entries(marks)) {
+      merged.marks[stage] = mergeMarks(
+        merged.marks[stage] ?? "",
+        OPEN_MARK.repeat(offsets?.[stage] ?? 0) + text,
+      );
+    }
+  }
+  merged.checkpoints = { ...first.checkpoints, ...second.checkpoints };
+  for (const [task, crashes] of Object.entries(second.crashes ?? {})) {
+    merged.crashes = {
+      ...merged.crashes,
+      [task]: Math.max(crashes, merged.crashes?.[task] ?? 0),
+    };
+  }
+  return merged;
+}
+
+function mergeMarks(a: string, b: string): string {
+  const [long, short] = a.length >= b.length ? [a, b] : [b, a];
+  const merged = [...short].map((mark, index) => laterMark(mark, long[index]!));
+  return merged.join("") + long.slice(short.length);
+}
+
+function laterMark(a: string, b: string): string {
+  return a === DONE_MARK || (b !== DONE_MARK && a > b) ? a : b;
+}
--- a/packages/model/src/record_schemas.ts
+++ b/packages/model/src/record_schemas.ts
@@ -69,6 +69,7 @@
 export const jobProgressSchema: z.ZodType<JobProgress> = z.looseObject({
   state: z.enum(StagedJobState),
   marks: z.record(z.string(), z.string()),
+  offsets: z.record(z.string(), z.number().nonnegative()).optional(),
   checkpoints: z.record(z.string(), z.string()),
   crashes: z.record(z.string(), z.number().nonnegative()).optional(),
   endedMs: z.number().optional(),
--- a/packages/model/src/staged_job.ts
+++ b/packages/model/src/staged_job.ts
@@ -102,8 +102,10 @@
 /** The progress of a job that is stored durably. */
 export interface JobProgress {
   state: StagedJobState;
-  /** Marks of the tasks of each stage, by {@link stageKey}. */
+  /** Marks of consecutive tasks of each stage, by {@link stageKey}. */
   marks: Record<string, string>;
+  /** Index of the first of them, by {@link stageKey}; 0 for those left out. */
+  offsets?: Record<string, number>;
   /** Newest checkpoint of tasks that are not done, by {@link taskKey}. */
   checkpoints: Record<string, string>;
   /**
--- a/packages/protocol/src/node_identity.ts
+++ b/packages/protocol/src/node_identity.ts
@@ -21,6 +21,11 @@
    * don't tell.
    */
   readonly maxLeaseMs?: number;
+  /**
+   * Largest value of a record in the store, in bytes; absent where the settings
+   * don't tell.
+   */
+  readonly maxRecordBytes?: number;
   /** Schedulers listed in the settings. */
   readonly seedPeers: readonly PeerAddress[];
 }
--- a/packages/protocol/src/record_store.ts
+++ b/packages/protocol/src/record_store.ts
@@ -33,8 +33,10 @@
   Committed = "committed",
   /** A record did not have its expected version. */
   Conflict = "conflict",
-  /** The transaction took no effect and will take none. */
+  /** The transaction took no effect; it may be sent again. */
   Refused = "refused",
+  /** The transaction took no effect, and never would: it breaks a limit. */
+  Rejected = "rejected",
   /** The transaction may have taken effect or may still do so. */
   Unknown = "unknown",
 }
@@ -53,6 +55,7 @@
     readonly records: readonly StoredRecord[];
   }
   | { readonly kind: RecordCommitKind.Refused }
+  | { readonly kind: RecordCommitKind.Rejected }
   | { readonly kind: RecordCommitKind.Unknown };
 
 /** Sets of entries in the store that can be listed and followed. */
--- a/packages/prove/src/domain/domain_cluster.ts
+++ b/packages/prove/src/domain/domain_cluster.ts
@@ -39,6 +39,7 @@
 } from "./domain_worker.ts";
 
 const DEFAULT_NODES = 4;
+const MAX_RECORD_BYTES = 65_536;
 const DEFAULT_WORKERS = 6;
 const CAPACITY: Resources = {
   ...NO_RESOURCES,
@@ -121,6 +122,8 @@
   readonly workers?: number;
   /** Bandwidth of each node's link in Mbit/s; unlimited by default. */
   readonly linkMbps?: number;
+  /** Largest value of a record in bytes; 64 KiB by default. */
+  readonly maxRecordBytes?: number;
   /** Durations of permit queries; 20 ms and no time under way by default. */
   readonly policy?: PolicyTiming;
   /** How crashed workers come back; under their id by default. */
@@ -180,6 +183,8 @@
     this.#options = options;
     this.#random = new Random(options.seed);
     this.store = new DomainStore(this.clock, this.#random);
+    this.store.faults.maxRecordBytes = options.maxRecordBytes ??
+      MAX_RECORD_BYTES;
     this.store.setDesired(desiredState(options));
     const { workers = DEFAULT_WORKERS, nodes = DEFAULT_NODES } = options;
     for (let index = 0; index < workers; index++) {
@@ -208,6 +213,13 @@
     });
   }
 
+  /** The newest epoch that a running node has seen. */
+  get epoch(): number {
+    return Math.max(
+      ...this.nodeIds.map((id) => this.#read(id, TENURE).epoch),
+    );
+  }
+
   /** The running nodes that keep a copy of all records. */
   get standbys(): readonly string[] {
     return this.nodeIds.filter((id) =>
@@ -275,6 +287,7 @@
           seedPeers: [],
           ...(linkMbps === undefined ? {} : { linkMbps }),
           ...(cores === undefined ? {} : { cores }),
+          maxRecordBytes: this.store.faults.maxRecordBytes,
         },
         operatorKeyHash: "",
         clock: this.clock,
--- a/packages/prove/src/domain/domain_store.ts
+++ b/packages/prove/src/domain/domain_store.ts
@@ -39,6 +39,10 @@
   lateMs: number;
   /** Duration of a call, in milliseconds. */
   callMs: number;
+  /** Largest value of a record, in bytes. */
+  maxRecordBytes: number;
+  /** Keys of records that the store never takes. */
+  readonly rejectedKeys: Set<string>;
   /** Fraction of the reads and follows that fail. */
   failedReadShare: number;
   /** Fraction of the reads and follows that get no reply. */
@@ -58,6 +62,8 @@
     silent: new Set(),
     cutFromDomain: new Set(),
     cutFromWorkers: new Set(),
+    maxRecordBytes: Infinity,
+    rejectedKeys: new Set(),
     lostShare: 0,
     lateMs: 0,
     callMs: 4,
@@ -66,6 +72,8 @@
   };
   /** Number of calls so far, those that are refused or lost included. */
   calls = 0;
+  /** Number of transactions that break a limit. */
+  rejected = 0;
   readonly #clock: VirtualClock;
   readonly #random: Random;
   readonly #records = new Map<string, StoredRecord>();
@@ -124,6 +132,16 @@
     });
   }
 
+  /** Writes a record as another version of the system might. */
+  put(part: string, key: string, value: string): void {
+    this.#apply({ expected: [], puts: [{ part, key, value }], removes: [] });
+  }
+
+  /** Removes a record as another version of the system might. */
+  remove(part: string, key: string): void {
+    this.#apply({ expected: [], puts: [], removes: [{ part, key }] });
+  }
+
   /** Drops the history; later reads from older versions must list again. */
   compactHistory(): void {
     this.#history = [];
@@ -147,6 +165,11 @@
       this.#clock.after(2, () => answer({ kind: RecordCommitKind.Refused }));
       return;
     }
+    if (this.#breaksLimit(transaction)) {
+      this.rejected++;
+      this.#clock.after(2, () => answer({ kind: RecordCommitKind.Rejected }));
+      return;
+    }
     const waitMs = this.#reservePart(transaction);
     if (waitMs > MAX_PART_WAIT_MS) {
       this.#clock.after(2, () => answer({ kind: RecordCommitKind.Refused }));
@@ -166,6 +189,13 @@
     }
   }
 
+  #breaksLimit({ puts }: RecordTransaction): boolean {
+    const { maxRecordBytes, rejectedKeys } = this.faults;
+    return puts.some(({ key, value }) =>
+      rejectedKeys.has(key) || Buffer.byteLength(value) > maxRecordBytes
+    );
+  }
+
   /**
    * Returns how long a transaction waits for those before it in its part, and
    * reserves its own time there if the part takes it.
--- a/packages/prove/src/domain/domain_worker.ts
+++ b/packages/prove/src/domain/domain_worker.ts
@@ -49,6 +49,8 @@
   readonly failures: number;
   /** Tasks that crash their worker, as `stage.index`; none by default. */
   readonly deadlyTasks?: readonly string[];
+  /** Checkpoint that its tasks list; none by default. */
+  readonly checkpoint?: string;
 }
 
 /** The current faults of a worker. */
@@ -66,6 +68,8 @@
   losesStartReplies: boolean;
   /** Most ends that the worker lists at a time. */
   endsPerList: number;
+  /** Largest addition to the run time of its tasks, in milliseconds. */
+  runSpreadMs: number;
 }
 
 interface Running {
@@ -105,6 +109,7 @@
     losesStarts: false,
     losesStartReplies: false,
     endsPerList: 500,
+    runSpreadMs: 0,
   };
   info: WorkerInfo;
   isUp = true;
@@ -268,7 +273,7 @@
     order: Extract<WorkerOrder, { kind: OrderKind.Start }>,
     from: string,
   ): OrderOutcome {
-    const { clock, behaviourOf, runs } = this.#options;
+    const { clock, behaviourOf, random, runs } = this.#options;
     this.#extend(order.leaseUntilMs);
     const key = `${order.task}#${order.attempt}`;
     if (this.#running.has(key)) {
@@ -313,7 +318,9 @@
         }
       });
     }
-    clock.after(runMs, () => {
+    const { runSpreadMs } = this.faults;
+    const addedMs = runSpreadMs > 0 ? random.below(runSpreadMs) : 0;
+    clock.after(runMs + addedMs, () => {
       if (processNumber === this.#processNumber) {
         this.#end(key, fails ? AttemptEnd.Failed : AttemptEnd.Done);
       }
@@ -398,7 +405,7 @@
       running: [...this.#running.values()].map(({ record }) => ({
         task: record.task,
         attempt: record.attempt,
-        checkpoint: "",
+        checkpoint: this.#options.behaviourOf(record.task).checkpoint ?? "",
         percent: 50,
         load: 0,
       })),
--- a/packages/replica/src/apply.ts
+++ b/packages/replica/src/apply.ts
@@ -17,6 +17,7 @@
   type NodeRecord,
   type ParsedKey,
   parseKey,
+  parsePartName,
   readFields,
   readJob,
   readProgress,
@@ -279,6 +280,14 @@
     readProgress(value).map((progress) =>
       applyProgress(update, { jobId: name, progress })
     ),
+  [RecordKind.ProgressPart]: (_update, { replica, name, value }) =>
+    readProgress(value).map((progress) => {
+      const { jobId, part } = parsePartName(name);
+      if (replica.isStandby) {
+        const parts = replica.progressParts.get(jobId) ?? new Map();
+        replica.progressParts.set(jobId, parts.set(part, progress));
+      }
+    }),
   [RecordKind.Cancel]: (update, { name }) => {
     applyCancel(update, name);
     return undefined;
@@ -407,6 +416,15 @@
     case RecordKind.Progress:
       replica.orphans.delete(name);
       break;
+    case RecordKind.ProgressPart: {
+      const { jobId, part } = parsePartName(name);
+      const parts = replica.progressParts.get(jobId);
+      parts?.delete(part);
+      if (parts?.size === 0) {
+        replica.progressParts.delete(jobId);
+      }
+      break;
+    }
     case RecordKind.Session:
       replica.sessions.delete(name);
       replica.unreadableSessions.delete(name);
--- a/packages/replica/src/record_keys.ts
+++ b/packages/replica/src/record_keys.ts
@@ -43,6 +43,8 @@
 export enum RecordKind {
   Tenure = "tenure",
   Progress = "progress",
+  /** Progress of later tasks of a job with many tasks. */
+  ProgressPart = "progress-part",
   Session = "session",
   Closed = "closed",
   Job = "job",
@@ -241,6 +243,30 @@
   return { part: partOf(kind, name), key: `${kind}/${name}` };
 }
 
+/**
+ * Returns the key of the record that holds a part of a job's progress; the first
+ * part is in the record that also holds the job's state.
+ *
+ * @example
+ * ```ts
+ * progressKey("5c0e7a21d94b36f8", 0).key; // "progress/5c0e7a21d94b36f8"
+ * progressKey("5c0e7a21d94b36f8", 2).key; // "progress-part/5c0e7a21d94b36f8.2"
+ * ```
+ */
+export function progressKey(jobId: string, part: number): RecordKey {
+  return part === 0
+    ? recordKey(RecordKind.Progress, jobId)
+    : recordKey(RecordKind.ProgressPart, `${jobId}.${part}`);
+}
+
+/** Parses the name of the record of a later part of a job's progress. */
+export function parsePartName(
+  name: string,
+): { readonly jobId: string; readonly part: number } {
+  const dot = name.lastIndexOf(".");
+  return { jobId: name.slice(0, dot), part: Number(name.slice(dot + 1)) };
+}
+
 /** Key of the record that names the owner of the domain. */
 export const TENURE_KEY = recordKey(RecordKind.Tenure, "owner");
 
@@ -337,6 +363,7 @@
 function isProgress(value: unknown): value is JobProgress {
   return isObject(value) && STATES.has(value.state) &&
     isTextMap(value.marks) && isTextMap(value.checkpoints) &&
+    (value.offsets === undefined || isCountMap(value.offsets)) &&
     (value.crashes === undefined || isCountMap(value.crashes)) &&
     (value.endedMs === undefined || typeof value.endedMs === "number");
 }
--- a/packages/replica/src/replica.ts
+++ b/packages/replica/src/replica.ts
@@ -9,7 +9,7 @@
   JobRecord,
   WorkerInfo,
 } from "@mustardweir/model";
-import { StagedJobState } from "@mustardweir/model";
+import { mergeProgress, StagedJobState } from "@mustardweir/model";
 import { Source } from "@mustardweir/protocol";
 import type {
   ClosedRecord,
@@ -21,6 +21,12 @@
 } from "./record_keys.ts";
 import type { UnreadableLog } from "./unreadable_log.ts";
 
+const NO_PROGRESS: JobProgress = {
+  state: StagedJobState.Running,
+  marks: {},
+  checkpoints: {},
+};
+
 /** A job in this node's copy of the records. */
 export interface KnownJob {
   readonly jobId: string;
@@ -89,6 +95,8 @@
   readonly jobs: Map<string, KnownJob>;
   /** Progress of jobs whose own record hasn't been read yet. */
   readonly orphans: Map<string, JobProgress>;
+  /** Later parts of the progress of jobs with many tasks, by job and part. */
+  readonly progressParts: Map<string, Map<number, JobProgress>>;
   readonly cancels: Set<string>;
   readonly sessions: Map<string, SessionRecord>;
   /** Workers whose latest session record can't be read. */
@@ -221,6 +229,18 @@
   return storeNow(update) + sorted[Math.floor((sorted.length - 1) / 2)]!;
 }
 
+/** Returns all recorded progress of a job; undefined if there is none. */
+export function wholeProgress(
+  { jobs, progressParts }: Readonly<Replica>,
+  jobId: string,
+): JobProgress | undefined {
+  const parts = [...progressParts.get(jobId)?.values() ?? []];
+  const first = jobs.get(jobId)?.progress;
+  return first === undefined && parts.length === 0
+    ? undefined
+    : parts.reduce(mergeProgress, first ?? NO_PROGRESS);
+}
+
 /** Returns the state of a job that is reported to callers. */
 export function stateOf(job: Readonly<KnownJob>): StagedJobState {
   const state = job.progress?.state ?? StagedJobState.Pending;
--- a/packages/replica/src/views.ts
+++ b/packages/replica/src/views.ts
@@ -115,6 +115,7 @@
     departed: new Map(),
     jobs: new Map(),
     orphans: new Map(),
+    progressParts: new Map(),
     cancels: new Set(),
     sessions: new Map(),
     unreadableSessions: new Set(),
--- a/packages/tenure/src/commits.ts
+++ b/packages/tenure/src/commits.ts
@@ -24,6 +24,7 @@
 import { liveStandbys } from "./nodes.ts";
 import { selectStrongest } from "./strength.ts";
 import {
+  CHANGE_REJECTED,
   CHANGES_DURABLE,
   type InFlightCommit,
   type QueuedChange,
@@ -73,13 +74,14 @@
   if (tenure.queue.length === 0 && !isDue && !tenure.isReleasing) {
     return;
   }
-  const changes = selectChanges(tenure.queue);
+  const changes = selectChanges(tenure.queue).slice(0, tenure.maxChanges);
   const successor = tenure.isReleasing && tenure.queue.length === changes.length
     ? findSuccessor(update)
     : undefined;
   const sequence = ++tenure.sequence;
   tenure.inFlight = {
     transaction: buildTransaction(update, { changes, sequence, successor }),
+    changes,
     sequence,
     upToTicket: changes.at(-1)?.ticket ?? 0,
     sentMs: update.now,
@@ -112,8 +114,10 @@
       resolveConflict(update, inFlight, result.records);
       break;
     case RecordCommitKind.Refused:
-      update.emit(count("commit-refused"));
-      tenure.retryMs = update.now + REFUSED_RETRY_MS;
+      retryRefused(update);
+      break;
+    case RecordCommitKind.Rejected:
+      divideRejected(update, inFlight);
       break;
     case RecordCommitKind.Unknown:
       update.emit(count("commit-unknown"));
@@ -123,6 +127,37 @@
   }
 }
 
+function retryRefused(update: Update): void {
+  update.emit(count("commit-refused"));
+  update.write(TENURE).retryMs = update.now + REFUSED_RETRY_MS;
+}
+
+/**
+ * Sends the changes of a rejected commit again in smaller ones, until the change
+ * that the store doesn't take is alone and can be left out.
+ */
+function divideRejected(update: Update, { changes }: InFlightCommit): void {
+  const [change, ...others] = changes;
+  if (change === undefined) {
+    retryRefused(update);
+    return;
+  }
+  const tenure = update.write(TENURE);
+  tenure.inFlight = undefined;
+  update.emit(count("commit-rejected"));
+  if (others.length > 0) {
+    tenure.queue.unshift(...changes);
+    tenure.maxChanges = Math.ceil(changes.length / 2);
+  } else {
+    update.emit(logChange("Change can't be written", {
+      key: change.key,
+      bytes: Buffer.byteLength(change.value ?? ""),
+    }));
+    update.dispatch(CHANGE_REJECTED, { key: change.key });
+  }
+  sendNextCommit(update);
+}
+
 /** Resends a commit that was refused or whose result is unknown. */
 export function resendCommit(update: Update): void {
   const tenure = update.write(TENURE);
@@ -146,6 +181,7 @@
   tenure.commitMs += SMOOTHING * (tookMs - tenure.commitMs);
   tenure.inFlight = undefined;
   tenure.retryMs = 0;
+  tenure.maxChanges *= 2;
   tenure.version = version;
   tenure.confirmedMs = inFlight.sentMs;
   update.emit(observe("commit-ms", tookMs));
--- a/packages/tenure/src/tenure_plugin.ts
+++ b/packages/tenure/src/tenure_plugin.ts
@@ -65,6 +65,7 @@
         sequence: 0,
         confirmedMs: 0,
         queue: [],
+        maxChanges: Infinity,
         lastTicket: 0,
         inFlight: undefined,
         commitMs: INITIAL_COMMIT_MS,
--- a/packages/tenure/src/tenure_state.ts
+++ b/packages/tenure/src/tenure_state.ts
@@ -27,6 +27,7 @@
 /** A commit in flight. */
 export interface InFlightCommit {
   readonly transaction: RecordTransaction;
+  readonly changes: readonly QueuedChange[];
   readonly sequence: number;
   /** Changes up to this ticket are durable once the commit succeeds. */
   readonly upToTicket: number;
@@ -48,6 +49,8 @@
   /** Send time of the last commit that succeeded, in milliseconds. */
   confirmedMs: number;
   queue: QueuedChange[];
+  /** Most changes in the next commit; fewer after the store rejected one. */
+  maxChanges: number;
   lastTicket: number;
   inFlight: InFlightCommit | undefined;
   /** Smoothed duration of a commit, in milliseconds. */
@@ -89,6 +92,13 @@
 export const TENURE_LOST = createCommand<{ readonly reason: string }>(
   "tenure-lost",
 );
+/**
+ * Dispatched when the store has rejected a change for good. The changes after it
+ * are written without it.
+ */
+export const CHANGE_REJECTED = createCommand<{ readonly key: string }>(
+  "change-rejected",
+);
 /** Dispatched when all changes up to the given ticket are durable. */
 export const CHANGES_DURABLE = createCommand<{ readonly upToTicket: number }>(
   "changes-durable",
--- a/packages/wire/src/domain_schemas.ts
+++ b/packages/wire/src/domain_schemas.ts
@@ -112,6 +112,7 @@
       records: z.array(storedRecord),
     }),
     z.looseObject({ kind: z.literal(RecordCommitKind.Refused) }),
+    z.looseObject({ kind: z.literal(RecordCommitKind.Rejected) }),
     z.looseObject({ kind: z.literal(RecordCommitKind.Unknown) }),
     z.looseObject({
       kind: z.literal(SourceResultKind.Read),
