Free the room of an attempt that was stopped before its start arrived

What callers would see: a job that is cancelled, or a gang that loses a member, just after a start that gets lost keeps the room of its task on the worker, and its share of the team's ceiling; a gang never starts again.

Cause: the stop carries the current token, and an attempt that isn't listed counted as gone only if a later renewal carried a higher one. Each retry of the stop raised the token and took the new one for the stop, so that it never was higher. It ended by chance when the token rose for another reason.

Change: a worker that has obeyed a stop takes no start of that attempt any more (PROTOCOL.md: a run that is not there yet will be rejected), so that a listing that was asked for after the stop's reply decides. The simulated worker rejects such starts now, as the page says.

--- a/packages/prove/src/domain/domain_store.ts
+++ b/packages/prove/src/domain/domain_store.ts
@@ -35,6 +35,8 @@
   readonly cutFromWorkers: Set<string>;
   /** Fraction of the commits that take effect but get no reply. */
   lostShare: number;
+  /** Nodes whose commits all take effect but get no reply. */
+  readonly losesRepliesTo: Set<string>;
   /** Extra delay of commits without a reply, in milliseconds. */
   lateMs: number;
   /** Duration of a call, in milliseconds. */
@@ -65,6 +67,7 @@
     maxRecordBytes: Infinity,
     rejectedKeys: new Set(),
     lostShare: 0,
+    losesRepliesTo: new Set(),
     lateMs: 0,
     callMs: 4,
     failedReadShare: 0,
@@ -175,7 +178,8 @@
       this.#clock.after(2, () => answer({ kind: RecordCommitKind.Refused }));
       return;
     }
-    const isLost = this.#random.fraction() < faults.lostShare;
+    const isLost = this.#random.fraction() < faults.lostShare ||
+      faults.losesRepliesTo.has(node);
     const callMs = waitMs + faults.callMs;
     const delayMs = callMs + (isLost ? faults.lateMs : 0);
     this.#clock.after(delayMs, () => {
--- a/packages/prove/src/domain/domain_worker.ts
+++ b/packages/prove/src/domain/domain_worker.ts
@@ -129,6 +129,8 @@
   #running = new Map<string, Running>();
   #ended: (EndedAttempt & { readonly record: RunRecord })[] = [];
   #waiting: (() => void)[] = [];
+  /** Attempts that were stopped before they started; they never start. */
+  #stopped = new Set<string>();
 
   constructor(options: DomainWorkerOptions) {
     this.#options = options;
@@ -150,6 +152,7 @@
     this.#processNumber++;
     this.#running.clear();
     this.#ended = [];
+    this.#stopped.clear();
     this.#token = 0;
     this.#lastEnd = 0;
     this.#leaseUntilMs = 0;
@@ -282,9 +285,10 @@
     if (this.#clockMs() > order.leaseUntilMs) {
       return OrderOutcome.Late;
     }
-    const isOld = this.#ended.some(({ task, attempt }) =>
-      task === order.task && attempt >= order.attempt
-    );
+    const isOld = this.#stopped.has(key) ||
+      this.#ended.some(({ task, attempt }) =>
+        task === order.task && attempt >= order.attempt
+      );
     if (isOld) {
       return OrderOutcome.Stale;
     }
@@ -337,6 +341,8 @@
           this.#end(key, AttemptEnd.Stopped);
         }
       });
+    } else {
+      this.#stopped.add(key);
     }
   }
 
--- a/packages/sessions/src/orders.ts
+++ b/packages/sessions/src/orders.ts
@@ -24,6 +24,7 @@
   markChanged,
   type PlacedAttempt,
   type Session,
+  type SessionAttempt,
   SESSIONS,
 } from "./session_state.ts";
 
@@ -37,6 +38,8 @@
  * the round.
  */
 const ROUNDS_PER_EPOCH = 2 ** 24;
+/** Token of attempts of which no order needs to be invalidated. */
+const NO_TOKEN = 0;
 
 /** Context of an order, returned with the reply. */
 export interface OrderContext extends PlacedAttempt {
@@ -177,14 +180,32 @@
     return;
   }
   if (context.kind === OrderKind.Stop) {
-    if (result.outcome !== OrderOutcome.Obeyed) {
-      session.nextRenewalMs = update.now;
-    }
+    handleStopResult(update, { session, attempt, outcome: result.outcome });
     return;
   }
   handleStartResult(update, { session, context, outcome: result.outcome });
 }
 
+/**
+ * Handles the reply to a stop. A worker that has obeyed it takes no start of the
+ * attempt any more, so the attempt has ended as soon as it isn't listed.
+ */
+function handleStopResult(
+  update: Update,
+  { session, attempt, outcome }: {
+    readonly session: Session;
+    readonly attempt: SessionAttempt;
+    readonly outcome: OrderOutcome;
+  },
+): void {
+  if (outcome === OrderOutcome.Obeyed) {
+    attempt.token = NO_TOKEN;
+    attempt.sinceMs = update.now;
+  } else {
+    session.nextRenewalMs = update.now;
+  }
+}
+
 function handleStartResult(
   update: Update,
   { session, context, outcome }: {
