Wait for the longest lease of a restarted worker after a takeover

What callers would see: TWICE, if a worker restarts unnoticed, is given a task, the owner is lost, and the worker falls silent after its successor's first listing.

Cause: the successor knows no clock of the former incarnation, so it took the lease for an ordinary one. The record of a worker that was written before its first reply named no incarnation, so the restart wasn't even seen.

Change: an inherited worker that is seen to have restarted may hold the longest lease that it grants. A session is recorded after the worker's first reply only; nothing can be started there before.

--- a/packages/prove/src/domain/domain_worker_restart_test.ts
+++ b/packages/prove/src/domain/domain_worker_restart_test.ts
@@ -32,6 +32,8 @@
   readonly registersAfterMs: number;
   /** Time from the restart to the submission of a job, in milliseconds. */
   readonly submitsAfterMs: number;
+  /** Tasks of each job; as many as workers by default. */
+  readonly tasks?: number;
   /** Called when the worker is up again. */
   readonly onRestart?: (cluster: DomainCluster, workerId: string) => void;
 }
@@ -101,6 +103,23 @@
       clock.after(12_500, () => unreachableFrom.clear());
     },
   },
+  {
+    name: "loses the owner and is cut off once its successor has asked",
+    runMs: 12_000,
+    tasks: 4,
+    registersAfterMs: 300,
+    submitsAfterMs: 5,
+    onRestart: (cluster, workerId) => {
+      const { workers, nodeIds, clock } = cluster;
+      const { unreachableFrom } = workers.get(workerId)!.faults;
+      clock.after(250, () => cluster.kill(cluster.owner!));
+      clock.after(
+        3_500,
+        () => nodeIds.forEach((id) => unreachableFrom.add(id)),
+      );
+      clock.after(12_500, () => unreachableFrom.clear());
+    },
+  },
   {
     name: "loses the owner after its first starts",
     runMs: 1_200,
@@ -133,7 +152,8 @@
 
 /** Lets workers crash in turn and submits a job when each is up again. */
 function runRestartCase(
-  { runMs, registersAfterMs, submitsAfterMs, onRestart }: RestartCase,
+  { runMs, registersAfterMs, submitsAfterMs, tasks = WORKERS, onRestart }:
+    RestartCase,
   seed: number,
 ): DomainCluster {
   const cluster = new DomainCluster({
@@ -155,7 +175,7 @@
     clock.after(submitsAfterMs, () =>
       cluster.submit(jobIdOf(round), {
         payload: createTaskPayload({ runMs, failures: 0 }),
-        stages: [stageSpec({ tasks: WORKERS, maxPerWorker: 1 })],
+        stages: [stageSpec({ tasks, maxPerWorker: 1 })],
       }, nodeIds[round % nodeIds.length]!));
     clock.runUntil(clock.now + Math.max(ROUND_MS, 1.8 * runMs));
   }
--- a/packages/sessions/src/leases.ts
+++ b/packages/sessions/src/leases.ts
@@ -43,12 +43,12 @@
  * Returns the time after which a lease of the given length is certainly over,
  * in milliseconds.
  */
-export function longestMs(leaseMs: number): number {
+function longestMs(leaseMs: number): number {
   return leaseMs * (1 + MAX_CLOCK_DRIFT) + EXPIRY_MARGIN_MS;
 }
 
 /** Returns the longest lease that workers grant, in milliseconds. */
-export function maxGrantedMs(update: Update): number {
+function maxGrantedMs(update: Update): number {
   return update.service(NODE_IDENTITY).maxLeaseMs ?? DEFAULT_MAX_GRANTED_MS;
 }
 
@@ -62,16 +62,26 @@
   session: Session,
   { workerMs, sentMs, leaseUntilMs = 0 }: ClockReading,
 ): void {
-  const longestUntilMs = workerMs + maxGrantedMs(update);
-  if (hasStartedAnew(session, workerMs, sentMs)) {
-    session.leaseUntilMs = longestUntilMs;
-    session.longLeaseEndMs = update.now + longestMs(maxGrantedMs(update));
+  const isNewClock = hasStartedAnew(session, workerMs, sentMs);
+  session.clock = { workerMs, atMs: update.now };
+  if (isNewClock) {
+    session.leaseUntilMs = 0;
+    assumeLongestLease(update, session);
   }
   session.leaseUntilMs = Math.max(
     session.leaseUntilMs,
-    Math.min(leaseUntilMs, longestUntilMs),
+    Math.min(leaseUntilMs, workerMs + maxGrantedMs(update)),
   );
-  session.clock = { workerMs, atMs: update.now };
+}
+
+/** Notes that the worker may hold the longest lease that it grants. */
+export function assumeLongestLease(update: Update, session: Session): void {
+  const maxMs = maxGrantedMs(update);
+  session.leaseUntilMs = Math.max(
+    session.leaseUntilMs,
+    (session.clock?.workerMs ?? 0) + maxMs,
+  );
+  session.longLeaseEndMs = update.now + longestMs(maxMs);
 }
 
 /** Returns whether the known clock can't have shown the reading. */
--- a/packages/sessions/src/listings.ts
+++ b/packages/sessions/src/listings.ts
@@ -15,6 +15,7 @@
   storeNow,
 } from "@mustardweir/replica";
 import { queueChange } from "@mustardweir/tenure";
+import { assumeLongestLease } from "./leases.ts";
 import { currentToken, invalidateUnanswered, stopAttempt } from "./orders.ts";
 import {
   ATTEMPT_ENDED,
@@ -107,6 +108,10 @@
   session.acknowledged = 0;
   session.pendingRecords.length = 0;
   session.isReconciled = false;
+  if (session.isInherited) {
+    // The predecessor may have given it leases by the former clock.
+    assumeLongestLease(update, session);
+  }
   // A successor must know of the new incarnation before it gets tasks.
   session.isRecorded = false;
   recordSession(update, session);
--- a/packages/sessions/src/sessions_plugin.ts
+++ b/packages/sessions/src/sessions_plugin.ts
@@ -314,12 +314,13 @@
 }
 
 /**
- * Records the session as soon as the worker's incarnation or its attempts are
- * known; no task is started there before. A successor must know every worker
- * that ever got a task.
+ * Records the session as soon as the worker has told its incarnation; no task is
+ * started there before. A successor must know every worker that ever got a task,
+ * and in which incarnation.
  */
 function recordIfKnown(update: Update, session: Session): void {
-  if (session.incarnation !== 0 || session.isReconciled) {
+  const hasReplied = session.clock !== undefined;
+  if (session.incarnation !== 0 || (session.isReconciled && hasReplied)) {
     recordSession(update, session);
   }
 }
