--- a/packages/runtime/src/admin_listener_test.ts
+++ b/packages/runtime/src/admin_listener_test.ts
@@ -128,7 +128,7 @@
       await new Promise((resolve) => setTimeout(resolve, STOP_WAIT_MS));
       expect(events).to.deep.equal(stops ? ["draining true"] : []);
       await node?.loop.stop();
-      host.signal(StopSignal.Terminate);
+      host.signal(StopSignal.Interrupt);
     });
   }
 });
