Show that refused submissions are not counted as waiting

Case 10 of the review: while the only runner with a label turns all starts away for 6.5 s, all nodes give 0 as waiting for 20 submissions of which no task has started (MIXED).

Command: review/10/run.sh.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,3 @@
+#!/bin/bash
+# Plays the case; see claim.txt. TROUBLE=0 plays it without the disruption.
+cd "$(dirname "$0")" && exec node case.mjs
--- a/review/standin-2/runner.mjs
+++ b/review/standin-2/runner.mjs
@@ -28,6 +28,7 @@
 let deadlineMs = 0;
 let hasLapsed = true;
 let beats = 0;
+let busyUntilMs = 0;
 const waiting = new Set();
 
 const report = (event) =>
@@ -74,6 +75,10 @@
 }
 
 function start(body) {
+  if (clock() < busyUntilMs) {
+    report({ event: "503", task: body.task, run: body.run });
+    return [503, {}];
+  }
   const { task, run, spec } = body;
   const here = running.get(task);
   takeDeadline(body);
@@ -228,7 +233,11 @@
 setInterval(() => void beat(), BEAT_MS);
 
 /** Tells a member that its gang is complete, or that another member ended. */
-function handleGang({ task, run, isComplete }) {
+function handleGang({ task, run, isComplete, busyMs }) {
+  if (busyMs !== undefined) {
+    busyUntilMs = clock() + busyMs;
+    return;
+  }
   const here = running.get(task);
   if (here?.run !== run) {
     return;
--- a/review/standin-2/system.mjs
+++ b/review/standin-2/system.mjs
@@ -95,7 +95,7 @@
     this.#out.write(`${(this.now() / 1_000).toFixed(3).padStart(8)} s  ${text}\n`);
   }
 
-  async start({ nodes = 3, runners = 4, cpu = 16_000, desired }) {
+  async start({ nodes = 3, runners = 4, cpu = 16_000, kinds = ["a"], desired }) {
     for (const name of Object.keys(PORTS)) {
       PORTS[name] = await freePort(`${this.#network}.1`);
     }
@@ -103,7 +103,7 @@
     await this.#spawnStandIn("store.mjs", [this.store]);
     await this.configure(desired);
     for (let index = 0; index < runners; index++) {
-      await this.startRunner(`i-${index}`, index, cpu);
+      await this.startRunner(`i-${index}`, index, cpu, kinds[index % kinds.length]);
     }
     for (let index = 0; index < nodes; index++) {
       this.#startNode(index, nodes);
@@ -153,7 +153,7 @@
   }
 
   /** Starts a runner; one with a known id is its next boot. */
-  async startRunner(id, index = this.runners.get(id).index, cpu = this.runners.get(id).cpu) {
+  async startRunner(id, index = this.runners.get(id).index, cpu = this.runners.get(id).cpu, kind = "a") {
     const host = `${this.#network}.${100 + index}`;
     const child = await this.#spawnStandIn("runner.mjs", [JSON.stringify({
       id,
@@ -162,12 +162,18 @@
       zone: ZONES[index % ZONES.length],
       address: `${host}:${PORTS.runner}`,
       capacity: { cpu, mem_mb: 65_536, gpu: 0 },
-      labels: ["a", `r-${index % 2}`],
+      labels: [kind, `r-${index % 2}`],
     })]);
     this.runners.set(id, { child, index, cpu });
     this.record(`runner ${id} boots`);
   }
 
+  /** Lets a runner that says it is healthy turn all starts away, with 503. */
+  makeBusy(id, forMs) {
+    this.runners.get(id).child.stdin.write(JSON.stringify({ busyMs: forMs }) + "\n");
+    this.record(`runner ${id} turns all starts away for ${forMs} ms`);
+  }
+
   /** Crashes a runner: SIGKILL. */
   killRunner(id) {
     this.runners.get(id).child.kill("SIGKILL");
