--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -7,6 +7,8 @@
 const PREFIX = "/plans/";
 const KEY = "key-of-team-a";
 const LABEL = "b";
+/** One of them turns starts away: 0.083 of the service. */
+const RUNNERS = 12;
 const BUSY_MS = 6_500;
 const SUBMISSIONS = 20;
 const ASK_MS = 8_000;
@@ -17,8 +19,8 @@
 const system = new System(fileURLToPath(new URL(".", import.meta.url)));
 await system.start({
   nodes: 3,
-  runners: 8,
-  kinds: ["a", "a", "a", "a", "a", "a", "a", LABEL],
+  runners: RUNNERS,
+  kinds: Array.from({ length: RUNNERS }, (_, index) => index === RUNNERS - 1 ? LABEL : "a"),
   desired: {
     routes: [{ path_prefix: PREFIX }],
     tenants: [{ name: "team-a", api_keys: [KEY] }],
@@ -26,7 +28,7 @@
 });
 await delay(5_000);
 if (hasTrouble) {
-  system.makeBusy("i-7", BUSY_MS);
+  system.makeBusy(`i-${RUNNERS - 1}`, BUSY_MS);
 }
 const accepted = new Map();
 for (let number = 0; number < SUBMISSIONS; number++) {
