Treat an unread clock as unknown and a reported occurrence as due

Cause, two faults of which each is enough: a node recorded an offset of 0 of its time of day before it had read the store's clock, and the median took it for a clock; and an end of an occurrence that the owner's clock had not reached was dropped, yet recorded and acknowledged. The case's logs have no 'Attempt ended' for the task and the acknowledgement 2 s before the second start.

Ruled out: a lost record of the end (nothing was written for it).

Change: the time of day is undefined until it is known, and a node records nothing of itself before; an occurrence that the records or a worker show to have run is due, whatever the time of day. An end of a task without a job is logged.

Same cause on related paths, with cases: a successor whose clock is behind, and the marks of occurrences that it hadn't added, which it left out when it wrote the part of the progress that holds them.

--- a/packages/dispatch/src/attempts.ts
+++ b/packages/dispatch/src/attempts.ts
@@ -1,5 +1,5 @@
 import type { Update } from "@mustardweir/kernel";
-import { StagedJobState } from "@mustardweir/model";
+import { isFinal, StagedJobState } from "@mustardweir/model";
 import {
   AttemptEnd,
   count,
@@ -8,6 +8,7 @@
   type RunningAttempt,
 } from "@mustardweir/protocol";
 import { dropPermits, invalidatePermit } from "@mustardweir/permits";
+import { REPLICA, stateOf } from "@mustardweir/replica";
 import {
   type LossCause,
   type PlacedAttempt,
@@ -22,6 +23,7 @@
   isOpen,
   isStageDone,
   markProgressed,
+  parseTaskName,
   reservedSize,
   type StageRun,
   subtractTeamUsage,
@@ -29,6 +31,7 @@
   type TaskRun,
 } from "./dispatch_state.ts";
 import { WORKER_HEALTH } from "./health.ts";
+import { findReportedTask } from "./occurrences.ts";
 import { endJob, stopTask, writeProgress } from "./progress.ts";
 import { requestPlacementPass } from "./placement_pass.ts";
 import { addDependents, addWaiting } from "./waiting.ts";
@@ -121,8 +124,12 @@
     readonly isNew: boolean;
   },
 ): void {
-  const task = findTask(update, ended.task);
-  if (task === undefined || ended.attempt <= task.abandonedAttempt) {
+  const task = findReportedTask(update, ended.task);
+  if (task === undefined) {
+    reportUnknownTask(update, ended);
+    return;
+  }
+  if (ended.attempt <= task.abandonedAttempt) {
     return;
   }
   if (ended.attempt < task.attempt) {
@@ -169,6 +176,28 @@
   update.write(DISPATCH_STATE).isDirty = true;
 }
 
+/** Reports an end that changes nothing though its job isn't known to be over. */
+function reportUnknownTask(
+  update: Update,
+  { task, attempt, workerId, end }: PlacedAttempt & {
+    readonly end: AttemptEnd;
+  },
+): void {
+  const jobId = parseTaskName(task)?.jobId ?? "";
+  const known = update.read(REPLICA).jobs.get(jobId);
+  const isOver = update.read(DISPATCH_STATE).ended.has(jobId) ||
+    (known !== undefined && isFinal(stateOf(known)));
+  if (!isOver) {
+    update.emit(count("ends-of-unknown-tasks"));
+    update.emit(logChange("Unknown task ended", {
+      task,
+      attempt,
+      worker: workerId,
+      end,
+    }));
+  }
+}
+
 /**
  * Handles an attempt that a worker runs but this owner did not start: adopts it
  * if its task still waits, and otherwise stops it.
@@ -178,7 +207,7 @@
   workerId: string,
   found: RunningAttempt,
 ): void {
-  const task = findTask(update, found.task);
+  const task = findReportedTask(update, found.task);
   const isWanted = task !== undefined && task.phase === TaskPhase.Waiting &&
     isOpen(task.stage.job) && found.attempt >= task.attempt &&
     found.attempt > task.abandonedAttempt;
--- a/packages/dispatch/src/dispatch_plugin.ts
+++ b/packages/dispatch/src/dispatch_plugin.ts
@@ -33,7 +33,6 @@
   REPLICA,
   storeNow,
   SUMMARY_WANTED,
-  unixNow,
   wholeProgress,
 } from "@mustardweir/replica";
 import {
@@ -65,14 +64,12 @@
   handleAttemptVanished,
 } from "./attempts.ts";
 import {
-  addOccurrence,
   createJobRun,
   DISPATCH_STATE,
   findStage,
   isOpen,
   type JobRun,
   markMisplacedParts,
-  occurrenceCount,
   TaskPhase,
   type TaskRun,
 } from "./dispatch_state.ts";
@@ -81,6 +78,11 @@
 import { handleWorkerCrashed } from "./crashes.ts";
 import { WORKER_HEALTH, WorkerHealth } from "./health.ts";
 import { LinkBudget } from "./link_budget.ts";
+import {
+  addAllDueOccurrences,
+  addDueOccurrences,
+  addRecordedOccurrences,
+} from "./occurrences.ts";
 import { announceEnds, endJob, handleChangeRejected } from "./progress.ts";
 import {
   requestPlacementPass,
@@ -244,7 +246,7 @@
       }),
       kernel.registerPeriodic({
         intervalMs: OCCURRENCE_SCAN_INTERVAL_MS,
-        run: addAllDueOccurrences,
+        run: addNewOccurrences,
         isIdle: isFollower,
         idleIntervalMs: FOLLOWER_INTERVAL_MS,
       }),
@@ -368,6 +370,7 @@
   if (record.spec.schedule !== undefined) {
     update.write(DISPATCH_STATE).scheduled.add(job);
   }
+  addRecordedOccurrences(update, job);
   addDueOccurrences(update, job);
   if (progress !== undefined) {
     markMisplacedParts(job, progress);
@@ -400,28 +403,8 @@
   }
 }
 
-function addAllDueOccurrences(update: Update): void {
-  for (const job of update.write(DISPATCH_STATE).scheduled) {
-    addDueOccurrences(update, job);
-  }
-}
-
-function addDueOccurrences(update: Update, job: JobRun): void {
-  const { schedule } = job.record.spec;
-  if (schedule === undefined || !isOpen(job)) {
-    return;
-  }
-  const now = unixNow(update);
-  const isDue = () =>
-    job.dueOccurrences < occurrenceCount(job.record) &&
-    schedule.firstDueMs + job.dueOccurrences * schedule.intervalMs <= now;
-  if (!isDue()) {
-    return;
-  }
-  const progress = wholeProgress(update.read(REPLICA), job.jobId);
-  while (isDue()) {
-    addOccurrence(job, progress);
-    addWaitingJob(update, job);
+function addNewOccurrences(update: Update): void {
+  if (addAllDueOccurrences(update)) {
     requestPlacementPass(update);
   }
 }
--- a/packages/dispatch/src/dispatch_state.ts
+++ b/packages/dispatch/src/dispatch_state.ts
@@ -176,6 +176,17 @@
   return spec.schedule?.occurrences ?? 1;
 }
 
+/**
+ * Returns when an occurrence of the job is due, in Unix milliseconds; undefined
+ * without a schedule.
+ */
+export function dueTimeMs(
+  { spec: { schedule } }: JobRecord,
+  occurrence: number,
+): number | undefined {
+  return schedule && schedule.firstDueMs + occurrence * schedule.intervalMs;
+}
+
 /** Creates a job's run from its recorded progress. */
 export function createJobRun(
   jobId: string,
@@ -357,6 +368,18 @@
     ?.stages.get(name.slice(end + 1));
 }
 
+/** Parses the name of a task; undefined if it isn't one. */
+export function parseTaskName(
+  name: string,
+): { readonly jobId: string; readonly occurrence: number } | undefined {
+  const [jobId = "", occurrence = "", stage, index, ...others] = name
+    .split(".");
+  return stage === undefined || index === undefined || others.length > 0 ||
+      !/^\d+$/.test(occurrence)
+    ? undefined
+    : { jobId, occurrence: Number(occurrence) };
+}
+
 /** Finds a task by the name that attempts carry. */
 export function findTask(
   update: Update,
--- a/packages/dispatch/src/turn_order.ts
+++ b/packages/dispatch/src/turn_order.ts
@@ -1,5 +1,10 @@
 import { stageKey } from "@mustardweir/model";
-import { isStageDone, type JobRun, type StageRun } from "./dispatch_state.ts";
+import {
+  dueTimeMs,
+  isStageDone,
+  type JobRun,
+  type StageRun,
+} from "./dispatch_state.ts";
 
 /** Multiple of its objective beyond which a job is of no use any more. */
 const EXPIRY_FACTOR = 3;
@@ -23,8 +28,8 @@
 export interface ObjectiveClock {
   /** The store's clock, in milliseconds. */
   readonly storeMs: number;
-  /** Time of day, in Unix milliseconds. */
-  readonly unixMs: number;
+  /** Time of day, in Unix milliseconds; undefined if it isn't known. */
+  readonly unixMs: number | undefined;
 }
 
 /** Ranks stages with waiting tasks. */
@@ -75,17 +80,16 @@
   clock: ObjectiveClock,
 ): ObjectiveStatus {
   const { job } = stage;
-  const { queue, spec } = job.record;
+  const { queue } = job.record;
   if (stage.spec.lasting) {
     return ObjectiveStatus.InTime;
   }
   const totalMs = criticalPathMs(job, stage.occurrence, false);
   const objectiveMs = queue.stretch * totalMs + queue.latencyObjectiveMs;
-  const { schedule } = spec;
-  const ageMs = schedule === undefined
+  const dueMs = dueTimeMs(job.record, stage.occurrence);
+  const ageMs = dueMs === undefined
     ? clock.storeMs - job.record.acceptedMs
-    : clock.unixMs - schedule.firstDueMs -
-      stage.occurrence * schedule.intervalMs;
+    : (clock.unixMs ?? dueMs) - dueMs;
   const remainingMs = criticalPathMs(job, stage.occurrence, true);
   if (ageMs + remainingMs > EXPIRY_FACTOR * objectiveMs) {
     return ObjectiveStatus.Expired;
--- a/packages/dispatch/src/waiting.ts
+++ b/packages/dispatch/src/waiting.ts
@@ -29,7 +29,9 @@
   const clock: ObjectiveClock = {
     storeMs: storeNow(update),
     // The median of all nodes' clocks is costly and only schedules depend on it.
-    unixMs: stage.job.record.spec.schedule === undefined ? 0 : unixNow(update),
+    unixMs: stage.job.record.spec.schedule === undefined
+      ? undefined
+      : unixNow(update),
   };
   const status = objectiveStatusOf(stage, clock);
   return { rank: RANKING.rank(stage, status), status };
--- a/packages/prove/src/domain/domain_large_jobs_test.ts
+++ b/packages/prove/src/domain/domain_large_jobs_test.ts
@@ -163,7 +163,7 @@
     cluster.submit(LARGE, {
       payload: createTaskPayload({ runMs: 50, failures: 0 }),
       stages: [stageSpec({ tasks: 1, size: TINY, estimateMs: 50 })],
-      schedule: { firstDueMs: clock.now, intervalMs: 20, occurrences: 700 },
+      schedule: { firstDueMs: store.unixMs, intervalMs: 20, occurrences: 700 },
     }, nodeIds[0]!);
     clock.runUntil(clock.now + 8_000);
     cluster.kill(cluster.owner!);
--- a/packages/prove/src/domain/domain_store.ts
+++ b/packages/prove/src/domain/domain_store.ts
@@ -18,6 +18,8 @@
 import type { VirtualClock } from "../simulation/virtual_clock.ts";
 
 const PAGE_RECORDS = 40;
+/** Time of day minus the store's clock, in milliseconds. */
+const UNIX_OFFSET_MS = 1_700_000_000_000;
 /** A part with more than this to do refuses transactions, in milliseconds. */
 const MAX_PART_WAIT_MS = 1_000;
 /** Result of a commit without a reply, after the caller's timeout. */
@@ -49,6 +51,8 @@
   failedReadShare: number;
   /** Fraction of the reads and follows that get no reply. */
   lostReadShare: number;
+  /** Error of the time of day on a node, in milliseconds; 0 if absent. */
+  readonly clockErrorsMs: Map<string, number>;
 }
 
 interface HistoryEntry {
@@ -72,6 +76,7 @@
     callMs: 4,
     failedReadShare: 0,
     lostReadShare: 0,
+    clockErrorsMs: new Map(),
   };
   /** Number of calls so far, those that are refused or lost included. */
   calls = 0;
@@ -96,6 +101,11 @@
     this.#random = random;
   }
 
+  /** The true time of day, in Unix milliseconds. */
+  get unixMs(): number {
+    return UNIX_OFFSET_MS + this.#clock.now;
+  }
+
   /** The current records, for oracles. */
   get records(): ReadonlyMap<string, StoredRecord> {
     return this.#records;
@@ -226,7 +236,7 @@
     }
     this.#respond(node, timeoutMs, answer, () => {
       if (source !== Source.Records && source !== Source.Fleet) {
-        return this.#result(this.#listOthers(source));
+        return this.#result(node, this.#listOthers(source));
       }
       const all = [...this.#records.values()]
         .filter((record) =>
@@ -239,6 +249,7 @@
       const page = all.slice(0, PAGE_RECORDS);
       return {
         ...this.#result(
+          node,
           page.map((record) => ({ kind: ChangeKind.Record, record })),
         ),
         ...(all.length > page.length ? { nextAfter: page.at(-1)!.key } : {}),
@@ -283,7 +294,7 @@
           () =>
             afterVersion < this.#compactedVersion
               ? { kind: SourceResultKind.HistoryLost }
-              : this.#result(newer().map(({ change }) => change)),
+              : this.#result(node, newer().map(({ change }) => change)),
         );
       }
     };
@@ -397,6 +408,7 @@
   }
 
   #result(
+    node: string,
     changes: SourceChange[],
   ): Extract<SourceResult, { kind: SourceResultKind.Read }> {
     return {
@@ -404,7 +416,7 @@
       changes,
       version: this.#version,
       clockMs: this.#clock.now,
-      unixMs: this.#clock.now,
+      unixMs: this.unixMs + (this.faults.clockErrorsMs.get(node) ?? 0),
     };
   }
 }
--- a/packages/replica/src/apply.ts
+++ b/packages/replica/src/apply.ts
@@ -318,6 +318,7 @@
         applyNode(update, {
           ...node,
           nodeId: name,
+          unixOffsetMs: knownOffsetMs(node),
           seenMs: seenAt(update, name, node.renewedMs),
           version,
         });
@@ -331,7 +332,7 @@
       replica.summary = summary;
       for (const standby of replica.isStandby ? [] : summary.standbys ?? []) {
         applyNode(update, {
-          unixOffsetMs: replica.unixOffsetMs,
+          unixOffsetMs: undefined,
           ...replica.nodes.get(standby.nodeId),
           ...standby,
           isStandby: true,
@@ -354,6 +355,18 @@
     }),
 };
 
+/**
+ * Returns the offset that the record tells. Earlier versions write 0, and no
+ * time of renewal, before they have read the store's clock.
+ */
+function knownOffsetMs(
+  { unixOffsetMs, renewedMs }: NodeRecord,
+): number | undefined {
+  return unixOffsetMs === 0 && renewedMs === undefined
+    ? undefined
+    : unixOffsetMs;
+}
+
 function noteJobRecord(
   { jobs }: Replica,
   jobId: string,
--- a/packages/replica/src/replica.ts
+++ b/packages/replica/src/replica.ts
@@ -54,8 +54,10 @@
 }
 
 /** The record of a node, which may be this one. */
-export interface KnownNode extends NodeRecord {
+export interface KnownNode extends Omit<NodeRecord, "unixOffsetMs"> {
   readonly nodeId: string;
+  /** As in the record; undefined if the node didn't know it yet. */
+  readonly unixOffsetMs: number | undefined;
   /** Time of the last renewal on this node's clock, in milliseconds. */
   readonly seenMs: number;
   /** Store version of the record; absent if it was not read itself. */
@@ -114,8 +116,11 @@
   isStandby: boolean;
   /** Store clock minus this node's clock, in milliseconds. */
   storeClockOffsetMs: number | undefined;
-  /** This node's time of day minus the store's clock, in milliseconds. */
-  unixOffsetMs: number;
+  /**
+   * This node's time of day minus the store's clock, in milliseconds; undefined
+   * before the first reply of the store.
+   */
+  unixOffsetMs: number | undefined;
 }
 
 /** State of the replica plug-in. */
@@ -181,6 +186,11 @@
   return isRecent ? summary : undefined;
 }
 
+/** Dispatched at the first reply of the store, which tells its clock. */
+export const STORE_CLOCK_READ = createCommand<Record<string, never>>(
+  "store-clock-read",
+);
+
 /** Dispatched when a node was added, removed or has restarted. */
 export const NODES_CHANGED = createCommand<Record<string, never>>(
   "nodes-changed",
@@ -219,14 +229,22 @@
 
 /**
  * Returns the time of day in Unix milliseconds, from the median of the nodes'
- * clocks, so that a clock jump on a minority of nodes has no effect.
+ * clocks, so that a clock jump on a minority of nodes has no effect; undefined
+ * while no node is known to have read the store's clock.
+ *
+ * @example
+ * ```ts
+ * const isDue = (unixNow(update) ?? -Infinity) >= schedule.firstDueMs;
+ * ```
  */
-export function unixNow(update: Update): number {
+export function unixNow(update: Update): number | undefined {
   const { nodes, unixOffsetMs } = update.read(REPLICA);
-  const offsets = [...nodes.values()].map((node) => node.unixOffsetMs);
-  const sorted = (offsets.length > 0 ? offsets : [unixOffsetMs])
+  const known = [...nodes.values()].map((node) => node.unixOffsetMs)
+    .filter((offset) => offset !== undefined)
     .sort((a, b) => a - b);
-  return storeNow(update) + sorted[Math.floor((sorted.length - 1) / 2)]!;
+  // Of an even number the lower one: a late start harms less than an early one.
+  const medianMs = known[Math.floor((known.length - 1) / 2)] ?? unixOffsetMs;
+  return medianMs === undefined ? undefined : storeNow(update) + medianMs;
 }
 
 /** Returns all recorded progress of a job; undefined if there is none. */
--- a/packages/replica/src/views.ts
+++ b/packages/replica/src/views.ts
@@ -7,7 +7,12 @@
 } from "@mustardweir/protocol";
 import { applyChange } from "./apply.ts";
 import { parseKey, RecordKind } from "./record_keys.ts";
-import { REPLICA, type Replica, type SourceView } from "./replica.ts";
+import {
+  REPLICA,
+  type Replica,
+  type SourceView,
+  STORE_CLOCK_READ,
+} from "./replica.ts";
 import { UnreadableLog } from "./unreadable_log.ts";
 
 /** Departed workers are kept longer than any lease lasts, in milliseconds. */
@@ -34,8 +39,12 @@
   { clockMs, unixMs }: { readonly clockMs: number; readonly unixMs: number },
 ): void {
   const replica = update.write(REPLICA);
+  const isFirst = replica.storeClockOffsetMs === undefined;
   replica.storeClockOffsetMs = clockMs - update.now;
   replica.unixOffsetMs = unixMs - clockMs;
+  if (isFirst) {
+    update.dispatch(STORE_CLOCK_READ, {});
+  }
 }
 
 /**
@@ -126,6 +135,6 @@
     summary: undefined,
     isStandby: false,
     storeClockOffsetMs: undefined,
-    unixOffsetMs: 0,
+    unixOffsetMs: undefined,
   };
 }
--- a/packages/tenure/src/nodes.ts
+++ b/packages/tenure/src/nodes.ts
@@ -31,21 +31,27 @@
   EffectReply<null, RecordCommitResult>
 >("registration-answered");
 
-/** Renews this node's record, from which peers read its address. */
+/**
+ * Renews this node's record, from which peers read its address and its clock.
+ * Nothing is recorded before the store's first reply, since the offset of the
+ * clock isn't known until then.
+ */
 export function registerNode(update: Update): void {
   const identity = update.service(NODE_IDENTITY);
+  const { unixOffsetMs } = update.read(REPLICA);
+  if (unixOffsetMs === undefined) {
+    return;
+  }
   const record: NodeRecord = {
     address: identity.peerAddress ?? "",
     incarnation: identity.incarnation,
     zone: identity.availabilityZone,
-    unixOffsetMs: update.read(REPLICA).unixOffsetMs,
+    unixOffsetMs,
     strength: strengthOf(identity),
     lagMs: Math.round(update.read(TENURE).lagMs),
     isStandby: update.read(REPLICA).isStandby,
     keepsClosed: true,
-    ...(update.read(REPLICA).storeClockOffsetMs === undefined
-      ? {}
-      : { renewedMs: storeNow(update) }),
+    renewedMs: storeNow(update),
   };
   callStore(update, {
     kind: EffectKind.CommitRecords,
--- a/packages/tenure/src/standby.ts
+++ b/packages/tenure/src/standby.ts
@@ -118,7 +118,7 @@
     address: identity.peerAddress ?? "",
     incarnation: identity.incarnation,
     zone: identity.availabilityZone,
-    unixOffsetMs: 0,
+    unixOffsetMs: update.read(REPLICA).unixOffsetMs,
     strength: strengthOf(identity),
     isStandby: update.read(REPLICA).isStandby,
     seenMs: update.now,
--- a/packages/tenure/src/tenure_plugin.ts
+++ b/packages/tenure/src/tenure_plugin.ts
@@ -6,6 +6,7 @@
   registerPlugin,
   Role,
   type Undo,
+  type Update,
 } from "@mustardweir/kernel";
 import {
   gauge,
@@ -17,6 +18,7 @@
   FOLLOWER_INTERVAL_MS,
   isFollower,
   NODES_CHANGED,
+  STORE_CLOCK_READ,
   SUMMARY_WANTED,
   TENURE_SEEN,
 } from "@mustardweir/replica";
@@ -101,6 +103,11 @@
         Normal,
       ),
       kernel.registerCommand(REGISTRATION_ANSWERED, () => {}, Low),
+      kernel.registerCommand(
+        STORE_CLOCK_READ,
+        (_, update) => registerUnlessStopping(update),
+        Normal,
+      ),
       kernel.registerCommand(
         NODES_CHANGED,
         (_, update) => connectNodes(update),
@@ -151,9 +158,7 @@
       kernel.registerPeriodic({
         intervalMs: REGISTER_INTERVAL_MS,
         run: (update) => {
-          if (!update.read(TENURE).isStopping) {
-            registerNode(update);
-          }
+          registerUnlessStopping(update);
           connectNodes(update);
           const { epoch } = update.read(TENURE);
           update.emit(gauge("owns-domain", isOwner(update) ? 1 : 0));
@@ -164,6 +169,12 @@
   }
 }
 
+function registerUnlessStopping(update: Update): void {
+  if (!update.read(TENURE).isStopping) {
+    registerNode(update);
+  }
+}
+
 registerPlugin({
   name: "tenure",
   roles: [Role.Combined],
