Keep only the open occurrences of a schedule

Cause: all due occurrences were added in one event, and each of them looked at all stages of the job so far; an owner that stood still for 1.2 s lost the domain and its successor began anew. What was finished was never removed, so that each end, each second and each takeover paid for it again.

Change: OccurrenceTracker counts what is due by arithmetic; only open occurrences have stages, at most 512 tasks in an event and before they have begun; schedules take turns. Finished ones are closed, told by one number in the first part of the progress, and the records of later parts below it are removed once all live nodes read that number. The backlog and the gauge of waiting tasks count what isn't open. Merging the parts of the progress is linear.

--- a/packages/dispatch/src/attempts.ts
+++ b/packages/dispatch/src/attempts.ts
@@ -17,9 +17,11 @@
 } from "@mustardweir/sessions";
 import {
   addTeamUsage,
+  closeOccurrence,
   DISPATCH_STATE,
+  findStageSpec,
   findTask,
-  isJobDone,
+  isOccurrenceDone,
   isOpen,
   isStageDone,
   markProgressed,
@@ -50,9 +52,15 @@
   if (task !== undefined) {
     task.isRunning = true;
     task.progressedMs = update.now;
+    noteBegun(task);
   }
 }
 
+/** Notes that a worker has run the task. */
+function noteBegun({ stage: { job, occurrence } }: TaskRun): void {
+  job.occurrences.begin(occurrence);
+}
+
 /** Updates a placed task's progress and checkpoint from a worker's listing. */
 export function handleAttemptListed(
   update: Update,
@@ -140,6 +148,7 @@
     }
     return;
   }
+  noteBegun(task);
   const { stage } = task;
   const isCurrent = findPlacedTask(update, ended) === task;
   const ranMs = isCurrent ? Math.round(update.now - task.placedMs) : 0;
@@ -211,11 +220,12 @@
   const isWanted = task !== undefined && task.phase === TaskPhase.Waiting &&
     isOpen(task.stage.job) && found.attempt >= task.attempt &&
     found.attempt > task.abandonedAttempt;
+  const spec = findStageSpec(update, found.task);
   recordFoundAttempt(update, {
     workerId,
     task: found.task,
     attempt: found.attempt,
-    size: task && reservedSize(task.stage),
+    size: spec && reservedSize({ spec }),
   });
   if (!isWanted) {
     update.emit(logChange("Stopping an attempt that isn't wanted", {
@@ -236,6 +246,7 @@
   task.checkpoint = found.checkpoint || task.checkpoint;
   task.percent = found.percent;
   task.progressedMs = update.now;
+  noteBegun(task);
   addTeamUsage(update.write(DISPATCH_STATE), task);
   update.emit(count("attempts-adopted"));
 }
@@ -265,10 +276,13 @@
   update: Update,
   { stage: { job } }: TaskRun,
 ): void {
-  const isBusy = [...job.stages.values()].some((stage) =>
-    stage.tasks.some((task) => task.phase === TaskPhase.Placed)
+  if (isOpen(job)) {
+    return;
+  }
+  const isBusy = [...job.stages.values()].some(({ tasks }) =>
+    tasks.some(({ phase }) => phase === TaskPhase.Placed)
   );
-  if (!isOpen(job) && !isBusy) {
+  if (!isBusy) {
     update.write(DISPATCH_STATE).jobs.delete(job.jobId);
   }
 }
@@ -310,12 +324,16 @@
   if (isStageDone(stage)) {
     dropPermits(update, stage.name);
     update.write(DISPATCH_STATE).waiting.remove(stage);
-    addDependents(update, stage);
+    if (isOccurrenceDone(stage)) {
+      closeOccurrence(job, stage.occurrence);
+    } else {
+      addDependents(update, stage);
+    }
   }
   if (!isOpen(job)) {
     return;
   }
-  if (isJobDone(job)) {
+  if (job.occurrences.isSettled) {
     endJob(update, job, StagedJobState.Completed);
     removeIfFinished(update, task);
   } else {
--- a/packages/dispatch/src/backlog.ts
+++ b/packages/dispatch/src/backlog.ts
@@ -5,15 +5,16 @@
   type Resources,
   scaleResources,
 } from "@mustardweir/model";
-import type { SummaryDraft } from "@mustardweir/replica";
+import { type SummaryDraft, unixNow } from "@mustardweir/replica";
 import { CANDIDATES } from "./candidate_index.ts";
 import {
   DISPATCH_STATE,
+  type JobRun,
   reservedSize,
   type StageRun,
   TaskPhase,
 } from "./dispatch_state.ts";
-import { priorityOfRank } from "./turn_order.ts";
+import { priorityOfRank, usefulMs } from "./turn_order.ts";
 
 /**
  * Share of a pool's capacity that must be in use for its backlog to count. While
@@ -24,21 +25,25 @@
 
 /** Fills in how much work waits in each full pool, by priority. */
 export function addBacklog(update: Update, draft: SummaryDraft): void {
-  const { jobs, waiting } = update.read(DISPATCH_STATE);
+  const { jobs, scheduled, waiting } = update.read(DISPATCH_STATE);
   const work = new Map<string, Map<number, Resources>>();
+  const addWork = (pool: string, priority: number, added: Resources) => {
+    const byPriority = work.get(pool) ?? new Map<number, Resources>();
+    work.set(pool, byPriority);
+    const known = byPriority.get(priority) ?? NO_RESOURCES;
+    byPriority.set(priority, addResources(known, added));
+  };
   for (const { stage, rank } of waiting.inOrder()) {
     const priority = priorityOfRank(rank);
     if (priority !== undefined) {
-      const { pool } = stage.job.record.queue;
-      const byPriority = work.get(pool) ?? new Map<number, Resources>();
-      work.set(pool, byPriority);
-      byPriority.set(
-        priority,
-        addResources(
-          byPriority.get(priority) ?? NO_RESOURCES,
-          waitingWork(stage),
-        ),
-      );
+      addWork(stage.job.record.queue.pool, priority, waitingWork(stage));
+    }
+  }
+  const nowMs = unixNow(update);
+  for (const job of scheduled) {
+    if (!job.isOverRate && nowMs !== undefined) {
+      const { pool, priority } = job.record.queue;
+      addWork(pool, priority, unopenedWork(job, nowMs));
     }
   }
   draft.openJobs = jobs.size;
@@ -55,6 +60,31 @@
   }
 }
 
+/**
+ * Returns the same for the due occurrences that haven't been opened and are
+ * still useful, as far as their first stages go.
+ */
+function unopenedWork(job: JobRun, nowMs: number): Resources {
+  const { occurrences: { due, unopened }, record: { spec } } = job;
+  const { firstDueMs = 0, intervalMs = 0 } = spec.schedule ?? {};
+  const lastDueMs = firstDueMs + (due - 1) * intervalMs;
+  const leftMs = lastDueMs + usefulMs(job) - nowMs;
+  if (unopened === 0 || leftMs < 0) {
+    return NO_RESOURCES;
+  }
+  const count = intervalMs > 0
+    ? Math.min(unopened, Math.floor(leftMs / intervalMs) + 1)
+    : unopened;
+  return spec.stages.filter(({ dependsOn }) => dependsOn.length === 0)
+    .map((stage) =>
+      scaleResources(
+        reservedSize({ spec: stage }),
+        count * stage.tasks * stage.estimateMs,
+      )
+    )
+    .reduce(addResources, NO_RESOURCES);
+}
+
 /** Returns resources times milliseconds that the stage's tasks still need. */
 function waitingWork(stage: StageRun): Resources {
   const { tasks, ranCount, ranMs, spec } = stage;
--- a/packages/dispatch/src/dispatch_plugin.ts
+++ b/packages/dispatch/src/dispatch_plugin.ts
@@ -9,7 +9,11 @@
   type Undo,
   type Update,
 } from "@mustardweir/kernel";
-import { isFinal, StagedJobState } from "@mustardweir/model";
+import {
+  isFinal,
+  StagedJobState,
+  tasksPerOccurrence,
+} from "@mustardweir/model";
 import {
   EffectKind,
   type EffectReply,
@@ -78,11 +82,7 @@
 import { handleWorkerCrashed } from "./crashes.ts";
 import { WORKER_HEALTH, WorkerHealth } from "./health.ts";
 import { LinkBudget } from "./link_budget.ts";
-import {
-  addAllDueOccurrences,
-  addDueOccurrences,
-  addRecordedOccurrences,
-} from "./occurrences.ts";
+import { openDueOccurrences, openFirstOccurrences } from "./occurrences.ts";
 import { announceEnds, endJob, handleChangeRejected } from "./progress.ts";
 import {
   requestPlacementPass,
@@ -246,7 +246,7 @@
       }),
       kernel.registerPeriodic({
         intervalMs: OCCURRENCE_SCAN_INTERVAL_MS,
-        run: addNewOccurrences,
+        run: runDueOccurrences,
         isIdle: isFollower,
         idleIntervalMs: FOLLOWER_INTERVAL_MS,
       }),
@@ -318,6 +318,7 @@
   for (const job of jobs) {
     addJob(update, job, true);
   }
+  openDueOccurrences(update);
   requestPlacementPass(update);
 }
 
@@ -367,14 +368,17 @@
     endJob(update, job, StagedJobState.Cancelled);
     return;
   }
-  if (record.spec.schedule !== undefined) {
-    update.write(DISPATCH_STATE).scheduled.add(job);
-  }
-  addRecordedOccurrences(update, job);
-  addDueOccurrences(update, job);
   if (progress !== undefined) {
     markMisplacedParts(job, progress);
   }
+  if (record.spec.schedule !== undefined) {
+    update.write(DISPATCH_STATE).scheduled.add(job);
+    // Those of inherited jobs are opened in turn, a few at a time.
+    if (!isInherited) {
+      openFirstOccurrences(update, job);
+    }
+    return;
+  }
   addWaitingJob(update, job);
   for (const { tasks } of job.stages.values()) {
     for (const task of tasks) {
@@ -403,25 +407,31 @@
   }
 }
 
-function addNewOccurrences(update: Update): void {
-  if (addAllDueOccurrences(update)) {
+function runDueOccurrences(update: Update): void {
+  if (openDueOccurrences(update)) {
     requestPlacementPass(update);
   }
 }
 
 function emitTaskGauges(update: Update): void {
   const { jobs, link } = update.read(DISPATCH_STATE);
-  const tasks = [...jobs.values()].flatMap((job) =>
-    [...job.stages.values()].flatMap((stage) => stage.tasks)
-  );
-  const inPhase = (phase: TaskPhase) =>
-    tasks.filter((task) => task.phase === phase).length;
+  let waiting = 0;
+  let placed = 0;
+  for (const { occurrences, record, stages } of jobs.values()) {
+    waiting += occurrences.unopened * tasksPerOccurrence(record.spec);
+    for (const { tasks } of stages.values()) {
+      for (const { phase } of tasks) {
+        waiting += phase === TaskPhase.Waiting ? 1 : 0;
+        placed += phase === TaskPhase.Placed ? 1 : 0;
+      }
+    }
+  }
   update.emit(
     gauge("starts-backlog-ms", Math.round(link.backlogMs(update.now))),
   );
   update.emit(gauge("jobs-open", jobs.size));
-  update.emit(gauge("tasks-waiting", inPhase(TaskPhase.Waiting)));
-  update.emit(gauge("tasks-placed", inPhase(TaskPhase.Placed)));
+  update.emit(gauge("tasks-waiting", waiting));
+  update.emit(gauge("tasks-placed", placed));
 }
 
 function removeOldJobRecords(update: Update): void {
--- a/packages/dispatch/src/dispatch_state.ts
+++ b/packages/dispatch/src/dispatch_state.ts
@@ -10,6 +10,7 @@
   OPEN_MARK,
   progressPartOf,
   type Resources,
+  type StagedJobSpec,
   StagedJobState,
   stageKey,
   type StageSpec,
@@ -20,6 +21,10 @@
 } from "@mustardweir/model";
 import type { DurableProgress } from "@mustardweir/protocol";
 import type { LinkBudget } from "./link_budget.ts";
+import {
+  type OccurrenceOptions,
+  OccurrenceTracker,
+} from "./occurrence_tracker.ts";
 import type { RateMeter } from "./rates.ts";
 import type { WaitingStages } from "./waiting_stages.ts";
 
@@ -105,13 +110,20 @@
 export interface JobRun {
   readonly jobId: string;
   readonly record: JobRecord;
+  /** The stages of the open occurrences. */
   readonly stages: Map<string, StageRun>;
   /** Parts of the progress that differ from their records. */
   readonly changedParts: Set<number>;
   /** Later parts of the progress that have records. */
   readonly recordedParts: Set<number>;
-  /** Number of occurrences that have become due. */
-  dueOccurrences: number;
+  readonly occurrences: OccurrenceTracker;
+  /**
+   * Recorded progress of the occurrences that haven't been opened; undefined if
+   * none of them has any.
+   */
+  recorded: Readonly<JobProgress> | undefined;
+  /** First part of the progress whose record is still needed. */
+  firstOpenPart: number;
   state: StagedJobState;
   isInherited: boolean;
   /** Whether the job was submitted beyond its team's entitled rate. */
@@ -199,31 +211,75 @@
     readonly isOverRate: boolean;
   },
 ): JobRun {
+  const isScheduled = record.spec.schedule !== undefined;
   const job: JobRun = {
     jobId,
     record,
     stages: new Map(),
     changedParts: new Set(),
     recordedParts: new Set(recordedParts),
-    dueOccurrences: 0,
+    occurrences: new OccurrenceTracker({
+      total: occurrenceCount(record),
+      ...(isScheduled ? listOccurrences(record, progress) : {}),
+    }),
+    recorded: progress,
+    firstOpenPart: 0,
     state: progress?.state ?? StagedJobState.Pending,
     isInherited,
     isOverRate,
   };
-  if (record.spec.schedule === undefined) {
-    addOccurrence(job, progress);
+  if (!isScheduled) {
+    openOccurrence(job, 0);
   }
   return job;
 }
 
-/** Adds the stages of the next occurrence. */
-export function addOccurrence(
-  job: JobRun,
-  progress?: Readonly<JobProgress>,
-): void {
-  const occurrence = job.dueOccurrences++;
+/** Returns the occurrences of a scheduled job that the progress tells of. */
+function listOccurrences(
+  { spec: { stages } }: JobRecord,
+  progress: Readonly<JobProgress> | undefined,
+): Pick<OccurrenceOptions, "settled" | "done" | "recorded"> {
+  if (progress === undefined) {
+    return {};
+  }
+  const { settled = 0, marks, checkpoints, crashes = {} } = progress;
+  const doneStages = new Map<number, number>();
+  for (const [key, text] of Object.entries(marks)) {
+    const { occurrence, stage } = parseStageKey(key);
+    const tasks = stages[stage]?.tasks;
+    const isDone = tasks !== undefined && text === DONE_MARK.repeat(tasks);
+    const count = doneStages.get(occurrence) ?? 0;
+    doneStages.set(occurrence, count + (isDone ? 1 : 0));
+  }
+  for (const key of [...Object.keys(checkpoints), ...Object.keys(crashes)]) {
+    const { occurrence } = parseStageKey(key);
+    doneStages.set(occurrence, doneStages.get(occurrence) ?? 0);
+  }
+  const found = [...doneStages.keys()]
+    .filter((occurrence) => occurrence >= settled)
+    .sort((a, b) => a - b);
+  const isDone = (occurrence: number) =>
+    doneStages.get(occurrence) === stages.length;
+  return {
+    settled,
+    done: found.filter(isDone),
+    recorded: found.filter((occurrence) => !isDone(occurrence)),
+  };
+}
+
+/** Parses the key of a stage, or of one of its tasks. */
+function parseStageKey(
+  key: string,
+): { readonly occurrence: number; readonly stage: number } {
+  const [occurrence, stage] = key.split(".");
+  return { occurrence: Number(occurrence), stage: Number(stage) };
+}
+
+/** Adds the stages of an occurrence to the job and returns them. */
+export function openOccurrence(job: JobRun, occurrence: number): StageRun[] {
   let firstTask = occurrence * tasksPerOccurrence(job.record.spec);
-  job.record.spec.stages.forEach((spec, number) => {
+  job.occurrences.open(occurrence);
+  return job.record.spec.stages.map((spec, number) => {
     const key = stageKey(occurrence, number);
     const stage: StageRun = {
       job,
@@ -238,39 +294,84 @@
       ranMs: 0,
       ranCount: 0,
     };
-    const marks = progress?.marks[key] ?? "";
     for (let index = 0; index < spec.tasks; index++) {
-      const mark = marks[index] ?? OPEN_MARK;
-      const isDone = mark === DONE_MARK;
-      stage.doneCount += isDone ? 1 : 0;
-      stage.tasks.push({
+      const task = createTaskRun(
         stage,
         index,
-        phase: isDone ? TaskPhase.Done : TaskPhase.Waiting,
-        attempt: 0,
-        workerId: "",
-        placedMs: 0,
-        isStopping: false,
-        isRunning: false,
-        failures: isDone ? 0 : Number(mark),
-        crashes: isDone ? 0 : progress?.crashes?.[taskKey(key, index)] ?? 0,
-        isolatedSinceMs: undefined,
-        isIsolationWaived: false,
-        checkpoint: progress?.checkpoints[taskKey(key, index)] ?? "",
-        percent: 0,
-        progressedMs: 0,
-        failedOn: new Set(),
-        isInherited: job.isInherited,
-        abandonedAttempt: 0,
-        notBeforeMs: 0,
-        preemptions: 0,
-      });
+        recordedTask(job.recorded, key, index),
+      );
+      stage.doneCount += task.phase === TaskPhase.Done ? 1 : 0;
+      stage.tasks.push(task);
     }
     job.stages.set(key, stage);
     firstTask += spec.tasks;
+    return stage;
   });
 }
 
+/** What the records tell of a task. */
+interface TaskProgress {
+  readonly mark: string;
+  readonly checkpoint: string;
+  readonly crashes: number;
+}
+
+const DONE_TASK: TaskProgress = { mark: DONE_MARK, checkpoint: "", crashes: 0 };
+
+function recordedTask(
+  progress: Readonly<JobProgress> | undefined,
+  key: string,
+  index: number,
+): TaskProgress {
+  const mark = progress?.marks[key]?.[index] ?? OPEN_MARK;
+  return mark === DONE_MARK ? DONE_TASK : {
+    mark,
+    checkpoint: progress?.checkpoints[taskKey(key, index)] ?? "",
+    crashes: progress?.crashes?.[taskKey(key, index)] ?? 0,
+  };
+}
+
+function createTaskRun(
+  stage: StageRun,
+  index: number,
+  { mark, checkpoint, crashes }: TaskProgress,
+): TaskRun {
+  const isDone = mark === DONE_MARK;
+  return {
+    stage,
+    index,
+    phase: isDone ? TaskPhase.Done : TaskPhase.Waiting,
+    attempt: 0,
+    workerId: "",
+    placedMs: 0,
+    isStopping: false,
+    isRunning: false,
+    failures: isDone ? 0 : Number(mark),
+    crashes,
+    isolatedSinceMs: undefined,
+    isIsolationWaived: false,
+    checkpoint,
+    percent: 0,
+    progressedMs: 0,
+    failedOn: new Set(),
+    isInherited: stage.job.isInherited,
+    abandonedAttempt: 0,
+    notBeforeMs: 0,
+    preemptions: 0,
+  };
+}
+
+/**
+ * Removes the stages of an occurrence all of whose tasks are done, so that
+ * finished occurrences cost nothing.
+ */
+export function closeOccurrence(job: JobRun, occurrence: number): void {
+  job.occurrences.finish(occurrence);
+  job.record.spec.stages.forEach((_, number) =>
+    job.stages.delete(stageKey(occurrence, number))
+  );
+}
+
 /** Returns the part of the job's progress that holds the task. */
 export function partOfTask({ stage, index }: TaskRun): number {
   return progressPartOf(stage.firstTask + index);
@@ -289,13 +390,37 @@
   job: JobRun,
   first: Readonly<JobProgress>,
 ): void {
-  for (const { key, tasks } of job.stages.values()) {
-    const marks = first.marks[key]?.length ?? 0;
-    tasks.filter((task) =>
-      partOfTask(task) > 0 &&
-      (task.index < marks || taskKey(key, task.index) in first.checkpoints)
-    ).forEach(markProgressed);
+  const { spec } = job.record;
+  const noteTasks = (key: string, from: number, to: number) => {
+    const { occurrence, stage } = parseStageKey(key);
+    const firstTask = occurrence * tasksPerOccurrence(spec) +
+      tasksBefore(spec, stage);
+    const last = progressPartOf(firstTask + to);
+    for (let part = progressPartOf(firstTask + from); part <= last; part++) {
+      if (part > 0) {
+        job.changedParts.add(part);
+      }
+    }
+  };
+  for (const [key, { length }] of Object.entries(first.marks)) {
+    noteTasks(key, first.offsets?.[key] ?? 0, length - 1);
   }
+  for (const key of Object.keys(first.checkpoints)) {
+    const index = Number(key.slice(key.lastIndexOf(".") + 1));
+    noteTasks(key, index, index);
+  }
+}
+
+/** Returns the number of tasks in the stages before the given one. */
+function tasksBefore({ stages }: StagedJobSpec, stage: number): number {
+  return stages.slice(0, stage).reduce((sum, { tasks }) => sum + tasks, 0);
+}
+
+/** Returns the first part of the progress with a task that isn't done. */
+export function findFirstOpenPart({ record, occurrences }: JobRun): number {
+  return progressPartOf(
+    occurrences.settled * tasksPerOccurrence(record.spec),
+  );
 }
 
 /** Returns a part of the progress of the job to be recorded. */
@@ -305,60 +430,96 @@
     marks: {},
     checkpoints: {},
   };
-  for (const { stage, tasks } of tasksInPart(job, part)) {
-    if (tasks.some((task) => markOf(task) !== OPEN_MARK)) {
-      progress.marks[stage.key] = tasks.map(markOf).join("");
-      const [{ index: offset } = { index: 0 }] = tasks;
-      if (offset > 0) {
-        progress.offsets ??= {};
-        progress.offsets[stage.key] = offset;
-      }
-    }
-    for (const task of tasks) {
-      if (task.checkpoint !== "" && task.phase !== TaskPhase.Done) {
-        progress.checkpoints[taskKey(stage.key, task.index)] = task.checkpoint;
+  const { settled } = job.occurrences;
+  if (part === 0 && settled > 0 && job.record.spec.schedule !== undefined) {
+    progress.settled = settled;
+  }
+  for (const { occurrence, key, from, to } of slicesInPart(job, part)) {
+    const marks: string[] = [];
+    for (let index = from; index < to; index++) {
+      const { mark, checkpoint, crashes } = taskProgress(
+        job,
+        { occurrence, key, index },
+      );
+      marks.push(mark);
+      if (checkpoint !== "") {
+        progress.checkpoints[taskKey(key, index)] = checkpoint;
       }
-      if (task.crashes > 0 && task.phase !== TaskPhase.Done) {
+      if (crashes > 0) {
         progress.crashes ??= {};
-        progress.crashes[taskKey(stage.key, task.index)] = task.crashes;
+        progress.crashes[taskKey(key, index)] = crashes;
+      }
+    }
+    if (marks.some((mark) => mark !== OPEN_MARK)) {
+      progress.marks[key] = marks.join("");
+      if (from > 0) {
+        progress.offsets ??= {};
+        progress.offsets[key] = from;
       }
     }
   }
   return progress;
 }
 
+/** Consecutive tasks of a stage of one occurrence. */
+interface TaskSlice {
+  readonly occurrence: number;
+  readonly key: string;
+  readonly from: number;
+  /** Index after the last task. */
+  readonly to: number;
+}
+
 /** Returns the tasks of a part of the job's progress, by their stages. */
-function tasksInPart(
-  { record: { spec }, stages }: Readonly<JobRun>,
+function* slicesInPart(
+  { record }: Readonly<JobRun>,
   part: number,
-): { readonly stage: StageRun; readonly tasks: readonly TaskRun[] }[] {
-  const from = part * TASKS_PER_PART;
-  const to = from + TASKS_PER_PART;
-  const found = [];
-  let occurrence = Math.floor(from / tasksPerOccurrence(spec));
-  while (occurrence >= 0) {
-    for (let number = 0; number < spec.stages.length; number++) {
-      const stage = stages.get(stageKey(occurrence, number));
-      if (stage === undefined || stage.firstTask >= to) {
-        return found;
-      }
-      const tasks = stage.tasks.slice(
-        Math.max(0, from - stage.firstTask),
-        Math.max(0, to - stage.firstTask),
-      );
-      if (tasks.length > 0) {
-        found.push({ stage, tasks });
+): Generator<TaskSlice> {
+  const { spec } = record;
+  const begin = part * TASKS_PER_PART;
+  const end = begin + TASKS_PER_PART;
+  const perOccurrence = tasksPerOccurrence(spec);
+  let occurrence = Math.floor(begin / perOccurrence);
+  let firstTask = occurrence * perOccurrence;
+  for (
+    ;
+    occurrence < occurrenceCount(record) && firstTask < end;
+    occurrence++
+  ) {
+    for (const [number, { tasks }] of spec.stages.entries()) {
+      const from = Math.max(0, begin - firstTask);
+      const to = Math.min(tasks, end - firstTask);
+      if (from < to) {
+        yield { occurrence, key: stageKey(occurrence, number), from, to };
       }
+      firstTask += tasks;
     }
-    occurrence++;
   }
-  return found;
 }
 
-function markOf({ phase, failures }: TaskRun): string {
-  return phase === TaskPhase.Done
-    ? DONE_MARK
-    : String(Math.min(failures, MAX_MARKED_FAILURES));
+function taskProgress(
+  { occurrences, stages, recorded }: Readonly<JobRun>,
+  { occurrence, key, index }: {
+    readonly occurrence: number;
+    readonly key: string;
+    readonly index: number;
+  },
+): TaskProgress {
+  if (occurrences.isDone(occurrence)) {
+    return DONE_TASK;
+  }
+  const task = stages.get(key)?.tasks[index];
+  if (task === undefined) {
+    return recordedTask(recorded, key, index);
+  }
+  const { checkpoint, crashes } = task;
+  return task.phase === TaskPhase.Done
+    ? DONE_TASK
+    : { mark: markOf(task), checkpoint, crashes };
+}
+
+function markOf({ failures }: TaskRun): string {
+  return String(Math.min(failures, MAX_MARKED_FAILURES));
 }
 
 /** Finds a stage by its name. */
@@ -368,16 +529,31 @@
     ?.stages.get(name.slice(end + 1));
 }
 
+/** The numbers in the name of a task. */
+interface ParsedTaskName {
+  readonly jobId: string;
+  readonly occurrence: number;
+  readonly stage: number;
+}
+
 /** Parses the name of a task; undefined if it isn't one. */
-export function parseTaskName(
-  name: string,
-): { readonly jobId: string; readonly occurrence: number } | undefined {
-  const [jobId = "", occurrence = "", stage, index, ...others] = name
-    .split(".");
-  return stage === undefined || index === undefined || others.length > 0 ||
-      !/^\d+$/.test(occurrence)
-    ? undefined
-    : { jobId, occurrence: Number(occurrence) };
+export function parseTaskName(name: string): ParsedTaskName | undefined {
+  const match = /^([^.]+)\.(\d+)\.(\d+)\.\d+$/.exec(name);
+  return match === null ? undefined : {
+    jobId: match[1]!,
+    occurrence: Number(match[2]),
+    stage: Number(match[3]),
+  };
+}
+
+/** Finds the specification of the stage that a task's name belongs to. */
+export function findStageSpec(
+  update: Update,
+  task: string,
+): StageSpec | undefined {
+  const { jobId, stage } = parseTaskName(task) ?? { jobId: "", stage: 0 };
+  return update.read(DISPATCH_STATE).jobs.get(jobId)
+    ?.record.spec.stages[stage];
 }
 
 /** Finds a task by the name that attempts carry. */
@@ -408,10 +584,12 @@
   return stage.doneCount === stage.tasks.length;
 }
 
-/** Returns whether every occurrence of the job is done. */
-export function isJobDone(job: JobRun): boolean {
-  return job.dueOccurrences === occurrenceCount(job.record) &&
-    [...job.stages.values()].every(isStageDone);
+/** Returns whether every task of the stage's occurrence succeeded. */
+export function isOccurrenceDone({ job, occurrence }: StageRun): boolean {
+  return job.record.spec.stages.every((_, number) => {
+    const stage = job.stages.get(stageKey(occurrence, number));
+    return stage !== undefined && isStageDone(stage);
+  });
 }
 
 /** Returns whether the job has not ended, so that its tasks can start. */
@@ -420,7 +598,9 @@
 }
 
 /** Returns the resources that a task of the stage reserves on a worker. */
-export function reservedSize({ spec }: StageRun): Resources {
+export function reservedSize(
+  { spec }: { readonly spec: StageSpec },
+): Resources {
   return spec.bestEffort ? { ...spec.size, cpuMillis: 0 } : spec.size;
 }
 
--- a/packages/dispatch/src/occurrences.ts
+++ b/packages/dispatch/src/occurrences.ts
@@ -1,51 +1,59 @@
 import type { Update } from "@mustardweir/kernel";
-import type { JobProgress } from "@mustardweir/model";
-import { REPLICA, unixNow, wholeProgress } from "@mustardweir/replica";
+import { type JobRecord, tasksPerOccurrence } from "@mustardweir/model";
+import { unixNow } from "@mustardweir/replica";
 import {
-  addOccurrence,
   DISPATCH_STATE,
-  dueTimeMs,
   findTask,
   isOpen,
   type JobRun,
-  occurrenceCount,
+  openOccurrence,
   parseTaskName,
   type TaskRun,
 } from "./dispatch_state.ts";
-import { addWaitingJob } from "./waiting.ts";
+import { addWaiting } from "./waiting.ts";
 
-/** Adds the occurrences of all jobs that have become due. */
-export function addAllDueOccurrences(update: Update): boolean {
-  let hasAdded = false;
-  for (const job of update.write(DISPATCH_STATE).scheduled) {
-    hasAdded = addDueOccurrences(update, job) || hasAdded;
-  }
-  return hasAdded;
-}
+/**
+ * Most tasks that one event opens, so that an owner has time for its commits and
+ * for other jobs in between.
+ */
+const MAX_TASKS_PER_EVENT = 512;
+/**
+ * Most tasks of a job that are open before any of their occurrences has begun,
+ * and fewest such occurrences. More are opened as these begin, so that a job
+ * runs on as many workers as it finds.
+ */
+const MAX_UNBEGUN_TASKS = 512;
+const MIN_UNBEGUN_OCCURRENCES = 4;
 
 /**
- * Adds the occurrences of the job that are due by the time of day. Returns
- * whether there were any.
+ * Opens occurrences of all scheduled jobs that are due or have recorded progress,
+ * up to {@link MAX_TASKS_PER_EVENT}. Returns whether there were any.
  */
-export function addDueOccurrences(update: Update, job: JobRun): boolean {
+export function openDueOccurrences(update: Update): boolean {
+  const { scheduled } = update.write(DISPATCH_STATE);
   const nowMs = unixNow(update);
-  return nowMs !== undefined &&
-    addOccurrences(
-      update,
-      job,
-      (occurrence) => (dueTimeMs(job.record, occurrence) ?? Infinity) <= nowMs,
-    );
+  let opened = 0;
+  for (const job of [...scheduled]) {
+    const tasks = openOccurrences(update, job, {
+      nowMs,
+      maxTasks: MAX_TASKS_PER_EVENT - opened,
+    });
+    opened += tasks;
+    if (tasks > 0) {
+      // Other jobs have their turn first the next time.
+      scheduled.delete(job);
+      scheduled.add(job);
+    }
+  }
+  return opened > 0;
 }
 
-/**
- * Adds the occurrences that a former owner has run by the records, whatever the
- * time of day: its clock may have been ahead of this node's.
- */
-export function addRecordedOccurrences(update: Update, job: JobRun): void {
-  const recorded = countRecorded(
-    wholeProgress(update.read(REPLICA), job.jobId),
-  );
-  addOccurrences(update, job, (occurrence) => occurrence < recorded);
+/** Opens the occurrences of a new job that are due. */
+export function openFirstOccurrences(update: Update, job: JobRun): void {
+  openOccurrences(update, job, {
+    nowMs: unixNow(update),
+    maxTasks: MAX_TASKS_PER_EVENT,
+  });
 }
 
 /**
@@ -56,49 +64,71 @@
   update: Update,
   name: string,
 ): TaskRun | undefined {
-  const parsed = parseTaskName(name);
-  const job = parsed && update.write(DISPATCH_STATE).jobs.get(parsed.jobId);
-  if (job !== undefined && job.dueOccurrences <= parsed!.occurrence) {
-    addOccurrences(
-      update,
-      job,
-      (occurrence) => occurrence <= parsed!.occurrence,
-    );
+  const { jobId, occurrence } = parseTaskName(name) ??
+    { jobId: "", occurrence: 0 };
+  const job = update.write(DISPATCH_STATE).jobs.get(jobId);
+  if (job !== undefined && isOpen(job) && job.occurrences.canOpen(occurrence)) {
+    addOpenOccurrence(update, job, occurrence);
   }
   return findTask(update, name);
 }
 
-function addOccurrences(
+/** Returns the number of tasks that were opened. */
+function openOccurrences(
   update: Update,
   job: JobRun,
-  isDue: (occurrence: number) => boolean,
-): boolean {
-  if (job.record.spec.schedule === undefined || !isOpen(job)) {
-    return false;
+  { nowMs, maxTasks }: {
+    readonly nowMs: number | undefined;
+    readonly maxTasks: number;
+  },
+): number {
+  const { occurrences, record } = job;
+  if (nowMs !== undefined) {
+    occurrences.raiseDue(countDue(record, nowMs));
   }
-  const isNextDue = () =>
-    job.dueOccurrences < occurrenceCount(job.record) &&
-    isDue(job.dueOccurrences);
-  if (!isNextDue()) {
-    return false;
+  const perOccurrence = tasksPerOccurrence(record.spec);
+  const hasRoom = () =>
+    occurrences.unbegun < MIN_UNBEGUN_OCCURRENCES ||
+    occurrences.unbegun * perOccurrence < MAX_UNBEGUN_TASKS;
+  let tasks = 0;
+  while (tasks < maxTasks) {
+    const recorded = occurrences.takeRecorded();
+    const next = recorded ?? (hasRoom() ? occurrences.takeDue() : undefined);
+    if (next === undefined) {
+      break;
+    }
+    addOpenOccurrence(update, job, next);
+    if (recorded !== undefined) {
+      occurrences.begin(next);
+    }
+    tasks += perOccurrence;
   }
-  const progress = wholeProgress(update.read(REPLICA), job.jobId);
-  while (isNextDue()) {
-    addOccurrence(job, progress);
-    addWaitingJob(update, job);
+  if (!occurrences.hasRecorded) {
+    job.recorded = undefined;
   }
-  return true;
+  return tasks;
 }
 
-/** Returns the number of occurrences up to the last one with any progress. */
-function countRecorded(progress: Readonly<JobProgress> | undefined): number {
-  const keys = [
-    ...Object.keys(progress?.marks ?? {}),
-    ...Object.keys(progress?.checkpoints ?? {}),
-    ...Object.keys(progress?.crashes ?? {}),
-  ];
-  return keys.reduce(
-    (most, key) => Math.max(most, Number.parseInt(key) + 1),
-    0,
-  );
+function addOpenOccurrence(
+  update: Update,
+  job: JobRun,
+  occurrence: number,
+): void {
+  const { suspects } = update.write(DISPATCH_STATE);
+  for (const stage of openOccurrence(job, occurrence)) {
+    addWaiting(update, stage);
+    stage.tasks.filter(({ crashes }) => crashes > 0)
+      .forEach((task) => suspects.add(task));
+  }
+}
+
+/** Returns how many occurrences of a scheduled job are due at a time of day. */
+function countDue({ spec: { schedule } }: JobRecord, nowMs: number): number {
+  if (schedule === undefined || nowMs < schedule.firstDueMs) {
+    return 0;
+  }
+  const { firstDueMs, intervalMs, occurrences } = schedule;
+  return intervalMs > 0
+    ? Math.min(occurrences, Math.floor((nowMs - firstDueMs) / intervalMs) + 1)
+    : occurrences;
 }
--- a/packages/dispatch/src/progress.ts
+++ b/packages/dispatch/src/progress.ts
@@ -16,9 +16,10 @@
   storeNow,
 } from "@mustardweir/replica";
 import { stopAttempt } from "@mustardweir/sessions";
-import { liveStandbys, queueChange } from "@mustardweir/tenure";
+import { allReadSettled, liveStandbys, queueChange } from "@mustardweir/tenure";
 import {
   DISPATCH_STATE,
+  findFirstOpenPart,
   type JobRun,
   progressOf,
   taskName,
@@ -48,6 +49,27 @@
     }
     queueProgress(update, { job, part, progress: progressOf(job, part) });
   }
+  removeSettledParts(update, job);
+}
+
+/**
+ * Removes the records of later parts all of whose tasks are done, after the
+ * first part that tells so. They stay while a node might become the owner that
+ * goes by the marks alone.
+ */
+function removeSettledParts(update: Update, job: JobRun): void {
+  const firstOpenPart = findFirstOpenPart(job);
+  if (firstOpenPart <= job.firstOpenPart || !allReadSettled(update)) {
+    return;
+  }
+  job.firstOpenPart = firstOpenPart;
+  queueProgress(update, { job, part: 0, progress: progressOf(job, 0) });
+  for (const part of job.recordedParts) {
+    if (part < firstOpenPart) {
+      queueChange(update, progressKey(job.jobId, part), undefined);
+      job.recordedParts.delete(part);
+    }
+  }
 }
 
 /** Queues the end of the job to be recorded, after which its state says all. */
--- a/packages/dispatch/src/turn_order.ts
+++ b/packages/dispatch/src/turn_order.ts
@@ -102,6 +102,16 @@
     : ObjectiveStatus.InTime;
 }
 
+/**
+ * Returns how long after its due time an occurrence that hasn't begun is still
+ * useful, in milliseconds.
+ */
+export function usefulMs(job: JobRun): number {
+  const { stretch, latencyObjectiveMs } = job.record.queue;
+  const totalMs = criticalPathMs(job, 0, false);
+  return EXPIRY_FACTOR * (stretch * totalMs + latencyObjectiveMs) - totalMs;
+}
+
 /**
  * Returns the estimated duration of the job's critical path, in milliseconds.
  */
--- a/packages/dispatch/src/turn_order_test.ts
+++ b/packages/dispatch/src/turn_order_test.ts
@@ -1,6 +1,6 @@
 import { plainStage, StagedJobState } from "@mustardweir/model";
 import { expect } from "chai";
-import { addOccurrence, createJobRun, type JobRun } from "./dispatch_state.ts";
+import { createJobRun, type JobRun, openOccurrence } from "./dispatch_state.ts";
 import {
   type ObjectiveClock,
   ObjectiveRanking,
@@ -128,7 +128,7 @@
   it("counts a scheduled job from its due time", () => {
     const dueMs = 1_700_000_000_000;
     const job = jobOf({ dueMs });
-    addOccurrence(job);
+    openOccurrence(job, 0);
     const clock = { storeMs: 0, unixMs: dueMs + 1_251 };
     expect(objectiveStatusOf(job.stages.get("0.0")!, clock)).to.equal(
       ObjectiveStatus.Late,
--- a/packages/dispatch/src/waiting.ts
+++ b/packages/dispatch/src/waiting.ts
@@ -1,4 +1,5 @@
 import type { Update } from "@mustardweir/kernel";
+import { stageKey } from "@mustardweir/model";
 import { storeNow, unixNow } from "@mustardweir/replica";
 import {
   DISPATCH_STATE,
@@ -53,15 +54,16 @@
 }
 
 /** Lets the stages wait that depend on a stage that is done. */
-export function addDependents(update: Update, done: StageRun): void {
-  for (const stage of done.job.stages.values()) {
-    if (
-      stage.occurrence === done.occurrence &&
-      stage.spec.dependsOn.includes(done.number)
-    ) {
+export function addDependents(
+  update: Update,
+  { job, occurrence, number: done }: StageRun,
+): void {
+  job.record.spec.stages.forEach(({ dependsOn }, number) => {
+    const stage = job.stages.get(stageKey(occurrence, number));
+    if (stage !== undefined && dependsOn.includes(done)) {
       addWaiting(update, stage);
     }
-  }
+  });
 }
 
 /** Removes the stages of a job that has ended. */
--- a/packages/model/src/progress_parts.ts
+++ b/packages/model/src/progress_parts.ts
@@ -32,35 +32,45 @@
 }
 
 /**
- * Returns the progress that two records tell together. A task that one of them
- * shows as done is done, and failures and crashes only increase, so the order in
- * which the records were written doesn't matter.
+ * Returns the progress that several records tell together, of which the first
+ * has the state. A task that one of them shows as done is done, and failures and
+ * crashes only increase, so the order in which the records were written doesn't
+ * matter.
  *
  * @example
  * ```ts
- * parts.reduce(mergeProgress, first);
+ * const progress = mergeProgress([first, ...laterParts]);
  * ```
  */
 export function mergeProgress(
-  first: Readonly<JobProgress>,
-  second: Readonly<JobProgress>,
+  records: readonly [Readonly<JobProgress>, ...Readonly<JobProgress>[]],
 ): JobProgress {
-  const { offsets: _, ...merged } = first;
-  merged.marks = {};
-  for (const { marks, offsets } of [first, second]) {
+  const { offsets: _, ...first } = records[0];
+  const merged: JobProgress = { ...first, marks: {}, checkpoints: {} };
+  for (const { marks, offsets, checkpoints, crashes, settled } of records) {
     for (const [stage, text] of Object.entries(marks)) {
-      merged.marks[stage] = mergeMarks(
-        merged.marks[stage] ?? "",
-        OPEN_MARK.repeat(offsets?.[stage] ?? 0) + text,
-      );
+      const known = merged.marks[stage] ?? "";
+      const padded = OPEN_MARK.repeat(offsets?.[stage] ?? 0) + text;
+      merged.marks[stage] = known === "" ? padded : mergeMarks(known, padded);
+    }
+    Object.assign(merged.checkpoints, checkpoints);
+    if (crashes !== undefined) {
+      merged.crashes = mergeCounts(merged.crashes, crashes);
+    }
+    if (settled !== undefined) {
+      merged.settled = Math.max(settled, merged.settled ?? 0);
     }
   }
-  merged.checkpoints = { ...first.checkpoints, ...second.checkpoints };
-  for (const [task, crashes] of Object.entries(second.crashes ?? {})) {
-    merged.crashes = {
-      ...merged.crashes,
-      [task]: Math.max(crashes, merged.crashes?.[task] ?? 0),
-    };
+  return merged;
+}
+
+function mergeCounts(
+  known: Readonly<Record<string, number>> = {},
+  added: Readonly<Record<string, number>>,
+): Record<string, number> {
+  const merged = { ...known };
+  for (const [key, count] of Object.entries(added)) {
+    merged[key] = Math.max(count, merged[key] ?? 0);
   }
   return merged;
 }
--- a/packages/model/src/record_schemas.ts
+++ b/packages/model/src/record_schemas.ts
@@ -72,5 +72,6 @@
   offsets: z.record(z.string(), z.number().nonnegative()).optional(),
   checkpoints: z.record(z.string(), z.string()),
   crashes: z.record(z.string(), z.number().nonnegative()).optional(),
+  settled: z.number().nonnegative().optional(),
   endedMs: z.number().optional(),
 });
--- a/packages/model/src/staged_job.ts
+++ b/packages/model/src/staged_job.ts
@@ -113,6 +113,11 @@
    * {@link taskKey}; absent if none did.
    */
   crashes?: Record<string, number>;
+  /**
+   * Number of leading occurrences all of whose tasks are done; later records
+   * may leave their marks out. Absent for 0 and without a schedule.
+   */
+  settled?: number;
   /** Store clock when the job reached a final state, in milliseconds. */
   endedMs?: number;
 }
--- a/packages/replica/src/record_keys.ts
+++ b/packages/replica/src/record_keys.ts
@@ -142,6 +142,11 @@
    * an earlier version wrote it.
    */
   readonly keepsClosed?: boolean;
+  /**
+   * Whether the node takes the settled occurrences of a job for done; absent if
+   * an earlier version wrote it.
+   */
+  readonly readsSettled?: boolean;
 }
 
 /** Types of the fields of a {@link NodeRecord} that all versions write. */
@@ -365,6 +370,7 @@
     isTextMap(value.marks) && isTextMap(value.checkpoints) &&
     (value.offsets === undefined || isCountMap(value.offsets)) &&
     (value.crashes === undefined || isCountMap(value.crashes)) &&
+    (value.settled === undefined || isCount(value.settled)) &&
     (value.endedMs === undefined || typeof value.endedMs === "number");
 }
 
@@ -375,9 +381,11 @@
 
 function isCountMap(value: unknown): boolean {
   return isObject(value) && !Array.isArray(value) &&
-    Object.values(value).every((number) =>
-      typeof number === "number" && number >= 0 && number < Infinity
-    );
+    Object.values(value).every(isCount);
+}
+
+function isCount(value: unknown): boolean {
+  return typeof value === "number" && value >= 0 && value < Infinity;
 }
 
 const count = z.number().nonnegative();
--- a/packages/replica/src/replica.ts
+++ b/packages/replica/src/replica.ts
@@ -256,7 +256,7 @@
   const first = jobs.get(jobId)?.progress;
   return first === undefined && parts.length === 0
     ? undefined
-    : parts.reduce(mergeProgress, first ?? NO_PROGRESS);
+    : mergeProgress([first ?? NO_PROGRESS, ...parts]);
 }
 
 /** Returns the state of a job that is reported to callers. */
--- a/packages/tenure/src/mod.ts
+++ b/packages/tenure/src/mod.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-export { liveNodes, liveStandbys } from "./nodes.ts";
+export { allReadSettled, liveNodes, liveStandbys } from "./nodes.ts";
 export { loseTenure } from "./commits.ts";
 export * from "./tenure_plugin.ts";
 export * from "./tenure_state.ts";
--- a/packages/tenure/src/nodes.ts
+++ b/packages/tenure/src/nodes.ts
@@ -51,6 +51,7 @@
     lagMs: Math.round(update.read(TENURE).lagMs),
     isStandby: update.read(REPLICA).isStandby,
     keepsClosed: true,
+    readsSettled: true,
     renewedMs: storeNow(update),
   };
   callStore(update, {
@@ -96,6 +97,11 @@
   return liveNodes(update).filter(({ isStandby }) => isStandby !== false);
 }
 
+/** Returns whether every live node takes settled occurrences for done. */
+export function allReadSettled(update: Update): boolean {
+  return liveNodes(update).every(({ readsSettled }) => readsSettled === true);
+}
+
 /** Returns true if the node has renewed its record recently. */
 export function isLive(update: Update, node: KnownNode): boolean {
   return update.now - node.seenMs <= NODE_EXPIRY_MS;
