Tell no count of waiting jobs that is older than two seconds

Cause: a node without a copy answered from the owner's last summary, whatever its age, and took a missing one for zero.

Change: a count is told if it is at most 2 s old; otherwise the summary is read again for up to 1 s while a takeover is likely, and then the call is refused with a Retry-After. An owner publishes at its takeover. Without a recent summary a standby counts as lost after 4.5 s instead of 7 s.

Same cause on related paths: counts of a node's own copy while the store is away, an owner's own summary while it can't confirm itself, and jobs that were refused by the largest workers of an old summary.

--- a/packages/intake/src/intake_plugin.ts
+++ b/packages/intake/src/intake_plugin.ts
@@ -30,7 +30,7 @@
   storeNow,
   WORKER_CHANGED,
 } from "@mustardweir/replica";
-import { TENURE, TenurePhase } from "@mustardweir/tenure";
+import { TENURE, TENURE_GAINED, TenurePhase } from "@mustardweir/tenure";
 import { type AdmissionPolicy, WaitBound } from "./admission_policy.ts";
 import {
   CallPurpose,
@@ -38,9 +38,10 @@
   INTAKE,
   type PendingCall,
 } from "./intake_state.ts";
+import { answerCall, RETRY_AFTER_MS } from "./call_answers.ts";
+import { answerCount, handleSummaryRead, SUMMARY_READ } from "./count_calls.ts";
 import { findRoute, isJobId, teamOfKey } from "./routes.ts";
 import {
-  answerCall,
   answerState,
   CALL_READ,
   CALL_WRITTEN,
@@ -49,13 +50,11 @@
   lookUpJob,
   lookUpState,
   resumeCalls,
-  RETRY_AFTER_MS,
   turnAway,
   writeCancel,
   writeJob,
 } from "./submissions.ts";
 import {
-  countWaiting,
   findInfeasibility,
   publishSummary,
   SUMMARY_INTERVAL_MS,
@@ -84,7 +83,7 @@
   override readonly name = "intake";
 
   override register(kernel: Kernel): Undo {
-    const { Normal } = CommandPriority;
+    const { Low, Normal } = CommandPriority;
     return mergeUndo(
       kernel.registerState(INTAKE, {
         calls: new Map(),
@@ -109,6 +108,16 @@
         (reply, update) => handleReadResult(update, reply),
         Normal,
       ),
+      kernel.registerCommand(
+        SUMMARY_READ,
+        (reply, update) => handleSummaryRead(update, reply),
+        Normal,
+      ),
+      kernel.registerCommand(
+        TENURE_GAINED,
+        (_, update) => publishSummary(update),
+        Low,
+      ),
       kernel.registerCommand(
         PEER_MESSAGE_RECEIVED,
         ({ message }, update) => {
@@ -195,10 +204,16 @@
   const { callId } = call;
   const { queue, jobId } = routedCall;
   if (call.kind === FrontCallKind.Status && jobId === "") {
-    answerCall(update, callId, {
-      kind: FrontAnswerKind.Waiting,
-      waiting: countWaiting(update, queue),
-    });
+    answerCount(
+      update,
+      trackCall(update, {
+        callId,
+        purpose: CallPurpose.Count,
+        jobId,
+        queue,
+        record: undefined,
+      }),
+    );
     return;
   }
   if (!isJobId(jobId) || call.kind === FrontCallKind.Unsupported) {
--- a/packages/intake/src/intake_state.ts
+++ b/packages/intake/src/intake_state.ts
@@ -25,6 +25,8 @@
   ReadingProgress = "reading-progress",
   /** The job has not ended; a read checks whether it was cancelled. */
   ReadingCancel = "reading-cancel",
+  /** The owner's summary is being read again. */
+  ReadingSummary = "reading-summary",
   /** The store refused the operation; it is retried after a pause. */
   Pausing = "pausing",
 }
@@ -34,12 +36,15 @@
   Submit = "submit",
   Status = "status",
   Cancel = "cancel",
+  /** Asks how many jobs of a queue wait. */
+  Count = "count",
 }
 
 /** A call that has not been answered yet. */
 export interface PendingCall {
   readonly callId: string;
   readonly purpose: CallPurpose;
+  /** Empty if the call asks for no job. */
   readonly jobId: string;
   readonly queue: JobQueue;
   /** Record of the job; only with a submission. */
--- a/packages/intake/src/submissions.ts
+++ b/packages/intake/src/submissions.ts
@@ -5,11 +5,9 @@
   count,
   EffectKind,
   type EffectReply,
-  type FrontAnswer,
   FrontAnswerKind,
   logChange,
   NODE_IDENTITY,
-  nodeEffect,
   observe,
   PeerMessageKind,
   RecordCommitKind,
@@ -45,7 +43,8 @@
   INTAKE,
   type PendingCall,
 } from "./intake_state.ts";
-import { reportQuery } from "./query_report.ts";
+import { answerCall, pauseCall, RETRY_AFTER_MS } from "./call_answers.ts";
+import { answerCount, refuseCount } from "./count_calls.ts";
 
 /**
  * Time within which every call is answered, below the callers' timeout of 3 s,
@@ -65,14 +64,10 @@
  */
 const UNREACHABLE_DEADLINE_MS = 1_000;
 /**
- * Delay before an operation that the store refused is retried, in milliseconds.
+ * Deadline of a call for the number of waiting jobs, in milliseconds: about what
+ * a takeover takes beyond the age at which such a number is too old.
  */
-const RETRY_DELAY_MS = 120;
-/**
- * Time after which a caller that can't be served now may retry, in
- * milliseconds.
- */
-export const RETRY_AFTER_MS = 500;
+const COUNT_DEADLINE_MS = 1_000;
 
 /** Dispatched when a write for a call has been answered. */
 export const CALL_WRITTEN = createCommand<
@@ -333,6 +328,9 @@
 }
 
 function deadlineOf(update: Update, call: PendingCall): number {
+  if (call.purpose === CallPurpose.Count) {
+    return COUNT_DEADLINE_MS;
+  }
   const isUnwritten = call.purpose === CallPurpose.Submit &&
     call.step === CallStep.Pausing && !call.isUncertain;
   return isUnwritten && isStoreUnreachable(update)
@@ -349,31 +347,6 @@
     update.now - answeredMs > STORE_UNREACHABLE_AFTER_MS;
 }
 
-function pauseCall(update: Update, call: PendingCall): void {
-  call.resumeMs = update.now + RETRY_DELAY_MS;
-  call.step = CallStep.Pausing;
-}
-
-/** Answers a call and removes it from the pending calls. */
-export function answerCall(
-  update: Update,
-  callId: string,
-  answered: FrontAnswer,
-): void {
-  const { calls } = update.write(INTAKE);
-  const call = calls.get(callId);
-  if (call !== undefined) {
-    reportQuery(update, call, answered);
-  }
-  calls.delete(callId);
-  update.emit(count(`front-${answered.kind}`));
-  update.emit(nodeEffect({
-    kind: EffectKind.AnswerFront,
-    callId,
-    answer: answered,
-  }));
-}
-
 /**
  * Answers with the state of a job in the replica; does nothing if the job isn't
  * there.
@@ -408,6 +381,8 @@
     writeCancel(update, call);
   } else if (call.purpose === CallPurpose.Status) {
     lookUpState(update, call);
+  } else if (call.purpose === CallPurpose.Count) {
+    answerCount(update, call);
   } else {
     lookUpJob(update, call, CallStep.Looking);
   }
@@ -598,6 +573,10 @@
     step: call.step,
     uncertain: call.isUncertain,
   }));
+  if (call.purpose === CallPurpose.Count) {
+    refuseCount(update, call);
+    return;
+  }
   const isUncertain = call.purpose === CallPurpose.Submit &&
     (call.isUncertain || call.step === CallStep.Writing);
   answerCall(
--- a/packages/intake/src/summary.ts
+++ b/packages/intake/src/summary.ts
@@ -7,10 +7,12 @@
   type StagedJobSpec,
   StagedJobState,
 } from "@mustardweir/model";
-import { NODE_IDENTITY } from "@mustardweir/protocol";
+import { NODE_IDENTITY, Source } from "@mustardweir/protocol";
 import {
   type DomainSummary,
   hasAllRecords,
+  isFollower,
+  recentSummary,
   REPLICA,
   stateOf,
   storeNow,
@@ -18,7 +20,7 @@
   SUMMARY_WANTED,
   type SummaryDraft,
 } from "@mustardweir/replica";
-import { isOwner, queueChange, TENURE } from "@mustardweir/tenure";
+import { isOwner, isSoleOwner, queueChange, TENURE } from "@mustardweir/tenure";
 import { INTAKE } from "./intake_state.ts";
 
 /** Interval at which the owner publishes a summary, in milliseconds. */
@@ -29,6 +31,12 @@
  */
 const MAX_COUNT_AGE_MS = 500;
 
+/**
+ * Age up to which a number of waiting jobs is told to callers, in milliseconds;
+ * a limit of the users' interface.
+ */
+const MAX_TOLD_AGE_MS = 2_000;
+
 /** Publishes what nodes without a copy of the records need, if this one owns. */
 export function publishSummary(update: Update): void {
   if (!isOwner(update)) {
@@ -49,17 +57,33 @@
     waiting: waitingCounts(update),
     largestWorkers: Object.fromEntries(update.read(INTAKE).largestWorkers),
   };
-  update.write(REPLICA).summary = summary;
+  // A successor may have taken over from an owner that can't confirm itself.
+  if (isSoleOwner(update)) {
+    update.write(REPLICA).summary = summary;
+  }
   queueChange(update, SUMMARY_KEY, JSON.stringify(summary));
 }
 
-/** Returns the number of accepted jobs of the queue that have not begun. */
-export function countWaiting(update: Update, { name }: JobQueue): number {
+/**
+ * Returns the number of accepted jobs of the queue that have not begun, by this
+ * node's copy of the records or by the owner's summary; undefined if both are
+ * older than {@link MAX_TOLD_AGE_MS}.
+ */
+export function countWaiting(
+  update: Update,
+  { name }: JobQueue,
+): number | undefined {
   const replica = update.read(REPLICA);
-  const counts = hasAllRecords(replica)
-    ? waitingCounts(update)
-    : replica.summary?.waiting;
-  return counts?.[name] ?? 0;
+  const { answeredMs } = replica.sources[Source.Records];
+  if (
+    hasAllRecords(replica) && update.now - answeredMs <= MAX_TOLD_AGE_MS
+  ) {
+    return waitingCounts(update)[name] ?? 0;
+  }
+  const { summary } = replica;
+  const isCurrent = summary !== undefined &&
+    storeNow(update) - summary.atMs <= MAX_TOLD_AGE_MS;
+  return isCurrent ? summary.waiting[name] ?? 0 : undefined;
 }
 
 function waitingCounts(update: Update): Readonly<Record<string, number>> {
@@ -98,10 +122,9 @@
 }
 
 function largestWorkerIn(update: Update, pool: string): Resources | undefined {
-  const { isStandby, summary } = update.read(REPLICA);
-  return isStandby
-    ? update.read(INTAKE).largestWorkers.get(pool)
-    : summary?.largestWorkers[pool];
+  return isFollower(update)
+    ? recentSummary(update)?.largestWorkers[pool]
+    : update.read(INTAKE).largestWorkers.get(pool);
 }
 
 /** Adds a worker to the largest capacities seen in its pool. */
--- a/packages/replica/src/mod.ts
+++ b/packages/replica/src/mod.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-export { applyCancel, applyJob, applyProgress } from "./apply.ts";
+export { applyCancel, applyChange, applyJob, applyProgress } from "./apply.ts";
 export * from "./record_keys.ts";
 export * from "./replica.ts";
 export * from "./replica_plugin.ts";
--- a/packages/replica/src/replica_plugin.ts
+++ b/packages/replica/src/replica_plugin.ts
@@ -340,7 +340,7 @@
     updateClocks(update, result);
     if (asked.phase !== Phase.Listing) {
       progress.nextMs = update.now +
-        pauseOf(source, update.now - progress.startedMs);
+        pauseOf(update, source, update.now - progress.startedMs);
       if (asked.phase === Phase.Following) {
         view.version = Math.max(view.version, result.version);
       }
@@ -401,11 +401,12 @@
 }
 
 /** Returns the pause after a reply, `listedMs` after the source was listed. */
-function pauseOf(source: Source, listedMs: number): number {
+function pauseOf(update: Update, source: Source, listedMs: number): number {
   const { pauseMs } = FOLLOW_TIMING[source];
-  return listedMs < FIRST_CALLS_MS
-    ? Math.min(pauseMs, FIRST_PAUSE_MS)
-    : pauseMs;
+  // Without a recent summary this node may have to replace a lost standby.
+  const isUrgent = listedMs < FIRST_CALLS_MS ||
+    (source === Source.Fleet && recentSummary(update) === undefined);
+  return isUrgent ? Math.min(pauseMs, FIRST_PAUSE_MS) : pauseMs;
 }
 
 function isOutdated(
--- a/packages/tenure/src/standby.ts
+++ b/packages/tenure/src/standby.ts
@@ -29,6 +29,12 @@
  */
 const FIRST_START_WAIT_MS = 2_500;
 
+/**
+ * Time without a renewal after which a standby counts as lost while there is no
+ * recent summary, in milliseconds: two renewals and the time to read them.
+ */
+const STANDBY_EXPIRY_MS = 4_500;
+
 /**
  * Makes this node a standby if the owner appoints it or, while there is no
  * recent summary of an owner, if it is one of the strongest that are live. It
@@ -91,7 +97,9 @@
   if (!followsNodes(update, nodeId) || (isFirstStart && !hasWaited(update))) {
     return false;
   }
-  const others = liveNodes(update).filter((node) => node.nodeId !== nodeId);
+  const others = liveNodes(update).filter((node) =>
+    node.nodeId !== nodeId && !isLostStandby(update, node)
+  );
   return listAppointable([...others, ownNode(update)])
     .some((node) => node.nodeId === nodeId);
 }
@@ -107,6 +115,17 @@
   return own?.incarnation === incarnation && isLive(update, own);
 }
 
+/**
+ * Returns whether the node kept a copy and has missed renewals. While there is no
+ * recent summary, one copy too many harms less than a domain without an owner.
+ */
+function isLostStandby(
+  update: Update,
+  { isStandby, seenMs }: KnownNode,
+): boolean {
+  return isStandby !== false && update.now - seenMs > STANDBY_EXPIRY_MS;
+}
+
 function hasWaited(update: Update): boolean {
   return update.now - update.read(TENURE).startedMs >= FIRST_START_WAIT_MS;
 }
