Show a job as running once a worker has taken a start

Cause: a job was recorded as running when its first start was ordered, and nothing took that back when the start was refused.

Ruled out: an old count (the states are wrong as well, and all nodes of the case keep a copy of the records).

Change: a job is running once a worker confirms a start, lists it as running or lists its end. It is written as often as before.

Same cause on related paths, with cases: a successor that inherits such a job, starts that are lost, and scheduled jobs; starts that were taken though the reply was lost still show as running.

--- a/packages/dispatch/src/attempts.ts
+++ b/packages/dispatch/src/attempts.ts
@@ -52,13 +52,29 @@
   if (task !== undefined) {
     task.isRunning = true;
     task.progressedMs = update.now;
-    noteBegun(task);
+    noteBegun(update, task);
   }
 }
 
-/** Notes that a worker has run the task. */
-function noteBegun({ stage: { job, occurrence } }: TaskRun): void {
+/**
+ * Notes that a worker runs or has run the task. Its job is running from then on:
+ * a start that was only ordered may still be turned away.
+ */
+function noteBegun(
+  update: Update,
+  { stage: { job, occurrence } }: TaskRun,
+): void {
   job.occurrences.begin(occurrence);
+  if (job.state === StagedJobState.Pending) {
+    job.state = StagedJobState.Running;
+    job.changedParts.add(0);
+    writeProgress(update, job);
+    update.emit(logChange("Job started", {
+      job: job.jobId,
+      queue: job.record.queue.name,
+      team: job.record.team,
+    }));
+  }
 }
 
 /** Updates a placed task's progress and checkpoint from a worker's listing. */
@@ -148,7 +164,7 @@
     }
     return;
   }
-  noteBegun(task);
+  noteBegun(update, task);
   const { stage } = task;
   const isCurrent = findPlacedTask(update, ended) === task;
   const ranMs = isCurrent ? Math.round(update.now - task.placedMs) : 0;
@@ -246,7 +262,7 @@
   task.checkpoint = found.checkpoint || task.checkpoint;
   task.percent = found.percent;
   task.progressedMs = update.now;
-  noteBegun(task);
+  noteBegun(update, task);
   addTeamUsage(update.write(DISPATCH_STATE), task);
   update.emit(count("attempts-adopted"));
 }
--- a/packages/dispatch/src/starts.ts
+++ b/packages/dispatch/src/starts.ts
@@ -1,13 +1,10 @@
 import type { Update } from "@mustardweir/kernel";
-import { StagedJobState } from "@mustardweir/model";
 import { findValidPermit } from "@mustardweir/permits";
-import { logChange } from "@mustardweir/protocol";
 import { startAttempt } from "@mustardweir/sessions";
 import {
   addTeamUsage,
   DISPATCH_STATE,
   firstAttemptNumber,
-  type JobRun,
   reservedSize,
   type StageRun,
   taskName,
@@ -15,7 +12,6 @@
 } from "./dispatch_state.ts";
 import type { Placement } from "./placement_rules.ts";
 import { WORKER_HEALTH } from "./health.ts";
-import { writeProgress } from "./progress.ts";
 
 /** Orders the workers of the placements to start their tasks. */
 export function startTasks(
@@ -57,7 +53,6 @@
       ...(permit === undefined ? {} : { permit }),
     });
   }
-  markRunning(update, stage.job);
 }
 
 /**
@@ -79,16 +74,3 @@
     checkpoint,
   };
 }
-
-function markRunning(update: Update, job: JobRun): void {
-  if (job.state === StagedJobState.Pending) {
-    job.state = StagedJobState.Running;
-    job.changedParts.add(0);
-    writeProgress(update, job);
-    update.emit(logChange("Job started", {
-      job: job.jobId,
-      queue: job.record.queue.name,
-      team: job.record.team,
-    }));
-  }
-}
--- a/packages/prove/src/domain/domain_worker.ts
+++ b/packages/prove/src/domain/domain_worker.ts
@@ -62,6 +62,8 @@
   failsAll: boolean;
   /** Whether another worker replies at the address of this one. */
   isReplaced: boolean;
+  /** Whether starts are turned away by a worker that says it is healthy. */
+  isBusy: boolean;
   /** Whether starts are lost on their way. */
   losesStarts: boolean;
   /** Whether starts are executed and their replies are lost. */
@@ -106,6 +108,7 @@
     lateShare: 0,
     failsAll: false,
     isReplaced: false,
+    isBusy: false,
     losesStarts: false,
     losesStartReplies: false,
     endsPerList: 500,
@@ -260,7 +263,11 @@
     this.#token = order.token;
     switch (order.kind) {
       case OrderKind.Start:
-        respondWith(this.#start(order, from));
+        respondWith(
+          this.faults.isBusy
+            ? OrderOutcome.Unhealthy
+            : this.#start(order, from),
+        );
         break;
       case OrderKind.Stop:
         this.#stop(order.task, order.attempt);
