Count a failed run of a gang once

What callers saw (the users' own runs): several members of one run of a gang ended failed, and the job was shown as failed although it had attempts left.

Cause: each failed end added one to a number, which doesn't tell what it has counted.

Ruled out: nothing else was disturbed, and the owner didn't change.

Change: FailureLog keeps the numbers of the latest failed attempts beside their count, for a gang with its first task; an attempt counts once. The progress record has both beside the mark that earlier versions read. For a record without numbers the first end of an earlier owner's run of a gang is taken for a counted one.

Same cause on related paths, with cases: members' ends under two owners, an end that a second owner is listed again since the record of the worker was lost with the first, and failures above 9, which a takeover forgot.

--- a/packages/dispatch/src/attempts.ts
+++ b/packages/dispatch/src/attempts.ts
@@ -21,6 +21,7 @@
   DISPATCH_STATE,
   findStageSpec,
   findTask,
+  firstAttemptNumber,
   isOccurrenceDone,
   isOpen,
   isStageDone,
@@ -160,7 +161,7 @@
     // A failure under the previous owner still counts, even if the task's next
     // attempt was found first on another worker.
     if (ended.end === AttemptEnd.Failed && ended.isNew) {
-      countFailure(update, task, ended.workerId);
+      countFailure(update, task, ended);
     }
     return;
   }
@@ -192,7 +193,7 @@
     }
     finishTask(update, task);
   } else if (ended.end === AttemptEnd.Failed && ended.isNew) {
-    countFailure(update, task, ended.workerId);
+    countFailure(update, task, ended);
   }
   if (isCurrent && ended.end !== AttemptEnd.Done) {
     stopGang(update, task);
@@ -357,7 +358,15 @@
   }
 }
 
-function countFailure(update: Update, task: TaskRun, workerId: string): void {
+/**
+ * Counts a failed attempt. All members of a gang that fail in one of its attempts
+ * are one failure of the gang.
+ */
+function countFailure(
+  update: Update,
+  task: TaskRun,
+  { workerId, attempt }: PlacedAttempt,
+): void {
   const { stage } = task;
   const { job } = stage;
   task.failedOn.add(workerId);
@@ -371,9 +380,20 @@
     return;
   }
   const counted = stage.spec.gang ? stage.tasks[0]! : task;
-  counted.failures++;
+  const { failures } = counted;
+  const { epoch } = update.read(DISPATCH_STATE);
+  if (
+    stage.spec.gang && failures.isAnonymous &&
+    attempt < firstAttemptNumber(epoch)
+  ) {
+    // An earlier version has most likely counted it for another member.
+    failures.identify(attempt);
+  }
+  if (!failures.add(attempt)) {
+    return;
+  }
   markProgressed(counted);
-  if (counted.failures >= job.record.queue.maxAttempts) {
+  if (failures.count >= job.record.queue.maxAttempts) {
     endJob(update, job, StagedJobState.Failed);
     removeIfFinished(update, task);
   } else {
--- a/packages/dispatch/src/dispatch_state.ts
+++ b/packages/dispatch/src/dispatch_state.ts
@@ -15,11 +15,13 @@
   stageKey,
   type StageSpec,
   subtractResources,
+  type TaskFailures,
   taskKey,
   TASKS_PER_PART,
   tasksPerOccurrence,
 } from "@mustardweir/model";
 import type { DurableProgress } from "@mustardweir/protocol";
+import { FailureLog } from "./failure_log.ts";
 import type { LinkBudget } from "./link_budget.ts";
 import {
   type OccurrenceOptions,
@@ -52,7 +54,8 @@
   isStopping: boolean;
   /** Whether the worker has confirmed the start. */
   isRunning: boolean;
-  failures: number;
+  /** Its failed attempts; those of a gang are with its first task. */
+  readonly failures: FailureLog;
   /** Number of workers that crashed in the first moments of its attempts. */
   crashes: number;
   /**
@@ -242,7 +245,8 @@
   if (progress === undefined) {
     return {};
   }
-  const { settled = 0, marks, checkpoints, crashes = {} } = progress;
+  const { settled = 0, marks, checkpoints, crashes = {}, failures = {} } =
+    progress;
   const doneStages = new Map<number, number>();
   for (const [key, text] of Object.entries(marks)) {
     const { occurrence, stage } = parseStageKey(key);
@@ -251,7 +255,8 @@
     const count = doneStages.get(occurrence) ?? 0;
     doneStages.set(occurrence, count + (isDone ? 1 : 0));
   }
-  for (const key of [...Object.keys(checkpoints), ...Object.keys(crashes)]) {
+  const others = [checkpoints, crashes, failures].flatMap(Object.keys);
+  for (const key of others) {
     const { occurrence } = parseStageKey(key);
     doneStages.set(occurrence, doneStages.get(occurrence) ?? 0);
   }
@@ -314,9 +319,15 @@
   readonly mark: string;
   readonly checkpoint: string;
   readonly crashes: number;
+  readonly failures: TaskFailures | undefined;
 }
 
-const DONE_TASK: TaskProgress = { mark: DONE_MARK, checkpoint: "", crashes: 0 };
+const DONE_TASK: TaskProgress = {
+  mark: DONE_MARK,
+  checkpoint: "",
+  crashes: 0,
+  failures: undefined,
+};
 
 function recordedTask(
   progress: Readonly<JobProgress> | undefined,
@@ -328,15 +339,17 @@
     mark,
     checkpoint: progress?.checkpoints[taskKey(key, index)] ?? "",
     crashes: progress?.crashes?.[taskKey(key, index)] ?? 0,
+    failures: progress?.failures?.[taskKey(key, index)],
   };
 }
 
 function createTaskRun(
   stage: StageRun,
   index: number,
-  { mark, checkpoint, crashes }: TaskProgress,
+  { mark, checkpoint, crashes, failures }: TaskProgress,
 ): TaskRun {
   const isDone = mark === DONE_MARK;
+  const marked = isDone ? 0 : Number(mark);
   return {
     stage,
     index,
@@ -346,7 +359,7 @@
     placedMs: 0,
     isStopping: false,
     isRunning: false,
-    failures: isDone ? 0 : Number(mark),
+    failures: new FailureLog(failures ?? { count: marked, attempts: [] }),
     crashes,
     isolatedSinceMs: undefined,
     isIsolationWaived: false,
@@ -437,7 +450,7 @@
   for (const { occurrence, key, from, to } of slicesInPart(job, part)) {
     const marks: string[] = [];
     for (let index = from; index < to; index++) {
-      const { mark, checkpoint, crashes } = taskProgress(
+      const { mark, checkpoint, crashes, failures } = taskProgress(
         job,
         { occurrence, key, index },
       );
@@ -445,6 +458,10 @@
       if (checkpoint !== "") {
         progress.checkpoints[taskKey(key, index)] = checkpoint;
       }
+      if (failures !== undefined) {
+        progress.failures ??= {};
+        progress.failures[taskKey(key, index)] = failures;
+      }
       if (crashes > 0) {
         progress.crashes ??= {};
         progress.crashes[taskKey(key, index)] = crashes;
@@ -512,14 +529,13 @@
   if (task === undefined) {
     return recordedTask(recorded, key, index);
   }
-  const { checkpoint, crashes } = task;
-  return task.phase === TaskPhase.Done
-    ? DONE_TASK
-    : { mark: markOf(task), checkpoint, crashes };
-}
-
-function markOf({ failures }: TaskRun): string {
-  return String(Math.min(failures, MAX_MARKED_FAILURES));
+  const { checkpoint, crashes, failures } = task;
+  return task.phase === TaskPhase.Done ? DONE_TASK : {
+    mark: String(Math.min(failures.count, MAX_MARKED_FAILURES)),
+    checkpoint,
+    crashes,
+    failures: failures.count > 0 ? failures.record : undefined,
+  };
 }
 
 /** Finds a stage by its name. */
--- a/packages/model/src/progress_parts.ts
+++ b/packages/model/src/progress_parts.ts
@@ -3,6 +3,7 @@
   type JobProgress,
   OPEN_MARK,
   type StagedJobSpec,
+  type TaskFailures,
 } from "./staged_job.ts";
 
 /**
@@ -47,7 +48,8 @@
 ): JobProgress {
   const { offsets: _, ...first } = records[0];
   const merged: JobProgress = { ...first, marks: {}, checkpoints: {} };
-  for (const { marks, offsets, checkpoints, crashes, settled } of records) {
+  for (const record of records) {
+    const { marks, offsets, checkpoints, crashes, failures, settled } = record;
     for (const [stage, text] of Object.entries(marks)) {
       const known = merged.marks[stage] ?? "";
       const padded = OPEN_MARK.repeat(offsets?.[stage] ?? 0) + text;
@@ -57,6 +59,9 @@
     if (crashes !== undefined) {
       merged.crashes = mergeCounts(merged.crashes, crashes);
     }
+    if (failures !== undefined) {
+      merged.failures = mergeFailures(merged.failures, failures);
+    }
     if (settled !== undefined) {
       merged.settled = Math.max(settled, merged.settled ?? 0);
     }
@@ -75,6 +80,19 @@
   return merged;
 }
 
+function mergeFailures(
+  known: Readonly<Record<string, TaskFailures>> = {},
+  added: Readonly<Record<string, TaskFailures>>,
+): Record<string, TaskFailures> {
+  const merged = { ...known };
+  for (const [task, failures] of Object.entries(added)) {
+    if (failures.count >= (merged[task]?.count ?? 0)) {
+      merged[task] = failures;
+    }
+  }
+  return merged;
+}
+
 function mergeMarks(a: string, b: string): string {
   const [long, short] = a.length >= b.length ? [a, b] : [b, a];
   const merged = [...short].map((mark, index) => laterMark(mark, long[index]!));
--- a/packages/model/src/record_schemas.ts
+++ b/packages/model/src/record_schemas.ts
@@ -72,6 +72,13 @@
   offsets: z.record(z.string(), z.number().nonnegative()).optional(),
   checkpoints: z.record(z.string(), z.string()),
   crashes: z.record(z.string(), z.number().nonnegative()).optional(),
+  failures: z.record(
+    z.string(),
+    z.looseObject({
+      count: z.number().nonnegative(),
+      attempts: z.array(z.number()),
+    }),
+  ).optional(),
   settled: z.number().nonnegative().optional(),
   endedMs: z.number().optional(),
 });
--- a/packages/model/src/staged_job.ts
+++ b/packages/model/src/staged_job.ts
@@ -99,6 +99,13 @@
   readonly acceptedMs: number;
 }
 
+/** Failures of a task, or of a gang. */
+export interface TaskFailures {
+  readonly count: number;
+  /** The latest attempts that were counted, in the order of their counting. */
+  readonly attempts: readonly number[];
+}
+
 /** The progress of a job that is stored durably. */
 export interface JobProgress {
   state: StagedJobState;
@@ -113,6 +120,12 @@
    * {@link taskKey}; absent if none did.
    */
   crashes?: Record<string, number>;
+  /**
+   * Failures of tasks that are not done, by {@link taskKey}; those of a gang are
+   * with its first task. Absent if there are none, and in records of earlier
+   * versions, which have the marks alone.
+   */
+  failures?: Record<string, TaskFailures>;
   /**
    * Number of leading occurrences all of whose tasks are done; later records
    * may leave their marks out. Absent for 0 and without a schedule.
--- a/packages/prove/src/domain/domain_cluster.ts
+++ b/packages/prove/src/domain/domain_cluster.ts
@@ -114,6 +114,8 @@
   readonly tampering?: Tampering;
   /** Whether the queues need permits; true by default. */
   readonly needsPermits?: boolean;
+  /** Failures of a task after which its job fails; 3 by default. */
+  readonly maxAttempts?: number;
   /** What the team may have running in all; unlimited by default. */
   readonly ceiling?: Resources;
   /** Number of nodes; 4 by default. */
@@ -576,6 +578,7 @@
 function desiredState(
   {
     needsPermits = true,
+    maxAttempts = 3,
     ceiling = NO_RESOURCES,
     policy = DEFAULT_POLICY,
   }: DomainClusterOptions,
@@ -583,7 +586,7 @@
   const queue = {
     host: CALLER.host,
     pool: "ovens",
-    maxAttempts: 3,
+    maxAttempts,
     latencyObjectiveMs: 250,
     stretch: 1.5,
     isPublic: false,
--- a/packages/prove/src/domain/domain_worker.ts
+++ b/packages/prove/src/domain/domain_worker.ts
@@ -47,6 +47,11 @@
   readonly runMs: number;
   /** Number of failures before the task completes. */
   readonly failures: number;
+  /**
+   * How the members of a gang end when the first of them fails, by their index;
+   * broken by default.
+   */
+  readonly memberEnds?: readonly AttemptEnd[];
   /** Tasks that crash their worker, as `stage.index`; none by default. */
   readonly deadlyTasks?: readonly string[];
   /** Checkpoint that its tasks list; none by default. */
@@ -161,11 +166,14 @@
     this.#leaseUntilMs = 0;
   }
 
-  /** Ends the local members of a gang after another member has failed. */
+  /** Ends the local members of a gang after its first member has failed. */
   breakGang(stage: string, attempt: number): void {
     for (const [key, { record }] of [...this.#running]) {
-      if (record.task.startsWith(stage) && record.attempt === attempt) {
-        this.#end(key, AttemptEnd.Broken);
+      const { task } = record;
+      if (task.startsWith(stage) && record.attempt === attempt) {
+        const { memberEnds = [] } = this.#options.behaviourOf(task);
+        const index = Number(task.slice(task.lastIndexOf(".") + 1));
+        this.#end(key, memberEnds[index] ?? AttemptEnd.Broken);
       }
     }
   }
@@ -372,6 +380,7 @@
     });
     this.#wake();
     if (end === AttemptEnd.Failed) {
+      // The ends of the other members find nothing left to break.
       this.#options.onFailed(record);
     }
   }
--- a/packages/replica/src/record_keys.ts
+++ b/packages/replica/src/record_keys.ts
@@ -370,6 +370,7 @@
     isTextMap(value.marks) && isTextMap(value.checkpoints) &&
     (value.offsets === undefined || isCountMap(value.offsets)) &&
     (value.crashes === undefined || isCountMap(value.crashes)) &&
+    (value.failures === undefined || isFailureMap(value.failures)) &&
     (value.settled === undefined || isCount(value.settled)) &&
     (value.endedMs === undefined || typeof value.endedMs === "number");
 }
@@ -384,6 +385,14 @@
     Object.values(value).every(isCount);
 }
 
+function isFailureMap(value: unknown): boolean {
+  return isObject(value) && !Array.isArray(value) &&
+    Object.values(value).every((failures) =>
+      isObject(failures) && isCount(failures.count) &&
+      Array.isArray(failures.attempts) && failures.attempts.every(isCount)
+    );
+}
+
 function isCount(value: unknown): boolean {
   return typeof value === "number" && value >= 0 && value < Infinity;
 }
