Take test ports from below those of outgoing connections

A run of the tests in four parts beside each other, on a tree that was being edited, had one failure: 'the worker process of a zone killed and restarted', with 'scheduler-1 exited before it was listening'. Suspected, not shown: findFreePort asked the system for a port and gave it back before the process listened on it, and outgoing connections are given ports of the same range. The other suspect is the edited tree itself.

Change: the port is drawn from a range that outgoing connections don't get.

--- a/packages/demo/src/ports.ts
+++ b/packages/demo/src/ports.ts
@@ -12,28 +12,32 @@
   return ports;
 }
 
+/**
+ * Range of the ports, below those that systems give to outgoing connections:
+ * such a connection could take a port before the process listens that it is for.
+ */
+const FIRST_PORT = 10_000;
+const PORTS = 20_000;
+
 /** Finds a port on the loopback address that nothing listens on. */
 export async function findFreePort(): Promise<number> {
-  const server = createServer();
-  const port = await listen(server);
-  await close(server);
-  if (allocatedPorts.has(port)) {
-    return await findFreePort();
+  for (;;) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORTS);
+    if (!allocatedPorts.has(port) && await isFree(port)) {
+      allocatedPorts.add(port);
+      return port;
+    }
   }
-  allocatedPorts.add(port);
-  return port;
 }
 
-function listen(server: ReturnType<typeof createServer>): Promise<number> {
+function isFree(port: number): Promise<boolean> {
+  const server = createServer();
   return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(0, "127.0.0.1", () => {
-      const address = server.address();
-      resolve(typeof address === "object" && address ? address.port : 0);
-    });
+    server.once(
+      "error",
+      (err: NodeJS.ErrnoException) =>
+        err.code === "EADDRINUSE" ? resolve(false) : reject(err),
+    );
+    server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
   });
 }
-
-function close(server: ReturnType<typeof createServer>): Promise<void> {
-  return new Promise((resolve) => server.close(() => resolve()));
-}
