Compute the median of the nodes' clocks only when a record has changed

Each look at a waiting stage of a schedule sorted the clocks of all nodes. Without schedules none is computed, and a plain job keeps no second copy of its recorded progress.

--- a/packages/dispatch/src/dispatch_state.ts
+++ b/packages/dispatch/src/dispatch_state.ts
@@ -233,6 +233,7 @@
   };
   if (!isScheduled) {
     openOccurrence(job, 0);
+    job.recorded = undefined;
   }
   return job;
 }
--- a/packages/dispatch/src/occurrences.ts
+++ b/packages/dispatch/src/occurrences.ts
@@ -31,6 +31,9 @@
  */
 export function openDueOccurrences(update: Update): boolean {
   const { scheduled } = update.write(DISPATCH_STATE);
+  if (scheduled.size === 0) {
+    return false;
+  }
   const nowMs = unixNow(update);
   let opened = 0;
   for (const job of [...scheduled]) {
--- a/packages/replica/src/apply.ts
+++ b/packages/replica/src/apply.ts
@@ -380,9 +380,11 @@
 }
 
 function applyNode(update: Update, node: KnownNode): void {
-  const { nodes } = update.write(REPLICA);
+  const replica = update.write(REPLICA);
+  const { nodes } = replica;
   const known = nodes.get(node.nodeId);
   nodes.set(node.nodeId, node);
+  replica.medianOffset = undefined;
   if (
     known?.address !== node.address || known.incarnation !== node.incarnation
   ) {
@@ -447,6 +449,7 @@
       break;
     case RecordKind.Node:
       replica.nodes.delete(name);
+      replica.medianOffset = undefined;
       update.dispatch(NODES_CHANGED, {});
       break;
     default:
--- a/packages/replica/src/replica.ts
+++ b/packages/replica/src/replica.ts
@@ -121,6 +121,11 @@
    * before the first reply of the store.
    */
   unixOffsetMs: number | undefined;
+  /**
+   * Median of the offsets that the nodes tell; undefined while it has to be
+   * computed anew.
+   */
+  medianOffset: { readonly offsetMs: number | undefined } | undefined;
 }
 
 /** State of the replica plug-in. */
@@ -238,13 +243,19 @@
  * ```
  */
 export function unixNow(update: Update): number | undefined {
-  const { nodes, unixOffsetMs } = update.read(REPLICA);
+  const replica = update.write(REPLICA);
+  const { offsetMs = replica.unixOffsetMs } = replica.medianOffset ??= {
+    offsetMs: medianOffsetMs(replica),
+  };
+  return offsetMs === undefined ? undefined : storeNow(update) + offsetMs;
+}
+
+function medianOffsetMs({ nodes }: Readonly<Replica>): number | undefined {
   const known = [...nodes.values()].map((node) => node.unixOffsetMs)
     .filter((offset) => offset !== undefined)
     .sort((a, b) => a - b);
   // Of an even number the lower one: a late start harms less than an early one.
-  const medianMs = known[Math.floor((known.length - 1) / 2)] ?? unixOffsetMs;
-  return medianMs === undefined ? undefined : storeNow(update) + medianMs;
+  return known[Math.floor((known.length - 1) / 2)];
 }
 
 /** Returns all recorded progress of a job; undefined if there is none. */
--- a/packages/replica/src/views.ts
+++ b/packages/replica/src/views.ts
@@ -136,5 +136,6 @@
     isStandby: false,
     storeClockOffsetMs: undefined,
     unixOffsetMs: undefined,
+    medianOffset: undefined,
   };
 }
