Wait no longer for leases than the former owner's process lived

Cause: a successor waits as long as a living former owner could renew leases, 4 s, and the lease itself, 4.4 s. The former owner's process was known to have ended: its next process had written its record 0.2 s before the takeover.

Ruled out: workers that answer late (all others had answered at once).

Change: the wait ends 4.4 s after the first record of a later process of the former owner's node, or the start of this process if it is that one. The tenure record tells when the epoch began, which bounds the leases of owners before it. A record that may be an earlier process's late write doesn't count.

--- a/packages/prove/src/domain/domain_recovery_test.ts
+++ b/packages/prove/src/domain/domain_recovery_test.ts
@@ -1,4 +1,4 @@
-import { WorkerState } from "@mustardweir/model";
+import { NO_RESOURCES, WorkerState } from "@mustardweir/model";
 import { expect } from "chai";
 import {
   createTaskPayload,
@@ -189,3 +189,121 @@
     });
   }
 });
+
+/** Run time of tasks that outlast the leases of lost workers, in ms. */
+const OUTLAST_MS = 9_000;
+/** So small that all of them have room on half of the workers. */
+const QUARTER = { ...NO_RESOURCES, cpuMillis: 250 };
+/** Time for which the owner that is lost has owned the domain, in ms. */
+const TENURE_MS = 20_000;
+
+interface OwnerLossCase {
+  readonly name: string;
+  /** Time after which the process of the owner is back, in milliseconds. */
+  readonly restartMs: number;
+  /** Whether the workers run on, cut off from all nodes. */
+  readonly isCutOff: boolean;
+  /** Whether the next owner is killed as well, a second after its takeover. */
+  readonly hasSecondKill?: boolean;
+  /** Fraction of the orders that are carried out late; 0 by default. */
+  readonly lateShare?: number;
+  /** Whether the time until inherited tasks start is checked. */
+  readonly isInTime: boolean;
+}
+
+const OWNER_LOSSES: readonly OwnerLossCase[] = [
+  {
+    name: "crash, and the owner is back at once",
+    restartMs: 300,
+    isCutOff: false,
+    isInTime: true,
+  },
+  {
+    name: "crash, and the owner is back after a second",
+    restartMs: 1_000,
+    isCutOff: false,
+    isInTime: true,
+  },
+  {
+    name: "run on, and the owner is back at once",
+    restartMs: 300,
+    isCutOff: true,
+    isInTime: true,
+  },
+  {
+    name: "run on, and the owner stays away",
+    restartMs: 60_000,
+    isCutOff: true,
+    isInTime: false,
+  },
+  {
+    name: "run on, and two owners are killed in turn",
+    restartMs: 300,
+    isCutOff: true,
+    hasSecondKill: true,
+    isInTime: false,
+  },
+  {
+    name: "run on, and orders are carried out late",
+    restartMs: 300,
+    isCutOff: true,
+    lateShare: 0.3,
+    isInTime: false,
+  },
+];
+
+// Guards against inherited tasks that stand still for the leases of workers that
+// fell silent just before the owner was lost.
+describe("workers that are lost with the owner", () => {
+  for (const testCase of OWNER_LOSSES) {
+    const { name, restartMs, isCutOff, hasSecondKill, lateShare } = testCase;
+    for (const seed of [...SEEDS, 4, 5]) {
+      it(`${name}, seed ${seed}`, () => {
+        const cluster = new DomainCluster({ seed, needsPermits: false });
+        const { clock, runs, workers, nodeIds } = cluster;
+        clock.runUntil(TENURE_MS);
+        for (let index = 0; index < JOBS; index++) {
+          cluster.submit(jobIdOf(index), {
+            payload: createTaskPayload({ runMs: OUTLAST_MS, failures: 0 }),
+            stages: [
+              stageSpec({ tasks: 2, size: QUARTER, estimateMs: OUTLAST_MS }),
+            ],
+          }, nodeIds[index % nodeIds.length]!);
+        }
+        for (const { faults } of workers.values()) {
+          faults.lateShare = lateShare ?? 0;
+        }
+        clock.runUntil(clock.now + 1_500);
+        for (const id of ["w0", "w3"]) {
+          const worker = workers.get(id)!;
+          if (isCutOff) {
+            nodeIds.forEach((node) => worker.faults.unreachableFrom.add(node));
+          } else {
+            worker.crash();
+          }
+        }
+        clock.runUntil(clock.now + 20);
+        const faultMs = clock.now;
+        cluster.kill(cluster.owner!, restartMs);
+        if (hasSecondKill) {
+          clock.runUntil(clock.now + 3_000);
+          cluster.kill(cluster.owner!, restartMs);
+        }
+        clock.runUntil(faultMs + 60_000);
+        workers.forEach(({ faults }) => {
+          faults.lateShare = 0;
+          faults.unreachableFrom.clear();
+        });
+        clock.runUntil(clock.now + 60_000);
+        expect(findViolations(cluster)).to.deep.equal([]);
+        const firstMs = Math.min(
+          ...runs.map(({ startMs }) => startMs)
+            .filter((startMs) => startMs > faultMs),
+        );
+        if (testCase.isInTime) {
+          expect(firstMs - faultMs).to.be.below(RECOVERY_LIMIT_MS);
+        }
+      });
+    }
+  }
+});
--- a/packages/replica/src/apply.ts
+++ b/packages/replica/src/apply.ts
@@ -345,6 +345,11 @@
       if (record.version <= (replica.tenure?.version ?? 0)) {
         return;
       }
+      const { tenure: last } = replica;
+      if (last?.record.epoch !== tenure.epoch) {
+        const isNextEpoch = last?.record.epoch === tenure.epoch - 1;
+        replica.formerTenure = isNextEpoch ? last : undefined;
+      }
       const known = {
         record: tenure,
         version: record.version,
--- a/packages/replica/src/record_keys.ts
+++ b/packages/replica/src/record_keys.ts
@@ -72,6 +72,11 @@
    * workers with a {@link ClosedRecord}; absent if an earlier version wrote it.
    */
   readonly closesSince?: number;
+  /**
+   * Store clock when the epoch began, in milliseconds; absent if an earlier
+   * version wrote it.
+   */
+  readonly claimedMs?: number;
 }
 
 /** Types of the fields of a {@link TenureRecord}. */
--- a/packages/replica/src/replica.ts
+++ b/packages/replica/src/replica.ts
@@ -107,6 +107,8 @@
   readonly closed: Map<string, ClosedWorker>;
   readonly nodes: Map<string, KnownNode>;
   tenure: KnownTenure | undefined;
+  /** The last record of the epoch before; undefined unless this node read it. */
+  formerTenure: KnownTenure | undefined;
   /** What the owner last published; undefined before the first owner. */
   summary: DomainSummary | undefined;
   /**
@@ -211,6 +213,34 @@
   return isStandby && sources[Source.Records].isListed;
 }
 
+/** A write takes effect within this time of being sent, or never, in ms. */
+const MAX_WRITE_DELAY_MS = 12_000;
+
+/**
+ * Returns a time by which the process of the former owner had ended, by this
+ * node's clock in milliseconds, because a later process of its node has written a
+ * record since; undefined if none is known to have.
+ */
+export function formerOwnerEndMs(
+  { formerTenure, nodes, storeClockOffsetMs }: Readonly<Replica>,
+): number | undefined {
+  if (formerTenure === undefined || storeClockOffsetMs === undefined) {
+    return undefined;
+  }
+  const { record: { nodeId, incarnation, claimedMs }, version } = formerTenure;
+  const node = nodes.get(nodeId);
+  if (
+    node?.renewedMs === undefined || claimedMs === undefined ||
+    node.incarnation === incarnation || (node.version ?? 0) <= version
+  ) {
+    return undefined;
+  }
+  // A process before the owner's may have left a write that was done late.
+  return node.renewedMs - claimedMs >= MAX_WRITE_DELAY_MS
+    ? node.renewedMs - storeClockOffsetMs
+    : undefined;
+}
+
 /** Returns the id of the node that owns the domain, as far as it is known. */
 export function ownerOf(
   { tenure, summary }: Readonly<Replica>,
--- a/packages/replica/src/views.ts
+++ b/packages/replica/src/views.ts
@@ -132,6 +132,7 @@
     closed: new Map(),
     nodes: new Map(),
     tenure: undefined,
+    formerTenure: undefined,
     summary: undefined,
     isStandby: false,
     storeClockOffsetMs: undefined,
--- a/packages/sessions/src/leases.ts
+++ b/packages/sessions/src/leases.ts
@@ -1,5 +1,6 @@
 import type { Update } from "@mustardweir/kernel";
 import { NODE_IDENTITY } from "@mustardweir/protocol";
+import { formerOwnerEndMs, REPLICA, storeNow } from "@mustardweir/replica";
 import { isOwner, TENURE } from "@mustardweir/tenure";
 import type { Session } from "./session_state.ts";
 
@@ -109,6 +110,39 @@
     update.now - update.read(TENURE).confirmedMs < MAX_UNCONFIRMED_MS;
 }
 
+/**
+ * Returns when the leases that former owners may have granted are certainly over,
+ * in milliseconds: they could renew them for {@link MAX_UNCONFIRMED_MS} after
+ * they had lost the domain, but no longer than their processes lived.
+ */
+export function formerLeasesEndMs(update: Update): number {
+  const { gainedMs } = update.read(TENURE);
+  const latestMs = gainedMs + MAX_UNCONFIRMED_MS;
+  const endedMs = formerProcessEndMs(update);
+  const { claimedMs } = update.read(REPLICA).formerTenure?.record ?? {};
+  if (endedMs === undefined || claimedMs === undefined) {
+    return latestMs + MAX_INHERITED_LEASE_MS;
+  }
+  // Those before it lost the domain when it claimed it.
+  const earlierMs = claimedMs - storeNow(update) + update.now +
+    MAX_UNCONFIRMED_MS;
+  return Math.min(latestMs, Math.max(endedMs, earlierMs)) +
+    MAX_INHERITED_LEASE_MS;
+}
+
+/**
+ * Returns a time by which the process of the former owner had ended; undefined if
+ * it may still run.
+ */
+function formerProcessEndMs(update: Update): number | undefined {
+  const replica = update.read(REPLICA);
+  const { nodeId } = update.service(NODE_IDENTITY);
+  // It was an earlier process of this node.
+  return replica.formerTenure?.record.nodeId === nodeId
+    ? update.read(TENURE).startedMs
+    : formerOwnerEndMs(replica);
+}
+
 /**
  * Returns the end of a lease that starts now, on the worker's clock; undefined
  * if that clock isn't known.
--- a/packages/sessions/src/session_state.ts
+++ b/packages/sessions/src/session_state.ts
@@ -88,7 +88,7 @@
    * Time at which leases of a predecessor have expired, if the worker doesn't
    * reply, in milliseconds.
    */
-  readonly inheritedLeaseEndMs: number;
+  inheritedLeaseEndMs: number;
   /**
    * Time until which the worker may hold the longest lease that it grants, in
    * milliseconds; -Infinity if it has only been given ordinary ones.
--- a/packages/sessions/src/sessions_plugin.ts
+++ b/packages/sessions/src/sessions_plugin.ts
@@ -14,6 +14,7 @@
   type ClosedRecord,
   FOLLOWER_INTERVAL_MS,
   isFollower,
+  NODES_CHANGED,
   recordKey,
   RecordKind,
   REPLICA,
@@ -31,11 +32,7 @@
   TENURE_GAINED,
   TENURE_LOST,
 } from "@mustardweir/tenure";
-import {
-  MAX_INHERITED_LEASE_MS,
-  MAX_UNCONFIRMED_MS,
-  mayGrantLeases,
-} from "./leases.ts";
+import { formerLeasesEndMs, mayGrantLeases } from "./leases.ts";
 import { handleOrderResult, ORDER_ANSWERED, OWNER_FENCED } from "./orders.ts";
 import { recordIdle, recordSession } from "./listings.ts";
 import {
@@ -88,6 +85,11 @@
         ({ workerId }, update) => handleWorkerChange(update, workerId),
         High,
       ),
+      kernel.registerCommand(
+        NODES_CHANGED,
+        (_, update) => shortenInheritedLeases(update),
+        Normal,
+      ),
       kernel.registerCommand(
         ORDER_ANSWERED,
         (reply, update) => handleOrderResult(update, reply),
@@ -137,6 +139,24 @@
   }
 }
 
+/**
+ * Waits no longer for the leases of a former owner than they can last, once its
+ * process is known to have ended.
+ */
+function shortenInheritedLeases(update: Update): void {
+  const { isActive, byWorker } = update.write(SESSIONS);
+  if (!isActive) {
+    return;
+  }
+  const endMs = formerLeasesEndMs(update);
+  for (const session of byWorker.values()) {
+    session.inheritedLeaseEndMs = Math.min(
+      session.inheritedLeaseEndMs,
+      Math.max(endMs, session.longLeaseEndMs),
+    );
+  }
+}
+
 /**
  * Gives the tenure up because a worker reports a newer owner, even if the store
  * still names this node.
@@ -200,10 +220,7 @@
     clock: undefined,
     leaseUntilMs: 0,
     inheritedLeaseEndMs: mayHaveAttempts
-      ? Math.max(
-        update.now + MAX_UNCONFIRMED_MS + MAX_INHERITED_LEASE_MS,
-        longLeaseEndMs,
-      )
+      ? Math.max(formerLeasesEndMs(update), longLeaseEndMs)
       : update.now,
     longLeaseEndMs,
     handled: recorded,
--- a/packages/tenure/src/claims.ts
+++ b/packages/tenure/src/claims.ts
@@ -13,6 +13,7 @@
   type KnownTenure,
   RECORDS_WANTED,
   REPLICA,
+  storeNow,
   TENURE_KEY,
   type TenureRecord,
 } from "@mustardweir/replica";
@@ -122,6 +123,7 @@
   tenure.gainedMs = update.now;
   tenure.slowHandovers = record.slowHandovers ?? 0;
   tenure.closesSince = record.closesSince ?? record.epoch;
+  tenure.claimedMs = record.claimedMs;
   tenure.retryMs = 0;
   update.dispatch(RECORDS_WANTED, {});
 }
@@ -163,6 +165,7 @@
     epoch,
     sequence: 1,
     closesSince: known?.record.closesSince ?? epoch,
+    claimedMs: storeNow(update),
   };
   const tenure = update.write(TENURE);
   tenure.phase = TenurePhase.Claiming;
--- a/packages/tenure/src/commits.ts
+++ b/packages/tenure/src/commits.ts
@@ -15,6 +15,7 @@
   DOMAIN_PART,
   type KnownNode,
   readFields,
+  storeNow,
   TENURE_FIELDS,
   TENURE_KEY,
   type TenureRecord,
@@ -285,10 +286,16 @@
     readonly successor: TenureRecord | undefined;
   },
 ): RecordTransaction {
-  const { epoch, version, closesSince } = update.read(TENURE);
+  const { epoch, version, closesSince, claimedMs } = update.read(TENURE);
   const { nodeId, incarnation } = update.service(NODE_IDENTITY);
-  const tenure: TenureRecord = successor ??
-    { nodeId, incarnation, epoch, sequence, closesSince };
+  const tenure: TenureRecord = successor ?? {
+    nodeId,
+    incarnation,
+    epoch,
+    sequence,
+    closesSince,
+    ...(claimedMs === undefined ? {} : { claimedMs }),
+  };
   // Of several changes of one record only the newest is written.
   const newest = new Map(changes.map((change) => [change.key, change]));
   const kept = [...newest.values()];
@@ -319,6 +326,7 @@
     incarnation: next.incarnation,
     epoch: epoch + 1,
     sequence: 1,
+    claimedMs: storeNow(update),
     ...(isSlow ? { slowHandovers } : {}),
     ...(next.keepsClosed === true ? { closesSince } : {}),
   };
--- a/packages/tenure/src/tenure_plugin.ts
+++ b/packages/tenure/src/tenure_plugin.ts
@@ -79,6 +79,7 @@
         stalledMs: 0,
         slowHandovers: 0,
         closesSince: 0,
+        claimedMs: undefined,
         startedMs: Infinity,
         lastTickMs: 0,
       }),
--- a/packages/tenure/src/tenure_state.ts
+++ b/packages/tenure/src/tenure_state.ts
@@ -71,8 +71,9 @@
   stalledMs: number;
   /** Number of hand-overs in a row because the owner was slow. */
   slowHandovers: number;
-  /** See the field of the tenure record. */
+  /** See the fields of the tenure record. */
   closesSince: number;
+  claimedMs: number | undefined;
   /** Time of the first tick of this process, in milliseconds. */
   startedMs: number;
   lastTickMs: number;
