Read no summary for a count while calls to the store fail

A node that had been without the store answered 404 for a queue of a version that was acknowledged 2.4 s before.

--- a/packages/intake/src/count_calls.ts
+++ b/packages/intake/src/count_calls.ts
@@ -9,7 +9,7 @@
   SourceResultKind,
 } from "@mustardweir/protocol";
 import { applyChange, recentSummary, SUMMARY_KEY } from "@mustardweir/replica";
-import { callStore } from "@mustardweir/store-route";
+import { callStore, STORE_ROUTE } from "@mustardweir/store-route";
 import { answerCall, pauseCall, RETRY_AFTER_MS } from "./call_answers.ts";
 import { CallStep, INTAKE, type PendingCall } from "./intake_state.ts";
 import { countWaiting } from "./summary.ts";
@@ -23,12 +23,18 @@
 
 /**
  * Answers a call for the number of waiting jobs. If what this node knows is too
- * old, it reads the owner's summary again, which a takeover may have delayed.
+ * old, it reads the owner's summary again, which a takeover may have delayed. While
+ * calls to the store fail it reads nothing: the read would compete with those that
+ * find out when the store is back.
  */
 export function answerCount(update: Update, call: PendingCall): void {
   if (answerIfKnown(update, call)) {
     return;
   }
+  if (update.read(STORE_ROUTE).failures > 0) {
+    refuseCount(update, call);
+    return;
+  }
   call.step = CallStep.ReadingSummary;
   callStore(update, {
     kind: EffectKind.ReadSource,
