--- /dev/null
+++ b/packages/departures/src/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Moves work off workers that have announced their departure.
+ *
+ * @module
+ */
+export {};
--- /dev/null
+++ b/packages/run-times/src/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Expected run times of tasks, by queue.
+ *
+ * @module
+ */
+export * from "./expected_run.ts";
