Divide run times by the slowness relative to the median worker

No division at all: tasks of a stage end in the order of their run times, so each is compared with shorter ones and the slowness of a usual worker lies above 1.

Change: the divisor is an estimate of the median.

--- a/packages/run-times/src/run_times.ts
+++ b/packages/run-times/src/run_times.ts
@@ -27,8 +27,8 @@
  * for seven times the usual run time.
  */
 const UPPER_QUANTILE = 0.9;
-/** Weight of the newest run in the mean slowness of all workers. */
-const SLOWNESS_SMOOTHING = 1 / 64;
+/** Relative step by which a run moves the median slowness towards its worker's. */
+const SLOWNESS_STEP = 0.01;
 /**
  * Time without a run after which a queue's factor is dropped, in milliseconds.
  * Jobs that a wrong factor keeps from running would never correct it otherwise.
@@ -92,7 +92,11 @@
 export class RunTimes {
   /** By name, the queue with the oldest run first. */
   readonly #queues = new Map<string, QueueRuns>();
-  #meanSlowness = 1;
+  /**
+   * Estimated median of the workers' slowness over all runs. Their mean would
+   * move by a fifth for one worker in 20 that takes five times as long.
+   */
+  #medianSlowness = 1;
   #loggedMs = -Infinity;
 
   /** Returns the factors of a queue; undefined while too little is known. */
@@ -107,8 +111,8 @@
   record(run: TaskRan, now: number): FactorChange | undefined {
     const { queue, workerId, ranMs, estimateMs, slowness } = run;
     const runs = this.#open(queue, now);
-    const relativeSlowness = slowness / this.#meanSlowness;
-    this.#meanSlowness += SLOWNESS_SMOOTHING * (slowness - this.#meanSlowness);
+    const relativeSlowness = slowness / this.#medianSlowness;
+    this.#approachSlowness(slowness);
     runs.ratios.record(ranMs / Math.max(estimateMs, 1) / relativeSlowness);
     if (runs.workers.size < MIN_WORKERS) {
       runs.workers.add(workerId);
@@ -164,7 +168,13 @@
   /** Drops all queues, at a change of the owner. */
   clear(): void {
     this.#queues.clear();
-    this.#meanSlowness = 1;
+    this.#medianSlowness = 1;
+  }
+
+  #approachSlowness(slowness: number): void {
+    const highest = this.#medianSlowness * (1 + SLOWNESS_STEP);
+    const lowest = this.#medianSlowness / (1 + SLOWNESS_STEP);
+    this.#medianSlowness = Math.min(Math.max(slowness, lowest), highest);
   }
 
   /** Returns a queue's runs and moves them behind those of the others. */
