--- a/packages/replica/src/record_keys_test.ts
+++ b/packages/replica/src/record_keys_test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { readProgress } from "./record_keys.ts";
+import { readProgress, readSummary } from "./record_keys.ts";
 
 const VALID = { state: "running", marks: { "0.0": ".1" }, checkpoints: {} };
 
@@ -67,3 +67,43 @@
     });
   }
 });
+
+const SUMMARY = {
+  nodeId: "n0",
+  epoch: 3,
+  waiting: { plans: 4 },
+  largestWorkers: {},
+  atMs: 5,
+  openJobs: 6,
+  waits: {},
+};
+const RUN_TIMES = { plans: [60, 100] };
+
+// Guards against a summary that is lost for one of its parts.
+const SUMMARY_CASES: readonly {
+  readonly name: string;
+  readonly runTimes?: unknown;
+  readonly read: unknown;
+}[] = [
+  { name: "without run times, of an earlier version", read: undefined },
+  { name: "with run times", runTimes: RUN_TIMES, read: RUN_TIMES },
+  {
+    name: "with a queue that its reader has to leave out",
+    runTimes: { ...RUN_TIMES, bad: "x" },
+    read: { ...RUN_TIMES, bad: "x" },
+  },
+  { name: "with run times that are text", runTimes: "x", read: {} },
+  { name: "with run times that are null", runTimes: null, read: {} },
+  { name: "with a list of run times", runTimes: [1], read: {} },
+];
+
+describe("the summary of the domain", () => {
+  for (const { name, runTimes, read } of SUMMARY_CASES) {
+    it(`is read ${name}`, () => {
+      const text = JSON.stringify({ ...SUMMARY, runTimes });
+      const summary = readSummary(text)._unsafeUnwrap();
+      expect(summary.runTimes).to.deep.equal(read);
+      expect(summary).to.include({ nodeId: "n0", epoch: 3, openJobs: 6 });
+    });
+  }
+});
