--- a/packages/prove/src/domain/domain_run_times_test.ts
+++ b/packages/prove/src/domain/domain_run_times_test.ts
@@ -1,9 +1,13 @@
+import { NO_RESOURCES, StagedJobState } from "@mustardweir/model";
+import { MIN_SAMPLES } from "@mustardweir/run-times";
 import { expect } from "chai";
 import {
   createTaskPayload,
   DomainCluster,
+  jobIdOf,
   stageSpec,
 } from "./domain_cluster.ts";
+import { jobState } from "./domain_oracle.ts";
 import { WARM_UP_MS } from "./domain_scenarios.ts";
 
 const LOAD_MS = 12_000;
@@ -71,4 +75,23 @@
       expect(cluster.runFactorOn(successor, "nightly")).to.equal(undefined);
     });
   }
+
+  // Guards against factors from the part of a run that a new owner has seen.
+  it("don't follow from runs that the owner has adopted", () => {
+    const cluster = new DomainCluster({ seed: 1, needsPermits: false });
+    const { clock, nodeIds } = cluster;
+    clock.runUntil(2 * WARM_UP_MS);
+    const owner = cluster.owner!;
+    const size = { ...NO_RESOURCES, cpuMillis: 100, memoryMb: 50 };
+    const runMs = 6_000;
+    cluster.submit(jobIdOf(0), {
+      payload: createTaskPayload({ runMs, failures: 0 }),
+      stages: [stageSpec({ tasks: 2 * MIN_SAMPLES, size, estimateMs: runMs })],
+    }, nodeIds.find((id) => id !== owner)!);
+    clock.after(2_000, () => cluster.kill(owner, 60_000));
+    clock.runUntil(clock.now + 2_000 + runMs + TAKEOVER_MS);
+    expect(jobState(cluster, jobIdOf(0))).to.equal(StagedJobState.Completed);
+    expect(cluster.runs).to.have.length(2 * MIN_SAMPLES);
+    expect(cluster.runFactorOn(cluster.owner!, "plans")).to.equal(undefined);
+  });
 });
