Read the remote factor from the platform's settings

Cause: how many times as long a task runs away from its data is a field of the platform's settings that nothing read.

Change: bounds.far_x, a finite number of 1 or more, becomes remoteFactor of the node's identity. Without it the factor is unknown.

--- a/packages/protocol/src/node_identity.ts
+++ b/packages/protocol/src/node_identity.ts
@@ -26,6 +26,11 @@
    * don't tell.
    */
   readonly maxRecordBytes?: number;
+  /**
+   * How many times as long a task runs away from its data, 1 or more; absent
+   * where the settings don't tell.
+   */
+  readonly remoteFactor?: number;
   /** Schedulers listed in the settings. */
   readonly seedPeers: readonly PeerAddress[];
 }
