--- a/packages/prove/src/domain/plugins.ts
+++ b/packages/prove/src/domain/plugins.ts
@@ -5,5 +5,6 @@
 import "@mustardweir/sessions";
 import "@mustardweir/permits";
 import "@mustardweir/run-times";
+import "@mustardweir/locality";
 import "@mustardweir/dispatch";
 import "@mustardweir/intake";
