Let tasks wait for their rack in placement passes

Cause: the locality package decided nothing yet.

Change: #place gives the choice of workers for stages with a rack to rack_placement.ts: first the rack, then for each task that has no room there the decision of the locality package. A stage all of whose tasks wait is set aside until the wait is given up, and examined before that when a worker of the rack has changed. Stages without a rack take the same path as before. The index of candidates keeps the workers of each rack. Waiting tasks preempt nobody. Simulated workers run remote tasks longer and list real progress for them.

Ruled out: leaving such stages in the order, where they would use up the 192 stages that a pass examines; dividing the bound of a wait by the trust as well, which made waits of distrusted queues longer (found by the table test of waits that don't come true).

--- a/packages/dispatch/src/candidate_index.ts
+++ b/packages/dispatch/src/candidate_index.ts
@@ -21,6 +21,9 @@
   /** All candidates, in no particular order. */
   readonly all: Candidate[] = [];
   readonly #positions = new Map<string, number>();
+  /** Ids of the workers of each rack, and the rack of each worker. */
+  readonly #racks = new Map<string, Set<string>>();
+  readonly #rackByWorker = new Map<string, string>();
   readonly #quarantined = new Set<string>();
   #usable: readonly Candidate[] | undefined;
   #capacity = NO_RESOURCES;
@@ -57,6 +60,18 @@
     return this.#usable;
   }
 
+  /** Names of the racks that have candidates. */
+  get racks(): readonly string[] {
+    return [...this.#racks.keys()];
+  }
+
+  /** Returns the usable candidates of a rack. */
+  inRack(rack: string): readonly Candidate[] {
+    return [...this.#racks.get(rack) ?? []].flatMap((workerId) =>
+      this.find(workerId) ?? []
+    );
+  }
+
   /** Returns the usable candidate of a worker. */
   find(workerId: string): Candidate | undefined {
     const position = this.#positions.get(workerId);
@@ -72,6 +87,10 @@
     const { id, capacity } = candidate.session.info;
     const position = this.#positions.get(id) ?? this.all.length;
     const replaced = this.all[position]?.session.info.capacity;
+    this.#removeFromRack(id);
+    const { rack } = candidate.session.info;
+    this.#rackByWorker.set(id, rack);
+    this.#racks.set(rack, (this.#racks.get(rack) ?? new Set()).add(id));
     this.#positions.set(id, position);
     this.all[position] = candidate;
     this.#quarantined.delete(id);
@@ -98,6 +117,7 @@
       this.#positions.set(last.session.info.id, position);
     }
     this.#positions.delete(workerId);
+    this.#removeFromRack(workerId);
     this.#quarantined.delete(workerId);
     this.#capacity = subtractResources(
       this.#capacity,
@@ -106,6 +126,19 @@
     this.#usable = undefined;
     this.#mostFree = undefined;
   }
+
+  #removeFromRack(workerId: string): void {
+    const rack = this.#rackByWorker.get(workerId);
+    if (rack === undefined) {
+      return;
+    }
+    this.#rackByWorker.delete(workerId);
+    const workers = this.#racks.get(rack)!;
+    workers.delete(workerId);
+    if (workers.size === 0) {
+      this.#racks.delete(rack);
+    }
+  }
 }
 
 /**
@@ -121,6 +154,16 @@
     return this.#pools.get(pool)?.usable ?? NO_CANDIDATES;
   }
 
+  /** Returns the names of the racks of a pool that have candidates. */
+  racksOf(pool: string): readonly string[] {
+    return this.#pools.get(pool)?.racks ?? [];
+  }
+
+  /** Returns the candidates of a rack in a pool. */
+  inRack(pool: string, rack: string): readonly Candidate[] {
+    return this.#pools.get(pool)?.inRack(rack) ?? NO_CANDIDATES;
+  }
+
   /** Returns the candidate of a worker; undefined if it gets no tasks now. */
   find(workerId: string): Candidate | undefined {
     return this.#pools.get(this.#poolByWorker.get(workerId) ?? "")
--- a/packages/dispatch/src/placement_pass.ts
+++ b/packages/dispatch/src/placement_pass.ts
@@ -35,6 +35,7 @@
   queryMorePermits,
 } from "./permission.ts";
 import { mayPreempt, preemptFor } from "./preemption.ts";
+import { placeByRack, wakeRackWaits } from "./rack_placement.ts";
 import { startTasks } from "./starts.ts";
 import { addWaiting, standingOf } from "./waiting.ts";
 
@@ -128,6 +129,7 @@
   }
   state.isDirty = false;
   state.lastPassMs = update.now;
+  wakeRackWaits(update);
   update.write(CANDIDATES).refresh(update);
   for (const stage of state.waiting.due(update.now)) {
     addWaiting(update, stage);
@@ -353,11 +355,11 @@
       TASK_BATCH_SIZE,
       this.#affordableStarts(Buffer.byteLength(record.spec.payload)),
     );
-    const placements = rule.choose(
-      stage,
-      isGang ? wanted : wanted.slice(0, most),
+    const { placements, waiting, untilMs } = placeByRack(update, rule, {
+      context,
+      tasks: isGang ? wanted : wanted.slice(0, most),
       allowed,
-    );
+    });
     if (placements.length > 0) {
       startTasks(update, stage, placements);
       clearReservations(placements.map(({ candidate }) => candidate), stage);
@@ -374,9 +376,16 @@
     const missing = wanted.length - placements.length;
     if (missing > 0) {
       queryMorePermits(update, context);
-      if (asked.preempts) {
-        preemptFor(update, { stage, missing, candidates: allowed });
-      }
+    }
+    if (missing > waiting && asked.preempts) {
+      preemptFor(update, {
+        stage,
+        missing: missing - waiting,
+        candidates: allowed,
+      });
+    }
+    if (waiting > 0 && placements.length + waiting === startable.length) {
+      update.write(DISPATCH_STATE).waiting.setAside(stage, untilMs);
     }
     return placements.length;
   }
--- a/packages/dispatch/src/placement_rules.ts
+++ b/packages/dispatch/src/placement_rules.ts
@@ -41,6 +41,13 @@
     tasks: readonly TaskRun[],
     candidates: readonly Candidate[],
   ): Placement[];
+
+  /** The same, only where no task runs away from its rack. */
+  abstract chooseNear(
+    stage: StageRun,
+    tasks: readonly TaskRun[],
+    candidates: readonly Candidate[],
+  ): Placement[];
 }
 
 /** Places each task independently on the worker with the best score. */
@@ -65,6 +72,18 @@
     }
     return placements;
   }
+
+  override chooseNear(
+    stage: StageRun,
+    tasks: readonly TaskRun[],
+    candidates: readonly Candidate[],
+  ): Placement[] {
+    return this.choose(
+      stage,
+      tasks,
+      candidates.filter(isInRack(stage.spec.preferredRack)),
+    );
+  }
 }
 
 /** Places all tasks or none, within one rack if the stage prefers that. */
@@ -75,19 +94,52 @@
     candidates: readonly Candidate[],
   ): Placement[] {
     if (stage.spec.sameRack) {
-      const racks = new Set(candidates.map(({ session }) => session.info.rack));
-      for (const rack of racks) {
-        const inRack = candidates.filter(({ session }) =>
-          session.info.rack === rack
-        );
-        const placements = placeAllOrNone(stage, tasks, inRack);
-        if (placements.length > 0) {
-          return placements;
-        }
+      const placements = placeInOneRack(stage, tasks, candidates);
+      if (placements.length > 0) {
+        return placements;
       }
     }
     return placeAllOrNone(stage, tasks, candidates);
   }
+
+  override chooseNear(
+    stage: StageRun,
+    tasks: readonly TaskRun[],
+    candidates: readonly Candidate[],
+  ): Placement[] {
+    const { preferredRack } = stage.spec;
+    return preferredRack === ""
+      ? placeInOneRack(stage, tasks, candidates)
+      : placeAllOrNone(
+        stage,
+        tasks,
+        candidates.filter(isInRack(preferredRack)),
+      );
+  }
+}
+
+function isInRack(rack: string): (candidate: Candidate) => boolean {
+  return ({ session }) => session.info.rack === rack;
+}
+
+/** Places all tasks in the first rack that has room for them. */
+function placeInOneRack(
+  stage: StageRun,
+  tasks: readonly TaskRun[],
+  candidates: readonly Candidate[],
+): Placement[] {
+  const racks = new Set(candidates.map(({ session }) => session.info.rack));
+  for (const rack of racks) {
+    const placements = placeAllOrNone(
+      stage,
+      tasks,
+      candidates.filter(isInRack(rack)),
+    );
+    if (placements.length > 0) {
+      return placements;
+    }
+  }
+  return [];
 }
 
 function placeAllOrNone(
--- /dev/null
+++ b/packages/dispatch/src/rack_placement.ts
@@ -0,0 +1,269 @@
+import type { Update } from "@mustardweir/kernel";
+import {
+  countTasks,
+  DecisionReason,
+  expectedRest,
+  LOCALITY,
+  type Rack,
+  type RackRequest,
+  type RackWorker,
+  reportWaitChange,
+  type RunningTask,
+} from "@mustardweir/locality";
+import { findValidPermit, stagePermits } from "@mustardweir/permits";
+import { count } from "@mustardweir/protocol";
+import { expectedRun } from "@mustardweir/run-times";
+import { SESSIONS } from "@mustardweir/sessions";
+import { CANDIDATES } from "./candidate_index.ts";
+import {
+  type Candidate,
+  fitsNow,
+  fitsWhenEmpty,
+  hasRequiredLabel,
+} from "./candidates.ts";
+import {
+  findStage,
+  findTask,
+  reservedSize,
+  type StageRun,
+  TaskPhase,
+  type TaskRun,
+} from "./dispatch_state.ts";
+import type { PlacementContext } from "./permission.ts";
+import type { Placement, PlacementRule } from "./placement_rules.ts";
+import { isRemote } from "./run_reports.ts";
+import { priorityOfRank } from "./turn_order.ts";
+import { addWaiting, slackOf } from "./waiting.ts";
+
+/** Mean and longest duration of a stop, in milliseconds. */
+const STOP_MEAN_MS = 400;
+const STOP_UPPER_MS = 900;
+
+/** Placements of tasks, and the number of those that wait for their rack. */
+export interface RackPlacements {
+  readonly placements: Placement[];
+  readonly waiting: number;
+  /** Time at which the wait is given up, in milliseconds. */
+  readonly untilMs: number;
+}
+
+/** Tasks to be placed and the workers on which their stage may run. */
+interface TasksToPlace {
+  readonly context: PlacementContext;
+  readonly tasks: readonly TaskRun[];
+  readonly allowed: readonly Candidate[];
+}
+
+/**
+ * Places tasks in their rack as far as it has room, and of the others those for
+ * which no wait pays off. Stages without a rack are placed by the rule alone.
+ */
+export function placeByRack(
+  update: Update,
+  rule: PlacementRule,
+  { context, tasks, allowed }: TasksToPlace,
+): RackPlacements {
+  const { stage } = context;
+  if (!hasRack(stage)) {
+    const placements = rule.choose(stage, tasks, allowed);
+    return { placements, waiting: 0, untilMs: 0 };
+  }
+  const near = rule.chooseNear(
+    stage,
+    tasks,
+    nearCandidates(update, stage, allowed),
+  );
+  const placed = new Set(near.map(({ task }) => task));
+  const left = tasks.filter((task) => !placed.has(task));
+  let away: Placement[] = [];
+  let waiting = 0;
+  let untilMs = 0;
+  if (left.length > 0 && allowed.some((each) => fitsNow(each, stage))) {
+    const { decisions, change } = update.write(LOCALITY).plan(
+      createRequest(update, context, left.length),
+      update.now,
+    );
+    if (change !== undefined) {
+      reportWaitChange(update, change);
+    }
+    for (const decision of decisions) {
+      if (decision.reason === DecisionReason.WaitUntil) {
+        untilMs = decision.untilMs;
+      }
+    }
+    waiting = countTasks(decisions, DecisionReason.WaitUntil);
+    if (waiting < left.length) {
+      away = rule.choose(stage, left.slice(waiting), allowed);
+    }
+  }
+  const placements = [...near, ...away];
+  reportPlaced(update, near.length, away.length);
+  const openTasks = stage.tasks.filter(({ phase }) =>
+    phase === TaskPhase.Waiting
+  );
+  if (openTasks.length === placements.length) {
+    const change = update.write(LOCALITY).noteAllPlaced(stage.name, update.now);
+    if (change !== undefined) {
+      reportWaitChange(update, change);
+    }
+  }
+  return { placements, waiting, untilMs };
+}
+
+/**
+ * Lets stages that wait for a rack be examined again if one of its workers has
+ * changed; to be called before the candidates are refreshed.
+ */
+export function wakeRackWaits(update: Update): void {
+  const { waits } = update.read(LOCALITY);
+  if (waits.open === 0) {
+    return;
+  }
+  const { changed, byWorker } = update.read(SESSIONS);
+  const names = new Set<string>();
+  for (const workerId of changed) {
+    const session = byWorker.get(workerId);
+    const woken = session === undefined
+      ? waits.stages
+      : waits.stagesOf(session.info.rack);
+    woken.forEach((name) => names.add(name));
+  }
+  for (const name of names) {
+    const stage = findStage(update, name);
+    if (stage === undefined) {
+      update.write(LOCALITY).waits.remove(name);
+    } else {
+      addWaiting(update, stage);
+    }
+  }
+}
+
+/** Returns whether it matters to the stage in which rack its tasks run. */
+function hasRack({ spec }: StageRun): boolean {
+  return spec.preferredRack !== "" || (spec.gang && spec.sameRack);
+}
+
+/**
+ * Returns the workers among which those of the rack are chosen. Without permits
+ * `allowed` may be a selection that lacks them.
+ */
+function nearCandidates(
+  update: Update,
+  { spec, job }: StageRun,
+  allowed: readonly Candidate[],
+): readonly Candidate[] {
+  const { pool, permits } = job.record.queue;
+  return permits === undefined && spec.preferredRack !== ""
+    ? update.read(CANDIDATES).inRack(pool, spec.preferredRack)
+    : allowed;
+}
+
+function createRequest(
+  update: Update,
+  { stage, rank }: PlacementContext,
+  tasks: number,
+): RackRequest {
+  const { spec, job } = stage;
+  const { queue } = job.record;
+  const racks = spec.preferredRack === ""
+    ? update.read(CANDIDATES).racksOf(queue.pool)
+    : [spec.preferredRack];
+  return {
+    stage: stage.name,
+    queue: queue.name,
+    tasks,
+    isGang: spec.gang,
+    maxPerWorker: spec.maxPerWorker === 0 ? Infinity : spec.maxPerWorker,
+    size: reservedSize(stage),
+    nearMs: spec.lasting ? Infinity : expectedRun(update, {
+      queue: queue.name,
+      estimateMs: spec.estimateMs,
+    }).meanMs,
+    slackMs: slackOf(update, stage),
+    rank,
+    isUrgent: queue.priority === 0,
+    yields: priorityOfRank(rank) === undefined,
+    heldTasks: 0,
+    racks: racks.map((rack) => describeRack(update, stage, rack)),
+  };
+}
+
+function describeRack(update: Update, stage: StageRun, name: string): Rack {
+  const { pool, permits } = stage.job.record.queue;
+  const candidates = update.read(CANDIDATES).inRack(pool, name);
+  const known = permits && stagePermits(update, stage.name);
+  const workers = candidates.flatMap((candidate): RackWorker[] => {
+    const { id, capacity } = candidate.session.info;
+    const isRefused = known !== undefined && known.judged.has(id) &&
+      !known.good.has(id);
+    if (
+      isRefused || !hasRequiredLabel(candidate, stage) ||
+      !fitsWhenEmpty(stage, candidate)
+    ) {
+      return [];
+    }
+    const hasPermit = permits === undefined ||
+      findValidPermit(update, stage.name, id) !== undefined;
+    return [{
+      id,
+      capacity,
+      free: candidate.free,
+      maxTasks: placesLeft(stage, id),
+      readyMs: hasPermit ? 0 : permits.decideMs + permits.perWorkerMs,
+      running: listRunning(update, candidate),
+    }];
+  });
+  return {
+    name,
+    usable: candidates.map(({ session }) => session.info.id),
+    workers,
+  };
+}
+
+/** Returns how many more tasks of the stage the worker may run. */
+function placesLeft({ spec, tasks }: StageRun, workerId: string): number {
+  return spec.maxPerWorker === 0
+    ? Infinity
+    : spec.maxPerWorker - tasks.filter((task) =>
+      task.phase === TaskPhase.Placed && task.workerId === workerId
+    ).length;
+}
+
+function listRunning(update: Update, { session }: Candidate): RunningTask[] {
+  return [...session.attempts.values()].map(({ task: name, size }) => {
+    const task = findTask(update, name);
+    return {
+      size,
+      ...(task === undefined || task.stage.spec.lasting
+        ? { meanMs: Infinity, upperMs: Infinity }
+        : task.isStopping
+        ? { meanMs: STOP_MEAN_MS, upperMs: STOP_UPPER_MS }
+        : restOf(update, task)),
+    };
+  });
+}
+
+function restOf(update: Update, task: TaskRun) {
+  const { stage: { spec, job }, placedMs, progressedMs, percent } = task;
+  const queue = job.record.queue.name;
+  const run = expectedRun(update, { queue, estimateMs: spec.estimateMs });
+  const factor = hasRack(task.stage) && isRemote(update, task)
+    ? update.read(LOCALITY).factorOf(queue) ?? 1
+    : 1;
+  return expectedRest({
+    meanMs: factor * run.meanMs,
+    upperMs: factor * run.upperMs,
+    elapsedMs: update.now - placedMs,
+    percent,
+    sinceListedMs: update.now - progressedMs,
+  });
+}
+
+function reportPlaced(update: Update, near: number, away: number): void {
+  if (near > 0) {
+    update.emit(count("tasks-placed-in-rack", near));
+  }
+  if (away > 0) {
+    update.emit(count("tasks-placed-away", away));
+  }
+}
--- a/packages/dispatch/src/run_reports.ts
+++ b/packages/dispatch/src/run_reports.ts
@@ -30,7 +30,10 @@
  * Returns whether the task ran away from the rack of its data, or its gang
  * spanned racks though it had better not.
  */
-function isRemote(update: Update, { stage, workerId }: TaskRun): boolean {
+export function isRemote(
+  update: Update,
+  { stage, workerId }: TaskRun,
+): boolean {
   const { preferredRack, sameRack, gang } = stage.spec;
   const { workers } = update.read(REPLICA);
   const rack = workers.get(workerId)?.rack;
--- a/packages/dispatch/src/turn_order.ts
+++ b/packages/dispatch/src/turn_order.ts
@@ -90,11 +90,53 @@
   clock: ObjectiveClock,
   meanRun: MeanRun,
 ): ObjectiveStatus {
-  const { job } = stage;
-  const { queue } = job.record;
   if (stage.spec.lasting) {
     return ObjectiveStatus.InTime;
   }
+  const { ageMs, remainingMs, objectiveMs } = measure(stage, clock, meanRun);
+  if (ageMs + remainingMs > EXPIRY_FACTOR * objectiveMs) {
+    return ObjectiveStatus.Expired;
+  }
+  if (stage.job.isOverRate) {
+    return ObjectiveStatus.OverRate;
+  }
+  return ageMs + remainingMs > objectiveMs
+    ? ObjectiveStatus.Late
+    : ObjectiveStatus.InTime;
+}
+
+/**
+ * Returns the time that is left until the stage's job is worth less, in
+ * milliseconds: until its objective, or until it expires if it is late already.
+ * Negative if the job is expired.
+ */
+export function objectiveSlackMs(
+  stage: StageRun,
+  clock: ObjectiveClock,
+  meanRun: MeanRun,
+): number {
+  const { ageMs, remainingMs, objectiveMs } = measure(stage, clock, meanRun);
+  const slackMs = objectiveMs - ageMs - remainingMs;
+  return slackMs >= 0
+    ? slackMs
+    : EXPIRY_FACTOR * objectiveMs - ageMs - remainingMs;
+}
+
+/** Times of a job, in milliseconds. */
+interface JobTimes {
+  readonly ageMs: number;
+  /** What remains of its critical path. */
+  readonly remainingMs: number;
+  readonly objectiveMs: number;
+}
+
+function measure(
+  stage: StageRun,
+  clock: ObjectiveClock,
+  meanRun: MeanRun,
+): JobTimes {
+  const { job } = stage;
+  const { queue } = job.record;
   const totalMs = criticalPathMs(job, stage.occurrence, false);
   const objectiveMs = queue.stretch * totalMs + queue.latencyObjectiveMs;
   const dueMs = dueTimeMs(job.record, stage.occurrence);
@@ -105,15 +147,7 @@
     queue.name,
     criticalPathMs(job, stage.occurrence, true),
   );
-  if (ageMs + remainingMs > EXPIRY_FACTOR * objectiveMs) {
-    return ObjectiveStatus.Expired;
-  }
-  if (job.isOverRate) {
-    return ObjectiveStatus.OverRate;
-  }
-  return ageMs + remainingMs > objectiveMs
-    ? ObjectiveStatus.Late
-    : ObjectiveStatus.InTime;
+  return { ageMs, remainingMs, objectiveMs };
 }
 
 /**
--- a/packages/dispatch/src/waiting.ts
+++ b/packages/dispatch/src/waiting.ts
@@ -11,8 +11,10 @@
   type StageRun,
 } from "./dispatch_state.ts";
 import {
+  type MeanRun,
   type ObjectiveClock,
   ObjectiveRanking,
+  objectiveSlackMs,
   type ObjectiveStatus,
   objectiveStatusOf,
   type StageRanking,
@@ -28,19 +30,35 @@
 
 /** Returns the rank of a stage at the current time. */
 export function standingOf(update: Update, stage: StageRun): StageStanding {
-  const clock: ObjectiveClock = {
+  const status = objectiveStatusOf(
+    stage,
+    clockFor(update, stage),
+    meanRunBy(update),
+  );
+  return { rank: RANKING.rank(stage, status), status };
+}
+
+/**
+ * Returns the time that is left until the stage's job is worth less, in
+ * milliseconds.
+ */
+export function slackOf(update: Update, stage: StageRun): number {
+  return objectiveSlackMs(stage, clockFor(update, stage), meanRunBy(update));
+}
+
+function clockFor(update: Update, stage: StageRun): ObjectiveClock {
+  return {
     storeMs: storeNow(update),
     // The median of all nodes' clocks is costly and only schedules depend on it.
     unixMs: stage.job.record.spec.schedule === undefined
       ? undefined
       : unixNow(update),
   };
-  const status = objectiveStatusOf(
-    stage,
-    clock,
-    (queue, estimateMs) => expectedRun(update, { queue, estimateMs }).meanMs,
-  );
-  return { rank: RANKING.rank(stage, status), status };
+}
+
+function meanRunBy(update: Update): MeanRun {
+  return (queue, estimateMs) =>
+    expectedRun(update, { queue, estimateMs }).meanMs;
 }
 
 /** Lets the stage wait for workers if any of its tasks may have to start. */
--- a/packages/locality/src/locality.ts
+++ b/packages/locality/src/locality.ts
@@ -211,18 +211,21 @@
       .reduce((best, next) => next.meanMs[0]! < best.meanMs[0]! ? next : best);
     const { name: rack } = room.rack;
     if (
-      request.yields && this.waits.isWantedByOthers(rack, request.stage)
+      request.yields && this.waits.isWantedByOthers(rack, request.stage, now)
     ) {
       return refuse(ElsewhereCause.YieldsToOthers);
     }
     const trust = this.trust.of({ queue: request.queue, rack }, now);
     const verdicts: WaitVerdict[] = [];
     for (const [index, meanMs] of room.meanMs.entries()) {
-      const expectedMs = meanMs / trust;
       const verdict = policy.judge({
-        expectedMs,
+        meanMs,
         upperMs: room.upperMs[index]!,
-        othersLossMs: expectedMs * request.heldTasks / request.tasks,
+        trust,
+        // Each held place is lost to others for the time of the wait.
+        othersLossMs: request.heldTasks === 0
+          ? 0
+          : meanMs * request.heldTasks / request.tasks,
         remoteLossMs: (factor - 1) * request.nearMs,
         slackMs: request.slackMs,
         isUrgent: request.isUrgent,
--- a/packages/locality/src/rack_waits.ts
+++ b/packages/locality/src/rack_waits.ts
@@ -113,7 +113,8 @@
       const other = this.#waits.get(name)!;
       const isAhead = other.rank < rank ||
         (other.rank === rank && other.sinceMs <= sinceMs);
-      if (name !== stage && isAhead) {
+      // A job that was cancelled leaves its wait behind until it expires.
+      if (name !== stage && isAhead && other.untilMs >= now) {
         sum += other.tasks * relativeSize(other.size, size);
       }
     }
@@ -121,9 +122,10 @@
   }
 
   /** Returns whether other stages wait for the rack. */
-  isWantedByOthers(rack: string, stage: string): boolean {
-    const stages = this.#byRack.get(rack);
-    return stages !== undefined && stages.size > (stages.has(stage) ? 1 : 0);
+  isWantedByOthers(rack: string, stage: string, now: number): boolean {
+    return this.stagesOf(rack).some((name) =>
+      name !== stage && this.#waits.get(name)!.untilMs >= now
+    );
   }
 
   /** Drops waits that are long over, and those of stages that are gone. */
--- a/packages/locality/src/wait_policy.ts
+++ b/packages/locality/src/wait_policy.ts
@@ -8,7 +8,7 @@
   FixedWait = "fixed-wait",
   /** Declines room elsewhere a fixed number of times (delay scheduling). */
   SkippedChances = "skipped-chances",
-  /** Waits while the expected wait is shorter than the loss elsewhere. */
+  /** Waits while the expected wait is short against the loss elsewhere. */
   ExpectedTime = "expected-time",
 }
 
@@ -33,10 +33,12 @@
 
 /** What a task would gain and lose by waiting; all times in milliseconds. */
 export interface WaitOption {
-  /** Expected time until the rack has room for the task; may be Infinity. */
-  readonly expectedMs: number;
+  /** Time until the rack has room for the task by the mean run times. */
+  readonly meanMs: number;
   /** The same by the upper quantile of the run times. */
   readonly upperMs: number;
+  /** Share of the latest waits that were fulfilled, above 0 and at most 1. */
+  readonly trust: number;
   /**
    * Time that others lose by room that is held for the wait; 0 if none is held
    * or nobody wants it.
@@ -99,22 +101,20 @@
 }
 
 /**
- * Waits if the expected wait, with what it costs others, is shorter than the
- * loss elsewhere, and the objective is not put at risk: a wait that takes until
+ * Waits if the expected wait, with what it costs others, is shorter than half of
+ * the loss elsewhere, and the objective is not put at risk: a wait that takes until
  * the upper time must not miss an objective that a run elsewhere would meet.
  * Urgent tasks wait only within their slack.
  */
 export class ExpectedTime extends WaitPolicy {
   override judge(option: WaitOption): WaitVerdict {
-    const { expectedMs, othersLossMs, remoteLossMs, slackMs, isUrgent } =
-      option;
-    if (
-      expectedMs + othersLossMs >= WAIT_SHARE * remoteLossMs ||
-      expectedMs > MAX_WAIT_MS
-    ) {
+    const { othersLossMs, remoteLossMs, slackMs, isUrgent, trust } = option;
+    const expectedMs = option.meanMs / trust;
+    const mostMs = Math.min(WAIT_SHARE * remoteLossMs, MAX_WAIT_MS);
+    if (!(expectedMs + othersLossMs < mostMs)) {
       return { waits: false, cause: ElsewhereCause.WaitTooLong };
     }
-    const upperMs = Math.max(option.upperMs, expectedMs);
+    const upperMs = Math.max(option.upperMs, option.meanMs);
     const meetsElsewhere = remoteLossMs <= slackMs;
     // Beyond its slack, work of a later rank is overtaken by new work.
     if (
@@ -126,7 +126,7 @@
     // From the loss elsewhere on, a wait has cost more than it can gain.
     const atMostMs = Math.min(
       upperMs + REPORT_MARGIN_MS,
-      Math.max(remoteLossMs, expectedMs),
+      remoteLossMs,
       MAX_WAIT_MS,
       slackMs,
     );
--- a/packages/prove/src/domain/domain_cluster.ts
+++ b/packages/prove/src/domain/domain_cluster.ts
@@ -25,6 +25,7 @@
   SourceResultKind,
   STOP_REQUESTED,
 } from "@mustardweir/protocol";
+import { LOCALITY, type WaitPolicyKind } from "@mustardweir/locality";
 import { REPLICA } from "@mustardweir/replica";
 import { RUN_TIMES } from "@mustardweir/run-times";
 import { TENURE, TenurePhase } from "@mustardweir/tenure";
@@ -127,6 +128,10 @@
   readonly linkMbps?: number;
   /** Largest value of a record in bytes; 64 KiB by default. */
   readonly maxRecordBytes?: number;
+  /** Remote factor in the nodes' settings; absent by default. */
+  readonly remoteFactor?: number;
+  /** Policy for waiting for a rack; the product's by default. */
+  readonly waitPolicy?: WaitPolicyKind;
   /** Durations of permit queries; 20 ms and no time under way by default. */
   readonly policy?: PolicyTiming;
   /** How crashed workers come back; under their id by default. */
@@ -255,6 +260,16 @@
     return this.#read(nodeId, RUN_TIMES).factorsOf(queue)?.mean;
   }
 
+  /** The remote factor that a node goes by; undefined if it knows none. */
+  remoteFactorOn(nodeId: string, queue: string): number | undefined {
+    return this.#read(nodeId, LOCALITY).factorOf(queue);
+  }
+
+  /** Number of stages that wait for a rack on a node. */
+  countRackWaits(nodeId: string): number {
+    return this.#read(nodeId, LOCALITY).waits.open;
+  }
+
   /** Number of calls with which a node followed the store. */
   countFollowCalls(nodeId: string): number {
     return this.#followCalls.get(nodeId) ?? 0;
@@ -281,7 +296,7 @@
   }
 
   startNode(nodeId: string): void {
-    const { linkMbps, profileOf } = this.#options;
+    const { linkMbps, profileOf, remoteFactor, waitPolicy } = this.#options;
     const { cores } = profileOf?.(Number(nodeId.slice(1))) ?? {};
     this.#nodes.set(
       nodeId,
@@ -295,6 +310,7 @@
           seedPeers: [],
           ...(linkMbps === undefined ? {} : { linkMbps }),
           ...(cores === undefined ? {} : { cores }),
+          ...(remoteFactor === undefined ? {} : { remoteFactor }),
           maxRecordBytes: this.store.faults.maxRecordBytes,
         },
         operatorKeyHash: "",
@@ -304,6 +320,9 @@
         perform: (node, effect) => this.#perform(node, effect),
       }),
     );
+    if (waitPolicy !== undefined) {
+      this.#read(nodeId, LOCALITY).usePolicy(waitPolicy);
+    }
   }
 
   /** Changes the capacity of a worker, which it registers at once. */
--- a/packages/prove/src/domain/domain_worker.ts
+++ b/packages/prove/src/domain/domain_worker.ts
@@ -56,6 +56,8 @@
   readonly deadlyTasks?: readonly string[];
   /** Checkpoint that its tasks list; none by default. */
   readonly checkpoint?: string;
+  /** Rack of its data, and how many times as long it runs elsewhere. */
+  readonly data?: { readonly rack: string; readonly remoteFactor: number };
 }
 
 /** The current faults of a worker. */
@@ -82,6 +84,8 @@
 interface Running {
   readonly record: RunRecord;
   isStopping: boolean;
+  /** How long it runs; undefined if it lists no real progress. */
+  readonly durationMs?: number;
 }
 
 /** An order that a worker rejected because of a newer owner's epoch. */
@@ -321,7 +325,7 @@
     };
     runs.push(record);
     this.#running.set(key, { record, isStopping: false });
-    const { runMs, failures, deadlyTasks } = behaviourOf(order.task);
+    const { runMs, failures, deadlyTasks, data } = behaviourOf(order.task);
     const failed =
       runs.filter(({ task, end }) =>
         task === order.task && end === AttemptEnd.Failed
@@ -339,7 +343,14 @@
     }
     const { runSpreadMs } = this.faults;
     const addedMs = runSpreadMs > 0 ? random.below(runSpreadMs) : 0;
-    clock.after(runMs + addedMs, () => {
+    const factor = data === undefined || data.rack === this.info.rack
+      ? 1
+      : data.remoteFactor;
+    const durationMs = factor * (runMs + addedMs);
+    if (data !== undefined) {
+      this.#running.set(key, { record, isStopping: false, durationMs });
+    }
+    clock.after(durationMs, () => {
       if (processNumber === this.#processNumber) {
         this.#end(key, fails ? AttemptEnd.Failed : AttemptEnd.Done);
       }
@@ -422,13 +433,16 @@
   }
 
   #list() {
+    const { clock } = this.#options;
     return {
       incarnation: this.info.incarnation,
-      running: [...this.#running.values()].map(({ record }) => ({
+      running: [...this.#running.values()].map(({ record, durationMs }) => ({
         task: record.task,
         attempt: record.attempt,
         checkpoint: this.#options.behaviourOf(record.task).checkpoint ?? "",
-        percent: 50,
+        percent: durationMs === undefined
+          ? 50
+          : Math.floor(100 * (clock.now - record.startMs) / durationMs),
         load: 0,
       })),
       ended: this.#ended.slice(0, this.faults.endsPerList)
