Wake stages that wait for a rack only when its room has grown

Cause: all workers are marked as changed every 200 ms, which examined every stage that waits for a rack again.

Change: the index of candidates notes the racks of workers that were lost or have got more room, and only the stages of these racks are woken. Counting how many tasks fit makes no arrays any more. Table tests of gangs that prefer one rack.

Ruled out: a shortest interval between examinations, which delays starts.

--- a/packages/dispatch/src/candidate_index.ts
+++ b/packages/dispatch/src/candidate_index.ts
@@ -148,6 +148,18 @@
 export class CandidateIndex {
   readonly #pools = new Map<string, PoolCandidates>();
   readonly #poolByWorker = new Map<string, string>();
+  /** Racks of workers that were lost or have got more room. */
+  readonly #changedRacks = new Set<string>();
+
+  /**
+   * Returns the racks of workers that were lost or have got more room since the
+   * last call.
+   */
+  takeChangedRacks(): readonly string[] {
+    const racks = [...this.#changedRacks];
+    this.#changedRacks.clear();
+    return racks;
+  }
 
   /** Returns the candidates of a pool. */
   inPool(pool: string): readonly Candidate[] {
@@ -235,16 +247,21 @@
   clear(): void {
     this.#pools.clear();
     this.#poolByWorker.clear();
+    this.#changedRacks.clear();
   }
 
   #put(update: Update, candidate: Candidate): void {
-    const { id, pool } = candidate.session.info;
+    const { id, pool, rack } = candidate.session.info;
+    const known = this.find(id);
+    if (known === undefined || !fitsWithin(candidate.free, known.free)) {
+      this.#changedRacks.add(rack);
+    }
     if (this.#poolByWorker.get(id) !== pool) {
       this.#remove(id);
     }
-    const known = this.#pools.get(pool) ?? new PoolCandidates();
-    this.#pools.set(pool, known);
-    known.put(
+    const inPool = this.#pools.get(pool) ?? new PoolCandidates();
+    this.#pools.set(pool, inPool);
+    inPool.put(
       candidate,
       update.read(WORKER_HEALTH).isQuarantined(id, update.now),
     );
@@ -252,6 +269,10 @@
   }
 
   #remove(workerId: string): void {
+    const known = this.find(workerId);
+    if (known !== undefined) {
+      this.#changedRacks.add(known.session.info.rack);
+    }
     this.#pools.get(this.#poolByWorker.get(workerId) ?? "")?.remove(workerId);
     this.#poolByWorker.delete(workerId);
   }
--- a/packages/dispatch/src/placement_pass.ts
+++ b/packages/dispatch/src/placement_pass.ts
@@ -129,8 +129,8 @@
   }
   state.isDirty = false;
   state.lastPassMs = update.now;
-  wakeRackWaits(update);
   update.write(CANDIDATES).refresh(update);
+  wakeRackWaits(update);
   for (const stage of state.waiting.due(update.now)) {
     addWaiting(update, stage);
   }
--- a/packages/dispatch/src/rack_placement.ts
+++ b/packages/dispatch/src/rack_placement.ts
@@ -13,7 +13,6 @@
 import { findValidPermit, stagePermits } from "@mustardweir/permits";
 import { count } from "@mustardweir/protocol";
 import { expectedRun } from "@mustardweir/run-times";
-import { SESSIONS } from "@mustardweir/sessions";
 import { CANDIDATES } from "./candidate_index.ts";
 import {
   type Candidate,
@@ -111,29 +110,19 @@
 }
 
 /**
- * Lets stages that wait for a rack be examined again if one of its workers has
- * changed; to be called before the candidates are refreshed.
+ * Lets stages that wait for a rack be examined again if one of its workers was
+ * lost or has got more room; to be called after the candidates were refreshed.
  */
 export function wakeRackWaits(update: Update): void {
   const { waits } = update.read(LOCALITY);
-  if (waits.open === 0) {
-    return;
-  }
-  const { changed, byWorker } = update.read(SESSIONS);
-  const names = new Set<string>();
-  for (const workerId of changed) {
-    const session = byWorker.get(workerId);
-    const woken = session === undefined
-      ? waits.stages
-      : waits.stagesOf(session.info.rack);
-    woken.forEach((name) => names.add(name));
-  }
-  for (const name of names) {
-    const stage = findStage(update, name);
-    if (stage === undefined) {
-      update.write(LOCALITY).waits.remove(name);
-    } else {
-      addWaiting(update, stage);
+  for (const rack of update.write(CANDIDATES).takeChangedRacks()) {
+    for (const name of waits.stagesOf(rack)) {
+      const stage = findStage(update, name);
+      if (stage === undefined) {
+        update.write(LOCALITY).waits.remove(name);
+      } else {
+        addWaiting(update, stage);
+      }
     }
   }
 }
--- a/packages/locality/src/rack_outlook.ts
+++ b/packages/locality/src/rack_outlook.ts
@@ -149,13 +149,17 @@
 
 /** Returns how many tasks of a size fit into the given room. */
 export function countFitting(free: Resources, size: Resources): number {
-  const counts = [
-    [free.cpuMillis, size.cpuMillis],
-    [free.memoryMb, size.memoryMb],
-    [free.accelerators, size.accelerators],
-    [free.slots, size.slots],
-  ].map(([has, needs]) => needs! > 0 ? Math.floor(has! / needs!) : Infinity);
-  return Math.max(0, Math.min(...counts));
+  const count = Math.min(
+    countOf(free.cpuMillis, size.cpuMillis),
+    countOf(free.memoryMb, size.memoryMb),
+    countOf(free.accelerators, size.accelerators),
+    countOf(free.slots, size.slots),
+  );
+  return Math.max(0, count);
+}
+
+function countOf(free: number, size: number): number {
+  return size > 0 ? Math.floor(free / size) : Infinity;
 }
 
 /** Returns how many tasks of `size` take the room of one of `other`. */
--- a/packages/prove/src/domain/domain_rack_wait_test.ts
+++ b/packages/prove/src/domain/domain_rack_wait_test.ts
@@ -1,5 +1,9 @@
 import { WaitPolicyKind } from "@mustardweir/locality";
-import { StagedJobState, WorkerState } from "@mustardweir/model";
+import {
+  StagedJobState,
+  type StageSpec,
+  WorkerState,
+} from "@mustardweir/model";
 import { expect } from "chai";
 import {
   createTaskPayload,
@@ -162,6 +166,90 @@
   }
 });
 
+interface GangCase {
+  readonly name: string;
+  readonly tasks: number;
+  readonly needsPermits: boolean;
+  /** Number of racks that the gang runs in. */
+  readonly racks: number;
+  readonly startsWithinMs: number;
+}
+
+// Each of two racks has room for 24 tasks, and 16 while others run there.
+const GANG_CASES: readonly GangCase[] = [
+  {
+    name: "fits into a rack",
+    tasks: 16,
+    needsPermits: false,
+    racks: 1,
+    startsWithinMs: 200,
+  },
+  {
+    name: "needs permits and fits into a rack",
+    tasks: 16,
+    needsPermits: true,
+    racks: 1,
+    startsWithinMs: 300,
+  },
+  {
+    name: "has to wait for others of a rack",
+    tasks: 20,
+    needsPermits: false,
+    racks: 1,
+    startsWithinMs: 1_000,
+  },
+  {
+    name: "is wider than a rack",
+    tasks: 30,
+    needsPermits: false,
+    racks: 2,
+    startsWithinMs: 200,
+  },
+];
+
+// Guards against gangs that span racks, or wait, without need.
+describe("a gang that prefers one rack", () => {
+  for (const gang of GANG_CASES) {
+    const { name, tasks, needsPermits, racks, startsWithinMs } = gang;
+    it(`runs in ${racks} rack(s) if it ${name}`, () => {
+      const cluster = new DomainCluster({
+        seed: 1,
+        needsPermits,
+        workers: 12,
+        remoteFactor: 3,
+      });
+      const { clock, nodeIds } = cluster;
+      clock.runUntil(2 * WARM_UP_MS);
+      const submit = (index: number, stage: Partial<StageSpec>) =>
+        cluster.submit(
+          jobIdOf(index),
+          {
+            payload: createTaskPayload({ runMs: RUN_MS, failures: 0 }),
+            stages: [stageSpec({ tasks: 8, estimateMs: RUN_MS, ...stage })],
+          },
+          nodeIds[index]!,
+          NIGHTLY_PREFIX,
+        );
+      submit(0, { preferredRack: "zone-0" });
+      submit(1, { preferredRack: "zone-1" });
+      clock.runUntil(clock.now + RUN_MS / 2);
+      const submittedMs = clock.now;
+      submit(2, { tasks, gang: true, sameRack: true });
+      clock.runUntil(clock.now + 3 * RUN_MS);
+      const runs = cluster.runs.filter(({ task }) =>
+        task.startsWith(jobIdOf(2))
+      );
+      expect(runs).to.have.length(tasks);
+      const used = new Set(
+        runs.map(({ workerId }) => cluster.workers.get(workerId)!.info.rack),
+      );
+      expect(used.size).to.equal(racks);
+      const startedMs = Math.max(...runs.map(({ startMs }) => startMs));
+      expect(startedMs - submittedMs).to.be.below(startsWithinMs);
+    });
+  }
+});
+
 function workersOfRack({ workers }: DomainCluster) {
   return [...workers.values()].filter(({ info }) => info.rack === RACK);
 }
