--- a/packages/locality/src/locality_plugin.ts
+++ b/packages/locality/src/locality_plugin.ts
@@ -112,9 +112,8 @@
     return;
   }
   const isFulfilled = ended === DecisionReason.PlaceInRack;
-  update.emit(
-    count(isFulfilled ? "rack-waits-fulfilled" : "rack-waits-given-up"),
-  );
+  const end = isFulfilled ? "fulfilled" : "given-up";
+  update.emit(count(`rack-waits-${end}`));
   update.emit(observe("rack-wait-ms", waitedMs));
   update.emit(logChange("Stage no longer waits for its rack", {
     ...fields,
