Don't let refused members of a gang wait for a rack, nor hide retries behind a wait

Cause, found in review: members of a running gang whose start was refused could wait for the preferred rack while the others hold their room; and a stage was set aside until its wait was over though another of its tasks was due for a retry before.

A stage is set aside only if all its waiting tasks wait for the rack.

--- a/packages/dispatch/src/placement_pass.ts
+++ b/packages/dispatch/src/placement_pass.ts
@@ -384,7 +384,8 @@
         candidates: allowed,
       });
     }
-    if (waiting > 0 && placements.length + waiting === startable.length) {
+    // Other tasks of the stage may become startable before the wait is over.
+    if (waiting > 0 && waiting === countWaiting(stage)) {
       update.write(DISPATCH_STATE).waiting.setAside(stage, untilMs);
     }
     return placements.length;
@@ -413,6 +414,10 @@
   }
 }
 
+function countWaiting({ tasks }: StageRun): number {
+  return tasks.filter(({ phase }) => phase === TaskPhase.Waiting).length;
+}
+
 /**
  * Returns the gang members that can start now: all of them, or, if the gang
  * runs, those whose start was refused.
--- a/packages/dispatch/src/rack_placement.ts
+++ b/packages/dispatch/src/rack_placement.ts
@@ -63,7 +63,9 @@
   { context, tasks, allowed }: TasksToPlace,
 ): RackPlacements {
   const { stage } = context;
-  if (!hasRack(stage)) {
+  // Members whose start was refused follow the others of their gang at once:
+  // those hold their room meanwhile.
+  if (!hasRack(stage) || isPartOfGangPlaced(stage)) {
     const placements = rule.choose(stage, tasks, allowed);
     return { placements, waiting: 0, untilMs: 0 };
   }
@@ -132,6 +134,10 @@
   return spec.preferredRack !== "" || (spec.gang && spec.sameRack);
 }
 
+function isPartOfGangPlaced({ spec, tasks }: StageRun): boolean {
+  return spec.gang && tasks.some(({ phase }) => phase === TaskPhase.Placed);
+}
+
 /**
  * Returns the workers among which those of the rack are chosen. Without permits
  * `allowed` may be a selection that lacks them.
@@ -250,9 +256,9 @@
 
 function reportPlaced(update: Update, near: number, away: number): void {
   if (near > 0) {
-    update.emit(count("tasks-placed-in-rack", near));
+    update.emit(count("rack-tasks-near", near));
   }
   if (away > 0) {
-    update.emit(count("tasks-placed-away", away));
+    update.emit(count("rack-tasks-away", away));
   }
 }
--- a/packages/prove/src/domain/domain_rack_wait_test.ts
+++ b/packages/prove/src/domain/domain_rack_wait_test.ts
@@ -173,6 +173,9 @@
   /** Number of racks that the gang runs in. */
   readonly racks: number;
   readonly startsWithinMs: number;
+  readonly preferredRack?: string;
+  /** Whether a worker of each rack that has room refuses starts. */
+  readonly isRefused?: boolean;
 }
 
 // Each of two racks has room for 24 tasks, and 16 while others run there.
@@ -205,12 +208,22 @@
     racks: 2,
     startsWithinMs: 200,
   },
+  {
+    name: "fits into a rack of which a worker refuses starts",
+    tasks: 16,
+    needsPermits: false,
+    racks: 2,
+    startsWithinMs: 400,
+    preferredRack: "zone-0",
+    isRefused: true,
+  },
 ];
 
 // Guards against gangs that span racks, or wait, without need.
 describe("a gang that prefers one rack", () => {
   for (const gang of GANG_CASES) {
     const { name, tasks, needsPermits, racks, startsWithinMs } = gang;
+    const { preferredRack = "" } = gang;
     it(`runs in ${racks} rack(s) if it ${name}`, () => {
       const cluster = new DomainCluster({
         seed: 1,
@@ -233,8 +246,14 @@
       submit(0, { preferredRack: "zone-0" });
       submit(1, { preferredRack: "zone-1" });
       clock.runUntil(clock.now + RUN_MS / 2);
+      const idle = [...cluster.workers.values()].filter(({ info }) =>
+        !cluster.runs.some(({ workerId }) => workerId === info.id)
+      );
+      for (const rack of gang.isRefused ? ["zone-0", "zone-1"] : []) {
+        idle.find(({ info }) => info.rack === rack)!.faults.isBusy = true;
+      }
       const submittedMs = clock.now;
-      submit(2, { tasks, gang: true, sameRack: true });
+      submit(2, { tasks, gang: true, sameRack: true, preferredRack });
       clock.runUntil(clock.now + 3 * RUN_MS);
       const runs = cluster.runs.filter(({ task }) =>
         task.startsWith(jobIdOf(2))
