Hold renewals until the latest attempt has outlived its first moments

A renewal ended as soon as the earliest of the fresh attempts had outlived its first moments, so that a worker with several tasks was asked anew for each of them; its comment told of the latest one. Renewals without any such end were ruled out before: a worker that is replaced a second after a start made suspects of all its tasks.

--- a/packages/sessions/src/renewals.ts
+++ b/packages/sessions/src/renewals.ts
@@ -260,17 +260,27 @@
 
 /**
  * Returns the time for which the worker may hold the renewal, in milliseconds:
- * it replies as soon as its latest attempts have outlived their first moments.
+ * it replies as soon as all its attempts have outlived their first moments. A
+ * reply for each of them made up most renewals of a worker with several tasks.
+ *
+ * @example
+ * ```ts
+ * const waitMs = renewalWaitMs(session, update.now);
+ * ```
  */
-function renewalWaitMs(session: Readonly<Session>, now: number): number {
-  let waitMs = MAX_RENEWAL_WAIT_MS;
+export function renewalWaitMs(
+  session: Pick<Session, "attempts" | "heardMs">,
+  now: number,
+): number {
+  let latestMs = -Infinity;
   for (const attempt of session.attempts.values()) {
     if (isFresh(session, attempt)) {
-      const leftMs = Math.ceil(attempt.startedMs + FIRST_MOMENTS_MS - now);
-      waitMs = Math.min(waitMs, Math.max(leftMs, 0));
+      latestMs = Math.max(latestMs, attempt.startedMs);
     }
   }
-  return waitMs;
+  return latestMs === -Infinity
+    ? MAX_RENEWAL_WAIT_MS
+    : Math.max(Math.ceil(latestMs + FIRST_MOMENTS_MS - now), 0);
 }
 
 function hasUnknownAttempt(session: Readonly<Session>): boolean {
--- /dev/null
+++ b/packages/sessions/src/renewals_test.ts
@@ -0,0 +1,57 @@
+import { NO_RESOURCES } from "@mustardweir/model";
+import { expect } from "chai";
+import { renewalWaitMs } from "./renewals.ts";
+import { AttemptPhase, type SessionAttempt } from "./session_state.ts";
+
+const NOW_MS = 10_000;
+
+interface WaitCase {
+  readonly name: string;
+  /** Ages of the attempts on the worker, in milliseconds. */
+  readonly agesMs: readonly number[];
+  /** Time since the worker was last heard from, in milliseconds. */
+  readonly silentMs?: number;
+  readonly waitMs: number;
+}
+
+// Guards against a reply for each start, and against a renewal that is held
+// after the first moments of the latest attempt are over.
+const CASES: readonly WaitCase[] = [
+  { name: "nothing that has just started", agesMs: [700, 2_000], waitMs: 800 },
+  { name: "a task that has just started", agesMs: [0], waitMs: 500 },
+  { name: "a task that started before", agesMs: [420], waitMs: 80 },
+  { name: "tasks that started in turn", agesMs: [450, 200, 10], waitMs: 490 },
+  { name: "old and new tasks", agesMs: [5_000, 300], waitMs: 200 },
+  {
+    name: "a task that started before the worker fell silent",
+    agesMs: [900],
+    silentMs: 600,
+    waitMs: 0,
+  },
+];
+
+function attemptOf(ageMs: number): SessionAttempt {
+  return {
+    task: `0.0.0.${ageMs}`,
+    attempt: 1,
+    phase: AttemptPhase.Running,
+    size: NO_RESOURCES,
+    token: 1,
+    sinceMs: NOW_MS - ageMs,
+    startedMs: NOW_MS - ageMs,
+    incarnation: 1,
+    isForeign: false,
+  };
+}
+
+describe("a renewal that a worker holds", () => {
+  for (const { name, agesMs, silentMs = 0, waitMs } of CASES) {
+    it(`waits ${waitMs} ms with ${name}`, () => {
+      const attempts = new Map(
+        agesMs.map((ageMs) => [String(ageMs), attemptOf(ageMs)]),
+      );
+      const session = { attempts, heardMs: NOW_MS - silentMs };
+      expect(renewalWaitMs(session, NOW_MS)).to.equal(waitMs);
+    });
+  }
+});
--- a/packages/sessions/src/session_state.ts
+++ b/packages/sessions/src/session_state.ts
@@ -238,7 +238,7 @@
  * of the attempt.
  */
 export function isFresh(
-  { heardMs }: Readonly<Session>,
+  { heardMs }: Pick<Session, "heardMs">,
   { startedMs }: Readonly<SessionAttempt>,
 ): boolean {
   return startedMs > heardMs - FIRST_MOMENTS_MS;
