Leave runs without an estimate out of the learned run times

Cause: estimate_ms is optional and 0 by default, and an estimate of 0 counted as 1 ms. Each such run added the highest ratio, 16, to its queue's factor.

Ruled out: a lower bound of the ratio's denominator, as no ratio exists without an estimate.

--- a/packages/run-times/src/run_sample.ts
+++ b/packages/run-times/src/run_sample.ts
@@ -22,7 +22,7 @@
    * undefined if it didn't confirm the start.
    */
   readonly confirmMs: number | undefined;
-  /** The caller's estimate, in milliseconds. */
+  /** The caller's estimate, in milliseconds; 0 if the caller gave none. */
   readonly estimateMs: number;
   /** Run time on the worker relative to other workers, without this run. */
   readonly slowness: number;
@@ -42,7 +42,9 @@
   Resumed = "resumed",
   /** The time of its start isn't known well enough. */
   UnknownStart = "unknown-start",
-  /** Its worker is quarantined. */
+  /** Its caller gave no estimate, so there is no ratio. */
+  NoEstimate = "no-estimate",
+  /** Its worker is quarantined or being probed. */
   Unhealthy = "unhealthy",
   /** It ran away from its rack, which takes longer for a known reason. */
   Remote = "remote",
@@ -55,9 +57,18 @@
  */
 const MAX_CONFIRM_SHARE = 0.1;
 
+/**
+ * Shortest time that counts as an estimate, in milliseconds: the resolution of
+ * run times. Estimates may be fractions, and 0 stands for none.
+ */
+const MIN_ESTIMATE_MS = 1;
+
 /** Returns whether the run tells how long tasks of its queue take. */
 export function judgeRun(run: TaskRan): RunVerdict {
-  const { start, ranMs, confirmMs, isHealthy, isRemote } = run;
+  const { start, ranMs, confirmMs, estimateMs, isHealthy, isRemote } = run;
+  if (estimateMs < MIN_ESTIMATE_MS) {
+    return RunVerdict.NoEstimate;
+  }
   if (start === AttemptStart.Resumed) {
     return RunVerdict.Resumed;
   }
--- a/packages/run-times/src/run_times.ts
+++ b/packages/run-times/src/run_times.ts
@@ -113,7 +113,7 @@
     const runs = this.#open(queue, now);
     const relativeSlowness = slowness / this.#medianSlowness;
     this.#approachSlowness(slowness);
-    runs.ratios.record(ranMs / Math.max(estimateMs, 1) / relativeSlowness);
+    runs.ratios.record(ranMs / estimateMs / relativeSlowness);
     if (runs.workers.size < MIN_WORKERS) {
       runs.workers.add(workerId);
     }
--- a/packages/run-times/src/run_times_test.ts
+++ b/packages/run-times/src/run_times_test.ts
@@ -62,6 +62,10 @@
     [{ ranMs: 0, confirmMs: 0 }, RunVerdict.UnknownStart],
     [{ isHealthy: false }, RunVerdict.Unhealthy],
     [{ isRemote: true }, RunVerdict.Remote],
+    // Guards against a factor that follows from jobs without an estimate.
+    [{ estimateMs: 0 }, RunVerdict.NoEstimate],
+    [{ estimateMs: 0.9 }, RunVerdict.NoEstimate],
+    [{ estimateMs: 1 }, RunVerdict.Counted],
   ];
   for (const [change, verdict] of cases) {
     it(`is ${verdict} for ${JSON.stringify(change)}`, () => {
