Use learned run times for objectives, once whole runs are collected

An objective is a multiple of the time that the tasks really take; it was computed from the caller's estimates while the remaining time was not, so that a queue with a factor above 3 could be expired on arrival. Ratios that aren't numbers are left out; a successor keeps the queues that differ most.

--- a/packages/dispatch/src/backlog.ts
+++ b/packages/dispatch/src/backlog.ts
@@ -74,7 +74,10 @@
   const { occurrences: { due, unopened }, record: { spec } } = job;
   const { firstDueMs = 0, intervalMs = 0 } = spec.schedule ?? {};
   const lastDueMs = firstDueMs + (due - 1) * intervalMs;
-  const leftMs = lastDueMs + usefulMs(job) - nowMs;
+  const leftMs = lastDueMs - nowMs + usefulMs(
+    job,
+    (queue, estimateMs) => expectedRun(update, { queue, estimateMs }).meanMs,
+  );
   if (unopened === 0 || leftMs < 0) {
     return NO_RESOURCES;
   }
--- a/packages/dispatch/src/turn_order.ts
+++ b/packages/dispatch/src/turn_order.ts
@@ -81,9 +81,9 @@
 export type MeanRun = (queue: string, estimateMs: number) => number;
 
 /**
- * Returns the status of the stage's job against its objective. The objective
- * follows from the caller's estimates, as it was promised on their basis; what
- * remains of the job is measured by `meanRun`.
+ * Returns the status of the stage's job against its objective. The objective is a
+ * multiple of the time that the job's tasks really take, so it follows from
+ * `meanRun` like what remains of the job.
  */
 export function objectiveStatusOf(
   stage: StageRun,
@@ -95,7 +95,10 @@
   if (stage.spec.lasting) {
     return ObjectiveStatus.InTime;
   }
-  const totalMs = criticalPathMs(job, stage.occurrence, false);
+  const totalMs = meanRun(
+    queue.name,
+    criticalPathMs(job, stage.occurrence, false),
+  );
   const objectiveMs = queue.stretch * totalMs + queue.latencyObjectiveMs;
   const dueMs = dueTimeMs(job.record, stage.occurrence);
   const ageMs = dueMs === undefined
@@ -120,9 +123,9 @@
  * Returns how long after its due time an occurrence that hasn't begun is still
  * useful, in milliseconds.
  */
-export function usefulMs(job: JobRun): number {
-  const { stretch, latencyObjectiveMs } = job.record.queue;
-  const totalMs = criticalPathMs(job, 0, false);
+export function usefulMs(job: JobRun, meanRun: MeanRun): number {
+  const { name, stretch, latencyObjectiveMs } = job.record.queue;
+  const totalMs = meanRun(name, criticalPathMs(job, 0, false));
   return EXPIRY_FACTOR * (stretch * totalMs + latencyObjectiveMs) - totalMs;
 }
 
--- a/packages/run-times/src/ratio_histogram.ts
+++ b/packages/run-times/src/ratio_histogram.ts
@@ -52,8 +52,11 @@
     return this.#counts.medianEquivalentValue(value) / UNITS;
   }
 
-  /** Adds a ratio. */
+  /** Adds a ratio; one that isn't a number is left out. */
   record(ratio: number): void {
+    if (Number.isNaN(ratio)) {
+      return;
+    }
     const bounded = Math.min(Math.max(ratio, MIN_RATIO), MAX_RATIO);
     this.#counts.recordValue(Math.round(bounded * UNITS));
   }
--- a/packages/run-times/src/run_times.ts
+++ b/packages/run-times/src/run_times.ts
@@ -16,6 +16,12 @@
 const MAX_SAMPLES = 1_024;
 /** Number of runs after which the factors are computed anew. */
 const REFRESH_SAMPLES = 10;
+/**
+ * Multiple of the longest run for which runs are collected before a factor is
+ * used: of tasks that start together the short ones end first, and the mean of
+ * 50 such runs was 0.53 to 0.84 of the right one.
+ */
+const COLLECTION_RUNS = 2;
 /** Largest deviation from 1 at which the caller's estimate counts as right. */
 const TOLERANCE = 0.15;
 /** Bounds of the mean factor and of the upper one. */
@@ -72,6 +78,10 @@
   /** Whether a former owner has seen enough workers. */
   isInherited: boolean;
   sinceRefresh: number;
+  /** Time of the first run, in milliseconds. */
+  firstMs: number;
+  /** Longest run, in milliseconds. */
+  longestMs: number;
   /** Undefined while too little is known. */
   factors: RunFactors | undefined;
   seenMs: number;
@@ -117,10 +127,11 @@
     if (runs.workers.size < MIN_WORKERS) {
       runs.workers.add(workerId);
     }
+    runs.longestMs = Math.max(runs.longestMs, ranMs);
     if (++runs.sinceRefresh < REFRESH_SAMPLES) {
       return undefined;
     }
-    refresh(runs);
+    refresh(runs, now);
     return this.#notableChange(queue, runs, now);
   }
 
@@ -129,7 +140,7 @@
     const runs = this.#open(queue, now);
     runs.ratios.add(counts);
     runs.isInherited = true;
-    refresh(runs);
+    refresh(runs, now);
     runs.loggedFactor = runs.factors?.mean ?? 1;
   }
 
@@ -179,7 +190,7 @@
 
   /** Returns a queue's runs and moves them behind those of the others. */
   #open(queue: string, now: number): QueueRuns {
-    const runs = this.#queues.get(queue) ?? createQueueRuns();
+    const runs = this.#queues.get(queue) ?? createQueueRuns(now);
     this.#queues.delete(queue);
     if (this.#queues.size >= MAX_QUEUES) {
       const [oldest] = this.#queues.keys();
@@ -216,12 +227,14 @@
 /** State of the run-times plug-in. */
 export const RUN_TIMES = createStateKey<RunTimes>("run-times");
 
-function createQueueRuns(): QueueRuns {
+function createQueueRuns(now: number): QueueRuns {
   return {
     ratios: new RatioHistogram(),
     workers: new Set(),
     isInherited: false,
     sinceRefresh: 0,
+    firstMs: now,
+    longestMs: 0,
     factors: undefined,
     seenMs: 0,
     loggedFactor: 1,
@@ -229,14 +242,15 @@
   };
 }
 
-function refresh(runs: QueueRuns): void {
-  const { ratios, workers, isInherited } = runs;
+function refresh(runs: QueueRuns, now: number): void {
+  const { ratios, workers, isInherited, firstMs, longestMs } = runs;
   runs.sinceRefresh = 0;
   if (ratios.count >= MAX_SAMPLES) {
     ratios.shrink(MAX_SAMPLES / 2);
   }
-  const isKnown = ratios.count >= MIN_SAMPLES &&
-    (isInherited || workers.size >= MIN_WORKERS);
+  const isCollected = isInherited || (workers.size >= MIN_WORKERS &&
+    now - firstMs >= COLLECTION_RUNS * longestMs);
+  const isKnown = ratios.count >= MIN_SAMPLES && isCollected;
   runs.factors = isKnown ? factorsFrom(ratios) : undefined;
 }
 
--- a/packages/run-times/src/run_times_plugin.ts
+++ b/packages/run-times/src/run_times_plugin.ts
@@ -123,7 +123,8 @@
     return;
   }
   const { queues, unreadable } = decodeSnapshot(snapshot);
-  for (const [queue, counts] of queues) {
+  // The queues that differ most come first; the last one merged is kept longest.
+  for (const [queue, counts] of [...queues].reverse()) {
     runTimes.merge(queue, counts, update.now);
   }
   update.emit(logChange("Run times taken over", {
