--- a/packages/run-times/src/run_times_test.ts
+++ b/packages/run-times/src/run_times_test.ts
@@ -125,7 +125,7 @@
 
   it("follows a change of the run times", () => {
     const runTimes = record(new RunTimes(), { runs: 5_000, ratio: 0.5 });
-    record(runTimes, { runs: 5_000 });
+    record(runTimes, { runs: 5_000 }, 10_000);
     expect(runTimes.factorsOf("plans")!.mean).to.be.closeTo(1.9, 0.1);
   });
 
