Read how long a draining worker remains at least

Cause: a draining worker's registration states the shortest time that the worker remains (remaining_ms), and nothing read it, so no decision could be based on it.

Ruled out: rejecting a registration with a malformed time. The worker would be taken for gone, although everything else in its registration holds.

The replica reports a change of it.

--- a/packages/model/src/desired_state.ts
+++ b/packages/model/src/desired_state.ts
@@ -78,6 +78,11 @@
   readonly address: string;
   readonly zone: string;
   readonly state: WorkerState;
+  /**
+   * Shortest time that the worker remains, counted from when it wrote this, in
+   * milliseconds; absent without a departure notice.
+   */
+  readonly remainingMs?: number;
   readonly capacity: Resources;
   readonly labels: readonly string[];
   readonly rack: string;
--- a/packages/protocol/src/node_identity.ts
+++ b/packages/protocol/src/node_identity.ts
@@ -21,6 +21,11 @@
    * don't tell.
    */
   readonly maxLeaseMs?: number;
+  /**
+   * Longest time from the order of a stop until the attempt has ended, in
+   * milliseconds; absent where the settings don't tell.
+   */
+  readonly maxStopMs?: number;
   /**
    * Largest value of a record in the store, in bytes; absent where the settings
    * don't tell.
--- a/packages/replica/src/apply.ts
+++ b/packages/replica/src/apply.ts
@@ -223,7 +223,8 @@
 
 function isSameWorker(a: WorkerInfo, b: WorkerInfo): boolean {
   return a.incarnation === b.incarnation && a.address === b.address &&
-    a.state === b.state && a.pool === b.pool && a.zone === b.zone &&
+    a.state === b.state &&
+    a.remainingMs === b.remainingMs && a.pool === b.pool && a.zone === b.zone &&
     a.capacity.cpuMillis === b.capacity.cpuMillis &&
     a.capacity.memoryMb === b.capacity.memoryMb &&
     a.capacity.accelerators === b.capacity.accelerators &&
