Move work off workers that have announced their departure

Cause: as before, the owner only stopped starting tasks on a draining worker. A simulated worker that leaves 1.8 s after its notice takes four attempts with it, and their tasks wait for its lease.

Ruled out: a countdown that only the owner keeps (a successor would not know how old the notice is); a record of the plan (the notice is in the registration, and stops may be ordered twice); dispatch calling this part (dispatch would depend on it).

Change: the departures plug-in keeps the notices on all nodes that may become the owner. While this node surely owns the domain, it plans every 50 ms what runs on the workers with a notice, and stops what is to move by dispatch's stopTask, so that a task waits until the end of its attempt is listed. Room that was promised to a moved task is kept from other departing work until it runs again. Counters departures-finished, -moved and -lost, the gauge workers-departing, log lines "Departure planned", "Departure withdrawn" and "Departure over". Dispatch exports what this needs. Simulated workers can announce a departure, list real percentages and checkpoints, and lose replies to stops.

Takeovers, a pause of the owner, lost replies, a silent worker, withdrawals and copies of the notice end each task once.

--- a/packages/departures/src/mod.ts
+++ b/packages/departures/src/mod.ts
@@ -3,4 +3,5 @@
  *
  * @module
  */
-export {};
+export * from "./departure_policy.ts";
+export * from "./departures_plugin.ts";
--- a/packages/dispatch/src/mod.ts
+++ b/packages/dispatch/src/mod.ts
@@ -4,4 +4,16 @@
  *
  * @module
  */
+export { CANDIDATES } from "./candidate_index.ts";
+export {
+  findTask,
+  isOpen,
+  reservedSize,
+  type StageRun,
+  taskName,
+  TaskPhase,
+  type TaskRun,
+} from "./dispatch_state.ts";
 export * from "./dispatch_plugin.ts";
+export { WORKER_HEALTH } from "./health.ts";
+export { stopTask } from "./progress.ts";
--- a/packages/prove/src/domain/domain_cluster.ts
+++ b/packages/prove/src/domain/domain_cluster.ts
@@ -138,6 +138,14 @@
   readonly onLog?: (line: LogChangeEffect, nodeId: string) => void;
 }
 
+/** How a worker leaves, in milliseconds. */
+export interface WorkerDeparture {
+  /** Shortest time that it announces to remain; no notice by default. */
+  readonly remainingMs?: number;
+  /** Time after which it has ended and its registration is gone. */
+  readonly leavesAfterMs: number;
+}
+
 /** Durations of permit queries, in milliseconds. */
 export interface PolicyTiming {
   /** Time that the policy needs for a query; it serves each node in turn. */
@@ -307,6 +315,31 @@
     this.store.setWorker(workerId, worker.info);
   }
 
+  /** Registers a worker as draining; it leaves after `leavesAfterMs`. */
+  announceDeparture(workerId: string, departure: WorkerDeparture): void {
+    const worker = this.workers.get(workerId)!;
+    const { remainingMs, leavesAfterMs } = departure;
+    worker.setState(WorkerState.Draining, remainingMs);
+    this.store.setWorker(workerId, worker.info);
+    this.clock.after(leavesAfterMs, () => {
+      if (worker.info.state === WorkerState.Draining) {
+        const lost = this.runs.filter((run) =>
+          run.workerId === workerId && run.endMs === undefined
+        );
+        worker.crash();
+        lost.forEach((record) => this.#breakGangOf(record));
+        this.store.setWorker(workerId, undefined);
+      }
+    });
+  }
+
+  /** Registers a worker that was to leave as ready; it stays. */
+  withdrawDeparture(workerId: string): void {
+    const worker = this.workers.get(workerId)!;
+    worker.setState(WorkerState.Ready);
+    this.store.setWorker(workerId, worker.info);
+  }
+
   /** Kills a node and restarts it after `restartMs`. */
   kill(nodeId: string, restartMs: number = RESTART_DELAY_MS): void {
     this.#nodes.get(nodeId)?.kill();
--- a/packages/prove/src/domain/domain_worker.ts
+++ b/packages/prove/src/domain/domain_worker.ts
@@ -1,5 +1,5 @@
 import type { Random } from "@mustardweir/kernel";
-import type { WorkerInfo } from "@mustardweir/model";
+import type { WorkerInfo, WorkerState } from "@mustardweir/model";
 import {
   AttemptEnd,
   type EndedAttempt,
@@ -11,7 +11,7 @@
 import type { VirtualClock } from "../simulation/virtual_clock.ts";
 
 const MAX_LEASE_MS = 10_000;
-const STOP_DELAY_MS = 100;
+const DEFAULT_STOP_MS = 100;
 /** Time after its start at which a deadly task crashes its worker, in ms. */
 const DEADLY_MS = 10;
 const LEASE_CHECK_INTERVAL_MS = 20;
@@ -42,6 +42,16 @@
   acknowledgedMs: number | undefined;
 }
 
+/** What a task lists of its work. */
+export enum WorkReport {
+  /** A percentage that doesn't change. */
+  Fixed = "fixed",
+  /** Its real percentage. */
+  Percent = "percent",
+  /** The same and, as checkpoint, the time worked, from which it resumes. */
+  Checkpoint = "checkpoint",
+}
+
 /** How long a task runs and how it ends; taken from its payload. */
 export interface TaskBehaviour {
   readonly runMs: number;
@@ -56,6 +66,8 @@
   readonly deadlyTasks?: readonly string[];
   /** Checkpoint that its tasks list; none by default. */
   readonly checkpoint?: string;
+  /** What its tasks list of their work; a fixed percentage by default. */
+  readonly workReport?: WorkReport;
 }
 
 /** The current faults of a worker. */
@@ -73,6 +85,10 @@
   losesStarts: boolean;
   /** Whether starts are executed and their replies are lost. */
   losesStartReplies: boolean;
+  /** Whether stops are executed and their replies are lost. */
+  losesStopReplies: boolean;
+  /** Time that a stop takes, in milliseconds. */
+  stopMs: number;
   /** Most ends that the worker lists at a time. */
   endsPerList: number;
   /** Largest addition to the run time of its tasks, in milliseconds. */
@@ -81,6 +97,8 @@
 
 interface Running {
   readonly record: RunRecord;
+  /** Time worked by the checkpoint that it resumed, in milliseconds. */
+  readonly resumedMs: number;
   isStopping: boolean;
 }
 
@@ -116,6 +134,8 @@
     isBusy: false,
     losesStarts: false,
     losesStartReplies: false,
+    losesStopReplies: false,
+    stopMs: DEFAULT_STOP_MS,
     endsPerList: 500,
     runSpreadMs: 0,
   };
@@ -185,6 +205,19 @@
     this.capacities.push({ sinceMs: this.#options.clock.now, cpuMillis });
   }
 
+  /**
+   * Announces that it leaves, or with a state of `Ready` that it stays after
+   * all.
+   */
+  setState(state: WorkerState, remainingMs?: number): void {
+    const { remainingMs: _, ...info } = this.info;
+    this.info = {
+      ...info,
+      state,
+      ...(remainingMs === undefined ? {} : { remainingMs }),
+    };
+  }
+
   restart(): void {
     this.isUp = true;
     this.#processStartMs = this.#options.clock.now;
@@ -242,7 +275,8 @@
     clock.after(1, () =>
       this.#execute(order, from, (result) => {
         const isReplyLost = this.faults.unreachableFrom.has(from) ||
-          (this.faults.losesStartReplies && order.kind === OrderKind.Start);
+          (this.faults.losesStartReplies && order.kind === OrderKind.Start) ||
+          (this.faults.losesStopReplies && order.kind === OrderKind.Stop);
         if (!isReplyLost) {
           clock.after(1, () => respondOnce(result));
         }
@@ -320,8 +354,13 @@
       acknowledgedMs: undefined,
     };
     runs.push(record);
-    this.#running.set(key, { record, isStopping: false });
-    const { runMs, failures, deadlyTasks } = behaviourOf(order.task);
+    const { runMs, failures, deadlyTasks, workReport } = behaviourOf(
+      order.task,
+    );
+    const resumedMs = workReport === WorkReport.Checkpoint
+      ? Number(order.checkpoint ?? 0)
+      : 0;
+    this.#running.set(key, { record, resumedMs, isStopping: false });
     const failed =
       runs.filter(({ task, end }) =>
         task === order.task && end === AttemptEnd.Failed
@@ -339,7 +378,7 @@
     }
     const { runSpreadMs } = this.faults;
     const addedMs = runSpreadMs > 0 ? random.below(runSpreadMs) : 0;
-    clock.after(runMs + addedMs, () => {
+    clock.after(runMs - resumedMs + addedMs, () => {
       if (processNumber === this.#processNumber) {
         this.#end(key, fails ? AttemptEnd.Failed : AttemptEnd.Done);
       }
@@ -351,7 +390,7 @@
     const key = `${task}#${attempt}`;
     if (this.#running.has(key)) {
       const processNumber = this.#processNumber;
-      this.#options.clock.after(STOP_DELAY_MS, () => {
+      this.#options.clock.after(this.faults.stopMs, () => {
         if (processNumber === this.#processNumber) {
           this.#end(key, AttemptEnd.Stopped);
         }
@@ -367,6 +406,7 @@
       return;
     }
     const { record } = running;
+    const { workReport } = this.#options.behaviourOf(record.task);
     this.#running.delete(key);
     record.endMs = this.#options.clock.now;
     record.end = end;
@@ -375,7 +415,10 @@
       task: record.task,
       attempt: record.attempt,
       end,
-      checkpoint: "",
+      checkpoint: workReport === WorkReport.Checkpoint &&
+          end !== AttemptEnd.Done
+        ? String(this.#workedMs(running))
+        : "",
       record,
     });
     this.#wake();
@@ -424,13 +467,23 @@
   #list() {
     return {
       incarnation: this.info.incarnation,
-      running: [...this.#running.values()].map(({ record }) => ({
-        task: record.task,
-        attempt: record.attempt,
-        checkpoint: this.#options.behaviourOf(record.task).checkpoint ?? "",
-        percent: 50,
-        load: 0,
-      })),
+      running: [...this.#running.values()].map((running) => {
+        const { task, attempt } = running.record;
+        const { checkpoint = "", workReport = WorkReport.Fixed, runMs } = this
+          .#options.behaviourOf(task);
+        const workedMs = this.#workedMs(running);
+        return {
+          task,
+          attempt,
+          checkpoint: workReport === WorkReport.Checkpoint
+            ? String(workedMs)
+            : checkpoint,
+          percent: workReport === WorkReport.Fixed
+            ? 50
+            : Math.floor(100 * workedMs / runMs),
+          load: 0,
+        };
+      }),
       ended: this.#ended.slice(0, this.faults.endsPerList)
         .map(({ record: _, ...ended }) => ended),
       ...(this.#ended.length >= this.faults.endsPerList
@@ -439,6 +492,10 @@
     };
   }
 
+  #workedMs({ record, resumedMs }: Running): number {
+    return Math.floor(resumedMs + this.#options.clock.now - record.startMs);
+  }
+
   #wake(): void {
     for (const finish of this.#waiting.splice(0)) {
       finish();
--- a/packages/prove/src/domain/plugins.ts
+++ b/packages/prove/src/domain/plugins.ts
@@ -5,4 +5,5 @@
 import "@mustardweir/sessions";
 import "@mustardweir/permits";
 import "@mustardweir/dispatch";
+import "@mustardweir/departures";
 import "@mustardweir/intake";
