Leave work without checkpoints once the stated time is over

Cause: a worker may remain beyond its stated time, which is a minimum. Work without a checkpoint was stopped when room became free after that, and lost what it had done although nothing was known of the departure any more. A machine that was suspended took a countdown for longer than it was, since its clock doesn't count the suspension.

Ruled out: stopping such work as soon as room is free, as before the stated time: then the departure is near for sure, afterwards it isn't.

Change: work without a checkpoint runs on once the time is over. A suspension shortens all countdowns, and what is read before the next reply of the feed is of unknown age. The two messages at the end of a departure are literals, as the test of the operators' tables expects.

--- a/packages/departures/src/departure_state.ts
+++ b/packages/departures/src/departure_state.ts
@@ -52,9 +52,11 @@
   readonly moving: Map<string, MovingTask>;
   /**
    * Time of the last reply about the workers, in milliseconds; undefined before
-   * they are listed.
+   * they are listed, and until the first reply after a suspension.
    */
   repliedMs: number | undefined;
+  /** End of the machine's last suspension, in milliseconds. */
+  resumedMs: number;
 }
 
 /** State key of the departures plug-in. */
--- a/packages/departures/src/departures_plugin.ts
+++ b/packages/departures/src/departures_plugin.ts
@@ -16,6 +16,7 @@
   GAUGE_INTERVAL_MS,
   logChange,
   NODE_IDENTITY,
+  PROCESS_SUSPENDED,
   Source,
 } from "@mustardweir/protocol";
 import {
@@ -47,7 +48,7 @@
   MOVE_TIMEOUT_MS,
 } from "./departure_state.ts";
 import type { FreeRoom } from "./free_room.ts";
-import { nextNotice } from "./notice.ts";
+import { afterSuspension, nextNotice } from "./notice.ts";
 import {
   DepartureAction,
   type DepartureDecision,
@@ -74,12 +75,18 @@
         byWorker: new Map(),
         moving: new Map(),
         repliedMs: undefined,
+        resumedMs: -Infinity,
       }),
       kernel.registerCommand(
         WORKER_CHANGED,
         ({ workerId }, update) => handleWorkerChange(update, workerId),
         Normal,
       ),
+      kernel.registerCommand(
+        PROCESS_SUSPENDED,
+        ({ forMs }, update) => handleSuspension(update, forMs),
+        Normal,
+      ),
       kernel.registerCommand(
         TENURE_GAINED,
         (_, update) => handleTenureGained(update),
@@ -156,6 +163,16 @@
   }
 }
 
+/** Shortens all countdowns; what is read next may be as old as the suspension. */
+function handleSuspension(update: Update, forMs: number): void {
+  const state = update.write(DEPARTURES);
+  state.repliedMs = undefined;
+  state.resumedMs = update.now;
+  for (const departure of state.byWorker.values()) {
+    departure.notice = afterSuspension(departure.notice, forMs);
+  }
+}
+
 /** Forgets what an earlier tenure of this node planned; notices stay. */
 function handleTenureGained(update: Update): void {
   const { byWorker, moving } = update.write(DEPARTURES);
@@ -169,7 +186,9 @@
 function planDepartures(update: Update): void {
   const state = update.write(DEPARTURES);
   const { isListed, answeredMs } = update.read(REPLICA).sources[Source.Workers];
-  state.repliedMs = isListed ? answeredMs : undefined;
+  state.repliedMs = isListed && answeredMs > state.resumedMs
+    ? answeredMs
+    : undefined;
   if (state.byWorker.size === 0) {
     return;
   }
@@ -305,14 +324,15 @@
     readonly isWithdrawn: boolean;
   },
 ): void {
-  if (isOwner(update)) {
-    update.emit(
-      logChange(isWithdrawn ? "Departure withdrawn" : "Departure over", {
-        worker: workerId,
-        ...outcomes,
-      }),
-    );
+  if (!isOwner(update)) {
+    return;
   }
+  const fields = { worker: workerId, ...outcomes };
+  update.emit(
+    isWithdrawn
+      ? logChange("Departure withdrawn", fields)
+      : logChange("Departure over", fields),
+  );
 }
 
 function handleAttemptEnded(
--- a/packages/departures/src/notice.ts
+++ b/packages/departures/src/notice.ts
@@ -76,3 +76,16 @@
     isDated: isDated && held?.isDated !== false,
   };
 }
+
+/**
+ * Returns the notice after a suspension of this node's machine that its clock
+ * doesn't count: the time went on for the worker.
+ *
+ * @example
+ * ```ts
+ * departure.notice = afterSuspension(departure.notice, 2_000);
+ * ```
+ */
+export function afterSuspension(notice: Notice, forMs: number): Notice {
+  return { ...notice, departsMs: notice.departsMs - forMs };
+}
--- a/packages/departures/src/notice_test.ts
+++ b/packages/departures/src/notice_test.ts
@@ -1,6 +1,6 @@
 import { NO_RESOURCES, type WorkerInfo, WorkerState } from "@mustardweir/model";
 import { expect } from "chai";
-import { nextNotice, type Notice } from "./notice.ts";
+import { afterSuspension, nextNotice, type Notice } from "./notice.ts";
 
 const NOW_MS = 10_000;
 const SEEN = { now: NOW_MS, repliedMs: NOW_MS - 400 };
@@ -102,4 +102,9 @@
       expect(notice && [notice.departsMs, notice.isDated]).to.deep.equal(is);
     });
   }
+
+  it("is over earlier by a suspension that the clock doesn't count", () => {
+    expect(afterSuspension(noticeOf(15_000, true), 2_000))
+      .to.deep.equal(noticeOf(13_000, true));
+  });
 });
--- a/packages/departures/src/plan.ts
+++ b/packages/departures/src/plan.ts
@@ -103,7 +103,9 @@
       decisions.push({ unit, action: DepartureAction.Finish });
       continue;
     }
-    const leftAfter = gainsByMove(unit) ? left.without(unit.needs) : undefined;
+    const leftAfter = gainsByMove(unit, now)
+      ? left.without(unit.needs)
+      : undefined;
     const action = leftAfter === undefined
       ? withoutRoom(unit, now, stopMs)
       : DepartureAction.Move;
@@ -143,12 +145,15 @@
 /**
  * Returns whether the unit is better off on another worker that has room. Work
  * without a checkpoint starts over there, so it stays while the time that is
- * left to it or to its worker isn't known.
+ * left to it or to its worker isn't known, also once the stated time is over:
+ * it was a minimum.
  */
 function gainsByMove(
-  { checkpoints, isLasting, isDated, leftMs }: DepartingUnit,
+  { checkpoints, isLasting, isDated, departsMs, leftMs }: DepartingUnit,
+  now: number,
 ): boolean {
-  return checkpoints || isLasting || (isDated && leftMs !== undefined);
+  const isTimeKnown = isDated && now < departsMs && leftMs !== undefined;
+  return checkpoints || isLasting || isTimeKnown;
 }
 
 function withoutRoom(
--- a/packages/departures/src/plan_test.ts
+++ b/packages/departures/src/plan_test.ts
@@ -114,6 +114,12 @@
     room: [1],
     actions: [RunOn],
   },
+  {
+    name: "would start over on a worker that remains beyond its time",
+    units: [{ departsMs: NOW_MS }],
+    room: [1],
+    actions: [RunOn],
+  },
   {
     name: "may not have started yet",
     units: [{ ...SAVES, isConfirmed: false }],
