Let workers of the domain's scenarios leave with notice

Cause: the tests of departures run one job; the oracles judge thirty jobs of gangs, tasks that resume and tasks that start over, with three of six workers leaving.

Ruled out: gangs in the scenario with late orders.

Change: four scenarios: nothing else, the owner is killed 20 ms after the first notice, all nodes are, orders are carried out late.

--- a/packages/prove/src/domain/domain_scenarios.ts
+++ b/packages/prove/src/domain/domain_scenarios.ts
@@ -31,7 +31,7 @@
   /** Run time of each task; 0.3 s to 0.9 s by default, in milliseconds. */
   readonly runMs?: number;
   readonly failures?: number;
-  readonly stages?: ReturnType<typeof stageSpec>[];
+  readonly stages?: readonly ReturnType<typeof stageSpec>[];
   /** Number of nodes; 4 by default, so that all keep a copy of the records. */
   readonly nodes?: number;
 }
@@ -39,6 +39,46 @@
 /** Number of nodes of which some keep no copy of the records. */
 export const MANY_NODES = 10;
 
+/** Run time of tasks that can't end before a departure, in milliseconds. */
+const DEPARTING_RUN_MS = 2_000;
+/** Gangs, tasks that resume, and tasks that start over. */
+const DEPARTING_STAGES = [
+  { gang: true, checkpoints: true },
+  { tasks: 2, checkpoints: true },
+  { tasks: 2 },
+].map((options) => stageSpec({ ...options, estimateMs: 2 * DEPARTING_RUN_MS }));
+/** What else goes wrong when workers leave. */
+const DEPARTURE_FAULTS: readonly Pick<
+  DomainScenario,
+  "name" | "injectFault" | "stages"
+>[] = [
+  { name: "", injectFault: () => {} },
+  {
+    name: " and the owner is killed",
+    injectFault: (cluster) =>
+      cluster.clock.after(20, () => cluster.kill(cluster.owner!)),
+  },
+  {
+    name: " and all nodes are killed",
+    injectFault: (cluster) =>
+      cluster.clock.after(
+        20,
+        () => cluster.nodeIds.forEach((id) => cluster.kill(id)),
+      ),
+  },
+  {
+    name: " and carry orders out late",
+    // A member of a gang may then start late, whether or not workers leave.
+    stages: DEPARTING_STAGES.filter(({ gang }) => !gang),
+    injectFault: ({ workers, clock }) => {
+      for (const { faults } of workers.values()) {
+        faults.lateShare = 0.3;
+        clock.after(6_000, () => faults.lateShare = 0);
+      }
+    },
+  },
+];
+
 /** The scenarios under which the domain is tested. */
 export const DOMAIN_SCENARIOS: readonly DomainScenario[] = [
   { name: "nothing is wrong", injectFault: () => {} },
@@ -338,6 +378,21 @@
       });
     },
   },
+  ...DEPARTURE_FAULTS.map(({ name, injectFault, stages }) => ({
+    name: `half of the workers leave with notice${name}`,
+    runMs: DEPARTING_RUN_MS,
+    stages: stages ?? DEPARTING_STAGES,
+    injectFault: (cluster: DomainCluster) => {
+      injectFault(cluster);
+      ["w0", "w2", "w4"].forEach((id, index) =>
+        cluster.clock.after(index * 150, () =>
+          cluster.announceDeparture(id, {
+            remainingMs: 1_200,
+            leavesAfterMs: 1_300,
+          }))
+      );
+    },
+  })),
   {
     name: "the owner and some workers are cut off while much work waits",
     runMs: 3_000,
