Count lasting tasks on silent workers as away

Cause: the disruption budget counted only tasks that wait, start or stop. A task on a worker that has fallen silent may be down until its lease is over; a departure of another worker then took a second one away with a budget of 1.

Ruled out: waiting for the lease to end, as the budget is exceeded until then.

Change: a lasting task counts as away unless its attempt is confirmed on a reconciled worker that replies. With a budget of 0 the tasks of the stage are not looked at.

Result: the new test stopped one task before the change and none after it, and one once the silent worker replies again.

--- a/packages/departures/src/departing_work.ts
+++ b/packages/departures/src/departing_work.ts
@@ -85,7 +85,9 @@
     leftMs: leftMsOf(update, stage, members),
     departsMs: Math.min(...notices.map(({ departsMs }) => departsMs)),
     isDated: notices.every(({ isDated }) => isDated),
-    disruptionsLeft: spec.lasting ? countDisruptionsLeft(stage) : Infinity,
+    disruptionsLeft: spec.lasting
+      ? countDisruptionsLeft(update, stage)
+      : Infinity,
     members,
   };
 }
@@ -104,12 +106,14 @@
  * reconciled may run attempts that aren't known.
  */
 function isConfirmed(update: Update, task: TaskRun): boolean {
+  if (task.phase !== TaskPhase.Placed || !task.isRunning || task.isStopping) {
+    return false;
+  }
   const session = update.read(SESSIONS).byWorker.get(task.workerId);
   const attempt = session?.attempts.get(
     attemptKey({ task: taskName(task), attempt: task.attempt }),
   );
-  return task.phase === TaskPhase.Placed && task.isRunning &&
-    session?.isReconciled === true && session.missed === 0 &&
+  return session?.isReconciled === true && session.missed === 0 &&
     session.clock !== undefined && attempt?.phase === AttemptPhase.Running;
 }
 
@@ -142,11 +146,18 @@
   }, 0);
 }
 
-/** Counts the lasting tasks that may be taken away; those away count already. */
-function countDisruptionsLeft({ spec, tasks }: StageRun): number {
-  const away = tasks.filter(({ phase, isRunning, isStopping }) =>
-    phase !== TaskPhase.Placed || !isRunning || isStopping
-  );
+/**
+ * Counts the lasting tasks that may be taken away. Those that aren't known to run
+ * count as away: a silent worker may be down, before its lease is over.
+ */
+function countDisruptionsLeft(
+  update: Update,
+  { spec, tasks }: StageRun,
+): number {
+  if (spec.disruptionBudget === 0) {
+    return 0;
+  }
+  const away = tasks.filter((task) => !isConfirmed(update, task));
   return spec.disruptionBudget - away.length;
 }
 
--- a/packages/prove/src/domain/domain_departures_test.ts
+++ b/packages/prove/src/domain/domain_departures_test.ts
@@ -339,4 +339,31 @@
       settle(trial);
     });
   }
+
+  // Guards against a budget that counts a task on a silent worker as running.
+  it("stay while one on a silent worker may be down already", () => {
+    const trial = startTrial(
+      {
+        tasks: 2,
+        lasting: true,
+        disruptionBudget: 1,
+        size: { ...CORE, cpuMillis: 4_000 },
+      },
+      { runMs: SETTLE_MS },
+    );
+    const { cluster, leaving } = trial;
+    const { clock, nodeIds, runs, workers } = cluster;
+    const silent = runs.find(({ workerId }) => workerId !== leaving)!.workerId;
+    const { unreachableFrom } = workers.get(silent)!.faults;
+    nodeIds.forEach((id) => unreachableFrom.add(id));
+    clock.runUntil(clock.now + WORKED_MS);
+    cluster.announceDeparture(leaving, LONG_NOTICE);
+    clock.runUntil(clock.now + WORKED_MS);
+    expect(stoppedRuns(trial).length).to.equal(0);
+    unreachableFrom.clear();
+    clock.runUntil(clock.now + WORKED_MS);
+    expect(stoppedRuns(trial).length).to.equal(1);
+    cluster.cancel(jobIdOf(0), nodeIds[0]!);
+    settle(trial);
+  });
 });
