Test departures of several workers, one by one and with one gang

Cause: no test guarded against stops for a departure that count as failures, nor against members of a gang that are stopped again or alone when two of its workers leave.

Change: a job that may not fail once, whose workers leave in turn; a gang on two workers that both leave.

--- a/packages/prove/src/domain/domain_departures_test.ts
+++ b/packages/prove/src/domain/domain_departures_test.ts
@@ -267,6 +267,18 @@
     lost: 0,
     stopped: 4,
   },
+  {
+    name: "another worker with members of the gang leaves too",
+    stage: { ...SAVING, gang: true },
+    departure: NOTICE,
+    injectFault: ({ cluster, leaving }) => {
+      const other = cluster.runs.find(({ workerId }) => workerId !== leaving)!;
+      cluster.announceDeparture(other.workerId, NOTICE);
+    },
+    lost: 0,
+    // All members, each of them once.
+    stopped: 6,
+  },
   {
     name: "copies of the notice are written again and again",
     stage: { ...SAVING, tasks: 8 },
@@ -303,6 +315,28 @@
   }
 });
 
+// Guards against stops for a departure that count as failed attempts.
+describe("tasks that may not fail once", () => {
+  it("end though the workers that they move to leave as well", () => {
+    const trial = startTrial(SAVING, { maxAttempts: 1 });
+    const { cluster } = trial;
+    for (let departures = 0; departures < 3; departures++) {
+      const { workerId } = cluster.runs.find(({ endMs }) =>
+        endMs === undefined
+      )!;
+      cluster.announceDeparture(workerId, NOTICE);
+      cluster.clock.runUntil(cluster.clock.now + 1_200);
+    }
+    settle(trial);
+    expect(stoppedRuns(trial).length).to.be.at.least(3);
+    const done = cluster.runs.filter(({ end }) => end === AttemptEnd.Done);
+    expect(done.length).to.equal(SAVING.tasks);
+    expect(cluster.runs.length).to.equal(
+      done.length + stoppedRuns(trial).length,
+    );
+  });
+});
+
 const BUDGETS = [
   { budget: 0, moved: 0 },
   { budget: 1, moved: 4 },
