Move work without checkpoints off departing workers twice at most

A worker that announces its departure and withdraws the notice again and again had a task of 6 s started over 31 times in a test. After two moves such a task runs on. A notice that a slow call of the feed has read is dated as if it was written right after the reply before.

--- a/packages/departures/src/departures_plugin.ts
+++ b/packages/departures/src/departures_plugin.ts
@@ -57,6 +57,12 @@
 
 /** Longest time that a stop takes unless the settings tell, in milliseconds. */
 const DEFAULT_STOP_MS = 900;
+/**
+ * Most moves of a task that can't resume from a checkpoint; then it runs on. A
+ * worker that announces its departure and withdraws the notice again and again
+ * would otherwise have its tasks started over without end.
+ */
+const MAX_RESTARTING_MOVES = 2;
 /**
  * Time after the registration is gone at which a departure is forgotten on a
  * node that doesn't own the domain, in milliseconds: as long as the replica
@@ -216,7 +222,7 @@
     readonly rooms: Map<string, FreeRoom>;
   },
 ): void {
-  const units = listUnits(update, session);
+  const units = listUnits(update, session).filter(mayMove);
   if (units.length === 0 && departure.isPlanned) {
     return;
   }
@@ -240,6 +246,11 @@
   }
 }
 
+function mayMove({ checkpoints, isLasting, members }: StoppableUnit): boolean {
+  return checkpoints || isLasting ||
+    members.every(({ moves }) => moves < MAX_RESTARTING_MOVES);
+}
+
 /** Stops all tasks of the unit; they wait again once their ends are listed. */
 function moveUnit(
   update: Update,
@@ -256,6 +267,7 @@
         need: byWorker.has(task.workerId) ? needOf(task.stage) : undefined,
       });
     }
+    task.moves++;
     stopTask(update, task);
   }
 }
--- a/packages/departures/src/notice.ts
+++ b/packages/departures/src/notice.ts
@@ -6,6 +6,8 @@
  * and 100 ms for a call.
  */
 export const FEED_DELAY_MS = 250;
+/** Time for which a call of the feed waits for a change, in milliseconds. */
+const FEED_WAIT_MS = 500;
 /**
  * Longest time between two replies of a feed that works, in milliseconds: a call
  * waits 500 ms for a change, the pause takes 150 ms, the rest is for slow calls.
@@ -69,7 +71,12 @@
   ) {
     return held;
   }
-  const departsMs = now + (isDated ? remainingMs - FEED_DELAY_MS : 0);
+  // The change may have been written right after the reply before.
+  const delayMs = Math.max(
+    FEED_DELAY_MS,
+    now - (repliedMs ?? now) - FEED_WAIT_MS,
+  );
+  const departsMs = now + (isDated ? remainingMs - delayMs : 0);
   return {
     incarnation,
     departsMs: Math.min(departsMs, held?.departsMs ?? Infinity),
--- a/packages/departures/src/notice_test.ts
+++ b/packages/departures/src/notice_test.ts
@@ -36,6 +36,12 @@
     at: { now: NOW_MS, repliedMs: NOW_MS - 1_001 },
     is: [NOW_MS, false],
   },
+  {
+    name: "a change that a slow call has read",
+    info: LEAVES,
+    at: { now: NOW_MS, repliedMs: NOW_MS - 950 },
+    is: [11_250, true],
+  },
   { name: "a listing", info: LEAVES, at: LISTED, is: [NOW_MS, false] },
   {
     name: "the same time once more",
--- a/packages/dispatch/src/dispatch_state.ts
+++ b/packages/dispatch/src/dispatch_state.ts
@@ -85,6 +85,8 @@
   notBeforeMs: number;
   /** Number of times that the task was preempted. */
   preemptions: number;
+  /** Number of times that the task was moved off a departing worker. */
+  moves: number;
 }
 
 /** A stage in one occurrence of its job. */
@@ -372,6 +374,7 @@
     abandonedAttempt: 0,
     notBeforeMs: 0,
     preemptions: 0,
+    moves: 0,
   };
 }
 
--- a/packages/prove/src/domain/domain_departures_test.ts
+++ b/packages/prove/src/domain/domain_departures_test.ts
@@ -337,6 +337,32 @@
   });
 });
 
+// Guards against tasks that start over without end.
+describe("tasks without checkpoints on workers that withdraw their notices", () => {
+  it("are moved twice at most", () => {
+    const trial = startTrial({ tasks: 6 });
+    const { cluster } = trial;
+    for (let index = 0; index < 30; index++) {
+      cluster.clock.after(index * 1_000, () => {
+        const run = cluster.runs.find(({ endMs }) => endMs === undefined);
+        if (run !== undefined) {
+          cluster.announceDeparture(run.workerId, NOTICE);
+          cluster.clock.after(
+            700,
+            () => cluster.withdrawDeparture(run.workerId),
+          );
+        }
+      });
+    }
+    settle(trial);
+    expect(lostRuns(trial).length).to.equal(0);
+    for (const { task } of cluster.runs) {
+      const runs = cluster.runs.filter((run) => run.task === task);
+      expect(runs.length).to.be.within(1, 3);
+    }
+  });
+});
+
 const BUDGETS = [
   { budget: 0, moved: 0 },
   { budget: 1, moved: 4 },
