--- a/packages/prove/src/domain/plugins.ts
+++ b/packages/prove/src/domain/plugins.ts
@@ -6,4 +6,5 @@
 import "@mustardweir/permits";
 import "@mustardweir/run-times";
 import "@mustardweir/dispatch";
+import "@mustardweir/departures";
 import "@mustardweir/intake";
