Add a benchmark of the owner's event loop while much work waits

Cause: in a burst the owner's event loop is the bottleneck, and no benchmark showed what its events cost.

Real time was ruled out as the measure of events: on a shared machine single events took up to 850 ms of it.

The simulated cluster's other tests use the defaults of the new options.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -5,6 +5,7 @@
 import "./quarantine_benchmark.ts";
 import "./throughput_benchmark.ts";
 import "./decisions_benchmark.ts";
+import "./backlog_benchmark.ts";
 import "./scaling_benchmark.ts";
 import "./journal_benchmark.ts";
 import "./configuration_benchmark.ts";
--- a/packages/dispatch/src/mod.ts
+++ b/packages/dispatch/src/mod.ts
@@ -5,3 +5,5 @@
  * @module
  */
 export * from "./dispatch_plugin.ts";
+export { DISPATCH_STATE } from "./dispatch_state.ts";
+export { runPlacementPass } from "./placement_pass.ts";
--- a/packages/prove/src/domain/domain_cluster.ts
+++ b/packages/prove/src/domain/domain_cluster.ts
@@ -1,4 +1,4 @@
-import { Random, Role, type StateKey } from "@mustardweir/kernel";
+import { type Kernel, Random, Role, type StateKey } from "@mustardweir/kernel";
 import {
   type DesiredState,
   NO_RESOURCES,
@@ -10,6 +10,7 @@
   WorkerState,
 } from "@mustardweir/model";
 import {
+  type AskPermitsEffect,
   createEffectReply,
   EffectKind,
   FRONT_CALL_RECEIVED,
@@ -27,7 +28,11 @@
 } from "@mustardweir/protocol";
 import { REPLICA } from "@mustardweir/replica";
 import { TENURE, TenurePhase } from "@mustardweir/tenure";
-import { ProcessState, SimulatedNode } from "../simulation/node.ts";
+import {
+  type KernelEvent,
+  ProcessState,
+  SimulatedNode,
+} from "../simulation/node.ts";
 import { Tampering } from "../simulation/tampering.ts";
 import { VirtualClock } from "../simulation/virtual_clock.ts";
 import { DomainStore } from "./domain_store.ts";
@@ -65,6 +70,8 @@
   readonly spec: StagedJobSpec;
   /** Path of the queue to which it was submitted. */
   readonly prefix: string;
+  /** API key with which it was submitted; that of the caller by default. */
+  readonly key?: string;
   readonly answers: FrontAnswer[];
   cancelledMs: number | undefined;
 }
@@ -134,10 +141,31 @@
   readonly workerReturnMs?: number;
   /** Returns what differs between the nodes, by their index. */
   readonly profileOf?: (index: number) => NodeProfile;
+  /** What operators request; one pool and two queues by default. */
+  readonly desired?: DesiredState;
+  /** The workers, instead of `workers` equal ones. */
+  readonly workerInfos?: readonly WorkerInfo[];
+  /** Decides permit queries, instead of `policy`, which allows all workers. */
+  readonly judge?: (query: AskPermitsEffect) => PermitJudgement;
+  /** Runs each event of a node, to measure it; only runs it by default. */
+  readonly measure?: (
+    event: KernelEvent,
+    nodeId: string,
+  ) => ReturnType<KernelEvent["run"]>;
+  /** Called with each effect that a node requests. */
+  readonly onEffect?: (effect: NodeEffect, nodeId: string) => void;
   /** Called with each line that a node logs. */
   readonly onLog?: (line: LogChangeEffect, nodeId: string) => void;
 }
 
+/** Decision of the simulated placement policy on a query. */
+export interface PermitJudgement {
+  /** Time that the policy needs, in milliseconds. */
+  readonly decideMs: number;
+  /** The workers that it allows. */
+  readonly allowed: readonly string[];
+}
+
 /** Durations of permit queries, in milliseconds. */
 export interface PolicyTiming {
   /** Time that the policy needs for a query; it serves each node in turn. */
@@ -187,9 +215,11 @@
     this.store = new DomainStore(this.clock, this.#random);
     this.store.faults.maxRecordBytes = options.maxRecordBytes ??
       MAX_RECORD_BYTES;
-    this.store.setDesired(desiredState(options));
-    const { workers = DEFAULT_WORKERS, nodes = DEFAULT_NODES } = options;
-    for (let index = 0; index < workers; index++) {
+    this.store.setDesired(options.desired ?? desiredState(options));
+    const { workers = DEFAULT_WORKERS, nodes = DEFAULT_NODES, workerInfos } =
+      options;
+    workerInfos?.forEach((info) => this.#addWorkerOf(info));
+    for (let index = 0; workerInfos === undefined && index < workers; index++) {
       this.#addWorker(`w${index}`, `zone-${index % 2}`);
     }
     for (let index = 0; index < nodes; index++) {
@@ -215,6 +245,11 @@
     });
   }
 
+  /** The kernel of a node, for measurements of single updates. */
+  kernelOf(nodeId: string): Kernel {
+    return this.#nodes.get(nodeId)!.kernel;
+  }
+
   /** The newest epoch that a running node has seen. */
   get epoch(): number {
     return Math.max(
@@ -275,7 +310,7 @@
   }
 
   startNode(nodeId: string): void {
-    const { linkMbps, profileOf } = this.#options;
+    const { linkMbps, profileOf, measure } = this.#options;
     const { cores } = profileOf?.(Number(nodeId.slice(1))) ?? {};
     this.#nodes.set(
       nodeId,
@@ -296,6 +331,9 @@
         random: this.#random,
         tampering: this.#options.tampering ?? new Tampering(),
         perform: (node, effect) => this.#perform(node, effect),
+        ...(measure === undefined ? {} : {
+          measure: (event, node) => measure(event, node.nodeId),
+        }),
       }),
     );
   }
@@ -341,9 +379,10 @@
     spec: StagedJobSpec,
     nodeId: string,
     prefix: string = CALLER.prefix,
+    key: string = CALLER.key,
   ): void {
     const client = this.clients.get(jobId) ??
-      { jobId, spec, prefix, answers: [], cancelledMs: undefined };
+      { jobId, spec, prefix, key, answers: [], cancelledMs: undefined };
     this.clients.set(jobId, client);
     this.call(
       nodeId,
@@ -389,7 +428,7 @@
       kind,
       host: CALLER.host,
       path: (client?.prefix ?? CALLER.prefix) + jobId,
-      key: CALLER.key,
+      key: client?.key ?? CALLER.key,
       ...(kind === FrontCallKind.Submit && spec !== undefined
         ? { body: { isReadable: true as const, spec } }
         : {}),
@@ -433,8 +472,12 @@
       labels: ["a", zone],
       rack: zone,
     };
+    this.#addWorkerOf(info);
+  }
+
+  #addWorkerOf(info: WorkerInfo): void {
     this.workers.set(
-      id,
+      info.id,
       new DomainWorker({
         info,
         clock: this.clock,
@@ -449,7 +492,7 @@
         },
       }),
     );
-    this.store.setWorker(id, info);
+    this.store.setWorker(info.id, info);
   }
 
   #behaviour(task: string): TaskBehaviour {
@@ -473,6 +516,7 @@
 
   #perform(node: SimulatedNode, effect: NodeEffect): void {
     const from = node.nodeId;
+    this.#options.onEffect?.(effect, from);
     switch (effect.kind) {
       case EffectKind.CommitRecords:
         this.#commits.set(from, this.countCommits(from) + 1);
@@ -503,7 +547,10 @@
         });
         break;
       case EffectKind.AskPermits: {
-        const { decideMs, networkMs } = this.#options.policy ?? DEFAULT_POLICY;
+        const { policy = DEFAULT_POLICY, judge } = this.#options;
+        const { networkMs } = policy;
+        const { decideMs, allowed } = judge?.(effect) ??
+          { decideMs: policy.decideMs, allowed: effect.workers };
         const decidedMs = decideMs +
           Math.max(this.clock.now, this.#policyFreeMs.get(from) ?? 0);
         this.#policyFreeMs.set(from, decidedMs);
@@ -512,7 +559,7 @@
           () =>
             reply(node, effect.replyTo)({
               kind: PermitResultKind.Judged,
-              permits: effect.workers.map((workerId) => ({
+              permits: allowed.map((workerId) => ({
                 workerId,
                 permit: "p",
               })),
--- a/packages/prove/src/simulation/node.ts
+++ b/packages/prove/src/simulation/node.ts
@@ -32,8 +32,22 @@
   readonly random: Random;
   readonly tampering: Tampering;
   readonly perform: (node: SimulatedNode, effect: NodeEffect) => void;
+  /** Runs each event of the kernel, to measure it; only runs it by default. */
+  readonly measure?: (event: KernelEvent, node: SimulatedNode) => EventEffects;
 }
 
+type EventEffects = readonly Effect[];
+
+/** An event that the kernel of a simulated process is about to handle. */
+export interface KernelEvent {
+  /** Name of the command; `periodic` for periodic work. */
+  readonly kind: string;
+  /** Handles it; called once. */
+  readonly run: () => EventEffects;
+}
+
+const PERIODIC_EVENT = "periodic";
+
 /** One process of the system: a real kernel with its own local clock. */
 export class SimulatedNode {
   readonly identity: NodeIdentity;
@@ -86,7 +100,12 @@
       );
       if (transformed !== undefined) {
         const now = this.localClock.now();
-        this.#perform(this.kernel.run(command, transformed, now));
+        this.#perform(
+          this.#measure(
+            command.name,
+            () => this.kernel.run(command, transformed, now),
+          ),
+        );
       }
     });
   }
@@ -131,12 +150,22 @@
     if (this.#state !== ProcessState.Running) {
       return;
     }
-    this.#perform(this.kernel.advance(this.localClock.now()));
+    this.#perform(
+      this.#measure(
+        PERIODIC_EVENT,
+        () => this.kernel.advance(this.localClock.now()),
+      ),
+    );
     const now = this.localClock.now();
     const delay = this.kernel.nextDue(now) - now;
     this.#wakeAfter(this.localClock.toVirtualDuration(Math.max(delay, 1)));
   }
 
+  #measure(kind: string, run: () => EventEffects): EventEffects {
+    const { measure } = this.#options;
+    return measure === undefined ? run() : measure({ kind, run }, this);
+  }
+
   #wakeAfter(delayMs: number): void {
     const { clock } = this.#options;
     const at = clock.now + delayMs;
