Look for permits only on workers with room

Cause: a pass looked up each permit of each stage that waits, in three maps, though in a backlog hardly any worker has room. It also listed all workers without a verdict before it found that none of them could start a task.

Now the room is compared first, against the most that any worker of the pool has since the last reservation, then against each worker, and permits are looked up only where a task fits. Skipping stages that were blocked before was ruled out: renewals change the workers between any two passes. One case differs: a permit is no longer used on a worker that has changed to another pool since, where it never belonged.

--- a/packages/dispatch/src/candidate_index.ts
+++ b/packages/dispatch/src/candidate_index.ts
@@ -8,7 +8,12 @@
   subtractResources,
 } from "@mustardweir/model";
 import { SESSIONS } from "@mustardweir/sessions";
-import { type Candidate, createCandidate, isEligible } from "./candidates.ts";
+import {
+  type Candidate,
+  createCandidate,
+  isEligible,
+  roomAfterPreemption,
+} from "./candidates.ts";
 import { WORKER_HEALTH } from "./health.ts";
 
 /** Largest share of a pool's workers that quarantine may exclude. */
@@ -25,6 +30,9 @@
   #usable: readonly Candidate[] | undefined;
   #capacity = NO_RESOURCES;
   #mostFree: Resources | undefined;
+  /** The same since the last reservation; undefined until computed anew. */
+  #mostFreeNow: Resources | undefined;
+  #mostRoom: Resources | undefined;
 
   /** Sum of the capacity of all candidates. */
   get capacity(): Resources {
@@ -40,6 +48,27 @@
     return this.#mostFree;
   }
 
+  /** The same, as of the last reservation. */
+  get mostFreeNow(): Resources {
+    this.#mostFreeNow ??= mostFreeOf(this.all);
+    return this.#mostFreeNow;
+  }
+
+  /**
+   * Upper bound of the resources that any candidate has for a task, after all
+   * preemptions there.
+   */
+  get mostRoom(): Resources {
+    this.#mostRoom ??= mostRoomOf(this.all);
+    return this.#mostRoom;
+  }
+
+  /** Lets the bounds be computed anew after resources were reserved. */
+  noteReserved(): void {
+    this.#mostFreeNow = undefined;
+    this.#mostRoom = undefined;
+  }
+
   /**
    * The candidates without quarantined workers. If those are too many, they are
    * included: then the jobs are more likely the cause than the workers.
@@ -84,6 +113,7 @@
     );
     this.#usable = undefined;
     this.#mostFree = undefined;
+    this.noteReserved();
   }
 
   remove(workerId: string): void {
@@ -105,6 +135,7 @@
     );
     this.#usable = undefined;
     this.#mostFree = undefined;
+    this.noteReserved();
   }
 }
 
@@ -133,6 +164,27 @@
     return known !== undefined && fitsWithin(size, known.mostFree);
   }
 
+  /**
+   * Returns whether a task of this size may start on any candidate of the pool,
+   * after preemptions if those are allowed.
+   */
+  mayStart(
+    pool: string,
+    { size, preempts }: {
+      readonly size: Resources;
+      readonly preempts: boolean;
+    },
+  ): boolean {
+    const known = this.#pools.get(pool);
+    return known !== undefined && (fitsWithin(size, known.mostFreeNow) ||
+      (preempts && fitsWithin(size, known.mostRoom)));
+  }
+
+  /** Lets {@link mayStart} look anew after resources of the pool were reserved. */
+  noteReserved(pool: string): void {
+    this.#pools.get(pool)?.noteReserved();
+  }
+
   /** Returns the capacity of all candidates of a pool. */
   capacityOf(pool: string): Resources {
     return this.#pools.get(pool)?.capacity ?? NO_RESOURCES;
@@ -220,10 +272,26 @@
 function mostFreeOf(candidates: readonly Candidate[]): Resources {
   const most = { ...NO_RESOURCES };
   for (const { free } of candidates) {
-    most.cpuMillis = Math.max(most.cpuMillis, free.cpuMillis);
-    most.memoryMb = Math.max(most.memoryMb, free.memoryMb);
-    most.accelerators = Math.max(most.accelerators, free.accelerators);
-    most.slots = Math.max(most.slots, free.slots);
+    raise(most, free);
   }
   return most;
 }
+
+function mostRoomOf(candidates: readonly Candidate[]): Resources {
+  const most = { ...NO_RESOURCES };
+  for (const candidate of candidates) {
+    raise(most, roomAfterPreemption(candidate));
+  }
+  return most;
+}
+
+/** Raises the upper bound to the given amount. */
+function raise(
+  most: { -readonly [Kind in keyof Resources]: Resources[Kind] },
+  amount: Resources,
+): void {
+  most.cpuMillis = Math.max(most.cpuMillis, amount.cpuMillis);
+  most.memoryMb = Math.max(most.memoryMb, amount.memoryMb);
+  most.accelerators = Math.max(most.accelerators, amount.accelerators);
+  most.slots = Math.max(most.slots, amount.slots);
+}
--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -216,6 +216,17 @@
   return fitsWithin(reservedSize(stage), session.info.capacity);
 }
 
+/** Returns the resources that tasks could get after stopping all victims. */
+export function roomAfterPreemption(
+  { expected, victims }: Candidate,
+): Resources {
+  let room = expected;
+  for (const { stage } of victims) {
+    room = addResources(room, reservedSize(stage));
+  }
+  return room;
+}
+
 /** Returns whether one more task of the stage can start on the worker now. */
 export function fitsNow(candidate: Candidate, stage: StageRun): boolean {
   const { spec } = stage;
--- a/packages/dispatch/src/permission.ts
+++ b/packages/dispatch/src/permission.ts
@@ -1,11 +1,11 @@
 import type { Update } from "@mustardweir/kernel";
 import {
-  findValidPermit,
+  type GrantedPermit,
   queryPermits,
   type StagePermits,
   stagePermits,
 } from "@mustardweir/permits";
-import type { StageRun } from "./dispatch_state.ts";
+import { reservedSize, type StageRun } from "./dispatch_state.ts";
 import { CANDIDATES } from "./candidate_index.ts";
 import {
   type Candidate,
@@ -49,25 +49,81 @@
     return stage.spec.gang || candidates.length <= MAX_CONSIDERED
       ? candidates
       : selectCandidates(
-        update,
         candidates,
+        firstConsidered(update, candidates),
         (candidate) => canStartTask(candidate, context),
       );
   }
   const index = update.read(CANDIDATES);
   const held: Candidate[] = [];
-  for (const workerId of stagePermits(update, stage.name).good.keys()) {
-    const candidate = index.find(workerId);
-    if (
-      candidate !== undefined &&
-      findValidPermit(update, stage.name, workerId) !== undefined
-    ) {
+  for (const [workerId, permit] of stagePermits(update, stage.name).good) {
+    const candidate = isValid(permit, update.now)
+      ? index.find(workerId)
+      : undefined;
+    if (candidate !== undefined) {
       held.push(candidate);
     }
   }
   return held;
 }
 
+/**
+ * Returns whether a task of the stage can start on any candidate on which the
+ * stage may run. Looks for permits only where there is room: a stage has permits
+ * for many workers, and in a backlog hardly any of them has room.
+ */
+export function canStartAnywhere(
+  update: Update,
+  context: PlacementContext,
+): boolean {
+  const { stage, candidates } = context;
+  const mayStart = mayStartInPool(update, context);
+  if (stage.job.record.queue.permits === undefined) {
+    const canStart = mayStart &&
+      candidates.some((candidate) => canStartTask(candidate, context));
+    if (!canStart && !stage.spec.gang) {
+      firstConsidered(update, candidates);
+    }
+    return canStart;
+  }
+  const { good } = stagePermits(update, stage.name);
+  return mayStart && good.size > 0 &&
+    candidates.some((candidate) =>
+      canStartTask(candidate, context) &&
+      isValid(good.get(candidate.session.info.id), update.now)
+    );
+}
+
+/** Returns whether the stage has a valid permit for any worker. */
+export function holdsPermit(update: Update, stage: StageRun): boolean {
+  const index = update.read(CANDIDATES);
+  for (const [workerId, held] of stagePermits(update, stage.name).good) {
+    if (isValid(held, update.now) && index.find(workerId) !== undefined) {
+      return true;
+    }
+  }
+  return false;
+}
+
+function isValid(held: GrantedPermit | undefined, now: number): boolean {
+  return held !== undefined && held.validUntilMs > now;
+}
+
+/**
+ * Returns false if no worker of the pool has room for a task of the stage, even
+ * after preemptions if those are allowed.
+ */
+function mayStartInPool(
+  update: Update,
+  { stage, preempts }: PlacementContext,
+): boolean {
+  const { pool } = stage.job.record.queue;
+  return update.read(CANDIDATES).mayStart(pool, {
+    size: reservedSize(stage),
+    preempts,
+  });
+}
+
 /**
  * Queries the policy about workers without a valid permit that could run the
  * stage.
@@ -82,8 +138,12 @@
   if (policy === undefined || known.isQueryPending) {
     return;
   }
-  const expired = listExpired(update, stage, known);
-  const unjudged = listUnjudged(update, context, known);
+  const first = firstConsidered(update, context.candidates);
+  if (!mayQueryHelp(update, context, known)) {
+    return;
+  }
+  const expired = listExpired(update, known);
+  const unjudged = listUnjudged(context, known, first);
   // A permit is valid for a short time only, so there is no query while no task
   // could start. Other workers are included because they may get room while the
   // permit is valid, and verdicts never change.
@@ -104,20 +164,33 @@
   });
 }
 
-/** Returns the workers that are good for the stage but whose permit is over. */
-function listExpired(
+/**
+ * Returns false if no worker on which a task could start is one about which the
+ * policy can be asked.
+ */
+function mayQueryHelp(
   update: Update,
-  stage: StageRun,
-  known: StagePermits,
-): Candidate[] {
+  context: PlacementContext,
+  { judged, good }: StagePermits,
+): boolean {
+  return mayStartInPool(update, context) &&
+    context.candidates.some((candidate) => {
+      const { id } = candidate.session.info;
+      return canStartTask(candidate, context) &&
+        (!judged.has(id) ||
+          (good.has(id) && !isValid(good.get(id), update.now)));
+    });
+}
+
+/** Returns the workers that are good for the stage but whose permit is over. */
+function listExpired(update: Update, known: StagePermits): Candidate[] {
   const index = update.read(CANDIDATES);
   const expired: Candidate[] = [];
-  for (const workerId of known.good.keys()) {
-    const candidate = index.find(workerId);
-    if (
-      candidate !== undefined &&
-      findValidPermit(update, stage.name, workerId) === undefined
-    ) {
+  for (const [workerId, permit] of known.good) {
+    const candidate = isValid(permit, update.now)
+      ? undefined
+      : index.find(workerId);
+    if (candidate !== undefined) {
       expired.push(candidate);
     }
   }
@@ -126,29 +199,40 @@
 
 /** Returns workers for which the policy has given no verdict yet. */
 function listUnjudged(
-  update: Update,
   { stage, candidates }: PlacementContext,
   known: StagePermits,
+  first: number,
 ): Candidate[] {
   return selectCandidates(
-    update,
     candidates,
+    first,
     (candidate) =>
       hasRequiredLabel(candidate, stage) && fitsWhenEmpty(stage, candidate) &&
       !known.judged.has(candidate.session.info.id),
   );
 }
 
-/** Returns some candidates for which `isWanted` holds. */
-function selectCandidates(
+/**
+ * Returns the index of the candidate at which a selection starts. Drawn for each
+ * stage that is examined, whether or not a selection follows, so that later draws
+ * don't depend on shortcuts.
+ */
+function firstConsidered(
   update: Update,
   candidates: readonly Candidate[],
+): number {
+  return candidates.length > MAX_CONSIDERED
+    ? update.random.below(candidates.length)
+    : 0;
+}
+
+/** Returns some candidates for which `isWanted` holds, from an index on. */
+function selectCandidates(
+  candidates: readonly Candidate[],
+  first: number,
   isWanted: (candidate: Candidate) => boolean,
 ): Candidate[] {
   const selected: Candidate[] = [];
-  const first = candidates.length > MAX_CONSIDERED
-    ? update.random.below(candidates.length)
-    : 0;
   for (
     let count = 0;
     count < candidates.length && selected.length < MAX_CONSIDERED;
--- a/packages/dispatch/src/placement_pass.ts
+++ b/packages/dispatch/src/placement_pass.ts
@@ -20,7 +20,7 @@
   type TaskRun,
 } from "./dispatch_state.ts";
 import { CANDIDATES } from "./candidate_index.ts";
-import { type Candidate, clearReservations, isSuspect } from "./candidates.ts";
+import { clearReservations, isSuspect } from "./candidates.ts";
 import { withinCeiling } from "./ceilings.ts";
 import { holdWorkers, withinProbation } from "./isolation.ts";
 import {
@@ -29,7 +29,8 @@
   type PlacementRule,
 } from "./placement_rules.ts";
 import {
-  canStartTask,
+  canStartAnywhere,
+  holdsPermit,
   permittedCandidates,
   type PlacementContext,
   queryMorePermits,
@@ -343,11 +344,11 @@
       return 0;
     }
     const context = { ...asked, candidates: index.inPool(pool) };
-    const allowed = permittedCandidates(update, context);
-    if (!allowed.some((candidate) => canStartTask(candidate, context))) {
-      this.#awaitPermits(context, allowed);
+    if (!canStartAnywhere(update, context)) {
+      this.#awaitPermits(context);
       return 0;
     }
+    const allowed = permittedCandidates(update, context);
     const rule: PlacementRule = isGang ? GANG : BEST_FIT;
     const most = Math.min(
       TASK_BATCH_SIZE,
@@ -378,6 +379,7 @@
         preemptFor(update, { stage, missing, candidates: allowed });
       }
     }
+    index.noteReserved(pool);
     return placements.length;
   }
 
@@ -385,18 +387,15 @@
    * Asks for permits for a stage that holds none with room. While it holds none
    * at all, only the reply can change that.
    */
-  #awaitPermits(
-    context: PlacementContext,
-    held: readonly Candidate[],
-  ): void {
+  #awaitPermits(context: PlacementContext): void {
     const { stage } = context;
     if (stage.job.record.queue.permits === undefined) {
       return;
     }
     queryMorePermits(this.#update, context);
     if (
-      held.length === 0 &&
-      stagePermits(this.#update, stage.name).isQueryPending
+      stagePermits(this.#update, stage.name).isQueryPending &&
+      !holdsPermit(this.#update, stage)
     ) {
       this.#update.write(DISPATCH_STATE).waiting
         .setAside(stage, this.#update.now + MAX_PERMIT_WAIT_MS);
--- a/packages/dispatch/src/preemption.ts
+++ b/packages/dispatch/src/preemption.ts
@@ -12,7 +12,11 @@
   taskName,
   type TaskRun,
 } from "./dispatch_state.ts";
-import { type Candidate, hasRequiredLabel } from "./candidates.ts";
+import {
+  type Candidate,
+  hasRequiredLabel,
+  roomAfterPreemption,
+} from "./candidates.ts";
 import { stopTask } from "./progress.ts";
 import { ObjectiveStatus } from "./turn_order.ts";
 
@@ -33,12 +37,8 @@
   candidate: Candidate,
   stage: StageRun,
 ): boolean {
-  const room = candidate.victims.reduce(
-    (sum, victim) => addResources(sum, reservedSize(victim.stage)),
-    candidate.expected,
-  );
   return hasRequiredLabel(candidate, stage) &&
-    fitsWithin(reservedSize(stage), room);
+    fitsWithin(reservedSize(stage), roomAfterPreemption(candidate));
 }
 
 /**
