Rank a waiting stage without building lists

Cause: a pass ranks up to 256 stages, and each built a list of ends, spread it and those of its dependencies into calls, and copied the list of its tasks to find suspects. Storing the critical path was ruled out: the time that remains changes with each stage that is done.

--- a/packages/dispatch/src/isolation.ts
+++ b/packages/dispatch/src/isolation.ts
@@ -33,11 +33,11 @@
   update: Update,
   pool: string,
   tasks: readonly TaskRun[],
-): TaskRun[] {
-  const ordinary = tasks.filter((task) => !isSuspect(task));
-  if (ordinary.length === tasks.length) {
-    return ordinary;
+): readonly TaskRun[] {
+  if (!tasks.some(isSuspect)) {
+    return tasks;
   }
+  const ordinary = tasks.filter((task) => !isSuspect(task));
   const suspects = tasks.filter(isSuspect);
   const taken = listProbationWorkers(update, pool);
   let left = maxProbations(update, pool) - taken.size;
--- a/packages/dispatch/src/turn_order.ts
+++ b/packages/dispatch/src/turn_order.ts
@@ -120,13 +120,23 @@
   occurrence: number,
   isRemainingOnly: boolean,
 ): number {
+  const { stages } = job.record.spec;
   const endsMs: number[] = [];
-  job.record.spec.stages.forEach(({ dependsOn, estimateMs }, number) => {
-    const stage = job.stages.get(stageKey(occurrence, number));
-    const isCompleted = isRemainingOnly && stage !== undefined &&
-      isStageDone(stage);
-    const startMs = Math.max(0, ...dependsOn.map((at) => endsMs[at] ?? 0));
-    endsMs.push(startMs + (isCompleted ? 0 : estimateMs));
-  });
-  return Math.max(0, ...endsMs);
+  let longestMs = 0;
+  // Plain loops: this runs twice for each stage that a pass examines.
+  for (let number = 0; number < stages.length; number++) {
+    const { dependsOn, estimateMs } = stages[number]!;
+    const stage = isRemainingOnly
+      ? job.stages.get(stageKey(occurrence, number))
+      : undefined;
+    const isCompleted = stage !== undefined && isStageDone(stage);
+    let startMs = 0;
+    for (const at of dependsOn) {
+      startMs = Math.max(startMs, endsMs[at] ?? 0);
+    }
+    const endMs = startMs + (isCompleted ? 0 : estimateMs);
+    endsMs.push(endMs);
+    longestMs = Math.max(longestMs, endMs);
+  }
+  return longestMs;
 }
