Stop early when no node can take a permit query, and key a listing once

Cause: each new query and each reply went over all queries that wait, hundreds in a burst, though every node was busy; a worker's listing was turned into keys twice, and lists of the attempts that it leaves out were built when it left out none. A worker without tasks being stopped built a list of these.

Now the queries stay as they are once the least busy node takes none. The order of queries and the random first node are as before.

--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -137,6 +137,7 @@
   let hasBestEffortTask = false;
   let isQuiet = true;
   let probationOf: IsolationUnit | undefined = findHolder(update, session);
+  let isStoppingAny = false;
   const tasks: TaskRun[] = [];
   for (const attempt of session.attempts.values()) {
     used = addResources(used, attempt.size);
@@ -154,6 +155,7 @@
       return undefined;
     }
     tasks.push(placed);
+    isStoppingAny ||= placed.isStopping;
     const { spec } = placed.stage;
     hasLatencyTask ||= spec.latencyObjectiveMs > 0;
     hasBestEffortTask ||= spec.bestEffort;
@@ -162,7 +164,9 @@
   return {
     session,
     free,
-    expected: addResources(free, capacityBeingFreed(tasks)),
+    expected: isStoppingAny
+      ? addResources(free, capacityBeingFreed(tasks))
+      : free,
     victims: listVictims(tasks),
     hasLatencyTask,
     hasBestEffortTask,
--- a/packages/permits/src/queries.ts
+++ b/packages/permits/src/queries.ts
@@ -168,8 +168,17 @@
   let longQueriesLeft = maxLongQueries(update, nodes.length) -
     [...permits.calls.values()].filter((call) => call.isLong).length;
   let node = findLeastBusy(nodes);
+  if (isFull(node)) {
+    return;
+  }
   const left: PermitQuery[] = [];
-  for (const query of permits.waiting.splice(0)) {
+  const waiting = permits.waiting.splice(0);
+  for (const [index, query] of waiting.entries()) {
+    // In a burst, hundreds wait and all nodes are busy.
+    if (isFull(node)) {
+      left.push(...waiting.slice(index));
+      break;
+    }
     const isLong = expectedMs(query) > LONG_QUERY_MS;
     const canSend = isLong
       ? longQueriesLeft > 0 && node.inFlight === 0
@@ -186,6 +195,11 @@
   permits.waiting.push(...left);
 }
 
+/** Returns whether the node, and so each busier one, takes no query now. */
+function isFull({ inFlight }: UsableNode): boolean {
+  return inFlight >= MAX_SHORT_QUERIES_PER_NODE;
+}
+
 /** Returns the first of the nodes with the fewest queries in flight. */
 function findLeastBusy(nodes: readonly UsableNode[]): UsableNode {
   return nodes.reduce((least, node) =>
--- a/packages/sessions/src/listings.ts
+++ b/packages/sessions/src/listings.ts
@@ -134,9 +134,20 @@
   { attempts }: Readonly<Session>,
   listing: WorkerListing,
 ): SessionAttempt[] {
-  const present = listedKeys(listing);
-  return [...attempts].filter(([key]) => !present.has(key))
-    .map(([, attempt]) => attempt);
+  return listAbsent(attempts, listedKeys(listing));
+}
+
+function listAbsent(
+  attempts: ReadonlyMap<string, SessionAttempt>,
+  present: ReadonlySet<string>,
+): SessionAttempt[] {
+  const absent: SessionAttempt[] = [];
+  for (const [key, attempt] of attempts) {
+    if (!present.has(key)) {
+      absent.push(attempt);
+    }
+  }
+  return absent;
 }
 
 /** Returns the keys of the attempts that run on the worker or have ended there. */
@@ -243,8 +254,11 @@
 ): void {
   const { listing } = received;
   const workerId = session.info.id;
+  const present = new Set(listing.ended.map(attemptKey));
   for (const listed of listing.running) {
-    const attempt = session.attempts.get(attemptKey(listed));
+    const key = attemptKey(listed);
+    present.add(key);
+    const attempt = session.attempts.get(key);
     if (attempt === undefined) {
       update.dispatch(ATTEMPT_FOUND, { workerId, found: listed });
       continue;
@@ -261,7 +275,11 @@
     }
     update.dispatch(ATTEMPT_LISTED, { workerId, listed });
   }
-  const unlisted = listUnlisted(session, listing);
+  const unlisted = listAbsent(session.attempts, present);
+  if (unlisted.length === 0) {
+    reportVanished(update, session, { lost: [], reason: LossCause.NotListed });
+    return;
+  }
   const invalidated = unlisted.filter((attempt) =>
     isInvalidated(attempt, received)
   );
