Count the time of events by kind, and the longest since the last reading

Cause: nothing told an operator which events fill the owner's loop in a burst, and how long they keep others waiting.

The event loop adds up the time of each kind of event and of whole turns. The end of an event is read from the clock as the start of the next, and the last reading serves the next timer, so no event and no idle turn reads the clock more often than before; only a turn that leaves events in the queue reads it once more. A histogram for each kind was ruled out (its cost and its lines), as was the runtime's monitor of the loop's delay, which doesn't tell the kind.

--- a/packages/runtime/src/event_loop.ts
+++ b/packages/runtime/src/event_loop.ts
@@ -4,6 +4,8 @@
   type NodeEffect,
   PROCESS_SUSPENDED,
 } from "@mustardweir/protocol";
+import { EventMeter, PERIODIC_KIND, TURN_KIND } from "./event_meter.ts";
+import { Metrics } from "./metrics.ts";
 import type { EventSink, Performer } from "./performer.ts";
 import { SuspensionMeter } from "./suspension.ts";
 
@@ -37,6 +39,8 @@
   readonly performers: readonly Performer[];
   /** The system's monotonic clock by default. */
   readonly clock?: Clock;
+  /** Counts the time of events by kind; new by default. */
+  readonly metrics?: Metrics;
 }
 
 /** Options of a stop. */
@@ -45,7 +49,11 @@
   readonly drainMs?: number;
 }
 
-type QueuedEvent = (now: number) => void;
+interface QueuedEvent {
+  /** Name of its command. */
+  readonly kind: string;
+  readonly run: (now: number) => void;
+}
 
 /**
  * Runs a kernel's commands one event at a time and passes its effects to the
@@ -65,6 +73,7 @@
   readonly #clock: Clock;
   readonly #queue: QueuedEvent[] = [];
   readonly #suspensions = new SuspensionMeter();
+  readonly #meter: EventMeter;
   #nextTurn: NodeJS.Immediate | undefined;
   #timer: NodeJS.Timeout | undefined;
   /** Number of events that come before the next periodic work. */
@@ -75,6 +84,7 @@
     this.#kernel = options.kernel;
     this.#performers = options.performers;
     this.#clock = options.clock ?? new SystemClock();
+    this.#meter = new EventMeter(options.metrics ?? new Metrics());
     for (const performer of options.performers) {
       this.#registerKinds(performer);
     }
@@ -105,8 +115,9 @@
 
   /** Adds an event to the end of the queue. */
   post<Payload>(command: Command<Payload>, payload: Payload): void {
-    this.#queue.push((now) => {
-      this.#perform(this.#kernel.run(command, payload, now));
+    this.#queue.push({
+      kind: command.name,
+      run: (now) => this.#perform(this.#kernel.run(command, payload, now)),
     });
     this.#schedule();
   }
@@ -134,22 +145,31 @@
     // Events that arrived during a pause may meet deadlines that it passed.
     this.#backlog ||= this.#queue.length;
     const events = this.#queue.splice(0, EVENTS_PER_TURN);
-    for (const event of events) {
-      event(this.#clock.now());
+    let now = events.length > 0 ? this.#clock.now() : startMs;
+    for (const { kind, run } of events) {
+      run(now);
+      now = this.#noteEvent(kind, now);
     }
     this.#backlog = Math.max(0, this.#backlog - events.length);
     if (this.#backlog === 0) {
-      this.#perform(
-        this.#kernel.advance(events.length > 0 ? this.#clock.now() : startMs),
-      );
+      this.#perform(this.#kernel.advance(now));
+      now = this.#noteEvent(PERIODIC_KIND, now);
     }
+    this.#meter.note(TURN_KIND, now - startMs);
     if (this.#queue.length > 0) {
       this.#schedule();
     } else {
-      this.#sleep();
+      this.#sleep(now);
     }
   }
 
+  /** Notes an event that has just ended, and returns the current time. */
+  #noteEvent(kind: string, startMs: number): number {
+    const now = this.#clock.now();
+    this.#meter.note(kind, now - startMs);
+    return now;
+  }
+
   /** Permissions that ran out meanwhile must not be used by the next events. */
   #tellSuspension(now: number): void {
     const forMs = this.#suspensions.measure({
@@ -161,9 +181,8 @@
     }
   }
 
-  #sleep(): void {
+  #sleep(now: number): void {
     clearTimeout(this.#timer);
-    const now = this.#clock.now();
     const delay = Math.min(this.#kernel.nextDue(now) - now, MAX_SLEEP_MS);
     // Timers truncate fractions; a timer that fires early finds nothing due.
     const wholeMs = Math.floor(Math.max(delay, 0)) + 1;
--- a/packages/runtime/src/event_loop_test.ts
+++ b/packages/runtime/src/event_loop_test.ts
@@ -11,12 +11,20 @@
   type NodeEffect,
 } from "@mustardweir/protocol";
 import { expect } from "chai";
-import { EventLoop, type EventSink, Performer, SystemClock } from "./mod.ts";
+import {
+  EventLoop,
+  type EventSink,
+  Metrics,
+  Performer,
+  SystemClock,
+} from "./mod.ts";
 
 const WAIT_LIMIT_MS = 10_000;
 const NUMBERS = Array.from({ length: 1_000 }, (_, index) => String(index));
 /** Interval of periodic work, in milliseconds. */
 const PERIOD_MS = 50;
+/** Time that an event takes by the manual clock, in milliseconds. */
+const EVENT_MS = 3;
 const NAMED = createCommand<string>("named");
 
 /** Records counters in order; posts a reply to those named `ask-…`. */
@@ -49,6 +57,15 @@
   }
 }
 
+/** A clock that stands still except when a test sets it. */
+class ManualClock extends SystemClock {
+  ms = 0;
+
+  override now(): number {
+    return this.ms;
+  }
+}
+
 function emitName(name: string, update: Update): void {
   update.emit(count(name));
 }
@@ -153,6 +170,28 @@
     expect(turns).to.be.at.most(1.5 * performer.performed.length);
   });
 
+  // Guards against events whose time is counted for another kind or not at all.
+  it("counts the time of events by kind", async () => {
+    const clock = new ManualClock();
+    const kernel = new Kernel();
+    kernel.registerCommand(NAMED, () => {
+      clock.ms += EVENT_MS;
+    }, CommandPriority.Normal);
+    const metrics = new Metrics();
+    const loop = new EventLoop({ kernel, performers: [], clock, metrics });
+    await loop.start();
+    loop.post(NAMED, "a");
+    loop.post(NAMED, "b");
+    await waitUntil(() => metrics.counter("events-named") === 2);
+    await loop.stop();
+    const { counters, gauges } = metrics.snapshot();
+    expect(counters["event-us-named"]).to.equal(2 * EVENT_MS * 1_000);
+    expect(counters["event-us-periodic"]).to.equal(0);
+    expect(counters["event-us-turn"]).to.equal(2 * EVENT_MS * 1_000);
+    expect(gauges["event-longest-ms-named"]).to.equal(EVENT_MS);
+    expect(gauges["event-longest-ms-turn"]).to.equal(2 * EVENT_MS);
+  });
+
   it("does not poll without work", async () => {
     const clock = new CountingClock();
     const loop = new EventLoop({
--- a/packages/runtime/src/metrics.ts
+++ b/packages/runtime/src/metrics.ts
@@ -63,6 +63,8 @@
 export class Metrics {
   readonly #counters = new Map<string, number>();
   readonly #gauges = new Map<string, number>();
+  /** Largest values since the last rendering. */
+  readonly #maxima = new Map<string, number>();
   readonly #histograms = new Map<string, JsHistogram>();
   readonly #sums = new Map<string, number>();
 
@@ -88,6 +90,17 @@
     this.#gauges.set(gauge, value);
   }
 
+  /**
+   * Raises a gauge to the value if that is larger. {@link renderPrometheus}
+   * lowers it to 0 again, so that a reader gets the largest value since it last
+   * asked.
+   */
+  raise(gauge: string, value: number): void {
+    if (value > (this.#maxima.get(gauge) ?? -Infinity)) {
+      this.#maxima.set(gauge, value);
+    }
+  }
+
   /** Adds a value, rounded, to a histogram; negative values count as 0. */
   observe(histogram: string, value: number): void {
     const recorded = Math.max(0, Math.round(value));
@@ -102,14 +115,20 @@
     );
     return {
       counters: Object.fromEntries(this.#counters),
-      gauges: Object.fromEntries(this.#gauges),
+      gauges: Object.fromEntries([...this.#gauges, ...this.#maxima]),
       histograms: Object.fromEntries(histograms),
     };
   }
 
-  /** Returns all metrics in the text format of Prometheus. */
+  /**
+   * Returns all metrics in the text format of Prometheus, and lowers the gauges
+   * of {@link raise}.
+   */
   renderPrometheus(): string {
     const { counters, gauges, histograms } = this.snapshot();
+    for (const gauge of this.#maxima.keys()) {
+      this.#maxima.set(gauge, 0);
+    }
     const lines = [
       ...Object.entries(counters).sort(byName).flatMap(renderCounter),
       ...Object.entries(gauges).sort(byName).flatMap(renderGauge),
--- a/packages/runtime/src/metrics_test.ts
+++ b/packages/runtime/src/metrics_test.ts
@@ -57,6 +57,24 @@
     },
     text: HISTOGRAM_TEXT,
   },
+  {
+    name: "the largest value of a gauge that is raised",
+    act: (metrics) => [2, 7, 3].forEach((ms) => metrics.raise("longest", ms)),
+    text: `# TYPE mustardweir_longest gauge
+mustardweir_longest 7
+`,
+  },
+  {
+    name: "the largest value since the last rendering",
+    act: (metrics) => {
+      metrics.raise("longest", 7);
+      metrics.renderPrometheus();
+      metrics.raise("longest", 3);
+    },
+    text: `# TYPE mustardweir_longest gauge
+mustardweir_longest 3
+`,
+  },
   {
     name: "the last value of a gauge",
     act: (metrics) => {
--- a/packages/runtime/src/run_node.ts
+++ b/packages/runtime/src/run_node.ts
@@ -99,6 +99,7 @@
   });
   const loop = new EventLoop({
     kernel,
+    metrics,
     performers: [
       ...options.performers,
       new LogPerformer(logger),
