List the workers with room once for each stage of a pass

Cause: for a stage that found no worker, a pass went over all workers of the pool twice, once for its permits and once for those to ask about, and for urgent stages it added up the victims of each worker into new objects each time.

The workers with room are listed once and serve both questions; sums of victims are plain numbers. Sharing the list between stages of one size was ruled out: labels, interference and preemption differ too, and placements change it.

--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -231,6 +231,25 @@
   return room;
 }
 
+/** Returns whether a task of this size would fit after stopping all victims. */
+export function fitsAfterStopping(
+  { expected, victims }: Candidate,
+  size: Resources,
+): boolean {
+  // A pass asks this for each worker of the pool and each urgent stage, so the
+  // sums are no objects, and workers without victims cost one comparison.
+  let { cpuMillis, memoryMb, accelerators, slots } = expected;
+  for (const { stage } of victims) {
+    const freed = reservedSize(stage);
+    cpuMillis += freed.cpuMillis;
+    memoryMb += freed.memoryMb;
+    accelerators += freed.accelerators;
+    slots += freed.slots;
+  }
+  return size.cpuMillis <= cpuMillis && size.memoryMb <= memoryMb &&
+    size.accelerators <= accelerators && size.slots <= slots;
+}
+
 /** Returns whether one more task of the stage can start on the worker now. */
 export function fitsNow(candidate: Candidate, stage: StageRun): boolean {
   const { spec } = stage;
--- a/packages/dispatch/src/permission.ts
+++ b/packages/dispatch/src/permission.ts
@@ -28,6 +28,8 @@
  */
 const MAX_CONSIDERED = 80;
 
+const NO_CANDIDATES: readonly Candidate[] = [];
+
 /** A stage with waiting tasks and the workers of its pool. */
 export interface PlacementContext {
   readonly stage: StageRun;
@@ -68,30 +70,35 @@
 }
 
 /**
- * Returns whether a task of the stage can start on any candidate on which the
- * stage may run. Looks for permits only where there is room: a stage has permits
- * for many workers, and in a backlog hardly any of them has room.
+ * Returns the workers on which a task of the stage could start now, whether or
+ * not the stage may run there. In a backlog these are few, and a stage has
+ * permits for many workers, so permits are looked up only for these.
  */
-export function canStartAnywhere(
+export function listStartable(
   update: Update,
   context: PlacementContext,
+): readonly Candidate[] {
+  return mayStartInPool(update, context)
+    ? context.candidates.filter((candidate) => canStartTask(candidate, context))
+    : NO_CANDIDATES;
+}
+
+/** Returns whether the stage may run on any of the startable workers. */
+export function mayRunOnAny(
+  update: Update,
+  { stage, candidates }: PlacementContext,
+  startable: readonly Candidate[],
 ): boolean {
-  const { stage, candidates } = context;
-  const mayStart = mayStartInPool(update, context);
   if (stage.job.record.queue.permits === undefined) {
-    const canStart = mayStart &&
-      candidates.some((candidate) => canStartTask(candidate, context));
-    if (!canStart && !stage.spec.gang) {
+    if (startable.length === 0 && !stage.spec.gang) {
       firstConsidered(update, candidates);
     }
-    return canStart;
+    return startable.length > 0;
   }
   const { good } = stagePermits(update, stage.name);
-  return mayStart && good.size > 0 &&
-    candidates.some((candidate) =>
-      canStartTask(candidate, context) &&
-      isValid(good.get(candidate.session.info.id), update.now)
-    );
+  return startable.some(({ session }) =>
+    isValid(good.get(session.info.id), update.now)
+  );
 }
 
 /** Returns whether the stage has a valid permit for any worker. */
@@ -126,11 +133,12 @@
 
 /**
  * Queries the policy about workers without a valid permit that could run the
- * stage.
+ * stage. `startable` is what {@link listStartable} returns now, if it is known.
  */
 export function queryMorePermits(
   update: Update,
   context: PlacementContext,
+  startable?: readonly Candidate[],
 ): void {
   const { stage, rank } = context;
   const { permits: policy } = stage.job.record.queue;
@@ -139,7 +147,8 @@
     return;
   }
   const first = firstConsidered(update, context.candidates);
-  if (!mayQueryHelp(update, context, known)) {
+  const withRoom = startable ?? listStartable(update, context);
+  if (!canQueryAny(withRoom, known, update.now)) {
     return;
   }
   const expired = listExpired(update, known);
@@ -164,22 +173,15 @@
   });
 }
 
-/**
- * Returns false if no worker on which a task could start is one about which the
- * policy can be asked.
- */
-function mayQueryHelp(
-  update: Update,
-  context: PlacementContext,
+/** Returns whether the policy can be asked about any of the startable workers. */
+function canQueryAny(
+  startable: readonly Candidate[],
   { judged, good }: StagePermits,
+  now: number,
 ): boolean {
-  return mayStartInPool(update, context) &&
-    context.candidates.some((candidate) => {
-      const { id } = candidate.session.info;
-      return canStartTask(candidate, context) &&
-        (!judged.has(id) ||
-          (good.has(id) && !isValid(good.get(id), update.now)));
-    });
+  return startable.some(({ session: { info: { id } } }) =>
+    !judged.has(id) || (good.has(id) && !isValid(good.get(id), now))
+  );
 }
 
 /** Returns the workers that are good for the stage but whose permit is over. */
--- a/packages/dispatch/src/placement_pass.ts
+++ b/packages/dispatch/src/placement_pass.ts
@@ -20,7 +20,7 @@
   type TaskRun,
 } from "./dispatch_state.ts";
 import { CANDIDATES } from "./candidate_index.ts";
-import { clearReservations, isSuspect } from "./candidates.ts";
+import { type Candidate, clearReservations, isSuspect } from "./candidates.ts";
 import { withinCeiling } from "./ceilings.ts";
 import { holdWorkers, withinProbation } from "./isolation.ts";
 import {
@@ -29,8 +29,9 @@
   type PlacementRule,
 } from "./placement_rules.ts";
 import {
-  canStartAnywhere,
   holdsPermit,
+  listStartable,
+  mayRunOnAny,
   permittedCandidates,
   type PlacementContext,
   queryMorePermits,
@@ -344,8 +345,9 @@
       return 0;
     }
     const context = { ...asked, candidates: index.inPool(pool) };
-    if (!canStartAnywhere(update, context)) {
-      this.#awaitPermits(context);
+    const withRoom = listStartable(update, context);
+    if (!mayRunOnAny(update, context, withRoom)) {
+      this.#awaitPermits(context, withRoom);
       return 0;
     }
     const allowed = permittedCandidates(update, context);
@@ -372,14 +374,17 @@
         allowed,
       );
     }
+    if (placements.length > 0) {
+      index.noteReserved(pool);
+    }
     const missing = wanted.length - placements.length;
     if (missing > 0) {
       queryMorePermits(update, context);
       if (asked.preempts) {
         preemptFor(update, { stage, missing, candidates: allowed });
+        index.noteReserved(pool);
       }
     }
-    index.noteReserved(pool);
     return placements.length;
   }
 
@@ -387,12 +392,15 @@
    * Asks for permits for a stage that holds none with room. While it holds none
    * at all, only the reply can change that.
    */
-  #awaitPermits(context: PlacementContext): void {
+  #awaitPermits(
+    context: PlacementContext,
+    withRoom: readonly Candidate[],
+  ): void {
     const { stage } = context;
     if (stage.job.record.queue.permits === undefined) {
       return;
     }
-    queryMorePermits(this.#update, context);
+    queryMorePermits(this.#update, context, withRoom);
     if (
       stagePermits(this.#update, stage.name).isQueryPending &&
       !holdsPermit(this.#update, stage)
--- a/packages/dispatch/src/preemption.ts
+++ b/packages/dispatch/src/preemption.ts
@@ -14,8 +14,8 @@
 } from "./dispatch_state.ts";
 import {
   type Candidate,
+  fitsAfterStopping,
   hasRequiredLabel,
-  roomAfterPreemption,
 } from "./candidates.ts";
 import { stopTask } from "./progress.ts";
 import { ObjectiveStatus } from "./turn_order.ts";
@@ -38,7 +38,7 @@
   stage: StageRun,
 ): boolean {
   return hasRequiredLabel(candidate, stage) &&
-    fitsWithin(reservedSize(stage), roomAfterPreemption(candidate));
+    fitsAfterStopping(candidate, reservedSize(stage));
 }
 
 /**
