Skip the sums of a ceiling for teams without one

Cause: each stage that a pass examines added up the sizes of all its waiting tasks as objects, to compare the sums with a ceiling that most teams don't have. Looking up a stage also marked the state of the dispatch as changed.

The hash of starts, ends and answers is unchanged.

--- a/packages/dispatch/src/ceilings.ts
+++ b/packages/dispatch/src/ceilings.ts
@@ -23,7 +23,7 @@
     readonly team: FleetTeam | undefined;
   },
 ): readonly TaskRun[] {
-  if (team === undefined) {
+  if (team === undefined || !hasCeiling(team)) {
     return waiting;
   }
   const used = update.read(DISPATCH_STATE).used.get(team.name) ?? NO_RESOURCES;
@@ -37,6 +37,11 @@
   return waiting;
 }
 
+function hasCeiling({ ceiling }: FleetTeam): boolean {
+  return ceiling.cpuMillis > 0 || ceiling.memoryMb > 0 ||
+    ceiling.accelerators > 0;
+}
+
 function exceeds(used: Resources, ceiling: Resources): boolean {
   return isOver(used.cpuMillis, ceiling.cpuMillis) ||
     isOver(used.memoryMb, ceiling.memoryMb) ||
--- a/packages/dispatch/src/dispatch_state.ts
+++ b/packages/dispatch/src/dispatch_state.ts
@@ -542,7 +542,7 @@
 /** Finds a stage by its name. */
 export function findStage(update: Update, name: string): StageRun | undefined {
   const end = name.indexOf(".");
-  return update.write(DISPATCH_STATE).jobs.get(name.slice(0, end))
+  return update.read(DISPATCH_STATE).jobs.get(name.slice(0, end))
     ?.stages.get(name.slice(end + 1));
 }
 
