List the metrics of events where the documents' test looks for them

They now start at 0 with the first event of a kind, in calls that the test sees; it also looks for gauges that are raised.

--- a/packages/demo/src/docs/source_words.ts
+++ b/packages/demo/src/docs/source_words.ts
@@ -22,8 +22,8 @@
 /** Matches calls that name a histogram. */
 const HISTOGRAM_CALL = new RegExp(`\\bobserve\\(\\s*${TEXT}`, "g");
 
-/** Matches calls that name a gauge. */
-const GAUGE_CALL = new RegExp(`\\bgauge\\(\\s*${TEXT}`, "g");
+/** Matches calls that set or raise a gauge. */
+const GAUGE_CALL = new RegExp(`\\b(?:gauge|raise)\\(\\s*${TEXT}`, "g");
 
 /** Matches calls that log a change of state or another message. */
 const LOG_CALL = new RegExp(
--- a/packages/runtime/src/event_meter.ts
+++ b/packages/runtime/src/event_meter.ts
@@ -51,6 +51,10 @@
       longestMs: `event-longest-ms-${kind}`,
     };
     this.#names.set(kind, names);
+    // The first event counts from 0 in the rates that readers compute.
+    this.#metrics.count(`events-${kind}`, 0);
+    this.#metrics.count(`event-us-${kind}`, 0);
+    this.#metrics.raise(`event-longest-ms-${kind}`, 0);
     return names;
   }
 }
