--- a/packages/dispatch/src/mod.ts
+++ b/packages/dispatch/src/mod.ts
@@ -6,6 +6,7 @@
  */
 export { CANDIDATES } from "./candidate_index.ts";
 export {
+  DISPATCH_STATE,
   findTask,
   isOpen,
   reservedSize,
@@ -17,3 +18,4 @@
 export * from "./dispatch_plugin.ts";
 export { WORKER_HEALTH } from "./health.ts";
 export { stopTask } from "./progress.ts";
+export { runPlacementPass } from "./placement_pass.ts";
