Pace renewals by the number of ends while the owner is busy

Ends within a gap of up to 60 ms now share a renewal. A gap by the load of the event loop was ruled out, as it would drop itself.

--- a/packages/sessions/src/renewals.ts
+++ b/packages/sessions/src/renewals.ts
@@ -3,7 +3,9 @@
   count,
   EffectKind,
   type EffectReply,
+  gauge,
   logChange,
+  NODE_IDENTITY,
   nodeEffect,
   OrderKind,
   OrderOutcome,
@@ -23,6 +25,11 @@
   reportAllVanished,
   reportCrashed,
 } from "./listings.ts";
+import {
+  MAX_GAP_MS,
+  PacedByEnds,
+  type RenewalPacing,
+} from "./renewal_pacing.ts";
 import { currentToken, invalidateUnanswered, OWNER_FENCED } from "./orders.ts";
 import {
   AttemptPhase,
@@ -52,6 +59,8 @@
  */
 const MAX_RECORD_WAIT_MS = 60;
 
+const PACING: RenewalPacing = new PacedByEnds();
+
 /** Context of a renewal, returned with the reply. */
 interface RenewalContext {
   readonly workerId: string;
@@ -88,6 +97,9 @@
   ) {
     return;
   }
+  if (isPaced(update, session)) {
+    return;
+  }
   // A renewal without a reply may still take effect, so a silent worker is only
   // asked for its listing: renewing its lease would keep it from expiring.
   const mayRenew = mayExtend && session.missed === 0 &&
@@ -128,6 +140,27 @@
   }));
 }
 
+/** Returns whether the worker has replied too recently to be asked again. */
+function isPaced(update: Update, session: Readonly<Session>): boolean {
+  const sinceMs = update.now - session.answeredMs;
+  return sinceMs < MAX_GAP_MS && session.missed === 0 &&
+    session.attempts.size > 0 && !hasUnknownAttempt(session) &&
+    sinceMs < renewalGapMs(update);
+}
+
+/** Returns the shortest time from a reply to the next renewal, in ms. */
+function renewalGapMs(update: Update): number {
+  return PACING.gapMs({
+    endsPerS: update.read(SESSIONS).endRate.perS(update.now),
+    cores: update.service(NODE_IDENTITY).cores,
+  });
+}
+
+/** Shows the pace of renewals. */
+export function emitRenewalGauges(update: Update): void {
+  update.emit(gauge("renewal-gap-ms", renewalGapMs(update)));
+}
+
 /** Handles the reply to a renewal. */
 export function handleRenewalResult(
   update: Update,
@@ -169,6 +202,8 @@
   if (clockMs !== undefined) {
     noteClock(update, session, { ...context, workerMs: clockMs });
   }
+  const ends = listing.ended.filter(({ number }) => number > session.handled);
+  update.write(SESSIONS).endRate.add(ends.length, update.now);
   session.nextRenewalMs = session.attempts.size === 0 && session.isReconciled
     ? update.now + IDLE_RENEWAL_MS
     : update.now;
--- a/packages/sessions/src/session_state.ts
+++ b/packages/sessions/src/session_state.ts
@@ -4,6 +4,7 @@
   type Update,
 } from "@mustardweir/kernel";
 import type { Resources, WorkerInfo } from "@mustardweir/model";
+import type { EndRate } from "./renewal_pacing.ts";
 import type {
   AttemptEnd,
   AttemptName,
@@ -148,6 +149,8 @@
   isActive: boolean;
   /** Id of the latest renewal. */
   lastRenewalId: number;
+  /** Ends that all workers have listed. */
+  endRate: EndRate;
   readonly byWorker: Map<string, Session>;
   /**
    * Workers whose session has changed since the placement of tasks last
--- a/packages/sessions/src/sessions_plugin.ts
+++ b/packages/sessions/src/sessions_plugin.ts
@@ -9,7 +9,7 @@
   type Update,
 } from "@mustardweir/kernel";
 import { NO_RESOURCES, type WorkerInfo, WorkerState } from "@mustardweir/model";
-import { logChange } from "@mustardweir/protocol";
+import { GAUGE_INTERVAL_MS, logChange } from "@mustardweir/protocol";
 import {
   type ClosedRecord,
   FOLLOWER_INTERVAL_MS,
@@ -36,11 +36,13 @@
 import { handleOrderResult, ORDER_ANSWERED, OWNER_FENCED } from "./orders.ts";
 import { recordIdle, recordSession } from "./listings.ts";
 import {
+  emitRenewalGauges,
   giveUpExpiredAttempts,
   handleRenewalResult,
   RENEWAL_ANSWERED,
   renewIfDue,
 } from "./renewals.ts";
+import { EndRate } from "./renewal_pacing.ts";
 import { markChanged, type Session, SESSIONS } from "./session_state.ts";
 
 /** Interval at which renewals and leases are checked, in milliseconds. */
@@ -67,6 +69,7 @@
         epoch: 0,
         isActive: false,
         lastRenewalId: 0,
+        endRate: new EndRate(),
         byWorker: new Map(),
         changed: new Set(),
       }),
@@ -116,6 +119,10 @@
         isIdle: isFollower,
         idleIntervalMs: FOLLOWER_INTERVAL_MS,
       }),
+      kernel.registerPeriodic({
+        intervalMs: GAUGE_INTERVAL_MS,
+        run: emitRenewalGauges,
+      }),
     );
   }
 }
@@ -124,6 +131,7 @@
   const sessions = update.write(SESSIONS);
   sessions.epoch = epoch;
   sessions.isActive = true;
+  sessions.endRate = new EndRate();
   sessions.byWorker.clear();
   const { workers, departed, sessions: records } = update.read(REPLICA);
   for (const info of workers.values()) {
