--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -137,6 +137,7 @@
   let hasBestEffortTask = false;
   let isQuiet = true;
   let probationOf: IsolationUnit | undefined = findHolder(update, session);
+  let isStoppingAny = false;
   const tasks: TaskRun[] = [];
   for (const attempt of session.attempts.values()) {
     used = addResources(used, attempt.size);
@@ -154,6 +155,7 @@
       return undefined;
     }
     tasks.push(placed);
+    isStoppingAny ||= placed.isStopping;
     const { spec } = placed.stage;
     hasLatencyTask ||= spec.latencyObjectiveMs > 0;
     hasBestEffortTask ||= spec.bestEffort;
@@ -162,7 +164,9 @@
   return {
     session,
     free,
-    expected: addResources(free, capacityBeingFreed(tasks)),
+    expected: isStoppingAny
+      ? addResources(free, capacityBeingFreed(tasks))
+      : free,
     victims: listVictims(tasks),
     hasLatencyTask,
     hasBestEffortTask,
@@ -216,6 +220,36 @@
   return fitsWithin(reservedSize(stage), session.info.capacity);
 }
 
+/** Returns the resources that tasks could get after stopping all victims. */
+export function roomAfterPreemption(
+  { expected, victims }: Candidate,
+): Resources {
+  let room = expected;
+  for (const { stage } of victims) {
+    room = addResources(room, reservedSize(stage));
+  }
+  return room;
+}
+
+/** Returns whether a task of this size would fit after stopping all victims. */
+export function fitsAfterStopping(
+  { expected, victims }: Candidate,
+  size: Resources,
+): boolean {
+  // A pass asks this for each worker of the pool and each urgent stage, so the
+  // sums are no objects, and workers without victims cost one comparison.
+  let { cpuMillis, memoryMb, accelerators, slots } = expected;
+  for (const { stage } of victims) {
+    const freed = reservedSize(stage);
+    cpuMillis += freed.cpuMillis;
+    memoryMb += freed.memoryMb;
+    accelerators += freed.accelerators;
+    slots += freed.slots;
+  }
+  return size.cpuMillis <= cpuMillis && size.memoryMb <= memoryMb &&
+    size.accelerators <= accelerators && size.slots <= slots;
+}
+
 /** Returns whether one more task of the stage can start on the worker now. */
 export function fitsNow(candidate: Candidate, stage: StageRun): boolean {
   const { spec } = stage;
--- a/packages/dispatch/src/placement_pass.ts
+++ b/packages/dispatch/src/placement_pass.ts
@@ -29,7 +29,9 @@
   type PlacementRule,
 } from "./placement_rules.ts";
 import {
-  canStartTask,
+  holdsPermit,
+  listStartable,
+  mayRunOnAny,
   permittedCandidates,
   type PlacementContext,
   queryMorePermits,
@@ -345,11 +347,12 @@
       return 0;
     }
     const context = { ...asked, candidates: index.inPool(pool) };
-    const allowed = permittedCandidates(update, context);
-    if (!allowed.some((candidate) => canStartTask(candidate, context))) {
-      this.#awaitPermits(context, allowed);
+    const withRoom = listStartable(update, context);
+    if (!mayRunOnAny(update, context, withRoom)) {
+      this.#awaitPermits(context, withRoom);
       return 0;
     }
+    const allowed = permittedCandidates(update, context);
     const rule: PlacementRule = isGang ? GANG : BEST_FIT;
     const most = Math.min(
       TASK_BATCH_SIZE,
@@ -373,6 +376,9 @@
         allowed,
       );
     }
+    if (placements.length > 0) {
+      index.noteReserved(pool);
+    }
     const missing = wanted.length - placements.length;
     if (missing > 0) {
       queryMorePermits(update, context);
@@ -383,6 +389,7 @@
         missing: missing - waiting,
         candidates: allowed,
       });
+      index.noteReserved(pool);
     }
     // Other tasks of the stage may become startable before the wait is over.
     if (waiting > 0 && waiting === countWaiting(stage)) {
@@ -397,16 +404,16 @@
    */
   #awaitPermits(
     context: PlacementContext,
-    held: readonly Candidate[],
+    withRoom: readonly Candidate[],
   ): void {
     const { stage } = context;
     if (stage.job.record.queue.permits === undefined) {
       return;
     }
-    queryMorePermits(this.#update, context);
+    queryMorePermits(this.#update, context, withRoom);
     if (
-      held.length === 0 &&
-      stagePermits(this.#update, stage.name).isQueryPending
+      stagePermits(this.#update, stage.name).isQueryPending &&
+      !holdsPermit(this.#update, stage)
     ) {
       this.#update.write(DISPATCH_STATE).waiting
         .setAside(stage, this.#update.now + MAX_PERMIT_WAIT_MS);
--- a/packages/dispatch/src/turn_order.ts
+++ b/packages/dispatch/src/turn_order.ts
@@ -81,9 +81,9 @@
 export type MeanRun = (queue: string, estimateMs: number) => number;
 
 /**
- * Returns the status of the stage's job against its objective. The objective
- * follows from the caller's estimates, as it was promised on their basis; what
- * remains of the job is measured by `meanRun`.
+ * Returns the status of the stage's job against its objective. The objective is a
+ * multiple of the time that the job's tasks really take, so it follows from
+ * `meanRun` like what remains of the job.
  */
 export function objectiveStatusOf(
   stage: StageRun,
@@ -137,7 +137,10 @@
 ): JobTimes {
   const { job } = stage;
   const { queue } = job.record;
-  const totalMs = criticalPathMs(job, stage.occurrence, false);
+  const totalMs = meanRun(
+    queue.name,
+    criticalPathMs(job, stage.occurrence, false),
+  );
   const objectiveMs = queue.stretch * totalMs + queue.latencyObjectiveMs;
   const dueMs = dueTimeMs(job.record, stage.occurrence);
   const ageMs = dueMs === undefined
@@ -154,9 +157,9 @@
  * Returns how long after its due time an occurrence that hasn't begun is still
  * useful, in milliseconds.
  */
-export function usefulMs(job: JobRun): number {
-  const { stretch, latencyObjectiveMs } = job.record.queue;
-  const totalMs = criticalPathMs(job, 0, false);
+export function usefulMs(job: JobRun, meanRun: MeanRun): number {
+  const { name, stretch, latencyObjectiveMs } = job.record.queue;
+  const totalMs = meanRun(name, criticalPathMs(job, 0, false));
   return EXPIRY_FACTOR * (stretch * totalMs + latencyObjectiveMs) - totalMs;
 }
 
@@ -168,13 +171,23 @@
   occurrence: number,
   isRemainingOnly: boolean,
 ): number {
+  const { stages } = job.record.spec;
   const endsMs: number[] = [];
-  job.record.spec.stages.forEach(({ dependsOn, estimateMs }, number) => {
-    const stage = job.stages.get(stageKey(occurrence, number));
-    const isCompleted = isRemainingOnly && stage !== undefined &&
-      isStageDone(stage);
-    const startMs = Math.max(0, ...dependsOn.map((at) => endsMs[at] ?? 0));
-    endsMs.push(startMs + (isCompleted ? 0 : estimateMs));
-  });
-  return Math.max(0, ...endsMs);
+  let longestMs = 0;
+  // Plain loops: this runs twice for each stage that a pass examines.
+  for (let number = 0; number < stages.length; number++) {
+    const { dependsOn, estimateMs } = stages[number]!;
+    const stage = isRemainingOnly
+      ? job.stages.get(stageKey(occurrence, number))
+      : undefined;
+    const isCompleted = stage !== undefined && isStageDone(stage);
+    let startMs = 0;
+    for (const at of dependsOn) {
+      startMs = Math.max(startMs, endsMs[at] ?? 0);
+    }
+    const endMs = startMs + (isCompleted ? 0 : estimateMs);
+    endsMs.push(endMs);
+    longestMs = Math.max(longestMs, endMs);
+  }
+  return longestMs;
 }
--- a/packages/prove/src/domain/domain_cluster.ts
+++ b/packages/prove/src/domain/domain_cluster.ts
@@ -1,4 +1,4 @@
-import { Random, Role, type StateKey } from "@mustardweir/kernel";
+import { type Kernel, Random, Role, type StateKey } from "@mustardweir/kernel";
 import {
   type DesiredState,
   NO_RESOURCES,
@@ -10,6 +10,7 @@
   WorkerState,
 } from "@mustardweir/model";
 import {
+  type AskPermitsEffect,
   createEffectReply,
   EffectKind,
   FRONT_CALL_RECEIVED,
@@ -29,7 +30,11 @@
 import { REPLICA } from "@mustardweir/replica";
 import { RUN_TIMES } from "@mustardweir/run-times";
 import { TENURE, TenurePhase } from "@mustardweir/tenure";
-import { ProcessState, SimulatedNode } from "../simulation/node.ts";
+import {
+  type KernelEvent,
+  ProcessState,
+  SimulatedNode,
+} from "../simulation/node.ts";
 import { Tampering } from "../simulation/tampering.ts";
 import { VirtualClock } from "../simulation/virtual_clock.ts";
 import { DomainStore } from "./domain_store.ts";
@@ -67,6 +72,8 @@
   readonly spec: StagedJobSpec;
   /** Path of the queue to which it was submitted. */
   readonly prefix: string;
+  /** API key with which it was submitted; that of the caller by default. */
+  readonly key?: string;
   readonly answers: FrontAnswer[];
   cancelledMs: number | undefined;
 }
@@ -140,10 +147,39 @@
   readonly workerReturnMs?: number;
   /** Returns what differs between the nodes, by their index. */
   readonly profileOf?: (index: number) => NodeProfile;
+  /** What operators request; one pool and two queues by default. */
+  readonly desired?: DesiredState;
+  /** The workers, instead of `workers` equal ones. */
+  readonly workerInfos?: readonly WorkerInfo[];
+  /** Decides permit queries, instead of `policy`, which allows all workers. */
+  readonly judge?: (query: AskPermitsEffect) => PermitJudgement;
+  /** Runs each event of a node, to measure it; only runs it by default. */
+  readonly measure?: (
+    event: KernelEvent,
+    nodeId: string,
+  ) => ReturnType<KernelEvent["run"]>;
+  /** Called with each effect that a node requests. */
+  readonly onEffect?: (effect: NodeEffect, nodeId: string) => void;
   /** Called with each line that a node logs. */
   readonly onLog?: (line: LogChangeEffect, nodeId: string) => void;
 }
 
+/** How a worker leaves, in milliseconds. */
+export interface WorkerDeparture {
+  /** Shortest time that it announces to remain; no notice by default. */
+  readonly remainingMs?: number;
+  /** Time after which it has ended and its registration is gone. */
+  readonly leavesAfterMs: number;
+}
+
+/** Decision of the simulated placement policy on a query. */
+export interface PermitJudgement {
+  /** Time that the policy needs, in milliseconds. */
+  readonly decideMs: number;
+  /** The workers that it allows. */
+  readonly allowed: readonly string[];
+}
+
 /** Durations of permit queries, in milliseconds. */
 export interface PolicyTiming {
   /** Time that the policy needs for a query; it serves each node in turn. */
@@ -193,9 +229,11 @@
     this.store = new DomainStore(this.clock, this.#random);
     this.store.faults.maxRecordBytes = options.maxRecordBytes ??
       MAX_RECORD_BYTES;
-    this.store.setDesired(desiredState(options));
-    const { workers = DEFAULT_WORKERS, nodes = DEFAULT_NODES } = options;
-    for (let index = 0; index < workers; index++) {
+    this.store.setDesired(options.desired ?? desiredState(options));
+    const { workers = DEFAULT_WORKERS, nodes = DEFAULT_NODES, workerInfos } =
+      options;
+    workerInfos?.forEach((info) => this.#addWorkerOf(info));
+    for (let index = 0; workerInfos === undefined && index < workers; index++) {
       this.#addWorker(`w${index}`, `zone-${index % 2}`);
     }
     for (let index = 0; index < nodes; index++) {
@@ -221,6 +259,11 @@
     });
   }
 
+  /** The kernel of a node, for measurements of single updates. */
+  kernelOf(nodeId: string): Kernel {
+    return this.#nodes.get(nodeId)!.kernel;
+  }
+
   /** The newest epoch that a running node has seen. */
   get epoch(): number {
     return Math.max(
@@ -296,7 +339,8 @@
   }
 
   startNode(nodeId: string): void {
-    const { linkMbps, profileOf, remoteFactor, waitPolicy } = this.#options;
+    const { linkMbps, profileOf, remoteFactor, waitPolicy, measure } =
+      this.#options;
     const { cores } = profileOf?.(Number(nodeId.slice(1))) ?? {};
     this.#nodes.set(
       nodeId,
@@ -318,6 +362,9 @@
         random: this.#random,
         tampering: this.#options.tampering ?? new Tampering(),
         perform: (node, effect) => this.#perform(node, effect),
+        ...(measure === undefined ? {} : {
+          measure: (event, node) => measure(event, node.nodeId),
+        }),
       }),
     );
     if (waitPolicy !== undefined) {
@@ -332,6 +379,31 @@
     this.store.setWorker(workerId, worker.info);
   }
 
+  /** Registers a worker as draining; it leaves after `leavesAfterMs`. */
+  announceDeparture(workerId: string, departure: WorkerDeparture): void {
+    const worker = this.workers.get(workerId)!;
+    const { remainingMs, leavesAfterMs } = departure;
+    worker.setState(WorkerState.Draining, remainingMs);
+    this.store.setWorker(workerId, worker.info);
+    this.clock.after(leavesAfterMs, () => {
+      if (worker.info.state === WorkerState.Draining) {
+        const lost = this.runs.filter((run) =>
+          run.workerId === workerId && run.endMs === undefined
+        );
+        worker.crash();
+        lost.forEach((record) => this.#breakGangOf(record));
+        this.store.setWorker(workerId, undefined);
+      }
+    });
+  }
+
+  /** Registers a worker that was to leave as ready; it stays. */
+  withdrawDeparture(workerId: string): void {
+    const worker = this.workers.get(workerId)!;
+    worker.setState(WorkerState.Ready);
+    this.store.setWorker(workerId, worker.info);
+  }
+
   /** Kills a node and restarts it after `restartMs`. */
   kill(nodeId: string, restartMs: number = RESTART_DELAY_MS): void {
     this.#nodes.get(nodeId)?.kill();
@@ -366,9 +438,10 @@
     spec: StagedJobSpec,
     nodeId: string,
     prefix: string = CALLER.prefix,
+    key: string = CALLER.key,
   ): void {
     const client = this.clients.get(jobId) ??
-      { jobId, spec, prefix, answers: [], cancelledMs: undefined };
+      { jobId, spec, prefix, key, answers: [], cancelledMs: undefined };
     this.clients.set(jobId, client);
     this.call(
       nodeId,
@@ -414,7 +487,7 @@
       kind,
       host: CALLER.host,
       path: (client?.prefix ?? CALLER.prefix) + jobId,
-      key: CALLER.key,
+      key: client?.key ?? CALLER.key,
       ...(kind === FrontCallKind.Submit && spec !== undefined
         ? { body: { isReadable: true as const, spec } }
         : {}),
@@ -458,8 +531,12 @@
       labels: ["a", zone],
       rack: zone,
     };
+    this.#addWorkerOf(info);
+  }
+
+  #addWorkerOf(info: WorkerInfo): void {
     this.workers.set(
-      id,
+      info.id,
       new DomainWorker({
         info,
         clock: this.clock,
@@ -474,7 +551,7 @@
         },
       }),
     );
-    this.store.setWorker(id, info);
+    this.store.setWorker(info.id, info);
   }
 
   #behaviour(task: string): TaskBehaviour {
@@ -498,6 +575,7 @@
 
   #perform(node: SimulatedNode, effect: NodeEffect): void {
     const from = node.nodeId;
+    this.#options.onEffect?.(effect, from);
     switch (effect.kind) {
       case EffectKind.CommitRecords:
         this.#commits.set(from, this.countCommits(from) + 1);
@@ -528,7 +606,10 @@
         });
         break;
       case EffectKind.AskPermits: {
-        const { decideMs, networkMs } = this.#options.policy ?? DEFAULT_POLICY;
+        const { policy = DEFAULT_POLICY, judge } = this.#options;
+        const { networkMs } = policy;
+        const { decideMs, allowed } = judge?.(effect) ??
+          { decideMs: policy.decideMs, allowed: effect.workers };
         const decidedMs = decideMs +
           Math.max(this.clock.now, this.#policyFreeMs.get(from) ?? 0);
         this.#policyFreeMs.set(from, decidedMs);
@@ -537,7 +618,7 @@
           () =>
             reply(node, effect.replyTo)({
               kind: PermitResultKind.Judged,
-              permits: effect.workers.map((workerId) => ({
+              permits: allowed.map((workerId) => ({
                 workerId,
                 permit: "p",
               })),
--- a/packages/prove/src/domain/domain_worker.ts
+++ b/packages/prove/src/domain/domain_worker.ts
@@ -1,5 +1,5 @@
 import type { Random } from "@mustardweir/kernel";
-import type { WorkerInfo } from "@mustardweir/model";
+import type { WorkerInfo, WorkerState } from "@mustardweir/model";
 import {
   AttemptEnd,
   type EndedAttempt,
@@ -11,7 +11,7 @@
 import type { VirtualClock } from "../simulation/virtual_clock.ts";
 
 const MAX_LEASE_MS = 10_000;
-const STOP_DELAY_MS = 100;
+const DEFAULT_STOP_MS = 100;
 /** Time after its start at which a deadly task crashes its worker, in ms. */
 const DEADLY_MS = 10;
 const LEASE_CHECK_INTERVAL_MS = 20;
@@ -42,6 +42,16 @@
   acknowledgedMs: number | undefined;
 }
 
+/** What a task lists of its work. */
+export enum WorkReport {
+  /** A percentage that doesn't change. */
+  Fixed = "fixed",
+  /** Its real percentage. */
+  Percent = "percent",
+  /** The same and, as checkpoint, the time worked, from which it resumes. */
+  Checkpoint = "checkpoint",
+}
+
 /** How long a task runs and how it ends; taken from its payload. */
 export interface TaskBehaviour {
   readonly runMs: number;
@@ -58,6 +68,11 @@
   readonly checkpoint?: string;
   /** Rack of its data, and how many times as long it runs elsewhere. */
   readonly data?: { readonly rack: string; readonly remoteFactor: number };
+  /**
+   * What its tasks list of their work; by default their real percentage if they
+   * have data, else a fixed one.
+   */
+  readonly workReport?: WorkReport;
 }
 
 /** The current faults of a worker. */
@@ -75,6 +90,10 @@
   losesStarts: boolean;
   /** Whether starts are executed and their replies are lost. */
   losesStartReplies: boolean;
+  /** Whether stops are executed and their replies are lost. */
+  losesStopReplies: boolean;
+  /** Time that a stop takes, in milliseconds. */
+  stopMs: number;
   /** Most ends that the worker lists at a time. */
   endsPerList: number;
   /** Largest addition to the run time of its tasks, in milliseconds. */
@@ -83,9 +102,11 @@
 
 interface Running {
   readonly record: RunRecord;
+  /** Time worked by the checkpoint that it resumed, in milliseconds. */
+  readonly resumedMs: number;
+  /** Duration of the run if nothing ends it earlier, in milliseconds. */
+  readonly durationMs: number;
   isStopping: boolean;
-  /** How long it runs; undefined if it lists no real progress. */
-  readonly durationMs?: number;
 }
 
 /** An order that a worker rejected because of a newer owner's epoch. */
@@ -120,6 +141,8 @@
     isBusy: false,
     losesStarts: false,
     losesStartReplies: false,
+    losesStopReplies: false,
+    stopMs: DEFAULT_STOP_MS,
     endsPerList: 500,
     runSpreadMs: 0,
   };
@@ -189,6 +212,19 @@
     this.capacities.push({ sinceMs: this.#options.clock.now, cpuMillis });
   }
 
+  /**
+   * Announces that it leaves, or with a state of `Ready` that it stays after
+   * all.
+   */
+  setState(state: WorkerState, remainingMs?: number): void {
+    const { remainingMs: _, ...info } = this.info;
+    this.info = {
+      ...info,
+      state,
+      ...(remainingMs === undefined ? {} : { remainingMs }),
+    };
+  }
+
   restart(): void {
     this.isUp = true;
     this.#processStartMs = this.#options.clock.now;
@@ -246,7 +282,8 @@
     clock.after(1, () =>
       this.#execute(order, from, (result) => {
         const isReplyLost = this.faults.unreachableFrom.has(from) ||
-          (this.faults.losesStartReplies && order.kind === OrderKind.Start);
+          (this.faults.losesStartReplies && order.kind === OrderKind.Start) ||
+          (this.faults.losesStopReplies && order.kind === OrderKind.Stop);
         if (!isReplyLost) {
           clock.after(1, () => respondOnce(result));
         }
@@ -324,8 +361,24 @@
       acknowledgedMs: undefined,
     };
     runs.push(record);
-    this.#running.set(key, { record, isStopping: false });
-    const { runMs, failures, deadlyTasks, data } = behaviourOf(order.task);
+    const { runMs, failures, deadlyTasks, data, workReport } = behaviourOf(
+      order.task,
+    );
+    const resumedMs = workReport === WorkReport.Checkpoint
+      ? Number(order.checkpoint ?? 0)
+      : 0;
+    const { runSpreadMs } = this.faults;
+    const addedMs = runSpreadMs > 0 ? random.below(runSpreadMs) : 0;
+    const factor = data === undefined || data.rack === this.info.rack
+      ? 1
+      : data.remoteFactor;
+    const durationMs = factor * (runMs - resumedMs + addedMs);
+    this.#running.set(key, {
+      record,
+      resumedMs,
+      durationMs,
+      isStopping: false,
+    });
     const failed =
       runs.filter(({ task, end }) =>
         task === order.task && end === AttemptEnd.Failed
@@ -341,15 +394,6 @@
         }
       });
     }
-    const { runSpreadMs } = this.faults;
-    const addedMs = runSpreadMs > 0 ? random.below(runSpreadMs) : 0;
-    const factor = data === undefined || data.rack === this.info.rack
-      ? 1
-      : data.remoteFactor;
-    const durationMs = factor * (runMs + addedMs);
-    if (data !== undefined) {
-      this.#running.set(key, { record, isStopping: false, durationMs });
-    }
     clock.after(durationMs, () => {
       if (processNumber === this.#processNumber) {
         this.#end(key, fails ? AttemptEnd.Failed : AttemptEnd.Done);
@@ -362,7 +406,7 @@
     const key = `${task}#${attempt}`;
     if (this.#running.has(key)) {
       const processNumber = this.#processNumber;
-      this.#options.clock.after(STOP_DELAY_MS, () => {
+      this.#options.clock.after(this.faults.stopMs, () => {
         if (processNumber === this.#processNumber) {
           this.#end(key, AttemptEnd.Stopped);
         }
@@ -378,6 +422,7 @@
       return;
     }
     const { record } = running;
+    const { workReport } = this.#options.behaviourOf(record.task);
     this.#running.delete(key);
     record.endMs = this.#options.clock.now;
     record.end = end;
@@ -386,7 +431,10 @@
       task: record.task,
       attempt: record.attempt,
       end,
-      checkpoint: "",
+      checkpoint: workReport === WorkReport.Checkpoint &&
+          end !== AttemptEnd.Done
+        ? String(this.#workedMs(running))
+        : "",
       record,
     });
     this.#wake();
@@ -433,18 +481,21 @@
   }
 
   #list() {
-    const { clock } = this.#options;
     return {
       incarnation: this.info.incarnation,
-      running: [...this.#running.values()].map(({ record, durationMs }) => ({
-        task: record.task,
-        attempt: record.attempt,
-        checkpoint: this.#options.behaviourOf(record.task).checkpoint ?? "",
-        percent: durationMs === undefined
-          ? 50
-          : Math.floor(100 * (clock.now - record.startMs) / durationMs),
-        load: 0,
-      })),
+      running: [...this.#running.values()].map((running) => {
+        const { task, attempt } = running.record;
+        const { checkpoint = "" } = this.#options.behaviourOf(task);
+        return {
+          task,
+          attempt,
+          checkpoint: this.#reportOf(task) === WorkReport.Checkpoint
+            ? String(this.#workedMs(running))
+            : checkpoint,
+          percent: this.#percentOf(running),
+          load: 0,
+        };
+      }),
       ended: this.#ended.slice(0, this.faults.endsPerList)
         .map(({ record: _, ...ended }) => ended),
       ...(this.#ended.length >= this.faults.endsPerList
@@ -453,6 +504,29 @@
     };
   }
 
+  #reportOf(task: string): WorkReport {
+    const { data, workReport } = this.#options.behaviourOf(task);
+    return workReport ??
+      (data === undefined ? WorkReport.Fixed : WorkReport.Percent);
+  }
+
+  #percentOf(running: Running): number {
+    const { record, durationMs } = running;
+    const { data, runMs } = this.#options.behaviourOf(record.task);
+    if (this.#reportOf(record.task) === WorkReport.Fixed) {
+      return 50;
+    }
+    return data === undefined
+      ? Math.floor(100 * this.#workedMs(running) / runMs)
+      : Math.floor(
+        100 * (this.#options.clock.now - record.startMs) / durationMs,
+      );
+  }
+
+  #workedMs({ record, resumedMs }: Running): number {
+    return Math.floor(resumedMs + this.#options.clock.now - record.startMs);
+  }
+
   #wake(): void {
     for (const finish of this.#waiting.splice(0)) {
       finish();
--- a/packages/prove/src/domain/plugins.ts
+++ b/packages/prove/src/domain/plugins.ts
@@ -7,4 +7,5 @@
 import "@mustardweir/run-times";
 import "@mustardweir/locality";
 import "@mustardweir/dispatch";
+import "@mustardweir/departures";
 import "@mustardweir/intake";
