Wake stages that wait for a rack when a worker is quarantined or moves

Cause, found in review: a worker that is quarantined, or registers in another rack, is no longer usable in its rack, but the stages that wait for this rack were examined only when their wait was over, up to 5 s later.

Change: the index of candidates notes the rack that a worker has left, and that of a worker which is no longer usable after its entry was replaced.

--- a/packages/dispatch/src/candidate_index.ts
+++ b/packages/dispatch/src/candidate_index.ts
@@ -305,9 +305,6 @@
   #put(update: Update, candidate: Candidate): void {
     const { id, pool, rack } = candidate.session.info;
     const known = this.find(id);
-    if (known === undefined || !fitsWithin(candidate.free, known.free)) {
-      this.#changedRacks.add(rack);
-    }
     if (this.#poolByWorker.get(id) !== pool) {
       this.#remove(id);
     }
@@ -318,6 +315,16 @@
       update.read(WORKER_HEALTH).isQuarantined(id, update.now),
     );
     this.#poolByWorker.set(id, pool);
+    const former = known?.session.info.rack;
+    if (former !== undefined && former !== rack) {
+      this.#changedRacks.add(former);
+    }
+    const isLost = known !== undefined && this.find(id) === undefined;
+    if (
+      isLost || known === undefined || !fitsWithin(candidate.free, known.free)
+    ) {
+      this.#changedRacks.add(rack);
+    }
   }
 
   #remove(workerId: string): void {
