Count all work that prefers a rack, and judge all tasks of a stage

Causes, found in review: - A stage counted only those waits before it, not the queued work that prefers the rack, so it waited with more work than room. - Only the 16 tasks that one pass may start were judged. While they waited, the others of the stage were neither placed elsewhere nor waited. - A gang without room anywhere was judged in each pass, with a description of all racks.

Change: queued stages that prefer a rack are indexed by rack, and a stage waits only if the rack has room in time for this work too (rack-oversubscribed). All waiting tasks are judged. Nothing is decided without room for the task or the whole gang. Stages without a rack pay one comparison when queued or removed.

Result: three new table cases; 183 tests of locality, dispatch, departures, the settings, links and source words pass. No test shows the last two causes.

--- a/packages/dispatch/src/placement_pass.ts
+++ b/packages/dispatch/src/placement_pass.ts
@@ -360,7 +360,8 @@
     );
     const { placements, waiting, untilMs } = placeByRack(update, rule, {
       context,
-      tasks: isGang ? wanted : wanted.slice(0, most),
+      tasks: wanted,
+      most: isGang ? wanted.length : most,
       allowed,
     });
     if (placements.length > 0) {
--- a/packages/dispatch/src/rack_placement.ts
+++ b/packages/dispatch/src/rack_placement.ts
@@ -1,5 +1,6 @@
 import type { Update } from "@mustardweir/kernel";
 import {
+  countFitting,
   countTasks,
   DecisionReason,
   expectedRest,
@@ -7,6 +8,7 @@
   type Rack,
   type RackRequest,
   type RackWorker,
+  relativeSize,
   reportWaitChange,
   type RunningTask,
 } from "@mustardweir/locality";
@@ -21,6 +23,7 @@
   hasRequiredLabel,
 } from "./candidates.ts";
 import {
+  DISPATCH_STATE,
   findStage,
   findTask,
   reservedSize,
@@ -38,6 +41,12 @@
 const STOP_MEAN_MS = 400;
 const STOP_UPPER_MS = 900;
 
+/**
+ * Most stages whose tasks are counted as work that prefers a rack. Each has at
+ * least one task, so a rack of 20 workers with 12 places each is exceeded.
+ */
+const MAX_COUNTED_STAGES = 256;
+
 /** Placements of tasks, and the number of those that wait for their rack. */
 export interface RackPlacements {
   readonly placements: Placement[];
@@ -50,6 +59,8 @@
 interface TasksToPlace {
   readonly context: PlacementContext;
   readonly tasks: readonly TaskRun[];
+  /** Most tasks that are placed; a gang is placed whole. */
+  readonly most: number;
   readonly allowed: readonly Candidate[];
 }
 
@@ -60,18 +71,18 @@
 export function placeByRack(
   update: Update,
   rule: PlacementRule,
-  { context, tasks, allowed }: TasksToPlace,
+  { context, tasks, most, allowed }: TasksToPlace,
 ): RackPlacements {
   const { stage } = context;
   // Members whose start was refused follow the others of their gang at once:
   // those hold their room meanwhile.
   if (!hasRack(stage) || isPartOfGangPlaced(stage)) {
-    const placements = rule.choose(stage, tasks, allowed);
+    const placements = rule.choose(stage, tasks.slice(0, most), allowed);
     return { placements, waiting: 0, untilMs: 0 };
   }
   const near = rule.chooseNear(
     stage,
-    tasks,
+    tasks.slice(0, most),
     nearCandidates(update, stage, allowed),
   );
   const placed = new Set(near.map(({ task }) => task));
@@ -79,7 +90,11 @@
   let away: Placement[] = [];
   let waiting = 0;
   let untilMs = 0;
-  if (left.length > 0 && allowed.some((each) => fitsNow(each, stage))) {
+  // The rack may have room for more than may be placed at a time.
+  if (
+    left.length > 0 && near.length < most &&
+    hasRoomElsewhere(stage, left.length, allowed)
+  ) {
     const { decisions, change } = update.write(LOCALITY).plan(
       createRequest(update, context, left.length),
       update.now,
@@ -94,7 +109,8 @@
     }
     waiting = countTasks(decisions, DecisionReason.WaitUntil);
     if (waiting < left.length) {
-      away = rule.choose(stage, left.slice(waiting), allowed);
+      const rest = left.slice(waiting, waiting + most - near.length);
+      away = rule.choose(stage, rest, allowed);
     }
   }
   const placements = [...near, ...away];
@@ -138,6 +154,28 @@
   return spec.gang && tasks.some(({ phase }) => phase === TaskPhase.Placed);
 }
 
+/**
+ * Returns whether the pool may have room now for a task, or for the whole gang;
+ * without it there is nothing to decide.
+ */
+function hasRoomElsewhere(
+  stage: StageRun,
+  tasks: number,
+  allowed: readonly Candidate[],
+): boolean {
+  const size = reservedSize(stage);
+  let missing = stage.spec.gang ? tasks : 1;
+  for (const candidate of allowed) {
+    if (fitsNow(candidate, stage)) {
+      missing -= countFitting(candidate.free, size);
+    }
+    if (missing <= 0) {
+      return true;
+    }
+  }
+  return false;
+}
+
 /**
  * Returns the workers among which those of the rack are chosen. Without permits
  * `allowed` may be a selection that lacks them.
@@ -179,11 +217,18 @@
     isUrgent: queue.priority === 0,
     yields: priorityOfRank(rank) === undefined,
     heldTasks: 0,
-    racks: racks.map((rack) => describeRack(update, stage, rack)),
+    racks: racks.map((name) => describeRack(update, { stage, name, rank })),
   };
 }
 
-function describeRack(update: Update, stage: StageRun, name: string): Rack {
+function describeRack(
+  update: Update,
+  { stage, name, rank }: {
+    readonly stage: StageRun;
+    readonly name: string;
+    readonly rank: number;
+  },
+): Rack {
   const { pool, permits } = stage.job.record.queue;
   const candidates = update.read(CANDIDATES).inRack(pool, name);
   const known = permits && stagePermits(update, stage.name);
@@ -212,9 +257,41 @@
     name,
     usable: candidates.map(({ session }) => session.info.id),
     workers,
+    queuedTasks: countQueued(update, { stage, rack: name, rank }),
   };
 }
 
+/** Returns {@link Rack.queuedTasks}; counts a bounded number of stages. */
+function countQueued(
+  update: Update,
+  { stage, rack, rank }: {
+    readonly stage: StageRun;
+    readonly rack: string;
+    readonly rank: number;
+  },
+): number {
+  const { waits } = update.read(LOCALITY);
+  const { pool } = stage.job.record.queue;
+  const size = reservedSize(stage);
+  let sum = 0;
+  let counted = 0;
+  const queued = update.read(DISPATCH_STATE).waiting
+    .preferring({ pool, rack, rank });
+  for (const other of queued) {
+    const wait = waits.find(other.name);
+    if (other !== stage && (wait === undefined || wait.ended !== undefined)) {
+      const tasks = other.tasks.filter(({ phase }) =>
+        phase === TaskPhase.Waiting
+      );
+      sum += tasks.length * relativeSize(reservedSize(other), size);
+    }
+    if (++counted >= MAX_COUNTED_STAGES) {
+      break;
+    }
+  }
+  return Math.ceil(sum);
+}
+
 /** Returns how many more tasks of the stage the worker may run. */
 function placesLeft({ spec, tasks }: StageRun, workerId: string): number {
   return spec.maxPerWorker === 0
--- a/packages/dispatch/src/waiting_stages.ts
+++ b/packages/dispatch/src/waiting_stages.ts
@@ -17,6 +17,8 @@
  */
 export class WaitingStages {
   readonly #byRank = new Map<number, Map<string, StageRun[]>>();
+  /** The stages in the order that prefer a rack, by its key and by rank. */
+  readonly #byRack = new Map<string, Map<number, Set<StageRun>>>();
   /** Positions in the order in which the stages were last examined. */
   readonly #positions = new Map<StageRun, Position>();
   /** Slots of the stages that are set aside, and the stages of each slot. */
@@ -65,6 +67,21 @@
     }
   }
 
+  /** Returns the stages in the order that prefer a rack, up to a rank. */
+  *preferring(
+    { pool, rack, rank }: {
+      readonly pool: string;
+      readonly rack: string;
+      readonly rank: number;
+    },
+  ): Generator<StageRun> {
+    for (const [known, stages] of this.#byRack.get(rackKey(pool, rack)) ?? []) {
+      if (known <= rank) {
+        yield* stages;
+      }
+    }
+  }
+
   /** Puts the stage into the order, or moves it to another rank. */
   add(stage: StageRun, rank: number): void {
     const known = this.#positions.get(stage);
@@ -79,6 +96,7 @@
     byTeam.set(team, stages);
     stages.splice(endOfEarlier(stages, stage), 0, stage);
     this.#positions.set(stage, { rank, team });
+    this.#addToRack(stage, rank);
   }
 
   /** Marks the stage as the one that was examined last. */
@@ -119,6 +137,7 @@
       return;
     }
     this.#positions.delete(stage);
+    this.#removeFromRack(stage, position.rank);
     const byTeam = this.#byRank.get(position.rank)!;
     const stages = byTeam.get(position.team)!;
     stages.splice(indexOfStage(stages, stage), 1);
@@ -133,11 +152,40 @@
   /** Removes all stages, at the end of a tenure. */
   clear(): void {
     this.#byRank.clear();
+    this.#byRack.clear();
     this.#positions.clear();
     this.#setAside.clear();
     this.#slots.clear();
   }
 
+  #addToRack(stage: StageRun, rank: number): void {
+    const { preferredRack } = stage.spec;
+    if (preferredRack === "") {
+      return;
+    }
+    const key = rackKey(stage.job.record.queue.pool, preferredRack);
+    const byRank = this.#byRack.get(key) ?? new Map<number, Set<StageRun>>();
+    this.#byRack.set(key, byRank);
+    byRank.set(rank, (byRank.get(rank) ?? new Set()).add(stage));
+  }
+
+  #removeFromRack(stage: StageRun, rank: number): void {
+    const { preferredRack } = stage.spec;
+    if (preferredRack === "") {
+      return;
+    }
+    const key = rackKey(stage.job.record.queue.pool, preferredRack);
+    const byRank = this.#byRack.get(key)!;
+    const stages = byRank.get(rank)!;
+    stages.delete(stage);
+    if (stages.size === 0) {
+      byRank.delete(rank);
+    }
+    if (byRank.size === 0) {
+      this.#byRack.delete(key);
+    }
+  }
+
   #removeFromSlot(stage: StageRun): void {
     const slot = this.#setAside.get(stage);
     if (slot === undefined) {
@@ -152,6 +200,10 @@
   }
 }
 
+function rackKey(pool: string, rack: string): string {
+  return JSON.stringify([pool, rack]);
+}
+
 function acceptedMs({ job }: StageRun): number {
   return job.record.acceptedMs;
 }
--- a/packages/locality/src/locality.ts
+++ b/packages/locality/src/locality.ts
@@ -63,6 +63,8 @@
   /** Times for each task in turn, in milliseconds from now; Infinity if none. */
   readonly meanMs: readonly number[];
   readonly upperMs: readonly number[];
+  /** By the mean, behind all the work that prefers the rack. */
+  readonly demandMs: readonly number[];
 }
 
 /**
@@ -221,6 +223,7 @@
       const verdict = policy.judge({
         meanMs,
         upperMs: room.upperMs[index]!,
+        demandMs: room.demandMs[index]!,
         trust,
         // Each held place is lost to others for the time of the wait.
         othersLossMs: request.heldTasks === 0
@@ -253,11 +256,12 @@
       size,
       now,
     });
-    const outlook = rackOutlook(rack, size, ahead + tasks);
-    const pick = (times: readonly number[]) => {
+    const demand = ahead + rack.queuedTasks;
+    const outlook = rackOutlook(rack, size, demand + tasks);
+    const pick = (times: readonly number[], before = ahead) => {
       const own = Array.from(
         { length: tasks },
-        (_, index) => times[ahead + index] ?? Infinity,
+        (_, index) => times[before + index] ?? Infinity,
       );
       return isGang ? own.map(() => own.at(-1)!) : own;
     };
@@ -265,6 +269,7 @@
       rack,
       meanMs: pick(outlook.meanMs),
       upperMs: pick(outlook.upperMs),
+      demandMs: pick(outlook.meanMs, demand),
     };
   }
 
--- a/packages/locality/src/locality_test.ts
+++ b/packages/locality/src/locality_test.ts
@@ -32,7 +32,12 @@
 }
 
 function rack(name: string, ...workers: readonly RackWorker[]): Rack {
-  return { name, usable: workers.map(({ id }) => id), workers };
+  return {
+    name,
+    usable: workers.map(({ id }) => id),
+    workers,
+    queuedTasks: 0,
+  };
 }
 
 const SOON = rack("r1", worker("w1", [300, 300]), worker("w2", [300, 400]));
@@ -209,6 +214,21 @@
     before: { ...OTHER, rank: 4 },
     expected: ["wait 4 for r1"],
   },
+  {
+    name: "a rack that can start all the work that prefers it",
+    request: { tasks: 2, racks: [{ ...SOON, queuedTasks: 2 }] },
+    expected: ["wait 2 for r1"],
+  },
+  {
+    name: "more work that prefers the rack than it can start in time",
+    request: { tasks: 2, racks: [{ ...SOON, queuedTasks: 4 }] },
+    expected: ["elsewhere 2, rack-oversubscribed"],
+  },
+  {
+    name: "work that prefers the rack and leaves room for a part",
+    request: { racks: [{ ...SOON, queuedTasks: 2 }] },
+    expected: ["wait 2 for r1", "elsewhere 2, rack-oversubscribed"],
+  },
   {
     name: "room that is held while others want it",
     request: { heldTasks: 8, racks: [rack("r1", worker("w1", [400])), LATE] },
--- a/packages/locality/src/placement_decision.ts
+++ b/packages/locality/src/placement_decision.ts
@@ -18,6 +18,8 @@
   RackTooSmall = "rack-too-small",
   /** The wait is expected to cost more than it gains. */
   WaitTooLong = "wait-too-long",
+  /** More work prefers the rack than it can start while a wait pays off. */
+  RackOversubscribed = "rack-oversubscribed",
   /** The wait might miss the objective. */
   RisksObjective = "risks-objective",
   /** The job is over its team's rate or expired, and others want the rack. */
--- a/packages/locality/src/rack_outlook.ts
+++ b/packages/locality/src/rack_outlook.ts
@@ -36,6 +36,11 @@
   readonly usable: readonly string[];
   /** Those that may run the stage as far as is known. */
   readonly workers: readonly RackWorker[];
+  /**
+   * Number of tasks, in tasks of the stage's size, of other stages that prefer
+   * the rack, don't rank after the stage and have not begun to wait for it.
+   */
+  readonly queuedTasks: number;
 }
 
 /** Times at which a rack gets room for one more task, earliest first. */
--- a/packages/locality/src/wait_policy.ts
+++ b/packages/locality/src/wait_policy.ts
@@ -37,6 +37,12 @@
   readonly meanMs: number;
   /** The same by the upper quantile of the run times. */
   readonly upperMs: number;
+  /**
+   * Time until the rack has had room, by the mean run times, for the task and
+   * for all the work that prefers the rack and doesn't rank after it; Infinity
+   * if it is more than the rack holds.
+   */
+  readonly demandMs: number;
   /** Share of the latest waits that were fulfilled, above 0 and at most 1. */
   readonly trust: number;
   /**
@@ -102,7 +108,8 @@
 
 /**
  * Waits if the expected wait, with what it costs others, is shorter than half of
- * the loss elsewhere, and the objective is not put at risk: a wait that takes until
+ * the loss elsewhere, the rack can start in this time all the work that prefers
+ * it, and the objective is not put at risk: a wait that takes until
  * the upper time must not miss an objective that a run elsewhere would meet.
  * Urgent tasks wait only within their slack.
  */
@@ -114,6 +121,10 @@
     if (!(expectedMs + othersLossMs < mostMs)) {
       return { waits: false, cause: ElsewhereCause.WaitTooLong };
     }
+    // With more work than room, a wait only changes which task runs elsewhere.
+    if (!(option.demandMs < mostMs)) {
+      return { waits: false, cause: ElsewhereCause.RackOversubscribed };
+    }
     const upperMs = Math.max(option.upperMs, option.meanMs);
     const meetsElsewhere = remoteLossMs <= slackMs;
     // Beyond its slack, work of a later rank is overtaken by new work.
