Bound what the clients of an HTTP server cost

Cause: a server read and dispatched whatever clients sent. Bodies were kept as slices of the buffers they were read into, pipelined calls were dispatched without a bound, and nothing limited both over all connections.

The connection guard stands between a socket and the server's parser. It parses input in slices of 1 KB and stops while the calls or unsent response bytes of the connection, or the calls of all connections, are at their bound. Bodies grow in one buffer each; over the byte budget, the connection that has held the most for the longest is rejected with 503. Bodies need progress, responses must be read, and a full listener replaces the oldest connection without a call. Decisions are in connection_policy.ts, without sockets.

Ruled out: the server's own check of the Host header, which answers without an event, so that such calls can't be counted; pausing the socket from the request handler alone, since all calls of a read of 64 KB (up to 3,640) have been dispatched by then; a Duplex in front of the server, which costs each response another stream.

--- /dev/null
+++ b/packages/runtime/src/connection_guard.ts
@@ -0,0 +1,648 @@
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import { BodyBuffer } from "./body_buffer.ts";
+import {
+  type ClientLimits,
+  type ConnectionLoad,
+  decideRead,
+  isStalled,
+  isUnread,
+  LongestUnread,
+  MostHeldLongest,
+  OldestWithoutCall,
+  RATE_INTERVAL_MS,
+  ReadDecision,
+  RejectionKind,
+  type VictimPolicy,
+} from "./connection_policy.ts";
+import type { Logger } from "./logger.ts";
+import type { Metrics } from "./metrics.ts";
+
+/**
+ * Bytes that are parsed at once. All calls in them are dispatched before the
+ * guard can stop, and the shortest call has 18 bytes.
+ */
+const SLICE_BYTES = 1_024;
+/** Interval of checks for clients without progress, in milliseconds. */
+const CHECK_INTERVAL_MS = 1_000;
+/** Shortest time between two searches for unread responses, in ms. */
+const SEARCH_INTERVAL_MS = 50;
+/** Shortest time between two log lines on one kind of rejection, in ms. */
+const LOG_INTERVAL_MS = 10_000;
+/** Time in which a rejected client may read its response, in milliseconds. */
+const ENDING_MS = 5_000;
+/** Connections over the limit that are accepted to replace an older one. */
+const SPARE_CONNECTIONS = 8;
+
+const SERVICE_UNAVAILABLE = 503;
+const REQUEST_TIMEOUT = 408;
+const EXPECTATION_FAILED = 417;
+const REJECTION = "HTTP/1.1 503 Service Unavailable\r\n" +
+  "connection: close\r\nretry-after: 1\r\ncontent-length: 0\r\n\r\n";
+
+/** Options of a {@link ConnectionGuard}. */
+export interface GuardOptions {
+  /** Name of the listener in metrics and log lines. */
+  readonly listener: string;
+  readonly limits: ClientLimits;
+  /** Counts `clients-rejected-LISTENER-KIND`. */
+  readonly metrics?: Metrics;
+  readonly logger?: Logger;
+}
+
+/**
+ * Bounds what the clients of an HTTP server cost, by not reading from their
+ * connections and by closing those that hold the most. Its decisions are those
+ * of `connection_policy.ts`.
+ *
+ * @example
+ * ```ts
+ * const guard = new ConnectionGuard({ listener: "front", limits });
+ * guard.protect(server);
+ * ```
+ */
+export class ConnectionGuard {
+  readonly #options: GuardOptions;
+  readonly #connections = new Map<Socket, GuardedConnection>();
+  /** Connections that wait until any call ends, in order. */
+  readonly #waiting = new Set<GuardedConnection>();
+  /** Connections that wait for the next interval of the call rate, in order. */
+  readonly #waitingForRate = new Set<GuardedConnection>();
+  readonly #loggedMs = new Map<RejectionKind, number>();
+  readonly #mostHeld = new MostHeldLongest();
+  readonly #oldest = new OldestWithoutCall();
+  readonly #longestUnread = new LongestUnread();
+  #heldBytes = 0;
+  #openCalls = 0;
+  #recentCalls = 0;
+  #rateTimer: NodeJS.Timeout | undefined;
+  #searchedMs = 0;
+  #checkedMs = performance.now();
+
+  constructor(options: GuardOptions) {
+    this.#options = options;
+  }
+
+  /** Bytes that all connections hold. */
+  get heldBytes(): number {
+    return this.#heldBytes;
+  }
+
+  /** Open calls of all connections. */
+  get openCalls(): number {
+    return this.#openCalls;
+  }
+
+  get limits(): ClientLimits {
+    return this.#options.limits;
+  }
+
+  /** Guards the connections of a server, which must not listen yet. */
+  protect(server: Server): void {
+    server.maxConnections = this.limits.maxConnections + SPARE_CONNECTIONS;
+    const isSecure = "setSecureContext" in server;
+    server.on(
+      isSecure ? "secureConnection" : "connection",
+      (socket: Socket) => this.#accept(socket),
+    );
+    server.prependListener("request", (req, res) => this.#open(req, res));
+    server.on("checkExpectation", (req, res) => {
+      this.#open(req, res);
+      res.writeHead(EXPECTATION_FAILED);
+      res.end();
+    });
+    const checks = setInterval(() => this.#check(), CHECK_INTERVAL_MS).unref();
+    server.once("close", () => clearInterval(checks));
+  }
+
+  /**
+   * Reads a body of at most `maxBytes`. Calls `onEnd` with the whole body, or
+   * `onTooLarge` once; neither is called if the client is rejected.
+   */
+  readBody(
+    req: IncomingMessage,
+    res: ServerResponse,
+    { maxBytes, onEnd, onTooLarge }: BodyOptions,
+  ): void {
+    const connection = this.#connections.get(req.socket);
+    const body = new BodyBuffer(
+      maxBytes,
+      (bytes) => connection && this.#hold(connection, bytes),
+    );
+    connection?.startBody(body, res);
+    const finish = () => {
+      connection?.endBody(body);
+      body.release();
+    };
+    let isTooLarge = false;
+    req.on("data", (chunk: Buffer) => {
+      if (body.add(chunk) || isTooLarge || connection?.isEnding) {
+        return;
+      }
+      isTooLarge = true;
+      finish();
+      onTooLarge();
+    });
+    req.on("end", () => {
+      if (!isTooLarge && !connection?.isEnding) {
+        onEnd(body);
+      }
+      finish();
+    });
+  }
+
+  /** Whether nothing is to be done for further requests of a connection. */
+  isEnding({ socket }: IncomingMessage): boolean {
+    return this.#connections.get(socket)?.isEnding ?? false;
+  }
+
+  /** Parses nothing more of the request's connection, which is to be closed. */
+  stopReading({ socket }: IncomingMessage): void {
+    const connection = this.#connections.get(socket);
+    if (connection !== undefined) {
+      connection.isEnding = true;
+      connection.release();
+    }
+  }
+
+  /**
+   * Answers a request of HTTP/1.1 that lacks the `Host` header with 400 and
+   * returns true; the runtime would do so without telling the guard.
+   */
+  rejectWithoutHost(req: IncomingMessage, res: ServerResponse): boolean {
+    if (req.headers.host !== undefined || req.httpVersion !== "1.1") {
+      return false;
+    }
+    if (this.isEnding(req)) {
+      return true;
+    }
+    res.writeHead(400, { connection: "close", "content-length": 0 });
+    res.end();
+    this.stopReading(req);
+    this.#report(RejectionKind.NoHost);
+    return true;
+  }
+
+  #accept(socket: Socket): void {
+    const connection = new GuardedConnection(socket, this);
+    this.#connections.set(socket, connection);
+    socket.once("close", () => {
+      this.#connections.delete(socket);
+      this.#waiting.delete(connection);
+      this.#waitingForRate.delete(connection);
+      // Responses that wait behind another one emit no event of their own.
+      this.#openCalls -= connection.openCalls;
+      connection.openCalls = 0;
+      connection.isEnding = true;
+      connection.release();
+      this.#resumeWaiting();
+    });
+    connection.start();
+    if (this.#connections.size > this.limits.maxConnections) {
+      this.#rejectVictim(this.#oldest, socket);
+    }
+  }
+
+  #open(req: IncomingMessage, res: ServerResponse): void {
+    const connection = this.#connections.get(req.socket);
+    if (connection === undefined) {
+      return;
+    }
+    this.#openCalls++;
+    this.#countCall();
+    connection.openCall(res);
+    res.once("close", () => {
+      if (!this.#connections.has(req.socket)) {
+        return;
+      }
+      this.#openCalls--;
+      connection.closeCall(res);
+      if (connection.isEnding && connection.openCalls === 0) {
+        connection.end();
+      }
+      this.#resumeWaiting();
+    });
+  }
+
+  /** Counts a call for the rate and reads on in the next interval. */
+  #countCall(): void {
+    if (this.limits.maxCallsPerInterval === undefined) {
+      return;
+    }
+    this.#recentCalls++;
+    this.#rateTimer ??= setTimeout(() => {
+      this.#rateTimer = undefined;
+      this.#recentCalls = 0;
+      const waiting = [...this.#waitingForRate];
+      this.#waitingForRate.clear();
+      waiting.forEach((connection) => connection.resume());
+    }, RATE_INTERVAL_MS).unref();
+  }
+
+  /** @internal Returns whether the connection may be read now. */
+  admitRead(connection: GuardedConnection): boolean {
+    const totals = {
+      openCalls: this.#openCalls,
+      recentCalls: this.#recentCalls,
+    };
+    const decision = decideRead(connection, totals, this.limits);
+    if (decision === ReadDecision.WaitForAny) {
+      this.#waiting.add(connection);
+      this.#rejectUnread();
+    } else if (decision === ReadDecision.WaitForRate) {
+      this.#waitingForRate.add(connection);
+    }
+    return decision === ReadDecision.Read;
+  }
+
+  /** @internal Changes the bytes that a connection holds. */
+  hold(connection: GuardedConnection, bytes: number): void {
+    this.#hold(connection, bytes);
+  }
+
+  #hold(connection: GuardedConnection, bytes: number): void {
+    connection.changeHeld(bytes);
+    this.#heldBytes += bytes;
+    while (bytes > 0 && this.#heldBytes > this.limits.maxBytes) {
+      if (!this.#rejectVictim(this.#mostHeld)) {
+        return;
+      }
+    }
+  }
+
+  /** Makes room for calls, at a bounded rate of searches. */
+  #rejectUnread(): void {
+    const now = performance.now();
+    if (now - this.#searchedMs >= SEARCH_INTERVAL_MS) {
+      this.#searchedMs = now;
+      this.#rejectVictim(this.#longestUnread);
+    }
+  }
+
+  #resumeWaiting(): void {
+    for (const connection of this.#waiting) {
+      if (this.#openCalls >= this.limits.maxCalls) {
+        return;
+      }
+      this.#waiting.delete(connection);
+      connection.resume();
+    }
+  }
+
+  #rejectVictim(policy: VictimPolicy, newest?: Socket): boolean {
+    const now = performance.now();
+    const victim = policy.choose(this.#connections.values(), now);
+    if (victim !== undefined) {
+      this.#reject(victim, policy.kind);
+    } else if (newest !== undefined) {
+      this.#report(policy.kind);
+      newest.destroy();
+    }
+    return victim !== undefined;
+  }
+
+  #reject(connection: GuardedConnection, kind: RejectionKind): void {
+    this.#report(kind);
+    connection.isEnding = true;
+    this.#waiting.delete(connection);
+    this.#waitingForRate.delete(connection);
+    const closesNow = kind === RejectionKind.Connections ||
+      kind === RejectionKind.Calls || kind === RejectionKind.Unread;
+    if (closesNow) {
+      connection.socket.destroy();
+    } else {
+      connection.reject(
+        kind === RejectionKind.Stalled ? REQUEST_TIMEOUT : SERVICE_UNAVAILABLE,
+      );
+    }
+    connection.release();
+  }
+
+  #report(kind: RejectionKind): void {
+    const { listener, metrics, logger } = this.#options;
+    const counter = `clients-rejected-${listener}-${kind}`;
+    metrics?.count(counter);
+    const now = performance.now();
+    const loggedMs = this.#loggedMs.get(kind) ?? -Infinity;
+    if (now - loggedMs >= LOG_INTERVAL_MS) {
+      this.#loggedMs.set(kind, now);
+      logger?.warn("Client rejected", {
+        listener,
+        kind,
+        sinceStart: metrics?.counter(counter) ?? 1,
+        heldBytes: this.#heldBytes,
+        openCalls: this.#openCalls,
+        connections: this.#connections.size,
+      });
+    }
+  }
+
+  #check(): void {
+    const now = performance.now();
+    // A paused process must not blame its clients for the pause.
+    const pausedMs = Math.max(0, now - this.#checkedMs - 2 * CHECK_INTERVAL_MS);
+    this.#checkedMs = now;
+    for (const connection of this.#connections.values()) {
+      const kind = connection.check(now, pausedMs);
+      if (kind !== undefined) {
+        this.#reject(connection, kind);
+      }
+    }
+  }
+}
+
+/** How {@link ConnectionGuard.readBody} reads a body. */
+export interface BodyOptions {
+  /** Largest size in bytes. */
+  readonly maxBytes: number;
+  /** The body's memory is freed after the call. */
+  readonly onEnd: (body: BodyBuffer) => void;
+  readonly onTooLarge: () => void;
+}
+
+interface OpenBody {
+  readonly buffer: BodyBuffer;
+  readonly res: ServerResponse;
+  checkedBytes: number;
+  checkedMs: number;
+}
+
+/** A connection, what it holds, and the input that waits to be parsed. */
+class GuardedConnection implements ConnectionLoad {
+  readonly socket: Socket;
+  readonly openedMs = performance.now();
+  heldBytes = 0;
+  heldSinceMs = 0;
+  openCalls = 0;
+  servedCalls = 0;
+  sentMs = 0;
+  isEnding = false;
+  readonly #guard: ConnectionGuard;
+  readonly #responses = new Set<ServerResponse>();
+  #body: OpenBody | undefined;
+  #parse: ((chunk: Buffer) => void) | undefined;
+  /** Input that was read and is not parsed yet. */
+  #input: Buffer | undefined;
+  /** Memory that the input keeps, in bytes. */
+  #inputBytes = 0;
+  /** Whether the guard has stopped reading. */
+  #isHeld = false;
+  /** Whether the server has stopped reading, for example for a slow reader. */
+  #isPausedByServer = false;
+  #sentBytes = 0;
+  #endingMs: number | undefined;
+  #isRejected = false;
+
+  constructor(socket: Socket, guard: ConnectionGuard) {
+    this.socket = socket;
+    this.#guard = guard;
+  }
+
+  get waitingCalls(): number {
+    let waiting = 0;
+    for (const res of this.#responses) {
+      waiting += res.writableEnded ? 0 : 1;
+    }
+    return waiting;
+  }
+
+  get isReceiving(): boolean {
+    return this.#body !== undefined;
+  }
+
+  get unsentBytes(): number {
+    if (this.openCalls === 0) {
+      return 0;
+    }
+    let bytes = 0;
+    for (const res of this.#responses) {
+      bytes += res.writableLength;
+    }
+    return bytes;
+  }
+
+  /** Puts the guard between the socket and the server's parser. */
+  start(): void {
+    const [parse] = this.socket.listeners("data") as ((
+      chunk: Buffer,
+    ) => void)[];
+    if (parse === undefined) {
+      return;
+    }
+    this.#parse = parse;
+    this.socket.removeListener("data", parse);
+    this.socket.on("data", (chunk: Buffer) => this.#receive(chunk));
+    this.socket.on("resume", () => this.#handleResume());
+  }
+
+  openCall(res: ServerResponse): void {
+    if (this.openCalls === 0) {
+      this.sentMs = performance.now();
+    }
+    this.openCalls++;
+    this.#responses.add(res);
+  }
+
+  closeCall(res: ServerResponse): void {
+    this.openCalls--;
+    this.servedCalls++;
+    this.#responses.delete(res);
+    if (this.#isHeld && !this.isEnding) {
+      this.resume();
+    }
+  }
+
+  startBody(buffer: BodyBuffer, res: ServerResponse): void {
+    this.#body = {
+      buffer,
+      res,
+      checkedBytes: 0,
+      checkedMs: performance.now(),
+    };
+  }
+
+  endBody(buffer: BodyBuffer): void {
+    if (this.#body?.buffer === buffer) {
+      this.#body = undefined;
+    }
+  }
+
+  changeHeld(bytes: number): void {
+    if (this.heldBytes === 0) {
+      this.heldSinceMs = performance.now();
+    }
+    this.heldBytes += bytes;
+  }
+
+  /** Frees what is held. */
+  release(): void {
+    this.#setInput(undefined);
+    this.#body?.buffer.release();
+    this.#body = undefined;
+  }
+
+  /** Parses the input that waits, and reads on if the guard admits it. */
+  resume(): void {
+    if (!this.#isHeld || this.socket.destroyed || this.isEnding) {
+      return;
+    }
+    if (this.#guard.admitRead(this)) {
+      this.#isHeld = false;
+      this.socket.resume();
+      this.#run();
+    }
+  }
+
+  /**
+   * Rejects the unfinished call, or all further calls; those that were passed
+   * on are answered first.
+   */
+  reject(status: number): void {
+    this.#isRejected = true;
+    this.#endingMs = performance.now();
+    const res = this.#body?.res;
+    if (res !== undefined && !res.headersSent) {
+      res.writeHead(status, {
+        connection: "close",
+        "content-length": 0,
+        ...(status === SERVICE_UNAVAILABLE ? { "retry-after": "1" } : {}),
+      });
+      res.end();
+    } else if (this.openCalls === 0) {
+      this.end();
+    }
+  }
+
+  /** Closes the connection once all that was passed on is answered. */
+  end(): void {
+    if (this.#isRejected && this.socket.writable) {
+      this.socket.end(REJECTION);
+    }
+  }
+
+  /** Returns why the client is to be rejected, if it makes no progress. */
+  check(now: number, pausedMs: number): RejectionKind | undefined {
+    this.sentMs += pausedMs;
+    if (this.isEnding) {
+      this.#checkEnding(now);
+      return undefined;
+    }
+    if (this.openCalls > 0) {
+      const sentBytes = this.socket.bytesWritten - this.socket.writableLength;
+      if (sentBytes !== this.#sentBytes) {
+        this.#sentBytes = sentBytes;
+        this.sentMs = now;
+      }
+      if (isUnread(this, now, this.#guard.limits)) {
+        return RejectionKind.Unread;
+      }
+    }
+    return this.#checkBody(now, pausedMs);
+  }
+
+  #checkEnding(now: number): void {
+    this.#endingMs ??= now;
+    if (now - this.#endingMs >= ENDING_MS && this.waitingCalls === 0) {
+      this.socket.destroy();
+    }
+  }
+
+  #checkBody(now: number, pausedMs: number): RejectionKind | undefined {
+    const body = this.#body;
+    if (body === undefined) {
+      return undefined;
+    }
+    body.checkedMs += pausedMs;
+    const { bytes } = body.buffer;
+    const progress = {
+      grownBytes: bytes - body.checkedBytes,
+      forMs: now - body.checkedMs,
+    };
+    if (isStalled(progress, this.#guard.limits)) {
+      return this.#isHeld ? undefined : RejectionKind.Stalled;
+    }
+    if (progress.forMs >= this.#guard.limits.bodyStallMs) {
+      body.checkedBytes = bytes;
+      body.checkedMs = now;
+    }
+    return undefined;
+  }
+
+  #receive(chunk: Buffer): void {
+    if (this.isEnding) {
+      return;
+    }
+    if (
+      this.#input === undefined && chunk.length <= SLICE_BYTES &&
+      !this.#isHeld && !this.#isPausedByServer && this.#guard.admitRead(this)
+    ) {
+      this.#parseSlice(chunk);
+      return;
+    }
+    const input = this.#input === undefined
+      ? chunk
+      : Buffer.concat([this.#input, chunk]);
+    this.#input = input;
+    if (!this.#isHeld && !this.#isPausedByServer) {
+      this.#run();
+    } else {
+      this.#setInput(input);
+      this.socket.pause();
+    }
+  }
+
+  /** The server reads on, or a request did; the guard's decision stands. */
+  #handleResume(): void {
+    if (this.isEnding || this.#isHeld) {
+      if (!this.isEnding) {
+        this.socket.pause();
+      }
+      return;
+    }
+    if (this.#isPausedByServer) {
+      this.#isPausedByServer = false;
+      this.#run();
+    }
+  }
+
+  /** Parses slices of the input until the guard or the server stops it. */
+  #run(): void {
+    let input = this.#input;
+    while (
+      input !== undefined && input.length > 0 && !this.socket.destroyed &&
+      !this.isEnding
+    ) {
+      if (this.#isPausedByServer) {
+        this.#setInput(input);
+        return;
+      }
+      if (!this.#guard.admitRead(this)) {
+        this.#isHeld = true;
+        this.socket.pause();
+        this.#setInput(input);
+        return;
+      }
+      const slice = input.subarray(0, SLICE_BYTES);
+      input = input.subarray(slice.length);
+      this.#parseSlice(slice);
+    }
+    this.#setInput(undefined);
+  }
+
+  #parseSlice(slice: Buffer): void {
+    this.#parse?.call(this.socket, slice);
+    this.#isPausedByServer = this.socket.isPaused();
+  }
+
+  /** Keeps input; what a slice of a buffer keeps alive counts whole. */
+  #setInput(input: Buffer | undefined): void {
+    const before = this.#inputBytes;
+    this.#input = input !== undefined && input.length > 0 && !this.isEnding
+      ? input
+      : undefined;
+    this.#inputBytes = this.#input?.buffer.byteLength ?? 0;
+    if (this.#inputBytes !== before) {
+      this.#guard.hold(this, this.#inputBytes - before);
+    }
+  }
+}
--- a/packages/runtime/src/http_limits.ts
+++ b/packages/runtime/src/http_limits.ts
@@ -48,6 +48,9 @@
   } = limits;
   return {
     maxHeaderSize: MAX_HEADER_BYTES,
+    // The runtime answers such requests without an event, so that pipelined
+    // ones could not be counted; see `ConnectionGuard.rejectWithoutHost`.
+    requireHostHeader: false,
     headersTimeout: headersTimeoutMs,
     requestTimeout: requestTimeoutMs,
     // Told to clients; {@link limitServer} decides what is closed.
--- a/packages/runtime/src/mod.ts
+++ b/packages/runtime/src/mod.ts
@@ -5,6 +5,10 @@
  * @module
  */
 export * from "./admin_listener.ts";
+export * from "./body_buffer.ts";
+export * from "./client_limits.ts";
+export * from "./connection_guard.ts";
+export * from "./connection_policy.ts";
 export * from "./event_loop.ts";
 export * from "./http_limits.ts";
 export * from "./incarnation.ts";
