Let a body that is being received always end

Cause: a call whose body spans several slices waited for itself once the calls of its connection, or of all connections, were at their bound.

A call that is being received is now read on, in slices of 128 bytes while the bounds are reached, and a body that the guard holds is not stalled. A body that comes in one chunk is not copied, and slices have 4 KB at the front.

--- a/packages/runtime/src/body_buffer.ts
+++ b/packages/runtime/src/body_buffer.ts
@@ -1,5 +1,6 @@
 /** Size of the first buffer of a body, in bytes; most jobs fit in it. */
 const FIRST_BYTES = 4_096;
+const EMPTY = Buffer.alloc(0);
 
 /**
  * The body of a request in one buffer that grows by doubling. Slices of the
@@ -15,9 +16,11 @@
 export class BodyBuffer {
   readonly #maxBytes: number;
   readonly #onCapacity: (addedBytes: number) => void;
-  #buffer = Buffer.alloc(0);
+  #buffer = EMPTY;
   #bytes = 0;
   #isReleased = false;
+  /** The whole body, if it came in one chunk. */
+  #whole: Uint8Array | undefined;
 
   /**
    * `onCapacity` is called before the memory of the buffer changes, with the
@@ -33,6 +36,15 @@
     return this.#bytes;
   }
 
+  /**
+   * Takes a chunk that is the whole body and is handled in the same turn of
+   * the loop, so that it isn't copied.
+   */
+  setWhole(chunk: Uint8Array): void {
+    this.#whole = chunk;
+    this.#bytes = chunk.length;
+  }
+
   /** Adds a chunk; returns false if it was released or would be too large. */
   add(chunk: Uint8Array): boolean {
     const bytes = this.#bytes + chunk.length;
@@ -49,20 +61,25 @@
 
   /** Returns what was added as text in UTF-8. */
   toString(): string {
-    return this.#buffer.toString("utf8", 0, this.#bytes);
+    return this.toBuffer().toString();
   }
 
   /** Returns what was added, without copying it. */
   toBuffer(): Buffer {
-    return this.#buffer.subarray(0, this.#bytes);
+    const { buffer, byteOffset } = this.#whole ?? this.#buffer;
+    return Buffer.from(buffer, byteOffset, this.#bytes);
   }
 
   /** Frees the memory; nothing is added afterwards. */
   release(): void {
-    if (!this.#isReleased) {
-      this.#isReleased = true;
+    if (this.#isReleased) {
+      return;
+    }
+    this.#isReleased = true;
+    this.#whole = undefined;
+    if (this.#buffer.length > 0) {
       this.#onCapacity(-this.#buffer.length);
-      this.#buffer = Buffer.alloc(0);
+      this.#buffer = EMPTY;
     }
   }
 
--- a/packages/runtime/src/client_limits.ts
+++ b/packages/runtime/src/client_limits.ts
@@ -22,6 +22,8 @@
 const DEFAULTS: ClientLimits = {
   maxBytes: 64 * MB,
   maxCalls: 6_000,
+  // An ordinary job is parsed at once.
+  sliceBytes: 4_096,
   maxCallsPerConnection: 32,
   maxUnsentBytes: 64 * 1_024,
   maxConnections: 10_000,
@@ -74,6 +76,8 @@
     ...DEFAULTS,
     maxBytes: 2 * MB,
     maxCalls: 256,
+    // At most 28 calls beyond the rate.
+    sliceBytes: 512,
     maxCallsPerConnection: 4,
     // 1,000 calls a second: a hundred times those of probes and scrapers.
     maxCallsPerInterval: 50,
--- a/packages/runtime/src/connection_guard.ts
+++ b/packages/runtime/src/connection_guard.ts
@@ -19,10 +19,10 @@
 import type { Metrics } from "./metrics.ts";
 
 /**
- * Bytes that are parsed at once. All calls in them are dispatched before the
- * guard can stop, and the shortest call has 18 bytes.
+ * Bytes that are parsed at once if only the call that is being received is to
+ * end; they begin at most seven further calls.
  */
-const SLICE_BYTES = 1_024;
+const LITTLE_BYTES = 128;
 /** Interval of checks for clients without progress, in milliseconds. */
 const CHECK_INTERVAL_MS = 1_000;
 /** Shortest time between two searches for unread responses, in ms. */
@@ -129,13 +129,18 @@
       maxBytes,
       (bytes) => connection && this.#hold(connection, bytes),
     );
-    connection?.startBody(body, res);
+    connection?.startBody(body, req, res);
     const finish = () => {
       connection?.endBody(body);
       body.release();
     };
     let isTooLarge = false;
+    const length = Number(req.headers["content-length"]);
     req.on("data", (chunk: Buffer) => {
+      if (chunk.length === length && length <= maxBytes) {
+        body.setWhole(chunk);
+        return;
+      }
       if (body.add(chunk) || isTooLarge || connection?.isEnding) {
         return;
       }
@@ -239,20 +244,28 @@
     }, RATE_INTERVAL_MS).unref();
   }
 
-  /** @internal Returns whether the connection may be read now. */
-  admitRead(connection: GuardedConnection): boolean {
+  /** @internal Returns how many bytes may be parsed now; 0 to wait. */
+  admitRead(connection: GuardedConnection): number {
     const totals = {
       openCalls: this.#openCalls,
       recentCalls: this.#recentCalls,
     };
     const decision = decideRead(connection, totals, this.limits);
-    if (decision === ReadDecision.WaitForAny) {
-      this.#waiting.add(connection);
-      this.#rejectUnread();
-    } else if (decision === ReadDecision.WaitForRate) {
-      this.#waitingForRate.add(connection);
+    switch (decision) {
+      case ReadDecision.Read:
+        return this.limits.sliceBytes;
+      case ReadDecision.ReadLittle:
+        return LITTLE_BYTES;
+      case ReadDecision.WaitForAny:
+        this.#waiting.add(connection);
+        this.#rejectUnread();
+        return 0;
+      case ReadDecision.WaitForRate:
+        this.#waitingForRate.add(connection);
+        return 0;
+      default:
+        return 0;
     }
-    return decision === ReadDecision.Read;
   }
 
   /** @internal Changes the bytes that a connection holds. */
@@ -361,6 +374,7 @@
 }
 
 interface OpenBody {
+  readonly req: IncomingMessage;
   readonly buffer: BodyBuffer;
   readonly res: ServerResponse;
   checkedBytes: number;
@@ -407,7 +421,8 @@
   }
 
   get isReceiving(): boolean {
-    return this.#body !== undefined;
+    // Its last bytes may be parsed though the body's end comes a turn later.
+    return this.#body !== undefined && !this.#body.req.complete;
   }
 
   get unsentBytes(): number {
@@ -452,8 +467,13 @@
     }
   }
 
-  startBody(buffer: BodyBuffer, res: ServerResponse): void {
+  startBody(
+    buffer: BodyBuffer,
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): void {
     this.#body = {
+      req,
       buffer,
       res,
       checkedBytes: 0,
@@ -486,7 +506,7 @@
     if (!this.#isHeld || this.socket.destroyed || this.isEnding) {
       return;
     }
-    if (this.#guard.admitRead(this)) {
+    if (this.#guard.admitRead(this) > 0) {
       this.#isHeld = false;
       this.socket.resume();
       this.#run();
@@ -558,10 +578,10 @@
       grownBytes: bytes - body.checkedBytes,
       forMs: now - body.checkedMs,
     };
-    if (isStalled(progress, this.#guard.limits)) {
-      return this.#isHeld ? undefined : RejectionKind.Stalled;
+    if (!this.#isHeld && isStalled(progress, this.#guard.limits)) {
+      return RejectionKind.Stalled;
     }
-    if (progress.forMs >= this.#guard.limits.bodyStallMs) {
+    if (this.#isHeld || progress.forMs >= this.#guard.limits.bodyStallMs) {
       body.checkedBytes = bytes;
       body.checkedMs = now;
     }
@@ -573,8 +593,8 @@
       return;
     }
     if (
-      this.#input === undefined && chunk.length <= SLICE_BYTES &&
-      !this.#isHeld && !this.#isPausedByServer && this.#guard.admitRead(this)
+      this.#input === undefined && !this.#isHeld && !this.#isPausedByServer &&
+      chunk.length <= this.#guard.admitRead(this)
     ) {
       this.#parseSlice(chunk);
       return;
@@ -616,13 +636,14 @@
         this.#setInput(input);
         return;
       }
-      if (!this.#guard.admitRead(this)) {
+      const admitted = this.#guard.admitRead(this);
+      if (admitted === 0) {
         this.#isHeld = true;
         this.socket.pause();
         this.#setInput(input);
         return;
       }
-      const slice = input.subarray(0, SLICE_BYTES);
+      const slice = input.subarray(0, admitted);
       input = input.subarray(slice.length);
       this.#parseSlice(slice);
     }
--- a/packages/runtime/src/connection_policy.ts
+++ b/packages/runtime/src/connection_policy.ts
@@ -18,6 +18,8 @@
 export enum ReadDecision {
   /** They are parsed. */
   Read = "read",
+  /** Few are parsed, so that the call that is being received can end. */
+  ReadLittle = "read-little",
   /** They are left in the socket until a call of the connection ends. */
   WaitForConnection = "wait-for-connection",
   /** They are left in the socket until any call ends. */
@@ -55,6 +57,11 @@
   readonly maxBytes: number;
   /** Open calls over all connections. */
   readonly maxCalls: number;
+  /**
+   * Bytes that are parsed at once. All calls in them are dispatched before the
+   * next decision; the shortest call has 18 bytes.
+   */
+  readonly sliceBytes: number;
   /** Open calls of a connection. */
   readonly maxCallsPerConnection: number;
   /** Unsent response bytes of a connection. */
@@ -95,27 +102,35 @@
 }
 
 /**
- * Decides whether more input of a connection is parsed.
+ * Decides whether more input of a connection is parsed. A call that is being
+ * received never waits for itself.
  *
  * @example
  * ```ts
- * const load = { openCalls: 0, servedCalls: 0, unsentBytes: 0 };
- * decideRead(load, { openCalls: 10, recentCalls: 0 }, limits); // Read
+ * decideRead(idleLoad, { openCalls: 10, recentCalls: 0 }, limits); // Read
  * ```
  */
 export function decideRead(
-  load: Pick<ConnectionLoad, "openCalls" | "servedCalls" | "unsentBytes">,
+  load: ReadLoad,
   totals: CallTotals,
   limits: ClientLimits,
 ): ReadDecision {
   const { maxCallsPerInterval = Infinity } = limits;
-  if (
-    load.openCalls >= limits.maxCallsPerConnection ||
-    load.unsentBytes >= limits.maxUnsentBytes
-  ) {
+  const isConnectionFull = load.openCalls >= limits.maxCallsPerConnection ||
+    load.unsentBytes >= limits.maxUnsentBytes;
+  const isFull = totals.openCalls >= limits.maxCalls;
+  if (load.isReceiving) {
+    if (!isConnectionFull && !isFull) {
+      return ReadDecision.Read;
+    }
+    return load.openCalls <= 1
+      ? ReadDecision.ReadLittle
+      : ReadDecision.WaitForConnection;
+  }
+  if (isConnectionFull) {
     return ReadDecision.WaitForConnection;
   }
-  if (totals.openCalls >= limits.maxCalls) {
+  if (isFull) {
     return ReadDecision.WaitForAny;
   }
   // A probe on a new connection is answered whatever the others send.
@@ -125,6 +140,12 @@
     : ReadDecision.Read;
 }
 
+/** What {@link decideRead} needs of a connection's load. */
+export type ReadLoad = Pick<
+  ConnectionLoad,
+  "openCalls" | "servedCalls" | "isReceiving" | "unsentBytes"
+>;
+
 /** Progress of a body since the last check. */
 export interface BodyProgress {
   readonly grownBytes: number;
--- a/packages/runtime/src/connection_policy_test.ts
+++ b/packages/runtime/src/connection_policy_test.ts
@@ -16,6 +16,7 @@
 const LIMITS: ClientLimits = {
   maxBytes: 1_000,
   maxCalls: 10,
+  sliceBytes: 64,
   maxCallsPerConnection: 4,
   maxUnsentBytes: 100,
   maxCallsPerInterval: 5,
@@ -37,7 +38,8 @@
 };
 const NOW = 10_000;
 
-const { Read, WaitForConnection, WaitForAny, WaitForRate } = ReadDecision;
+const { Read, ReadLittle, WaitForConnection, WaitForAny, WaitForRate } =
+  ReadDecision;
 const READS: readonly [
   string,
   Partial<ConnectionLoad>,
@@ -57,6 +59,21 @@
   ],
   ["all calls of the listener open", {}, 10, 0, WaitForAny],
   ["both bounds reached", { openCalls: 4 }, 10, 0, WaitForConnection],
+  [
+    "a body while all calls are open",
+    { openCalls: 1, isReceiving: true },
+    10,
+    0,
+    ReadLittle,
+  ],
+  ["a body beyond the rate", { openCalls: 1, isReceiving: true }, 1, 5, Read],
+  [
+    "a body behind as many calls as the bound",
+    { openCalls: 4, isReceiving: true },
+    4,
+    0,
+    WaitForConnection,
+  ],
   ["a later call beyond the rate", { servedCalls: 1 }, 0, 5, WaitForRate],
   ["the first call beyond the rate", {}, 0, 5, Read],
   ["a second open call beyond the rate", { openCalls: 1 }, 1, 5, WaitForRate],
