Parse the input of costly clients a bounded time each turn

Connections are charged for the time of their input, halved each second. Those at 0.5 ms or more share 5 ms in each turn of the loop and an eighth of the open calls; others are read first.

Ruled out: rejecting bodies by the number of their chunks, since a single body in chunks of one byte is inside the limits and is served without overload.

--- a/packages/runtime/src/client_limits.ts
+++ b/packages/runtime/src/client_limits.ts
@@ -2,7 +2,7 @@
 
 const MB = 1_024 * 1_024;
 /** Share of a machine's memory for bodies and unparsed input. */
-const BYTES_SHARE = 1 / 6;
+const BYTES_SHARE = 1 / 8;
 /** Share of a machine's memory for the connections themselves. */
 const CONNECTIONS_SHARE = 1 / 4;
 /** Memory of a connection with its parser and headers of 16 KB, in bytes. */
@@ -18,10 +18,10 @@
 /** Listeners with {@link probeLimits} of a process. */
 const PROBE_LISTENERS = 2;
 
-/** Limits of a process without any setting: those of a machine of 384 MB. */
+/** Limits of a process without any setting: those of a machine of 512 MB. */
 const DEFAULTS: ClientLimits = {
   maxBytes: 64 * MB,
-  maxCalls: 6_000,
+  maxCalls: 8_000,
   // An ordinary job is parsed at once.
   sliceBytes: 4_096,
   maxCallsPerConnection: 32,
--- a/packages/runtime/src/connection_guard.ts
+++ b/packages/runtime/src/connection_guard.ts
@@ -5,6 +5,7 @@
   type ClientLimits,
   type ConnectionLoad,
   decideRead,
+  isCostly,
   isStalled,
   isUnread,
   LongestUnread,
@@ -23,6 +24,11 @@
  * end; they begin at most seven further calls.
  */
 const LITTLE_BYTES = 128;
+/**
+ * Cost of a call beyond its parsing, in milliseconds; a lower bound of what the
+ * node does for it.
+ */
+const CALL_COST_MS = 0.05;
 /** Interval of checks for clients without progress, in milliseconds. */
 const CHECK_INTERVAL_MS = 1_000;
 /** Shortest time between two searches for unread responses, in ms. */
@@ -66,6 +72,8 @@
   readonly #connections = new Map<Socket, GuardedConnection>();
   /** Connections that wait until any call ends, in order. */
   readonly #waiting = new Set<GuardedConnection>();
+  /** Costly ones among them, which may use fewer calls. */
+  readonly #waitingCostly = new Set<GuardedConnection>();
   /** Connections that wait for the next interval of the call rate, in order. */
   readonly #waitingForRate = new Set<GuardedConnection>();
   readonly #loggedMs = new Map<RejectionKind, number>();
@@ -74,6 +82,10 @@
   readonly #longestUnread = new LongestUnread();
   #heldBytes = 0;
   #openCalls = 0;
+  /** Costly connections that wait for a later turn, in order. */
+  readonly #waitingForTurn = new Set<GuardedConnection>();
+  #costlyMs = 0;
+  #nextTurn: NodeJS.Immediate | undefined;
   #recentCalls = 0;
   #rateTimer: NodeJS.Timeout | undefined;
   #searchedMs = 0;
@@ -193,8 +205,7 @@
     this.#connections.set(socket, connection);
     socket.once("close", () => {
       this.#connections.delete(socket);
-      this.#waiting.delete(connection);
-      this.#waitingForRate.delete(connection);
+      this.#forget(connection);
       // Responses that wait behind another one emit no event of their own.
       this.#openCalls -= connection.openCalls;
       connection.openCalls = 0;
@@ -249,6 +260,7 @@
     const totals = {
       openCalls: this.#openCalls,
       recentCalls: this.#recentCalls,
+      costlyMs: this.#costlyMs,
     };
     const decision = decideRead(connection, totals, this.limits);
     switch (decision) {
@@ -257,9 +269,13 @@
       case ReadDecision.ReadLittle:
         return LITTLE_BYTES;
       case ReadDecision.WaitForAny:
-        this.#waiting.add(connection);
+        (isCostly(connection) ? this.#waitingCostly : this.#waiting)
+          .add(connection);
         this.#rejectUnread();
         return 0;
+      case ReadDecision.WaitForTurn:
+        this.#waitingForTurn.add(connection);
+        return 0;
       case ReadDecision.WaitForRate:
         this.#waitingForRate.add(connection);
         return 0;
@@ -268,6 +284,31 @@
     }
   }
 
+  /** @internal Notes the processor time of a connection's input. */
+  addCost(connection: GuardedConnection, ms: number): void {
+    connection.costMs += ms;
+    if (isCostly(connection)) {
+      this.#costlyMs += ms;
+      this.#nextTurn ??= setImmediate(() => this.#beginTurn());
+    }
+  }
+
+  #beginTurn(): void {
+    this.#nextTurn = undefined;
+    this.#costlyMs = 0;
+    for (const connection of [...this.#waitingForTurn]) {
+      // What is resumed may schedule the next turn.
+      this.#waitingForTurn.delete(connection);
+      connection.resume();
+      if (this.#waitingForTurn.has(connection)) {
+        break;
+      }
+    }
+    if (this.#waitingForTurn.size > 0) {
+      this.#nextTurn ??= setImmediate(() => this.#beginTurn());
+    }
+  }
+
   /** @internal Changes the bytes that a connection holds. */
   hold(connection: GuardedConnection, bytes: number): void {
     this.#hold(connection, bytes);
@@ -292,16 +333,32 @@
     }
   }
 
+  /** Reads on after a call has ended; costly connections come last. */
   #resumeWaiting(): void {
-    for (const connection of this.#waiting) {
-      if (this.#openCalls >= this.limits.maxCalls) {
-        return;
+    for (const set of [this.#waiting, this.#waitingCostly]) {
+      for (const connection of set) {
+        set.delete(connection);
+        connection.resume();
+        // It waits again, and so would those behind it.
+        if (this.#isWaiting(connection)) {
+          break;
+        }
       }
-      this.#waiting.delete(connection);
-      connection.resume();
     }
   }
 
+  #forget(connection: GuardedConnection): void {
+    this.#waiting.delete(connection);
+    this.#waitingCostly.delete(connection);
+    this.#waitingForRate.delete(connection);
+    this.#waitingForTurn.delete(connection);
+  }
+
+  #isWaiting(connection: GuardedConnection): boolean {
+    return this.#waiting.has(connection) ||
+      this.#waitingCostly.has(connection);
+  }
+
   #rejectVictim(policy: VictimPolicy, newest?: Socket): boolean {
     const now = performance.now();
     const victim = policy.choose(this.#connections.values(), now);
@@ -317,8 +374,7 @@
   #reject(connection: GuardedConnection, kind: RejectionKind): void {
     this.#report(kind);
     connection.isEnding = true;
-    this.#waiting.delete(connection);
-    this.#waitingForRate.delete(connection);
+    this.#forget(connection);
     const closesNow = kind === RejectionKind.Connections ||
       kind === RejectionKind.Calls || kind === RejectionKind.Unread;
     if (closesNow) {
@@ -389,6 +445,7 @@
   heldSinceMs = 0;
   openCalls = 0;
   servedCalls = 0;
+  costMs = 0;
   sentMs = 0;
   isEnding = false;
   readonly #guard: ConnectionGuard;
@@ -455,6 +512,7 @@
       this.sentMs = performance.now();
     }
     this.openCalls++;
+    this.costMs += CALL_COST_MS;
     this.#responses.add(res);
   }
 
@@ -543,6 +601,7 @@
   /** Returns why the client is to be rejected, if it makes no progress. */
   check(now: number, pausedMs: number): RejectionKind | undefined {
     this.sentMs += pausedMs;
+    this.costMs /= 2;
     if (this.isEnding) {
       this.#checkEnding(now);
       return undefined;
@@ -651,7 +710,9 @@
   }
 
   #parseSlice(slice: Buffer): void {
+    const startMs = performance.now();
     this.#parse?.call(this.socket, slice);
+    this.#guard.addCost(this, performance.now() - startMs);
     this.#isPausedByServer = this.socket.isPaused();
   }
 
--- a/packages/runtime/src/connection_policy.ts
+++ b/packages/runtime/src/connection_policy.ts
@@ -24,6 +24,8 @@
   WaitForConnection = "wait-for-connection",
   /** They are left in the socket until any call ends. */
   WaitForAny = "wait-for-any",
+  /** They are left in the socket until a later turn of the loop. */
+  WaitForTurn = "wait-for-turn",
   /** They are left in the socket until the next interval of the call rate. */
   WaitForRate = "wait-for-rate",
 }
@@ -33,6 +35,11 @@
   readonly openedMs: number;
   /** Calls whose responses were sent. */
   readonly servedCalls: number;
+  /**
+   * Recent cost of its input in milliseconds of processor time, halved each
+   * second.
+   */
+  readonly costMs: number;
   /** Bytes of the body and of input that is not parsed yet. */
   readonly heldBytes: number;
   /** When the connection began to hold bytes. */
@@ -91,6 +98,21 @@
  */
 const UNREAD_UNDER_PRESSURE_MS = 3_000;
 
+/**
+ * Recent cost from which a connection is costly, in milliseconds: that of ten
+ * ordinary calls.
+ */
+const COSTLY_MS = 0.5;
+
+/**
+ * Time for the input of all costly connections in a turn of the loop, in
+ * milliseconds; what others send and what the node does itself comes between.
+ */
+const COSTLY_MS_PER_TURN = 5;
+
+/** Share of the open calls that costly connections may use. */
+const COSTLY_CALLS_SHARE = 1 / 8;
+
 /** Factor by which clients that were never served are rejected first. */
 const NEVER_SERVED_FACTOR = 1_000;
 
@@ -99,6 +121,8 @@
   readonly openCalls: number;
   /** Calls that arrived in the current interval of the call rate. */
   readonly recentCalls: number;
+  /** Time that costly connections took in this turn, in milliseconds. */
+  readonly costlyMs: number;
 }
 
 /**
@@ -118,7 +142,14 @@
   const { maxCallsPerInterval = Infinity } = limits;
   const isConnectionFull = load.openCalls >= limits.maxCallsPerConnection ||
     load.unsentBytes >= limits.maxUnsentBytes;
-  const isFull = totals.openCalls >= limits.maxCalls;
+  const costly = isCostly(load);
+  if (costly && totals.costlyMs >= COSTLY_MS_PER_TURN) {
+    return ReadDecision.WaitForTurn;
+  }
+  const maxCalls = costly
+    ? limits.maxCalls * COSTLY_CALLS_SHARE
+    : limits.maxCalls;
+  const isFull = totals.openCalls >= maxCalls;
   if (load.isReceiving) {
     if (!isConnectionFull && !isFull) {
       return ReadDecision.Read;
@@ -140,10 +171,15 @@
     : ReadDecision.Read;
 }
 
+/** Returns whether a connection's recent input was costly. */
+export function isCostly({ costMs }: Pick<ConnectionLoad, "costMs">): boolean {
+  return costMs >= COSTLY_MS;
+}
+
 /** What {@link decideRead} needs of a connection's load. */
 export type ReadLoad = Pick<
   ConnectionLoad,
-  "openCalls" | "servedCalls" | "isReceiving" | "unsentBytes"
+  "costMs" | "openCalls" | "servedCalls" | "isReceiving" | "unsentBytes"
 >;
 
 /** Progress of a body since the last check. */
--- a/packages/runtime/src/connection_policy_test.ts
+++ b/packages/runtime/src/connection_policy_test.ts
@@ -27,6 +27,7 @@
 const IDLE: ConnectionLoad = {
   openedMs: 0,
   servedCalls: 0,
+  costMs: 0,
   heldBytes: 0,
   heldSinceMs: 0,
   openCalls: 0,
@@ -38,8 +39,14 @@
 };
 const NOW = 10_000;
 
-const { Read, ReadLittle, WaitForConnection, WaitForAny, WaitForRate } =
-  ReadDecision;
+const {
+  Read,
+  ReadLittle,
+  WaitForConnection,
+  WaitForAny,
+  WaitForRate,
+  WaitForTurn,
+} = ReadDecision;
 const READS: readonly [
   string,
   Partial<ConnectionLoad>,
@@ -74,6 +81,15 @@
     0,
     WaitForConnection,
   ],
+  ["costly input beyond the turn", { costMs: 0.5 }, 0, 0, WaitForTurn],
+  [
+    "costly input of a body beyond the turn",
+    { costMs: 1, isReceiving: true },
+    0,
+    0,
+    WaitForTurn,
+  ],
+  ["input that is not costly", { costMs: 0.49 }, 9, 0, Read],
   ["a later call beyond the rate", { servedCalls: 1 }, 0, 5, WaitForRate],
   ["the first call beyond the rate", {}, 0, 5, Read],
   ["a second open call beyond the rate", { openCalls: 1 }, 1, 5, WaitForRate],
@@ -169,7 +185,7 @@
   {
     name: "memory is short",
     of: { memoryMb: 240 },
-    maxBytes: 40 * MB,
+    maxBytes: 30 * MB,
     maxConnections: 1_920,
   },
   {
@@ -201,7 +217,7 @@
 describe("limits of clients", () => {
   for (const [name, load, openCalls, recentCalls, decision] of READS) {
     it(`decide to ${decision} with ${name}`, () => {
-      const totals = { openCalls, recentCalls };
+      const totals = { openCalls, recentCalls, costlyMs: 5 };
       expect(decideRead({ ...IDLE, ...load }, totals, LIMITS))
         .to.equal(decision);
     });
