Bound the bytes that peers cost by the machine's memory

Cause: a peer that does not read could keep 10,000 queued messages of any size for 2 s, and a frame could have 64 MB on each of 2,000 connections.

Outboxes drop the oldest messages beyond a number of bytes (1/32 of the memory), as they do beyond a number of messages; the newest stays whatever its size. Frames are read up to 1/8 of the memory (16 MB to 64 MB), and peers have 1/8 of the descriptors (at least 64 connections).

Ruled out: frames of 256 KB only, since one message may be larger, such as a page of the store that a peer relays. Open: the sum over connections that have sent part of a frame is bounded by connections times frames, not by a budget of its own.

--- a/packages/runtime/src/client_limits.ts
+++ b/packages/runtime/src/client_limits.ts
@@ -86,6 +86,38 @@
   };
 }
 
+/** Limits of what peers cost. */
+export interface PeerLimits {
+  /** Total of the bodies of queued messages for each peer, in bytes. */
+  readonly maxQueuedBytes: number;
+  /** Largest frame that is read, in bytes. */
+  readonly maxReadBytes: number;
+  /** Accepted connections. */
+  readonly maxConnections: number;
+}
+
+/**
+ * Least bound on a frame, in bytes. A frame has up to 256 KB or one message,
+ * which may be a page of the store that a peer relays.
+ */
+const MIN_READ_BYTES = 16 * MB;
+const MAX_READ_BYTES = 64 * MB;
+/** Fewest connections of peers; each of 45 nodes has one. */
+const MIN_PEER_CONNECTIONS = 64;
+const MAX_PEER_CONNECTIONS = 2_000;
+
+/** Returns the limits of peers, from the memory and descriptors. */
+export function peerLimits(settings: ClientLimitSettings): PeerLimits {
+  const { memoryMb = Infinity, maxFds = Infinity } = settings;
+  const readBytes = Math.max(MIN_READ_BYTES, memoryMb * MB / 8);
+  const connections = Math.max(MIN_PEER_CONNECTIONS, maxFds / 8);
+  return {
+    maxQueuedBytes: Math.floor(Math.min(MAX_READ_BYTES, memoryMb * MB / 32)),
+    maxReadBytes: Math.floor(Math.min(MAX_READ_BYTES, readBytes)),
+    maxConnections: Math.floor(Math.min(MAX_PEER_CONNECTIONS, connections)),
+  };
+}
+
 function probeConnections(maxFds = Infinity): number {
   const share = Math.floor(maxFds * PROBE_FDS_SHARE);
   return Math.max(4, Math.min(MAX_PROBE_CONNECTIONS, share));
--- a/packages/runtime/src/connection_policy_test.ts
+++ b/packages/runtime/src/connection_policy_test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { callerLimits, probeLimits } from "./client_limits.ts";
+import { callerLimits, peerLimits, probeLimits } from "./client_limits.ts";
 import {
   type ClientLimits,
   type ConnectionLoad,
@@ -214,6 +214,22 @@
   },
 ];
 
+const PEERS = [
+  {
+    name: "nothing is known",
+    of: {},
+    maxReadBytes: 64 * MB,
+    maxConnections: 2_000,
+  },
+  {
+    name: "memory is short",
+    of: { memoryMb: 64 },
+    maxReadBytes: 16 * MB,
+    maxQueuedBytes: 2 * MB,
+  },
+  { name: "descriptors are short", of: { maxFds: 1_024 }, maxConnections: 128 },
+];
+
 describe("limits of clients", () => {
   for (const [name, load, openCalls, recentCalls, decision] of READS) {
     it(`decide to ${decision} with ${name}`, () => {
@@ -249,6 +265,12 @@
     });
   }
 
+  for (const { name, of, ...expected } of PEERS) {
+    it(`of peers follow from the machine if ${name}`, () => {
+      expect(peerLimits(of)).to.include(expected);
+    });
+  }
+
   it("of a process stay within its descriptors, with all listeners", () => {
     for (const maxFds of [64, 128, 256, 1_024, 4_096]) {
       const callers = callerLimits({ maxFds }).maxConnections;
--- a/packages/wire/src/dialer.ts
+++ b/packages/wire/src/dialer.ts
@@ -8,7 +8,6 @@
 import type { TlsFiles } from "@mustardweir/runtime";
 import { LinkService } from "./gen/mustardweir/link/v1/link_pb.ts";
 import { type Link, LinkEnd } from "./link.ts";
-import { MAX_READ_BYTES } from "./link_limits.ts";
 import { certificateNamesNode } from "./peer_identity.ts";
 
 const MIN_BACKOFF_MS = 50;
@@ -22,6 +21,8 @@
   abstract openLink(disconnect: () => void): Link;
   /** Certificate, key and CA; connections are unencrypted if undefined. */
   abstract readonly tls: TlsFiles | undefined;
+  /** Largest frame that is read, in bytes. */
+  abstract readonly maxReadBytes: number;
 }
 
 /**
@@ -79,7 +80,7 @@
       baseUrl,
       sessionManager,
       acceptCompression: [],
-      readMaxBytes: MAX_READ_BYTES,
+      readMaxBytes: this.#context.maxReadBytes,
     });
     const abort = new AbortController();
     const link = this.#context.openLink(() => {
--- a/packages/wire/src/link_performer.ts
+++ b/packages/wire/src/link_performer.ts
@@ -21,6 +21,7 @@
 import { type Link, LinkEnd, LinkSide } from "./link.ts";
 import { LinkServer, type ListenAddress } from "./link_server.ts";
 import { LinkTable } from "./link_table.ts";
+import { MAX_READ_BYTES } from "./link_limits.ts";
 import type { OutgoingMessage } from "./outbox.ts";
 import type { Peer } from "./peer.ts";
 
@@ -57,6 +58,15 @@
   readonly pingTimeoutMs?: number;
   /** Maximum number of queued messages for each peer; 10000 by default. */
   readonly maxQueuedMessages?: number;
+  /**
+   * Maximum total of the bodies of queued messages for each peer, in bytes; 64
+   * MB by default.
+   */
+  readonly maxQueuedBytes?: number;
+  /** Largest frame that is read, in bytes; 64 MB by default. */
+  readonly maxReadBytes?: number;
+  /** Maximum number of accepted connections; 2000 by default. */
+  readonly maxConnections?: number;
   /** Counts messages, opened and ended links, and malformed messages. */
   readonly metrics?: Metrics;
   /**
@@ -89,6 +99,8 @@
   readonly #metrics: Metrics;
   readonly #table: LinkTable;
   readonly #tls: TlsFiles | undefined;
+  readonly #maxReadBytes: number;
+  readonly #maxConnections: number | undefined;
   #server: LinkServer | undefined;
   #port = 0;
   #sink: EventSink | undefined;
@@ -101,12 +113,15 @@
     this.#codec = options.codec;
     this.#listen = options.listen;
     this.#tls = options.tls;
+    this.#maxReadBytes = options.maxReadBytes ?? MAX_READ_BYTES;
+    this.#maxConnections = options.maxConnections;
     this.#pingIntervalMs = options.pingIntervalMs ?? 500;
     this.#metrics = options.metrics ?? new Metrics();
     this.#table = new LinkTable({
       identity: options.identity,
       outbox: {
         maxMessages: options.maxQueuedMessages ?? 10_000,
+        maxBytes: options.maxQueuedBytes ?? MAX_READ_BYTES,
         maxAgeMs: MAX_QUEUE_AGE_MS,
       },
       pingTimeoutMs: options.pingTimeoutMs ?? 1_500,
@@ -134,6 +149,10 @@
         openLink: (connection) =>
           this.#table.open({ side: LinkSide.Accepted, ...connection }),
         tls: this.#tls,
+        maxReadBytes: this.#maxReadBytes,
+        ...(this.#maxConnections === undefined
+          ? {}
+          : { maxConnections: this.#maxConnections }),
       });
       this.#port = await this.#server.listen(this.#listen);
     }
@@ -232,6 +251,7 @@
         identity: this.#identity,
         peer,
         tls: this.#tls,
+        maxReadBytes: this.#maxReadBytes,
         alwaysDials: () => this.#alwaysDials,
       }),
     );
@@ -255,6 +275,7 @@
   readonly identity: NodeIdentity;
   readonly peer: Peer;
   readonly tls: TlsFiles | undefined;
+  readonly maxReadBytes: number;
   readonly alwaysDials: () => boolean;
 }
 
@@ -265,6 +286,7 @@
   readonly #peer: Peer;
   readonly #alwaysDials: () => boolean;
   override readonly tls: TlsFiles | undefined;
+  override readonly maxReadBytes: number;
 
   constructor(table: LinkTable, options: TableDialerContextOptions) {
     super();
@@ -273,6 +295,7 @@
     this.#peer = options.peer;
     this.#alwaysDials = options.alwaysDials;
     this.tls = options.tls;
+    this.maxReadBytes = options.maxReadBytes;
   }
 
   /**
--- a/packages/wire/src/link_server.ts
+++ b/packages/wire/src/link_server.ts
@@ -58,6 +58,10 @@
   readonly openLink: (connection: AcceptedConnection) => Link;
   /** Certificate, key and CA; connections are unencrypted if undefined. */
   readonly tls?: TlsFiles;
+  /** Largest frame that is read, in bytes; 64 MB by default. */
+  readonly maxReadBytes?: number;
+  /** Maximum number of connections; 2000 by default. */
+  readonly maxConnections?: number;
 }
 
 const SESSION = createContextKey<ServerHttp2Session | undefined>(undefined);
@@ -72,7 +76,7 @@
   constructor(options: LinkServerOptions) {
     this.#options = options;
     this.#server = this.#createServer();
-    this.#server.maxConnections = MAX_CONNECTIONS;
+    this.#server.maxConnections = options.maxConnections ?? MAX_CONNECTIONS;
     this.#server.on("session", (session) => this.#trackSession(session));
   }
 
@@ -96,7 +100,7 @@
 
   #createHandler() {
     return connectNodeAdapter({
-      readMaxBytes: MAX_READ_BYTES,
+      readMaxBytes: this.#options.maxReadBytes ?? MAX_READ_BYTES,
       routes: (router) => this.#registerRoutes(router),
       contextValues: (req) =>
         createContextValues().set(
--- a/packages/wire/src/outbox.ts
+++ b/packages/wire/src/outbox.ts
@@ -8,6 +8,11 @@
 export interface OutboxOptions {
   /** When more are queued, the oldest are dropped. */
   readonly maxMessages: number;
+  /**
+   * When the bodies of more than one queued message have more bytes in total,
+   * the oldest are dropped.
+   */
+  readonly maxBytes: number;
   /** Messages queued for longer are dropped, in milliseconds. */
   readonly maxAgeMs: number;
 }
@@ -23,6 +28,7 @@
 export class Outbox {
   readonly #options: OutboxOptions;
   #queue: QueuedMessage[] = [];
+  #bytes = 0;
 
   constructor(options: OutboxOptions) {
     this.#options = options;
@@ -36,11 +42,11 @@
   /** Adds a message; returns how many old messages were dropped. */
   add(message: OutgoingMessage, now: number): number {
     this.#queue.push({ ...message, addedAt: now });
-    const excess = this.#queue.length - this.#options.maxMessages;
-    if (excess <= 0) {
-      return 0;
+    this.#bytes += message.body.length;
+    const excess = this.#countExcess();
+    if (excess > 0) {
+      this.#remove(excess);
     }
-    this.#queue.splice(0, excess);
     return excess;
   }
 
@@ -52,7 +58,7 @@
     );
     const expired = firstFresh === -1 ? this.#queue.length : firstFresh;
     if (expired > 0) {
-      this.#queue.splice(0, expired);
+      this.#remove(expired);
     }
     return expired;
   }
@@ -71,6 +77,29 @@
       }
       taken += 1;
     }
-    return this.#queue.splice(0, taken);
+    return this.#remove(taken);
+  }
+
+  /** Returns how many of the oldest messages exceed the limits. */
+  #countExcess(): number {
+    const { maxMessages, maxBytes } = this.#options;
+    let excess = Math.max(0, this.#queue.length - maxMessages);
+    let bytes = this.#bytes;
+    for (let index = 0; index < this.#queue.length - 1; index++) {
+      if (index >= excess && bytes <= maxBytes) {
+        break;
+      }
+      bytes -= this.#queue[index]!.body.length;
+      excess = Math.max(excess, index + 1);
+    }
+    return excess;
+  }
+
+  #remove(count: number): QueuedMessage[] {
+    const removed = this.#queue.splice(0, count);
+    for (const { body } of removed) {
+      this.#bytes -= body.length;
+    }
+    return removed;
   }
 }
--- a/packages/wire/src/outbox_test.ts
+++ b/packages/wire/src/outbox_test.ts
@@ -9,6 +9,8 @@
   readonly addedAt: readonly number[];
   readonly now: number;
   readonly maxBytes: number;
+  /** Bound on the bytes of all queued messages; 1,000 if absent. */
+  readonly queuedBytes?: number;
   readonly overflowed: number;
   readonly expired: number;
   /** Indexes of the messages that `take` returns. */
@@ -34,6 +36,26 @@
     expired: 0,
     taken: [2, 3, 4, 5],
   },
+  {
+    name: "drops the oldest messages beyond the bound on bytes",
+    addedAt: [0, 0, 0],
+    now: 0,
+    maxBytes: 1_000,
+    queuedBytes: 25,
+    overflowed: 1,
+    expired: 0,
+    taken: [1, 2],
+  },
+  {
+    name: "keeps the newest message though it is larger than the bound",
+    addedAt: [0, 0],
+    now: 0,
+    maxBytes: 1_000,
+    queuedBytes: 5,
+    overflowed: 1,
+    expired: 0,
+    taken: [1],
+  },
   {
     name: "drops messages queued longer than the maximum age",
     addedAt: [0, 50, 51],
@@ -66,7 +88,11 @@
 describe("Outbox", () => {
   for (const row of OUTBOX_CASES) {
     it(row.name, () => {
-      const outbox = new Outbox({ maxMessages: 4, maxAgeMs: 100 });
+      const outbox = new Outbox({
+        maxMessages: 4,
+        maxBytes: row.queuedBytes ?? 1_000,
+        maxAgeMs: 100,
+      });
       const dropped = row.addedAt.map((at, kind) =>
         outbox.add({ kind, body: new Uint8Array(MESSAGE_BYTES) }, at)
       );
