Guard the entry and the admin listener

Cause: both kept the chunks of bodies in lists and dispatched pipelined calls without a bound, as the front did, and rendered the metrics for each call.

Both have a connection guard. The entry receives bodies in one buffer and hands them to the application whole; a chunked body beyond the limit of all routes is refused as before. The metrics are rendered at most once a second. A full entry still accepts no further connections: its test of the limit stays as it is.

234 tests of the entry, the runtime's listeners, the front and the settings pass, and 8 cases of limits, two of them new. Process tests of the entry under abusive clients were not written.

--- a/packages/entry/src/caller_front.ts
+++ b/packages/entry/src/caller_front.ts
@@ -1,5 +1,11 @@
 import { randomUUID } from "node:crypto";
-import { createServer, type Server } from "node:http";
+import {
+  createServer,
+  type IncomingMessage,
+  type RequestListener,
+  type Server,
+  type ServerResponse,
+} from "node:http";
 import {
   createServer as createSecureServer,
   Server as SecureServer,
@@ -19,6 +25,9 @@
 } from "@mustardweir/protocol";
 import {
   addProbes,
+  callerLimits,
+  type ClientLimits,
+  ConnectionGuard,
   type EventSink,
   type HostPort,
   type HttpLimits,
@@ -40,7 +49,12 @@
 } from "./decode.ts";
 import { encodeRefusal, type HttpReply } from "./encode.ts";
 import { createOpenApi, OPENAPI_PATH } from "./openapi.ts";
-import { type Route, type RoutedCall, ROUTES } from "./routes.ts";
+import {
+  MAX_INVENTORY_BYTES,
+  type Route,
+  type RoutedCall,
+  ROUTES,
+} from "./routes.ts";
 
 /**
  * Interval at which a closing server checks whether all responses have been
@@ -55,6 +69,7 @@
 const CLOSE_GRACE_MS = 5_000;
 
 const INTERNAL_ERROR = 500;
+const TOO_LARGE = 413;
 
 export interface CallerFrontOptions {
   readonly listen: HostPort;
@@ -66,6 +81,8 @@
   readonly tls?: TlsFiles;
   /** Limits of headers, connections and time; see {@link HttpLimits}. */
   readonly limits?: HttpLimits;
+  /** Limits of what clients cost; see {@link callerLimits}. */
+  readonly clients?: ClientLimits;
   /** Served at `/metrics`; without it the path is not found. */
   readonly metrics?: Metrics;
 }
@@ -145,18 +162,38 @@
    */
   #createServer(app: App): Server {
     const { limits, tls } = this.#options;
-    const server = createAdaptorServer({
-      fetch: app.fetch,
-      createServer: tls ? createSecureServer : createServer,
-      serverOptions: { ...limitOptions(limits), ...tls?.current },
-    }) as Server;
+    const guard = this.#createGuard();
+    const server = createAdaptorServer(
+      {
+        fetch: app.fetch,
+        createServer: (options: object, listener: RequestListener) => {
+          const receive: RequestListener = (req, res) =>
+            receiveBody(guard, req, res, listener);
+          return tls
+            ? createSecureServer(options, receive)
+            : createServer(options, receive);
+        },
+        serverOptions: { ...limitOptions(limits), ...tls?.current },
+      } as Parameters<typeof createAdaptorServer>[0],
+    ) as Server;
     limitServer(server, limits);
+    guard.protect(server);
     if (tls !== undefined && server instanceof SecureServer) {
       this.#unwatch = tls.watch((files) => server.setSecureContext(files));
     }
     return server;
   }
 
+  #createGuard(): ConnectionGuard {
+    const { clients = callerLimits({}), metrics } = this.#options;
+    return new ConnectionGuard({
+      listener: "entry",
+      limits: clients,
+      replacesConnections: false,
+      ...(metrics === undefined ? {} : { metrics }),
+    });
+  }
+
   #createApp(sink: EventSink): App {
     const app: App = new Hono();
     app.use((c, next) => {
@@ -238,6 +275,45 @@
   }
 }
 
+/**
+ * Receives the body of a request in one buffer and passes both to the listener,
+ * which would keep the chunks of a body in a list. A body that is too large by
+ * its header is left to the listener, which rejects it unread.
+ */
+function receiveBody(
+  guard: ConnectionGuard,
+  req: IncomingMessage,
+  res: ServerResponse,
+  listener: RequestListener,
+): void {
+  if (guard.isEnding(req)) {
+    return;
+  }
+  const { "content-length": length, "transfer-encoding": encoding } =
+    req.headers;
+  const hasBody = encoding !== undefined || Number(length ?? 0) > 0;
+  if (!hasBody || Number(length ?? 0) > MAX_INVENTORY_BYTES) {
+    listener(req, res);
+    return;
+  }
+  guard.readBody(req, res, {
+    maxBytes: MAX_INVENTORY_BYTES,
+    onEnd: (body) => {
+      Object.assign(req, { rawBody: body.toBuffer() });
+      listener(req, res);
+    },
+    onTooLarge: () => {
+      const { body } = tooLargeReply(MAX_INVENTORY_BYTES);
+      res.writeHead(TOO_LARGE, {
+        "content-type": "application/json",
+        connection: "close",
+      });
+      res.end(JSON.stringify(body));
+      guard.stopReading(req);
+    },
+  });
+}
+
 /**
  * Stops accepting connections, waits until `isIdle` returns true or the grace
  * time is over, then destroys the connections that are still open.
--- a/packages/entry/src/limits_test.ts
+++ b/packages/entry/src/limits_test.ts
@@ -14,6 +14,12 @@
 
 const MAX_CONNECTIONS = 3;
 
+function chunkedJob(bytes: number): string {
+  return "POST /v1/jobs HTTP/1.1\r\nHost: a\r\nConnection: close\r\n" +
+    `Transfer-Encoding: chunked\r\n\r\n${bytes.toString(16)}\r\n` +
+    `${"x".repeat(bytes)}\r\n0\r\n\r\n`;
+}
+
 const LIMIT_CASES: readonly LimitCase[] = [
   {
     name: "headers that are too large",
@@ -38,6 +44,16 @@
       "POST /v1/jobs HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n{}",
     reply: /^HTTP\/1.1 400 /,
   },
+  {
+    name: "a body in chunks beyond the limit of its route",
+    text: chunkedJob(1_100_000),
+    reply: /^HTTP\/1.1 413 [^]*body-too-large/,
+  },
+  {
+    name: "a body in chunks beyond the limit of all routes",
+    text: chunkedJob(17_000_000),
+    reply: /^HTTP\/1.1 413 [^]*body-too-large/,
+  },
   {
     name: "bytes that are not HTTP",
     text: "\u0016\u0003\u0001 hello\r\n\r\n",
--- a/packages/runtime/src/admin_listener.ts
+++ b/packages/runtime/src/admin_listener.ts
@@ -2,6 +2,8 @@
 import type { AddressInfo } from "node:net";
 import { createAdaptorServer } from "@hono/node-server";
 import { Hono } from "hono";
+import { probeLimits } from "./client_limits.ts";
+import { ConnectionGuard } from "./connection_guard.ts";
 import { limitOptions, limitServer } from "./http_limits.ts";
 import type { EffectKind } from "@mustardweir/protocol";
 import { Performer } from "./performer.ts";
@@ -53,6 +55,13 @@
       serverOptions: limitOptions(),
     }) as Server;
     limitServer(server, { maxConnections: MAX_CONNECTIONS });
+    const { metrics } = this.#options;
+    new ConnectionGuard({
+      listener: "admin",
+      limits: { ...probeLimits({}), maxConnections: MAX_CONNECTIONS },
+      replacesConnections: false,
+      ...(metrics === undefined ? {} : { metrics }),
+    }).protect(server);
     this.#server = server;
     const { host, port } = this.#options.listen;
     await new Promise<void>((resolve, reject) => {
--- a/packages/runtime/src/connection_guard.ts
+++ b/packages/runtime/src/connection_guard.ts
@@ -51,6 +51,11 @@
   /** Name of the listener in metrics and log lines. */
   readonly listener: string;
   readonly limits: ClientLimits;
+  /**
+   * Whether a full listener replaces its oldest connection without a call; true
+   * by default. Otherwise it accepts none, as the server is set up.
+   */
+  readonly replacesConnections?: boolean;
   /** Counts `clients-rejected-LISTENER-KIND`. */
   readonly metrics?: Metrics;
   readonly logger?: Logger;
@@ -109,9 +114,15 @@
     return this.#options.limits;
   }
 
+  get #replacesConnections(): boolean {
+    return this.#options.replacesConnections ?? true;
+  }
+
   /** Guards the connections of a server, which must not listen yet. */
   protect(server: Server): void {
-    server.maxConnections = this.limits.maxConnections + SPARE_CONNECTIONS;
+    if (this.#replacesConnections) {
+      server.maxConnections = this.limits.maxConnections + SPARE_CONNECTIONS;
+    }
     const isSecure = "setSecureContext" in server;
     server.on(
       isSecure ? "secureConnection" : "connection",
@@ -214,7 +225,10 @@
       this.#resumeWaiting();
     });
     connection.start();
-    if (this.#connections.size > this.limits.maxConnections) {
+    if (
+      this.#replacesConnections &&
+      this.#connections.size > this.limits.maxConnections
+    ) {
       this.#rejectVictim(this.#oldest, socket);
     }
   }
--- a/packages/runtime/src/probes.ts
+++ b/packages/runtime/src/probes.ts
@@ -5,6 +5,8 @@
 const NOT_READY = "not ready\n";
 const SERVICE_UNAVAILABLE = 503;
 const MICROSECONDS_PER_SECOND = 1_000_000;
+/** Interval at which the metrics are rendered at most, in milliseconds. */
+const RENDER_INTERVAL_MS = 1_000;
 
 /** The state that the probes report. */
 export interface ProbeOptions {
@@ -33,10 +35,16 @@
     (c) => isReady() ? c.text(READY) : c.text(NOT_READY, SERVICE_UNAVAILABLE),
   );
   if (metrics !== undefined) {
-    app.get(
-      "/metrics",
-      (c) => c.text(metrics.renderPrometheus() + renderProcessMetrics()),
-    );
+    let rendered = "";
+    let renderedMs = -Infinity;
+    app.get("/metrics", (c) => {
+      const now = performance.now();
+      if (now - renderedMs >= RENDER_INTERVAL_MS) {
+        renderedMs = now;
+        rendered = metrics.renderPrometheus() + renderProcessMetrics();
+      }
+      return c.text(rendered);
+    });
   }
 }
 
