Count the read that a paused socket keeps, and pass complete bodies on

A paused socket holds one more read of 64 KB, which the byte budget did not count. A call that was received whole, but whose end the server had not reported yet, was neither passed on nor answered if its connection was rejected in the same turn.

Paused input now counts with 64 KB more. Only a body that is still being received is rejected; a complete one is passed on and answered first.

--- a/packages/runtime/src/body_buffer.ts
+++ b/packages/runtime/src/body_buffer.ts
@@ -31,6 +31,11 @@
     this.#onCapacity = onCapacity;
   }
 
+  /** Whether {@link release} was called. */
+  get isReleased(): boolean {
+    return this.#isReleased;
+  }
+
   /** Bytes that were added. */
   get bytes(): number {
     return this.#bytes;
--- a/packages/runtime/src/connection_guard.ts
+++ b/packages/runtime/src/connection_guard.ts
@@ -29,6 +29,8 @@
  * node does for it.
  */
 const CALL_COST_MS = 0.05;
+/** Bytes that the runtime reads at once; a paused socket keeps one read. */
+const READ_BYTES = 65_536;
 /** Interval of checks for clients without progress, in milliseconds. */
 const CHECK_INTERVAL_MS = 1_000;
 /** Shortest time between two searches for unread responses, in ms. */
@@ -164,7 +166,7 @@
         body.setWhole(chunk);
         return;
       }
-      if (body.add(chunk) || isTooLarge || connection?.isEnding) {
+      if (body.add(chunk) || body.isReleased) {
         return;
       }
       isTooLarge = true;
@@ -172,7 +174,7 @@
       onTooLarge();
     });
     req.on("end", () => {
-      if (!isTooLarge && !connection?.isEnding) {
+      if (!isTooLarge && !body.isReleased) {
         onEnd(body);
       }
       finish();
@@ -221,7 +223,7 @@
       this.#openCalls -= connection.openCalls;
       connection.openCalls = 0;
       connection.isEnding = true;
-      connection.release();
+      connection.release(true);
       this.#resumeWaiting();
     });
     connection.start();
@@ -235,7 +237,7 @@
 
   #open(req: IncomingMessage, res: ServerResponse): void {
     const connection = this.#connections.get(req.socket);
-    if (connection === undefined) {
+    if (connection === undefined || connection.isEnding) {
       return;
     }
     this.#openCalls++;
@@ -566,11 +568,14 @@
     this.heldBytes += bytes;
   }
 
-  /** Frees what is held. */
-  release(): void {
+  /** Frees what is held; all of it once the connection is closed. */
+  release(isClosed = false): void {
     this.#setInput(undefined);
-    this.#body?.buffer.release();
-    this.#body = undefined;
+    // A body that is complete is passed on in this turn.
+    if (isClosed || this.isReceiving) {
+      this.#body?.buffer.release();
+      this.#body = undefined;
+    }
   }
 
   /** Parses the input that waits, and reads on if the guard admits it. */
@@ -592,7 +597,7 @@
   reject(status: number): void {
     this.#isRejected = true;
     this.#endingMs = performance.now();
-    const res = this.#body?.res;
+    const res = this.isReceiving ? this.#body?.res : undefined;
     if (res !== undefined && !res.headersSent) {
       res.writeHead(status, {
         connection: "close",
@@ -730,13 +735,18 @@
     this.#isPausedByServer = this.socket.isPaused();
   }
 
-  /** Keeps input; what a slice of a buffer keeps alive counts whole. */
+  /**
+   * Keeps input; what a slice of a buffer keeps alive counts whole, and so does
+   * the read that the paused socket may still do.
+   */
   #setInput(input: Buffer | undefined): void {
     const before = this.#inputBytes;
     this.#input = input !== undefined && input.length > 0 && !this.isEnding
       ? input
       : undefined;
-    this.#inputBytes = this.#input?.buffer.byteLength ?? 0;
+    this.#inputBytes = this.#input === undefined
+      ? 0
+      : this.#input.buffer.byteLength + READ_BYTES;
     if (this.#inputBytes !== before) {
       this.#guard.hold(this, this.#inputBytes - before);
     }
