Publish run factors, so that jobs are admitted by the same run times

The wait that the owner publishes follows from learned run times, while the nodes compared it with a useful time by the caller's estimates.

--- a/packages/intake/src/admission_policy.ts
+++ b/packages/intake/src/admission_policy.ts
@@ -78,7 +78,8 @@
         excessMs: waitMs,
       });
     }
-    const excessMs = waitMs - usefulWaitMs(queue, spec);
+    const factor = summary.runFactors?.[queue.name] ?? 1;
+    const excessMs = waitMs - usefulWaitMs(queue, spec, factor);
     return excessMs <= 0 ? undefined : overload(context, {
       reason: "The job would wait until it is of no use",
       waitMs,
@@ -112,12 +113,14 @@
 }
 
 /**
- * Returns how long the job may wait and still be of use; a lasting or scheduled
- * job may always wait.
+ * Returns how long the job may wait and still be of use, if its tasks run
+ * `runFactor` times as long as estimated; a lasting or scheduled job may always
+ * wait.
  */
 function usefulWaitMs(
   { stretch, latencyObjectiveMs }: JobQueue,
   { stages, schedule }: StagedJobSpec,
+  runFactor: number,
 ): number {
   if (schedule !== undefined || stages.some(({ lasting }) => lasting)) {
     return Infinity;
@@ -127,7 +130,7 @@
     const startMs = Math.max(0, ...dependsOn.map((at) => endsMs[at] ?? 0));
     endsMs.push(startMs + estimateMs);
   }
-  const totalMs = Math.max(0, ...endsMs);
+  const totalMs = runFactor * Math.max(0, ...endsMs);
   const objectiveMs = stretch * totalMs + latencyObjectiveMs;
   return EXPIRY_FACTOR * objectiveMs - totalMs;
 }
--- a/packages/intake/src/admission_policy_test.ts
+++ b/packages/intake/src/admission_policy_test.ts
@@ -55,6 +55,18 @@
 const CASES: readonly AdmissionCase[] = [
   { name: "nothing is known", summary: undefined, retryAfterMs: undefined },
   { name: "nothing waits", summary: summary({}), retryAfterMs: undefined },
+  // Guards against a wait by learned run times that is compared with a limit by
+  // the caller's estimates: 3 x (1.5 x 3 s + 250 ms) - 3 s = 11.25 s.
+  {
+    name: "it can still be of use, as its tasks run three times as long",
+    summary: summary({ ovens: { 0: 11_000 } }, { runFactors: { plans: 3 } }),
+    retryAfterMs: undefined,
+  },
+  {
+    name: "it would be of no use, though its tasks run three times as long",
+    summary: summary({ ovens: { 0: 13_250 } }, { runFactors: { plans: 3 } }),
+    retryAfterMs: 2_000,
+  },
   {
     name: "it can still be of use",
     summary: summary({ ovens: { 0: 4_000 } }),
--- a/packages/replica/src/record_keys.ts
+++ b/packages/replica/src/record_keys.ts
@@ -202,6 +202,11 @@
    * the standbys.
    */
   readonly runTimes?: Readonly<Record<string, unknown>>;
+  /**
+   * Mean run times relative to callers' estimates, by queue; 1 for queues that
+   * are left out. Absent in summaries of earlier versions.
+   */
+  readonly runFactors?: Readonly<Record<string, number>>;
 }
 
 /**
@@ -435,6 +440,8 @@
   appointed: z.array(z.string()).exactOptional(),
   // No other part of the summary may be lost for what can't be read of this one.
   runTimes: z.record(z.string(), z.unknown()).catch({}).exactOptional(),
+  runFactors: z.record(z.string(), z.number().positive()).catch({})
+    .exactOptional(),
 });
 
 /** Parses the summary of the domain. */
--- a/packages/replica/src/replica.ts
+++ b/packages/replica/src/replica.ts
@@ -159,6 +159,8 @@
   appointed: readonly string[];
   /** By queue; absent without the run-times plug-in. */
   runTimes?: Readonly<Record<string, unknown>>;
+  /** Mean run times relative to estimates, by queue; 1 for other queues. */
+  runFactors?: Readonly<Record<string, number>>;
 }
 
 /** Requests the figures of the domain for the owner's next summary. */
--- a/packages/run-times/src/run_times.ts
+++ b/packages/run-times/src/run_times.ts
@@ -155,6 +155,17 @@
     });
   }
 
+  /** Returns the mean factors of the queues whose estimates are off. */
+  listFactors(): Record<string, number> {
+    return Object.fromEntries(
+      [...this.#queues].flatMap(([queue, { factors }]) =>
+        factors === undefined || factors.mean === 1
+          ? []
+          : [[queue, Math.round(factors.mean * 100) / 100]]
+      ),
+    );
+  }
+
   /** Returns the names of the queues with factors in the same order. */
   namesByDeviation(): string[] {
     const deviationOf = ({ mean }: RunFactors) => Math.abs(Math.log(mean));
--- a/packages/run-times/src/run_times_plugin.ts
+++ b/packages/run-times/src/run_times_plugin.ts
@@ -67,7 +67,9 @@
       kernel.registerCommand(
         SUMMARY_WANTED,
         (draft, update) => {
-          draft.runTimes = encodeSnapshot(update.read(RUN_TIMES));
+          const runTimes = update.read(RUN_TIMES);
+          draft.runTimes = encodeSnapshot(runTimes);
+          draft.runFactors = runTimes.listFactors();
         },
         Normal,
       ),
