Ignore a resume event that a later pause has overtaken

A socket emits `resume` a tick after the call. If the server paused the socket in between, because its write buffer was full, the guard took the event for the end of that pause and passed input to the paused parser, whose assertion (`!socket._paused`) ended the process. A client that pipelines calls and reads their responses slowly is enough.

Another pause by the guard was ruled out: only the server knows when its own pause ends. The guard now looks at the state of the socket instead of trusting the event.

--- a/packages/runtime/src/connection_guard.ts
+++ b/packages/runtime/src/connection_guard.ts
@@ -697,7 +697,9 @@
       }
       return;
     }
-    if (this.#isPausedByServer) {
+    // The event comes a tick after the call; the server may have paused the
+    // socket in between, and its parser accepts no input until it reads on.
+    if (this.#isPausedByServer && !this.socket.isPaused()) {
       this.#isPausedByServer = false;
       this.#run();
     }
