Plan and keep reservations of room for wide stages

Cause: a gang is placed only if all its members fit at the same moment, and each accelerator that becomes free is taken by a task that needs one, so wide work waits as long as smaller work does.

Ruled out: a hold by first come, which takes no account of what ends when and leaves room unused; stopping tasks by default, which costs the work since the last checkpoint and has not been measured.

Change: packages/reservations plans by the expected ends which workers have room for a whole stage soonest, keeps at most two reservations a pool and a quarter of its workers, and tells who may use held room. The policies hold nothing, hold only (the default), or hold and preempt. Nothing asks it yet.

--- a/packages/reservations/src/mod.ts
+++ b/packages/reservations/src/mod.ts
@@ -3,4 +3,9 @@
  *
  * @module
  */
-export {};
+export * from "./permits_ahead.ts";
+export * from "./plan.ts";
+export * from "./policies.ts";
+export * from "./reservation.ts";
+export * from "./reservation_book.ts";
+export * from "./reservations_plugin.ts";
--- /dev/null
+++ b/packages/reservations/src/permits_ahead.ts
@@ -0,0 +1,59 @@
+import type { PermitPolicy } from "@mustardweir/model";
+import type { Reservation } from "./reservation.ts";
+
+/** Time that a query and its reply are under way, in milliseconds. */
+const NETWORK_MS = 150;
+/**
+ * Part of a permit's validity before the expected time from which permits are
+ * renewed, because upper estimates are later than most ends.
+ */
+const HEAD_START = 0.5;
+/** Workers that are judged for each task of a stage before no more are. */
+const GOOD_PER_TASK = 2;
+
+/** What to query the policy about before any task can start. */
+export interface AheadQuery {
+  /** Whether room is held for the stage: then no other permits are renewed. */
+  readonly isReserved: boolean;
+  /** Held workers whose permits are needed soon. */
+  readonly renewed: readonly string[];
+  /** Whether workers without a verdict are to be judged. */
+  readonly judgesMore: boolean;
+}
+
+/** Returns how long a query about some workers takes, in milliseconds. */
+export function permitLeadMs(
+  policy: PermitPolicy | undefined,
+  workers: number,
+): number {
+  return policy === undefined
+    ? 0
+    : policy.decideMs + policy.perWorkerMs * workers + NETWORK_MS;
+}
+
+/** Returns whether too few workers are allowed for a stage to choose among. */
+export function hasTooFewGood(good: number, tasks: number): boolean {
+  return good < GOOD_PER_TASK * tasks;
+}
+
+/**
+ * Returns the held workers whose permits would be over when the reply to a
+ * query could be there, once the expected time is near.
+ */
+export function permitsToRenew(
+  { workers, expectedMs }: Reservation,
+  { policy, validUntilMs, now }: {
+    readonly policy: PermitPolicy;
+    /** Returns when a worker's permit ends, in ms; undefined without one. */
+    readonly validUntilMs: (workerId: string) => number | undefined;
+    readonly now: number;
+  },
+): string[] {
+  const leadMs = permitLeadMs(policy, workers.size);
+  if (now + leadMs + HEAD_START * policy.validMs < expectedMs) {
+    return [];
+  }
+  return [...workers.keys()].filter((workerId) =>
+    (validUntilMs(workerId) ?? -Infinity) < now + leadMs
+  );
+}
--- /dev/null
+++ b/packages/reservations/src/reservation_book.ts
@@ -0,0 +1,218 @@
+import type { RoomPlan } from "./plan.ts";
+import {
+  DEFAULT_RESERVATION_POLICY,
+  type ReservationPolicy,
+} from "./policies.ts";
+import {
+  type Asker,
+  isOpenTo,
+  ReleaseCause,
+  type Reservation,
+  type WideStage,
+} from "./reservation.ts";
+
+/** Most reservations of a pool. */
+export const MAX_PER_POOL = 2;
+/** Largest share of a pool's workers that is held. */
+const MAX_HELD_SHARE = 0.25;
+/** Most reservations of all pools, which bounds the state. */
+const MAX_RESERVATIONS = 16;
+/** Most workers of a reservation, which bounds the state. */
+const MAX_WORKERS = 64;
+/** Most stages that are remembered as paused. */
+const MAX_PAUSES = 64;
+/** Shortest pause after a reservation that expired, in milliseconds. */
+const MIN_PAUSE_MS = 1_000;
+/** Time until a stage without a plan is planned again, in milliseconds. */
+const REPLAN_MS = 200;
+/** Shortest time between two plans of a pool, in milliseconds. */
+const MIN_PLAN_INTERVAL_MS = 40;
+/**
+ * Longest expected wait for which room is held, in milliseconds. Beyond it an
+ * estimate is off by more than the hold can gain.
+ */
+const MAX_EXPECTED_WAIT_MS = 60_000;
+/** Shortest time for which room is held, in milliseconds. */
+const MIN_HOLD_MS = 500;
+
+/**
+ * The reservations of the domain. At most 16 reservations of up to 64 workers
+ * and 64 pauses: under 200 KB.
+ *
+ * @example
+ * ```ts
+ * const book = new ReservationBook();
+ * if (book.mayReserve(stage, now)) {
+ *   book.add(stage, plan, { now, permitMs: 700 });
+ * }
+ * ```
+ */
+export class ReservationBook {
+  /** Decides what is held and stopped. */
+  policy: ReservationPolicy = DEFAULT_RESERVATION_POLICY;
+  readonly #active: Reservation[] = [];
+  readonly #byWorker = new Map<string, Reservation>();
+  readonly #pausedUntilMs = new Map<string, number>();
+  readonly #nextPlanMs = new Map<string, number>();
+
+  /** The reservations, oldest first. */
+  get active(): readonly Reservation[] {
+    return this.#active;
+  }
+
+  /** Returns the reservation of a stage. */
+  find(stage: string): Reservation | undefined {
+    return this.#active.find((known) => known.stage.name === stage);
+  }
+
+  /** Returns the reservation that holds a worker. */
+  holderOf(workerId: string): Reservation | undefined {
+    return this.#byWorker.get(workerId);
+  }
+
+  /** Returns whether room may be planned for the stage now. */
+  mayReserve(
+    { name, pool, rank }: Pick<WideStage, "name" | "pool" | "rank">,
+    now: number,
+  ): boolean {
+    return this.policy.holds && this.#active.length < MAX_RESERVATIONS &&
+      now >= (this.#nextPlanMs.get(pool) ?? -Infinity) &&
+      now >= (this.#pausedUntilMs.get(name) ?? -Infinity) &&
+      (this.#inPool(pool).length < MAX_PER_POOL ||
+        this.findOutranked({ pool, rank }) !== undefined);
+  }
+
+  /**
+   * Returns the reservation that is given up for a stage of this rank: the last
+   * one of the pool, if the limit is reached and the stage ranks before it.
+   */
+  findOutranked(
+    { pool, rank }: Pick<WideStage, "pool" | "rank">,
+  ): Reservation | undefined {
+    const known = this.#inPool(pool);
+    if (known.length < MAX_PER_POOL) {
+      return undefined;
+    }
+    const last = known.reduce((a, b) => b.stage.rank >= a.stage.rank ? b : a);
+    return rank < last.stage.rank ? last : undefined;
+  }
+
+  /**
+   * Returns how many workers of a pool may be held for one more reservation,
+   * without those of `replaced`.
+   */
+  freeWorkers(
+    pool: string,
+    poolWorkers: number,
+    replaced?: Reservation,
+  ): number {
+    const most = Math.max(1, Math.floor(poolWorkers * MAX_HELD_SHARE));
+    const held = this.#inPool(pool)
+      .filter((known) => known !== replaced)
+      .reduce((sum, { workers }) => sum + workers.size, 0);
+    return Math.min(MAX_WORKERS, Math.max(0, most - held));
+  }
+
+  /**
+   * Adds a reservation. Returns undefined if the plan calls for none: its room
+   * is free already, or will be only after too long a time.
+   */
+  add(
+    stage: WideStage,
+    plan: RoomPlan | undefined,
+    { now, permitMs }: {
+      readonly now: number;
+      /** Time until the stage can have its permits, in milliseconds. */
+      readonly permitMs: number;
+    },
+  ): Reservation | undefined {
+    this.#nextPlanMs.set(stage.pool, now + MIN_PLAN_INTERVAL_MS);
+    if (
+      plan === undefined || plan.readyMs <= now ||
+      plan.readyMs > now + MAX_EXPECTED_WAIT_MS
+    ) {
+      this.#pause(stage.name, { now, untilMs: now + REPLAN_MS });
+      return undefined;
+    }
+    const expectedMs = Math.max(plan.readyMs, now + permitMs);
+    const reservation: Reservation = {
+      stage,
+      workers: plan.workers,
+      createdMs: now,
+      deadlineMs: now + Math.max(MIN_HOLD_MS, 2 * (expectedMs - now)),
+      expectedMs,
+      slowness: plan.slowness,
+      estimatedMs: now,
+      // The stage itself is being placed.
+      isOpen: true,
+    };
+    this.#active.push(reservation);
+    for (const workerId of plan.workers.keys()) {
+      this.#byWorker.set(workerId, reservation);
+    }
+    return reservation;
+  }
+
+  /** Removes a reservation; its stage pauses if it has expired. */
+  remove(
+    reservation: Reservation,
+    { cause, now }: {
+      /** Why it was given up; undefined if it was fulfilled. */
+      readonly cause: ReleaseCause | undefined;
+      readonly now: number;
+    },
+  ): void {
+    const index = this.#active.indexOf(reservation);
+    if (index < 0) {
+      return;
+    }
+    this.#active.splice(index, 1);
+    for (const workerId of reservation.workers.keys()) {
+      this.#byWorker.delete(workerId);
+    }
+    reservation.isOpen = true;
+    if (cause === ReleaseCause.Expired) {
+      const heldMs = now - reservation.createdMs;
+      this.#pause(reservation.stage.name, {
+        now,
+        untilMs: now + Math.max(MIN_PAUSE_MS, heldMs),
+      });
+    }
+  }
+
+  /** Opens the room of a pool that a stage may use, and closes the rest. */
+  openFor(pool: string, asker: Asker, now: number): void {
+    for (const reservation of this.#active) {
+      if (reservation.stage.pool === pool) {
+        reservation.isOpen = isOpenTo(reservation, asker, now);
+      }
+    }
+  }
+
+  /** Removes all reservations and pauses, at the end of a tenure. */
+  clear(): void {
+    for (const reservation of this.#active) {
+      reservation.isOpen = true;
+    }
+    this.#active.length = 0;
+    this.#byWorker.clear();
+    this.#pausedUntilMs.clear();
+    this.#nextPlanMs.clear();
+  }
+
+  #inPool(pool: string): Reservation[] {
+    return this.#active.filter(({ stage }) => stage.pool === pool);
+  }
+
+  #pause(
+    stage: string,
+    { now, untilMs }: { readonly now: number; readonly untilMs: number },
+  ): void {
+    for (const [name, endMs] of this.#pausedUntilMs) {
+      if (endMs <= now || this.#pausedUntilMs.size >= MAX_PAUSES) {
+        this.#pausedUntilMs.delete(name);
+      }
+    }
+    this.#pausedUntilMs.set(stage, untilMs);
+  }
+}
--- /dev/null
+++ b/packages/reservations/src/reservations_plugin.ts
@@ -0,0 +1,178 @@
+import {
+  CommandPriority,
+  createStateKey,
+  type Kernel,
+  mergeUndo,
+  Plugin,
+  registerPlugin,
+  Role,
+  type Undo,
+  type Update,
+} from "@mustardweir/kernel";
+import {
+  count,
+  gauge,
+  GAUGE_INTERVAL_MS,
+  logChange,
+  observe,
+} from "@mustardweir/protocol";
+import { TENURE_GAINED, TENURE_LOST } from "@mustardweir/tenure";
+import { planRoom } from "./plan.ts";
+import {
+  ReleaseCause,
+  type Reservation,
+  type WideStage,
+  type WorkerRoom,
+} from "./reservation.ts";
+import { ReservationBook } from "./reservation_book.ts";
+
+/** Interval at which the expected time is computed anew, in milliseconds. */
+const ESTIMATE_INTERVAL_MS = 200;
+
+/** State of the reservations plug-in; empty on nodes that don't own the domain. */
+export const RESERVATIONS = createStateKey<ReservationBook>("reservations");
+
+/** A reservation and the tasks that are to be stopped for it. */
+export interface ReservedRoom {
+  readonly reservation: Reservation;
+  /** Names of the tasks. */
+  readonly stops: readonly string[];
+}
+
+/**
+ * Holds the workers that have room for the stage soonest; undefined if none are
+ * held. Gives up a reservation that the stage outranks.
+ */
+export function reserveRoom(
+  update: Update,
+  stage: WideStage,
+  { poolWorkers, permitMs, roomsFor }: {
+    /** Number of workers of the pool. */
+    readonly poolWorkers: number;
+    /** Time until the stage can have its permits, in milliseconds. */
+    readonly permitMs: number;
+    /**
+     * Returns the workers on which the stage may run, without those that other
+     * reservations hold.
+     */
+    readonly roomsFor: (replaced: Reservation | undefined) => WorkerRoom[];
+  },
+): ReservedRoom | undefined {
+  const book = update.write(RESERVATIONS);
+  const { now } = update;
+  const replaced = book.findOutranked(stage);
+  const plan = planRoom(stage, roomsFor(replaced), {
+    policy: book.policy,
+    maxWorkers: book.freeWorkers(stage.pool, poolWorkers, replaced),
+    now,
+  });
+  const reservation = book.add(stage, plan, { now, permitMs });
+  if (reservation === undefined || plan === undefined) {
+    return undefined;
+  }
+  if (replaced !== undefined) {
+    releaseRoom(update, replaced, ReleaseCause.Outranked);
+  }
+  update.emit(count("reservations-made"));
+  update.emit(logChange("Room reserved", {
+    stage: stage.name,
+    pool: stage.pool,
+    tasks: stage.tasks,
+    workers: [...reservation.workers.keys()].join(" "),
+    expectedInMs: Math.round(reservation.expectedMs - now),
+    stopped: plan.stops.length,
+  }));
+  return { reservation, stops: plan.stops };
+}
+
+/** Gives up a reservation. */
+export function releaseRoom(
+  update: Update,
+  reservation: Reservation,
+  cause: ReleaseCause,
+): void {
+  const { now } = update;
+  update.write(RESERVATIONS).remove(reservation, { cause, now });
+  update.emit(count(`reservations-given-up-${cause}`));
+  update.emit(logChange("Reservation given up", {
+    stage: reservation.stage.name,
+    cause,
+    heldMs: Math.round(now - reservation.createdMs),
+    lateMs: Math.round(now - reservation.expectedMs),
+  }));
+}
+
+/** Ends the reservation of a stage that has started; nothing without one. */
+export function fulfillReservation(update: Update, stage: string): void {
+  const reservation = update.read(RESERVATIONS).find(stage);
+  if (reservation === undefined) {
+    return;
+  }
+  const { now } = update;
+  const heldMs = Math.round(now - reservation.createdMs);
+  update.write(RESERVATIONS).remove(reservation, { cause: undefined, now });
+  update.emit(count("reservations-fulfilled"));
+  update.emit(observe("reservation-held-ms", heldMs));
+  update.emit(logChange("Reservation fulfilled", {
+    stage,
+    heldMs,
+    lateMs: Math.round(now - reservation.expectedMs),
+  }));
+}
+
+/**
+ * Computes anew when the workers of the reservation have room, a few times a
+ * second; `rooms` returns them.
+ */
+export function updateExpectation(
+  update: Update,
+  reservation: Reservation,
+  rooms: () => readonly WorkerRoom[],
+): void {
+  const { now } = update;
+  if (now - reservation.estimatedMs < ESTIMATE_INTERVAL_MS) {
+    return;
+  }
+  reservation.estimatedMs = now;
+  const plan = planRoom(reservation.stage, rooms(), {
+    policy: update.read(RESERVATIONS).policy,
+    maxWorkers: reservation.workers.size,
+    now,
+  });
+  if (plan !== undefined) {
+    // What is let in must not put off the start beyond the deadline.
+    reservation.expectedMs = Math.min(
+      Math.max(plan.readyMs, now),
+      reservation.deadlineMs,
+    );
+    reservation.slowness = plan.slowness;
+  }
+}
+
+/** Keeps the reservations of the domain's owner. */
+export class ReservationsPlugin extends Plugin {
+  override readonly name = "reservations";
+
+  override register(kernel: Kernel): Undo {
+    const clear = (_: unknown, update: Update) =>
+      update.write(RESERVATIONS).clear();
+    return mergeUndo(
+      kernel.registerState(RESERVATIONS, new ReservationBook()),
+      kernel.registerCommand(TENURE_GAINED, clear, CommandPriority.High),
+      kernel.registerCommand(TENURE_LOST, clear, CommandPriority.High),
+      kernel.registerPeriodic({
+        intervalMs: GAUGE_INTERVAL_MS,
+        run: (update) => {
+          const { active } = update.read(RESERVATIONS);
+          update.emit(gauge("reservations-active", active.length));
+        },
+      }),
+    );
+  }
+}
+
+registerPlugin({
+  name: "reservations",
+  roles: [Role.Combined],
+  create: () => new ReservationsPlugin(),
+});
