Hold room for gangs and wide tasks in placement passes

Cause: dispatch had no notion of room that is to be kept, and queried permits only while some task could start, so that a worker that became free for wide work had no permit yet.

Change: a pass reviews the reservations, opens held room to each stage that it places or closes it, and asks for a reservation for the first stage that finds no room. held_room.ts translates between dispatch and plain values. Expected ends follow from the upper estimate and listed progress, or from the pace of the progress if that is slower. Permits of held workers are renewed ahead of the expected time, and workers are judged ahead while too few are allowed.

--- a/packages/dispatch/src/candidate_index.ts
+++ b/packages/dispatch/src/candidate_index.ts
@@ -25,6 +25,7 @@
   #usable: readonly Candidate[] | undefined;
   #capacity = NO_RESOURCES;
   #mostFree: Resources | undefined;
+  #largest: Resources | undefined;
 
   /** Sum of the capacity of all candidates. */
   get capacity(): Resources {
@@ -36,10 +37,18 @@
    * resource.
    */
   get mostFree(): Resources {
-    this.#mostFree ??= mostFreeOf(this.all);
+    this.#mostFree ??= mostOf(this.all.map(({ free }) => free));
     return this.#mostFree;
   }
 
+  /** The largest capacity of any candidate, for each kind of resource. */
+  get largest(): Resources {
+    this.#largest ??= mostOf(
+      this.all.map(({ session }) => session.info.capacity),
+    );
+    return this.#largest;
+  }
+
   /**
    * The candidates without quarantined workers. If those are too many, they are
    * included: then the jobs are more likely the cause than the workers.
@@ -84,6 +93,9 @@
     );
     this.#usable = undefined;
     this.#mostFree = undefined;
+    if (replaced === undefined || !isEqual(replaced, capacity)) {
+      this.#largest = undefined;
+    }
   }
 
   remove(workerId: string): void {
@@ -105,6 +117,7 @@
     );
     this.#usable = undefined;
     this.#mostFree = undefined;
+    this.#largest = undefined;
   }
 }
 
@@ -133,6 +146,11 @@
     return known !== undefined && fitsWithin(size, known.mostFree);
   }
 
+  /** Returns the largest capacity of any worker, for each kind of resource. */
+  largestIn(pool: string): Resources {
+    return this.#pools.get(pool)?.largest ?? NO_RESOURCES;
+  }
+
   /** Returns the capacity of all candidates of a pool. */
   capacityOf(pool: string): Resources {
     return this.#pools.get(pool)?.capacity ?? NO_RESOURCES;
@@ -217,13 +235,17 @@
 /** State key of the workers that can be given tasks. */
 export const CANDIDATES = createStateKey<CandidateIndex>("candidates");
 
-function mostFreeOf(candidates: readonly Candidate[]): Resources {
+function mostOf(amounts: readonly Resources[]): Resources {
   const most = { ...NO_RESOURCES };
-  for (const { free } of candidates) {
-    most.cpuMillis = Math.max(most.cpuMillis, free.cpuMillis);
-    most.memoryMb = Math.max(most.memoryMb, free.memoryMb);
-    most.accelerators = Math.max(most.accelerators, free.accelerators);
-    most.slots = Math.max(most.slots, free.slots);
+  for (const { cpuMillis, memoryMb, accelerators, slots } of amounts) {
+    most.cpuMillis = Math.max(most.cpuMillis, cpuMillis);
+    most.memoryMb = Math.max(most.memoryMb, memoryMb);
+    most.accelerators = Math.max(most.accelerators, accelerators);
+    most.slots = Math.max(most.slots, slots);
   }
   return most;
 }
+
+function isEqual(a: Resources, b: Resources): boolean {
+  return fitsWithin(a, b) && fitsWithin(b, a);
+}
--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -8,6 +8,7 @@
   WorkerState,
 } from "@mustardweir/model";
 import { REPLICA } from "@mustardweir/replica";
+import type { Hold } from "@mustardweir/reservations";
 import { isFresh, type Session } from "@mustardweir/sessions";
 import {
   DISPATCH_STATE,
@@ -19,6 +20,7 @@
   type TaskRun,
 } from "./dispatch_state.ts";
 import { WORKER_HEALTH } from "./health.ts";
+import { findHold } from "./running_work.ts";
 import { capacityBeingFreed, listVictims } from "./victims.ts";
 
 /**
@@ -55,6 +57,8 @@
   isQuiet: boolean;
   /** The only unit that may start there now; undefined for any. */
   probationOf: IsolationUnit | undefined;
+  /** Room there that is held for a stage; undefined for none. */
+  hold: Hold | undefined;
 }
 
 /** What starts alone once it has crashed a worker: a task, or its gang. */
@@ -170,6 +174,7 @@
     reserved: new Map(),
     isQuiet,
     probationOf,
+    hold: findHold(update, session),
   };
 }
 
@@ -216,11 +221,24 @@
   return fitsWithin(reservedSize(stage), session.info.capacity);
 }
 
+/** Returns whether room there is held from the stage that is being placed. */
+export function isHeld({ hold }: Candidate): boolean {
+  return hold !== undefined && !hold.reservation.isOpen;
+}
+
+/** Returns the free room for the stage that is being placed. */
+function usableRoom(candidate: Candidate): Resources {
+  const { hold, free } = candidate;
+  return hold === undefined || !isHeld(candidate)
+    ? free
+    : subtractResources(free, hold.room);
+}
+
 /** Returns whether one more task of the stage can start on the worker now. */
 export function fitsNow(candidate: Candidate, stage: StageRun): boolean {
   const { spec } = stage;
   if (
-    !fitsWithin(reservedSize(stage), candidate.free) ||
+    !fitsWithin(reservedSize(stage), usableRoom(candidate)) ||
     !hasRequiredLabel(candidate, stage)
   ) {
     return false;
@@ -256,7 +274,7 @@
  * Returns the number of the stage's tasks that are placed on the worker or
  * reserved there.
  */
-function countTasksOn(
+export function countTasksOn(
   stage: StageRun,
   { session, reserved }: Candidate,
 ): number {
--- /dev/null
+++ b/packages/dispatch/src/held_room.ts
@@ -0,0 +1,291 @@
+import type { Update } from "@mustardweir/kernel";
+import { WorkerState } from "@mustardweir/model";
+import { stagePermits } from "@mustardweir/permits";
+import { count, logChange } from "@mustardweir/protocol";
+import {
+  type AheadQuery,
+  hasTooFewGood,
+  isWide,
+  permitsToRenew,
+  ReleaseCause,
+  releaseRoom,
+  type Reservation,
+  RESERVATIONS,
+  reserveRoom,
+  updateExpectation,
+  type WorkerRoom,
+} from "@mustardweir/reservations";
+import { expectedRun } from "@mustardweir/run-times";
+import { SESSIONS } from "@mustardweir/sessions";
+import { CANDIDATES } from "./candidate_index.ts";
+import {
+  type Candidate,
+  countTasksOn,
+  fitsWhenEmpty,
+  hasRequiredLabel,
+  isSuspect,
+} from "./candidates.ts";
+import {
+  findStage,
+  findTask,
+  isOpen,
+  isStageDone,
+  reservedSize,
+  type StageRun,
+  TaskPhase,
+} from "./dispatch_state.ts";
+import { stopTask } from "./progress.ts";
+import { findHold, listRunningWork } from "./running_work.ts";
+import { priorityOfRank } from "./turn_order.ts";
+import { standingOf } from "./waiting.ts";
+
+/** A stage that is being placed, its rank, and the workers of its pool. */
+interface Waiting {
+  readonly stage: StageRun;
+  readonly rank: number;
+  readonly candidates: readonly Candidate[];
+}
+
+/**
+ * Gives up reservations that no longer hold, and computes anew when the others
+ * are expected to be fulfilled.
+ */
+export function reviewReservations(update: Update): void {
+  for (const reservation of [...update.read(RESERVATIONS).active]) {
+    const cause = findReleaseCause(update, reservation);
+    if (cause !== undefined) {
+      releaseRoom(update, reservation, cause);
+      continue;
+    }
+    updateExpectation(update, reservation, () => {
+      const index = update.read(CANDIDATES);
+      return [...reservation.workers.keys()].flatMap((workerId) => {
+        const candidate = index.find(workerId);
+        return candidate === undefined ? [] : [roomOf(update, candidate)];
+      });
+    });
+  }
+}
+
+/** Opens the held room that the stage may use, and closes the rest to it. */
+export function openHeldRoom(
+  update: Update,
+  stage: StageRun,
+  rank: number,
+): void {
+  const { active } = update.read(RESERVATIONS);
+  if (active.length === 0) {
+    return;
+  }
+  const { spec, job: { record: { queue } } } = stage;
+  const { estimateMs } = spec;
+  update.write(RESERVATIONS).openFor(queue.pool, {
+    name: stage.name,
+    rank,
+    upperMs: spec.lasting
+      ? Infinity
+      : expectedRun(update, { queue: queue.name, estimateMs }).upperMs,
+  }, update.now);
+}
+
+/** Returns whether room is held for the stage, or may be now. */
+export function mayHoldRoom(
+  update: Update,
+  { stage, rank }: Pick<Waiting, "stage" | "rank">,
+): boolean {
+  const book = update.read(RESERVATIONS);
+  const { name, spec, job: { record: { queue: { pool } } } } = stage;
+  return book.find(name) !== undefined ||
+    (priorityOfRank(rank) !== undefined && !spec.bestEffort &&
+      (spec.gang ||
+        isWide(spec.size, update.read(CANDIDATES).largestIn(pool))) &&
+      book.mayReserve({ name, pool, rank }, update.now));
+}
+
+/**
+ * Holds room for a stage with `missing` tasks that found none, if it calls for
+ * that. Returns what to query the policy about for it ahead of its start.
+ */
+export function holdRoom(
+  update: Update,
+  waiting: Waiting,
+  missing: number,
+): AheadQuery | undefined {
+  if (!mayHoldRoom(update, waiting)) {
+    return undefined;
+  }
+  const { stage } = waiting;
+  const tasks = stage.spec.gang ? missing : 1;
+  const reservation = update.read(RESERVATIONS).find(stage.name) ??
+    reserveFor(update, waiting, tasks);
+  const policy = stage.job.record.queue.permits;
+  if (policy === undefined) {
+    return undefined;
+  }
+  const { good } = stagePermits(update, stage.name);
+  return {
+    isReserved: reservation !== undefined,
+    renewed: reservation === undefined ? [] : permitsToRenew(reservation, {
+      policy,
+      validUntilMs: permitEnds(update, stage),
+      now: update.now,
+    }),
+    judgesMore: hasTooFewGood(good.size, tasks),
+  };
+}
+
+/** Returns a function that returns when a worker's permit ends, in ms. */
+function permitEnds(
+  update: Update,
+  { name }: StageRun,
+): (workerId: string) => number | undefined {
+  return (workerId) =>
+    stagePermits(update, name).good.get(workerId)?.validUntilMs;
+}
+
+/** Gives up the reservation of a stage whose tasks may not start now. */
+export function releaseUnstartable(update: Update, stage: StageRun): void {
+  const reservation = update.read(RESERVATIONS).find(stage.name);
+  if (reservation !== undefined) {
+    releaseRoom(update, reservation, ReleaseCause.NotStartable);
+  }
+}
+
+function reserveFor(
+  update: Update,
+  { stage, rank, candidates }: Waiting,
+  tasks: number,
+): Reservation | undefined {
+  const { name, spec, job: { record: { queue } } } = stage;
+  // Suspects start alone, which a hold can't promise.
+  if (stage.tasks.some(isSuspect)) {
+    return undefined;
+  }
+  const book = update.read(RESERVATIONS);
+  const reserved = reserveRoom(update, {
+    name,
+    pool: queue.pool,
+    rank,
+    priority: queue.priority,
+    size: reservedSize(stage),
+    tasks,
+    sameRack: spec.sameRack,
+    maxPerWorker: spec.maxPerWorker,
+  }, {
+    poolWorkers: candidates.length,
+    policy: queue.permits,
+    validUntilMs: permitEnds(update, stage),
+    roomsFor: (replaced) =>
+      candidates.filter((candidate) => {
+        const holder = book.holderOf(candidate.session.info.id);
+        return (holder === undefined || holder === replaced) &&
+          isAllowed(update, stage, candidate);
+      }).map((candidate) => roomOf(update, candidate)),
+  });
+  if (reserved === undefined) {
+    return undefined;
+  }
+  const index = update.write(CANDIDATES);
+  for (const workerId of reserved.reservation.workers.keys()) {
+    const candidate = index.find(workerId);
+    if (candidate !== undefined) {
+      candidate.hold = findHold(update, candidate.session);
+    }
+  }
+  preemptFor(update, stage, reserved.stops);
+  return reserved.reservation;
+}
+
+/** Returns whether the stage may run on the worker once there is room. */
+function isAllowed(
+  update: Update,
+  stage: StageRun,
+  candidate: Candidate,
+): boolean {
+  const { spec, job: { record: { queue } } } = stage;
+  return hasRequiredLabel(candidate, stage) &&
+    fitsWhenEmpty(stage, candidate) && candidate.probationOf === undefined &&
+    (spec.latencyObjectiveMs === 0 || !candidate.hasBestEffortTask) &&
+    (spec.maxPerWorker === 0 ||
+      countTasksOn(stage, candidate) < spec.maxPerWorker) &&
+    (queue.permits === undefined ||
+      stagePermits(update, stage.name).good.has(candidate.session.info.id));
+}
+
+function roomOf(update: Update, candidate: Candidate): WorkerRoom {
+  const { session, free, slowness } = candidate;
+  const { id, rack } = session.info;
+  const runs = listRunningWork(update, session);
+  return { id, rack, free, slowness, runs };
+}
+
+/** Stops the named tasks, which resume from checkpoints. */
+function preemptFor(
+  update: Update,
+  stage: StageRun,
+  names: readonly string[],
+): void {
+  if (names.length === 0) {
+    return;
+  }
+  const index = update.read(CANDIDATES);
+  for (const name of names) {
+    const victim = findTask(update, name);
+    if (victim?.phase !== TaskPhase.Placed || victim.isStopping) {
+      continue;
+    }
+    victim.preemptions++;
+    stopTask(update, victim);
+    update.emit(count("preemptions"));
+    const victims = index.find(victim.workerId)?.victims ?? [];
+    const position = victims.indexOf(victim);
+    if (position >= 0) {
+      victims.splice(position, 1);
+    }
+  }
+  update.emit(logChange("Tasks stopped for held room", {
+    stage: stage.name,
+    stopped: names.join(" "),
+  }));
+}
+
+function findReleaseCause(
+  update: Update,
+  reservation: Reservation,
+): ReleaseCause | undefined {
+  const { stage: { name, rank }, workers, deadlineMs } = reservation;
+  const stage = findStage(update, name);
+  if (stage === undefined || !isOpen(stage.job) || isStageDone(stage)) {
+    return ReleaseCause.StageEnded;
+  }
+  if (standingOf(update, stage).rank !== rank) {
+    return ReleaseCause.RankChanged;
+  }
+  if (update.now > deadlineMs) {
+    return ReleaseCause.Expired;
+  }
+  const isJudged = stage.job.record.queue.permits !== undefined;
+  for (const workerId of workers.keys()) {
+    if (update.read(CANDIDATES).find(workerId) === undefined) {
+      return workerCause(update, workerId);
+    }
+    if (isJudged && !stagePermits(update, name).good.has(workerId)) {
+      return ReleaseCause.PermitRefused;
+    }
+  }
+  return undefined;
+}
+
+/** Returns why a worker gets no tasks. */
+function workerCause(update: Update, workerId: string): ReleaseCause {
+  const session = update.read(SESSIONS).byWorker.get(workerId);
+  if (session === undefined || !session.isRegistered) {
+    return ReleaseCause.WorkerLeft;
+  }
+  if (session.info.state === WorkerState.Draining) {
+    return ReleaseCause.WorkerDraining;
+  }
+  return session.missed > 0
+    ? ReleaseCause.WorkerSilent
+    : ReleaseCause.WorkerUnusable;
+}
--- a/packages/dispatch/src/permission.ts
+++ b/packages/dispatch/src/permission.ts
@@ -5,6 +5,7 @@
   type StagePermits,
   stagePermits,
 } from "@mustardweir/permits";
+import type { AheadQuery } from "@mustardweir/reservations";
 import type { StageRun } from "./dispatch_state.ts";
 import { CANDIDATES } from "./candidate_index.ts";
 import {
@@ -28,6 +29,12 @@
  */
 const MAX_CONSIDERED = 80;
 
+const NO_QUERY: AheadQuery = {
+  isReserved: false,
+  renewed: [],
+  judgesMore: false,
+};
+
 /** A stage with waiting tasks and the workers of its pool. */
 export interface PlacementContext {
   readonly stage: StageRun;
@@ -70,11 +77,12 @@
 
 /**
  * Queries the policy about workers without a valid permit that could run the
- * stage.
+ * stage, and about what `ahead` names, since room is held for the stage.
  */
 export function queryMorePermits(
   update: Update,
   context: PlacementContext,
+  ahead: AheadQuery = NO_QUERY,
 ): void {
   const { stage, rank } = context;
   const { permits: policy } = stage.job.record.queue;
@@ -82,23 +90,29 @@
   if (policy === undefined || known.isQueryPending) {
     return;
   }
-  const expired = listExpired(update, stage, known);
-  const unjudged = listUnjudged(update, context, known);
+  const { isReserved, renewed, judgesMore } = ahead;
+  // Each worker in a query delays the reply to a stage whose room is held.
+  const expired = isReserved ? [] : listExpired(update, stage, known);
+  const unjudged = renewed.length > 0
+    ? []
+    : listUnjudged(update, context, known);
   // A permit is valid for a short time only, so there is no query while no task
   // could start. Other workers are included because they may get room while the
   // permit is valid, and verdicts never change.
-  const isUseful = [...expired, ...unjudged].some((candidate) =>
-    canStartTask(candidate, context)
-  );
-  const workersToQuery = isUseful
+  const isUseful = (judgesMore && unjudged.length > 0) ||
+    [...expired, ...unjudged].some((candidate) =>
+      canStartTask(candidate, context)
+    );
+  const others = isUseful
     ? [
       ...expired.sort(byFreeCpu).slice(0, MAX_RENEWED_PERMITS),
       ...unjudged.sort(byFreeCpu),
-    ].slice(0, MAX_WORKERS_PER_QUERY)
+    ]
     : [];
   queryPermits(update, {
     stage: stage.name,
-    workers: workersToQuery.map(({ session }) => session.info.id),
+    workers: [...renewed, ...others.map(({ session }) => session.info.id)]
+      .slice(0, MAX_WORKERS_PER_QUERY),
     policy,
     rank,
   });
--- a/packages/dispatch/src/placement_pass.ts
+++ b/packages/dispatch/src/placement_pass.ts
@@ -7,6 +7,7 @@
 import { stagePermits } from "@mustardweir/permits";
 import { Source } from "@mustardweir/protocol";
 import { REPLICA } from "@mustardweir/replica";
+import { fulfillReservation } from "@mustardweir/reservations";
 import { SESSIONS } from "@mustardweir/sessions";
 import { isSoleOwner } from "@mustardweir/tenure";
 import {
@@ -22,6 +23,13 @@
 import { CANDIDATES } from "./candidate_index.ts";
 import { type Candidate, clearReservations, isSuspect } from "./candidates.ts";
 import { withinCeiling } from "./ceilings.ts";
+import {
+  holdRoom,
+  mayHoldRoom,
+  openHeldRoom,
+  releaseUnstartable,
+  reviewReservations,
+} from "./held_room.ts";
 import { holdWorkers, withinProbation } from "./isolation.ts";
 import {
   BestFitRule,
@@ -160,6 +168,7 @@
   }
 
   run(): void {
+    reviewReservations(this.#update);
     const { waiting } = this.#update.write(DISPATCH_STATE);
     for (const rank of waiting.ranks) {
       this.#placeRank(rank);
@@ -330,7 +339,10 @@
     const index = update.read(CANDIDATES);
     const { record } = stage.job;
     const { pool } = record.queue;
-    if (!asked.preempts && !index.mayFit(pool, reservedSize(stage))) {
+    if (
+      !asked.preempts && !index.mayFit(pool, reservedSize(stage)) &&
+      !mayHoldRoom(update, asked)
+    ) {
       return 0;
     }
     const isGang = stage.spec.gang;
@@ -340,12 +352,14 @@
       team: this.#teams.get(record.team),
     });
     if (wanted.length === 0 || (isGang && wanted.length < startable.length)) {
+      releaseUnstartable(update, stage);
       return 0;
     }
     const context = { ...asked, candidates: index.inPool(pool) };
+    openHeldRoom(update, stage, asked.rank);
     const allowed = permittedCandidates(update, context);
     if (!allowed.some((candidate) => canStartTask(candidate, context))) {
-      this.#awaitPermits(context, allowed);
+      this.#awaitPermits(context, allowed, wanted.length);
       return 0;
     }
     const rule: PlacementRule = isGang ? GANG : BEST_FIT;
@@ -360,6 +374,7 @@
     );
     if (placements.length > 0) {
       startTasks(update, stage, placements);
+      fulfillReservation(update, stage.name);
       clearReservations(placements.map(({ candidate }) => candidate), stage);
     }
     if (!isGang) {
@@ -373,7 +388,7 @@
     }
     const missing = wanted.length - placements.length;
     if (missing > 0) {
-      queryMorePermits(update, context);
+      queryMorePermits(update, context, holdRoom(update, context, missing));
       if (asked.preempts) {
         preemptFor(update, { stage, missing, candidates: allowed });
       }
@@ -382,18 +397,21 @@
   }
 
   /**
-   * Asks for permits for a stage that holds none with room. While it holds none
-   * at all, only the reply can change that.
+   * Asks for permits for a stage that holds none with room, and holds room for
+   * its `missing` tasks. While it has no permits at all, only the reply can
+   * change that.
    */
   #awaitPermits(
     context: PlacementContext,
     held: readonly Candidate[],
+    missing: number,
   ): void {
     const { stage } = context;
+    const ahead = holdRoom(this.#update, context, missing);
     if (stage.job.record.queue.permits === undefined) {
       return;
     }
-    queryMorePermits(this.#update, context);
+    queryMorePermits(this.#update, context, ahead);
     if (
       held.length === 0 &&
       stagePermits(this.#update, stage.name).isQueryPending
--- a/packages/dispatch/src/preemption.ts
+++ b/packages/dispatch/src/preemption.ts
@@ -12,7 +12,7 @@
   taskName,
   type TaskRun,
 } from "./dispatch_state.ts";
-import { type Candidate, hasRequiredLabel } from "./candidates.ts";
+import { type Candidate, hasRequiredLabel, isHeld } from "./candidates.ts";
 import { stopTask } from "./progress.ts";
 import { ObjectiveStatus } from "./turn_order.ts";
 
@@ -37,7 +37,7 @@
     (sum, victim) => addResources(sum, reservedSize(victim.stage)),
     candidate.expected,
   );
-  return hasRequiredLabel(candidate, stage) &&
+  return !isHeld(candidate) && hasRequiredLabel(candidate, stage) &&
     fitsWithin(reservedSize(stage), room);
 }
 
@@ -86,7 +86,8 @@
   const size = reservedSize(stage);
   let tasks = 0;
   while (
-    tasks < most && hasRequiredLabel(candidate, stage) &&
+    tasks < most && !isHeld(candidate) &&
+    hasRequiredLabel(candidate, stage) &&
     fitsWithin(size, candidate.expected)
   ) {
     candidate.expected = subtractResources(candidate.expected, size);
--- a/packages/dispatch/src/victims.ts
+++ b/packages/dispatch/src/victims.ts
@@ -16,7 +16,8 @@
     );
 }
 
-function isPreemptible(task: TaskRun): boolean {
+/** Returns whether the task may be preempted. */
+export function isPreemptible(task: TaskRun): boolean {
   const { spec, job } = task.stage;
   return task.phase === TaskPhase.Placed && task.isRunning &&
     !task.isStopping && task.preemptions < MAX_PREEMPTIONS &&
--- a/packages/prove/src/domain/plugins.ts
+++ b/packages/prove/src/domain/plugins.ts
@@ -4,5 +4,6 @@
 import "@mustardweir/tenure";
 import "@mustardweir/sessions";
 import "@mustardweir/permits";
+import "@mustardweir/reservations";
 import "@mustardweir/dispatch";
 import "@mustardweir/intake";
--- a/packages/reservations/src/permits_ahead.ts
+++ b/packages/reservations/src/permits_ahead.ts
@@ -31,6 +31,25 @@
     : policy.decideMs + policy.perWorkerMs * workers + NETWORK_MS;
 }
 
+/**
+ * Returns the time until workers that have room at `readyMs` have permits for
+ * it, in milliseconds: 0 if those that they have are valid then.
+ */
+export function permitWaitMs(
+  workers: ReadonlyMap<string, number>,
+  { policy, validUntilMs, readyMs }: {
+    readonly policy: PermitPolicy | undefined;
+    /** Returns when a worker's permit ends, in ms; undefined without one. */
+    readonly validUntilMs: (workerId: string) => number | undefined;
+    readonly readyMs: number;
+  },
+): number {
+  return [...workers.keys()]
+      .every((workerId) => (validUntilMs(workerId) ?? -Infinity) > readyMs)
+    ? 0
+    : permitLeadMs(policy, workers.size);
+}
+
 /** Returns whether too few workers are allowed for a stage to choose among. */
 export function hasTooFewGood(good: number, tasks: number): boolean {
   return good < GOOD_PER_TASK * tasks;
--- a/packages/reservations/src/reservation.ts
+++ b/packages/reservations/src/reservation.ts
@@ -88,6 +88,12 @@
   readonly deadlineMs: number;
   /** Time at which the stage is expected to start, in milliseconds. */
   expectedMs: number;
+  /**
+   * Earliest value of `expectedMs` so far. Other work must end before it: if it
+   * moved with tasks that take longer than estimated, more such work would be
+   * let in meanwhile, without an end.
+   */
+  openUntilMs: number;
   /** Largest slowness of its workers. */
   slowness: number;
   /** Time at which `expectedMs` was last computed, in milliseconds. */
@@ -119,12 +125,12 @@
  * ranks before it, or its tasks end before the held room is needed.
  */
 export function isOpenTo(
-  { stage, expectedMs, slowness }: Reservation,
+  { stage, openUntilMs, slowness }: Reservation,
   asker: Asker,
   now: number,
 ): boolean {
   return asker.name === stage.name || asker.rank < stage.rank ||
-    now + asker.upperMs * slowness <= expectedMs;
+    now + asker.upperMs * slowness <= openUntilMs;
 }
 
 /**
--- a/packages/reservations/src/reservation_book.ts
+++ b/packages/reservations/src/reservation_book.ts
@@ -32,8 +32,12 @@
  * estimate is off by more than the hold can gain.
  */
 const MAX_EXPECTED_WAIT_MS = 60_000;
-/** Shortest time for which room is held, in milliseconds. */
-const MIN_HOLD_MS = 500;
+/**
+ * Shortest expected wait from which the time limit follows, in milliseconds.
+ * Renewals, starts and stops take some hundred milliseconds whatever is
+ * estimated, so that a hold with a lower limit ends just before its start.
+ */
+const MIN_EXPECTED_WAIT_MS = 1_000;
 
 /**
  * The reservations of the domain. At most 16 reservations of up to 64 workers
@@ -139,8 +143,9 @@
       stage,
       workers: plan.workers,
       createdMs: now,
-      deadlineMs: now + Math.max(MIN_HOLD_MS, 2 * (expectedMs - now)),
+      deadlineMs: now + 2 * Math.max(MIN_EXPECTED_WAIT_MS, expectedMs - now),
       expectedMs,
+      openUntilMs: expectedMs,
       slowness: plan.slowness,
       estimatedMs: now,
       // The stage itself is being placed.
--- a/packages/reservations/src/reservations_plugin.ts
+++ b/packages/reservations/src/reservations_plugin.ts
@@ -16,7 +16,9 @@
   logChange,
   observe,
 } from "@mustardweir/protocol";
+import type { PermitPolicy } from "@mustardweir/model";
 import { TENURE_GAINED, TENURE_LOST } from "@mustardweir/tenure";
+import { permitWaitMs } from "./permits_ahead.ts";
 import { planRoom } from "./plan.ts";
 import {
   ReleaseCause,
@@ -46,11 +48,13 @@
 export function reserveRoom(
   update: Update,
   stage: WideStage,
-  { poolWorkers, permitMs, roomsFor }: {
+  { poolWorkers, policy, validUntilMs, roomsFor }: {
     /** Number of workers of the pool. */
     readonly poolWorkers: number;
-    /** Time until the stage can have its permits, in milliseconds. */
-    readonly permitMs: number;
+    /** Set if the stage needs permits. */
+    readonly policy: PermitPolicy | undefined;
+    /** Returns when a worker's permit ends, in ms; undefined without one. */
+    readonly validUntilMs: (workerId: string) => number | undefined;
     /**
      * Returns the workers on which the stage may run, without those that other
      * reservations hold.
@@ -66,7 +70,14 @@
     maxWorkers: book.freeWorkers(stage.pool, poolWorkers, replaced),
     now,
   });
-  const reservation = book.add(stage, plan, { now, permitMs });
+  const reservation = book.add(stage, plan, {
+    now,
+    permitMs: plan === undefined ? 0 : permitWaitMs(plan.workers, {
+      policy,
+      validUntilMs,
+      readyMs: plan.readyMs,
+    }),
+  });
   if (reservation === undefined || plan === undefined) {
     return undefined;
   }
@@ -140,11 +151,8 @@
     now,
   });
   if (plan !== undefined) {
-    // What is let in must not put off the start beyond the deadline.
-    reservation.expectedMs = Math.min(
-      Math.max(plan.readyMs, now),
-      reservation.deadlineMs,
-    );
+    reservation.expectedMs = plan.readyMs;
+    reservation.openUntilMs = Math.min(reservation.openUntilMs, plan.readyMs);
     reservation.slowness = plan.slowness;
   }
 }
--- /dev/null
+++ b/packages/reservations/src/reservations_plugin_test.ts
@@ -0,0 +1,156 @@
+import { expect } from "chai";
+import { Kernel, type Update } from "@mustardweir/kernel";
+import { NO_RESOURCES } from "@mustardweir/model";
+import { EffectKind, type NodeEffect } from "@mustardweir/protocol";
+import { TENURE_GAINED, TENURE_LOST } from "@mustardweir/tenure";
+import { ReleaseCause, type WideStage } from "./reservation.ts";
+import {
+  fulfillReservation,
+  releaseRoom,
+  RESERVATIONS,
+  ReservationsPlugin,
+  reserveRoom,
+  updateExpectation,
+} from "./reservations_plugin.ts";
+
+const NOW = 5_000;
+
+function stageOf(name: string, rank: number): WideStage {
+  return {
+    name,
+    pool: "wide",
+    rank,
+    priority: 1,
+    size: { ...NO_RESOURCES, accelerators: 8 },
+    tasks: 1,
+    sameRack: false,
+    maxPerWorker: 0,
+  };
+}
+
+/** Holds a worker on which a task of one accelerator ends after 1 s. */
+function reserve(
+  update: Update,
+  { name = "a", rank = 2 }: { name?: string; rank?: number } = {},
+) {
+  return reserveRoom(update, stageOf(name, rank), {
+    poolWorkers: 12,
+    policy: undefined,
+    validUntilMs: () => undefined,
+    roomsFor: () => [roomOf(name, 1_000)],
+  });
+}
+
+function roomOf(name: string, inMs: number) {
+  return {
+    id: `w-${name}`,
+    rack: "",
+    free: { ...NO_RESOURCES, accelerators: 7 },
+    slowness: 1,
+    runs: [{
+      name: "r",
+      size: { ...NO_RESOURCES, accelerators: 1 },
+      endMs: NOW + inMs,
+      startedMs: NOW,
+      priority: 2,
+      preemptions: 0,
+      isPreemptible: false,
+    }],
+  };
+}
+
+function find(update: Update, name = "a") {
+  return update.read(RESERVATIONS).find(name)!;
+}
+
+interface EventCase {
+  readonly name: string;
+  readonly event: (update: Update) => void;
+  /** Names of the stages for which room is held afterwards. */
+  readonly held: readonly string[];
+  readonly counters: readonly string[];
+}
+
+const CASES: readonly EventCase[] = [
+  {
+    name: "is kept until its stage starts",
+    event: (update) => fulfillReservation(update, "a"),
+    held: [],
+    counters: ["reservations-fulfilled"],
+  },
+  {
+    name: "is kept when another stage starts",
+    event: (update) => fulfillReservation(update, "b"),
+    held: ["a"],
+    counters: [],
+  },
+  {
+    name: "is given up with its cause",
+    event: (update) =>
+      releaseRoom(update, find(update), ReleaseCause.WorkerDraining),
+    held: [],
+    counters: ["reservations-given-up-worker-draining"],
+  },
+  {
+    name: "is lost with the tenure",
+    event: (update) => update.dispatch(TENURE_LOST, { reason: "" }),
+    held: [],
+    counters: [],
+  },
+  {
+    name: "isn't taken over from a former tenure",
+    event: (update) => update.dispatch(TENURE_GAINED, { epoch: 2 }),
+    held: [],
+    counters: [],
+  },
+  {
+    name: "is given up for one that ranks before it, if the pool has two",
+    event: (update) => {
+      update.write(RESERVATIONS).add(stageOf("b", 3), {
+        workers: new Map([["w-b", 1]]),
+        readyMs: NOW + 1_000,
+        slowness: 1,
+        stops: [],
+      }, { now: NOW, permitMs: 0 });
+      reserve(update, { name: "c", rank: 1 });
+    },
+    held: ["a", "c"],
+    counters: ["reservations-given-up-outranked", "reservations-made"],
+  },
+];
+
+describe("a reservation", () => {
+  for (const { name, event, held, counters } of CASES) {
+    it(name, () => {
+      const kernel = new Kernel({ plugins: [new ReservationsPlugin()] });
+      kernel.update(NOW, (update) => reserve(update));
+      const effects = kernel.update(NOW, event) as readonly NodeEffect[];
+      expect(kernel.read(RESERVATIONS).active.map(({ stage }) => stage.name))
+        .to.deep.equal(held);
+      expect(
+        effects.flatMap((effect) =>
+          effect.kind === EffectKind.Count ? [effect.counter] : []
+        ),
+      ).to.deep.equal(counters);
+    });
+  }
+
+  const DRIFT_CASES = [
+    { name: "sooner", inMs: 400, expectedInMs: 400, openInMs: 400 },
+    { name: "later", inMs: 3_000, expectedInMs: 3_000, openInMs: 1_000 },
+  ];
+  for (const { name, inMs, expectedInMs, openInMs } of DRIFT_CASES) {
+    it(`lets in no more work if its room is expected ${name}`, () => {
+      const kernel = new Kernel({ plugins: [new ReservationsPlugin()] });
+      kernel.update(NOW, (update) => reserve(update));
+      kernel.update(
+        NOW + 200,
+        (update) =>
+          updateExpectation(update, find(update), () => [roomOf("a", inMs)]),
+      );
+      const { expectedMs, openUntilMs } = kernel.read(RESERVATIONS).active[0]!;
+      expect(expectedMs - NOW).to.equal(expectedInMs);
+      expect(openUntilMs - NOW).to.equal(openInMs);
+    });
+  }
+});
