Test gangs behind many small tasks in the simulated domain

Cause: nothing showed whether gangs start while small tasks fill the workers.

Simulated workers can list the progress of their runs, and the policy can allow some workers only and differ between the queues.

--- a/packages/prove/src/domain/domain_cluster.ts
+++ b/packages/prove/src/domain/domain_cluster.ts
@@ -128,6 +128,10 @@
   readonly maxRecordBytes?: number;
   /** Durations of permit queries; 20 ms and no time under way by default. */
   readonly policy?: PolicyTiming;
+  /** The same for the queue with the lower priority; alike by default. */
+  readonly nightlyPolicy?: PolicyTiming;
+  /** Returns whether the policy allows a worker for a stage; all by default. */
+  readonly allows?: (stage: string, workerId: string) => boolean;
   /** How crashed workers come back; under their id by default. */
   readonly workerReturn?: WorkerReturn;
   /** Time after which they are back in milliseconds; 3,300 by default. */
@@ -503,7 +507,11 @@
         });
         break;
       case EffectKind.AskPermits: {
-        const { decideMs, networkMs } = this.#options.policy ?? DEFAULT_POLICY;
+        const { allows, policy = DEFAULT_POLICY, nightlyPolicy = policy } =
+          this.#options;
+        const [jobId] = effect.stage.split(".");
+        const isNightly = this.clients.get(jobId!)?.prefix === NIGHTLY_PREFIX;
+        const { decideMs, networkMs } = isNightly ? nightlyPolicy : policy;
         const decidedMs = decideMs +
           Math.max(this.clock.now, this.#policyFreeMs.get(from) ?? 0);
         this.#policyFreeMs.set(from, decidedMs);
@@ -512,10 +520,9 @@
           () =>
             reply(node, effect.replyTo)({
               kind: PermitResultKind.Judged,
-              permits: effect.workers.map((workerId) => ({
-                workerId,
-                permit: "p",
-              })),
+              permits: effect.workers
+                .filter((workerId) => allows?.(effect.stage, workerId) ?? true)
+                .map((workerId) => ({ workerId, permit: "p" })),
               validMs: PERMIT_VALID_MS,
             }),
         );
@@ -581,9 +588,10 @@
     maxAttempts = 3,
     ceiling = NO_RESOURCES,
     policy = DEFAULT_POLICY,
+    nightlyPolicy = policy,
   }: DomainClusterOptions,
 ): DesiredState {
-  const queue = {
+  const queueOf = ({ decideMs }: PolicyTiming) => ({
     host: CALLER.host,
     pool: "ovens",
     maxAttempts,
@@ -593,18 +601,28 @@
     ...(needsPermits
       ? {
         permits: {
-          decideMs: policy.decideMs,
+          decideMs,
           perWorkerMs: 0,
           validMs: PERMIT_VALID_MS,
         },
       }
       : {}),
-  };
+  });
   return {
     version: 1,
     queues: [
-      { ...queue, name: "plans", pathPrefix: CALLER.prefix, priority: 0 },
-      { ...queue, name: "nightly", pathPrefix: NIGHTLY_PREFIX, priority: 2 },
+      {
+        ...queueOf(policy),
+        name: "plans",
+        pathPrefix: CALLER.prefix,
+        priority: 0,
+      },
+      {
+        ...queueOf(nightlyPolicy),
+        name: "nightly",
+        pathPrefix: NIGHTLY_PREFIX,
+        priority: 2,
+      },
     ],
     pools: [{ name: "ovens", guardsCapacity: false, isSpare: false }],
     teams: [{
--- a/packages/prove/src/domain/domain_worker.ts
+++ b/packages/prove/src/domain/domain_worker.ts
@@ -77,10 +77,13 @@
   endsPerList: number;
   /** Largest addition to the run time of its tasks, in milliseconds. */
   runSpreadMs: number;
+  /** Whether listings tell how far each run is; half of it otherwise. */
+  listsProgress: boolean;
 }
 
 interface Running {
   readonly record: RunRecord;
+  readonly runMs: number;
   isStopping: boolean;
 }
 
@@ -118,6 +121,7 @@
     losesStartReplies: false,
     endsPerList: 500,
     runSpreadMs: 0,
+    listsProgress: false,
   };
   info: WorkerInfo;
   isUp = true;
@@ -320,8 +324,14 @@
       acknowledgedMs: undefined,
     };
     runs.push(record);
-    this.#running.set(key, { record, isStopping: false });
     const { runMs, failures, deadlyTasks } = behaviourOf(order.task);
+    const { runSpreadMs } = this.faults;
+    const addedMs = runSpreadMs > 0 ? random.below(runSpreadMs) : 0;
+    this.#running.set(key, {
+      record,
+      runMs: runMs + addedMs,
+      isStopping: false,
+    });
     const failed =
       runs.filter(({ task, end }) =>
         task === order.task && end === AttemptEnd.Failed
@@ -337,8 +347,6 @@
         }
       });
     }
-    const { runSpreadMs } = this.faults;
-    const addedMs = runSpreadMs > 0 ? random.below(runSpreadMs) : 0;
     clock.after(runMs + addedMs, () => {
       if (processNumber === this.#processNumber) {
         this.#end(key, fails ? AttemptEnd.Failed : AttemptEnd.Done);
@@ -424,11 +432,13 @@
   #list() {
     return {
       incarnation: this.info.incarnation,
-      running: [...this.#running.values()].map(({ record }) => ({
+      running: [...this.#running.values()].map(({ record, runMs }) => ({
         task: record.task,
         attempt: record.attempt,
         checkpoint: this.#options.behaviourOf(record.task).checkpoint ?? "",
-        percent: 50,
+        percent: this.faults.listsProgress
+          ? this.#percentOf(record, runMs)
+          : 50,
         load: 0,
       })),
       ended: this.#ended.slice(0, this.faults.endsPerList)
@@ -439,6 +449,11 @@
     };
   }
 
+  #percentOf({ startMs }: RunRecord, runMs: number): number {
+    const ranMs = this.#options.clock.now - startMs;
+    return Math.floor(Math.min(100, 100 * ranMs / runMs));
+  }
+
   #wake(): void {
     for (const finish of this.#waiting.splice(0)) {
       finish();
