Leave held workers alone while there is room elsewhere

Cause: urgent work and backfill may start on held workers, and the score did not tell these from others, so that a hold was delayed although other workers had room.

Ruled out: closing held workers to urgent work, which must not wait for work of a lower rank.

Change: a penalty below that of another rack for workers that are held for another stage. The simulation also covers single tasks of a whole worker.

--- a/packages/dispatch/src/placement_rules.ts
+++ b/packages/dispatch/src/placement_rules.ts
@@ -26,6 +26,11 @@
 const FAILED_PENALTY = 100;
 /** Added to the score of a worker outside the rack of the task's data. */
 const OTHER_RACK_PENALTY = 10;
+/**
+ * Added to the score of a worker that is held for another stage: work that may
+ * start there delays the other stage only if there is no room elsewhere.
+ */
+const HELD_PENALTY = 7;
 
 /** Added for each attempt beside which a task that crashes workers starts. */
 const BLAST_PENALTY = 1_000;
@@ -156,7 +161,9 @@
  * unused there. Lower is better.
  */
 function scoreOf(stage: StageRun, task: TaskRun, candidate: Candidate): number {
-  const { session, free } = candidate;
+  const { session, free, hold } = candidate;
+  const isForOther = hold !== undefined &&
+    hold.reservation.stage.name !== stage.name;
   const { capacity, id, rack } = session.info;
   const size = reservedSize(stage);
   const cpu = (free.cpuMillis - size.cpuMillis) /
@@ -173,5 +180,6 @@
   return cpu + memory + ACCELERATOR_WEIGHT * accelerators +
     slownessWeight * (candidate.slowness - 1) +
     (task.failedOn.has(id) ? FAILED_PENALTY : 0) +
+    (isForOther ? HELD_PENALTY : 0) +
     (preferredRack !== "" && rack !== preferredRack ? OTHER_RACK_PENALTY : 0);
 }
--- a/packages/dispatch/src/placement_rules_test.ts
+++ b/packages/dispatch/src/placement_rules_test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import { NO_RESOURCES } from "@mustardweir/model";
+import { ReservationBook } from "@mustardweir/reservations";
 import type { Session } from "@mustardweir/sessions";
 import { type Candidate, reserve } from "./candidates.ts";
 import { createJobRun, type StageRun } from "./dispatch_state.ts";
@@ -82,6 +83,8 @@
   /** Tasks that each worker runs already, and its slowness. */
   readonly workers: readonly (readonly [tasks: number, slowness: number])[];
   readonly tasks: number;
+  /** Worker that is held for another stage and open; none by default. */
+  readonly held?: number;
   /** Tasks that are placed on each worker. */
   readonly placed: readonly number[];
 }
@@ -111,12 +114,19 @@
     tasks: 6,
     placed: [6, 0],
   },
+  {
+    name: "leave a held worker alone while there is room elsewhere",
+    workers: [[0, 1], [5, 1]],
+    tasks: 9,
+    held: 1,
+    placed: [8, 1],
+  },
 ];
 
 // Guards against small tasks that are spread over workers which wide work needs
 // whole.
 describe("tasks of one accelerator", () => {
-  for (const { name, workers, tasks, placed } of CASES) {
+  for (const { name, workers, tasks, held, placed } of CASES) {
     it(name, () => {
       const running = scanStage(8);
       const candidates = workers.map(([used, slowness], index) => {
@@ -126,6 +136,23 @@
         );
         return candidate;
       });
+      const holding = new ReservationBook().add(
+        {
+          name: "b.0.0",
+          pool: "accelerated",
+          rank: 2,
+          priority: 1,
+          size: CAPACITY,
+          tasks: 1,
+          sameRack: false,
+          maxPerWorker: 0,
+        },
+        { workers: new Map(), readyMs: 1_000, slowness: 1, stops: [] },
+        { now: 0, permitMs: 0 },
+      )!;
+      if (held !== undefined) {
+        candidates[held]!.hold = { reservation: holding, room: CAPACITY };
+      }
       const stage = scanStage(tasks);
       const placements = new BestFitRule()
         .choose(stage, stage.tasks, candidates);
--- a/packages/prove/src/domain/domain_reservations_test.ts
+++ b/packages/prove/src/domain/domain_reservations_test.ts
@@ -57,6 +57,8 @@
   readonly injectFault?: (cluster: DomainCluster, held: string) => void;
   /** Workers that the policy allows for gangs; all by default. */
   readonly allowed?: number;
+  /** Whether they are single tasks of a whole worker; false by default. */
+  readonly areTasks?: boolean;
   /** Gangs that arrive at the same time; 1 by default. */
   readonly atOnce?: number;
   /** Why a reservation is given up; none by default. */
@@ -74,6 +76,12 @@
     policy: new HoldOnly(),
     startsInTime: true,
   },
+  {
+    name: "start in time with reservations as tasks of a whole worker",
+    policy: new HoldOnly(),
+    areTasks: true,
+    startsInTime: true,
+  },
   {
     name: "start in time with reservations if two compete",
     policy: new HoldOnly(),
@@ -151,6 +159,7 @@
       estimateMs = runMs,
       injectFault,
       allowed = WORKERS,
+      areTasks = false,
       atOnce = 1,
       givenUp = [],
     } of CASES
@@ -216,7 +225,7 @@
             payload: createTaskPayload({ runMs: GANG_RUN_MS, failures: 0 }),
             stages: [stageSpec({
               tasks: 2,
-              gang: true,
+              gang: !areTasks,
               size: { ...NO_RESOURCES, cpuMillis: 4_000, memoryMb: 500 },
               estimateMs: 8 * GANG_RUN_MS,
             })],
