Judge workers for wide stages before their turn to reserve

Cause: a stage whose pool has two reservations got no verdicts while nothing fitted, and its permit query, up to 1.1 s, began only with its turn.

Ruled out: queries of permits for all waiting wide stages, which are over before their turn; verdicts never change and are kept.

Change: while the policy allows fewer than two workers for each task, a wide stage in turn has workers judged that have no verdict, one query at a time. The public functions of the package get examples.

--- a/packages/dispatch/src/held_room.ts
+++ b/packages/dispatch/src/held_room.ts
@@ -93,18 +93,47 @@
   }, update.now);
 }
 
-/** Returns whether room is held for the stage, or may be now. */
+/**
+ * Returns whether room is held for the stage or may be now, or the policy is to
+ * judge workers for it ahead of that.
+ */
 export function mayHoldRoom(
   update: Update,
   { stage, rank }: Pick<Waiting, "stage" | "rank">,
 ): boolean {
   const book = update.read(RESERVATIONS);
-  const { name, spec, job: { record: { queue: { pool } } } } = stage;
+  const { name, job: { record: { queue: { pool } } } } = stage;
   return book.find(name) !== undefined ||
-    (priorityOfRank(rank) !== undefined && !spec.bestEffort &&
-      (spec.gang ||
-        isWide(spec.size, update.read(CANDIDATES).largestIn(pool))) &&
-      book.mayReserve({ name, pool, rank }, update.now));
+    (book.policy.holds && callsForRoom(update, stage, rank) &&
+      (book.mayReserve({ name, pool, rank }, update.now) ||
+        lacksVerdicts(update, stage)));
+}
+
+/** Returns whether the stage has its turn and is a gang or wide. */
+function callsForRoom(
+  update: Update,
+  { spec, job: { record: { queue: { pool } } } }: StageRun,
+  rank: number,
+): boolean {
+  return priorityOfRank(rank) !== undefined && !spec.bestEffort &&
+    (spec.gang ||
+      isWide(spec.size, update.read(CANDIDATES).largestIn(pool)));
+}
+
+/**
+ * Returns whether the policy allows too few workers for the stage so far, so
+ * that the verdicts are there when it gets a reservation: a query for a wide
+ * stage takes longer than most of its tasks wait for room.
+ */
+function lacksVerdicts(update: Update, stage: StageRun): boolean {
+  const { spec, job: { record: { queue } } } = stage;
+  if (queue.permits === undefined) {
+    return false;
+  }
+  const { good, judged, isQueryPending } = stagePermits(update, stage.name);
+  const { length } = update.read(CANDIDATES).inPool(queue.pool);
+  return !isQueryPending && judged.size < length &&
+    hasTooFewGood(good.size, spec.gang ? spec.tasks : 1);
 }
 
 /**
@@ -179,14 +208,18 @@
   tasks: number,
 ): Reservation | undefined {
   const { name, spec, job: { record: { queue } } } = stage;
+  const book = update.read(RESERVATIONS);
+  const { pool } = queue;
   // Suspects start alone, which a hold can't promise.
-  if (stage.tasks.some(isSuspect)) {
+  if (
+    !book.mayReserve({ name, pool, rank }, update.now) ||
+    stage.tasks.some(isSuspect)
+  ) {
     return undefined;
   }
-  const book = update.read(RESERVATIONS);
   const reserved = reserveRoom(update, {
     name,
-    pool: queue.pool,
+    pool,
     rank,
     priority: queue.priority,
     size: reservedSize(stage),
--- a/packages/reservations/src/permits_ahead.ts
+++ b/packages/reservations/src/permits_ahead.ts
@@ -21,7 +21,14 @@
   readonly judgesMore: boolean;
 }
 
-/** Returns how long a query about some workers takes, in milliseconds. */
+/**
+ * Returns how long a query about some workers takes, in milliseconds.
+ *
+ * @example
+ * ```ts
+ * permitLeadMs({ decideMs: 600, perWorkerMs: 10, validMs: 2_000 }, 5); // 800
+ * ```
+ */
 export function permitLeadMs(
   policy: PermitPolicy | undefined,
   workers: number,
@@ -34,6 +41,11 @@
 /**
  * Returns the time until workers that have room at `readyMs` have permits for
  * it, in milliseconds: 0 if those that they have are valid then.
+ *
+ * @example
+ * ```ts
+ * const permitMs = permitWaitMs(plan.workers, { policy, validUntilMs, readyMs });
+ * ```
  */
 export function permitWaitMs(
   workers: ReadonlyMap<string, number>,
@@ -50,7 +62,14 @@
     : permitLeadMs(policy, workers.size);
 }
 
-/** Returns whether too few workers are allowed for a stage to choose among. */
+/**
+ * Returns whether too few workers are allowed for a stage to choose among.
+ *
+ * @example
+ * ```ts
+ * hasTooFewGood(9, 5); // true: 10 are wanted for 5 tasks
+ * ```
+ */
 export function hasTooFewGood(good: number, tasks: number): boolean {
   return good < GOOD_PER_TASK * tasks;
 }
@@ -58,6 +77,11 @@
 /**
  * Returns the held workers whose permits would be over when the reply to a
  * query could be there, once the expected time is near.
+ *
+ * @example
+ * ```ts
+ * const renewed = permitsToRenew(reservation, { policy, validUntilMs, now });
+ * ```
  */
 export function permitsToRenew(
   { workers, expectedMs }: Reservation,
--- a/packages/reservations/src/policies.ts
+++ b/packages/reservations/src/policies.ts
@@ -13,7 +13,15 @@
  */
 const RESUMED_GRACE_MS = 5_000;
 
-/** Decides whether room is held and whether running tasks are stopped for it. */
+/**
+ * Decides whether room is held and whether running tasks are stopped for it.
+ *
+ * @example
+ * ```ts
+ * const policy = new HoldAndPreempt();
+ * const freeMs = policy.endOf(stage, run, now);
+ * ```
+ */
 export abstract class ReservationPolicy {
   /** Whether room is held at all. */
   readonly holds: boolean = true;
--- a/packages/reservations/src/reservation.ts
+++ b/packages/reservations/src/reservation.ts
@@ -123,6 +123,11 @@
 /**
  * Returns whether a stage may use the room that is held for another one: it
  * ranks before it, or its tasks end before the held room is needed.
+ *
+ * @example
+ * ```ts
+ * const isOpen = isOpenTo(reservation, { name, rank, upperMs: 700 }, now);
+ * ```
  */
 export function isOpenTo(
   { stage, openUntilMs, slowness }: Reservation,
@@ -136,6 +141,11 @@
 /**
  * Returns the free room that other stages must leave on a held worker: what the
  * reservation needs there beyond the room of tasks that end in time.
+ *
+ * @example
+ * ```ts
+ * const left = subtractResources(free, keptRoom(reservation, "w1", runs));
+ * ```
  */
 export function keptRoom(
   { stage, workers, expectedMs }: Reservation,
--- a/packages/reservations/src/reservations_plugin.ts
+++ b/packages/reservations/src/reservations_plugin.ts
@@ -46,6 +46,16 @@
 /**
  * Holds the workers that have room for the stage soonest; undefined if none are
  * held. Gives up a reservation that the stage outranks.
+ *
+ * @example
+ * ```ts
+ * const reserved = reserveRoom(update, stage, {
+ *   poolWorkers: candidates.length,
+ *   policy: queue.permits,
+ *   validUntilMs: (workerId) => good.get(workerId)?.validUntilMs,
+ *   roomsFor: () => candidates.map(roomOf),
+ * });
+ * ```
  */
 export function reserveRoom(
   update: Update,
@@ -98,7 +108,14 @@
   return { reservation, replaced, stops: plan.stops };
 }
 
-/** Gives up a reservation. */
+/**
+ * Gives up a reservation.
+ *
+ * @example
+ * ```ts
+ * releaseRoom(update, reservation, ReleaseCause.WorkerDraining);
+ * ```
+ */
 export function releaseRoom(
   update: Update,
   reservation: Reservation,
@@ -115,7 +132,14 @@
   }));
 }
 
-/** Ends the reservation of a stage that has started. */
+/**
+ * Ends the reservation of a stage that has started.
+ *
+ * @example
+ * ```ts
+ * fulfillReservation(update, reservation);
+ * ```
+ */
 export function fulfillReservation(
   update: Update,
   reservation: Reservation,
@@ -135,6 +159,11 @@
 /**
  * Computes anew when the workers of the reservation have room, a few times a
  * second; `rooms` returns them.
+ *
+ * @example
+ * ```ts
+ * updateExpectation(update, reservation, () => heldRooms);
+ * ```
  */
 export function updateExpectation(
   update: Update,
