--- a/packages/reservations/src/reservation_book_test.ts
+++ b/packages/reservations/src/reservation_book_test.ts
@@ -30,11 +30,7 @@
 const ASK_CASES = [
   { name: "work that ends before", asker: { upperMs: 2_000 }, isOpen: true },
   { name: "work that ends after", asker: { upperMs: 2_001 }, isOpen: false },
-  {
-    name: "such work on a slow worker",
-    asker: { upperMs: 1_500 },
-    slowness: 2,
-  },
+  { name: "work on a slow worker", asker: { upperMs: 1_500 }, slowness: 2 },
   { name: "lasting work", asker: { upperMs: Infinity } },
   { name: "urgent work", asker: { rank: 1 }, isOpen: true },
   { name: "work of the same rank", asker: { rank: 2 } },
@@ -55,11 +51,7 @@
     runOf("r", inMs, { size: accelerators(taken) });
   const KEPT_CASES = [
     { name: "all that is needed if nothing ends", runs: [], kept: 6 },
-    {
-      name: "less by what ends",
-      runs: [run(2_000, 4), run(2_001, 2)],
-      kept: 2,
-    },
+    { name: "what is left", runs: [run(2_000, 4), run(2_001, 2)], kept: 2 },
     { name: "nothing if enough ends", runs: [run(2_000, 7)], kept: 0 },
   ];
   for (const { name, runs, kept } of KEPT_CASES) {
@@ -69,12 +61,8 @@
     });
   }
 
-  const WIDTH_CASES = [
-    { size: 4, isWide: false },
-    { size: 5, isWide: true },
-    { size: 9, isWide: false },
-  ];
-  for (const { size, isWide: expected } of WIDTH_CASES) {
+  const WIDTH_CASES = [[4, false], [5, true], [9, false]] as const;
+  for (const [size, expected] of WIDTH_CASES) {
     it(`${expected ? "is" : "isn't"} called for by ${size} of 8`, () => {
       expect(isWide(accelerators(size), accelerators(8))).to.equal(expected);
     });
@@ -172,11 +160,8 @@
     });
   }
 
-  const LIMIT_CASES = [{ inMs: 300, limitMs: 2_000 }, {
-    inMs: 2_000,
-    limitMs: 4_000,
-  }];
-  for (const { inMs, limitMs } of LIMIT_CASES) {
+  const LIMIT_CASES = [[300, 2_000], [2_000, 4_000]] as const;
+  for (const [inMs, limitMs] of LIMIT_CASES) {
     it(`end after ${limitMs} ms if room is expected in ${inMs} ms`, () => {
       const { deadlineMs } = reserve(new ReservationBook(), stageOf("a"), {
         inMs,
@@ -190,20 +175,10 @@
 
 // A query takes 770 ms and permits are wanted from 1 s before.
 const RENEWAL_CASES = [
-  { name: "isn't renewed long before", inMs: 0, isRenewed: false },
+  { name: "isn't renewed long before", inMs: 0 },
   { name: "is renewed in time", inMs: 3_300, isRenewed: true },
-  {
-    name: "isn't renewed while it is valid long enough",
-    inMs: 3_300,
-    validInMs: 4_100,
-    isRenewed: false,
-  },
-  {
-    name: "is renewed before its end",
-    inMs: 5_200,
-    validInMs: 5_900,
-    isRenewed: true,
-  },
+  { name: "isn't renewed while valid", inMs: 3_300, validInMs: 4_100 },
+  { name: "is renewed ahead", inMs: 5_200, validInMs: 5_900, isRenewed: true },
 ];
 
 describe("a permit for a held worker", () => {
