--- a/packages/reservations/src/reservation_book_test.ts
+++ b/packages/reservations/src/reservation_book_test.ts
@@ -30,7 +30,7 @@
 const ASK_CASES = [
   { name: "work that ends before", asker: { upperMs: 2_000 }, isOpen: true },
   { name: "work that ends after", asker: { upperMs: 2_001 }, isOpen: false },
-  { name: "work on a slow worker", asker: { upperMs: 1_500 }, slowness: 2 },
+  { name: "work on a slow worker", asker: { upperMs: 1_500 }, slowness: 1.5 },
   { name: "lasting work", asker: { upperMs: Infinity } },
   { name: "urgent work", asker: { rank: 1 }, isOpen: true },
   { name: "work of the same rank", asker: { rank: 2 } },
@@ -90,7 +90,7 @@
 const BOOK_CASES: readonly BookCase[] = [
   { name: "the first stage", mayReserve: true },
   { name: "a third", before: reserveTwo, rank: 4 },
-  { name: "a more urgent third", before: reserveTwo, mayReserve: true },
+  { name: "a third before one", before: reserveTwo, rank: 3, mayReserve: true },
   {
     name: "a stage whose pool has just been planned",
     before: (book) => reserve(book, stageOf("a")),
