Keep the hold on workers that a replaced reservation shared

Cause: a reservation that replaces a less urgent one may be planned on the workers of that one, and is added before the other is removed. The removal then deleted the entries of the shared workers, so that they were held for nobody and other work took their room.

Result: the removal deletes only entries that are its own. The new case of the book fails without the change (no holder instead of the successor) and passes with it.

--- a/packages/reservations/src/reservation_book.ts
+++ b/packages/reservations/src/reservation_book.ts
@@ -173,7 +173,10 @@
     }
     this.#active.splice(index, 1);
     for (const workerId of reservation.workers.keys()) {
-      this.#byWorker.delete(workerId);
+      // The reservation that replaces this one may hold the same worker.
+      if (this.#byWorker.get(workerId) === reservation) {
+        this.#byWorker.delete(workerId);
+      }
     }
     reservation.isOpen = true;
     if (cause === ReleaseCause.Expired) {
--- a/packages/reservations/src/reservation_book_test.ts
+++ b/packages/reservations/src/reservation_book_test.ts
@@ -145,6 +145,23 @@
     });
   }
 
+  // Guards against workers that lose their hold with the one it replaced.
+  const TAKEN_CASES = [
+    { name: "held for its successor", taken: true, holder: "b" },
+    { name: "free without one", taken: false, holder: undefined },
+  ];
+  for (const { name, taken, holder } of TAKEN_CASES) {
+    it(`leave a worker of a replaced reservation ${name}`, () => {
+      const book = new ReservationBook();
+      const replaced = reserve(book, stageOf("a"), { workers: ["w"] })!;
+      if (taken) {
+        reserve(book, stageOf("b", 1), { workers: ["w"] });
+      }
+      book.remove(replaced, { cause: ReleaseCause.Outranked, now: NOW });
+      expect(book.holderOf("w")?.stage.name).to.equal(holder);
+    });
+  }
+
   const PLAN_CASES = [
     { name: "room that is free already", inMs: 0, isHeld: false },
     { name: "room to come", inMs: 500, isHeld: true },
