Give up reservations whose worker changes its pool

Cause: a held worker that is registered in another pool stays a candidate, so its reservation was kept until its deadline. The stage could not start there, and in the new pool the hold opened and closed with the stages of the old one.

Result: such a worker counts as one that has left. The new case of the simulated domain fails without the change (no reservation given up) and passes with it, as does the case of a worker that leaves.

--- a/packages/dispatch/src/held_room.ts
+++ b/packages/dispatch/src/held_room.ts
@@ -310,7 +310,7 @@
   update: Update,
   reservation: Reservation,
 ): ReleaseCause | undefined {
-  const { stage: { name, rank }, workers, deadlineMs } = reservation;
+  const { stage: { name, pool, rank }, workers, deadlineMs } = reservation;
   const stage = findStage(update, name);
   if (stage === undefined || !isOpen(stage.job) || isStageDone(stage)) {
     return ReleaseCause.StageEnded;
@@ -323,9 +323,13 @@
   }
   const isJudged = stage.job.record.queue.permits !== undefined;
   for (const workerId of workers.keys()) {
-    if (update.read(CANDIDATES).find(workerId) === undefined) {
+    const candidate = update.read(CANDIDATES).find(workerId);
+    if (candidate === undefined) {
       return workerCause(update, workerId);
     }
+    if (candidate.session.info.pool !== pool) {
+      return ReleaseCause.WorkerLeft;
+    }
     if (isJudged && !stagePermits(update, name).good.has(workerId)) {
       return ReleaseCause.PermitRefused;
     }
--- a/packages/prove/src/domain/domain_reservations_test.ts
+++ b/packages/prove/src/domain/domain_reservations_test.ts
@@ -98,6 +98,14 @@
     injectFault: ({ store }, held) => store.setWorker(held, undefined),
     givenUp: ["worker-left"],
   },
+  {
+    name: "though a worker of a reservation changes its pool",
+    injectFault: ({ store, workers }, held) => {
+      const { info } = workers.get(held)!;
+      store.setWorker(held, { ...info, pool: "mixers" });
+    },
+    givenUp: ["worker-left"],
+  },
 ];
 
 /** Lets all nodes hold room by a policy. */
--- a/packages/reservations/src/reservation.ts
+++ b/packages/reservations/src/reservation.ts
@@ -60,7 +60,7 @@
 export enum ReleaseCause {
   /** Not fulfilled by twice the expected time. */
   Expired = "expired",
-  /** A worker is no longer registered. */
+  /** A worker is no longer registered, or is in another pool by now. */
   WorkerLeft = "worker-left",
   WorkerDraining = "worker-draining",
   /** A worker doesn't answer. */
