Give up reservations of gangs that are being stopped

Cause: a gang reserves room for the members whose start was refused while the others run. If the gang is stopped then, none of its tasks may start, and later all must start together, but the reservation for fewer tasks was kept until its deadline and kept the stage from reserving enough.

Result: a stage without a task that may start gives its reservation up, as does one with more missing tasks than its reservation is for. None of them stops a gang that holds room for a part of it.

--- a/packages/dispatch/src/held_room.ts
+++ b/packages/dispatch/src/held_room.ts
@@ -150,6 +150,7 @@
   }
   const { stage } = waiting;
   const tasks = stage.spec.gang ? missing : 1;
+  releaseOutsized(update, stage, tasks);
   const reservation = update.read(RESERVATIONS).find(stage.name) ??
     reserveFor(update, waiting, tasks);
   const policy = stage.job.record.queue.permits;
@@ -186,6 +187,21 @@
   }
 }
 
+/**
+ * Gives up a reservation for fewer tasks than are missing: it may have been made
+ * for one member of a gang that has been stopped since.
+ */
+function releaseOutsized(
+  update: Update,
+  stage: StageRun,
+  tasks: number,
+): void {
+  const reservation = update.read(RESERVATIONS).find(stage.name);
+  if (reservation !== undefined && reservation.stage.tasks < tasks) {
+    releaseUnstartable(update, stage);
+  }
+}
+
 /** Ends the reservation of a stage whose tasks have been started. */
 export function endHeldRoom(update: Update, stage: StageRun): void {
   const reservation = update.read(RESERVATIONS).find(stage.name);
--- a/packages/dispatch/src/placement_pass.ts
+++ b/packages/dispatch/src/placement_pass.ts
@@ -265,6 +265,7 @@
     waiting.add(stage, rank);
     const startable = this.#startableTasks(stage);
     if (startable.length === 0) {
+      releaseUnstartable(this.#update, stage);
       this.#setAside(stage);
       return Examined.Left;
     }
--- a/packages/reservations/src/reservation.ts
+++ b/packages/reservations/src/reservation.ts
@@ -72,7 +72,10 @@
   /** The job of the stage ended or was cancelled. */
   StageEnded = "stage-ended",
   RankChanged = "rank-changed",
-  /** Its tasks exceed the ceiling of their team, or have crashed workers. */
+  /**
+   * Its tasks exceed the ceiling of their team, have crashed workers, or are
+   * members of a gang that is being stopped.
+   */
   NotStartable = "not-startable",
   /** A stage that is placed earlier needs the reservation. */
   Outranked = "outranked",
