--- a/packages/dispatch/src/candidate_index.ts
+++ b/packages/dispatch/src/candidate_index.ts
@@ -13,6 +13,7 @@
   type Candidate,
   createCandidate,
   isEligible,
+  roomAfterPreemption,
   unheldRoom,
 } from "./candidates.ts";
 import { WORKER_HEALTH } from "./health.ts";
@@ -33,6 +34,11 @@
   #mostFree: Resources | undefined;
   #mostUnheld: Resources | undefined;
   #largest: Resources | undefined;
+  /** The same since the last reservation; undefined until computed anew. */
+  #mostFreeNow: Resources | undefined;
+  #mostUnheldNow: Resources | undefined;
+  #mostRoom: Resources | undefined;
+  #mostUnheldRoom: Resources | undefined;
 
   /** Sum of the capacity of all candidates. */
   get capacity(): Resources {
@@ -62,6 +68,44 @@
     return this.#largest;
   }
 
+  /** The most free resources, as of the last reservation. */
+  get mostFreeNow(): Resources {
+    this.#mostFreeNow ??= mostOf(this.all.map(({ free }) => free));
+    return this.#mostFreeNow;
+  }
+
+  /** The same without the room that is held for stages. */
+  get mostUnheldNow(): Resources {
+    this.#mostUnheldNow ??= mostOf(this.all.map(unheldRoom));
+    return this.#mostUnheldNow;
+  }
+
+  /**
+   * Upper bound of the resources that any candidate has for a task, after all
+   * preemptions there.
+   */
+  get mostRoom(): Resources {
+    this.#mostRoom ??= mostOf(this.all.map(roomAfterPreemption));
+    return this.#mostRoom;
+  }
+
+  /** The same without the workers that are held for stages. */
+  get mostUnheldRoom(): Resources {
+    this.#mostUnheldRoom ??= mostOf(
+      this.all.filter(({ hold }) => hold === undefined)
+        .map(roomAfterPreemption),
+    );
+    return this.#mostUnheldRoom;
+  }
+
+  /** Lets the bounds be computed anew after resources were reserved. */
+  noteReserved(): void {
+    this.#mostFreeNow = undefined;
+    this.#mostUnheldNow = undefined;
+    this.#mostRoom = undefined;
+    this.#mostUnheldRoom = undefined;
+  }
+
   /**
    * The candidates without quarantined workers. If those are too many, they are
    * included: then the jobs are more likely the cause than the workers.
@@ -110,6 +154,7 @@
     if (replaced === undefined || !isEqual(replaced, capacity)) {
       this.#largest = undefined;
     }
+    this.noteReserved();
   }
 
   remove(workerId: string): void {
@@ -133,6 +178,7 @@
     this.#mostFree = undefined;
     this.#mostUnheld = undefined;
     this.#largest = undefined;
+    this.noteReserved();
   }
 
   /** Sets the hold on a worker. */
@@ -141,6 +187,8 @@
     if (position !== undefined) {
       this.all[position]!.hold = hold;
       this.#mostUnheld = undefined;
+      this.#mostUnheldNow = undefined;
+      this.#mostUnheldRoom = undefined;
     }
   }
 }
@@ -189,6 +237,35 @@
     return this.#pools.get(pool)?.largest ?? NO_RESOURCES;
   }
 
+  /**
+   * Returns whether a task of this size may start on any candidate of the pool,
+   * after preemptions if those are allowed, held room included if any of it is
+   * open.
+   */
+  mayStart(
+    pool: string,
+    { size, preempts, isHeldRoomOpen }: {
+      readonly size: Resources;
+      readonly preempts: boolean;
+      readonly isHeldRoomOpen: boolean;
+    },
+  ): boolean {
+    const known = this.#pools.get(pool);
+    if (known === undefined) {
+      return false;
+    }
+    return isHeldRoomOpen
+      ? fitsWithin(size, known.mostFreeNow) ||
+        (preempts && fitsWithin(size, known.mostRoom))
+      : fitsWithin(size, known.mostUnheldNow) ||
+        (preempts && fitsWithin(size, known.mostUnheldRoom));
+  }
+
+  /** Lets {@link mayStart} look anew after resources of the pool were reserved. */
+  noteReserved(pool: string): void {
+    this.#pools.get(pool)?.noteReserved();
+  }
+
   /** Returns the capacity of all candidates of a pool. */
   capacityOf(pool: string): Resources {
     return this.#pools.get(pool)?.capacity ?? NO_RESOURCES;
--- a/packages/dispatch/src/dispatch_state.ts
+++ b/packages/dispatch/src/dispatch_state.ts
@@ -21,6 +21,7 @@
   tasksPerOccurrence,
 } from "@mustardweir/model";
 import type { DurableProgress } from "@mustardweir/protocol";
+import { AttemptStart } from "@mustardweir/run-times";
 import { FailureLog } from "./failure_log.ts";
 import type { LinkBudget } from "./link_budget.ts";
 import {
@@ -54,6 +55,13 @@
   isStopping: boolean;
   /** Whether the worker has confirmed the start. */
   isRunning: boolean;
+  /** How the latest attempt came to run. */
+  start: AttemptStart;
+  /**
+   * Time at which the worker confirmed the start of the latest attempt, in
+   * milliseconds; undefined if it didn't.
+   */
+  confirmedMs: number | undefined;
   /** Its failed attempts; those of a gang are with its first task. */
   readonly failures: FailureLog;
   /** Number of workers that crashed in the first moments of its attempts. */
@@ -85,6 +93,8 @@
   notBeforeMs: number;
   /** Number of times that the task was preempted. */
   preemptions: number;
+  /** Number of times that the task was moved off a departing worker. */
+  moves: number;
 }
 
 /** A stage in one occurrence of its job. */
@@ -360,6 +370,8 @@
     placedMs: 0,
     isStopping: false,
     isRunning: false,
+    start: AttemptStart.Fresh,
+    confirmedMs: undefined,
     failures: new FailureLog(failures ?? { count: marked, attempts: [] }),
     crashes,
     isolatedSinceMs: undefined,
@@ -372,6 +384,7 @@
     abandonedAttempt: 0,
     notBeforeMs: 0,
     preemptions: 0,
+    moves: 0,
   };
 }
 
@@ -542,7 +555,7 @@
 /** Finds a stage by its name. */
 export function findStage(update: Update, name: string): StageRun | undefined {
   const end = name.indexOf(".");
-  return update.write(DISPATCH_STATE).jobs.get(name.slice(0, end))
+  return update.read(DISPATCH_STATE).jobs.get(name.slice(0, end))
     ?.stages.get(name.slice(end + 1));
 }
 
--- a/packages/dispatch/src/placement_pass.ts
+++ b/packages/dispatch/src/placement_pass.ts
@@ -37,7 +37,9 @@
   type PlacementRule,
 } from "./placement_rules.ts";
 import {
-  canStartTask,
+  holdsPermit,
+  listStartable,
+  mayRunOnAny,
   permittedCandidates,
   type PlacementContext,
   queryMorePermits,
@@ -334,7 +336,7 @@
   #place(
     stage: StageRun,
     startable: readonly TaskRun[],
-    asked: Omit<PlacementContext, "candidates">,
+    asked: Omit<PlacementContext, "candidates" | "isHeldRoomOpen">,
   ): number {
     const update = this.#update;
     const index = update.read(CANDIDATES);
@@ -358,12 +360,17 @@
       releaseUnstartable(update, stage);
       return 0;
     }
-    const context = { ...asked, candidates: index.inPool(pool) };
-    const allowed = permittedCandidates(update, context);
-    if (!allowed.some((candidate) => canStartTask(candidate, context))) {
-      this.#awaitPermits(context, allowed, wanted.length);
+    const context = {
+      ...asked,
+      isHeldRoomOpen,
+      candidates: index.inPool(pool),
+    };
+    const withRoom = listStartable(update, context);
+    if (!mayRunOnAny(update, context, withRoom)) {
+      this.#awaitPermits(context, withRoom, wanted.length);
       return 0;
     }
+    const allowed = permittedCandidates(update, context);
     const rule: PlacementRule = isGang ? GANG : BEST_FIT;
     const most = Math.min(
       TASK_BATCH_SIZE,
@@ -388,11 +395,17 @@
         allowed,
       );
     }
+    if (placements.length > 0) {
+      index.noteReserved(pool);
+    }
     const missing = wanted.length - placements.length;
     if (missing > 0) {
-      queryMorePermits(update, context, holdRoom(update, context, missing));
+      queryMorePermits(update, context, {
+        ahead: holdRoom(update, context, missing),
+      });
       if (asked.preempts) {
         preemptFor(update, { stage, missing, candidates: allowed });
+        index.noteReserved(pool);
       }
     }
     return placements.length;
@@ -405,7 +418,7 @@
    */
   #awaitPermits(
     context: PlacementContext,
-    held: readonly Candidate[],
+    withRoom: readonly Candidate[],
     missing: number,
   ): void {
     const { stage } = context;
@@ -413,10 +426,10 @@
     if (stage.job.record.queue.permits === undefined) {
       return;
     }
-    queryMorePermits(this.#update, context, ahead);
+    queryMorePermits(this.#update, context, { ahead, startable: withRoom });
     if (
-      held.length === 0 &&
-      stagePermits(this.#update, stage.name).isQueryPending
+      stagePermits(this.#update, stage.name).isQueryPending &&
+      !holdsPermit(this.#update, stage)
     ) {
       this.#update.write(DISPATCH_STATE).waiting
         .setAside(stage, this.#update.now + MAX_PERMIT_WAIT_MS);
--- a/packages/dispatch/src/preemption.ts
+++ b/packages/dispatch/src/preemption.ts
@@ -12,7 +12,12 @@
   taskName,
   type TaskRun,
 } from "./dispatch_state.ts";
-import { type Candidate, hasRequiredLabel, isHeld } from "./candidates.ts";
+import {
+  type Candidate,
+  fitsAfterStopping,
+  hasRequiredLabel,
+  isHeld,
+} from "./candidates.ts";
 import { stopTask } from "./progress.ts";
 import { ObjectiveStatus } from "./turn_order.ts";
 
@@ -33,12 +38,8 @@
   candidate: Candidate,
   stage: StageRun,
 ): boolean {
-  const room = candidate.victims.reduce(
-    (sum, victim) => addResources(sum, reservedSize(victim.stage)),
-    candidate.expected,
-  );
   return !isHeld(candidate) && hasRequiredLabel(candidate, stage) &&
-    fitsWithin(reservedSize(stage), room);
+    fitsAfterStopping(candidate, reservedSize(stage));
 }
 
 /**
--- a/packages/dispatch/src/turn_order.ts
+++ b/packages/dispatch/src/turn_order.ts
@@ -74,23 +74,40 @@
     : undefined;
 }
 
-/** Returns the status of the stage's job against its objective. */
+/**
+ * Returns how long tasks of a queue are expected to run whose estimates add up
+ * to `estimateMs`; in milliseconds.
+ */
+export type MeanRun = (queue: string, estimateMs: number) => number;
+
+/**
+ * Returns the status of the stage's job against its objective. The objective is a
+ * multiple of the time that the job's tasks really take, so it follows from
+ * `meanRun` like what remains of the job.
+ */
 export function objectiveStatusOf(
   stage: StageRun,
   clock: ObjectiveClock,
+  meanRun: MeanRun,
 ): ObjectiveStatus {
   const { job } = stage;
   const { queue } = job.record;
   if (stage.spec.lasting) {
     return ObjectiveStatus.InTime;
   }
-  const totalMs = criticalPathMs(job, stage.occurrence, false);
+  const totalMs = meanRun(
+    queue.name,
+    criticalPathMs(job, stage.occurrence, false),
+  );
   const objectiveMs = queue.stretch * totalMs + queue.latencyObjectiveMs;
   const dueMs = dueTimeMs(job.record, stage.occurrence);
   const ageMs = dueMs === undefined
     ? clock.storeMs - job.record.acceptedMs
     : (clock.unixMs ?? dueMs) - dueMs;
-  const remainingMs = criticalPathMs(job, stage.occurrence, true);
+  const remainingMs = meanRun(
+    queue.name,
+    criticalPathMs(job, stage.occurrence, true),
+  );
   if (ageMs + remainingMs > EXPIRY_FACTOR * objectiveMs) {
     return ObjectiveStatus.Expired;
   }
@@ -106,9 +123,9 @@
  * Returns how long after its due time an occurrence that hasn't begun is still
  * useful, in milliseconds.
  */
-export function usefulMs(job: JobRun): number {
-  const { stretch, latencyObjectiveMs } = job.record.queue;
-  const totalMs = criticalPathMs(job, 0, false);
+export function usefulMs(job: JobRun, meanRun: MeanRun): number {
+  const { name, stretch, latencyObjectiveMs } = job.record.queue;
+  const totalMs = meanRun(name, criticalPathMs(job, 0, false));
   return EXPIRY_FACTOR * (stretch * totalMs + latencyObjectiveMs) - totalMs;
 }
 
@@ -120,13 +137,23 @@
   occurrence: number,
   isRemainingOnly: boolean,
 ): number {
+  const { stages } = job.record.spec;
   const endsMs: number[] = [];
-  job.record.spec.stages.forEach(({ dependsOn, estimateMs }, number) => {
-    const stage = job.stages.get(stageKey(occurrence, number));
-    const isCompleted = isRemainingOnly && stage !== undefined &&
-      isStageDone(stage);
-    const startMs = Math.max(0, ...dependsOn.map((at) => endsMs[at] ?? 0));
-    endsMs.push(startMs + (isCompleted ? 0 : estimateMs));
-  });
-  return Math.max(0, ...endsMs);
+  let longestMs = 0;
+  // Plain loops: this runs twice for each stage that a pass examines.
+  for (let number = 0; number < stages.length; number++) {
+    const { dependsOn, estimateMs } = stages[number]!;
+    const stage = isRemainingOnly
+      ? job.stages.get(stageKey(occurrence, number))
+      : undefined;
+    const isCompleted = stage !== undefined && isStageDone(stage);
+    let startMs = 0;
+    for (const at of dependsOn) {
+      startMs = Math.max(startMs, endsMs[at] ?? 0);
+    }
+    const endMs = startMs + (isCompleted ? 0 : estimateMs);
+    endsMs.push(endMs);
+    longestMs = Math.max(longestMs, endMs);
+  }
+  return longestMs;
 }
--- a/packages/prove/src/domain/domain_worker.ts
+++ b/packages/prove/src/domain/domain_worker.ts
@@ -1,5 +1,5 @@
 import type { Random } from "@mustardweir/kernel";
-import type { WorkerInfo } from "@mustardweir/model";
+import type { WorkerInfo, WorkerState } from "@mustardweir/model";
 import {
   AttemptEnd,
   type EndedAttempt,
@@ -11,7 +11,7 @@
 import type { VirtualClock } from "../simulation/virtual_clock.ts";
 
 const MAX_LEASE_MS = 10_000;
-const STOP_DELAY_MS = 100;
+const DEFAULT_STOP_MS = 100;
 /** Time after its start at which a deadly task crashes its worker, in ms. */
 const DEADLY_MS = 10;
 const LEASE_CHECK_INTERVAL_MS = 20;
@@ -42,6 +42,16 @@
   acknowledgedMs: number | undefined;
 }
 
+/** What a task lists of its work. */
+export enum WorkReport {
+  /** A percentage that doesn't change. */
+  Fixed = "fixed",
+  /** Its real percentage. */
+  Percent = "percent",
+  /** The same and, as checkpoint, the time worked, from which it resumes. */
+  Checkpoint = "checkpoint",
+}
+
 /** How long a task runs and how it ends; taken from its payload. */
 export interface TaskBehaviour {
   readonly runMs: number;
@@ -56,6 +66,8 @@
   readonly deadlyTasks?: readonly string[];
   /** Checkpoint that its tasks list; none by default. */
   readonly checkpoint?: string;
+  /** What its tasks list of their work; a fixed percentage by default. */
+  readonly workReport?: WorkReport;
 }
 
 /** The current faults of a worker. */
@@ -73,6 +85,10 @@
   losesStarts: boolean;
   /** Whether starts are executed and their replies are lost. */
   losesStartReplies: boolean;
+  /** Whether stops are executed and their replies are lost. */
+  losesStopReplies: boolean;
+  /** Time that a stop takes, in milliseconds. */
+  stopMs: number;
   /** Most ends that the worker lists at a time. */
   endsPerList: number;
   /** Largest addition to the run time of its tasks, in milliseconds. */
@@ -83,6 +99,9 @@
 
 interface Running {
   readonly record: RunRecord;
+  /** Time worked by the checkpoint that it resumed, in milliseconds. */
+  readonly resumedMs: number;
+  /** Time that all its work takes, in milliseconds. */
   readonly runMs: number;
   isStopping: boolean;
 }
@@ -119,6 +138,8 @@
     isBusy: false,
     losesStarts: false,
     losesStartReplies: false,
+    losesStopReplies: false,
+    stopMs: DEFAULT_STOP_MS,
     endsPerList: 500,
     runSpreadMs: 0,
     listsProgress: false,
@@ -189,6 +210,19 @@
     this.capacities.push({ sinceMs: this.#options.clock.now, cpuMillis });
   }
 
+  /**
+   * Announces that it leaves, or with a state of `Ready` that it stays after
+   * all.
+   */
+  setState(state: WorkerState, remainingMs?: number): void {
+    const { remainingMs: _, ...info } = this.info;
+    this.info = {
+      ...info,
+      state,
+      ...(remainingMs === undefined ? {} : { remainingMs }),
+    };
+  }
+
   restart(): void {
     this.isUp = true;
     this.#processStartMs = this.#options.clock.now;
@@ -246,7 +280,8 @@
     clock.after(1, () =>
       this.#execute(order, from, (result) => {
         const isReplyLost = this.faults.unreachableFrom.has(from) ||
-          (this.faults.losesStartReplies && order.kind === OrderKind.Start);
+          (this.faults.losesStartReplies && order.kind === OrderKind.Start) ||
+          (this.faults.losesStopReplies && order.kind === OrderKind.Stop);
         if (!isReplyLost) {
           clock.after(1, () => respondOnce(result));
         }
@@ -324,11 +359,17 @@
       acknowledgedMs: undefined,
     };
     runs.push(record);
-    const { runMs, failures, deadlyTasks } = behaviourOf(order.task);
+    const { runMs, failures, deadlyTasks, workReport } = behaviourOf(
+      order.task,
+    );
+    const resumedMs = workReport === WorkReport.Checkpoint
+      ? Number(order.checkpoint ?? 0)
+      : 0;
     const { runSpreadMs } = this.faults;
     const addedMs = runSpreadMs > 0 ? random.below(runSpreadMs) : 0;
     this.#running.set(key, {
       record,
+      resumedMs,
       runMs: runMs + addedMs,
       isStopping: false,
     });
@@ -347,7 +388,7 @@
         }
       });
     }
-    clock.after(runMs + addedMs, () => {
+    clock.after(runMs - resumedMs + addedMs, () => {
       if (processNumber === this.#processNumber) {
         this.#end(key, fails ? AttemptEnd.Failed : AttemptEnd.Done);
       }
@@ -359,7 +400,7 @@
     const key = `${task}#${attempt}`;
     if (this.#running.has(key)) {
       const processNumber = this.#processNumber;
-      this.#options.clock.after(STOP_DELAY_MS, () => {
+      this.#options.clock.after(this.faults.stopMs, () => {
         if (processNumber === this.#processNumber) {
           this.#end(key, AttemptEnd.Stopped);
         }
@@ -375,6 +416,7 @@
       return;
     }
     const { record } = running;
+    const { workReport } = this.#options.behaviourOf(record.task);
     this.#running.delete(key);
     record.endMs = this.#options.clock.now;
     record.end = end;
@@ -383,7 +425,10 @@
       task: record.task,
       attempt: record.attempt,
       end,
-      checkpoint: "",
+      checkpoint: workReport === WorkReport.Checkpoint &&
+          end !== AttemptEnd.Done
+        ? String(this.#workedMs(running))
+        : "",
       record,
     });
     this.#wake();
@@ -432,15 +477,25 @@
   #list() {
     return {
       incarnation: this.info.incarnation,
-      running: [...this.#running.values()].map(({ record, runMs }) => ({
-        task: record.task,
-        attempt: record.attempt,
-        checkpoint: this.#options.behaviourOf(record.task).checkpoint ?? "",
-        percent: this.faults.listsProgress
-          ? this.#percentOf(record, runMs)
-          : 50,
-        load: 0,
-      })),
+      running: [...this.#running.values()].map((running) => {
+        const { task, attempt } = running.record;
+        const { checkpoint = "", workReport = WorkReport.Fixed } = this
+          .#options.behaviourOf(task);
+        const isFixed = workReport === WorkReport.Fixed &&
+          !this.faults.listsProgress;
+        const workedMs = this.#workedMs(running);
+        return {
+          task,
+          attempt,
+          checkpoint: workReport === WorkReport.Checkpoint
+            ? String(workedMs)
+            : checkpoint,
+          percent: isFixed
+            ? 50
+            : Math.floor(Math.min(100, 100 * workedMs / running.runMs)),
+          load: 0,
+        };
+      }),
       ended: this.#ended.slice(0, this.faults.endsPerList)
         .map(({ record: _, ...ended }) => ended),
       ...(this.#ended.length >= this.faults.endsPerList
@@ -449,9 +504,8 @@
     };
   }
 
-  #percentOf({ startMs }: RunRecord, runMs: number): number {
-    const ranMs = this.#options.clock.now - startMs;
-    return Math.floor(Math.min(100, 100 * ranMs / runMs));
+  #workedMs({ record, resumedMs }: Running): number {
+    return Math.floor(resumedMs + this.#options.clock.now - record.startMs);
   }
 
   #wake(): void {
--- a/packages/prove/src/domain/plugins.ts
+++ b/packages/prove/src/domain/plugins.ts
@@ -5,5 +5,7 @@
 import "@mustardweir/sessions";
 import "@mustardweir/permits";
 import "@mustardweir/reservations";
+import "@mustardweir/run-times";
 import "@mustardweir/dispatch";
+import "@mustardweir/departures";
 import "@mustardweir/intake";
