Let urgent wide stages replace reservations that use up a bound

Cause: a stage of a pool with one reservation was planned beside it only. Where that one used up the pool's quarter, a more urgent stage got no plan. The bound of 8 reservations over all pools refused each further stage, whatever its rank.

Change: a stage without a plan is planned once more without the last reservation of its pool that it outranks. At the bound of 8, the last of all pools is given up for a stage of another pool that ranks before it.

--- a/packages/reservations/src/reservation_book.ts
+++ b/packages/reservations/src/reservation_book.ts
@@ -79,26 +79,38 @@
     { name, pool, rank }: Pick<WideStage, "name" | "pool" | "rank">,
     now: number,
   ): boolean {
-    return this.policy.holds && this.#active.length < MAX_RESERVATIONS &&
+    const isFull = this.#active.length >= MAX_RESERVATIONS ||
+      this.#inPool(pool).length >= MAX_PER_POOL;
+    return this.policy.holds &&
       now >= (this.#nextPlanMs.get(pool) ?? -Infinity) &&
       now >= (this.#pausedUntilMs.get(name) ?? -Infinity) &&
-      (this.#inPool(pool).length < MAX_PER_POOL ||
-        this.findOutranked({ pool, rank }) !== undefined);
+      (!isFull || this.findOutranked({ pool, rank }) !== undefined);
   }
 
   /**
    * Returns the reservation that is given up for a stage of this rank: the last
-   * one of the pool, if the limit is reached and the stage ranks before it.
+   * one of the pool or of all pools, whichever limit is reached, if the stage
+   * ranks before it.
    */
   findOutranked(
     { pool, rank }: Pick<WideStage, "pool" | "rank">,
   ): Reservation | undefined {
-    const known = this.#inPool(pool);
-    if (known.length < MAX_PER_POOL) {
-      return undefined;
+    if (this.#inPool(pool).length >= MAX_PER_POOL) {
+      return this.findOutrankedIn({ pool, rank });
     }
-    const last = known.reduce((a, b) => b.stage.rank >= a.stage.rank ? b : a);
-    return rank < last.stage.rank ? last : undefined;
+    return this.#active.length >= MAX_RESERVATIONS
+      ? lastOutranked(this.#active, rank)
+      : undefined;
+  }
+
+  /**
+   * Returns the last reservation of the pool if a stage of this rank is placed
+   * before it, whether or not a limit is reached.
+   */
+  findOutrankedIn(
+    { pool, rank }: Pick<WideStage, "pool" | "rank">,
+  ): Reservation | undefined {
+    return lastOutranked(this.#inPool(pool), rank);
   }
 
   /**
@@ -230,3 +242,16 @@
     this.#pausedUntilMs.set(stage, untilMs);
   }
 }
+
+/** Returns the last of the reservations if the rank is before it. */
+function lastOutranked(
+  known: readonly Reservation[],
+  rank: number,
+): Reservation | undefined {
+  return known.filter(({ stage }) => rank < stage.rank)
+    .reduce<Reservation | undefined>(
+      (last, next) =>
+        last === undefined || next.stage.rank >= last.stage.rank ? next : last,
+      undefined,
+    );
+}
--- a/packages/reservations/src/reservation_book_test.ts
+++ b/packages/reservations/src/reservation_book_test.ts
@@ -83,6 +83,14 @@
   reserve(book, stageOf("b", 4));
 }
 
+/** Makes as many reservations as all pools may have, none in the tested one. */
+function reserveEight(book: ReservationBook): void {
+  for (let index = 0; index < 8; index++) {
+    const pool = `p${index >> 1}`;
+    reserve(book, { ...stageOf(`s${index}`, 4), pool });
+  }
+}
+
 function end(book: ReservationBook, cause: ReleaseCause): void {
   book.remove(reserve(book, stageOf("x"))!, { cause, now: NOW + 4_000 });
 }
@@ -91,6 +99,13 @@
   { name: "the first stage", mayReserve: true },
   { name: "a third", before: reserveTwo, rank: 4 },
   { name: "a third before one", before: reserveTwo, rank: 3, mayReserve: true },
+  { name: "a ninth of all pools", before: reserveEight, rank: 4 },
+  {
+    name: "a ninth of all pools before one",
+    before: reserveEight,
+    rank: 3,
+    mayReserve: true,
+  },
   {
     name: "a stage whose pool has just been planned",
     before: (book) => reserve(book, stageOf("a")),
--- a/packages/reservations/src/reservations_plugin.ts
+++ b/packages/reservations/src/reservations_plugin.ts
@@ -76,12 +76,22 @@
 ): ReservedRoom | undefined {
   const book = update.write(RESERVATIONS);
   const { now } = update;
-  const replaced = book.findOutranked(stage);
-  const plan = planRoom(stage, roomsFor(replaced), {
-    policy: book.policy,
-    maxWorkers: book.freeWorkers(stage.pool, poolWorkers, replaced),
-    now,
-  });
+  const planWithout = (given: Reservation | undefined) =>
+    planRoom(stage, roomsFor(given), {
+      policy: book.policy,
+      maxWorkers: book.freeWorkers(stage.pool, poolWorkers, given),
+      now,
+    });
+  let replaced = book.findOutranked(stage);
+  let plan = planWithout(replaced);
+  if (plan === undefined) {
+    // A less urgent reservation may use up the workers that may be held.
+    const outranked = book.findOutrankedIn(stage);
+    if (outranked !== undefined && outranked !== replaced) {
+      replaced = outranked;
+      plan = planWithout(outranked);
+    }
+  }
   const reservation = book.add(stage, plan, {
     now,
     permitMs: plan === undefined ? 0 : permitWaitMs(plan.workers, {
--- a/packages/reservations/src/reservations_plugin_test.ts
+++ b/packages/reservations/src/reservations_plugin_test.ts
@@ -16,10 +16,14 @@
 /** Holds a worker on which a task of one accelerator ends after 1 s. */
 function reserve(
   update: Update,
-  { name = "a", rank = 2 }: { name?: string; rank?: number } = {},
+  { name = "a", rank = 2, poolWorkers = 12 }: {
+    name?: string;
+    rank?: number;
+    poolWorkers?: number;
+  } = {},
 ) {
   return reserveRoom(update, wideStage({ name, rank, tasks: 1 }), {
-    poolWorkers: 12,
+    poolWorkers,
     policy: undefined,
     validUntilMs: () => undefined,
     roomsFor: () => [roomOf(name, 1_000)],
@@ -89,6 +93,19 @@
     held: ["a", "c"],
     counters: ["reservations-given-up-outranked", "reservations-made"],
   },
+  {
+    name:
+      "is given up for one that ranks before it and finds no room beside it",
+    event: (update) => reserve(update, { name: "c", rank: 1, poolWorkers: 4 }),
+    held: ["c"],
+    counters: ["reservations-given-up-outranked", "reservations-made"],
+  },
+  {
+    name: "is kept from one of its rank that finds no room beside it",
+    event: (update) => reserve(update, { name: "c", poolWorkers: 4 }),
+    held: ["a"],
+    counters: [],
+  },
 ];
 
 describe("a reservation", () => {
