Renew permits of workers with room for wide tasks that hold others

Cause: a query for a stage with a reservation renewed permits of held workers only. A single wide task so waited for its held worker while another worker had room and only its permit was over.

Change: a query for a stage that is no gang also renews expired permits of workers on which it can start a task now (`renewalScope`). Gangs keep to the held workers, since each worker makes a query longer.

--- a/packages/dispatch/src/permission.ts
+++ b/packages/dispatch/src/permission.ts
@@ -5,7 +5,11 @@
   type StagePermits,
   stagePermits,
 } from "@mustardweir/permits";
-import type { AheadQuery } from "@mustardweir/reservations";
+import {
+  type AheadQuery,
+  RenewalScope,
+  renewalScope,
+} from "@mustardweir/reservations";
 import { reservedSize, type StageRun } from "./dispatch_state.ts";
 import { CANDIDATES } from "./candidate_index.ts";
 import {
@@ -166,15 +170,20 @@
     ...context,
     isHeldRoomOpen: context.isHeldRoomOpen || isReserved,
   });
-  // Each worker in a query delays the reply to a stage whose room is held.
+  const scope = renewalScope({ isReserved, isGang: stage.spec.gang });
   const isUseful = canQueryAny(withRoom, known, {
-    renews: !isReserved,
+    renews: scope !== RenewalScope.None,
     now: update.now,
   });
   if (!isUseful && !judgesMore && renewed.length === 0) {
     return;
   }
-  const expired = isUseful && !isReserved ? listExpired(update, known) : [];
+  const expired = isUseful
+    ? listExpired(update, known).filter((candidate) =>
+      !renewed.includes(candidate.session.info.id) &&
+      isRenewed(candidate, scope, withRoom)
+    )
+    : [];
   const unjudged = renewed.length === 0 && (isUseful || judgesMore)
     ? listUnjudged(context, known, first)
     : [];
@@ -206,6 +215,16 @@
   );
 }
 
+/** Returns whether a query with this scope renews the permit of the worker. */
+function isRenewed(
+  candidate: Candidate,
+  scope: RenewalScope,
+  startable: readonly Candidate[],
+): boolean {
+  return scope === RenewalScope.All ||
+    (scope === RenewalScope.Startable && startable.includes(candidate));
+}
+
 /** Returns the workers that are good for the stage but whose permit is over. */
 function listExpired(update: Update, known: StagePermits): Candidate[] {
   const index = update.read(CANDIDATES);
--- a/packages/reservations/src/permits_ahead.ts
+++ b/packages/reservations/src/permits_ahead.ts
@@ -11,9 +11,18 @@
 /** Workers that are judged for each task of a stage before no more are. */
 const GOOD_PER_TASK = 2;
 
+/** Which expired permits are renewed besides those of held workers. */
+export enum RenewalScope {
+  /** Those of all workers that are good for the stage. */
+  All = "all",
+  /** Those of workers on which a task can start now. */
+  Startable = "startable",
+  None = "none",
+}
+
 /** What to query the policy about before any task can start. */
 export interface AheadQuery {
-  /** Whether room is held for the stage: then no other permits are renewed. */
+  /** Whether room is held for the stage; {@link renewalScope} follows from it. */
   readonly isReserved: boolean;
   /** Held workers whose permits are needed soon. */
   readonly renewed: readonly string[];
@@ -21,6 +30,28 @@
   readonly judgesMore: boolean;
 }
 
+/**
+ * Returns which expired permits a query renews. Each worker in a query delays the
+ * reply to a stage whose room is held, but a task that is no member of a gang may
+ * start before on any worker with room.
+ *
+ * @example
+ * ```ts
+ * renewalScope({ isReserved: true, isGang: false }); // RenewalScope.Startable
+ * ```
+ */
+export function renewalScope(
+  { isReserved, isGang }: {
+    readonly isReserved: boolean;
+    readonly isGang: boolean;
+  },
+): RenewalScope {
+  if (!isReserved) {
+    return RenewalScope.All;
+  }
+  return isGang ? RenewalScope.None : RenewalScope.Startable;
+}
+
 /**
  * Returns how long a query about some workers takes, in milliseconds.
  *
--- a/packages/reservations/src/reservation_book_test.ts
+++ b/packages/reservations/src/reservation_book_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import type { PermitPolicy } from "@mustardweir/model";
-import { permitsToRenew } from "./permits_ahead.ts";
+import { permitsToRenew, RenewalScope, renewalScope } from "./permits_ahead.ts";
 import { HoldNothing } from "./policies.ts";
 import {
   isOpenTo,
@@ -230,3 +230,21 @@
     });
   }
 });
+
+// Guards against wide tasks that wait for held room while another worker has
+// room and only its permit is over.
+const SCOPE_CASES = [
+  { isReserved: false, isGang: false, scope: RenewalScope.All },
+  { isReserved: false, isGang: true, scope: RenewalScope.All },
+  { isReserved: true, isGang: false, scope: RenewalScope.Startable },
+  { isReserved: true, isGang: true, scope: RenewalScope.None },
+];
+
+describe("the permits that a query renews", () => {
+  for (const { isReserved, isGang, scope } of SCOPE_CASES) {
+    const stage = isGang ? "a gang" : "single tasks";
+    it(`are ${scope} for ${stage} ${isReserved ? "with" : "without"} room`, () => {
+      expect(renewalScope({ isReserved, isGang })).to.equal(scope);
+    });
+  }
+});
