Reserve for wide stages only where smaller work runs or waits

Cause: a gang reserved also in a pool where all tasks are of similar size. Each end of a task frees enough for another there, so that held room is only unused.

Change: a stage reserves only if work of less than half the dominant size of its tasks runs on the workers of its pool or waits in the order of the pool (`isSmaller`).

--- a/packages/dispatch/src/held_room.ts
+++ b/packages/dispatch/src/held_room.ts
@@ -6,6 +6,7 @@
   type AheadQuery,
   fulfillReservation,
   hasTooFewGood,
+  isSmaller,
   isWide,
   permitsToRenew,
   ReleaseCause,
@@ -27,6 +28,7 @@
   isSuspect,
 } from "./candidates.ts";
 import {
+  DISPATCH_STATE,
   findStage,
   findTask,
   isOpen,
@@ -244,6 +246,7 @@
     maxPerWorker: spec.maxPerWorker,
   }, {
     poolWorkers: candidates.length,
+    hasSmallerWork: () => hasSmallerWork(update, stage, candidates),
     policy: queue.permits,
     validUntilMs: permitEnds(update, stage),
     roomsFor: (replaced) =>
@@ -269,6 +272,40 @@
   return reservation;
 }
 
+/**
+ * Returns whether work that is smaller than the stage's tasks runs on the workers
+ * or waits in the order of their pool.
+ */
+function hasSmallerWork(
+  update: Update,
+  stage: StageRun,
+  candidates: readonly Candidate[],
+): boolean {
+  const { pool } = stage.job.record.queue;
+  const own = {
+    size: reservedSize(stage),
+    capacity: update.read(CANDIDATES).largestIn(pool),
+  };
+  for (const { session } of candidates) {
+    for (const { size } of session.attempts.values()) {
+      if (isSmaller(size, own)) {
+        return true;
+      }
+    }
+  }
+  for (
+    const { stage: other } of update.read(DISPATCH_STATE).waiting.inOrder()
+  ) {
+    if (
+      other.job.record.queue.pool === pool &&
+      isSmaller(reservedSize(other), own)
+    ) {
+      return true;
+    }
+  }
+  return false;
+}
+
 /** Returns whether the stage may run on the worker once there is room. */
 function isAllowed(
   update: Update,
--- a/packages/reservations/src/reservation.ts
+++ b/packages/reservations/src/reservation.ts
@@ -1,5 +1,6 @@
 import {
   addResources,
+  dominantShare,
   fitsWithin,
   NO_RESOURCES,
   type Resources,
@@ -7,6 +8,12 @@
   subtractResources,
 } from "@mustardweir/model";
 
+/**
+ * Share of the dominant size of a stage's tasks below which other work is
+ * smaller. Work of similar size leaves room for such a task when it ends.
+ */
+const SMALLER_SHARE = 0.5;
+
 /** A stage that waits for more room than any single end of a task frees. */
 export interface WideStage {
   /** Name of the stage: `jobId.occurrence.stage`. */
@@ -182,3 +189,23 @@
   return fitsWithin(size, capacity) &&
     !fitsWithin(scaleResources(size, 2), capacity);
 }
+
+/**
+ * Returns whether other work is smaller than a task of this size: less than half
+ * of it in the resource of which each takes the largest share of a worker.
+ *
+ * @example
+ * ```ts
+ * isSmaller(reservedSize(other), { size, capacity }); // 3 beside 8 of 8: true
+ * ```
+ */
+export function isSmaller(
+  other: Resources,
+  { size, capacity }: {
+    readonly size: Resources;
+    readonly capacity: Resources;
+  },
+): boolean {
+  return dominantShare(other, capacity) <
+    SMALLER_SHARE * dominantShare(size, capacity);
+}
--- a/packages/reservations/src/reservation_book_test.ts
+++ b/packages/reservations/src/reservation_book_test.ts
@@ -4,6 +4,7 @@
 import { HoldNothing } from "./policies.ts";
 import {
   isOpenTo,
+  isSmaller,
   isWide,
   keptRoom,
   ReleaseCause,
@@ -69,6 +70,26 @@
   }
 });
 
+// Guards against room held where each end of a task frees enough.
+const SMALLER_CASES = [
+  { other: 2, of: 6, expected: true },
+  { other: 3, of: 6, expected: false },
+  { other: 6, of: 6, expected: false },
+  { other: 8, of: 6, expected: false },
+];
+
+describe("other work beside a wide stage", () => {
+  for (const { other, of, expected } of SMALLER_CASES) {
+    it(`${expected ? "is" : "isn't"} smaller with ${other} beside ${of}`, () => {
+      const capacity = accelerators(8);
+      expect(isSmaller(accelerators(other), {
+        size: accelerators(of),
+        capacity,
+      })).to.equal(expected);
+    });
+  }
+});
+
 interface BookCase {
   readonly name: string;
   /** What happened before; nothing by default. */
--- a/packages/reservations/src/reservations_plugin.ts
+++ b/packages/reservations/src/reservations_plugin.ts
@@ -45,12 +45,13 @@
 
 /**
  * Holds the workers that have room for the stage soonest; undefined if none are
- * held. Gives up a reservation that the stage outranks.
+ * held, as where all work of the pool is of similar size. Gives up a reservation that the stage outranks.
  *
  * @example
  * ```ts
  * const reserved = reserveRoom(update, stage, {
  *   poolWorkers: candidates.length,
+ *   hasSmallerWork: () => true,
  *   policy: queue.permits,
  *   validUntilMs: (workerId) => good.get(workerId)?.validUntilMs,
  *   roomsFor: () => candidates.map(roomOf),
@@ -60,9 +61,14 @@
 export function reserveRoom(
   update: Update,
   stage: WideStage,
-  { poolWorkers, policy, validUntilMs, roomsFor }: {
+  { poolWorkers, hasSmallerWork, policy, validUntilMs, roomsFor }: {
     /** Number of workers of the pool. */
     readonly poolWorkers: number;
+    /**
+     * Returns whether work that is smaller than the stage's tasks runs in the
+     * pool or waits for it.
+     */
+    readonly hasSmallerWork: () => boolean;
     /** Set if the stage needs permits. */
     readonly policy: PermitPolicy | undefined;
     /** Returns when a worker's permit ends, in ms; undefined without one. */
@@ -76,6 +82,10 @@
 ): ReservedRoom | undefined {
   const book = update.write(RESERVATIONS);
   const { now } = update;
+  if (!hasSmallerWork()) {
+    book.add(stage, undefined, { now, permitMs: 0 });
+    return undefined;
+  }
   const planWithout = (given: Reservation | undefined) =>
     planRoom(stage, roomsFor(given), {
       policy: book.policy,
--- a/packages/reservations/src/reservations_plugin_test.ts
+++ b/packages/reservations/src/reservations_plugin_test.ts
@@ -16,14 +16,16 @@
 /** Holds a worker on which a task of one accelerator ends after 1 s. */
 function reserve(
   update: Update,
-  { name = "a", rank = 2, poolWorkers = 12 }: {
+  { name = "a", rank = 2, poolWorkers = 12, hasSmallerWork = true }: {
     name?: string;
     rank?: number;
     poolWorkers?: number;
+    hasSmallerWork?: boolean;
   } = {},
 ) {
   return reserveRoom(update, wideStage({ name, rank, tasks: 1 }), {
     poolWorkers,
+    hasSmallerWork: () => hasSmallerWork,
     policy: undefined,
     validUntilMs: () => undefined,
     roomsFor: () => [roomOf(name, 1_000)],
@@ -100,6 +102,12 @@
     held: ["c"],
     counters: ["reservations-given-up-outranked", "reservations-made"],
   },
+  {
+    name: "isn't joined by one where all work is of similar size",
+    event: (update) => reserve(update, { name: "c", hasSmallerWork: false }),
+    held: ["a"],
+    counters: [],
+  },
   {
     name: "is kept from one of its rank that finds no room beside it",
     event: (update) => reserve(update, { name: "c", poolWorkers: 4 }),
