Limit how often workers are judged ahead for a wide stage

Cause: `lacksVerdicts` compared the number of judged workers with the size of the pool. Where some workers lack the label or the size they are never judged, so the stage searched the pool in every pass, for as long as it waited. Departed workers that were judged had the opposite effect.

Change: the book admits one query ahead for a stage in 200 ms, and 64 stages in that time. A search that finds no unjudged worker with the label and the size counts like a query. Ruled out: evicting the oldest of more than 64 stages, which lets all of them search in every pass.

The cost of a pass was not measured.

--- a/packages/dispatch/src/held_room.ts
+++ b/packages/dispatch/src/held_room.ts
@@ -133,9 +133,22 @@
     return false;
   }
   const { good, judged, isQueryPending } = stagePermits(update, stage.name);
-  const { length } = update.read(CANDIDATES).inPool(queue.pool);
-  return !isQueryPending && judged.size < length &&
-    hasTooFewGood(good.size, spec.gang ? spec.tasks : 1);
+  const book = update.write(RESERVATIONS);
+  if (
+    isQueryPending || !hasTooFewGood(good.size, spec.gang ? spec.tasks : 1) ||
+    !book.mayJudge(stage.name, update.now)
+  ) {
+    return false;
+  }
+  const isAnyLeft = update.read(CANDIDATES).inPool(queue.pool)
+    .some((candidate) =>
+      !judged.has(candidate.session.info.id) &&
+      hasRequiredLabel(candidate, stage) && fitsWhenEmpty(stage, candidate)
+    );
+  if (!isAnyLeft) {
+    book.noteJudged(stage.name, update.now);
+  }
+  return isAnyLeft;
 }
 
 /**
@@ -159,16 +172,16 @@
   if (policy === undefined) {
     return undefined;
   }
-  const { good } = stagePermits(update, stage.name);
-  return {
-    isReserved: reservation !== undefined,
-    renewed: reservation === undefined ? [] : permitsToRenew(reservation, {
-      policy,
-      validUntilMs: permitEnds(update, stage),
-      now: update.now,
-    }),
-    judgesMore: hasTooFewGood(good.size, tasks),
-  };
+  const renewed = reservation === undefined ? [] : permitsToRenew(reservation, {
+    policy,
+    validUntilMs: permitEnds(update, stage),
+    now: update.now,
+  });
+  const judgesMore = renewed.length === 0 && lacksVerdicts(update, stage);
+  if (judgesMore) {
+    update.write(RESERVATIONS).noteJudged(stage.name, update.now);
+  }
+  return { isReserved: reservation !== undefined, renewed, judgesMore };
 }
 
 /** Returns a function that returns when a worker's permit ends, in ms. */
--- a/packages/reservations/src/reservation_book.ts
+++ b/packages/reservations/src/reservation_book.ts
@@ -25,6 +25,13 @@
 const MIN_PAUSE_MS = 1_000;
 /** Time until a stage without a plan is planned again, in milliseconds. */
 const REPLAN_MS = 200;
+/**
+ * Shortest time between two queries ahead of a stage, or two searches for workers
+ * to name in one, in milliseconds.
+ */
+const JUDGE_INTERVAL_MS = 200;
+/** Most stages that are judged ahead in that time, which bounds the state. */
+const MAX_JUDGED_AHEAD = 64;
 /** Shortest time between two plans of a pool, in milliseconds. */
 const MIN_PLAN_INTERVAL_MS = 40;
 /**
@@ -41,7 +48,8 @@
 
 /**
  * The reservations of the domain. At most 8 reservations of up to 64 workers and
- * 64 pauses, with the holds of dispatch: 151 KB as measured.
+ * 64 pauses, with the holds of dispatch: 151 KB as measured. The times of up to 64
+ * stages that are judged ahead are not in that figure.
  *
  * @example
  * ```ts
@@ -58,6 +66,7 @@
   readonly #byWorker = new Map<string, Reservation>();
   readonly #pausedUntilMs = new Map<string, number>();
   readonly #nextPlanMs = new Map<string, number>();
+  readonly #nextJudgeMs = new Map<string, number>();
 
   /** The reservations, oldest first. */
   get active(): readonly Reservation[] {
@@ -215,6 +224,23 @@
     return isAnyOpen;
   }
 
+  /** Returns whether workers may be judged ahead for the stage now. */
+  mayJudge(stage: string, now: number): boolean {
+    return now >= (this.#nextJudgeMs.get(stage) ?? -Infinity) &&
+      (this.#nextJudgeMs.size < MAX_JUDGED_AHEAD ||
+        [...this.#nextJudgeMs.values()].some((nextMs) => nextMs <= now));
+  }
+
+  /** Notes that workers were judged ahead for the stage, or that none is left. */
+  noteJudged(stage: string, now: number): void {
+    for (const [known, nextMs] of this.#nextJudgeMs) {
+      if (nextMs <= now) {
+        this.#nextJudgeMs.delete(known);
+      }
+    }
+    this.#nextJudgeMs.set(stage, now + JUDGE_INTERVAL_MS);
+  }
+
   /** Removes all reservations and pauses, at the end of a tenure. */
   clear(): void {
     for (const reservation of this.#active) {
@@ -224,6 +250,7 @@
     this.#byWorker.clear();
     this.#pausedUntilMs.clear();
     this.#nextPlanMs.clear();
+    this.#nextJudgeMs.clear();
   }
 
   #inPool(pool: string): Reservation[] {
--- a/packages/reservations/src/reservation_book_test.ts
+++ b/packages/reservations/src/reservation_book_test.ts
@@ -198,6 +198,26 @@
     });
   }
 
+  // Guards against stages that search the pool for workers in every pass.
+  const JUDGE_CASES = [
+    { name: "a stage that hasn't been yet", stage: "b", others: 0, inMs: 0 },
+    { name: "a stage that has just been", others: 0, inMs: 199, may: false },
+    { name: "a stage that was before", others: 0, inMs: 200 },
+    { name: "one stage of many", stage: "b", others: 62, inMs: 199 },
+    { name: "one too many", stage: "b", others: 63, inMs: 199, may: false },
+    { name: "one of too many later", stage: "b", others: 63, inMs: 200 },
+  ];
+  for (const { name, stage = "a", others, inMs, may = true } of JUDGE_CASES) {
+    it(`${may ? "let" : "don't let"} ${name} be judged ahead`, () => {
+      const book = new ReservationBook();
+      book.noteJudged("a", NOW);
+      for (let index = 0; index < others; index++) {
+        book.noteJudged(`s${index}`, NOW);
+      }
+      expect(book.mayJudge(stage, NOW + inMs)).to.equal(may);
+    });
+  }
+
   const PLAN_CASES = [
     { name: "room that is free already", inMs: 0, isHeld: false },
     { name: "room to come", inMs: 500, isHeld: true },
