Test that gangs behind work of similar size reserve nothing

Cause: only the plug-in's cases covered the rule; nothing showed that dispatch finds no smaller work in a pool of similar tasks.

Change: a domain case with small tasks of half the gang's size.

--- a/packages/prove/src/domain/domain_reservations_test.ts
+++ b/packages/prove/src/domain/domain_reservations_test.ts
@@ -63,6 +63,10 @@
   readonly areTasks?: boolean;
   /** Gangs that arrive at the same time; 1 by default. */
   readonly atOnce?: number;
+  /** Processors of a small task, of 4,000; 1,000 by default. */
+  readonly smallCpu?: number;
+  /** Whether room is reserved; by default if the policy holds any. */
+  readonly isReserved?: boolean;
   /** Why a reservation is given up; none by default. */
   readonly givenUp?: readonly string[];
 }
@@ -83,6 +87,12 @@
     isLate: true,
     givenUp: ["rank-changed"],
   },
+  {
+    name: "behind tasks of half their size without reservations",
+    smallCpu: 2_000,
+    isLate: true,
+    isReserved: false,
+  },
   { name: "though the policy allows few workers", allowed: 4 },
   { name: "by estimates of half the time", estimateMs: SMALL_RUN_MS / 2 },
   {
@@ -133,6 +143,8 @@
       allowed = WORKERS,
       areTasks = false,
       atOnce = 1,
+      smallCpu = 1_000,
+      isReserved = policy.holds,
       givenUp = [],
     } of CASES
   ) {
@@ -180,6 +192,11 @@
               stages: [stageSpec({
                 tasks: SMALL_TASKS,
                 checkpoints: true,
+                size: {
+                  ...NO_RESOURCES,
+                  cpuMillis: smallCpu,
+                  memoryMb: 500,
+                },
                 estimateMs,
               })],
             },
@@ -208,7 +225,7 @@
           clock.now) - atMs
       );
       expect(Math.max(...waits) > START_LIMIT_MS).to.equal(isLate);
-      expect(reserved.length > 0).to.equal(policy.holds);
+      expect(reserved.length > 0).to.equal(isReserved);
       expect(given).to.deep.equal(givenUp);
       clock.runUntil(clock.now + SETTLE_MS);
       expect(findViolations(cluster)).to.deep.equal([]);
