--- a/packages/dispatch/src/candidate_index.ts
+++ b/packages/dispatch/src/candidate_index.ts
@@ -8,11 +8,13 @@
   subtractResources,
 } from "@mustardweir/model";
 import { SESSIONS } from "@mustardweir/sessions";
+import type { Hold } from "@mustardweir/reservations";
 import {
   type Candidate,
   createCandidate,
   isEligible,
   roomAfterPreemption,
+  unheldRoom,
 } from "./candidates.ts";
 import { WORKER_HEALTH } from "./health.ts";
 
@@ -30,9 +32,13 @@
   #usable: readonly Candidate[] | undefined;
   #capacity = NO_RESOURCES;
   #mostFree: Resources | undefined;
+  #mostUnheld: Resources | undefined;
+  #largest: Resources | undefined;
   /** The same since the last reservation; undefined until computed anew. */
   #mostFreeNow: Resources | undefined;
+  #mostUnheldNow: Resources | undefined;
   #mostRoom: Resources | undefined;
+  #mostUnheldRoom: Resources | undefined;
 
   /** Sum of the capacity of all candidates. */
   get capacity(): Resources {
@@ -44,29 +50,60 @@
    * resource.
    */
   get mostFree(): Resources {
-    this.#mostFree ??= mostFreeOf(this.all);
+    this.#mostFree ??= mostOf(this.all.map(({ free }) => free));
     return this.#mostFree;
   }
 
-  /** The same, as of the last reservation. */
+  /** The same without the room that is held for stages. */
+  get mostUnheld(): Resources {
+    this.#mostUnheld ??= mostOf(this.all.map(unheldRoom));
+    return this.#mostUnheld;
+  }
+
+  /** The largest capacity of any candidate, for each kind of resource. */
+  get largest(): Resources {
+    this.#largest ??= mostOf(
+      this.all.map(({ session }) => session.info.capacity),
+    );
+    return this.#largest;
+  }
+
+  /** The most free resources, as of the last reservation. */
   get mostFreeNow(): Resources {
-    this.#mostFreeNow ??= mostFreeOf(this.all);
+    this.#mostFreeNow ??= mostOf(this.all.map(({ free }) => free));
     return this.#mostFreeNow;
   }
 
+  /** The same without the room that is held for stages. */
+  get mostUnheldNow(): Resources {
+    this.#mostUnheldNow ??= mostOf(this.all.map(unheldRoom));
+    return this.#mostUnheldNow;
+  }
+
   /**
    * Upper bound of the resources that any candidate has for a task, after all
    * preemptions there.
    */
   get mostRoom(): Resources {
-    this.#mostRoom ??= mostRoomOf(this.all);
+    this.#mostRoom ??= mostOf(this.all.map(roomAfterPreemption));
     return this.#mostRoom;
   }
 
+  /** The same without the workers that are held for stages. */
+  get mostUnheldRoom(): Resources {
+    this.#mostUnheldRoom ??= mostOf(
+      this.all.filter(({ hold }) => hold === undefined)
+        .map(roomAfterPreemption),
+    );
+    return this.#mostUnheldRoom;
+  }
+
   /** Lets the bounds be computed anew after resources were reserved. */
   noteReserved(): void {
     this.#mostFreeNow = undefined;
+    this.#mostUnheldNow = undefined;
     this.#mostRoom = undefined;
+    this.#mostUnheldRoom = undefined;
   }
 
   /**
@@ -113,6 +150,10 @@
     );
     this.#usable = undefined;
     this.#mostFree = undefined;
+    this.#mostUnheld = undefined;
+    if (replaced === undefined || !isEqual(replaced, capacity)) {
+      this.#largest = undefined;
+    }
     this.noteReserved();
   }
 
@@ -135,8 +176,21 @@
     );
     this.#usable = undefined;
     this.#mostFree = undefined;
+    this.#mostUnheld = undefined;
+    this.#largest = undefined;
     this.noteReserved();
   }
+
+  /** Sets the hold on a worker. */
+  hold(workerId: string, hold: Hold | undefined): void {
+    const position = this.#positions.get(workerId);
+    if (position !== undefined) {
+      this.all[position]!.hold = hold;
+      this.#mostUnheld = undefined;
+      this.#mostUnheldNow = undefined;
+      this.#mostUnheldRoom = undefined;
+    }
+  }
 }
 
 /**
@@ -158,26 +212,53 @@
       ?.find(workerId);
   }
 
-  /** Returns whether any candidate of the pool may have room of this size. */
-  mayFit(pool: string, size: Resources): boolean {
+  /**
+   * Returns whether any candidate of the pool may have room of this size, held
+   * room included if any of it is open.
+   */
+  mayFit(
+    pool: string,
+    size: Resources,
+    { isHeldRoomOpen }: { readonly isHeldRoomOpen: boolean },
+  ): boolean {
     const known = this.#pools.get(pool);
-    return known !== undefined && fitsWithin(size, known.mostFree);
+    return known !== undefined &&
+      fitsWithin(size, isHeldRoomOpen ? known.mostFree : known.mostUnheld);
+  }
+
+  /** Sets the hold on a worker. */
+  hold(workerId: string, hold: Hold | undefined): void {
+    this.#pools.get(this.#poolByWorker.get(workerId) ?? "")
+      ?.hold(workerId, hold);
+  }
+
+  /** Returns the largest capacity of any worker, for each kind of resource. */
+  largestIn(pool: string): Resources {
+    return this.#pools.get(pool)?.largest ?? NO_RESOURCES;
   }
 
   /**
    * Returns whether a task of this size may start on any candidate of the pool,
-   * after preemptions if those are allowed.
+   * after preemptions if those are allowed, held room included if any of it is
+   * open.
    */
   mayStart(
     pool: string,
-    { size, preempts }: {
+    { size, preempts, isHeldRoomOpen }: {
       readonly size: Resources;
       readonly preempts: boolean;
+      readonly isHeldRoomOpen: boolean;
     },
   ): boolean {
     const known = this.#pools.get(pool);
-    return known !== undefined && (fitsWithin(size, known.mostFreeNow) ||
-      (preempts && fitsWithin(size, known.mostRoom)));
+    if (known === undefined) {
+      return false;
+    }
+    return isHeldRoomOpen
+      ? fitsWithin(size, known.mostFreeNow) ||
+        (preempts && fitsWithin(size, known.mostRoom))
+      : fitsWithin(size, known.mostUnheldNow) ||
+        (preempts && fitsWithin(size, known.mostUnheldRoom));
   }
 
   /** Lets {@link mayStart} look anew after resources of the pool were reserved. */
@@ -269,29 +350,17 @@
 /** State key of the workers that can be given tasks. */
 export const CANDIDATES = createStateKey<CandidateIndex>("candidates");
 
-function mostFreeOf(candidates: readonly Candidate[]): Resources {
-  const most = { ...NO_RESOURCES };
-  for (const { free } of candidates) {
-    raise(most, free);
-  }
-  return most;
-}
-
-function mostRoomOf(candidates: readonly Candidate[]): Resources {
+function mostOf(amounts: readonly Resources[]): Resources {
   const most = { ...NO_RESOURCES };
-  for (const candidate of candidates) {
-    raise(most, roomAfterPreemption(candidate));
+  for (const { cpuMillis, memoryMb, accelerators, slots } of amounts) {
+    most.cpuMillis = Math.max(most.cpuMillis, cpuMillis);
+    most.memoryMb = Math.max(most.memoryMb, memoryMb);
+    most.accelerators = Math.max(most.accelerators, accelerators);
+    most.slots = Math.max(most.slots, slots);
   }
   return most;
 }
 
-/** Raises the upper bound to the given amount. */
-function raise(
-  most: { -readonly [Kind in keyof Resources]: Resources[Kind] },
-  amount: Resources,
-): void {
-  most.cpuMillis = Math.max(most.cpuMillis, amount.cpuMillis);
-  most.memoryMb = Math.max(most.memoryMb, amount.memoryMb);
-  most.accelerators = Math.max(most.accelerators, amount.accelerators);
-  most.slots = Math.max(most.slots, amount.slots);
+function isEqual(a: Resources, b: Resources): boolean {
+  return fitsWithin(a, b) && fitsWithin(b, a);
 }
--- a/packages/prove/src/domain/domain_worker.ts
+++ b/packages/prove/src/domain/domain_worker.ts
@@ -93,12 +93,16 @@
   endsPerList: number;
   /** Largest addition to the run time of its tasks, in milliseconds. */
   runSpreadMs: number;
+  /** Whether listings tell how far each run is; half of it otherwise. */
+  listsProgress: boolean;
 }
 
 interface Running {
   readonly record: RunRecord;
   /** Time worked by the checkpoint that it resumed, in milliseconds. */
   readonly resumedMs: number;
+  /** Time that all its work takes, in milliseconds. */
+  readonly runMs: number;
   isStopping: boolean;
 }
 
@@ -138,6 +142,7 @@
     stopMs: DEFAULT_STOP_MS,
     endsPerList: 500,
     runSpreadMs: 0,
+    listsProgress: false,
   };
   info: WorkerInfo;
   isUp = true;
@@ -360,7 +365,14 @@
     const resumedMs = workReport === WorkReport.Checkpoint
       ? Number(order.checkpoint ?? 0)
       : 0;
-    this.#running.set(key, { record, resumedMs, isStopping: false });
+    const { runSpreadMs } = this.faults;
+    const addedMs = runSpreadMs > 0 ? random.below(runSpreadMs) : 0;
+    this.#running.set(key, {
+      record,
+      resumedMs,
+      runMs: runMs + addedMs,
+      isStopping: false,
+    });
     const failed =
       runs.filter(({ task, end }) =>
         task === order.task && end === AttemptEnd.Failed
@@ -376,8 +388,6 @@
         }
       });
     }
-    const { runSpreadMs } = this.faults;
-    const addedMs = runSpreadMs > 0 ? random.below(runSpreadMs) : 0;
     clock.after(runMs - resumedMs + addedMs, () => {
       if (processNumber === this.#processNumber) {
         this.#end(key, fails ? AttemptEnd.Failed : AttemptEnd.Done);
@@ -469,8 +479,10 @@
       incarnation: this.info.incarnation,
       running: [...this.#running.values()].map((running) => {
         const { task, attempt } = running.record;
-        const { checkpoint = "", workReport = WorkReport.Fixed, runMs } = this
+        const { checkpoint = "", workReport = WorkReport.Fixed } = this
           .#options.behaviourOf(task);
+        const isFixed = workReport === WorkReport.Fixed &&
+          !this.faults.listsProgress;
         const workedMs = this.#workedMs(running);
         return {
           task,
@@ -478,9 +490,9 @@
           checkpoint: workReport === WorkReport.Checkpoint
             ? String(workedMs)
             : checkpoint,
-          percent: workReport === WorkReport.Fixed
+          percent: isFixed
             ? 50
-            : Math.floor(100 * workedMs / runMs),
+            : Math.floor(Math.min(100, 100 * workedMs / running.runMs)),
           load: 0,
         };
       }),
