--- a/packages/reservations/src/policies.ts
+++ b/packages/reservations/src/policies.ts
@@ -66,8 +66,8 @@
 
 /**
  * The policy in use. Of the wide jobs of a day with hard load 0.82 of the worth
- * was earned with it, 0.78 by holding room alone and 0.79 without reservations,
- * at no loss for the work that was stopped.
+ * was earned with it, 0.78 by holding room alone and 0.79 without reservations;
+ * of the jobs whose tasks were stopped 0.98 instead of 0.99.
  */
 export const DEFAULT_RESERVATION_POLICY: ReservationPolicy =
   new HoldAndPreempt();
