--- a/packages/dispatch/src/permission.ts
+++ b/packages/dispatch/src/permission.ts
@@ -5,6 +5,11 @@
   type StagePermits,
   stagePermits,
 } from "@mustardweir/permits";
+import {
+  type AheadQuery,
+  RenewalScope,
+  renewalScope,
+} from "@mustardweir/reservations";
 import { reservedSize, type StageRun } from "./dispatch_state.ts";
 import { CANDIDATES } from "./candidate_index.ts";
 import {
@@ -28,6 +33,12 @@
  */
 const MAX_CONSIDERED = 80;
 
+const NO_QUERY: AheadQuery = {
+  isReserved: false,
+  renewed: [],
+  judgesMore: false,
+};
+
 const NO_CANDIDATES: readonly Candidate[] = [];
 
 /** A stage with waiting tasks and the workers of its pool. */
@@ -35,6 +46,8 @@
   readonly stage: StageRun;
   readonly rank: number;
   readonly preempts: boolean;
+  /** Whether the stage may use any room of the pool that is held. */
+  readonly isHeldRoomOpen: boolean;
   readonly candidates: readonly Candidate[];
 }
 
@@ -122,23 +135,28 @@
  */
 function mayStartInPool(
   update: Update,
-  { stage, preempts }: PlacementContext,
+  { stage, preempts, isHeldRoomOpen }: PlacementContext,
 ): boolean {
   const { pool } = stage.job.record.queue;
   return update.read(CANDIDATES).mayStart(pool, {
     size: reservedSize(stage),
     preempts,
+    isHeldRoomOpen,
   });
 }
 
 /**
  * Queries the policy about workers without a valid permit that could run the
- * stage. `startable` is what {@link listStartable} returns now, if it is known.
+ * stage, and about what `ahead` names, since room is held for the stage.
+ * `startable` is what {@link listStartable} returns now, if it is known.
  */
 export function queryMorePermits(
   update: Update,
   context: PlacementContext,
-  startable?: readonly Candidate[],
+  { ahead = NO_QUERY, startable }: {
+    readonly ahead?: AheadQuery | undefined;
+    readonly startable?: readonly Candidate[];
+  } = {},
 ): void {
   const { stage, rank } = context;
   const { permits: policy } = stage.job.record.queue;
@@ -146,28 +164,40 @@
   if (policy === undefined || known.isQueryPending) {
     return;
   }
+  const { isReserved, renewed, judgesMore } = ahead;
   const first = firstConsidered(update, context.candidates);
-  const withRoom = startable ?? listStartable(update, context);
-  if (!canQueryAny(withRoom, known, update.now)) {
+  const withRoom = startable ?? listStartable(update, {
+    ...context,
+    isHeldRoomOpen: context.isHeldRoomOpen || isReserved,
+  });
+  const scope = renewalScope({ isReserved, isGang: stage.spec.gang });
+  const isUseful = canQueryAny(withRoom, known, {
+    renews: scope !== RenewalScope.None,
+    now: update.now,
+  });
+  if (!isUseful && !judgesMore && renewed.length === 0) {
     return;
   }
-  const expired = listExpired(update, known);
-  const unjudged = listUnjudged(context, known, first);
+  const expired = isUseful
+    ? listExpired(update, known).filter((candidate) =>
+      !renewed.includes(candidate.session.info.id) &&
+      isRenewed(candidate, scope, withRoom)
+    )
+    : [];
+  const unjudged = renewed.length === 0 && (isUseful || judgesMore)
+    ? listUnjudged(context, known, first)
+    : [];
   // A permit is valid for a short time only, so there is no query while no task
   // could start. Other workers are included because they may get room while the
   // permit is valid, and verdicts never change.
-  const isUseful = [...expired, ...unjudged].some((candidate) =>
-    canStartTask(candidate, context)
-  );
-  const workersToQuery = isUseful
-    ? [
-      ...expired.sort(byFreeCpu).slice(0, MAX_RENEWED_PERMITS),
-      ...unjudged.sort(byFreeCpu),
-    ].slice(0, MAX_WORKERS_PER_QUERY)
-    : [];
+  const others = [
+    ...expired.sort(byFreeCpu).slice(0, MAX_RENEWED_PERMITS),
+    ...unjudged.sort(byFreeCpu),
+  ];
   queryPermits(update, {
     stage: stage.name,
-    workers: workersToQuery.map(({ session }) => session.info.id),
+    workers: [...renewed, ...others.map(({ session }) => session.info.id)]
+      .slice(0, MAX_WORKERS_PER_QUERY),
     policy,
     rank,
   });
@@ -177,13 +207,24 @@
 function canQueryAny(
   startable: readonly Candidate[],
   { judged, good }: StagePermits,
-  now: number,
+  { renews, now }: { readonly renews: boolean; readonly now: number },
 ): boolean {
   return startable.some(({ session: { info: { id } } }) =>
-    !judged.has(id) || (good.has(id) && !isValid(good.get(id), now))
+    !judged.has(id) ||
+    (renews && good.has(id) && !isValid(good.get(id), now))
   );
 }
 
+/** Returns whether a query with this scope renews the permit of the worker. */
+function isRenewed(
+  candidate: Candidate,
+  scope: RenewalScope,
+  startable: readonly Candidate[],
+): boolean {
+  return scope === RenewalScope.All ||
+    (scope === RenewalScope.Startable && startable.includes(candidate));
+}
+
 /** Returns the workers that are good for the stage but whose permit is over. */
 function listExpired(update: Update, known: StagePermits): Candidate[] {
   const index = update.read(CANDIDATES);
--- a/packages/dispatch/src/placement_pass.ts
+++ b/packages/dispatch/src/placement_pass.ts
@@ -22,6 +22,14 @@
 import { CANDIDATES } from "./candidate_index.ts";
 import { type Candidate, clearReservations, isSuspect } from "./candidates.ts";
 import { withinCeiling } from "./ceilings.ts";
+import {
+  endHeldRoom,
+  holdRoom,
+  mayHoldRoom,
+  openHeldRoom,
+  releaseUnstartable,
+  reviewReservations,
+} from "./held_room.ts";
 import { holdWorkers, withinProbation } from "./isolation.ts";
 import {
   BestFitRule,
@@ -164,6 +172,7 @@
   }
 
   run(): void {
+    reviewReservations(this.#update);
     const { waiting } = this.#update.write(DISPATCH_STATE);
     for (const rank of waiting.ranks) {
       this.#placeRank(rank);
@@ -260,6 +269,7 @@
     waiting.add(stage, rank);
     const startable = this.#startableTasks(stage);
     if (startable.length === 0) {
+      releaseUnstartable(this.#update, stage);
       this.#setAside(stage);
       return Examined.Left;
     }
@@ -328,13 +338,18 @@
   #place(
     stage: StageRun,
     startable: readonly TaskRun[],
-    asked: Omit<PlacementContext, "candidates">,
+    asked: Omit<PlacementContext, "candidates" | "isHeldRoomOpen">,
   ): number {
     const update = this.#update;
     const index = update.read(CANDIDATES);
     const { record } = stage.job;
     const { pool } = record.queue;
-    if (!asked.preempts && !index.mayFit(pool, reservedSize(stage))) {
+    const isHeldRoomOpen = openHeldRoom(update, stage, asked.rank);
+    if (
+      !asked.preempts &&
+      !index.mayFit(pool, reservedSize(stage), { isHeldRoomOpen }) &&
+      !mayHoldRoom(update, asked)
+    ) {
       return 0;
     }
     const isGang = stage.spec.gang;
@@ -344,12 +359,17 @@
       team: this.#teams.get(record.team),
     });
     if (wanted.length === 0 || (isGang && wanted.length < startable.length)) {
+      releaseUnstartable(update, stage);
       return 0;
     }
-    const context = { ...asked, candidates: index.inPool(pool) };
+    const context = {
+      ...asked,
+      isHeldRoomOpen,
+      candidates: index.inPool(pool),
+    };
     const withRoom = listStartable(update, context);
     if (!mayRunOnAny(update, context, withRoom)) {
-      this.#awaitPermits(context, withRoom);
+      this.#awaitPermits(context, withRoom, wanted.length);
       return 0;
     }
     const allowed = permittedCandidates(update, context);
@@ -366,6 +386,7 @@
     });
     if (placements.length > 0) {
       startTasks(update, stage, placements);
+      endHeldRoom(update, stage);
       clearReservations(placements.map(({ candidate }) => candidate), stage);
     }
     if (!isGang) {
@@ -382,7 +403,9 @@
     }
     const missing = wanted.length - placements.length;
     if (missing > 0) {
-      queryMorePermits(update, context);
+      queryMorePermits(update, context, {
+        ahead: holdRoom(update, context, missing),
+      });
     }
     if (missing > waiting && asked.preempts) {
       preemptFor(update, {
@@ -400,18 +423,21 @@
   }
 
   /**
-   * Asks for permits for a stage that holds none with room. While it holds none
-   * at all, only the reply can change that.
+   * Asks for permits for a stage that holds none with room, and holds room for
+   * its `missing` tasks. While it has no permits at all, only the reply can
+   * change that.
    */
   #awaitPermits(
     context: PlacementContext,
     withRoom: readonly Candidate[],
+    missing: number,
   ): void {
     const { stage } = context;
+    const ahead = holdRoom(this.#update, context, missing);
     if (stage.job.record.queue.permits === undefined) {
       return;
     }
-    queryMorePermits(this.#update, context, withRoom);
+    queryMorePermits(this.#update, context, { ahead, startable: withRoom });
     if (
       stagePermits(this.#update, stage.name).isQueryPending &&
       !holdsPermit(this.#update, stage)
--- a/packages/dispatch/src/preemption.ts
+++ b/packages/dispatch/src/preemption.ts
@@ -16,6 +16,7 @@
   type Candidate,
   fitsAfterStopping,
   hasRequiredLabel,
+  isHeld,
 } from "./candidates.ts";
 import { stopTask } from "./progress.ts";
 import { ObjectiveStatus } from "./turn_order.ts";
@@ -37,7 +38,7 @@
   candidate: Candidate,
   stage: StageRun,
 ): boolean {
-  return hasRequiredLabel(candidate, stage) &&
+  return !isHeld(candidate) && hasRequiredLabel(candidate, stage) &&
     fitsAfterStopping(candidate, reservedSize(stage));
 }
 
@@ -86,7 +87,8 @@
   const size = reservedSize(stage);
   let tasks = 0;
   while (
-    tasks < most && hasRequiredLabel(candidate, stage) &&
+    tasks < most && !isHeld(candidate) &&
+    hasRequiredLabel(candidate, stage) &&
     fitsWithin(size, candidate.expected)
   ) {
     candidate.expected = subtractResources(candidate.expected, size);
--- a/packages/prove/src/domain/domain_worker.ts
+++ b/packages/prove/src/domain/domain_worker.ts
@@ -98,6 +98,8 @@
   endsPerList: number;
   /** Largest addition to the run time of its tasks, in milliseconds. */
   runSpreadMs: number;
+  /** Whether listings tell how far each run is; half of it otherwise. */
+  listsProgress: boolean;
 }
 
 interface Running {
@@ -106,6 +108,8 @@
   readonly resumedMs: number;
   /** Duration of the run if nothing ends it earlier, in milliseconds. */
   readonly durationMs: number;
+  /** Time that all its work takes near its data, in milliseconds. */
+  readonly runMs: number;
   isStopping: boolean;
 }
 
@@ -145,6 +149,7 @@
     stopMs: DEFAULT_STOP_MS,
     endsPerList: 500,
     runSpreadMs: 0,
+    listsProgress: false,
   };
   info: WorkerInfo;
   isUp = true;
@@ -377,6 +382,7 @@
       record,
       resumedMs,
       durationMs,
+      runMs: runMs + addedMs,
       isStopping: false,
     });
     const failed =
@@ -506,21 +512,21 @@
 
   #reportOf(task: string): WorkReport {
     const { data, workReport } = this.#options.behaviourOf(task);
+    const listsPercent = data !== undefined || this.faults.listsProgress;
     return workReport ??
-      (data === undefined ? WorkReport.Fixed : WorkReport.Percent);
+      (listsPercent ? WorkReport.Percent : WorkReport.Fixed);
   }
 
   #percentOf(running: Running): number {
-    const { record, durationMs } = running;
-    const { data, runMs } = this.#options.behaviourOf(record.task);
+    const { record, durationMs, runMs } = running;
     if (this.#reportOf(record.task) === WorkReport.Fixed) {
       return 50;
     }
-    return data === undefined
-      ? Math.floor(100 * this.#workedMs(running) / runMs)
-      : Math.floor(
-        100 * (this.#options.clock.now - record.startMs) / durationMs,
-      );
+    const { data } = this.#options.behaviourOf(record.task);
+    const share = data === undefined
+      ? this.#workedMs(running) / runMs
+      : (this.#options.clock.now - record.startMs) / durationMs;
+    return Math.floor(100 * Math.min(1, share));
   }
 
   #workedMs({ record, resumedMs }: Running): number {
--- a/packages/prove/src/domain/plugins.ts
+++ b/packages/prove/src/domain/plugins.ts
@@ -4,6 +4,7 @@
 import "@mustardweir/tenure";
 import "@mustardweir/sessions";
 import "@mustardweir/permits";
+import "@mustardweir/reservations";
 import "@mustardweir/run-times";
 import "@mustardweir/locality";
 import "@mustardweir/dispatch";
