Switch waiting for a rack off until overload is solved

The plug-in measures remote factors and never lets a task wait; the policies stay tested by choosing their kind.

--- a/packages/locality/src/locality.ts
+++ b/packages/locality/src/locality.ts
@@ -79,9 +79,13 @@
   readonly factors = new RemoteFactors();
   readonly trust = new WaitTrust();
   readonly waits = new RackWaits();
-  #policy = createWaitPolicy(DEFAULT_POLICY_KIND);
+  #policy: WaitPolicy;
   #knownFactor: number | undefined;
 
+  constructor(kind: WaitPolicyKind = DEFAULT_POLICY_KIND) {
+    this.#policy = createWaitPolicy(kind);
+  }
+
   /** Chooses the kind of policy, for comparisons. */
   usePolicy(kind: WaitPolicyKind): void {
     this.#policy = createWaitPolicy(kind);
--- a/packages/locality/src/locality_plugin.ts
+++ b/packages/locality/src/locality_plugin.ts
@@ -20,6 +20,15 @@
 import { TENURE_GAINED, TENURE_LOST } from "@mustardweir/tenure";
 import { LOCALITY, Locality, type WaitChange } from "./locality.ts";
 import { DecisionReason } from "./placement_decision.ts";
+import { WaitPolicyKind } from "./wait_policy.ts";
+
+/**
+ * The kind of policy in use. With more demand for a rack than it has room and a
+ * remote factor of 3, waiting by the expected time completes jobs later than not
+ * waiting (4.5 s instead of 4.0 s in trials), so it stays off until that is
+ * solved.
+ */
+const POLICY_IN_USE = WaitPolicyKind.NeverWait;
 
 /**
  * Most queues whose factors a process ever shows: a gauge once set stays among
@@ -36,7 +45,7 @@
   override register(kernel: Kernel): Undo {
     const { Normal } = CommandPriority;
     return mergeUndo(
-      kernel.registerState(LOCALITY, new Locality()),
+      kernel.registerState(LOCALITY, new Locality(POLICY_IN_USE)),
       kernel.registerCommand(
         TASK_RAN,
         (run, update) => {
--- a/packages/locality/src/wait_policy.ts
+++ b/packages/locality/src/wait_policy.ts
@@ -12,7 +12,7 @@
   ExpectedTime = "expected-time",
 }
 
-/** The kind in use; the others are baselines that tests choose. */
+/** The kind of new states; the others are baselines that tests choose. */
 export const DEFAULT_POLICY_KIND = WaitPolicyKind.ExpectedTime;
 
 /** Longest wait of a stage for a rack, in milliseconds. */
