--- a/packages/dispatch/src/candidate_index.ts
+++ b/packages/dispatch/src/candidate_index.ts
@@ -28,6 +28,9 @@
   /** All candidates, in no particular order. */
   readonly all: Candidate[] = [];
   readonly #positions = new Map<string, number>();
+  /** Ids of the workers of each rack, and the rack of each worker. */
+  readonly #racks = new Map<string, Set<string>>();
+  readonly #rackByWorker = new Map<string, string>();
   readonly #quarantined = new Set<string>();
   #usable: readonly Candidate[] | undefined;
   #capacity = NO_RESOURCES;
@@ -123,6 +126,18 @@
     return this.#usable;
   }
 
+  /** Names of the racks that have candidates. */
+  get racks(): readonly string[] {
+    return [...this.#racks.keys()];
+  }
+
+  /** Returns the usable candidates of a rack. */
+  inRack(rack: string): readonly Candidate[] {
+    return [...this.#racks.get(rack) ?? []].flatMap((workerId) =>
+      this.find(workerId) ?? []
+    );
+  }
+
   /** Returns the usable candidate of a worker. */
   find(workerId: string): Candidate | undefined {
     const position = this.#positions.get(workerId);
@@ -138,6 +153,10 @@
     const { id, capacity } = candidate.session.info;
     const position = this.#positions.get(id) ?? this.all.length;
     const replaced = this.all[position]?.session.info.capacity;
+    this.#removeFromRack(id);
+    const { rack } = candidate.session.info;
+    this.#rackByWorker.set(id, rack);
+    this.#racks.set(rack, (this.#racks.get(rack) ?? new Set()).add(id));
     this.#positions.set(id, position);
     this.all[position] = candidate;
     this.#quarantined.delete(id);
@@ -169,6 +188,7 @@
       this.#positions.set(last.session.info.id, position);
     }
     this.#positions.delete(workerId);
+    this.#removeFromRack(workerId);
     this.#quarantined.delete(workerId);
     this.#capacity = subtractResources(
       this.#capacity,
@@ -181,6 +201,19 @@
     this.noteReserved();
   }
 
+  #removeFromRack(workerId: string): void {
+    const rack = this.#rackByWorker.get(workerId);
+    if (rack === undefined) {
+      return;
+    }
+    this.#rackByWorker.delete(workerId);
+    const workers = this.#racks.get(rack)!;
+    workers.delete(workerId);
+    if (workers.size === 0) {
+      this.#racks.delete(rack);
+    }
+  }
+
   /** Sets the hold on a worker. */
   hold(workerId: string, hold: Hold | undefined): void {
     const position = this.#positions.get(workerId);
@@ -200,12 +233,34 @@
 export class CandidateIndex {
   readonly #pools = new Map<string, PoolCandidates>();
   readonly #poolByWorker = new Map<string, string>();
+  /** Racks of workers that were lost or have got more room. */
+  readonly #changedRacks = new Set<string>();
+
+  /**
+   * Returns the racks of workers that were lost or have got more room since the
+   * last call.
+   */
+  takeChangedRacks(): readonly string[] {
+    const racks = [...this.#changedRacks];
+    this.#changedRacks.clear();
+    return racks;
+  }
 
   /** Returns the candidates of a pool. */
   inPool(pool: string): readonly Candidate[] {
     return this.#pools.get(pool)?.usable ?? NO_CANDIDATES;
   }
 
+  /** Returns the names of the racks of a pool that have candidates. */
+  racksOf(pool: string): readonly string[] {
+    return this.#pools.get(pool)?.racks ?? [];
+  }
+
+  /** Returns the candidates of a rack in a pool. */
+  inRack(pool: string, rack: string): readonly Candidate[] {
+    return this.#pools.get(pool)?.inRack(rack) ?? NO_CANDIDATES;
+  }
+
   /** Returns the candidate of a worker; undefined if it gets no tasks now. */
   find(workerId: string): Candidate | undefined {
     return this.#pools.get(this.#poolByWorker.get(workerId) ?? "")
@@ -325,23 +380,39 @@
   clear(): void {
     this.#pools.clear();
     this.#poolByWorker.clear();
+    this.#changedRacks.clear();
   }
 
   #put(update: Update, candidate: Candidate): void {
-    const { id, pool } = candidate.session.info;
+    const { id, pool, rack } = candidate.session.info;
+    const known = this.find(id);
     if (this.#poolByWorker.get(id) !== pool) {
       this.#remove(id);
     }
-    const known = this.#pools.get(pool) ?? new PoolCandidates();
-    this.#pools.set(pool, known);
-    known.put(
+    const inPool = this.#pools.get(pool) ?? new PoolCandidates();
+    this.#pools.set(pool, inPool);
+    inPool.put(
       candidate,
       update.read(WORKER_HEALTH).isQuarantined(id, update.now),
     );
     this.#poolByWorker.set(id, pool);
+    const former = known?.session.info.rack;
+    if (former !== undefined && former !== rack) {
+      this.#changedRacks.add(former);
+    }
+    const isLost = known !== undefined && this.find(id) === undefined;
+    if (
+      isLost || known === undefined || !fitsWithin(candidate.free, known.free)
+    ) {
+      this.#changedRacks.add(rack);
+    }
   }
 
   #remove(workerId: string): void {
+    const known = this.find(workerId);
+    if (known !== undefined) {
+      this.#changedRacks.add(known.session.info.rack);
+    }
     this.#pools.get(this.#poolByWorker.get(workerId) ?? "")?.remove(workerId);
     this.#poolByWorker.delete(workerId);
   }
--- a/packages/dispatch/src/placement_pass.ts
+++ b/packages/dispatch/src/placement_pass.ts
@@ -45,6 +45,7 @@
   queryMorePermits,
 } from "./permission.ts";
 import { mayPreempt, preemptFor } from "./preemption.ts";
+import { placeByRack, wakeRackWaits } from "./rack_placement.ts";
 import { startTasks } from "./starts.ts";
 import { addWaiting, standingOf } from "./waiting.ts";
 
@@ -139,6 +140,7 @@
   state.isDirty = false;
   state.lastPassMs = update.now;
   update.write(CANDIDATES).refresh(update);
+  wakeRackWaits(update);
   for (const stage of state.waiting.due(update.now)) {
     addWaiting(update, stage);
   }
@@ -376,11 +378,12 @@
       TASK_BATCH_SIZE,
       this.#affordableStarts(Buffer.byteLength(record.spec.payload)),
     );
-    const placements = rule.choose(
-      stage,
-      isGang ? wanted : wanted.slice(0, most),
+    const { placements, waiting, untilMs } = placeByRack(update, rule, {
+      context,
+      tasks: wanted,
+      most: isGang ? wanted.length : most,
       allowed,
-    );
+    });
     if (placements.length > 0) {
       startTasks(update, stage, placements);
       endHeldRoom(update, stage);
@@ -403,10 +406,18 @@
       queryMorePermits(update, context, {
         ahead: holdRoom(update, context, missing),
       });
-      if (asked.preempts) {
-        preemptFor(update, { stage, missing, candidates: allowed });
-        index.noteReserved(pool);
-      }
+    }
+    if (missing > waiting && asked.preempts) {
+      preemptFor(update, {
+        stage,
+        missing: missing - waiting,
+        candidates: allowed,
+      });
+      index.noteReserved(pool);
+    }
+    // Other tasks of the stage may become startable before the wait is over.
+    if (waiting > 0 && waiting === countWaiting(stage)) {
+      update.write(DISPATCH_STATE).waiting.setAside(stage, untilMs);
     }
     return placements.length;
   }
@@ -437,6 +448,10 @@
   }
 }
 
+function countWaiting({ tasks }: StageRun): number {
+  return tasks.filter(({ phase }) => phase === TaskPhase.Waiting).length;
+}
+
 /**
  * Returns the gang members that can start now: all of them, or, if the gang
  * runs, those whose start was refused.
--- a/packages/prove/src/domain/domain_worker.ts
+++ b/packages/prove/src/domain/domain_worker.ts
@@ -66,7 +66,12 @@
   readonly deadlyTasks?: readonly string[];
   /** Checkpoint that its tasks list; none by default. */
   readonly checkpoint?: string;
-  /** What its tasks list of their work; a fixed percentage by default. */
+  /** Rack of its data, and how many times as long it runs elsewhere. */
+  readonly data?: { readonly rack: string; readonly remoteFactor: number };
+  /**
+   * What its tasks list of their work; by default their real percentage if they
+   * have data, else a fixed one.
+   */
   readonly workReport?: WorkReport;
 }
 
@@ -101,7 +106,9 @@
   readonly record: RunRecord;
   /** Time worked by the checkpoint that it resumed, in milliseconds. */
   readonly resumedMs: number;
-  /** Time that all its work takes, in milliseconds. */
+  /** Duration of the run if nothing ends it earlier, in milliseconds. */
+  readonly durationMs: number;
+  /** Time that all its work takes near its data, in milliseconds. */
   readonly runMs: number;
   isStopping: boolean;
 }
@@ -359,7 +366,7 @@
       acknowledgedMs: undefined,
     };
     runs.push(record);
-    const { runMs, failures, deadlyTasks, workReport } = behaviourOf(
+    const { runMs, failures, deadlyTasks, data, workReport } = behaviourOf(
       order.task,
     );
     const resumedMs = workReport === WorkReport.Checkpoint
@@ -367,9 +374,14 @@
       : 0;
     const { runSpreadMs } = this.faults;
     const addedMs = runSpreadMs > 0 ? random.below(runSpreadMs) : 0;
+    const factor = data === undefined || data.rack === this.info.rack
+      ? 1
+      : data.remoteFactor;
+    const durationMs = factor * (runMs - resumedMs + addedMs);
     this.#running.set(key, {
       record,
       resumedMs,
+      durationMs,
       runMs: runMs + addedMs,
       isStopping: false,
     });
@@ -388,7 +400,7 @@
         }
       });
     }
-    clock.after(runMs - resumedMs + addedMs, () => {
+    clock.after(durationMs, () => {
       if (processNumber === this.#processNumber) {
         this.#end(key, fails ? AttemptEnd.Failed : AttemptEnd.Done);
       }
@@ -479,20 +491,14 @@
       incarnation: this.info.incarnation,
       running: [...this.#running.values()].map((running) => {
         const { task, attempt } = running.record;
-        const { checkpoint = "", workReport = WorkReport.Fixed } = this
-          .#options.behaviourOf(task);
-        const isFixed = workReport === WorkReport.Fixed &&
-          !this.faults.listsProgress;
-        const workedMs = this.#workedMs(running);
+        const { checkpoint = "" } = this.#options.behaviourOf(task);
         return {
           task,
           attempt,
-          checkpoint: workReport === WorkReport.Checkpoint
-            ? String(workedMs)
+          checkpoint: this.#reportOf(task) === WorkReport.Checkpoint
+            ? String(this.#workedMs(running))
             : checkpoint,
-          percent: isFixed
-            ? 50
-            : Math.floor(Math.min(100, 100 * workedMs / running.runMs)),
+          percent: this.#percentOf(running),
           load: 0,
         };
       }),
@@ -504,6 +510,25 @@
     };
   }
 
+  #reportOf(task: string): WorkReport {
+    const { data, workReport } = this.#options.behaviourOf(task);
+    const listsPercent = data !== undefined || this.faults.listsProgress;
+    return workReport ??
+      (listsPercent ? WorkReport.Percent : WorkReport.Fixed);
+  }
+
+  #percentOf(running: Running): number {
+    const { record, durationMs, runMs } = running;
+    if (this.#reportOf(record.task) === WorkReport.Fixed) {
+      return 50;
+    }
+    const { data } = this.#options.behaviourOf(record.task);
+    const share = data === undefined
+      ? this.#workedMs(running) / runMs
+      : (this.#options.clock.now - record.startMs) / durationMs;
+    return Math.floor(100 * Math.min(1, share));
+  }
+
   #workedMs({ record, resumedMs }: Running): number {
     return Math.floor(resumedMs + this.#options.clock.now - record.startMs);
   }
--- a/packages/prove/src/domain/plugins.ts
+++ b/packages/prove/src/domain/plugins.ts
@@ -6,6 +6,7 @@
 import "@mustardweir/permits";
 import "@mustardweir/reservations";
 import "@mustardweir/run-times";
+import "@mustardweir/locality";
 import "@mustardweir/dispatch";
 import "@mustardweir/departures";
 import "@mustardweir/intake";
