--- a/packages/prove/src/domain/domain_rack_wait_test.ts
+++ b/packages/prove/src/domain/domain_rack_wait_test.ts
@@ -230,6 +230,7 @@
         needsPermits,
         workers: 12,
         remoteFactor: 3,
+        waitPolicy: WaitPolicyKind.ExpectedTime,
       });
       const { clock, nodeIds } = cluster;
       clock.runUntil(2 * WARM_UP_MS);
