Keep a connection whose last response is still being sent

A connection that sends a body after a call that was answered, but whose response had not been sent yet, could be closed in favour of a new one, and the response was lost. Found by review.

--- a/packages/runtime/src/connection_policy.ts
+++ b/packages/runtime/src/connection_policy.ts
@@ -246,8 +246,10 @@
   override readonly kind = RejectionKind.Connections;
 
   override score(load: ConnectionLoad, now: number) {
+    // An earlier call may be answered but not sent yet, so only the call that is
+    // being received may be open.
     const isFree = load.openCalls === 0 ||
-      (load.isReceiving && load.waitingCalls === 1) ||
+      (load.isReceiving && load.openCalls === 1) ||
       isUnreadUnderPressure(load, now);
     const ageMs = now - load.openedMs + 1;
     return isFree
--- a/packages/runtime/src/connection_policy_test.ts
+++ b/packages/runtime/src/connection_policy_test.ts
@@ -133,6 +133,19 @@
     ],
     undefined,
   ],
+  [
+    "one sends a body while the response before is being sent",
+    new OldestWithoutCall(),
+    [
+      {
+        openCalls: 2,
+        waitingCalls: 1,
+        isReceiving: true,
+        sentMs: NOW,
+      },
+    ],
+    undefined,
+  ],
   ["an idle client was served before", new OldestWithoutCall(), [
     { servedCalls: 3 },
     { openedMs: 9_000 },
