Acknowledge ends only to the incarnation that listed them

Cause: the numbers of ends belong to an incarnation, and an acknowledgement names none. It left with a later renewal and made the next incarnation discard ends that nobody had read.

Ruled out: a late registration (it only lengthens the window).

Change: ends are acknowledged while every attempt on the worker is known to have been executed by the incarnation that listed them, by a listing or by the clock in the reply to its start. The first start after an acknowledgement that may still be under way carries a higher token, so that a worker that executes it rejects the acknowledgement. Renewals and stops that such a start overtakes are sent again and don't count as missed.

Why it works: no incarnation discards ends of its own. One that runs a start from before the acknowledgement keeps the acknowledgement from being sent, one that runs a later start rejects it.

--- a/packages/prove/src/domain/domain_worker.ts
+++ b/packages/prove/src/domain/domain_worker.ts
@@ -92,6 +92,8 @@
   losesStartReplies: boolean;
   /** Whether stops are executed and their replies are lost. */
   losesStopReplies: boolean;
+  /** Time by which renewals arrive later than other orders, in milliseconds. */
+  renewalDelayMs: number;
   /** Time that a stop takes, in milliseconds. */
   stopMs: number;
   /** Most ends that the worker lists at a time. */
@@ -146,6 +148,7 @@
     losesStarts: false,
     losesStartReplies: false,
     losesStopReplies: false,
+    renewalDelayMs: 0,
     stopMs: DEFAULT_STOP_MS,
     endsPerList: 500,
     runSpreadMs: 0,
@@ -284,7 +287,9 @@
       timeoutMs,
       () => respondOnce({ outcome: OrderOutcome.NoAnswer }),
     );
-    clock.after(1, () =>
+    const sendMs = 1 +
+      (order.kind === OrderKind.Renew ? this.faults.renewalDelayMs : 0);
+    clock.after(sendMs, () =>
       this.#execute(order, from, (result) => {
         const isReplyLost = this.faults.unreachableFrom.has(from) ||
           (this.faults.losesStartReplies && order.kind === OrderKind.Start) ||
--- a/packages/sessions/src/leases.ts
+++ b/packages/sessions/src/leases.ts
@@ -1,7 +1,8 @@
 import type { Update } from "@mustardweir/kernel";
-import { NODE_IDENTITY } from "@mustardweir/protocol";
+import { NODE_IDENTITY, type WorkerListing } from "@mustardweir/protocol";
 import { formerOwnerEndMs, REPLICA, storeNow } from "@mustardweir/replica";
 import { isOwner, TENURE } from "@mustardweir/tenure";
+import { hasStartedAnew, incarnationOfReply } from "./incarnations.ts";
 import type { Session } from "./session_state.ts";
 
 /**
@@ -11,7 +12,7 @@
  */
 export const LEASE_MS = 4_000;
 /** Largest fraction by which a worker's clock may run slow. */
-const MAX_CLOCK_DRIFT = 0.02;
+export const MAX_CLOCK_DRIFT = 0.02;
 /** Time that a worker has to act on the end of a lease, in milliseconds. */
 const EXPIRY_MARGIN_MS = 300;
 /**
@@ -28,8 +29,6 @@
  * milliseconds.
  */
 const DEFAULT_MAX_GRANTED_MS = 10_000;
-/** Tolerance for readings of clocks, which are rounded, in milliseconds. */
-const CLOCK_TOLERANCE_MS = 10;
 
 /** A reading of a worker's clock, from the reply to an order. */
 export interface ClockReading {
@@ -38,6 +37,8 @@
   readonly sentMs: number;
   /** End of the lease that the order carried, in ms; undefined for none. */
   readonly leaseUntilMs: number | undefined;
+  /** The listing in the reply, which names the incarnation; none by default. */
+  readonly listing?: WorkerListing;
 }
 
 /**
@@ -61,10 +62,17 @@
 export function noteClock(
   update: Update,
   session: Session,
-  { workerMs, sentMs, leaseUntilMs = 0 }: ClockReading,
+  { workerMs, sentMs, leaseUntilMs = 0, listing }: ClockReading,
 ): void {
-  const isNewClock = hasStartedAnew(session, workerMs, sentMs);
-  session.clock = { workerMs, atMs: update.now };
+  const { clock } = session;
+  const reply = { workerMs, sentMs, answeredMs: update.now };
+  const isNewClock = hasStartedAnew(clock, reply);
+  session.clock = {
+    workerMs,
+    sentMs,
+    atMs: update.now,
+    incarnation: incarnationOfReply(clock, reply, listing),
+  };
   if (isNewClock) {
     session.leaseUntilMs = 0;
     assumeLongestLease(update, session);
@@ -85,21 +93,6 @@
   session.longLeaseEndMs = update.now + longestMs(maxMs);
 }
 
-/** Returns whether the known clock can't have shown the reading. */
-function hasStartedAnew(
-  { clock }: Readonly<Session>,
-  workerMs: number,
-  sentMs: number,
-): boolean {
-  if (clock === undefined) {
-    return false;
-  }
-  const sinceMs = sentMs - clock.atMs;
-  const leastMs = clock.workerMs +
-    (sinceMs > 0 ? sinceMs * (1 - MAX_CLOCK_DRIFT) : sinceMs);
-  return workerMs < leastMs - CLOCK_TOLERANCE_MS;
-}
-
 /**
  * Returns whether this node may renew leases. A
  * successor that can't reach a worker waits for the leases that were granted up
--- a/packages/sessions/src/listings.ts
+++ b/packages/sessions/src/listings.ts
@@ -15,6 +15,7 @@
   storeNow,
 } from "@mustardweir/replica";
 import { queueChange } from "@mustardweir/tenure";
+import { isOtherIncarnation } from "./incarnations.ts";
 import { assumeLongestLease } from "./leases.ts";
 import { currentToken, invalidateUnanswered, stopAttempt } from "./orders.ts";
 import {
@@ -124,11 +125,6 @@
   reportVanished(update, session, { lost, reason: LossCause.Restarted });
 }
 
-/** Returns whether two incarnations differ; one that isn't known is no other. */
-function isOtherIncarnation(a: number, b: number): boolean {
-  return a !== 0 && b !== 0 && a !== b;
-}
-
 /** Returns the session's attempts that neither run nor ended by the listing. */
 function listUnlisted(
   { attempts }: Readonly<Session>,
--- a/packages/sessions/src/orders.ts
+++ b/packages/sessions/src/orders.ts
@@ -90,6 +90,7 @@
   }
   const { workerId, task, attempt, size, payload, checkpoint, permit } =
     options;
+  overtakeAcknowledgement(update, session);
   const token = currentToken(update, session);
   session.leaseUntilMs = Math.max(session.leaseUntilMs, leaseUntilMs);
   session.nextRenewalMs = Math.min(
@@ -127,6 +128,17 @@
   }));
 }
 
+/**
+ * Raises the token if an acknowledgement of ends may be under way, so that the
+ * worker rejects it after this start. An incarnation that starts meanwhile would
+ * take it for ends of its own that it hasn't listed.
+ */
+function overtakeAcknowledgement(update: Update, session: Session): void {
+  if (session.acknowledgingToken === currentToken(update, session)) {
+    session.round++;
+  }
+}
+
 /**
  * Orders the worker to stop the attempt; its resources stay reserved until it
  * ends.
@@ -201,6 +213,12 @@
   if (outcome === OrderOutcome.Obeyed) {
     attempt.token = NO_TOKEN;
     attempt.sinceMs = update.now;
+  } else if (outcome === OrderOutcome.Fenced) {
+    // A later order of this owner has overtaken it.
+    stopAttempt(update, {
+      workerId: session.info.id,
+      ...attemptNameOf(attempt),
+    });
   } else {
     session.nextRenewalMs = update.now;
   }
@@ -216,6 +234,9 @@
 ): void {
   const attempt = session.attempts.get(attemptKey(context))!;
   const { workerId, task } = context;
+  if (outcome === OrderOutcome.Obeyed && attempt.incarnation === 0) {
+    attempt.incarnation = session.clock?.incarnation ?? 0;
+  }
   if (attempt.phase !== AttemptPhase.Starting) {
     return;
   }
@@ -256,6 +277,7 @@
  */
 export function invalidateUnanswered(update: Update, session: Session): void {
   session.round++;
+  session.invalidatingToken = currentToken(update, session);
   session.nextRenewalMs = update.now;
 }
 
--- a/packages/sessions/src/renewals.ts
+++ b/packages/sessions/src/renewals.ts
@@ -12,6 +12,7 @@
   type OrderResult,
   replyTo,
 } from "@mustardweir/protocol";
+import { areStartsAttributed } from "./incarnations.ts";
 import {
   areLeasesExpired,
   isUnreadable,
@@ -53,11 +54,11 @@
 /** Interval between renewals of a worker that runs nothing, in milliseconds. */
 const IDLE_RENEWAL_MS = 1_000;
 /**
- * Longest time for which a renewal is held back until handled ends are
- * recorded, in milliseconds; several times the duration of a commit of a
+ * Longest time for which a renewal is held back until handled ends can be
+ * acknowledged, in milliseconds; several times the duration of a commit of a
  * healthy store.
  */
-const MAX_RECORD_WAIT_MS = 60;
+const MAX_ACKNOWLEDGE_WAIT_MS = 60;
 
 const PACING: RenewalPacing = new PacedByEnds();
 
@@ -83,16 +84,18 @@
   session: Session,
   mayExtend: boolean,
 ): void {
-  // A renewal in flight counts only if it carries the current token, because an
-  // older token doesn't invalidate the latest unanswered orders.
+  // A renewal in flight with a lower token doesn't invalidate the latest orders
+  // that got no reply.
   const isInFlight = session.renewal !== 0 &&
-    session.renewalToken === currentToken(update, session);
+    session.renewalToken >= session.invalidatingToken;
   if (isInFlight || update.now < session.nextRenewalMs) {
     return;
   }
-  const waitsForRecord = session.recorded < session.handled;
+  const acknowledged = mayAcknowledge(session) ? session.recorded : 0;
+  const leavesEnds = session.clock !== undefined &&
+    session.handled > Math.max(acknowledged, session.acknowledged);
   if (
-    waitsForRecord && update.now - session.answeredMs < MAX_RECORD_WAIT_MS &&
+    leavesEnds && update.now - session.answeredMs < MAX_ACKNOWLEDGE_WAIT_MS &&
     session.missed === 0
   ) {
     return;
@@ -105,7 +108,7 @@
   const mayRenew = mayExtend && session.missed === 0 &&
     !isUnreadable(session, update.now);
   const leaseUntilMs = mayRenew ? leaseEnd(session, update.now) : undefined;
-  const isImmediate = waitsForRecord || leaseUntilMs === undefined ||
+  const isImmediate = leavesEnds || leaseUntilMs === undefined ||
     session.missed > 0 || session.attempts.size === 0 ||
     hasUnknownAttempt(session);
   const waitMs = isImmediate ? 0 : renewalWaitMs(session, update.now);
@@ -113,9 +116,11 @@
     session.leaseUntilMs = Math.max(session.leaseUntilMs, leaseUntilMs);
   }
   session.renewal = ++update.write(SESSIONS).lastRenewalId;
-  const acknowledged = mayAcknowledge(session) ? session.recorded : 0;
   const token = currentToken(update, session);
   session.renewalToken = token;
+  if (acknowledged > 0) {
+    session.acknowledgingToken = token;
+  }
   update.emit(nodeEffect({
     kind: EffectKind.OrderWorker,
     workerId: session.info.id,
@@ -174,11 +179,13 @@
     return;
   }
   session.renewal = 0;
-  if (
-    result.outcome === OrderOutcome.Fenced &&
-    context.token >= currentToken(update, session)
-  ) {
-    update.dispatch(OWNER_FENCED, { workerId: context.workerId });
+  if (result.outcome === OrderOutcome.Fenced) {
+    if (context.token >= currentToken(update, session)) {
+      update.dispatch(OWNER_FENCED, { workerId: context.workerId });
+    } else {
+      // A later order of this owner has overtaken it.
+      session.nextRenewalMs = update.now;
+    }
     return;
   }
   const { listing, clockMs } = result;
@@ -199,8 +206,11 @@
   session.answeredMs = update.now;
   session.answeredAddress = session.info.address;
   session.acknowledged = Math.max(session.acknowledged, context.acknowledged);
+  if (session.acknowledgingToken <= context.token) {
+    session.acknowledgingToken = 0;
+  }
   if (clockMs !== undefined) {
-    noteClock(update, session, { ...context, workerMs: clockMs });
+    noteClock(update, session, { ...context, workerMs: clockMs, listing });
   }
   const ends = listing.ended.filter(({ number }) => number > session.handled);
   update.write(SESSIONS).endRate.add(ends.length, update.now);
@@ -213,12 +223,13 @@
 /**
  * Returns whether the worker may be told to discard ends. A new incarnation
  * numbers them anew and would discard ends that it has not listed, so they are
- * acknowledged only once, right after a listing.
+ * acknowledged only once, while no other incarnation can have executed a start;
+ * later starts invalidate the acknowledgement.
  */
-function mayAcknowledge(
-  { clock, missed, recorded, acknowledged }: Readonly<Session>,
-): boolean {
-  return clock !== undefined && missed === 0 && recorded > acknowledged;
+function mayAcknowledge(session: Readonly<Session>): boolean {
+  const { clock, missed, recorded, acknowledged } = session;
+  return clock !== undefined && missed === 0 && recorded > acknowledged &&
+    areStartsAttributed(session);
 }
 
 /**
--- a/packages/sessions/src/session_state.ts
+++ b/packages/sessions/src/session_state.ts
@@ -41,7 +41,10 @@
    * owner did not start it.
    */
   readonly startedMs: number;
-  /** Incarnation of the worker that has listed it; 0 until one has. */
+  /**
+   * Incarnation of the worker that has listed it or confirmed its start; 0 if
+   * that isn't certain.
+   */
   incarnation: number;
   /**
    * Whether the attempt was found on the worker but belongs to no known task.
@@ -55,6 +58,17 @@
   readonly ticket: number;
 }
 
+/** A reading of a worker's clock. */
+export interface WorkerClock {
+  readonly workerMs: number;
+  /** When the order was sent, on this node's clock, in milliseconds. */
+  readonly sentMs: number;
+  /** When the reply arrived, on this node's clock, in milliseconds. */
+  readonly atMs: number;
+  /** Incarnation that has shown it; 0 if that isn't certain. */
+  readonly incarnation: number;
+}
+
 /** State of a worker as known to the owner of the domain. */
 export interface Session {
   info: WorkerInfo;
@@ -69,18 +83,25 @@
   isRegistered: boolean;
   /** Incarnation that the worker reported; 0 until then. */
   incarnation: number;
-  /** Low part of the token; raised to invalidate orders that got no reply. */
+  /** Low part of the token; raised to invalidate earlier orders. */
   round: number;
+  /**
+   * Lowest token with which a renewal invalidates the latest orders that got no
+   * reply.
+   */
+  invalidatingToken: number;
+  /**
+   * Token of the latest renewal that acknowledges ends and may still be under
+   * way; 0 for none.
+   */
+  acknowledgingToken: number;
   /**
    * Whether all attempts on the worker are known: it has reported them or its
    * leases have expired.
    */
   isReconciled: boolean;
-  /**
-   * A reading of the worker's clock with the time on this node's clock, both in
-   * milliseconds.
-   */
-  clock: { readonly workerMs: number; readonly atMs: number } | undefined;
+  /** Latest reading of the worker's clock; undefined before its first reply. */
+  clock: WorkerClock | undefined;
   /**
    * Latest end of a lease that was sent, in milliseconds on the worker's clock.
    */
--- a/packages/sessions/src/sessions_plugin.ts
+++ b/packages/sessions/src/sessions_plugin.ts
@@ -224,6 +224,8 @@
     isPartial: false,
     incarnation: record?.incarnation ?? 0,
     round: 1,
+    invalidatingToken: 0,
+    acknowledgingToken: 0,
     isReconciled: false,
     clock: undefined,
     leaseUntilMs: 0,
