Count found attempts that nobody wants towards ceilings until they end

Cause: a successor counted the attempts that it adopted. It stopped those of the cancelled jobs and started others in their place at once, while the stops took 0.3 s. Evidence: the owner finds and stops 12 attempts at 5.710 s and starts 12 tasks of waiting jobs within 40 ms; their ends are listed later.

Change: an unwanted attempt counts as used by the team of its job until its end is listed or it is certainly lost.

--- a/packages/dispatch/src/attempts.ts
+++ b/packages/dispatch/src/attempts.ts
@@ -39,6 +39,7 @@
 import { endJob, stopTask, writeProgress } from "./progress.ts";
 import { reportRun } from "./run_reports.ts";
 import { requestPlacementPass } from "./placement_pass.ts";
+import { addUnwantedAttempt } from "./unwanted_attempts.ts";
 import { addDependents, addWaiting } from "./waiting.ts";
 
 /**
@@ -257,6 +258,7 @@
       worker: workerId,
       known: task !== undefined,
     }));
+    addUnwantedAttempt(update, { workerId, ...found });
     stopAttempt(update, { workerId, ...found });
     return;
   }
--- a/packages/dispatch/src/dispatch_plugin.ts
+++ b/packages/dispatch/src/dispatch_plugin.ts
@@ -91,6 +91,7 @@
   runRequestedPass,
 } from "./placement_pass.ts";
 import { RateMeter } from "./rates.ts";
+import { removeUnwantedAttempt } from "./unwanted_attempts.ts";
 import { addWaiting, addWaitingJob } from "./waiting.ts";
 import { WaitingStages } from "./waiting_stages.ts";
 
@@ -156,6 +157,7 @@
         link: new LinkBudget(undefined),
         pendingEnds: [],
         used: new Map(),
+        unwanted: new Map(),
         endedWork: [],
         unseenTasks: undefined,
         isDirty: false,
@@ -280,12 +282,18 @@
     ),
     kernel.registerCommand(
       ATTEMPT_ENDED,
-      (ended, update) => handleAttemptEnded(update, ended),
+      (ended, update) => {
+        removeUnwantedAttempt(update, ended);
+        handleAttemptEnded(update, ended);
+      },
       Normal,
     ),
     kernel.registerCommand(
       ATTEMPT_VANISHED,
-      (vanished, update) => handleAttemptVanished(update, vanished),
+      (vanished, update) => {
+        removeUnwantedAttempt(update, vanished);
+        handleAttemptVanished(update, vanished);
+      },
       Normal,
     ),
     kernel.registerCommand(
@@ -341,6 +349,7 @@
   state.ended.clear();
   state.pendingEnds = [];
   state.used.clear();
+  state.unwanted.clear();
   state.endedWork = [];
   state.unseenTasks = undefined;
   update.write(CANDIDATES).clear();
--- a/packages/dispatch/src/dispatch_state.ts
+++ b/packages/dispatch/src/dispatch_state.ts
@@ -148,6 +148,12 @@
   readonly ticket: number;
 }
 
+/** An attempt that was found and that no task wants. */
+export interface UnwantedAttempt {
+  readonly team: string;
+  readonly size: Resources;
+}
+
 /** Sizes of tasks. */
 export interface TaskSizes {
   /** What the tasks reserve on their workers. */
@@ -203,6 +209,8 @@
   pendingEnds: PendingEnd[];
   /** Resources that each team uses, including tasks that are being stopped. */
   readonly used: Map<string, Resources>;
+  /** Attempts that were found and are being stopped, by worker and name. */
+  readonly unwanted: Map<string, UnwantedAttempt>;
   /**
    * Jobs that a predecessor may have started and that have ended, until all
    * workers have reported.
--- a/packages/prove/src/domain/domain_ceiling_test.ts
+++ b/packages/prove/src/domain/domain_ceiling_test.ts
@@ -110,6 +110,32 @@
     isBestEffort: true,
     onLoss: killOwner,
   },
+  {
+    name: "jobs are cancelled",
+    silent: 0,
+    stopMs: 900,
+    onLoss: (cluster, running) => {
+      cancelSome(cluster, running, 3);
+      killOwner(cluster);
+    },
+  },
+  {
+    name: "jobs are cancelled while there is no owner",
+    silent: 0,
+    stopMs: 900,
+    onLoss: (cluster, running) => {
+      killOwner(cluster);
+      cluster.clock.after(300, () => cancelSome(cluster, running, 3));
+    },
+  },
+  {
+    name: "jobs are cancelled before workers fall silent",
+    stopMs: 3_000,
+    onLoss: (cluster, running) => {
+      cancelSome(cluster, running, 3);
+      cluster.clock.after(400, () => killOwner(cluster));
+    },
+  },
   {
     name: "workers are silent and jobs are cancelled after the takeover",
     stopMs: 900,
