--- a/packages/dispatch/src/inherited_work.ts
+++ b/packages/dispatch/src/inherited_work.ts
@@ -106,7 +106,7 @@
   #tasksOf(team: string): ReadonlyMap<string, TaskSizes> {
     const state = this.#update.write(DISPATCH_STATE);
     const { now } = this.#update;
-    // Sums only shrink until then, as tasks are found.
+    // As tasks are found, the true sums only shrink until the next time.
     if (now - (state.unseenTasks?.atMs ?? -Infinity) >= SUM_INTERVAL_MS) {
       state.unseenTasks = { atMs: now, byTeam: this.#sumTasks() };
     }
@@ -116,7 +116,7 @@
   #sumTasks(): Map<string, Map<string, TaskSizes>> {
     const { jobs, endedWork } = this.#update.read(DISPATCH_STATE);
     const sums = new Map<string, Map<string, TaskSizes>>();
-    const add = ({ team, pool, tasks }: EndedWork) => {
+    const add = ({ team, pool, tasks }: Omit<EndedWork, "version">) => {
       const ofTeam = sums.get(team) ?? new Map<string, TaskSizes>();
       sums.set(team, ofTeam);
       ofTeam.set(pool, addSizes(ofTeam.get(pool) ?? NO_TASKS, tasks));
@@ -124,7 +124,7 @@
     for (const job of jobs.values()) {
       const { team, queue: { pool } } = job.record;
       if (job.isInherited && this.mayRun(job)) {
-        add({ team, pool, version: 0, tasks: sumUnseen(job) });
+        add({ team, pool, tasks: sumUnseen(job) });
       }
     }
     endedWork
@@ -202,7 +202,7 @@
   return pools;
 }
 
-/** Returns the worker's capacity; no record tells it of one that has left. */
+/** Returns the worker's capacity; that of one that has left may not be known. */
 function capacityOf({ info: { capacity } }: Readonly<Session>): Resources {
   return fitsWithin(capacity, NO_RESOURCES) ? UNBOUNDED : capacity;
 }
--- a/packages/sessions/src/incarnations.ts
+++ b/packages/sessions/src/incarnations.ts
@@ -1,7 +1,8 @@
 import type { OrderResult } from "@mustardweir/protocol";
-import { MAX_CLOCK_DRIFT } from "./leases.ts";
 import type { Session, WorkerClock } from "./session_state.ts";
 
+/** Largest fraction by which a worker's clock may run slow. */
+export const MAX_CLOCK_DRIFT = 0.02;
 /** Tolerance for readings of clocks, which are rounded, in milliseconds. */
 const CLOCK_TOLERANCE_MS = 10;
 
@@ -51,8 +52,8 @@
 }
 
 /**
- * Returns whether no incarnation that started after the known reading can have
- * shown this one: its clock began at 0 then.
+ * Returns whether the reading is longer than any incarnation can have run that
+ * started after the known reading, as its clock began at 0.
  */
 function isSameClock(
   clock: Readonly<WorkerClock>,
--- a/packages/sessions/src/leases.ts
+++ b/packages/sessions/src/leases.ts
@@ -2,7 +2,11 @@
 import { NODE_IDENTITY, type WorkerListing } from "@mustardweir/protocol";
 import { formerOwnerEndMs, REPLICA, storeNow } from "@mustardweir/replica";
 import { isOwner, TENURE } from "@mustardweir/tenure";
-import { hasStartedAnew, incarnationOfReply } from "./incarnations.ts";
+import {
+  hasStartedAnew,
+  incarnationOfReply,
+  MAX_CLOCK_DRIFT,
+} from "./incarnations.ts";
 import type { Session } from "./session_state.ts";
 
 /**
@@ -11,8 +15,6 @@
  * a change of owner.
  */
 export const LEASE_MS = 4_000;
-/** Largest fraction by which a worker's clock may run slow. */
-export const MAX_CLOCK_DRIFT = 0.02;
 /** Time that a worker has to act on the end of a lease, in milliseconds. */
 const EXPIRY_MARGIN_MS = 300;
 /**
