Log what a start follows and what a lost lease was judged by

A start now names the attempt before and why that is over, or that none was found after a takeover; a lost attempt tells the worker's clock and the lease end it was judged by; a takeover names the node and process of the former owner, and for how long its leases are waited for. No decision changes.

--- a/packages/dispatch/src/attempts.ts
+++ b/packages/dispatch/src/attempts.ts
@@ -11,8 +11,11 @@
 import { REPLICA, stateOf } from "@mustardweir/replica";
 import { AttemptStart } from "@mustardweir/run-times";
 import {
+  evidenceFields,
+  type LeaseEvidence,
   type LossCause,
   type PlacedAttempt,
+  type PreviousAttempt,
   recordFoundAttempt,
   stopAttempt,
 } from "@mustardweir/sessions";
@@ -107,8 +110,8 @@
   if (task === undefined) {
     return;
   }
-  returnToWaiting(update, task);
   const { outcome, workerId } = placed;
+  returnToWaiting(update, task, outcome);
   if (outcome === OrderOutcome.NoPermit) {
     invalidatePermit(update, task.stage.name, workerId);
   }
@@ -125,7 +128,10 @@
 /** Handles an attempt that was lost without a reported end. */
 export function handleAttemptVanished(
   update: Update,
-  placed: PlacedAttempt & { readonly reason: LossCause },
+  placed: PlacedAttempt & {
+    readonly reason: LossCause;
+    readonly evidence?: LeaseEvidence;
+  },
 ): void {
   const task = findPlacedTask(update, placed);
   if (task === undefined) {
@@ -137,9 +143,10 @@
     attempt: placed.attempt,
     worker: placed.workerId,
     reason: placed.reason,
+    ...evidenceFields(placed.evidence),
   }));
   task.abandonedAttempt = placed.attempt;
-  returnToWaiting(update, task);
+  returnToWaiting(update, task, placed.reason);
   stopGang(update, task);
   requestPlacementPass(update);
 }
@@ -174,7 +181,7 @@
   const isCurrent = findPlacedTask(update, ended) === task;
   const ranMs = isCurrent ? Math.round(update.now - task.placedMs) : 0;
   if (isCurrent) {
-    returnToWaiting(update, task);
+    returnToWaiting(update, task, ended.end);
   }
   task.attempt = Math.max(task.attempt, ended.attempt);
   task.checkpoint = ended.checkpoint || task.checkpoint;
@@ -289,7 +296,12 @@
     : undefined;
 }
 
-function returnToWaiting(update: Update, task: TaskRun): void {
+function returnToWaiting(
+  update: Update,
+  task: TaskRun,
+  reason: PreviousAttempt["reason"],
+): void {
+  task.previous = { attempt: task.attempt, reason };
   subtractTeamUsage(update.write(DISPATCH_STATE), task);
   task.phase = TaskPhase.Waiting;
   task.isStopping = false;
--- a/packages/dispatch/src/dispatch_state.ts
+++ b/packages/dispatch/src/dispatch_state.ts
@@ -22,6 +22,7 @@
 } from "@mustardweir/model";
 import type { DurableProgress } from "@mustardweir/protocol";
 import { AttemptStart } from "@mustardweir/run-times";
+import type { PreviousAttempt } from "@mustardweir/sessions";
 import { FailureLog } from "./failure_log.ts";
 import type { LinkBudget } from "./link_budget.ts";
 import {
@@ -89,6 +90,8 @@
    * Attempts up to this number were abandoned; their late reports are ignored.
    */
   abandonedAttempt: number;
+  /** Its latest attempt that this owner knew of and that is over. */
+  previous: PreviousAttempt | undefined;
   /** Earliest time at which the task can be placed, in milliseconds. */
   notBeforeMs: number;
   /** Number of times that the task was preempted. */
@@ -422,6 +425,7 @@
     failedOn: new Set(),
     isInherited: stage.job.isInherited,
     abandonedAttempt: 0,
+    previous: undefined,
     notBeforeMs: 0,
     preemptions: 0,
     moves: 0,
--- a/packages/dispatch/src/starts.ts
+++ b/packages/dispatch/src/starts.ts
@@ -1,7 +1,11 @@
 import type { Update } from "@mustardweir/kernel";
 import { AttemptStart } from "@mustardweir/run-times";
 import { findValidPermit } from "@mustardweir/permits";
-import { startAttempt } from "@mustardweir/sessions";
+import {
+  type PreviousAttempt,
+  startAttempt,
+  UnknownAttempt,
+} from "@mustardweir/sessions";
 import {
   addTeamUsage,
   DISPATCH_STATE,
@@ -10,6 +14,7 @@
   type StageRun,
   taskName,
   TaskPhase,
+  type TaskRun,
 } from "./dispatch_state.ts";
 import type { Placement } from "./placement_rules.ts";
 import { WORKER_HEALTH } from "./health.ts";
@@ -54,12 +59,25 @@
       size: reservedSize(stage),
       payload,
       linkDelayMs,
+      ...previousOf(task),
       checkpoint: gang?.checkpoint ?? task.checkpoint,
       ...(permit === undefined ? {} : { permit }),
     });
   }
 }
 
+/** Returns what is known of the task's attempt before, for the log. */
+function previousOf(
+  { previous, isInherited }: TaskRun,
+): { readonly previous?: PreviousAttempt } {
+  if (previous !== undefined) {
+    return { previous };
+  }
+  return isInherited
+    ? { previous: { attempt: undefined, reason: UnknownAttempt.NotFound } }
+    : {};
+}
+
 /**
  * Returns the attempt number and the checkpoint with which all members of the
  * gang start.
--- a/packages/sessions/src/leases.ts
+++ b/packages/sessions/src/leases.ts
@@ -7,7 +7,7 @@
   incarnationOfReply,
   MAX_CLOCK_DRIFT,
 } from "./incarnations.ts";
-import type { Session } from "./session_state.ts";
+import type { LeaseEvidence, Session } from "./session_state.ts";
 
 /**
  * Length of a lease, in milliseconds. It exceeds the time to detect a failed
@@ -170,11 +170,38 @@
   session: Readonly<Session>,
   now: number,
 ): boolean {
-  const { clock } = session;
+  const evidence = leaseEvidence(session, now);
+  return evidence === undefined
+    ? now >= session.inheritedLeaseEndMs
+    : evidence.workerClockMs >= evidence.leaseUntilMs + EXPIRY_MARGIN_MS;
+}
+
+/**
+ * Returns what the worker's clock tells of its leases; undefined if that clock
+ * isn't known.
+ */
+export function leaseEvidence(
+  { clock, leaseUntilMs }: Readonly<Session>,
+  now: number,
+): LeaseEvidence | undefined {
   if (clock === undefined) {
-    return now >= session.inheritedLeaseEndMs;
+    return undefined;
   }
-  const earliestWorkerMs = clock.workerMs +
-    (now - clock.atMs) * (1 - MAX_CLOCK_DRIFT);
-  return earliestWorkerMs >= session.leaseUntilMs + EXPIRY_MARGIN_MS;
+  const readingAgeMs = now - clock.atMs;
+  return {
+    workerClockMs: clock.workerMs + readingAgeMs * (1 - MAX_CLOCK_DRIFT),
+    leaseUntilMs,
+    readingAgeMs,
+  };
+}
+
+/** Returns the evidence as fields of a log line, in whole milliseconds. */
+export function evidenceFields(
+  evidence: LeaseEvidence | undefined,
+): Readonly<Record<string, number>> {
+  return evidence === undefined ? {} : {
+    workerClockMs: Math.round(evidence.workerClockMs),
+    leaseUntilMs: Math.round(evidence.leaseUntilMs),
+    readingAgeMs: Math.round(evidence.readingAgeMs),
+  };
 }
--- a/packages/sessions/src/listings.ts
+++ b/packages/sessions/src/listings.ts
@@ -30,6 +30,7 @@
   endInheritance,
   findSession,
   isFresh,
+  type LeaseEvidence,
   LISTING_HANDLED,
   LossCause,
   markChanged,
@@ -358,9 +359,12 @@
 export function reportAllVanished(
   update: Update,
   session: Session,
-  reason: LossCause,
+  cause: {
+    readonly reason: LossCause;
+    readonly evidence?: LeaseEvidence;
+  },
 ): void {
-  reportVanished(update, session, { lost: takeAttempts(session), reason });
+  reportVanished(update, session, { lost: takeAttempts(session), ...cause });
 }
 
 function takeAttempts({ attempts }: Session): SessionAttempt[] {
@@ -379,9 +383,10 @@
 function reportVanished(
   update: Update,
   session: Readonly<Session>,
-  { lost, reason }: {
+  { lost, reason, evidence }: {
     readonly lost: readonly SessionAttempt[];
     readonly reason: LossCause;
+    readonly evidence?: LeaseEvidence;
   },
 ): void {
   markChanged(update, session.info.id);
@@ -391,6 +396,7 @@
       task,
       attempt,
       reason,
+      ...(evidence === undefined ? {} : { evidence }),
     });
   }
 }
--- a/packages/sessions/src/mod.ts
+++ b/packages/sessions/src/mod.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-export { LEASE_MS } from "./leases.ts";
+export { evidenceFields, LEASE_MS } from "./leases.ts";
 export {
   OWNER_FENCED,
   startAttempt,
--- a/packages/sessions/src/orders.ts
+++ b/packages/sessions/src/orders.ts
@@ -23,6 +23,7 @@
   FIRST_MOMENTS_MS,
   markChanged,
   type PlacedAttempt,
+  type PreviousAttempt,
   type Session,
   type SessionAttempt,
   SESSIONS,
@@ -71,6 +72,8 @@
    * way, in milliseconds; 0 by default.
    */
   readonly linkDelayMs?: number;
+  /** The task's attempt before; absent for none, and only logged. */
+  readonly previous?: PreviousAttempt;
 }
 
 /** Returns the token that orders to the worker carry now. */
@@ -90,6 +93,7 @@
   }
   const { workerId, task, attempt, size, payload, checkpoint, permit } =
     options;
+  const { previous } = options;
   overtakeAcknowledgement(update, session);
   const token = currentToken(update, session);
   session.leaseUntilMs = Math.max(session.leaseUntilMs, leaseUntilMs);
@@ -125,6 +129,10 @@
     attempt,
     worker: workerId,
     resumes: checkpoint !== undefined && checkpoint !== "",
+    ...(previous === undefined ? {} : {
+      previous: previous.attempt ?? "unknown",
+      because: previous.reason,
+    }),
   }));
 }
 
--- a/packages/sessions/src/renewals.ts
+++ b/packages/sessions/src/renewals.ts
@@ -15,8 +15,10 @@
 import { areStartsAttributed } from "./incarnations.ts";
 import {
   areLeasesExpired,
+  evidenceFields,
   isUnreadable,
   leaseEnd,
+  leaseEvidence,
   noteClock,
 } from "./leases.ts";
 import {
@@ -243,15 +245,21 @@
   if (!hasNoLease || !areLeasesExpired(session, update.now)) {
     return;
   }
+  const evidence = leaseEvidence(session, update.now);
   if (session.attempts.size > 0 || !session.isReconciled) {
     update.emit(logChange("Leases are over", {
       worker: session.info.id,
       attempts: session.attempts.size,
       silentMs: Math.round(update.now - session.answeredMs),
+      inherited: session.isInherited,
+      ...evidenceFields(evidence),
     }));
   }
   session.suspected = [...session.suspected, ...listFresh(session)];
-  reportAllVanished(update, session, LossCause.LeaseExpired);
+  reportAllVanished(update, session, {
+    reason: LossCause.LeaseExpired,
+    ...(evidence === undefined ? {} : { evidence }),
+  });
   if (isSilent) {
     markReconciled(update, session);
   } else {
--- a/packages/sessions/src/session_state.ts
+++ b/packages/sessions/src/session_state.ts
@@ -217,9 +217,37 @@
   NotListed = "not listed",
 }
 
+/** Why nothing more is known of a task's attempt before. */
+export enum UnknownAttempt {
+  /** A former owner may have started one; no worker has listed it. */
+  NotFound = "not found after takeover",
+}
+
+/** The attempt of a task before its next one, for the log. */
+export interface PreviousAttempt {
+  /** Its number; undefined if this owner doesn't know it. */
+  readonly attempt: number | undefined;
+  /** Why it doesn't run any more, as far as the owner knows. */
+  readonly reason: LossCause | OrderOutcome | AttemptEnd | UnknownAttempt;
+}
+
+/** What the end of a worker's leases was judged by; on the worker's clock. */
+export interface LeaseEvidence {
+  /** Earliest time that the worker's clock can show, in milliseconds. */
+  readonly workerClockMs: number;
+  /** Latest end of a lease that the worker may hold, in milliseconds. */
+  readonly leaseUntilMs: number;
+  /** Age of the latest reading of its clock, in milliseconds. */
+  readonly readingAgeMs: number;
+}
+
 /** Dispatched when an attempt is lost without a reported end. */
 export const ATTEMPT_VANISHED = createCommand<
-  PlacedAttempt & { readonly reason: LossCause }
+  PlacedAttempt & {
+    readonly reason: LossCause;
+    /** Present if it is lost because its lease is over. */
+    readonly evidence?: LeaseEvidence;
+  }
 >("attempt-vanished");
 /**
  * Dispatched when a worker is known to have crashed, before its attempts are
--- a/packages/sessions/src/sessions_plugin.ts
+++ b/packages/sessions/src/sessions_plugin.ts
@@ -147,6 +147,11 @@
       openSession(update, unregisteredWorker(id, record), false);
     }
   }
+  update.emit(logChange("Sessions opened", {
+    workers: sessions.byWorker.size,
+    inherited: sessions.inherited.size,
+    formerLeasesForMs: Math.round(formerLeasesEndMs(update) - update.now),
+  }));
 }
 
 /**
--- a/packages/tenure/src/claims.ts
+++ b/packages/tenure/src/claims.ts
@@ -107,7 +107,13 @@
     records.version >= tenure.openedVersion
   ) {
     tenure.phase = TenurePhase.Owner;
-    update.emit(logChange("Domain taken over", { epoch: tenure.epoch }));
+    const former = update.read(REPLICA).formerTenure?.record;
+    update.emit(logChange("Domain taken over", {
+      epoch: tenure.epoch,
+      ...(former === undefined
+        ? {}
+        : { former: former.nodeId, formerProcess: former.incarnation }),
+    }));
     update.dispatch(TENURE_GAINED, { epoch: tenure.epoch });
   }
 }
