Count a process's own former leases from the time when it gave the domain up

Cause: the record of the former owner names a node and a process, and the end of its leases was judged by the node alone. An owner that gives the domain up while the record still names it, as when a worker fences it, claims it back at once. It then took its own tenure for that of an earlier process of its node, which had ended when this one started: all its leases counted as over, before the first worker had replied, and whatever hadn't been listed yet was started again on workers that had.

--- a/packages/sessions/src/leases.ts
+++ b/packages/sessions/src/leases.ts
@@ -108,12 +108,13 @@
 /**
  * Returns when the leases that former owners may have granted are certainly over,
  * in milliseconds: they could renew them for {@link MAX_UNCONFIRMED_MS} after
- * they had lost the domain, but no longer than their processes lived.
+ * they had lost the domain, but no longer than their processes lived or than this
+ * one held the domain itself.
  */
 export function formerLeasesEndMs(update: Update): number {
   const { gainedMs } = update.read(TENURE);
   const latestMs = gainedMs + MAX_UNCONFIRMED_MS;
-  const endedMs = formerProcessEndMs(update);
+  const endedMs = formerOwnerActiveUntilMs(update);
   const { claimedMs } = update.read(REPLICA).formerTenure?.record ?? {};
   if (endedMs === undefined || claimedMs === undefined) {
     return latestMs + MAX_INHERITED_LEASE_MS;
@@ -126,16 +127,20 @@
 }
 
 /**
- * Returns a time by which the process of the former owner had ended; undefined if
- * it may still run.
+ * Returns the time after which the former owner granted no lease; undefined if it
+ * may still act.
  */
-function formerProcessEndMs(update: Update): number | undefined {
+function formerOwnerActiveUntilMs(update: Update): number | undefined {
   const replica = update.read(REPLICA);
-  const { nodeId } = update.service(NODE_IDENTITY);
-  // It was an earlier process of this node.
-  return replica.formerTenure?.record.nodeId === nodeId
-    ? update.read(TENURE).startedMs
-    : formerOwnerEndMs(replica);
+  const { nodeId, incarnation } = update.service(NODE_IDENTITY);
+  const { startedMs, lostMs } = update.read(TENURE);
+  const former = replica.formerTenure?.record;
+  if (former?.nodeId !== nodeId) {
+    return formerOwnerEndMs(replica);
+  }
+  // This process has given the domain up itself, or an earlier one had ended
+  // when it started.
+  return former.incarnation === incarnation ? lostMs : startedMs;
 }
 
 /**
--- a/packages/tenure/src/commits.ts
+++ b/packages/tenure/src/commits.ts
@@ -254,6 +254,7 @@
   tenure.inFlight = undefined;
   tenure.retryMs = 0;
   if (held) {
+    tenure.lostMs = update.now;
     update.emit(logChange("Domain given up", { epoch: tenure.epoch, reason }));
     update.dispatch(TENURE_LOST, { reason });
   }
--- a/packages/tenure/src/tenure_plugin.ts
+++ b/packages/tenure/src/tenure_plugin.ts
@@ -75,6 +75,7 @@
         isStopping: false,
         isReleasing: false,
         gainedMs: 0,
+        lostMs: undefined,
         lagMs: 0,
         stalledMs: 0,
         slowHandovers: 0,
--- a/packages/tenure/src/tenure_state.ts
+++ b/packages/tenure/src/tenure_state.ts
@@ -62,6 +62,11 @@
   isReleasing: boolean;
   /** When this node's tenure began, in milliseconds. */
   gainedMs: number;
+  /**
+   * When this process last gave the domain up, in milliseconds; undefined if it
+   * never has.
+   */
+  lostMs: number | undefined;
   /** Smoothed delay of this node's timers, in milliseconds. */
   lagMs: number;
   /**
