Never let a worker's token fall within an epoch

Cause: the round, the low part of the token, was kept with the session, which is removed 15 s after a worker has left. A worker that comes back has seen a higher round in the same epoch. It rejected the owner's newest token, and the owner took that for the sign of a newer owner.

New sessions now begin above the rounds of all that were removed in the epoch: one number for all workers, whatever their count.

Run: 9 of the 15 cases of domain_returning_worker_test.ts, those in which the session is removed and the same incarnation returns, failed before: the domain was taken over a second time. All pass now.

--- a/packages/sessions/src/session_state.ts
+++ b/packages/sessions/src/session_state.ts
@@ -168,6 +168,11 @@
 export interface Sessions {
   epoch: number;
   isActive: boolean;
+  /**
+   * First round of a new session, above the rounds of all sessions that were
+   * removed in this epoch: their workers may return and have seen them.
+   */
+  firstRound: number;
   /** Id of the latest renewal. */
   lastRenewalId: number;
   /** Ends that all workers have listed. */
--- a/packages/sessions/src/sessions_plugin.ts
+++ b/packages/sessions/src/sessions_plugin.ts
@@ -68,6 +68,7 @@
       kernel.registerState(SESSIONS, {
         epoch: 0,
         isActive: false,
+        firstRound: 1,
         lastRenewalId: 0,
         endRate: new EndRate(),
         byWorker: new Map(),
@@ -132,6 +133,7 @@
   const sessions = update.write(SESSIONS);
   sessions.epoch = epoch;
   sessions.isActive = true;
+  sessions.firstRound = 1;
   sessions.endRate = new EndRate();
   sessions.byWorker.clear();
   sessions.inherited.clear();
@@ -234,7 +236,7 @@
     isInherited: mayHaveAttempts,
     isPartial: false,
     incarnation: record?.incarnation ?? 0,
-    round: 1,
+    round: update.read(SESSIONS).firstRound,
     invalidatingToken: 0,
     acknowledgingToken: 0,
     isReconciled: false,
@@ -342,15 +344,21 @@
       );
     }
     if (canRemove(session, update.now)) {
-      update.write(SESSIONS).byWorker.delete(id);
-      markChanged(update, id);
-      queueChange(update, recordKey(RecordKind.Session, id), undefined);
-      queueChange(update, recordKey(RecordKind.Closed, id), undefined);
-      update.emit(logChange("Worker forgotten", { worker: id }));
+      removeSession(update, session);
     }
   }
 }
 
+function removeSession(update: Update, { info: { id }, round }: Session): void {
+  const sessions = update.write(SESSIONS);
+  sessions.byWorker.delete(id);
+  sessions.firstRound = Math.max(sessions.firstRound, round + 1);
+  markChanged(update, id);
+  queueChange(update, recordKey(RecordKind.Session, id), undefined);
+  queueChange(update, recordKey(RecordKind.Closed, id), undefined);
+  update.emit(logChange("Worker forgotten", { worker: id }));
+}
+
 /**
  * Records the session as soon as the worker has told its incarnation; no task is
  * started there before. A successor must know every worker that ever got a task,
