Take an earlier process of a node for ended only at the same address

Cause: a process claimed the domain at once if the record named its node, and counted the leases of an earlier process of its node from its own start; other nodes took a later process's record for the end of the earlier one. If both run for a moment, as when one is slow to end or a machine is replaced under its name, the earlier one grants leases for up to 4 s after its last commit, longer than the later one or a third node waits. And if both reach the store, each claims from the other for as long as both run.

Ruled out: two processes at one address. A listener starts before the loop and closes after it, an address in use ends the start (run_node_test.ts, now also link_performer_test.ts with real listeners), and a paused process keeps its listener.

Change: the tenure record tells the owner's address for peers. "An earlier process here that has ended" (OwnerProcess.EndedHere) is concluded only for the same address; else the record counts as any other node's. The same for the end that a third node reads from the node's record. Records without an address count as before. The simulation can start a process beside an earlier one; without that option a start ends the earlier one, as a supervisor would.

--- a/packages/prove/src/domain/domain_cluster.ts
+++ b/packages/prove/src/domain/domain_cluster.ts
@@ -200,6 +200,17 @@
   readonly startDelayMs?: number;
 }
 
+/** How a process of a simulated node is started. */
+export interface StartOptions {
+  /** host:port for peers; the same for all processes of a node by default. */
+  readonly peerAddress?: string;
+  /**
+   * Whether the node's earlier process runs on if it hasn't ended; false by
+   * default.
+   */
+  readonly besideEarlier?: boolean;
+}
+
 /** Combined nodes, workers and the platform's store, in virtual time. */
 export class DomainCluster {
   readonly clock = new VirtualClock();
@@ -342,7 +353,18 @@
     return this.#nodes.get(nodeId)!.wakeUps;
   }
 
-  startNode(nodeId: string): void {
+  /**
+   * Starts a process under a node's id. An earlier one that runs on is known to
+   * the store, the workers and the links by its incarnation from then on, so
+   * that faults can be set for each of the two.
+   */
+  startNode(
+    nodeId: string,
+    { peerAddress = `${nodeId}:1`, besideEarlier = false }: StartOptions = {},
+  ): void {
+    if (!besideEarlier) {
+      this.#nodes.get(nodeId)?.kill();
+    }
     const { linkMbps, profileOf, remoteFactor, waitPolicy, measure } =
       this.#options;
     const { cores } = profileOf?.(Number(nodeId.slice(1))) ?? {};
@@ -354,7 +376,7 @@
           role: Role.Combined,
           incarnation: `${nodeId}-${++this.#startCount}`,
           availabilityZone: "zone-0",
-          peerAddress: `${nodeId}:1`,
+          peerAddress,
           seedPeers: [],
           ...(linkMbps === undefined ? {} : { linkMbps }),
           ...(cores === undefined ? {} : { cores }),
@@ -577,8 +599,15 @@
     }
   }
 
+  /** The newest process of a node is known by the node's id. */
+  #nameOf({ nodeId, identity }: SimulatedNode): string {
+    return this.#nodes.get(nodeId)?.identity === identity
+      ? nodeId
+      : identity.incarnation;
+  }
+
   #perform(node: SimulatedNode, effect: NodeEffect): void {
-    const from = node.nodeId;
+    const from = this.#nameOf(node);
     this.#options.onEffect?.(effect, from);
     switch (effect.kind) {
       case EffectKind.CommitRecords:
@@ -644,7 +673,7 @@
         if (!this.#downLinks.has(`${from}-${effect.to}`)) {
           this.clock.after(1, () =>
             peer?.post(PEER_MESSAGE_RECEIVED, {
-              from,
+              from: node.nodeId,
               message: effect.message,
             }));
         }
@@ -661,7 +690,9 @@
         break;
       case EffectKind.Stopped:
         node.kill();
-        this.clock.after(RESTART_DELAY_MS, () => this.startNode(from));
+        if (from === node.nodeId) {
+          this.clock.after(RESTART_DELAY_MS, () => this.startNode(from));
+        }
         break;
       default:
         break;
--- a/packages/replica/src/record_keys.ts
+++ b/packages/replica/src/record_keys.ts
@@ -57,6 +57,11 @@
 export interface TenureRecord {
   readonly nodeId: string;
   readonly incarnation: string;
+  /**
+   * host:port at which the owner accepts peers, empty if it accepts none; absent
+   * if an earlier version wrote it.
+   */
+  readonly address?: string;
   readonly epoch: number;
   /**
    * Differs for each commit of an epoch, so that an earlier commit is not
--- a/packages/replica/src/replica.ts
+++ b/packages/replica/src/replica.ts
@@ -217,6 +217,26 @@
   return isStandby && sources[Source.Records].isListed;
 }
 
+/**
+ * Returns whether the process that a tenure record names has ended, given another
+ * process of its node that listens: a process listens before it acts and until
+ * it has stopped, and an address has one listener at a time. Records of earlier
+ * versions tell no address; their process counts as ended.
+ *
+ * @example
+ * ```ts
+ * hasOwnerEnded(record, { incarnation: "b", address: "10.0.0.1:7180" });
+ * ```
+ */
+export function hasOwnerEnded(
+  record: Pick<TenureRecord, "incarnation" | "address">,
+  later: Pick<NodeRecord, "incarnation" | "address">,
+): boolean {
+  const { incarnation, address = later.address } = record;
+  return incarnation !== later.incarnation && address !== "" &&
+    address === later.address;
+}
+
 /** A write takes effect within this time of being sent, or never, in ms. */
 const MAX_WRITE_DELAY_MS = 12_000;
 
@@ -231,11 +251,12 @@
   if (formerTenure === undefined || storeClockOffsetMs === undefined) {
     return undefined;
   }
-  const { record: { nodeId, incarnation, claimedMs }, version } = formerTenure;
-  const node = nodes.get(nodeId);
+  const { record, version } = formerTenure;
+  const { claimedMs } = record;
+  const node = nodes.get(record.nodeId);
   if (
     node?.renewedMs === undefined || claimedMs === undefined ||
-    node.incarnation === incarnation || (node.version ?? 0) <= version
+    !hasOwnerEnded(record, node) || (node.version ?? 0) <= version
   ) {
     return undefined;
   }
--- a/packages/sessions/src/leases.ts
+++ b/packages/sessions/src/leases.ts
@@ -1,7 +1,12 @@
 import type { Update } from "@mustardweir/kernel";
 import { NODE_IDENTITY, type WorkerListing } from "@mustardweir/protocol";
 import { formerOwnerEndMs, REPLICA, storeNow } from "@mustardweir/replica";
-import { isOwner, TENURE } from "@mustardweir/tenure";
+import {
+  identifyOwner,
+  isOwner,
+  OwnerProcess,
+  TENURE,
+} from "@mustardweir/tenure";
 import {
   hasStartedAnew,
   incarnationOfReply,
@@ -132,15 +137,19 @@
  */
 function formerOwnerActiveUntilMs(update: Update): number | undefined {
   const replica = update.read(REPLICA);
-  const { nodeId, incarnation } = update.service(NODE_IDENTITY);
   const { startedMs, lostMs } = update.read(TENURE);
   const former = replica.formerTenure?.record;
-  if (former?.nodeId !== nodeId) {
-    return formerOwnerEndMs(replica);
+  if (former === undefined) {
+    return undefined;
+  }
+  switch (identifyOwner(update, former)) {
+    case OwnerProcess.This:
+      return lostMs;
+    case OwnerProcess.EndedHere:
+      return startedMs;
+    case OwnerProcess.Other:
+      return formerOwnerEndMs(replica);
   }
-  // This process has given the domain up itself, or an earlier one had ended
-  // when it started.
-  return former.incarnation === incarnation ? lostMs : startedMs;
 }
 
 /**
--- a/packages/tenure/src/claims.ts
+++ b/packages/tenure/src/claims.ts
@@ -20,6 +20,7 @@
 import { callStore } from "@mustardweir/store-route";
 import { loseTenure } from "./commits.ts";
 import { liveStandbys } from "./nodes.ts";
+import { identifyOwner, OwnerProcess, ownProcess } from "./owner_process.ts";
 import { orderCandidates } from "./strength.ts";
 import {
   OWNER_TIMEOUT_MS,
@@ -67,10 +68,8 @@
  * handed to this one, and gives the domain up if another node owns it.
  */
 export function applyTenureRecord(update: Update, known: KnownTenure): void {
-  const { nodeId, incarnation } = update.service(NODE_IDENTITY);
   const tenure = update.write(TENURE);
-  const isOwnRecord = known.record.nodeId === nodeId &&
-    known.record.incarnation === incarnation;
+  const isOwnRecord = identifyOwner(update, known.record) === OwnerProcess.This;
   const isOwning = tenure.phase === TenurePhase.Owner ||
     tenure.phase === TenurePhase.Opening;
   if (isOwnRecord && !isOwning && known.record.epoch > tenure.epoch) {
@@ -139,12 +138,10 @@
   update: Update,
   known: KnownTenure | undefined,
 ): number {
-  const { nodeId } = update.service(NODE_IDENTITY);
   if (known === undefined) {
     return claimRank(update, "") * FIRST_OWNER_RANK_DELAY_MS;
   }
-  // The record names an earlier process of this node, which no longer runs.
-  if (known.record.nodeId === nodeId) {
+  if (identifyOwner(update, known.record) !== OwnerProcess.Other) {
     return -Infinity;
   }
   const timedOutMs = known.seenMs + OWNER_TIMEOUT_MS;
@@ -163,11 +160,9 @@
 }
 
 function sendClaim(update: Update, known: KnownTenure | undefined): void {
-  const { nodeId, incarnation } = update.service(NODE_IDENTITY);
   const epoch = (known?.record.epoch ?? 0) + 1;
   const record: TenureRecord = {
-    nodeId,
-    incarnation,
+    ...ownProcess(update),
     epoch,
     sequence: 1,
     closesSince: known?.record.closesSince ?? epoch,
--- a/packages/tenure/src/commits.ts
+++ b/packages/tenure/src/commits.ts
@@ -23,6 +23,7 @@
 import { callStore } from "@mustardweir/store-route";
 import { findFasterNode } from "./lag.ts";
 import { liveStandbys } from "./nodes.ts";
+import { identifyOwner, OwnerProcess, ownProcess } from "./owner_process.ts";
 import { selectStrongest } from "./strength.ts";
 import {
   CHANGE_REJECTED,
@@ -217,9 +218,8 @@
     committed(update, inFlight, record.version);
     return;
   }
-  const { incarnation, nodeId } = update.service(NODE_IDENTITY);
-  const isOwnTenure = held?.nodeId === nodeId &&
-    held.incarnation === incarnation &&
+  const isOwnTenure = held !== undefined &&
+    identifyOwner(update, held) === OwnerProcess.This &&
     held.epoch === tenure.epoch;
   if (record !== undefined && isOwnTenure) {
     tenure.version = record.version;
@@ -288,10 +288,8 @@
   },
 ): RecordTransaction {
   const { epoch, version, closesSince, claimedMs } = update.read(TENURE);
-  const { nodeId, incarnation } = update.service(NODE_IDENTITY);
   const tenure: TenureRecord = successor ?? {
-    nodeId,
-    incarnation,
+    ...ownProcess(update),
     epoch,
     sequence,
     closesSince,
@@ -325,6 +323,7 @@
   return next && {
     nodeId: next.nodeId,
     incarnation: next.incarnation,
+    address: next.address,
     epoch: epoch + 1,
     sequence: 1,
     claimedMs: storeNow(update),
--- a/packages/tenure/src/mod.ts
+++ b/packages/tenure/src/mod.ts
@@ -6,5 +6,6 @@
  */
 export { allReadSettled, liveNodes, liveStandbys } from "./nodes.ts";
 export { loseTenure } from "./commits.ts";
+export { identifyOwner, OwnerProcess } from "./owner_process.ts";
 export * from "./tenure_plugin.ts";
 export * from "./tenure_state.ts";
--- a/packages/wire/src/link_performer_test.ts
+++ b/packages/wire/src/link_performer_test.ts
@@ -241,6 +241,34 @@
   }
 });
 
+/** How far the earlier process of a node is when the next one starts. */
+const LISTENER_CASES = [
+  { name: "can't listen while the earlier one runs", isClosed: false },
+  { name: "listens once the earlier one has closed", isClosed: true },
+];
+
+// Guards against two processes of one node that both act at the same address:
+// a process takes its own start for the end of the earlier one.
+describe("a node's next process", () => {
+  for (const { name, isClosed } of LISTENER_CASES) {
+    it(name, async () => {
+      const harness = new TestHarness();
+      const earlier = await harness.node({ nodeId: "a", incarnation: "1" });
+      const { port } = earlier.links;
+      if (isClosed) {
+        await earlier.links.close();
+      }
+      const next = harness.node({ nodeId: "a", incarnation: "2", port });
+      const error = await next.then(
+        () => undefined,
+        (reason: NodeJS.ErrnoException) => reason.code,
+      );
+      await harness.close();
+      expect(error).to.equal(isClosed ? undefined : "EADDRINUSE");
+    });
+  }
+});
+
 describe("LinkPerformer links the other peers and rejects nothing", () => {
   for (const address of ODD_ADDRESSES) {
     it(`if one is listed at ${JSON.stringify(address)}`, async () => {
