Take replies to relayed calls only from the peer and for the process that asked

Cause: a node that reaches the store through peers numbered its requests from 1 in each process, and took a reply by its number alone. A peer replies to the node, whichever process of it is there by then: a reply to the earlier process (requests last up to 1.7 s, queued replies 2 s more) counted for the next one's request of the same number, a commit or a read of another source alike.

Ruled out: permit queries, whose numbers begin with the epoch; replies to calls that the process itself makes, which end with it. A restarted node relays only after it has read the nodes' records directly, so that the fault needs a store that is lost again within these seconds, or two processes at once; it wasn't reproduced in the domain simulation.

Change: each process begins at a random one of 2^30 ranges of numbers, and a reply counts only from the peer that was asked. The messages stay as they are.

--- a/packages/store-route/src/calls.ts
+++ b/packages/store-route/src/calls.ts
@@ -37,6 +37,11 @@
 /** Time allowed for a relayed call beyond its own timeout, in milliseconds. */
 const RELAY_ALLOWANCE_MS = 100;
 
+/** Number of ranges of ids of which each process takes a random one. */
+const ID_RANGES = 2 ** 30;
+/** Ids in a range; the highest id is below the largest safe integer. */
+const IDS_PER_RANGE = 2 ** 20;
+
 type StoreResult = RecordCommitResult | SourceResult;
 
 /** The context of a call of this node that is in flight. */
@@ -206,11 +211,12 @@
  */
 export function handleStoreReply(
   update: Update,
+  from: string,
   { requestId, result }: StoreReply,
 ): void {
   const route = update.write(STORE_ROUTE);
   const relayed = route.relayed.get(requestId);
-  if (relayed === undefined) {
+  if (relayed?.peer !== from) {
     return;
   }
   route.relayed.delete(requestId);
@@ -251,11 +257,13 @@
   const peers = route.peers.filter((peer) =>
     (route.backoffUntilMs.get(peer) ?? 0) <= update.now
   );
-  const peer = peers[route.lastRequestId % Math.max(peers.length, 1)];
+  const lastRequestId = route.lastRequestId ??= randomFirstId(update);
+  const peer = peers[lastRequestId % Math.max(peers.length, 1)];
   if (peer === undefined) {
     return false;
   }
-  const requestId = ++route.lastRequestId;
+  const requestId = lastRequestId + 1;
+  route.lastRequestId = requestId;
   route.relayed.set(requestId, {
     call,
     replyTo: reply,
@@ -268,6 +276,14 @@
   return true;
 }
 
+/**
+ * Returns where a process begins to number its requests: a reply to a request of
+ * an earlier process of this node may still arrive.
+ */
+function randomFirstId(update: Update): number {
+  return update.random.below(ID_RANGES) * IDS_PER_RANGE;
+}
+
 function deliverResult(
   update: Update,
   reply: ReplyTo<never>,
--- a/packages/store-route/src/route_plugin.ts
+++ b/packages/store-route/src/route_plugin.ts
@@ -54,7 +54,7 @@
         nextProbeMs: 0,
         backoffUntilMs: new Map(),
         relayed: new Map(),
-        lastRequestId: 0,
+        lastRequestId: undefined,
         lostCalls: 0,
         awayUntilMs: 0,
         peers: [],
@@ -82,7 +82,7 @@
           if (message.kind === PeerMessageKind.StoreRequest) {
             relayForPeer(update, from, message);
           } else if (message.kind === PeerMessageKind.StoreReply) {
-            handleStoreReply(update, message);
+            handleStoreReply(update, from, message);
           }
         },
         Normal,
--- a/packages/store-route/src/route_state.ts
+++ b/packages/store-route/src/route_state.ts
@@ -21,7 +21,8 @@
   readonly backoffUntilMs: Map<string, number>;
   /** By request id: calls of this node that peers make. */
   readonly relayed: Map<number, RelayedCall>;
-  lastRequestId: number;
+  /** Undefined before the first request of this process. */
+  lastRequestId: number | undefined;
   /** Consecutive calls that failed directly and through peers. */
   lostCalls: number;
   /**
