Count no vouch for a request of a scheduler's earlier process

Cause: a vouch tells when it was asked for by the asking process's steady clock, which begins anew with each process. Peers reply to the node, and links keep messages for 2 s while it restarts; a reply to a process that had run for an hour counts for an hour ahead. With such replies of a majority, in an outage of the table, a configuration would stay in force without being confirmed, a withdrawn key among others.

Change: a vouch that was asked for in the future isn't counted; what it reports of newer owners and leaving instances still is. Left: a process that ran for less than the 4 s for which a message lasts.

Run: the new case of vouching_test.ts failed before (confirmed 10,000 s ahead); the 32 tests of packages/membership pass.

--- a/packages/membership/src/confirmation_plugin.ts
+++ b/packages/membership/src/confirmation_plugin.ts
@@ -148,6 +148,10 @@
 function handleVouch(update: Update, from: string, vouch: Vouch): void {
   update.dispatch(CLAIMS_SUPERSEDED, { superseded: vouch.superseded });
   addLeaving(update, vouch.leaving);
+  if (vouch.tickMs > update.now) {
+    // It replies to an earlier process of this node, by that one's clock.
+    return;
+  }
   const { vouchedAt, informedAt } = update.write(VOUCHING);
   informedAt.set(
     from,
--- a/packages/membership/src/vouching_test.ts
+++ b/packages/membership/src/vouching_test.ts
@@ -156,6 +156,17 @@
     },
     expected: START + 250,
   },
+  {
+    // It would confirm the configuration and all units for hours.
+    name: "replies to an earlier process, whose clock was ahead, do not count",
+    act: (node: TestNode) => {
+      const tickMs = START + 10_000_000;
+      ["s2", "s3", "s4"].forEach((peer) =>
+        node.vouch(START + 100, peer, { tickMs })
+      );
+    },
+    expected: -Infinity,
+  },
 ] as const;
 
 const ANSWER_CASES = [
