Never take a unit again under an epoch that was given up

What callers would see: tasks of a slice that start twice, or asks for room that are declined for no reason, after an outage of the table in which a successor gave the slice up and took it back in the same process.

Cause: newestEpoch knows the row and the claims of peers, not the node's own. While the table can't be written, the row shows the former owner, so that a successor that gave the slice up (a worker fenced it, or it released the slice) found its reserved epoch above the newest one and took the slice again under the same epoch. A new tenure numbers its starts from 1 and knows no asks, but its workers, the homes and the replies under way see the epoch that they know.

Ruled out: claims by a write, whose epoch exceeds all reserved ones; leases of an own former tenure, which count from the new tenure on in state Unknown.

Change: an epoch counts as claimed from the time when its owner loses the unit.

The doubled start itself isn't shown by a run. Not changed: a successor that is restarted between two outages may still use its reserved epoch once more.

--- a/packages/membership/src/claims.ts
+++ b/packages/membership/src/claims.ts
@@ -5,7 +5,7 @@
 
 /** The claims in messages of peers. */
 export interface PeerClaimsState {
-  /** Highest epoch that any node has claimed for a unit. */
+  /** Highest epoch that a peer has claimed, or this node given up, by unit. */
   readonly epochs: Map<string, number>;
   /** By unit and node: the epoch in the node's latest heartbeat. */
   readonly claimants: Map<string, Map<string, number>>;
--- a/packages/membership/src/owned_units.ts
+++ b/packages/membership/src/owned_units.ts
@@ -4,6 +4,7 @@
   NODE_IDENTITY,
   type OwnedUnit,
 } from "@mustardweir/protocol";
+import { recordClaims } from "./claims.ts";
 import { sendHeartbeat } from "./heartbeat_plugin.ts";
 import { OWNED, type Owned, UNIT_ACQUIRED, UNIT_LOST } from "./owned.ts";
 import { OWNERSHIP } from "./ownership.ts";
@@ -16,12 +17,21 @@
   sendHeartbeat(update);
 }
 
-/** Ends this node's ownership of a unit. */
+/**
+ * Ends this node's ownership of a unit. Its epoch counts as claimed from then
+ * on: taken again under it, the unit would number its starts anew, and orders of
+ * the former tenure would still be carried out.
+ */
 export function loseUnit(update: Update, unit: string): void {
-  if (update.write(OWNED).units.delete(unit)) {
-    update.emit(logChange("Unit lost", { unit }));
-    update.dispatch(UNIT_LOST, { unit });
+  const { units } = update.write(OWNED);
+  const owned = units.get(unit);
+  if (owned === undefined) {
+    return;
   }
+  units.delete(unit);
+  recordClaims(update, [{ unit, epoch: owned.epoch }]);
+  update.emit(logChange("Unit lost", { unit }));
+  update.dispatch(UNIT_LOST, { unit });
 }
 
 /** Gives a unit up if its row names another owner or a higher epoch. */
--- a/packages/membership/src/succession_test.ts
+++ b/packages/membership/src/succession_test.ts
@@ -18,6 +18,7 @@
   OWNERSHIP,
   OwnershipFollowerPlugin,
   sliceUnit,
+  UNIT_SUPERSEDED,
   VouchPlugin,
 } from "./mod.ts";
 
@@ -55,6 +56,8 @@
     ],
   });
   now = 0;
+  /** Number of times that this node became the owner of the slice. */
+  acquisitions = 0;
 
   constructor(successors: readonly string[]) {
     this.kernel.registerService(NODE_IDENTITY, {
@@ -99,9 +102,19 @@
       });
       effects.push(...this.kernel.advance(this.now) as NodeEffect[]);
     }
+    this.acquisitions +=
+      effects.filter((effect) =>
+        effect.kind === EffectKind.LogChange &&
+        effect.message === "Unit acquired"
+      ).length;
     return effects;
   }
 
+  /** Reports a newer owner of the slice, as a worker that knows it does. */
+  supersede(epoch: number): void {
+    this.kernel.run(UNIT_SUPERSEDED, { unit: UNIT, epoch }, this.now);
+  }
+
   get epoch(): number | undefined {
     return this.kernel.read(OWNED).units.get(UNIT)?.epoch;
   }
@@ -157,6 +170,19 @@
   },
 ] as const;
 
+const GIVING_UP_CASES = [
+  {
+    name: "a slice is not taken again under an epoch that was given up",
+    act: (node: TestNode) => {
+      node.pass(6_000, ["s3"]);
+      node.supersede(18);
+      node.pass(6_000, ["s3"]);
+    },
+    expected: undefined,
+    acquisitions: 1,
+  },
+] as const;
+
 describe("Epochs", () => {
   for (const { name, actual, expected } of EPOCH_CASES) {
     it(name, () => expect(actual).to.equal(expected));
@@ -172,6 +198,16 @@
     });
   }
 
+  // Guards against starts that are numbered anew within an epoch.
+  for (const { name, act, expected, acquisitions } of GIVING_UP_CASES) {
+    it(name, () => {
+      const node = new TestNode(["s1", "s3"]);
+      act(node);
+      expect(node.epoch).to.equal(expected);
+      expect(node.acquisitions).to.equal(acquisitions);
+    });
+  }
+
   it("writes the row once the table can be read again", () => {
     const node = new TestNode(["s1", "s3"]);
     node.pass(6_000, ["s3"]);
