Hand no unit over while the table can't be read

What callers would see: tasks of a whole slice killed, or a home that doesn't reply, for the rest of an outage of the table, if a scheduler that ranks first for the slice was back for 10 s by then.

Cause: rebalance gave the unit up before it wrote the release, and didn't look at whether the table can be reached. An owner by the row was then without the slice until the table was back; its successors saw its heartbeats and didn't take over, so that leases ended. A successor took the slice again at once, six times in 15 s in the test, each time as a new owner that knows no worker.

Change: a unit is handed over only if the table was read within the time that claims need it, too.

Evidence: of the three new cases of succession_test.ts two failed before; the third shows that the hand-over still takes place once the table is read. The end of leases follows by reading; no run shows it.

--- a/packages/membership/src/releasing.ts
+++ b/packages/membership/src/releasing.ts
@@ -12,7 +12,9 @@
 import { isStopping, markStopping } from "./heartbeat_plugin.ts";
 import { OWNED } from "./owned.ts";
 import { loseUnit } from "./owned_units.ts";
+import { OWNERSHIP } from "./ownership.ts";
 import { writeRow } from "./ownership_write.ts";
+import { PEER_TIMEOUT_MS } from "./peers.ts";
 import { rankCandidates } from "./rendezvous.ts";
 
 /**
@@ -34,10 +36,14 @@
   "release-answered",
 );
 
-/** Releases one unit for which another live scheduler ranks first. */
+/**
+ * Releases one unit for which another live scheduler ranks first. A release that
+ * can't be written would leave the unit without an owner.
+ */
 export function rebalance(update: Update): void {
   const claims = update.read(CLAIMS);
-  if (isStopping(update)) {
+  const { scannedAt } = update.read(OWNERSHIP);
+  if (isStopping(update) || update.now - scannedAt > PEER_TIMEOUT_MS) {
     return;
   }
   const candidates = listCandidates(update).filter(({ nodeId }) =>
--- a/packages/membership/src/succession_test.ts
+++ b/packages/membership/src/succession_test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { CLAIMS } from "./claim_state.ts";
 import { nextEpoch, reservedEpoch } from "./epochs.ts";
 import { Kernel, Role } from "@mustardweir/kernel";
 import { CONFIGURATION, ConfigurationPlugin } from "@mustardweir/configuration";
@@ -115,6 +116,37 @@
     this.kernel.run(UNIT_SUPERSEDED, { unit: UNIT, epoch }, this.now);
   }
 
+  /** Lets the peers rank before this node as owners of the slice. */
+  preferPeers(): void {
+    this.kernel.update(this.now, (update) => {
+      const claims = update.write(CLAIMS);
+      claims.needed = [{ unit: UNIT, availabilityZone: "tx-b" }];
+      claims.neededVersion = update.read(CONFIGURATION).current.version;
+    });
+  }
+
+  /** Makes this node the owner by the row. */
+  own(): void {
+    this.kernel.update(this.now, (update) => {
+      update.write(OWNERSHIP).rows.set(UNIT, {
+        row: { owner: "s1", epoch: 8, successors: [] },
+        version: 1,
+      });
+      update.write(OWNED).units.set(UNIT, {
+        epoch: 8,
+        version: 1,
+        acquiredAt: this.now,
+        isFirstOwner: true,
+      });
+    });
+  }
+
+  readTable(): void {
+    this.kernel.update(this.now, (update) => {
+      update.write(OWNERSHIP).scannedAt = this.now;
+    });
+  }
+
   get epoch(): number | undefined {
     return this.kernel.read(OWNED).units.get(UNIT)?.epoch;
   }
@@ -171,6 +203,40 @@
 ] as const;
 
 const GIVING_UP_CASES = [
+  {
+    name: "a successor keeps a slice that it can't hand over",
+    act: (node: TestNode) => {
+      node.pass(6_000, ["s3"]);
+      node.preferPeers();
+      node.pass(15_000, ["s3"]);
+    },
+    expected: 17,
+    acquisitions: 1,
+  },
+  {
+    name: "an owner keeps a slice that it can't hand over",
+    act: (node: TestNode) => {
+      node.own();
+      node.preferPeers();
+      node.pass(15_000, ["s3"]);
+    },
+    expected: 8,
+    acquisitions: 0,
+  },
+  {
+    name: "an owner hands a slice over once the table can be read",
+    act: (node: TestNode) => {
+      node.own();
+      node.preferPeers();
+      node.pass(15_000, ["s3"]);
+      node.readTable();
+      node.pass(1_000, ["s3"]);
+      node.readTable();
+      node.pass(1_000, ["s3"]);
+    },
+    expected: undefined,
+    acquisitions: 0,
+  },
   {
     name: "a slice is not taken again under an epoch that was given up",
     act: (node: TestNode) => {
@@ -198,7 +264,8 @@
     });
   }
 
-  // Guards against starts that are numbered anew within an epoch.
+  // Guards against a slice that nobody owns until the table can be written, and
+  // against starts that are numbered anew within an epoch.
   for (const { name, act, expected, acquisitions } of GIVING_UP_CASES) {
     it(name, () => {
       const node = new TestNode(["s1", "s3"]);
