Keep the leases of predecessors in mind once a worker has replied

Cause: the first reply of a worker to a successor set the end of its leases to 0 on the worker's clock, as the first renewal carries none. From then on neither the record of a long lease nor the leases of a predecessor that lives on were looked at. Two ways to a second run: a worker that had begun anew holds a lease of 10 s, its successor hears of it once, grants 4 s and takes that for all; and a successor that hears of a worker when it may not grant leases takes a silent worker's leases for over at once, while the predecessor had just renewed them.

At the first reply the end is now set to what predecessors can have granted: at most an ordinary lease from the reading on, as the worker rejects their tokens since, no later than by the bound of the takeover, and the recorded long lease. Ruled out: to wait for the bound of the takeover in any case, which is up to 4 s later for a worker that has crashed.

--- a/packages/sessions/src/leases.ts
+++ b/packages/sessions/src/leases.ts
@@ -69,6 +69,12 @@
   const { clock } = session;
   const reply = { workerMs, sentMs, answeredMs: update.now };
   const isNewClock = hasStartedAnew(clock, reply);
+  if (clock === undefined) {
+    session.leaseUntilMs = inheritedLeaseUntilMs(session, {
+      workerMs,
+      now: update.now,
+    });
+  }
   session.clock = {
     workerMs,
     sentMs,
@@ -85,6 +91,19 @@
   );
 }
 
+/**
+ * Returns the latest end of a lease that predecessors may have granted, on the
+ * worker's clock, at the first reply to this owner: the worker rejects their
+ * tokens from then on, so that they can't have granted any later.
+ */
+function inheritedLeaseUntilMs(
+  { inheritedLeaseEndMs, longLeaseEndMs }: Readonly<Session>,
+  { workerMs, now }: { readonly workerMs: number; readonly now: number },
+): number {
+  const ordinaryMs = Math.min(LEASE_MS, inheritedLeaseEndMs - now);
+  return workerMs + Math.max(ordinaryMs, longLeaseEndMs - now, 0);
+}
+
 /** Notes that the worker may hold the longest lease that it grants. */
 export function assumeLongestLease(update: Update, session: Session): void {
   const maxMs = maxGrantedMs(update);
