Let a successor know of the long lease of a worker that began anew

The owner now asks for the listing at once and without a wait when a reply shows that the clock has begun anew, whatever renewal is under way. And a worker that is in use by its record and has registered as another incarnation than the recorded one may hold the longest lease: its successor waits for that if the worker is silent. An incarnation that isn't known is no other one. A worker that replies is waited for as before.

Not closed: the owner is lost in the moments before the record is durable (one renewal and one commit), and the worker neither registers nor replies.

The test's wait for a renewal compared times of two clocks and didn't wait at all; it does now.

--- a/packages/prove/src/domain/domain_former_leases_test.ts
+++ b/packages/prove/src/domain/domain_former_leases_test.ts
@@ -1,4 +1,5 @@
 import "./plugins.ts";
+import { OrderKind } from "@mustardweir/protocol";
 import { SESSIONS } from "@mustardweir/sessions";
 import { expect } from "chai";
 import {
@@ -8,15 +9,23 @@
   stageSpec,
 } from "./domain_cluster.ts";
 import { findViolations } from "./domain_oracle.ts";
+import type { DomainWorker } from "./domain_worker.ts";
 
 const SEEDS = [1, 2, 3];
 const WARM_UP_MS = 15_000;
 const DOWN_MS = 50;
+/**
+ * Time in which an owner has the replies to starts and records what they tell, in
+ * milliseconds.
+ */
+const REPLIES_MS = 100;
 /** Time from a restart until the worker registers, in milliseconds. */
 const REGISTERS_AFTER_MS = 700;
 /** Run time of tasks that outlast an ordinary lease, in milliseconds. */
 const RUN_MS = 9_500;
+const LONG_TASKS = 3;
 const SHORT_RUN_MS = 300;
+const SHORT_TASKS = 1;
 /** Time from the start of the tasks until a fault, in milliseconds. */
 const FAULT_AFTER_MS = 2_000;
 /** Longest time that a condition is waited for, in milliseconds. */
@@ -45,10 +54,47 @@
       cluster.kill(cluster.owner!);
       runUntil(
         cluster,
-        () => cluster.epoch > epoch && isHeardOf(cluster, workerId),
+        () =>
+          cluster.epoch > epoch && lastHeardMs(cluster, workerId) !== undefined,
       );
     },
   },
+  {
+    name: "a worker that began anew is lost with the owner after its replies",
+    injectFault: (cluster, workerId) => {
+      restart(cluster, workerId, { registersAfterMs: SETTLE_MS });
+      submitTasks(cluster, workerId, { runForMs: REPLIES_MS });
+      cluster.kill(cluster.owner!);
+    },
+  },
+  {
+    name:
+      "a worker that began anew is lost with the owner, a renewal under way",
+    injectFault: (cluster, workerId) => {
+      restart(cluster, workerId, {
+        registersAfterMs: SETTLE_MS,
+        isAsked: true,
+      });
+      submitTasks(cluster, workerId, { runForMs: REPLIES_MS });
+      cluster.kill(cluster.owner!);
+    },
+  },
+  {
+    name: "a worker that began anew is lost with the owner before its replies",
+    injectFault: (cluster, workerId) => {
+      restart(cluster, workerId);
+      submitTasks(cluster, workerId, { runForMs: 0 });
+      cluster.kill(cluster.owner!);
+    },
+  },
+  {
+    name: "a worker that began anew and registers is lost with the owner",
+    injectFault: (cluster, workerId) => {
+      restart(cluster, workerId, { registersAfterMs: REPLIES_MS });
+      submitTasks(cluster, workerId, { runForMs: 0 });
+      cluster.kill(cluster.owner!);
+    },
+  },
   {
     name: "a successor hears once of a worker when it may not grant leases",
     nodes: 2,
@@ -67,7 +113,7 @@
       store.faults.refused.add(successor);
       clock.runUntil(clock.now + UNCONFIRMED_MS);
       workers.get(workerId)!.faults.unreachableFrom.delete(successor);
-      runUntil(cluster, () => isHeardOf(cluster, workerId));
+      runUntil(cluster, () => lastHeardMs(cluster, workerId) !== undefined);
       clock.after(MISS_MS, () => store.faults.refused.delete(successor));
       clock.after(SETTLE_MS, () => {
         store.faults.silent.clear();
@@ -87,26 +133,53 @@
   }
 }
 
-/** Returns whether the owner has just had a reply to a renewal. */
-function isHeardOf(cluster: DomainCluster, workerId: string): boolean {
-  const { owner, clock } = cluster;
+/** Returns when the owner last heard of the worker; undefined if it never has. */
+function lastHeardMs(
+  cluster: DomainCluster,
+  workerId: string,
+): number | undefined {
+  const { owner } = cluster;
   const session = owner === undefined
     ? undefined
     : cluster.kernelOf(owner).read(SESSIONS).byWorker.get(workerId);
-  return session?.clock !== undefined && session.missed === 0 &&
-    clock.now - session.answeredMs <= 1;
+  return session?.clock === undefined ? undefined : session.answeredMs;
+}
+
+/** Runs the cluster until a renewal is on its way to the worker. */
+function runUntilAsked(cluster: DomainCluster, worker: DomainWorker): void {
+  const order = worker.order.bind(worker);
+  let isAsked = false;
+  worker.order = (sent, from, options) => {
+    isAsked ||= sent.kind === OrderKind.Renew;
+    order(sent, from, options);
+  };
+  runUntil(cluster, () => isAsked);
+  worker.order = order;
 }
 
 /** Lets an idle worker begin anew; the owner doesn't know it for a while. */
-function restart(cluster: DomainCluster, workerId: string): void {
+function restart(
+  cluster: DomainCluster,
+  workerId: string,
+  { registersAfterMs = REGISTERS_AFTER_MS, isAsked = false }: {
+    readonly registersAfterMs?: number;
+    /** Whether it ends when it is asked for a listing; just after by default. */
+    readonly isAsked?: boolean;
+  } = {},
+): void {
   const { clock, store, workers } = cluster;
   const worker = workers.get(workerId)!;
-  runUntil(cluster, () => isHeardOf(cluster, workerId));
+  if (isAsked) {
+    runUntilAsked(cluster, worker);
+  } else {
+    const heardMs = lastHeardMs(cluster, workerId);
+    runUntil(cluster, () => lastHeardMs(cluster, workerId) !== heardMs);
+  }
   worker.crash();
   clock.runUntil(clock.now + DOWN_MS);
   worker.restart();
   clock.after(
-    REGISTERS_AFTER_MS,
+    registersAfterMs,
     () => store.setWorker(workerId, worker.info),
   );
 }
@@ -115,11 +188,15 @@
  * Lets the worker, the first of those that run nothing, run tasks, and one that
  * ends soon, so that the owner records what it knows of the worker.
  */
-function submitTasks(cluster: DomainCluster, workerId: string): void {
+function submitTasks(
+  cluster: DomainCluster,
+  workerId: string,
+  { runForMs = FAULT_AFTER_MS }: { readonly runForMs?: number } = {},
+): void {
   const { clock, nodeIds, runs } = cluster;
   const jobs = [
-    { runMs: RUN_MS, tasks: 3 },
-    { runMs: SHORT_RUN_MS, tasks: 1 },
+    { runMs: RUN_MS, tasks: LONG_TASKS },
+    { runMs: SHORT_RUN_MS, tasks: SHORT_TASKS },
   ];
   jobs.forEach(({ runMs, tasks }, index) =>
     cluster.submit(jobIdOf(index), {
@@ -127,10 +204,13 @@
       stages: [stageSpec({ tasks, estimateMs: runMs })],
     }, nodeIds[index]!)
   );
-  clock.runUntil(clock.now + FAULT_AFTER_MS);
-  expect(
-    runs.some((run) => run.workerId === workerId && run.endMs === undefined),
-  ).to.equal(true);
+  runUntil(
+    cluster,
+    () =>
+      runs.filter((run) => run.workerId === workerId).length ===
+        LONG_TASKS + SHORT_TASKS,
+  );
+  clock.runUntil(clock.now + runForMs);
 }
 
 /** Cuts a worker off from all nodes for a while. */
--- a/packages/sessions/src/leases.ts
+++ b/packages/sessions/src/leases.ts
@@ -70,10 +70,7 @@
   const reply = { workerMs, sentMs, answeredMs: update.now };
   const isNewClock = hasStartedAnew(clock, reply);
   if (clock === undefined) {
-    session.leaseUntilMs = inheritedLeaseUntilMs(session, {
-      workerMs,
-      now: update.now,
-    });
+    session.leaseUntilMs = inheritedLeaseUntilMs(update, session, workerMs);
   }
   session.clock = {
     workerMs,
@@ -84,6 +81,10 @@
   if (isNewClock) {
     session.leaseUntilMs = 0;
     assumeLongestLease(update, session);
+    // A successor knows of the long lease only by the record of the restart. The
+    // renewal in flight was sent to the former incarnation.
+    session.renewal = 0;
+    session.nextRenewalMs = update.now;
   }
   session.leaseUntilMs = Math.max(
     session.leaseUntilMs,
@@ -97,11 +98,15 @@
  * tokens from then on, so that they can't have granted any later.
  */
 function inheritedLeaseUntilMs(
-  { inheritedLeaseEndMs, longLeaseEndMs }: Readonly<Session>,
-  { workerMs, now }: { readonly workerMs: number; readonly now: number },
+  update: Update,
+  { inheritedLeaseEndMs, isReborn, longLeaseEndMs }: Readonly<Session>,
+  workerMs: number,
 ): number {
-  const ordinaryMs = Math.min(LEASE_MS, inheritedLeaseEndMs - now);
-  return workerMs + Math.max(ordinaryMs, longLeaseEndMs - now, 0);
+  const grantedMs = Math.min(
+    isReborn ? maxGrantedMs(update) : LEASE_MS,
+    inheritedLeaseEndMs - update.now,
+  );
+  return workerMs + Math.max(grantedMs, longLeaseEndMs - update.now, 0);
 }
 
 /** Notes that the worker may hold the longest lease that it grants. */
@@ -125,24 +130,48 @@
 }
 
 /**
- * Returns when the leases that former owners may have granted are certainly over,
- * in milliseconds: they could renew them for {@link MAX_UNCONFIRMED_MS} after
- * they had lost the domain, but no longer than their processes lived or than this
- * one held the domain itself.
+ * Returns when the ordinary leases that former owners may have granted are
+ * certainly over, in milliseconds.
  */
 export function formerLeasesEndMs(update: Update): number {
+  return formerGrantsEndMs(update) + MAX_INHERITED_LEASE_MS;
+}
+
+/**
+ * Returns when all leases that former owners may have granted to the worker are
+ * certainly over if it doesn't reply, in milliseconds.
+ */
+export function inheritedLeaseEndMs(
+  update: Update,
+  { isReborn, longLeaseEndMs }: Pick<Session, "isReborn" | "longLeaseEndMs">,
+): number {
+  const longestGrantedMs = isReborn
+    ? longestMs(maxGrantedMs(update))
+    : MAX_INHERITED_LEASE_MS;
+  return Math.max(
+    formerGrantsEndMs(update) + longestGrantedMs,
+    longLeaseEndMs,
+  );
+}
+
+/**
+ * Returns the time after which former owners grant no leases, in milliseconds:
+ * they could renew them for {@link MAX_UNCONFIRMED_MS} after they had lost the
+ * domain, but no longer than their processes lived or than this one held the
+ * domain itself.
+ */
+function formerGrantsEndMs(update: Update): number {
   const { gainedMs } = update.read(TENURE);
   const latestMs = gainedMs + MAX_UNCONFIRMED_MS;
   const endedMs = formerOwnerActiveUntilMs(update);
   const { claimedMs } = update.read(REPLICA).formerTenure?.record ?? {};
   if (endedMs === undefined || claimedMs === undefined) {
-    return latestMs + MAX_INHERITED_LEASE_MS;
+    return latestMs;
   }
   // Those before it lost the domain when it claimed it.
   const earlierMs = claimedMs - storeNow(update) + update.now +
     MAX_UNCONFIRMED_MS;
-  return Math.min(latestMs, Math.max(endedMs, earlierMs)) +
-    MAX_INHERITED_LEASE_MS;
+  return Math.min(latestMs, Math.max(endedMs, earlierMs));
 }
 
 /**
--- a/packages/sessions/src/renewals.ts
+++ b/packages/sessions/src/renewals.ts
@@ -112,8 +112,7 @@
     !isUnreadable(session, update.now);
   const leaseUntilMs = mayRenew ? leaseEnd(session, update.now) : undefined;
   const isImmediate = leavesEnds || leaseUntilMs === undefined ||
-    session.missed > 0 || session.attempts.size === 0 ||
-    hasUnknownAttempt(session);
+    session.missed > 0 || session.attempts.size === 0 || isUnclear(session);
   const waitMs = isImmediate ? 0 : renewalWaitMs(session, update.now);
   if (leaseUntilMs !== undefined) {
     session.leaseUntilMs = Math.max(session.leaseUntilMs, leaseUntilMs);
@@ -152,7 +151,7 @@
 function isPaced(update: Update, session: Readonly<Session>): boolean {
   const sinceMs = update.now - session.answeredMs;
   return sinceMs < MAX_GAP_MS && session.missed === 0 &&
-    session.attempts.size > 0 && !hasUnknownAttempt(session) &&
+    session.attempts.size > 0 && !isUnclear(session) &&
     sinceMs < renewalGapMs(update);
 }
 
@@ -338,7 +337,14 @@
     : Math.max(Math.ceil(latestMs + FIRST_MOMENTS_MS - now), 0);
 }
 
-function hasUnknownAttempt(session: Readonly<Session>): boolean {
+/**
+ * Returns whether a listing is wanted at once: to tell what became of an order,
+ * or which incarnation has replied to one.
+ */
+function isUnclear(session: Readonly<Session>): boolean {
+  if (session.incarnation !== 0 && session.clock?.incarnation === 0) {
+    return true;
+  }
   for (const { phase } of session.attempts.values()) {
     if (phase === AttemptPhase.Unknown) {
       return true;
--- a/packages/sessions/src/session_state.ts
+++ b/packages/sessions/src/session_state.ts
@@ -77,6 +77,12 @@
    * known yet.
    */
   isInherited: boolean;
+  /**
+   * Whether it has registered as another incarnation than a predecessor recorded.
+   * The predecessor may then have started tasks there without knowing that its
+   * clock had begun anew.
+   */
+  isReborn: boolean;
   /** Whether runs of the latest listing can't be read. */
   isPartial: boolean;
   /** Whether the worker is still registered. */
--- a/packages/sessions/src/sessions_plugin.ts
+++ b/packages/sessions/src/sessions_plugin.ts
@@ -32,7 +32,12 @@
   TENURE_GAINED,
   TENURE_LOST,
 } from "@mustardweir/tenure";
-import { formerLeasesEndMs, mayGrantLeases } from "./leases.ts";
+import { isOtherIncarnation } from "./incarnations.ts";
+import {
+  formerLeasesEndMs,
+  inheritedLeaseEndMs,
+  mayGrantLeases,
+} from "./leases.ts";
 import { handleOrderResult, ORDER_ANSWERED, OWNER_FENCED } from "./orders.ts";
 import { recordIdle, recordSession } from "./listings.ts";
 import {
@@ -165,11 +170,10 @@
   if (!isActive) {
     return;
   }
-  const endMs = formerLeasesEndMs(update);
   for (const session of byWorker.values()) {
     session.inheritedLeaseEndMs = Math.min(
       session.inheritedLeaseEndMs,
-      Math.max(endMs, session.longLeaseEndMs),
+      inheritedLeaseEndMs(update, session),
     );
   }
 }
@@ -226,6 +230,9 @@
     unreadableSessions.has(info.id);
   const longLeaseEndMs = update.now - storeNow(update) +
     (record?.longLeaseUntilMs ?? -Infinity);
+  const incarnation = record?.incarnation ?? 0;
+  const isReborn = mayHaveAttempts &&
+    isOtherIncarnation(incarnation, info.incarnation);
   markChanged(update, info.id);
   if (mayHaveAttempts) {
     update.write(SESSIONS).inherited.add(info.id);
@@ -234,8 +241,9 @@
     info,
     isRegistered,
     isInherited: mayHaveAttempts,
+    isReborn,
     isPartial: false,
-    incarnation: record?.incarnation ?? 0,
+    incarnation,
     round: update.read(SESSIONS).firstRound,
     invalidatingToken: 0,
     acknowledgingToken: 0,
@@ -243,7 +251,7 @@
     clock: undefined,
     leaseUntilMs: 0,
     inheritedLeaseEndMs: mayHaveAttempts
-      ? Math.max(formerLeasesEndMs(update), longLeaseEndMs)
+      ? inheritedLeaseEndMs(update, { isReborn, longLeaseEndMs })
       : update.now,
     longLeaseEndMs,
     handled: recorded,
@@ -295,6 +303,22 @@
     session.nextRenewalMs = update.now;
   }
   session.info = info;
+  noteRebirth(update, session);
+}
+
+/**
+ * Waits for the longest lease of an inherited worker that hasn't replied yet and
+ * turns out to have registered as another incarnation than the recorded one.
+ */
+function noteRebirth(update: Update, session: Session): void {
+  const { isInherited, clock, incarnation, info } = session;
+  if (
+    isInherited && clock === undefined &&
+    isOtherIncarnation(incarnation, info.incarnation)
+  ) {
+    session.isReborn = true;
+    session.inheritedLeaseEndMs = inheritedLeaseEndMs(update, session);
+  }
 }
 
 function markRecorded(update: Update, upToTicket: number): void {
