Record the incarnation of a worker that began anew once it rejects late starts

The session record of a restart named the former incarnation until the next end on the worker.

The owner therefore records the incarnation when a renewal with a token above those of all such starts has been replied to, and counts the longest lease from there; until then the record stays as it was. It costs one more write for each restart of a worker in use.

The late start itself has no test.

--- a/packages/prove/src/domain/domain_worker_restart_test.ts
+++ b/packages/prove/src/domain/domain_worker_restart_test.ts
@@ -217,6 +217,44 @@
   expect(together).to.deep.equal([]);
 });
 
+// Guards against a record of a restart that names the incarnation before: a
+// successor would take the worker for restarted once more.
+describe("a worker that has begun anew is recorded as its new incarnation", () => {
+  for (const seed of SEEDS) {
+    it(`so that a successor knows it, seed ${seed}`, () => {
+      const restarts: string[] = [];
+      const cluster = new DomainCluster({
+        seed,
+        workers: WORKERS,
+        needsPermits: false,
+        onLog: ({ message }, nodeId) => {
+          if (message === "Worker restarted") {
+            restarts.push(cluster.processOf(nodeId)!);
+          }
+        },
+      });
+      const { clock, store, workers, nodeIds } = cluster;
+      clock.runUntil(WARM_UP_MS);
+      const worker = workers.get("w0")!;
+      worker.crash();
+      clock.runUntil(clock.now + DOWN_MS);
+      worker.restart();
+      store.setWorker("w0", worker.info);
+      clock.runUntil(clock.now + ROUND_MS);
+      cluster.submit(jobIdOf(0), {
+        payload: createTaskPayload({ runMs: ROUND_MS, failures: 0 }),
+        stages: [stageSpec({ tasks: WORKERS, maxPerWorker: 1 })],
+      }, nodeIds[0]!);
+      clock.runUntil(clock.now + RENEWAL_LIMIT_MS);
+      const owner = cluster.processOf(cluster.owner!);
+      cluster.kill(cluster.owner!);
+      clock.runUntil(clock.now + SETTLE_MS);
+      expect(restarts).to.deep.equal([owner]);
+      expect(findViolations(cluster)).to.deep.equal([]);
+    });
+  }
+});
+
 describe("tasks of a worker that crashes and is back under its id", () => {
   for (const testCase of CASES) {
     for (const seed of SEEDS) {
--- a/packages/sessions/src/listings.ts
+++ b/packages/sessions/src/listings.ts
@@ -115,10 +115,13 @@
     // The predecessor may have given it leases by the former clock.
     assumeLongestLease(update, session);
   }
-  // A successor must know of the new incarnation before it gets tasks.
+  // A successor must know of the long lease before the worker gets tasks. The
+  // record names the former incarnation until the worker rejects late starts that
+  // carry its clock: a successor then takes the worker for restarted.
   session.isRecorded = false;
   recordSession(update, session);
   invalidateUnanswered(update, session);
+  session.restartToken = session.invalidatingToken;
   removeAttempts(session, lost);
   if (fresh.length > 0) {
     update.dispatch(WORKER_CRASHED, { workerId: session.info.id, fresh });
@@ -127,6 +130,22 @@
   reportVanished(update, session, { lost, reason: LossCause.Restarted });
 }
 
+/**
+ * Records the new incarnation once the worker has replied to a token above those
+ * of all orders to the former one, which may have given it long leases until now.
+ */
+export function confirmRestart(
+  update: Update,
+  session: Session,
+  { token }: ListingContext,
+): void {
+  if (session.restartToken !== 0 && token >= session.restartToken) {
+    session.restartToken = 0;
+    assumeLongestLease(update, session);
+    recordSession(update, session);
+  }
+}
+
 /** Returns the session's attempts that neither run nor ended by the listing. */
 function listUnlisted(
   { attempts }: Readonly<Session>,
--- a/packages/sessions/src/renewals.ts
+++ b/packages/sessions/src/renewals.ts
@@ -22,6 +22,7 @@
   noteClock,
 } from "./leases.ts";
 import {
+  confirmRestart,
   handleListing,
   listFresh,
   markReconciled,
@@ -220,6 +221,7 @@
     ? update.now + IDLE_RENEWAL_MS
     : update.now;
   handleListing(update, session, { context, listing });
+  confirmRestart(update, session, context);
 }
 
 /**
--- a/packages/sessions/src/session_state.ts
+++ b/packages/sessions/src/session_state.ts
@@ -96,6 +96,11 @@
    * reply.
    */
   invalidatingToken: number;
+  /**
+   * Lowest token with which a renewal shows that the worker, which has begun anew,
+   * rejects what was ordered from the former incarnation; 0 once it has.
+   */
+  restartToken: number;
   /**
    * Token of the latest renewal that acknowledges ends and may still be under
    * way; 0 for none.
--- a/packages/sessions/src/sessions_plugin.ts
+++ b/packages/sessions/src/sessions_plugin.ts
@@ -246,6 +246,7 @@
     incarnation,
     round: update.read(SESSIONS).firstRound,
     invalidatingToken: 0,
+    restartToken: 0,
     acknowledgingToken: 0,
     isReconciled: false,
     clock: undefined,
