--- a/packages/sessions/src/session_state.ts
+++ b/packages/sessions/src/session_state.ts
@@ -77,6 +77,12 @@
    * known yet.
    */
   isInherited: boolean;
+  /**
+   * Whether it has registered as another incarnation than a predecessor recorded.
+   * The predecessor may then have started tasks there without knowing that its
+   * clock had begun anew.
+   */
+  isReborn: boolean;
   /** Whether runs of the latest listing can't be read. */
   isPartial: boolean;
   /** Whether the worker is still registered. */
@@ -90,6 +96,11 @@
    * reply.
    */
   invalidatingToken: number;
+  /**
+   * Lowest token with which a renewal shows that the worker, which has begun anew,
+   * rejects what was ordered from the former incarnation; 0 once it has.
+   */
+  restartToken: number;
   /**
    * Token of the latest renewal that acknowledges ends and may still be under
    * way; 0 for none.
