Ask a worker that began anew for one listing at once, not for ever

A worker whose listings don't tell the incarnation that its record names would have been asked without a pause, as its clock belongs to no incarnation. The wish for a listing now ends with the next one.

The 228 tests of former leases, restarts, acknowledgements, regained domains, returning workers, two processes, membership, routes, replica and sessions pass.

--- a/packages/sessions/src/leases.ts
+++ b/packages/sessions/src/leases.ts
@@ -88,6 +88,7 @@
     assumeLongestLease(update, session);
     // A successor knows of the long lease only by the record of the restart. The
     // renewal in flight was sent to the former incarnation.
+    session.isListingDue = true;
     session.renewal = 0;
     session.nextRenewalMs = update.now;
   }
--- a/packages/sessions/src/listings.ts
+++ b/packages/sessions/src/listings.ts
@@ -71,6 +71,7 @@
   session.incarnation = listing.incarnation || session.incarnation;
   session.heardMs = update.now;
   session.suspected = [];
+  session.isListingDue = false;
   markChanged(update, session.info.id);
   handleEnds(update, session, listing.ended);
   handleRunning(update, session, received);
--- a/packages/sessions/src/renewals.ts
+++ b/packages/sessions/src/renewals.ts
@@ -344,7 +344,7 @@
  * or which incarnation has replied to one.
  */
 function isUnclear(session: Readonly<Session>): boolean {
-  if (session.incarnation !== 0 && session.clock?.incarnation === 0) {
+  if (session.isListingDue) {
     return true;
   }
   for (const { phase } of session.attempts.values()) {
--- a/packages/sessions/src/session_state.ts
+++ b/packages/sessions/src/session_state.ts
@@ -83,6 +83,11 @@
    * clock had begun anew.
    */
   isReborn: boolean;
+  /**
+   * Whether a reply has shown that its clock began anew, and no listing has told
+   * which incarnation that is.
+   */
+  isListingDue: boolean;
   /** Whether runs of the latest listing can't be read. */
   isPartial: boolean;
   /** Whether the worker is still registered. */
--- a/packages/sessions/src/sessions_plugin.ts
+++ b/packages/sessions/src/sessions_plugin.ts
@@ -242,6 +242,7 @@
     isRegistered,
     isInherited: mayHaveAttempts,
     isReborn,
+    isListingDue: false,
     isPartial: false,
     incarnation,
     round: update.read(SESSIONS).firstRound,
