--- a/packages/runtime/src/event_loop_test.ts
+++ b/packages/runtime/src/event_loop_test.ts
@@ -26,6 +26,14 @@
 /** Time that an event takes by the manual clock, in milliseconds. */
 const EVENT_MS = 3;
 const NAMED = createCommand<string>("named");
+/** Time that a slow performer takes, in milliseconds. */
+const SLOW_MS = 60;
+
+/** When a performer is slow. */
+enum Phase {
+  Start = "start",
+  Close = "close",
+}
 
 /** Records counters in order; posts a reply to those named `ask-…`. */
 class RecordingPerformer extends Performer {
@@ -47,6 +55,36 @@
   }
 }
 
+/** Takes its time to start and to close, and posts an event meanwhile. */
+class SlowPerformer extends Performer {
+  override readonly kinds = [];
+  readonly #slowPhase: Phase;
+  #sink: EventSink | undefined;
+
+  constructor(slowPhase: Phase) {
+    super();
+    this.#slowPhase = slowPhase;
+  }
+
+  override perform(): void {}
+
+  override start(sink: EventSink): Promise<void> {
+    this.#sink = sink;
+    return this.#linger(Phase.Start);
+  }
+
+  override close(): Promise<void> {
+    return this.#linger(Phase.Close);
+  }
+
+  async #linger(phase: Phase): Promise<void> {
+    if (phase === this.#slowPhase) {
+      this.#sink?.post(NAMED, phase);
+      await new Promise((resolve) => setTimeout(resolve, SLOW_MS));
+    }
+  }
+}
+
 /** The system clock, with the number of times it was read. */
 class CountingClock extends SystemClock {
   reads = 0;
@@ -137,6 +175,27 @@
     });
   }
 
+  // Guards against decisions of a process while the address at which it accepts
+  // peers is free for the next one: that one takes it for ended.
+  for (const phase of Object.values(Phase)) {
+    it(`decides nothing while a performer's ${phase} is pending`, async () => {
+      const recording = new RecordingPerformer();
+      const loop = new EventLoop({
+        kernel: createKernel(1),
+        performers: [new SlowPerformer(phase), recording],
+      });
+      const starting = loop.start();
+      await (phase === Phase.Start ? Promise.resolve() : starting);
+      const pending = phase === Phase.Start ? starting : loop.stop();
+      const { length } = recording.performed;
+      await new Promise((resolve) => setTimeout(resolve, SLOW_MS / 2));
+      const meanwhile = recording.performed.slice(length);
+      await pending;
+      await loop.stop();
+      expect(meanwhile).to.deep.equal([]);
+    });
+  }
+
   it("handles all events that arrived during a pause before its periodic work", async () => {
     const performer = new RecordingPerformer();
     const kernel = createKernel(PERIOD_MS);
