Count a claim as confirmed from the time when it was sent

Cause: a new owner noted the time at which it handled the reply to its claim as the time of the store's confirmation. After a pause of 6 s it took itself for the sole owner for up to 1.2 s more, until the store answered its first commit. A process that regains the domain counts the leases of its former tenure from the time when it gave it up, so all of them were over after the pause, though the newer owner had renewed them. Only a read of the records that was under way at the time of the claim lets it begin without reading them anew.

Ruled out: a pause after the reply, as the time of the confirmation was noted before it. Commits have always counted from the time when they were sent.

Now the claim counts from then, too: such an owner starts nothing and gives no attempt up until a commit of its own has succeeded.

--- a/packages/tenure/src/claims.ts
+++ b/packages/tenure/src/claims.ts
@@ -39,9 +39,16 @@
 const MAX_RECORDS_AGE_MS = 800;
 const CLAIM_TIMEOUT_MS = 700;
 
+/** Context of a claim in flight, returned with the reply. */
+interface ClaimContext {
+  readonly record: TenureRecord;
+  /** When the claim was sent, in milliseconds. */
+  readonly sentMs: number;
+}
+
 /** Dispatched with the result of a claim. */
 export const CLAIM_ANSWERED = createCommand<
-  EffectReply<TenureRecord, RecordCommitResult>
+  EffectReply<ClaimContext, RecordCommitResult>
 >("tenure-claim-answered");
 
 /** Claims the domain if its owner has timed out and it is this node's turn. */
@@ -74,7 +81,11 @@
   const isOwning = tenure.phase === TenurePhase.Owner ||
     tenure.phase === TenurePhase.Opening;
   if (isOwnRecord && !isOwning && known.record.epoch > tenure.epoch) {
-    open(update, known.record, known.version);
+    open(update, {
+      record: known.record,
+      version: known.version,
+      confirmedMs: update.now,
+    });
   } else if (!isOwnRecord && isOwning && known.record.epoch > tenure.epoch) {
     loseTenure(update, "another node owns the domain");
   }
@@ -83,14 +94,19 @@
 /** Handles the result of a claim. */
 export function handleClaimResult(
   update: Update,
-  { context, result }: EffectReply<TenureRecord, RecordCommitResult>,
+  { context, result }: EffectReply<ClaimContext, RecordCommitResult>,
 ): void {
   const tenure = update.write(TENURE);
   if (tenure.phase !== TenurePhase.Claiming) {
     return;
   }
   if (result.kind === RecordCommitKind.Committed) {
-    open(update, context, result.version);
+    // A process that was paused since may have been replaced as the owner.
+    open(update, {
+      record: context.record,
+      version: result.version,
+      confirmedMs: context.sentMs,
+    });
     return;
   }
   // If the claim took effect after all, the tenure record will show it.
@@ -118,14 +134,22 @@
   }
 }
 
-function open(update: Update, record: TenureRecord, version: number): void {
+function open(
+  update: Update,
+  { record, version, confirmedMs }: {
+    readonly record: TenureRecord;
+    readonly version: number;
+    /** Time at which this node certainly owned the domain, in milliseconds. */
+    readonly confirmedMs: number;
+  },
+): void {
   const tenure = update.write(TENURE);
   tenure.phase = TenurePhase.Opening;
   tenure.epoch = record.epoch;
   tenure.sequence = record.sequence;
   tenure.version = version;
   tenure.openedVersion = version;
-  tenure.confirmedMs = update.now;
+  tenure.confirmedMs = confirmedMs;
   tenure.gainedMs = update.now;
   tenure.slowHandovers = record.slowHandovers ?? 0;
   tenure.closesSince = record.closesSince ?? record.epoch;
@@ -188,6 +212,6 @@
       removes: [],
     },
     timeoutMs: CLAIM_TIMEOUT_MS,
-    replyTo: replyTo(CLAIM_ANSWERED, record),
+    replyTo: replyTo(CLAIM_ANSWERED, { record, sentMs: update.now }),
   });
 }
