Start nothing on a returned worker before its new session record is durable

Cause: the owner removes the session of a worker that has left for 15 s and queues the removal of its record. If the store takes no commits meanwhile and the worker comes back before it does, its new session was opened by the record that was still there, as in use and recorded. The removal was then carried out, and tasks were started without a record.

Only a session that is opened at a takeover goes by the record now; a later one begins unrecorded and gets its record, queued after the removal, before its first task.

--- a/packages/prove/src/domain/domain_returning_worker_test.ts
+++ b/packages/prove/src/domain/domain_returning_worker_test.ts
@@ -1,4 +1,5 @@
 import "./plugins.ts";
+import { WorkerState } from "@mustardweir/model";
 import { expect } from "chai";
 import {
   createTaskPayload,
@@ -54,6 +55,16 @@
   });
 }
 
+/** Sets the state of all workers but the one that was away. */
+function setOthers({ workers, store }: DomainCluster, state: WorkerState) {
+  for (const [id, worker] of workers) {
+    if (id !== "w0") {
+      worker.setState(state);
+      store.setWorker(id, worker.info);
+    }
+  }
+}
+
 function submitJobs(cluster: DomainCluster, from: number, to: number): void {
   for (let index = from; index < to; index++) {
     cluster.submit(jobIdOf(index), {
@@ -109,3 +120,52 @@
     }
   }
 });
+
+interface RemovalCase {
+  readonly name: string;
+  /** Time from the loss of the store until the worker returns, in ms. */
+  readonly returnsAfterMs: number;
+  /** Time from the loss of the store until its end, in milliseconds. */
+  readonly outageMs: number;
+}
+
+const REMOVALS: readonly RemovalCase[] = [
+  { name: "before", returnsAfterMs: 5_000, outageMs: 19_000 },
+  { name: "while", returnsAfterMs: 18_000, outageMs: 19_000 },
+  { name: "after", returnsAfterMs: 20_000, outageMs: 19_000 },
+];
+
+// Guards against a session that is opened anew while the removal of its record
+// waits for the store: a successor then doesn't know that the worker is in use.
+describe("tasks run once on a worker that is back", () => {
+  for (const { name, returnsAfterMs, outageMs } of REMOVALS) {
+    for (const seed of SEEDS) {
+      it(`${name} its record is removed, seed ${seed}`, () => {
+        const cluster = new DomainCluster({
+          seed,
+          nodes: 1,
+          needsPermits: false,
+        });
+        const { clock, store, workers, nodeIds, runs } = cluster;
+        const [node] = nodeIds;
+        clock.runUntil(WARM_UP_MS);
+        store.faults.cutFromDomain.add(node!);
+        clock.after(outageMs, () => store.faults.cutFromDomain.clear());
+        sendAway(cluster, { name, awayMs: returnsAfterMs });
+        clock.runUntil(
+          clock.now + Math.max(outageMs, returnsAfterMs) + FIRST_CUT_MS,
+        );
+        setOthers(cluster, WorkerState.Draining);
+        clock.runUntil(clock.now + FIRST_CUT_MS);
+        submitJobs(cluster, 0, 1);
+        clock.runUntil(clock.now + FIRST_CUT_MS);
+        expect(runs.map(({ workerId }) => workerId)).to.deep.equal(["w0"]);
+        setOthers(cluster, WorkerState.Ready);
+        cluster.kill(node!);
+        workers.get("w0")!.faults.unreachableFrom.add(node!);
+        clock.runUntil(clock.now + SETTLE_MS);
+        expect(findViolations(cluster)).to.deep.equal([]);
+      });
+    }
+  }
+});
--- a/packages/sessions/src/sessions_plugin.ts
+++ b/packages/sessions/src/sessions_plugin.ts
@@ -143,15 +143,19 @@
   sessions.byWorker.clear();
   sessions.inherited.clear();
   const { workers, departed, sessions: records } = update.read(REPLICA);
+  const atTakeover = { isTakeover: true };
   for (const info of workers.values()) {
-    openSession(update, info, true);
+    openSession(update, info, atTakeover);
   }
   for (const { info } of departed.values()) {
-    openSession(update, info, false);
+    openSession(update, info, { ...atTakeover, isRegistered: false });
   }
   for (const [id, record] of records) {
     if (!sessions.byWorker.has(id)) {
-      openSession(update, unregisteredWorker(id, record), false);
+      openSession(update, unregisteredWorker(id, record), {
+        ...atTakeover,
+        isRegistered: false,
+      });
     }
   }
   update.emit(logChange("Sessions opened", {
@@ -220,14 +224,19 @@
 function openSession(
   update: Update,
   info: WorkerInfo,
-  isRegistered: boolean,
+  { isRegistered = true, isTakeover = false }: {
+    readonly isRegistered?: boolean;
+    /** Whether the record is a predecessor's, if there is one. */
+    readonly isTakeover?: boolean;
+  } = {},
 ): void {
   const { sessions, unreadableSessions, closed: marks } = update.read(REPLICA);
   const record = sessions.get(info.id);
   const closed = marks.get(info.id);
   const recorded = record?.recorded ?? 0;
-  const mayHaveAttempts = record?.isIdle === false ||
-    unreadableSessions.has(info.id);
+  // Later, a record that is still there is about to be removed by this owner.
+  const mayHaveAttempts = isTakeover &&
+    (record?.isIdle === false || unreadableSessions.has(info.id));
   const longLeaseEndMs = update.now - storeNow(update) +
     (record?.longLeaseUntilMs ?? -Infinity);
   const incarnation = record?.incarnation ?? 0;
@@ -288,7 +297,7 @@
   const session = sessions.byWorker.get(workerId);
   if (session === undefined) {
     if (info !== undefined) {
-      openSession(update, info, true);
+      openSession(update, info);
     }
     return;
   }
