Wait for the leases of an unregistered worker whose session record can't be read

A registered one was already taken to be in use.

It now gets a session without address and pool: tasks of all pools that may run there wait until its leases are certainly over. Then the record is removed, as for any worker that has left, so that no later takeover waits for it.

--- a/packages/prove/src/domain/domain_odd_sessions_test.ts
+++ b/packages/prove/src/domain/domain_odd_sessions_test.ts
@@ -18,16 +18,28 @@
 interface SessionCase {
   readonly name: string;
   readonly odd: Readonly<Record<string, unknown>>;
+  /** Whether the worker's registration has ended; false by default. */
+  readonly isUnregistered?: boolean;
 }
 
 const CASES: readonly SessionCase[] = [
   { name: "whose record can be read", odd: {} },
   { name: "whose record has 1e308 ends", odd: { recorded: 1e308 } },
   { name: "whose record has ends of another type", odd: { recorded: "1" } },
+  {
+    name: "that isn't registered and whose record can be read",
+    odd: {},
+    isUnregistered: true,
+  },
+  {
+    name: "that isn't registered and whose record has ends of another type",
+    odd: { recorded: "1" },
+    isUnregistered: true,
+  },
 ];
 
 describe("after all nodes are killed, tasks of a silent worker", () => {
-  for (const { name, odd } of CASES) {
+  for (const { name, odd, isUnregistered = false } of CASES) {
     it(`${name} aren't started before its lease is over`, () => {
       const cluster = new DomainCluster({ seed: 1, needsPermits: false });
       const { clock, nodeIds, runs, store, workers } = cluster;
@@ -50,6 +62,9 @@
           records.set(id, { ...record, value });
         }
       }
+      if (isUnregistered) {
+        store.setWorker(workerId, undefined);
+      }
       nodeIds.forEach((node) => {
         cluster.kill(node);
         workers.get(workerId)!.faults.unreachableFrom.add(node);
--- a/packages/sessions/src/sessions_plugin.ts
+++ b/packages/sessions/src/sessions_plugin.ts
@@ -142,7 +142,8 @@
   sessions.endRate = new EndRate();
   sessions.byWorker.clear();
   sessions.inherited.clear();
-  const { workers, departed, sessions: records } = update.read(REPLICA);
+  const { workers, departed, sessions: records, unreadableSessions } = update
+    .read(REPLICA);
   const atTakeover = { isTakeover: true };
   for (const info of workers.values()) {
     openSession(update, info, atTakeover);
@@ -150,9 +151,9 @@
   for (const { info } of departed.values()) {
     openSession(update, info, { ...atTakeover, isRegistered: false });
   }
-  for (const [id, record] of records) {
+  for (const id of [...records.keys(), ...unreadableSessions]) {
     if (!sessions.byWorker.has(id)) {
-      openSession(update, unregisteredWorker(id, record), {
+      openSession(update, unregisteredWorker(id, records.get(id)), {
         ...atTakeover,
         isRegistered: false,
       });
@@ -202,11 +203,11 @@
 
 /**
  * Returns a placeholder for a worker that is known only from a predecessor's
- * session record.
+ * session record; without address and pool if that can't be read.
  */
 function unregisteredWorker(
   id: string,
-  { address, pool }: SessionRecord,
+  { address = "", pool = "" }: Partial<SessionRecord> = {},
 ): WorkerInfo {
   return {
     id,
