Acknowledge ends though a lost start is unknown while a list is full

What callers would see: tasks of a worker that never end, and jobs that stay running, once as many ends as it lists (500) are pending there while a start or a stop has got no reply.

Cause: a circle. A start without a reply stays unknown until a complete list leaves it out; a full list is never complete; the ends that fill it are only acknowledged while all attempts are known to be of the incarnation that listed them, which an unknown one isn't. A stopping attempt whose start was lost does the same.

Ruled out: the store; it holds with every end recorded (handled and recorded rise by one list above what is acknowledged and stay there).

Change: an attempt that a list leaves out and that can't start there any more counts as one of the listing incarnation, complete or not. Its end, if it has one, is beyond the list, and comes with a later one.

--- a/packages/prove/src/domain/domain_many_ends_test.ts
+++ b/packages/prove/src/domain/domain_many_ends_test.ts
@@ -14,6 +14,18 @@
 const ENDS_PER_LIST = 10;
 const RUN_MS = 3_000;
 const SETTLE_MS = 20_000;
+/** Time in which tasks are submitted while starts get lost, in milliseconds. */
+const LOAD_MS = 6_000;
+/** Time from the submission of a job to its cancellation, in milliseconds. */
+const CANCEL_AFTER_MS = 100;
+
+/** Ends on a list while starts get lost, and every how many jobs are cancelled. */
+const LOST_START_CASES = [
+  { endsPerList: 1, cancelsEvery: Infinity },
+  { endsPerList: 3, cancelsEvery: Infinity },
+  { endsPerList: 10, cancelsEvery: Infinity },
+  { endsPerList: 1, cancelsEvery: 2 },
+] as const;
 /** Time in which a worker with a backlog of ends gets tasks again, in ms. */
 const USABLE_MS = 2_500;
 
@@ -128,6 +140,46 @@
     }
   }
 
+  // Guards against a worker whose full list keeps a lost start unknown, while
+  // the unknown start keeps its ends from being acknowledged.
+  for (const { endsPerList, cancelsEvery } of LOST_START_CASES) {
+    const name = `run though starts get lost, ${endsPerList} ends a list` +
+      (cancelsEvery === Infinity ? "" : ", and jobs are cancelled");
+    it(name, () => {
+      const cluster = new DomainCluster({
+        seed: 1,
+        workers: WORKERS,
+        needsPermits: false,
+      });
+      const { clock, workers, nodeIds } = cluster;
+      clock.runUntil(WARM_UP_MS);
+      for (const { faults } of workers.values()) {
+        faults.endsPerList = endsPerList;
+        for (let ms = 0; ms < LOAD_MS; ms += 500) {
+          clock.after(ms, () => faults.losesStarts = ms % 1_000 === 0);
+        }
+      }
+      cluster.submitSteadily({
+        jobsPerS: 20,
+        forMs: LOAD_MS,
+        spec: {
+          payload: createTaskPayload({ runMs: 300, failures: 0 }),
+          stages: [stageSpec({ tasks: 2, size: SMALL, estimateMs: 300 })],
+        },
+      });
+      for (let job = 0; job < LOAD_MS / 50; job += cancelsEvery) {
+        clock.after(
+          job * 50 + CANCEL_AFTER_MS,
+          () => cluster.cancel(jobIdOf(job), nodeIds[0]!),
+        );
+      }
+      clock.runUntil(clock.now + LOAD_MS + SETTLE_MS);
+      const lost = [...workers.values()].map(({ lostStarts }) => lostStarts);
+      expect(Math.max(...lost)).to.be.above(0);
+      expect(findViolations(cluster)).to.deep.equal([]);
+    });
+  }
+
   it("keep their workers from new tasks no longer than their ends need", () => {
     const cluster = runEndsCase({
       name: "",
--- a/packages/sessions/src/listings.ts
+++ b/packages/sessions/src/listings.ts
@@ -278,9 +278,15 @@
     reportVanished(update, session, { lost: [], reason: LossCause.NotListed });
     return;
   }
-  const invalidated = unlisted.filter((attempt) =>
-    isInvalidated(attempt, received)
-  );
+  const outdated = unlisted.filter((attempt) => isOutdated(attempt, received));
+  for (const attempt of outdated) {
+    // If it has started at all, it did so here, and its end is beyond the list:
+    // the ends before it are acknowledged, so that the worker lists that one.
+    attempt.incarnation = listing.incarnation;
+  }
+  const invalidated = isComplete(listing)
+    ? outdated.filter(({ phase }) => phase === AttemptPhase.Unknown)
+    : [];
   const lost = unlisted.filter((attempt) => isLost(attempt, received));
   removeAttempts(session, [...invalidated, ...lost]);
   for (const { task, attempt } of invalidated) {
@@ -295,14 +301,15 @@
 }
 
 /**
- * Returns whether an attempt that the listing leaves out has not started and can
- * no longer start, since the worker has received a higher token.
+ * Returns whether an attempt that the listing leaves out can no longer start,
+ * since the worker has received a higher token or has obeyed its stop. If the
+ * listing is complete, one whose start got no reply has not started either.
  */
-function isInvalidated(
+function isOutdated(
   { phase, sinceMs, token }: Readonly<SessionAttempt>,
-  { context, listing }: ReceivedListing,
+  { context }: ReceivedListing,
 ): boolean {
-  return isComplete(listing) && phase === AttemptPhase.Unknown &&
+  return (phase === AttemptPhase.Unknown || phase === AttemptPhase.Stopping) &&
     sinceMs < context.sentMs && token < context.token;
 }
 
