Count a hand-over as confirmed from the time when it took place

Run: 2 of the 4 cases of handed_over_test.ts failed before; the 22 tests of the tenure and those of handover, paused_claim, slow_store, outage, regained, recovery and standby of the domain pass.

--- a/packages/tenure/src/claims.ts
+++ b/packages/tenure/src/claims.ts
@@ -83,13 +83,23 @@
     open(update, {
       record: known.record,
       version: known.version,
-      confirmedMs: update.now,
+      confirmedMs: claimedAtMs(update, known.record),
     });
   } else if (!isOwnRecord && isOwning && known.record.epoch > tenure.epoch) {
     loseTenure(update, "another node owns the domain");
   }
 }
 
+/**
+ * Returns when the epoch of a tenure record began, in milliseconds: this node may
+ * read a record long after that, and another node may own the domain by then.
+ */
+function claimedAtMs(update: Update, { claimedMs }: TenureRecord): number {
+  return claimedMs === undefined
+    ? update.now
+    : Math.min(update.now, update.now + claimedMs - storeNow(update));
+}
+
 /** Handles the result of a claim. */
 export function handleClaimResult(
   update: Update,
