--- a/packages/prove/src/domain/domain_cluster.ts
+++ b/packages/prove/src/domain/domain_cluster.ts
@@ -18,6 +18,8 @@
   FrontCallKind,
   type LogChangeEffect,
   type NodeEffect,
+  OrderKind,
+  OrderOutcome,
   PEER_MESSAGE_RECEIVED,
   PermitResultKind,
   type ReplyTo,
@@ -448,6 +450,25 @@
     node?.post(STOP_REQUESTED, {});
   }
 
+  /** Lets a worker reject the owner's next renewal though its token is new. */
+  fenceOwner(workerId: string): void {
+    const worker = this.workers.get(workerId)!;
+    const order = worker.order.bind(worker);
+    worker.order = (sent, from, options) => {
+      const isFenced = sent.kind === OrderKind.Renew && from === this.owner &&
+        worker.isUp;
+      if (!isFenced) {
+        order(sent, from, options);
+        return;
+      }
+      worker.order = order;
+      this.clock.after(
+        1,
+        () => options.answer({ outcome: OrderOutcome.Fenced, clockMs: 1 }),
+      );
+    };
+  }
+
   setLinkDown(a: string, b: string, isDown: boolean): void {
     for (const pair of [`${a}-${b}`, `${b}-${a}`]) {
       if (isDown) {
--- a/packages/prove/src/domain/domain_owner_changes_test.ts
+++ b/packages/prove/src/domain/domain_owner_changes_test.ts
@@ -1,6 +1,5 @@
 import "./plugins.ts";
 import { Random } from "@mustardweir/kernel";
-import { OrderKind, OrderOutcome } from "@mustardweir/protocol";
 import { expect } from "chai";
 import {
   createTaskPayload,
@@ -97,7 +96,7 @@
     const forMs = this.#pick([500, 2_000, 5_000, 9_000]);
     switch (fault) {
       case Fault.FenceOwner:
-        this.#fence(id);
+        cluster.fenceOwner(id);
         break;
       case Fault.CutWorker:
         this.#cut(id, nodeIds, forMs * 2);
@@ -180,26 +179,6 @@
     }
   }
 
-  /** Lets a worker reject the owner's next renewal. */
-  #fence(workerId: string): void {
-    const { cluster } = this;
-    const worker = cluster.workers.get(workerId)!;
-    const order = worker.order.bind(worker);
-    worker.order = (sent, from, options) => {
-      if (
-        sent.kind !== OrderKind.Renew || from !== cluster.owner || !worker.isUp
-      ) {
-        order(sent, from, options);
-        return;
-      }
-      worker.order = order;
-      cluster.clock.after(
-        1,
-        () => options.answer({ outcome: OrderOutcome.Fenced, clockMs: 1 }),
-      );
-    };
-  }
-
   #cut(id: string, nodes: readonly string[], forMs: number): void {
     const { clock, workers } = this.cluster;
     const { unreachableFrom } = workers.get(id)!.faults;
--- a/packages/prove/src/domain/domain_paused_claim_test.ts
+++ b/packages/prove/src/domain/domain_paused_claim_test.ts
@@ -1,5 +1,4 @@
 import "./plugins.ts";
-import { OrderKind, OrderOutcome } from "@mustardweir/protocol";
 import { expect } from "chai";
 import {
   createTaskPayload,
@@ -40,23 +39,6 @@
   { name: "until another node owns the domain", pausedMs: 6_000 },
 ];
 
-/** Lets the worker reject the owner's next renewal. */
-function fenceOnce(cluster: DomainCluster, workerId: string): void {
-  const worker = cluster.workers.get(workerId)!;
-  const order = worker.order.bind(worker);
-  worker.order = (sent, from, options) => {
-    if (sent.kind !== OrderKind.Renew || from !== cluster.owner) {
-      order(sent, from, options);
-      return;
-    }
-    worker.order = order;
-    cluster.clock.after(
-      1,
-      () => options.answer({ outcome: OrderOutcome.Fenced, clockMs: 1 }),
-    );
-  };
-}
-
 /** Pauses the node; the others and it reach different workers from now on. */
 function pauseApart(
   cluster: DomainCluster,
@@ -111,7 +93,7 @@
           workers.get(id)!.faults.unreachableFrom.add(owner);
         }
         clock.runUntil(clock.now + CUT_FOR_MS);
-        fenceOnce(cluster, "w0");
+        cluster.fenceOwner("w0");
         clock.runUntil(clock.now + pausedMs + 3_000);
         for (const { faults } of workers.values()) {
           faults.unreachableFrom.clear();
--- a/packages/prove/src/domain/domain_regained_test.ts
+++ b/packages/prove/src/domain/domain_regained_test.ts
@@ -1,5 +1,4 @@
 import "./plugins.ts";
-import { OrderKind, OrderOutcome } from "@mustardweir/protocol";
 import { expect } from "chai";
 import {
   createTaskPayload,
@@ -26,7 +25,7 @@
 
 interface RegainedCase {
   readonly name: string;
-  /** Time after which the silent workers are reached again, in ms. */
+  /** Time after which the silent workers are reached again, in ms; 0 if they always are. */
   readonly backAfterMs: number;
   /** Time by which their renewals arrive later than those of others, in ms. */
   readonly renewalDelayMs?: number;
@@ -58,23 +57,6 @@
   },
 ];
 
-/** Lets the worker reject the next order though its token is the newest. */
-function fenceOnce(cluster: DomainCluster, workerId: string): void {
-  const worker = cluster.workers.get(workerId)!;
-  const order = worker.order.bind(worker);
-  worker.order = (sent, from, options) => {
-    if (sent.kind !== OrderKind.Renew || from !== cluster.owner) {
-      order(sent, from, options);
-      return;
-    }
-    worker.order = order;
-    cluster.clock.after(
-      1,
-      () => options.answer({ outcome: OrderOutcome.Fenced, clockMs: 1 }),
-    );
-  };
-}
-
 // Guards against an owner that takes its own former leases for those of a
 // process that has ended.
 describe("tasks run once though a process regains the domain", () => {
@@ -108,7 +90,7 @@
         }
         clock.runUntil(clock.now + SILENT_FOR_MS);
         for (let fence = 0; fence < fences; fence++) {
-          fenceOnce(cluster, "w0");
+          cluster.fenceOwner("w0");
           clock.runUntil(clock.now + 1_000);
         }
         clock.runUntil(clock.now + SETTLE_MS + backAfterMs);
